Serve a request along the whole path, thin

Cause: nothing existed; all other work needs a path to grow on. One request is granted by late binding (reserve, start, pull, cancel over tarpc) and streamed to its caller.

--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,82 @@
+//! The clock as an interface, so that tests decide what time it is.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A source of time. Decisions never read the time themselves; the caller
+/// reads it here once and hands it in.
+pub trait Clock {
+    /// Monotonic time, for every timeout, lease and estimate.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock time, for records that leave the process.
+    fn wall(&self) -> SystemTime;
+
+    /// Wall-clock time in milliseconds since the Unix epoch.
+    fn wall_ms(&self) -> u64 {
+        let since = self.wall().duration_since(UNIX_EPOCH);
+        since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// The clock of the operating system.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to, for tests and scenarios.
+#[derive(Debug, Clone)]
+pub struct ManualClock {
+    /// Where this clock started; all readings are relative to it.
+    start: Instant,
+    /// Time passed since the start, shared by all clones.
+    passed: Rc<Cell<Duration>>,
+}
+
+impl ManualClock {
+    /// Makes a clock that stands at its start.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            passed: Rc::default(),
+        }
+    }
+
+    /// Moves the clock forward by `step`.
+    pub fn advance(&self, step: Duration) {
+        self.passed.set(self.passed.get() + step);
+    }
+
+    /// Time passed since the start.
+    #[must_use]
+    pub fn passed(&self) -> Duration {
+        self.passed.get()
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.passed.get()
+    }
+
+    fn wall(&self) -> SystemTime {
+        UNIX_EPOCH + self.passed.get()
+    }
+}
--- /dev/null
+++ b/crates/base/src/settings.rs
@@ -0,0 +1,154 @@
+//! JSON settings, read as a whole; an error names the place, what was found
+//! and a hint.
+
+use std::fmt::{self, Display, Formatter};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use snafu::{ResultExt, Snafu};
+
+/// Reads settings of type `T` from a JSON file. Unknown keys are refused by
+/// `T` itself, with `#[serde(deny_unknown_fields)]` on the container.
+///
+/// # Errors
+///
+/// Returns [`Error`] when the file cannot be read or does not fit `T`.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).context(ReadSnafu { path: &shown })?;
+    parse(&shown, &text)
+}
+
+/// Parses settings of type `T` from JSON text; `name` says where it came from.
+///
+/// # Errors
+///
+/// Returns [`Error::Parse`] with the key's path when the text does not fit.
+pub fn parse<T: DeserializeOwned>(name: &str, text: &str) -> Result<T, Error> {
+    let mut de = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut de).map_err(|e| Error::Parse {
+        file: name.to_owned(),
+        key: e.path().to_string(),
+        found: e.into_inner().to_string(),
+    })?;
+    de.end().map_err(|e| Error::Parse {
+        file: name.to_owned(),
+        key: ".".to_owned(),
+        found: e.to_string(),
+    })?;
+    Ok(value)
+}
+
+/// Why settings could not be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The file could not be read.
+    #[snafu(display(
+        "step=read_settings file={path}: {source} (hint: check the path given to --settings)"
+    ))]
+    Read {
+        /// The file that was asked for.
+        path: String,
+        /// What the system answered.
+        source: std::io::Error,
+    },
+    /// The text does not fit the settings.
+    #[snafu(display(
+        "step=parse_settings file={file} key={key}: {found} \
+         (hint: see docs/OPERATORS.md for the keys and their units)"
+    ))]
+    Parse {
+        /// Where the text came from.
+        file: String,
+        /// The path of the offending key.
+        key: String,
+        /// What was found there.
+        found: String,
+    },
+    /// A value is well-formed but impossible.
+    #[snafu(display("step=check_settings key={key}: found {found} (hint: {hint})"))]
+    Check {
+        /// The path of the offending key.
+        key: String,
+        /// What was found there.
+        found: String,
+        /// What would be accepted.
+        hint: String,
+    },
+}
+
+/// A duration written with its unit, as in `"250ms"`, `"2s"` or `"5m"`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Span(pub Duration);
+
+impl Span {
+    /// Makes a span of whole milliseconds.
+    #[must_use]
+    pub const fn ms(ms: u64) -> Self {
+        Self(Duration::from_millis(ms))
+    }
+
+    /// Makes a span of whole seconds.
+    #[must_use]
+    pub const fn secs(secs: u64) -> Self {
+        Self(Duration::from_secs(secs))
+    }
+}
+
+impl std::str::FromStr for Span {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let unit_at = text
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(text.len());
+        let (digits, unit) = text.split_at(unit_at);
+
+        let count: u64 = digits.parse().map_err(|_| bad_span(text))?;
+        let unit_us: u64 = match unit {
+            "us" => 1,
+            "ms" => 1_000,
+            "s" => 1_000_000,
+            "m" => 60_000_000,
+            "h" => 3_600_000_000,
+            _ => return Err(bad_span(text)),
+        };
+
+        let us = count.checked_mul(unit_us).ok_or_else(|| bad_span(text))?;
+        Ok(Self(Duration::from_micros(us)))
+    }
+}
+
+fn bad_span(text: &str) -> String {
+    format!(
+        "bad duration {text:?}, expected a whole number with us, ms, s, m or h, as in \"250ms\""
+    )
+}
+
+impl Display for Span {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let us = self.0.as_micros();
+        match us {
+            0 => f.write_str("0s"),
+            _ if us.is_multiple_of(1_000_000) => write!(f, "{}s", us / 1_000_000),
+            _ if us.is_multiple_of(1_000) => write!(f, "{}ms", us / 1_000),
+            _ => write!(f, "{us}us"),
+        }
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/base/src/stop.rs
@@ -0,0 +1,51 @@
+//! A shared flag and wake-up for graceful shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use tokio::sync::Notify;
+
+/// Says that a daemon should stop; all clones share one state, on whatever
+/// thread they live.
+#[derive(Debug, Clone, Default)]
+pub struct Stop {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    asked: AtomicBool,
+    notify: Notify,
+}
+
+impl Stop {
+    /// Makes a flag that is not set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the flag and wakes all who wait for it.
+    pub fn ask(&self) {
+        self.inner.asked.store(true, Ordering::Release);
+        self.inner.notify.notify_waiters();
+    }
+
+    /// Whether the flag is set.
+    #[must_use]
+    pub fn asked(&self) -> bool {
+        self.inner.asked.load(Ordering::Acquire)
+    }
+
+    /// Waits until the flag is set.
+    pub async fn wait(&self) {
+        loop {
+            // Enrolled before the flag is read, so that no wake-up is missed.
+            let woken = self.inner.notify.notified();
+            if self.asked() {
+                return;
+            }
+            woken.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,108 @@
+//! What an entry knows: the bundle in force and the sidecars.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::clock::Clock;
+use base::ids::Sequence;
+use bundle::Bundle;
+use policy::Placement;
+use policy::placement::ServerIndex;
+use wire::{Peer, Stamp};
+
+use crate::settings::{Known, Settings};
+
+/// How often draining looks whether all has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Everything that an entry knows.
+pub struct State {
+    /// What the operators set.
+    pub settings: Settings,
+    /// Where the time comes from.
+    pub clock: Rc<dyn Clock>,
+    /// The bundle in force.
+    pub bundle: RefCell<Rc<Bundle>>,
+    /// The known sidecars.
+    pub servers: RefCell<Vec<Rc<Server>>>,
+    /// Where to ask for a slot.
+    pub placement: RefCell<Placement>,
+    /// Requests in progress.
+    open: Cell<usize>,
+}
+
+/// A sidecar and the connection to it.
+pub struct Server {
+    /// What is known of it from outside.
+    pub known: Known,
+    /// The connection.
+    pub peer: Peer,
+}
+
+impl State {
+    /// Makes the state of an entry that just started.
+    #[must_use]
+    pub fn new(settings: Settings, bundle: Bundle, clock: Rc<dyn Clock>) -> Rc<Self> {
+        let seed = settings.seed.unwrap_or_else(rand::random);
+        let servers = settings.sidecars.iter().map(|known| {
+            Rc::new(Server {
+                known: known.clone(),
+                peer: Peer::new(known.addr),
+            })
+        });
+        Rc::new(Self {
+            servers: RefCell::new(servers.collect()),
+            settings,
+            clock,
+            bundle: RefCell::new(Rc::new(bundle)),
+            placement: RefCell::new(Placement::new(seed)),
+            open: Cell::new(0),
+        })
+    }
+
+    /// What every call tells about this entry.
+    pub fn stamp(&self) -> Stamp {
+        Stamp {
+            sequence: Sequence::default(),
+        }
+    }
+
+    /// The sidecars whose backend server offers `target`.
+    pub fn candidates(&self, target: &str) -> Vec<ServerIndex> {
+        let servers = self.servers.borrow();
+        let serves = |(i, s): (usize, &Rc<Server>)| (s.known.serves == target).then_some(i);
+        servers.iter().enumerate().filter_map(serves).collect()
+    }
+
+    /// The sidecar at an index.
+    pub fn server(&self, index: ServerIndex) -> Option<Rc<Server>> {
+        self.servers.borrow().get(index).cloned()
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn open(self: &Rc<Self>) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open {
+            state: Rc::clone(self),
+        }
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn drain(&self) {
+        while self.open.get() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+/// Counts one request as in progress for as long as it lives.
+pub struct Open {
+    state: Rc<State>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.state.open.set(self.state.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,284 @@
+//! Running, resuming and cancelling completions at a model engine.
+//!
+//! An engine speaks chat completions over HTTP with server-sent events. Each
+//! event numbers its token in `seq`, so that a stream can be resumed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use base::ids::{Ticket, Tier};
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::{Stream, StreamExt};
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// Header that names the request towards an engine or a plain service.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Header that carries the priority; lower numbers go first.
+pub const PRIORITY: &str = "x-priority";
+
+/// Time allowed until an engine answers with a header.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The last event of a stream, by the usual protocol.
+const DONE: &str = "[DONE]";
+
+/// One model engine as its sidecar reaches it.
+#[derive(Clone)]
+pub struct Engine {
+    /// Where the engine listens.
+    addr: SocketAddr,
+    /// The HTTP client, which keeps connections.
+    http: awc::Client,
+}
+
+/// Why a call of an engine failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The engine could not be reached, so the request did not run.
+    #[snafu(display("step={step} peer={peer}: no connection"))]
+    Connect {
+        /// What was wanted.
+        step: &'static str,
+        /// The engine.
+        peer: SocketAddr,
+    },
+    /// The call went out and its answer did not come, so the request may run.
+    #[snafu(display("step={step} peer={peer}: {detail}"))]
+    Lost {
+        /// What was wanted.
+        step: &'static str,
+        /// The engine.
+        peer: SocketAddr,
+        /// What the client reported.
+        detail: String,
+    },
+    /// The engine refused the call, so the request did not run.
+    #[snafu(display("step={step} peer={peer}: refused with status {status}"))]
+    Refused {
+        /// What was wanted.
+        step: &'static str,
+        /// The engine.
+        peer: SocketAddr,
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The engine sent an event that does not fit its protocol.
+    #[snafu(display("step=read_event peer={peer}: bad event: {source}"))]
+    Event {
+        /// The engine.
+        peer: SocketAddr,
+        /// What the parser found.
+        source: serde_json::Error,
+    },
+    /// An event had no choice in it.
+    #[snafu(display("step=read_event peer={peer}: event without a choice"))]
+    Empty {
+        /// The engine.
+        peer: SocketAddr,
+    },
+}
+
+impl Error {
+    /// Whether the request certainly did not run.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Refused { .. })
+    }
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A token.
+    Token {
+        /// Its number, from 0.
+        seq: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The end of a whole answer.
+    End {
+        /// How many tokens the answer has.
+        count: u32,
+        /// Why it ended.
+        finish: String,
+        /// Prompt tokens that the engine found in its cache.
+        cached: u32,
+    },
+}
+
+/// One event as the engine writes it, in the usual shape.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The token's number.
+    pub seq: u32,
+    /// One choice.
+    pub choices: Vec<Choice>,
+    /// Present in the last event before the end mark.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// One choice of a [`Chunk`].
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Choice {
+    /// The text of the token.
+    pub text: String,
+    /// Why the answer ended.
+    pub finish_reason: Option<String>,
+}
+
+/// Token counts in the last event.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+    /// Prompt tokens that were found in the cache.
+    pub cached_tokens: u32,
+}
+
+impl Engine {
+    /// Makes a client for the engine at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        let connector = awc::Connector::new()
+            .timeout(Duration::from_secs(1))
+            .limit(0);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .timeout(HEADER_TIMEOUT)
+            .finish();
+        Self { addr, http }
+    }
+
+    /// Where the engine listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Runs a completion and returns its events. `body` is the caller's JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine did not accept the request;
+    /// [`Error::not_run`] tells whether it may run all the same.
+    pub async fn run(
+        &self,
+        ticket: Ticket,
+        tier: Tier,
+        body: Bytes,
+    ) -> Result<impl Stream<Item = Result<Event, Error>> + use<>, Error> {
+        let request = self
+            .http
+            .post(format!("http://{}/v1/completions", self.addr))
+            .insert_header((REQUEST_ID, ticket.to_string()))
+            .insert_header((PRIORITY, tier.to_string()))
+            .content_type("application/json");
+        self.stream("run", request.send_body(body)).await
+    }
+
+    /// Resumes the stream of a request that the engine still runs or keeps,
+    /// from token number `from` on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine does not know the request or cannot
+    /// be reached.
+    pub async fn resume(
+        &self,
+        ticket: Ticket,
+        from: u32,
+    ) -> Result<impl Stream<Item = Result<Event, Error>> + use<>, Error> {
+        let url = format!("http://{}/v1/streams/{ticket}?from={from}", self.addr);
+        self.stream("resume", self.http.get(url).send()).await
+    }
+
+    /// Stops a request. A request that the engine does not know is no error.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine cannot be reached.
+    pub async fn cancel(&self, ticket: Ticket) -> Result<(), Error> {
+        let url = format!("http://{}/v1/streams/{ticket}", self.addr);
+        let sent = self.http.delete(url).send().await;
+        sent.map(|_| ()).map_err(|e| self.failure("cancel", &e))
+    }
+
+    async fn stream(
+        &self,
+        step: &'static str,
+        sent: awc::SendClientRequest,
+    ) -> Result<impl Stream<Item = Result<Event, Error>> + use<>, Error> {
+        let peer = self.addr;
+        let response = sent.await.map_err(|e| self.failure(step, &e))?;
+        if response.status() != StatusCode::OK {
+            let status = response.status().as_u16();
+            return RefusedSnafu { step, peer, status }.fail();
+        }
+
+        // The client bounds a body's time by default; an answer may be long.
+        // Silence is watched by whoever reads the stream.
+        let response = response.timeout(Duration::MAX);
+        let events = response.eventsource().filter_map(move |event| async move {
+            match event {
+                Ok(event) if event.data == DONE => None,
+                Ok(event) => Some(parse(peer, &event.data)),
+                Err(e) => {
+                    let detail = e.to_string();
+                    Some(
+                        LostSnafu {
+                            step: "read_event",
+                            peer,
+                            detail,
+                        }
+                        .fail(),
+                    )
+                }
+            }
+        });
+        Ok(events)
+    }
+
+    /// Tells a request that never went out from one that may have.
+    fn failure(&self, step: &'static str, error: &awc::error::SendRequestError) -> Error {
+        let peer = self.addr;
+        match error {
+            awc::error::SendRequestError::Connect(_) => ConnectSnafu { step, peer }.build(),
+            other => LostSnafu {
+                step,
+                peer,
+                detail: other.to_string(),
+            }
+            .build(),
+        }
+    }
+}
+
+fn parse(peer: SocketAddr, data: &str) -> Result<Event, Error> {
+    let chunk: Chunk = serde_json::from_str(data).context(EventSnafu { peer })?;
+    let choice = chunk
+        .choices
+        .into_iter()
+        .next()
+        .context(EmptySnafu { peer })?;
+
+    let Some(finish) = choice.finish_reason else {
+        return Ok(Event::Token {
+            seq: chunk.seq,
+            text: choice.text,
+        });
+    };
+    let cached = chunk.usage.map_or(0, |u| u.cached_tokens);
+    Ok(Event::End {
+        count: chunk.seq,
+        finish,
+        cached,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,9 @@
+//! Clients of everything outside the system: model engines, plain services,
+//! the log, the host list and the weight store. This is the only package
+//! that knows their formats, which docs/PLATFORM.md writes down.
+//!
+//! - [`engine`]: running, resuming and cancelling completions.
+//! - [`plain`]: calls of plain services.
+
+pub mod engine;
+pub mod plain;
--- /dev/null
+++ b/crates/platform/src/plain.rs
@@ -0,0 +1,101 @@
+//! Calls of plain services, which stand beside the model engines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::ids::Ticket;
+use bytes::Bytes;
+
+use crate::engine::{Error, REQUEST_ID};
+
+/// Largest answer of a plain service, in bytes.
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// One plain service as its sidecar reaches it.
+#[derive(Clone)]
+pub struct Plain {
+    /// Where the service listens.
+    addr: SocketAddr,
+    /// The HTTP client, which keeps connections.
+    http: awc::Client,
+}
+
+/// The answer of a plain service.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type, empty when there is none.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Plain {
+    /// Makes a client for the service at `addr`; each call may take `timeout`.
+    #[must_use]
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        let connector = awc::Connector::new()
+            .timeout(Duration::from_secs(1))
+            .limit(0);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .timeout(timeout)
+            .finish();
+        Self { addr, http }
+    }
+
+    /// Makes one call. `path` starts with a slash and includes the query.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when no whole answer came; [`Error::not_run`] tells
+    /// whether the call may have run all the same.
+    pub async fn call(
+        &self,
+        ticket: Ticket,
+        method: &str,
+        path: &str,
+        content_type: &str,
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let peer = self.addr;
+        let lost = |detail: String| Error::Lost {
+            step: "call",
+            peer,
+            detail,
+        };
+        let method =
+            awc::http::Method::from_bytes(method.as_bytes()).map_err(|_| Error::Refused {
+                step: "call",
+                peer,
+                status: 405,
+            })?;
+
+        let mut request = self
+            .http
+            .request(method, format!("http://{peer}{path}"))
+            .insert_header((REQUEST_ID, ticket.to_string()));
+        if !content_type.is_empty() {
+            request = request.content_type(content_type);
+        }
+
+        let mut response = request.send_body(body).await.map_err(|e| match e {
+            awc::error::SendRequestError::Connect(_) => Error::Connect { step: "call", peer },
+            other => lost(other.to_string()),
+        })?;
+        let status = response.status().as_u16();
+        let kind = response.headers().get(awc::http::header::CONTENT_TYPE);
+        let content_type = kind.and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+        let body = response
+            .body()
+            .limit(ANSWER_LIMIT)
+            .await
+            .map_err(|e| lost(e.to_string()))?;
+        Ok(Answer {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions only: no sockets, no runtime and no clock of its own. Whoever
+//! asks hands the time in.
+//!
+//! - [`queue`]: what a sidecar decides: who waits, who starts, who is shed.
+//! - [`placement`]: what an entry decides: where to ask for a slot.
+
+pub mod placement;
+pub mod queue;
+
+pub use placement::Placement;
+pub use queue::Queue;
--- /dev/null
+++ b/crates/sidecar/src/service.rs
@@ -0,0 +1,70 @@
+//! The inner protocol's calls, answered from the state.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::ids::Ticket;
+use tarpc::context::Context;
+use wire::{Cancelled, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start, Started};
+
+use crate::state::State;
+
+/// Longest time that a call is held, whatever it asks for.
+const HOLD_LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers the calls of all connections.
+#[derive(Clone)]
+pub struct Service {
+    state: Rc<State>,
+}
+
+impl Service {
+    /// Makes a service over `state`.
+    #[must_use]
+    pub fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl Sidecar for Service {
+    async fn reserve(self, _: Context, _stamp: Stamp, ask: Reserve) -> Reply<Reserved> {
+        let (entry, mut stands) = self.state.reserve(&ask);
+        if matches!(stands, Reserved::Waiting { .. }) {
+            let changed = entry.changed.notified();
+            let _ = tokio::time::timeout(hold(ask.wait_ms), changed).await;
+            stands = self.state.stands(&entry);
+        }
+        self.state.reply(stands)
+    }
+
+    async fn start(self, _: Context, _stamp: Stamp, order: Start) -> Reply<Started> {
+        let started = self.state.start(order);
+        self.state.reply(started)
+    }
+
+    async fn pull(self, _: Context, _stamp: Stamp, ask: Pull) -> Reply<Pulled> {
+        let Some(entry) = self.state.find(ask.ticket) else {
+            return self.state.reply(Pulled::Unknown);
+        };
+        let mut pulled = self.state.pull(&entry, ask.from);
+        if matches!(&pulled, Pulled::Pieces { pieces, end: None, .. } if pieces.is_empty()) {
+            let changed = entry.changed.notified();
+            let _ = tokio::time::timeout(hold(ask.wait_ms), changed).await;
+            pulled = self.state.pull(&entry, ask.from);
+        }
+        self.state.reply(pulled)
+    }
+
+    async fn cancel(self, _: Context, _stamp: Stamp, ticket: Ticket) -> Reply<Cancelled> {
+        let cancelled = self.state.cancel(ticket);
+        self.state.reply(cancelled)
+    }
+
+    async fn fetch_bundle(self, _: Context, _stamp: Stamp) -> Reply<Option<bytes::Bytes>> {
+        self.state.reply(None)
+    }
+}
+
+fn hold(wait_ms: u32) -> Duration {
+    Duration::from_millis(u64::from(wait_ms)).min(HOLD_LIMIT)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,40 @@
+//! The inner protocol between an entry and a sidecar.
+//!
+//! Four idempotent calls by ticket, entry as client and sidecar as server;
+//! see docs/DECISIONS/0002-late-binding.md for why. The order of a request:
+//! `reserve` until `Ready`, `start`, `pull` until the last piece; `cancel` at
+//! any time.
+//!
+//! - [`message`]: what the calls carry.
+//! - [`peer`]: a connection that finds out when it has gone silent.
+//! - [`serve`]: answering the calls.
+
+pub mod message;
+pub mod peer;
+pub mod serve;
+
+pub use message::*;
+pub use peer::Peer;
+
+/// The calls that a sidecar answers. Each carries a [`Stamp`], so that
+/// whoever is behind on the bundle finds out before it decides.
+#[tarpc::service]
+pub trait Sidecar {
+    /// Asks for a slot for a ticket, without the prompt. A long poll, bounded
+    /// by `wait_ms`; asking again with the same ticket goes on waiting.
+    async fn reserve(stamp: Stamp, ask: Reserve) -> Reply<Reserved>;
+
+    /// Starts a ticket that holds a slot in this incarnation.
+    async fn start(stamp: Stamp, order: Start) -> Reply<Started>;
+
+    /// Asks for the answer's pieces from a number on. A bounded long poll;
+    /// asking from N acknowledges all pieces before N.
+    async fn pull(stamp: Stamp, ask: Pull) -> Reply<Pulled>;
+
+    /// Ends a ticket, whatever its state, and tells whether it ever started.
+    async fn cancel(stamp: Stamp, ticket: base::ids::Ticket) -> Reply<Cancelled>;
+
+    /// Fetches the newest accepted bundle that the other side holds, as the
+    /// bytes of its log record. `None` when it holds none.
+    async fn fetch_bundle(stamp: Stamp) -> Reply<Option<bytes::Bytes>>;
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,210 @@
+//! What the calls of the inner protocol carry.
+
+use base::ids::{Incarnation, Sequence, Ticket, Tier};
+use base::reason::Refusal;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// What every call tells about its sender.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The bundle that the sender goes by.
+    pub sequence: Sequence,
+}
+
+/// What every answer tells about its sender, beside the answer itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reply<T> {
+    /// The bundle that the sender goes by.
+    pub sequence: Sequence,
+    /// The sender's life; a change means that its state is gone.
+    pub incarnation: Incarnation,
+    /// The sender's load, so that no message of its own has to carry it.
+    pub load: Load,
+    /// The answer.
+    pub body: T,
+}
+
+/// How busy a backend server is, as its sidecar sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that the backend server can run at once.
+    pub slots: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Recent time between two tokens of one answer, in microseconds.
+    pub token_us: u32,
+    /// Recent time from a start to the first token, in microseconds.
+    pub first_us: u32,
+    /// Whether the sidecar takes no new requests any more.
+    pub draining: bool,
+}
+
+/// Asks for a slot.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reserve {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its class, by name.
+    pub class: String,
+    /// Its workspace, by name, for the fair share.
+    pub workspace: String,
+    /// Its tier.
+    pub tier: Tier,
+    /// Time left until the first piece is due, in microseconds.
+    pub first_left_us: u64,
+    /// Time left until the whole answer is due, in microseconds.
+    pub whole_left_us: u64,
+    /// Size of the prompt, in tokens.
+    pub prompt: u32,
+    /// Most tokens that the answer may have.
+    pub max_tokens: u32,
+    /// Hash of the prompt's prefix, for cache affinity.
+    pub prefix: u64,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Longest time that the call may be held, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// What became of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reserved {
+    /// A slot is held for the ticket.
+    Ready {
+        /// How long the slot is held, in milliseconds.
+        hold_ms: u32,
+    },
+    /// The ticket is queued.
+    Waiting {
+        /// Estimated time until a slot is free, in microseconds.
+        estimate_us: u64,
+    },
+    /// The ticket is not queued and will not run here.
+    Refused(Refusal),
+    /// The ticket already started here.
+    AlreadyStarted,
+}
+
+/// Starts a ticket.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Start {
+    /// The request.
+    pub ticket: Ticket,
+    /// The life of the sidecar that held the slot.
+    pub incarnation: Incarnation,
+    /// What to run.
+    pub work: Work,
+}
+
+/// What a backend server is asked to run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Work {
+    /// A completion by a model engine: the caller's body as JSON bytes.
+    Completion {
+        /// The body, in the shape of chat completions or completions.
+        body: Bytes,
+        /// Whether the body has the shape of chat completions.
+        chat: bool,
+    },
+    /// A call of a plain service.
+    Call {
+        /// The HTTP method.
+        method: String,
+        /// The path below the service, with its query.
+        path: String,
+        /// The content type, empty when there is none.
+        content_type: String,
+        /// The body.
+        body: Bytes,
+    },
+}
+
+/// What became of a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Started {
+    /// The ticket runs; also the answer to a repeated start.
+    Running,
+    /// The slot is no longer held; the ticket did not run.
+    Lapsed,
+    /// The start was meant for an earlier life; the ticket did not run here
+    /// in this life.
+    OtherIncarnation,
+    /// The ticket was cancelled before; it did not run.
+    Cancelled,
+    /// The ticket did not run, for the given reason.
+    Refused(Refusal),
+}
+
+/// Asks for pieces of an answer.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Pull {
+    /// The request.
+    pub ticket: Ticket,
+    /// The number of the first piece wanted.
+    pub from: u32,
+    /// Longest time that the call may be held, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// Pieces of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Pulled {
+    /// Consecutive pieces, possibly none yet.
+    Pieces {
+        /// The number of the first piece.
+        first: u32,
+        /// The pieces.
+        pieces: Vec<Piece>,
+        /// Set when the answer is complete or broken after these pieces.
+        end: Option<End>,
+    },
+    /// The ticket is not known here in this life.
+    Unknown,
+}
+
+/// One piece of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Tokens in the piece.
+    pub tokens: u32,
+    /// The text, or the bytes of a plain service's answer.
+    pub data: Bytes,
+}
+
+/// How an answer ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// The answer is whole.
+    Whole {
+        /// How many pieces it has in all.
+        count: u32,
+        /// HTTP status of a plain service's answer; 200 for an engine's.
+        status: u16,
+        /// Why the answer ended, in the engine's word, or the content type
+        /// of a plain service's answer.
+        finish: String,
+        /// Tokens of the prompt that the engine found in its cache.
+        cached: u32,
+    },
+    /// The answer broke off.
+    Broken {
+        /// Why.
+        reason: Refusal,
+        /// Whether the backend server may have run the request.
+        ran: base::reason::Ran,
+    },
+}
+
+/// What a cancel found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cancelled {
+    /// The ticket never started and never will in this life.
+    NeverStarted,
+    /// The ticket had started; it is being stopped.
+    Started,
+    /// The ticket had ended.
+    Ended,
+}
