Split the command line into a file for each group of commands

Cause: several people will add commands at once; one file would collide. Change: commands/ with a file each, and a control by which a stand-in's faults change while it runs. Conclusion: ready for work side by side.

--- /dev/null
+++ b/crates/cli/src/commands/daemons.rs
@@ -0,0 +1,47 @@
+//! `entry` and `sidecar`: the two daemons.
+
+use std::path::PathBuf;
+
+use base::{logging, settings};
+use bpaf::Bpaf;
+use bundle::Bundle;
+
+use crate::{Outcome, daemon};
+
+/// Run the daemon on an entry host.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, generate(entry))]
+pub(crate) struct Entry {
+    /// JSON settings
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// The bundle in force
+    #[bpaf(argument("FILE"))]
+    bundle: PathBuf,
+}
+
+impl Entry {
+    pub(crate) fn run(self) -> Outcome {
+        let settings: entry::Settings = settings::load(&self.settings)?;
+        let bundle: Bundle = settings::load(&self.bundle)?;
+        logging::init(settings.log_level);
+        daemon::run(|stop| entry::run(settings, bundle, stop))
+    }
+}
+
+/// Run the daemon beside one backend server.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, generate(sidecar))]
+pub(crate) struct Sidecar {
+    /// JSON settings
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+impl Sidecar {
+    pub(crate) fn run(self) -> Outcome {
+        let settings: sidecar::Settings = settings::load(&self.settings)?;
+        logging::init(settings.log_level);
+        daemon::run(|stop| sidecar::run(settings, stop))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! The commands, a file for each group.
+
+pub(crate) mod daemons;
+pub(crate) mod demo;
+pub(crate) mod standin;
--- /dev/null
+++ b/crates/cli/src/commands/standin.rs
@@ -0,0 +1,50 @@
+//! `standin`: stand-ins for parts of the platform.
+
+use std::path::PathBuf;
+
+use base::settings;
+use bpaf::Bpaf;
+use standin::Ledger;
+
+use crate::{Outcome, daemon};
+
+/// Run a stand-in for a part of the platform.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, generate(standin))]
+pub(crate) struct Standin {
+    #[bpaf(external)]
+    part: Part,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum Part {
+    /// A model engine
+    #[bpaf(command)]
+    Engine {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// A plain service
+    #[bpaf(command)]
+    Plain {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+}
+
+impl Standin {
+    pub(crate) fn run(self) -> Outcome {
+        match self.part {
+            Part::Engine { settings } => {
+                let settings = settings::load(&settings)?;
+                daemon::run(|stop| standin::engine::run(settings, Ledger::default(), stop))
+            }
+            Part::Plain { settings } => {
+                let settings = settings::load(&settings)?;
+                daemon::run(|stop| standin::plain::run(settings, Ledger::default(), stop))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/daemon.rs
@@ -0,0 +1,38 @@
+//! Running one daemon in the foreground.
+
+use std::io;
+use std::process::ExitCode;
+
+use base::stop::Stop;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::Outcome;
+
+/// Runs one daemon until it is told to stop by SIGTERM or SIGINT.
+pub(crate) fn run<F, Fut>(body: F) -> Outcome
+where
+    F: FnOnce(Stop) -> Fut,
+    Fut: Future<Output = io::Result<()>>,
+{
+    base::telemetry::with_recorder(|_| {
+        actix_rt::System::new().block_on(async {
+            let stop = Stop::new();
+            actix_rt::spawn(signals(stop.clone()));
+            body(stop).await
+        })
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn signals(stop: Stop) {
+    let term = signal(SignalKind::terminate());
+    let int = signal(SignalKind::interrupt());
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    stop.ask();
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,11 +1,14 @@
 //! Small stand-ins for the platform, with each fault as a setting.
 //!
+//! - [`control`]: faults, changed while a stand-in runs.
 //! - [`engine`]: a model engine that batches continuously.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`plain`]: a plain service.
 
+pub mod control;
 pub mod engine;
 pub mod ledger;
 pub mod plain;
 
+pub use control::Control;
 pub use ledger::Ledger;
