--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -7,6 +7,9 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
+/// Most tokens of a prompt or an answer.
+const LONGEST: f64 = 16_384.0;
+
 /// The arrivals of a run, by class.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -19,6 +22,23 @@
     pub seconds: f64,
     /// The classes by name.
     pub classes: BTreeMap<String, Flow>,
+    /// A part of the run in which one class comes more often.
+    #[serde(default)]
+    pub burst: Option<Burst>,
+}
+
+/// A part of the run in which one class comes more often.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// The class.
+    pub class: String,
+    /// By how much its usual rate is multiplied.
+    pub times: f64,
+    /// When it begins, in seconds from the start of the run.
+    pub from: f64,
+    /// When it ends, in seconds from the start of the run.
+    pub until: f64,
 }
 
 /// The arrivals of one class.
@@ -29,14 +49,39 @@
     pub tier: u8,
     /// Requests a second outside bursts.
     pub rate: f64,
-    /// Median tokens of a prompt.
+    /// What is asked for.
+    #[serde(default)]
+    pub kind: Kind,
+    /// Median tokens of a prompt, without its shared prefix.
+    #[serde(default)]
     pub prompt: f64,
+    /// Tokens of the prefix that many prompts share.
+    #[serde(default)]
+    pub shared: u32,
+    /// How many different shared prefixes there are.
+    #[serde(default = "one")]
+    pub prefixes: u32,
     /// Median tokens of an answer.
+    #[serde(default)]
     pub answer: f64,
-    /// Spread of both, as the standard deviation of the logarithm.
+    /// Spread of prompt and answer, as the standard deviation of the
+    /// logarithm.
+    #[serde(default)]
     pub spread: f64,
-    /// The bearer token to use.
-    pub token: String,
+    /// The workspaces that ask.
+    pub workspaces: Vec<Sender>,
+    /// Share of callers that take the answer whole.
+    #[serde(default)]
+    pub whole: f64,
+    /// Share of callers that go away before the answer ends.
+    #[serde(default)]
+    pub leaving: f64,
+    /// Share of requests that may not run twice.
+    #[serde(default)]
+    pub once: f64,
+    /// Share of requests that carry an idempotency key.
+    #[serde(default)]
+    pub keyed: f64,
     /// Target until the first token, in milliseconds.
     pub first_ms: f64,
     /// Target between tokens, in milliseconds, as a mean over the answer.
@@ -45,6 +90,30 @@
     pub whole_ms: f64,
 }
 
+/// A workspace that asks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sender {
+    /// The bearer token.
+    pub token: String,
+    /// Its part of the class's requests, relative to the others.
+    pub weight: f64,
+}
+
+/// What a class asks for.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub enum Kind {
+    /// A completion by a model engine.
+    #[default]
+    Completion,
+    /// A call of a plain service.
+    Call {
+        /// The service's name.
+        service: String,
+    },
+}
+
 /// One request to send.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -52,37 +121,47 @@
     pub at: Duration,
     /// The class.
     pub class: String,
+    /// What is asked for.
+    pub kind: Kind,
     /// The bearer token to use.
     pub token: String,
     /// The caller's own mark, by which stand-ins know the request.
     pub mark: String,
-    /// Tokens of the prompt.
+    /// Tokens of the prompt, without its shared prefix.
     pub prompt: u32,
+    /// Tokens of the prompt's shared prefix.
+    pub shared: u32,
+    /// Which shared prefix.
+    pub prefix: u32,
     /// Tokens of the answer.
     pub answer: u32,
+    /// Whether the answer is taken as it is made.
+    pub stream: bool,
+    /// After how many tokens the caller goes away, if it does.
+    pub leaves: Option<u32>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether the request carries an idempotency key.
+    pub keyed: bool,
 }
 
 impl Mix {
-    /// Draws all arrivals, in order of time.
+    /// Draws all arrivals, in order of time. A burst adds to the usual
+    /// arrivals and leaves those as they are.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Arrival> {
         let mut all = Vec::new();
         for (i, (name, flow)) in self.classes.iter().enumerate() {
-            let mut rng = Pcg64Mcg::new(u128::from(self.seed) << 8 | i as u128 | 1 << 100);
-            let mut at = 0.0;
-            loop {
-                at += -(1.0 - rng.random::<f64>()).ln() / flow.rate;
-                if at >= self.seconds {
-                    break;
-                }
-                all.push(Arrival {
-                    at: Duration::from_secs_f64(at),
-                    class: name.clone(),
-                    token: flow.token.clone(),
-                    mark: format!("{name}-{}", all.len()),
-                    prompt: size(&mut rng, flow.prompt, flow.spread),
-                    answer: size(&mut rng, flow.answer, flow.spread),
-                });
+            let seed = u128::from(self.seed) << 16 | (i as u128) << 1 | 1 << 100;
+            let usual = (0.0, self.seconds);
+            all.extend(drawn(name, flow, flow.rate, usual, "u", seed));
+
+            let burst = self.burst.as_ref().filter(|b| &b.class == name);
+            if let Some(burst) = burst {
+                let rate = flow.rate * (burst.times - 1.0).max(0.0);
+                let part = (burst.from, burst.until.min(self.seconds));
+                let seed = seed | 1 << 101;
+                all.extend(drawn(name, flow, rate, part, "b", seed));
             }
         }
         all.sort_by_key(|a| a.at);
@@ -90,11 +169,78 @@
     }
 }
 
+/// Draws the arrivals of one class in one part of the run.
+fn drawn(
+    class: &str,
+    flow: &Flow,
+    rate: f64,
+    (from, until): (f64, f64),
+    kind: &str,
+    seed: u128,
+) -> Vec<Arrival> {
+    let mut rng = Pcg64Mcg::new(seed);
+    let mut all = Vec::new();
+    let mut at = from;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        // Also ends when the rate is zero and the time infinite.
+        if at.is_nan() || at >= until {
+            return all;
+        }
+        let mark = format!("{class}-{kind}{}", all.len());
+        all.push(one_arrival(class, flow, at, mark, &mut rng));
+    }
+}
+
+/// Draws one arrival. Every number is drawn whether it is needed or not, so
+/// that a changed share leaves all the others as they are.
+fn one_arrival(class: &str, flow: &Flow, at: f64, mark: String, rng: &mut Pcg64Mcg) -> Arrival {
+    let prompt = size(rng, flow.prompt, flow.spread);
+    let answer = size(rng, flow.answer, flow.spread);
+    let prefix = rng.random_range(0..flow.prefixes.max(1));
+    let token = sender(&flow.workspaces, rng.random());
+    let stream = rng.random::<f64>() >= flow.whole;
+    let leaving = rng.random::<f64>() < flow.leaving;
+    let leaves_after = rng.random_range(0..answer.max(1));
+    let repeatable = rng.random::<f64>() >= flow.once;
+    let keyed = rng.random::<f64>() < flow.keyed;
+    Arrival {
+        at: Duration::from_secs_f64(at),
+        class: class.to_owned(),
+        kind: flow.kind.clone(),
+        token,
+        mark,
+        prompt,
+        shared: flow.shared,
+        prefix,
+        answer,
+        stream,
+        leaves: (leaving && stream).then_some(leaves_after),
+        repeatable,
+        keyed,
+    }
+}
+
+/// The bearer token of the workspace at `draw`, a number below 1, of all.
+fn sender(workspaces: &[Sender], draw: f64) -> String {
+    let total: f64 = workspaces.iter().map(|w| w.weight).sum();
+    let mut left = draw * total;
+    for workspace in workspaces {
+        left -= workspace.weight;
+        if left < 0.0 {
+            return workspace.token.clone();
+        }
+    }
+    workspaces
+        .last()
+        .map_or(String::new(), |w| w.token.clone())
+}
+
 /// Draws a size from a lognormal distribution.
 fn size(rng: &mut Pcg64Mcg, median: f64, spread: f64) -> u32 {
     let (u, v): (f64, f64) = (1.0 - rng.random::<f64>(), rng.random());
     let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
-    let size = (median * (spread * normal).exp()).clamp(1.0, 16_384.0);
+    let size = (median * (spread * normal).exp()).clamp(1.0, LONGEST);
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -103,3 +249,7 @@
     let size = size as u32;
     size
 }
+
+fn one() -> u32 {
+    1
+}
--- /dev/null
+++ b/crates/load/src/balancer.rs
@@ -0,0 +1,65 @@
+//! Which entry a caller is sent to, as the platform's balancer would choose.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long an entry that refused a connection is passed over.
+const PASS_OVER: Duration = Duration::from_millis(250);
+
+/// Sends callers to entries in turn and passes over those that refuse
+/// connections.
+#[derive(Debug)]
+pub struct Balancer {
+    entries: Vec<Target>,
+    turn: AtomicUsize,
+    began: Instant,
+}
+
+#[derive(Debug)]
+struct Target {
+    addr: SocketAddr,
+    /// Until when it is passed over, in milliseconds from the start.
+    until: AtomicU64,
+}
+
+impl Balancer {
+    /// Makes a balancer over the entries.
+    #[must_use]
+    pub fn new(entries: &[SocketAddr]) -> Self {
+        let target = |addr: &SocketAddr| Target {
+            addr: *addr,
+            until: AtomicU64::new(0),
+        };
+        Self {
+            entries: entries.iter().map(target).collect(),
+            turn: AtomicUsize::new(0),
+            began: Instant::now(),
+        }
+    }
+
+    /// The entries in the order in which one caller tries them: each once,
+    /// those passed over last.
+    #[must_use]
+    pub fn order(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let count = self.entries.len();
+        let turned = (0..count).map(|i| &self.entries[(turn + i) % count]);
+        let (up, down): (Vec<_>, Vec<_>) =
+            turned.partition(|t| t.until.load(Ordering::Relaxed) <= now);
+        up.into_iter().chain(down).map(|t| t.addr).collect()
+    }
+
+    /// Notes that an entry refused a connection.
+    pub fn failed(&self, entry: SocketAddr) {
+        let until = self.now() + u64::try_from(PASS_OVER.as_millis()).unwrap_or(0);
+        for target in self.entries.iter().filter(|t| t.addr == entry) {
+            target.until.store(until, Ordering::Relaxed);
+        }
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -3,22 +3,41 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use awc::error::SendRequestError;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::arrivals::Arrival;
+use crate::arrivals::{Arrival, Kind};
+use crate::balancer::Balancer;
 
 /// Longest time that a caller waits for a header.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest time that a caller waits for an event of an open stream. The entry
+/// sends comments at shorter intervals while it waits itself.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest whole answer, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Header that marks one call as not repeatable.
+const NO_REPEAT: &str = "x-no-repeat";
+
+/// Header that carries the idempotency key.
+const KEY: &str = "idempotency-key";
+
+/// Header that names the request class.
+const CLASS: &str = "x-request-class";
+
 /// What a caller saw of its request.
 #[derive(Debug, Clone)]
 pub struct Outcome {
     /// The request.
     pub arrival: Arrival,
-    /// From sending to the first token.
+    /// From sending to the first token; `None` when the answer was taken
+    /// whole.
     pub first: Option<Duration>,
     /// From sending to the end.
     pub total: Duration,
@@ -35,18 +54,26 @@
 pub enum Ending {
     /// With the whole answer.
     Whole,
-    /// With a refusal: its reason and what was said about having run.
-    Refused {
-        /// The reason's word.
-        reason: String,
-        /// What was said about having run.
-        ran: String,
-    },
-    /// Without an end.
-    Lost,
-}
-
-/// Makes the HTTP client that all callers share.
+    /// With an HTTP status that says why, before any part of the answer.
+    Refused(Told),
+    /// With an error event in the stream, after the request was accepted.
+    Broken(Told),
+    /// The caller went away by itself.
+    Left,
+    /// Without an end, for the reason in words.
+    Lost(String),
+}
+
+/// What a caller was told about a request that did not end whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// The reason's word.
+    pub reason: String,
+    /// What was said about having run.
+    pub ran: String,
+}
+
+/// Makes the HTTP client that all callers of a thread share.
 #[must_use]
 pub fn client() -> awc::Client {
     let connector = awc::Connector::new().limit(0);
@@ -56,8 +83,8 @@
         .finish()
 }
 
-/// Sends one request and takes in its whole answer.
-pub async fn call(http: awc::Client, entry: SocketAddr, arrival: Arrival) -> Outcome {
+/// Sends one request and takes in its answer.
+pub async fn call(http: awc::Client, balancer: &Balancer, arrival: Arrival) -> Outcome {
     let began = Instant::now();
     let mut outcome = Outcome {
         arrival,
@@ -65,77 +92,179 @@
         total: Duration::ZERO,
         tokens: 0,
         mixed: false,
-        ending: Ending::Lost,
+        ending: Ending::Left,
     };
-    outcome.ending = take(&http, entry, &mut outcome, began).await;
+    outcome.ending = take(&http, balancer, &mut outcome, began).await;
     outcome.total = began.elapsed();
     outcome
 }
 
 async fn take(
     http: &awc::Client,
-    entry: SocketAddr,
+    balancer: &Balancer,
     outcome: &mut Outcome,
     began: Instant,
 ) -> Ending {
-    let arrival = &outcome.arrival;
-    let body = json!({
-        "model": arrival.class,
-        "stream": true,
-        "messages": [{ "role": "user", "content": "word".repeat(arrival.prompt as usize) }],
-        "mark": arrival.mark,
-        "length": arrival.answer,
-    });
-    let sent = http
-        .post(format!("http://{entry}/v1/chat/completions"))
-        .bearer_auth(&arrival.token)
-        .send_json(&body);
-    let Ok(mut response) = sent.await else {
-        return Ending::Lost;
+    let mut response = match send(http, balancer, &outcome.arrival).await {
+        Ok(response) => response,
+        Err(ending) => return ending,
     };
     if !response.status().is_success() {
         let body = response.json::<Value>().await.unwrap_or_default();
-        return refused(&body);
+        return match told(&body) {
+            Some(told) => Ending::Refused(told),
+            None => Ending::Lost(format!("status {} without a reason", response.status())),
+        };
     }
 
+    match (&outcome.arrival.kind, outcome.arrival.stream) {
+        (Kind::Completion, true) => stream(response, outcome, began).await,
+        (Kind::Completion, false) => whole(response, outcome).await,
+        (Kind::Call { .. }, _) => called(response, outcome).await,
+    }
+}
+
+type Response = awc::ClientResponse<
+    actix_http::encoding::Decoder<actix_http::Payload>,
+>;
+
+/// Sends the request to one entry after the other, as a balancer does: only a
+/// connection that could not be made leads to the next, since the request
+/// certainly never went out on it.
+async fn send(
+    http: &awc::Client,
+    balancer: &Balancer,
+    arrival: &Arrival,
+) -> Result<Response, Ending> {
+    for entry in balancer.order() {
+        match request(http, entry, arrival).await {
+            Ok(response) => return Ok(response),
+            Err(SendRequestError::Connect(_)) => balancer.failed(entry),
+            Err(e) => return Err(Ending::Lost(format!("no answer: {e}"))),
+        }
+    }
+    Err(Ending::Lost("no entry accepts connections".to_owned()))
+}
+
+async fn request(
+    http: &awc::Client,
+    entry: SocketAddr,
+    arrival: &Arrival,
+) -> Result<Response, SendRequestError> {
+    let path = match &arrival.kind {
+        Kind::Completion => "chat/completions".to_owned(),
+        Kind::Call { service } => format!("services/{service}/send"),
+    };
+    let mut request = http
+        .post(format!("http://{entry}/v1/{path}"))
+        .insert_header((CLASS, arrival.class.as_str()))
+        .bearer_auth(&arrival.token);
+    if !arrival.repeatable {
+        request = request.insert_header((NO_REPEAT, "1"));
+    }
+    if arrival.keyed {
+        request = request.insert_header((KEY, arrival.mark.as_str()));
+    }
+    request.send_json(&body(arrival)).await
+}
+
+fn body(arrival: &Arrival) -> Value {
+    if arrival.kind != Kind::Completion {
+        return json!({ "mark": arrival.mark });
+    }
+    // A token is four bytes to the stand-ins.
+    let shared = format!("{:<4}", arrival.prefix % 1000).repeat(arrival.shared as usize);
+    let own = format!("{} {}", arrival.mark, "word".repeat(arrival.prompt as usize));
+    json!({
+        "model": arrival.class,
+        "stream": arrival.stream,
+        "messages": [
+            { "role": "system", "content": format!("{}{shared}", arrival.class) },
+            { "role": "user", "content": own },
+        ],
+        "mark": arrival.mark,
+        "length": arrival.answer,
+    })
+}
+
+/// Takes in an answer as it is made.
+async fn stream(response: Response, outcome: &mut Outcome, began: Instant) -> Ending {
     let mut events = std::pin::pin!(response.timeout(Duration::MAX).eventsource());
     let mut finished = false;
-    while let Some(Ok(event)) = events.next().await {
+    loop {
+        if outcome.arrival.leaves.is_some_and(|n| outcome.tokens >= n) {
+            return Ending::Left;
+        }
+        let event = match tokio::time::timeout(EVENT_TIMEOUT, events.next()).await {
+            Ok(Some(Ok(event))) => event,
+            Ok(Some(Err(e))) => return Ending::Lost(format!("stream failed: {e}")),
+            Ok(None) => return Ending::Lost("stream closed without an end".to_owned()),
+            Err(_) => return Ending::Lost("stream went silent".to_owned()),
+        };
         if event.data == "[DONE]" {
-            return if finished {
-                Ending::Whole
-            } else {
-                Ending::Lost
+            return match finished {
+                true => Ending::Whole,
+                false => Ending::Lost("end mark without a finish".to_owned()),
             };
         }
+
         let Ok(event) = serde_json::from_str::<Event>(&event.data) else {
-            return Ending::Lost;
+            return Ending::Lost("event that is no JSON".to_owned());
         };
-        if let Some(error) = event.error {
-            return refused(&json!({ "error": error }));
+        if event.error.is_some() {
+            return match told(&json!({ "error": event.error })) {
+                Some(told) => Ending::Broken(told),
+                None => Ending::Lost("error without a reason".to_owned()),
+            };
         }
         let Some(choice) = event.choices.into_iter().next() else {
-            return Ending::Lost;
+            return Ending::Lost("event without a choice".to_owned());
         };
         if choice.finish_reason.is_some() {
             finished = true;
             continue;
         }
         outcome.first.get_or_insert_with(|| began.elapsed());
-        let expected = format!("{}:{} ", outcome.arrival.mark, outcome.tokens);
-        outcome.mixed |= choice.delta.content != expected;
+        outcome.mixed |= choice.delta.content != token(&outcome.arrival, outcome.tokens);
         outcome.tokens += 1;
     }
-    Ending::Lost
 }
 
-fn refused(body: &Value) -> Ending {
+/// Takes in an answer that comes at once.
+async fn whole(mut response: Response, outcome: &mut Outcome) -> Ending {
+    let Ok(body) = response.json::<Value>().limit(ANSWER_LIMIT).await else {
+        return Ending::Lost("whole answer broke off".to_owned());
+    };
+    let Some(text) = body["choices"][0]["message"]["content"].as_str() else {
+        return Ending::Lost("whole answer without text".to_owned());
+    };
+    let count = text.split_inclusive(' ').count();
+    outcome.tokens = u32::try_from(count).unwrap_or(u32::MAX);
+    let own: String = (0..outcome.tokens)
+        .map(|i| token(&outcome.arrival, i))
+        .collect();
+    outcome.mixed = text != own;
+    Ending::Whole
+}
+
+/// Takes in a plain service's answer.
+async fn called(mut response: Response, outcome: &mut Outcome) -> Ending {
+    let Ok(body) = response.json::<Value>().await else {
+        return Ending::Lost("plain answer broke off".to_owned());
+    };
+    outcome.mixed = body["mark"] != outcome.arrival.mark.as_str();
+    Ending::Whole
+}
+
+/// The text that the stand-in makes as token number `i` of a request.
+fn token(arrival: &Arrival, i: u32) -> String {
+    format!("{}:{i} ", arrival.mark)
+}
+
+fn told(body: &Value) -> Option<Told> {
     let word = |key: &str| body["error"][key].as_str().unwrap_or("").to_owned();
     let (reason, ran) = (word("type"), word("ran"));
-    if reason.is_empty() {
-        return Ending::Lost;
-    }
-    Ending::Refused { reason, ran }
+    (!reason.is_empty()).then_some(Told { reason, ran })
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,44 +1,57 @@
 //! The open-loop load generator and the report on what it saw.
 //!
 //! - [`arrivals`]: who asks for what, and when.
+//! - [`balancer`]: which entry a caller is sent to.
 //! - [`caller`]: one caller's request and its outcome.
-//! - [`report`]: the report, judged by what the stand-ins saw.
+//! - [`drive`]: sending all of them at their times.
+//! - [`judge`]: what the outcomes come to by what the stand-ins saw.
+//! - [`report`]: the report as it is written and printed.
 
 pub mod arrivals;
+pub mod balancer;
 pub mod caller;
+pub mod drive;
+pub mod judge;
 pub mod report;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use standin::Ledger;
 
 pub use arrivals::{Arrival, Mix};
+pub use caller::{Ending, Outcome};
 pub use report::Report;
 
-/// Time allowed for the last answers after the last arrival.
-const GRACE: Duration = Duration::from_secs(30);
-
-/// Sends the arrivals to the entries in turn and reports on the outcomes.
-pub async fn run(mix: &Mix, entries: &[SocketAddr], ledger: &Ledger) -> Report {
-    let arrivals = mix.arrivals();
-    let start = tokio::time::Instant::now();
-    let http = caller::client();
+/// Settings of the `load` command.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where the entries listen.
+    pub entries: Vec<SocketAddr>,
+    /// Stand-ins whose ledgers judge the outcomes; without them `doubled` and
+    /// `false_not_run` cannot be told.
+    #[serde(default)]
+    pub ledgers: Vec<SocketAddr>,
+    /// What to send.
+    pub mix: Mix,
+}
 
-    let mut calls = Vec::with_capacity(arrivals.len());
-    for (i, arrival) in arrivals.into_iter().enumerate() {
-        tokio::time::sleep_until(start + arrival.at).await;
-        let entry = entries[i % entries.len()];
-        calls.push(actix_rt::spawn(caller::call(http.clone(), entry, arrival)));
-    }
+/// What a run came to, with each outcome.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The report.
+    pub report: Report,
+    /// The outcomes it was judged from.
+    pub outcomes: Vec<Outcome>,
+}
 
-    let deadline = tokio::time::Instant::now() + GRACE;
-    let mut outcomes = Vec::with_capacity(calls.len());
-    for call in calls {
-        // A call without an outcome by then counts as lost.
-        if let Ok(Ok(outcome)) = tokio::time::timeout_at(deadline, call).await {
-            outcomes.push(outcome);
-        }
-    }
-    Report::judge(mix, &outcomes, ledger)
+/// Sends the mix's arrivals to the entries and judges the outcomes. Blocks
+/// the calling thread until the run is over.
+#[must_use]
+pub fn run(mix: &Mix, entries: &[SocketAddr], ledger: &Ledger, progress: bool) -> Run {
+    let arrivals = mix.arrivals();
+    let outcomes = drive::drive(&arrivals, entries, progress);
+    let report = judge::judge(mix, arrivals.len(), &outcomes, ledger);
+    Run { report, outcomes }
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -1,18 +1,9 @@
-//! The report on a run, judged by what the stand-ins saw.
+//! The report on a run as it is written and printed.
 
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
-use std::time::Duration;
 
-use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use standin::Ledger;
-
-use crate::arrivals::{Flow, Mix};
-use crate::caller::{Ending, Outcome};
-
-/// Longest time that is told apart, in microseconds.
-const LONGEST_US: u64 = 600_000_000;
 
 /// What a run came to.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -78,151 +69,11 @@
 }
 
 impl Report {
-    /// Judges the outcomes by what the stand-ins saw.
-    #[must_use]
-    pub fn judge(mix: &Mix, outcomes: &[Outcome], ledger: &Ledger) -> Self {
-        let mut report = Self {
-            seed: mix.seed,
-            fleet: mix.fleet.clone(),
-            seconds: mix.seconds,
-            ..Self::default()
-        };
-        let sent = mix.arrivals().len();
-        report.lost += (sent - outcomes.len().min(sent)) as u64;
-
-        let mut useful = 0;
-        let mut whole_tokens = 0;
-        for (name, flow) in &mix.classes {
-            let of_class: Vec<_> = outcomes
-                .iter()
-                .filter(|o| &o.arrival.class == name)
-                .collect();
-            report
-                .classes
-                .insert(name.clone(), class_report(flow, &of_class));
-            for outcome in of_class {
-                report.count(outcome, ledger);
-                let whole = outcome.ending == Ending::Whole;
-                whole_tokens += if whole { u64::from(outcome.tokens) } else { 0 };
-                useful += if in_target(flow, outcome) {
-                    u64::from(outcome.tokens)
-                } else {
-                    0
-                };
-            }
-        }
-
-        report.tokens_made = ledger.all().values().map(|s| u64::from(s.tokens)).sum();
-        report.tokens_wasted = report.tokens_made.saturating_sub(whole_tokens);
-        report.wasted_share = share(report.tokens_wasted, report.tokens_made);
-        report.goodput = useful as f64 / mix.seconds;
-        report
-    }
-
     /// Whether nothing was doubled, lost, mixed or falsely called not run.
     #[must_use]
     pub fn sound(&self) -> bool {
         self.doubled + self.lost + self.mixed + self.false_not_run == 0
     }
-
-    fn count(&mut self, outcome: &Outcome, ledger: &Ledger) {
-        let seen = ledger.seen(&outcome.arrival.mark);
-        self.mixed += u64::from(outcome.mixed);
-        match &outcome.ending {
-            Ending::Lost => self.lost += 1,
-            Ending::Refused { ran, .. } if ran == "no" => {
-                self.false_not_run += u64::from(seen.runs > 0);
-            }
-            // A whole answer has as many tokens as the stand-in was told.
-            Ending::Whole => self.lost += u64::from(outcome.tokens != outcome.arrival.answer),
-            Ending::Refused { .. } => {}
-        }
-    }
-}
-
-fn class_report(flow: &Flow, outcomes: &[&Outcome]) -> ClassReport {
-    let mut report = ClassReport {
-        tier: flow.tier,
-        ..ClassReport::default()
-    };
-    let (mut first, mut gap) = (Times::new(), Times::new());
-    for outcome in outcomes {
-        report.offered += 1;
-        match &outcome.ending {
-            Ending::Refused { reason, .. } => {
-                *report.refused.entry(reason.clone()).or_default() += 1;
-            }
-            Ending::Whole => {
-                report.accepted += 1;
-                report.whole += 1;
-            }
-            Ending::Lost => report.accepted += 1,
-        }
-        report.in_target += u64::from(in_target(flow, outcome));
-        if let Some(ttft) = outcome.first {
-            first.add(ttft);
-            gap.add(mean_gap(outcome));
-        }
-    }
-    report.attainment = share(report.in_target, report.offered);
-    report.ttft_ms = first.quantiles();
-    report.gap_ms = gap.quantiles();
-    report
-}
-
-/// Whether the answer was whole and met each target.
-fn in_target(flow: &Flow, outcome: &Outcome) -> bool {
-    let ms = |d: Duration| d.as_secs_f64() * 1000.0;
-    outcome.ending == Ending::Whole
-        && outcome.first.is_some_and(|f| ms(f) <= flow.first_ms)
-        && ms(mean_gap(outcome)) <= flow.gap_ms
-        && ms(outcome.total) <= flow.whole_ms
-}
-
-/// Mean time between two tokens of an answer.
-fn mean_gap(outcome: &Outcome) -> Duration {
-    let gaps = outcome.tokens.saturating_sub(1).max(1);
-    outcome
-        .total
-        .saturating_sub(outcome.first.unwrap_or_default())
-        / gaps
-}
-
-fn share(part: u64, whole: u64) -> f64 {
-    if whole == 0 {
-        0.0
-    } else {
-        part as f64 / whole as f64
-    }
-}
-
-/// Times in microseconds, with three significant digits.
-struct Times(Option<Histogram<u64>>);
-
-impl Times {
-    fn new() -> Self {
-        Self(Histogram::new_with_bounds(1, LONGEST_US, 3).ok())
-    }
-
-    fn add(&mut self, time: Duration) {
-        let us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        if let Some(histogram) = &mut self.0 {
-            histogram.saturating_record(us);
-        }
-    }
-
-    fn quantiles(&self) -> Quantiles {
-        let at = |q| {
-            self.0
-                .as_ref()
-                .map_or(0.0, |h| h.value_at_quantile(q) as f64 / 1000.0)
-        };
-        Quantiles {
-            p50: at(0.50),
-            p95: at(0.95),
-            p99: at(0.99),
-        }
-    }
 }
 
 impl Display for Report {
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -123,6 +123,51 @@
     pub usage: Option<Usage>,
 }
 
+/// A load report as the engine writes it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait for room in the batch.
+    pub waiting: u32,
+    /// Requests that fit into the batch.
+    pub slots: u32,
+    /// Time of a step, in microseconds.
+    pub step_us: u32,
+}
+
+/// Cache events as the engine writes them. A number that is missing between
+/// two events means that an event was lost.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// The number to ask from next time.
+    pub next: u64,
+    /// The events, by number.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of an engine's prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// The event's number; grows by one with each.
+    pub seq: u64,
+    /// What happened.
+    pub change: CacheChange,
+    /// The block: the hash of the prompt's text from its start to the
+    /// block's end, where a block has 1,024 bytes.
+    pub block: u64,
+}
+
+/// What happened to a block of the prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheChange {
+    /// It was computed and is kept.
+    Stored,
+    /// It was dropped to make room.
+    Removed,
+}
+
 /// One choice of a [`Chunk`].
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Choice {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -2,32 +2,41 @@
 //!
 //! Every step takes a while and gives each request in the batch either a part
 //! of its prompt's computation or one token. The length of an answer is a
-//! property of the request that only the stand-in reads.
+//! property of the request that only the stand-in reads. docs/platform/engine.md
+//! writes down what it answers.
+//!
+//! - [`batch`]: the requests and the steps.
+//! - [`cache`]: the prefix cache with limited memory, and its events.
+//! - [`answer`]: the events of an answer.
+
+pub mod answer;
+pub mod batch;
+pub mod cache;
 
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use base::settings::Span;
 use base::stop::Stop;
 use bytes::Bytes;
-use futures_util::stream;
-use platform::engine::{Choice, Chunk, REQUEST_ID, Usage};
+use platform::engine::{PRIORITY, REQUEST_ID};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::task::LocalSet;
 
+use crate::control::Control;
 use crate::ledger::Ledger;
+use batch::{Batch, Job};
 
 /// Largest request body, in bytes.
 const BODY_LIMIT: usize = 8 << 20;
 
-/// How long an ended stream can still be resumed.
-const KEEP: Duration = Duration::from_secs(5);
+/// How often a stand-in looks whether it should crash or come back.
+const CRASH_POLL: Duration = Duration::from_millis(5);
 
 /// Settings of an engine stand-in.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -47,6 +56,48 @@
     /// Prompt tokens computed in one step, over the whole batch.
     #[serde(default = "default_prefill")]
     pub prefill: u32,
+    /// Tokens that fit into the prefix cache.
+    #[serde(default = "default_cache")]
+    pub cache: u32,
+    /// How long an ended stream can still be resumed.
+    #[serde(default = "default_keep")]
+    pub keep: Span,
+    /// Faults from the start on; changed by `PUT /faults`.
+    #[serde(default)]
+    pub faults: Faults,
+}
+
+/// What is wrong with an engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// How old a load report is when it is given out.
+    pub report_lag: Span,
+    /// How old a cache event is when it is given out.
+    pub event_lag: Span,
+    /// Share of cache events that are never given out.
+    pub event_gap: f64,
+    /// By how much each step takes longer; 4 makes it four times slower.
+    pub pace: f64,
+    /// Whether it is down: connections are dropped, its state is lost, and
+    /// new connections are refused.
+    pub crashed: bool,
+    /// Streams open when this number grows get nothing more for good, while
+    /// new ones work.
+    pub muted: u32,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            report_lag: Span::default(),
+            event_lag: Span::default(),
+            event_gap: 0.0,
+            pace: 1.0,
+            crashed: false,
+            muted: 0,
+        }
+    }
 }
 
 fn default_slots() -> usize {
@@ -65,6 +116,85 @@
     1024
 }
 
+fn default_cache() -> u32 {
+    200_000
+}
+
+fn default_keep() -> Span {
+    Span::secs(5)
+}
+
+/// Runs an engine until `stop` is asked.
+///
+/// # Errors
+///
+/// Returns the error when the engine cannot listen.
+pub async fn run(settings: Settings, ledger: Ledger, stop: Stop) -> io::Result<()> {
+    let faults = Control::new(settings.faults.clone());
+    run_with(settings, faults, ledger, stop).await
+}
+
+/// Runs an engine whose faults are changed by `faults` until `stop` is asked.
+///
+/// # Errors
+///
+/// Returns the error when the engine cannot listen.
+pub async fn run_with(
+    settings: Settings,
+    faults: Control<Faults>,
+    ledger: Ledger,
+    stop: Stop,
+) -> io::Result<()> {
+    loop {
+        let lived = live(&settings, &faults, &ledger, &stop);
+        // All tasks of one life, connections among them, belong to a set of
+        // their own. Dropping it closes the sockets as a crash would.
+        let life = LocalSet::new();
+        tokio::select! {
+            ended = life.run_until(lived) => return ended,
+            () = until(&faults, |f| f.crashed) => {}
+        }
+        drop(life);
+
+        tokio::select! {
+            () = until(&faults, |f| !f.crashed) => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+/// Waits until the faults are as wanted.
+async fn until(faults: &Control<Faults>, wanted: impl Fn(&Faults) -> bool) {
+    while !wanted(&faults.get()) {
+        tokio::time::sleep(CRASH_POLL).await;
+    }
+}
+
+/// One life of the engine, which begins with nothing cached and nothing known.
+async fn live(
+    settings: &Settings,
+    faults: &Control<Faults>,
+    ledger: &Ledger,
+    stop: &Stop,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let batch = Batch::new(settings.clone(), faults.clone(), ledger.clone());
+    actix_rt::spawn(batch::step(Rc::clone(&batch), stop.clone()));
+    actix_rt::spawn(batch::observe(Rc::clone(&batch), stop.clone()));
+
+    let app = App::new()
+        .app_data(web::PayloadConfig::new(BODY_LIMIT))
+        .app_data(batch)
+        .route("/v1/completions", web::post().to(complete))
+        .route("/v1/streams/{id}", web::get().to(resume))
+        .route("/v1/streams/{id}", web::delete().to(cancel))
+        .route("/v1/load", web::get().to(load))
+        .route("/v1/cache/events", web::get().to(cache_events))
+        .route("/faults", web::put().to(set_faults))
+        .route("/ledger", web::get().to(show_ledger));
+    base::http::serve(listener, app, stop.clone()).await
+}
+
 /// What the stand-in reads of a request. `mark` and `length` are its own:
 /// the router passes them on without knowing them.
 #[derive(Debug, Deserialize)]
@@ -94,141 +224,28 @@
     16
 }
 
-/// A running engine.
-struct Engine {
-    settings: Settings,
-    ledger: Ledger,
-    /// Requests by their id, those that ended lately among them.
-    requests: RefCell<HashMap<String, Rc<Request>>>,
-    /// Requests in the batch, in the order in which they came.
-    batch: RefCell<Vec<Rc<Request>>>,
-    /// Wakes the stepping when there is work.
-    work: Notify,
-}
-
-/// One request.
-struct Request {
-    mark: String,
-    /// Tokens that the answer will have.
-    length: u32,
-    /// Prompt tokens still to compute.
-    prefill: Cell<u32>,
-    prompt: u32,
-    /// Tokens made so far.
-    made: Cell<u32>,
-    cancelled: Cell<bool>,
-    ended: Cell<Option<Instant>>,
-    changed: Notify,
-}
-
-/// Runs an engine until `stop` is asked.
-///
-/// # Errors
-///
-/// Returns the error when the engine cannot listen.
-pub async fn run(settings: Settings, ledger: Ledger, stop: Stop) -> io::Result<()> {
-    let listener = TcpListener::bind(settings.listen).await?;
-    let engine = Rc::new(Engine {
-        settings,
-        ledger,
-        requests: RefCell::default(),
-        batch: RefCell::default(),
-        work: Notify::new(),
-    });
-    actix_rt::spawn(step(Rc::clone(&engine), stop.clone()));
-
-    let app = move || {
-        App::new()
-            .app_data(web::PayloadConfig::new(BODY_LIMIT))
-            .app_data(Rc::clone(&engine))
-            .route("/v1/completions", web::post().to(complete))
-            .route("/v1/streams/{id}", web::get().to(resume))
-            .route("/v1/streams/{id}", web::delete().to(cancel))
-    };
-    base::http::serve(listener, app(), stop).await
-}
-
-/// Steps the batch for as long as there is work.
-async fn step(engine: Rc<Engine>, stop: Stop) {
-    while !stop.asked() {
-        if engine.batch.borrow().is_empty() {
-            tokio::select! {
-                () = engine.work.notified() => {}
-                () = stop.wait() => return,
-            }
-        }
-
-        let size = engine.batch.borrow().len().min(engine.settings.slots);
-        let extra = u32::try_from(size.saturating_sub(1)).unwrap_or(0);
-        let took = engine.settings.step.0 + engine.settings.extra.0 * extra;
-        tokio::time::sleep(took).await;
-        engine.advance();
-    }
-}
-
-impl Engine {
-    /// Does one step's work.
-    fn advance(&self) {
-        let mut budget = self.settings.prefill;
-        let mut batch = self.batch.borrow_mut();
-        for request in batch.iter().take(self.settings.slots) {
-            let left = request.prefill.get();
-            if left > 0 {
-                let part = left.min(budget);
-                budget -= part;
-                request.prefill.set(left - part);
-                self.ledger.note(&request.mark, |seen| seen.prompt += part);
-                continue;
-            }
-
-            request.made.set(request.made.get() + 1);
-            self.ledger.note(&request.mark, |seen| seen.tokens += 1);
-            if request.made.get() >= request.length {
-                request.ended.set(Some(Instant::now()));
-                self.ledger.note(&request.mark, |seen| seen.ended += 1);
-            }
-            request.changed.notify_waiters();
-        }
-        batch.retain(|r| r.ended.get().is_none() && !r.cancelled.get());
-        drop(batch);
-
-        let kept = |r: &Rc<Request>| r.ended.get().is_none_or(|at| at.elapsed() < KEEP);
-        self.requests
-            .borrow_mut()
-            .retain(|_, r| kept(r) && !r.cancelled.get());
-    }
-}
-
 /// Starts a completion.
 async fn complete(http: HttpRequest, body: Bytes) -> HttpResponse {
-    let Some(engine) = http.app_data::<Rc<Engine>>().cloned() else {
+    let Some(batch) = http.app_data::<Rc<Batch>>() else {
         return HttpResponse::InternalServerError().finish();
     };
     let Ok(body) = serde_json::from_slice::<Body>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
-    let id = http.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
-    let id = id.unwrap_or_default().to_owned();
-
-    let chars: usize = body.messages.iter().map(|m| m.content.len()).sum();
-    let chars = chars + body.prompt.as_ref().map_or(0, String::len);
-    let prompt = u32::try_from(chars / 4).unwrap_or(u32::MAX).max(1);
-    engine.ledger.note(&body.mark, |seen| seen.runs += 1);
+    let header = |name| http.headers().get(name).and_then(|v| v.to_str().ok());
 
-    let request = Rc::new(Request {
-        mark: body.mark,
+    let mut text = body.prompt.unwrap_or_default();
+    for message in &body.messages {
+        text.push_str(&message.content);
+    }
+    let request = batch.submit(Job {
+        id: header(REQUEST_ID).unwrap_or_default(),
+        mark: &body.mark,
+        priority: header(PRIORITY).and_then(|p| p.parse().ok()).unwrap_or(0),
         length: body.length.min(body.max_tokens).max(1),
-        prefill: Cell::new(prompt),
-        prompt,
-        made: Cell::new(0),
-        cancelled: Cell::new(false),
-        ended: Cell::new(None),
-        changed: Notify::new(),
+        text: text.as_bytes(),
     });
-    engine.requests.borrow_mut().insert(id, Rc::clone(&request));
-    engine.batch.borrow_mut().push(Rc::clone(&request));
-    engine.work.notify_one();
-    events(request, 0)
+    answer::events(Rc::clone(batch), request, 0)
 }
 
 /// Goes on with a stream from a token number on.
@@ -237,107 +254,60 @@
     id: web::Path<String>,
     query: web::Query<HashMap<String, u32>>,
 ) -> HttpResponse {
-    let Some(engine) = http.app_data::<Rc<Engine>>() else {
+    let Some(batch) = http.app_data::<Rc<Batch>>() else {
         return HttpResponse::InternalServerError().finish();
     };
-    let found = engine.requests.borrow().get(id.as_str()).cloned();
-    let Some(request) = found else {
-        return HttpResponse::NotFound().finish();
-    };
-    events(request, query.get("from").copied().unwrap_or(0))
+    match batch.find(&id) {
+        Some(request) => {
+            let from = query.get("from").copied().unwrap_or(0);
+            answer::events(Rc::clone(batch), request, from)
+        }
+        None => HttpResponse::NotFound().finish(),
+    }
 }
 
 /// Stops a request.
 async fn cancel(http: HttpRequest, id: web::Path<String>) -> HttpResponse {
-    let Some(engine) = http.app_data::<Rc<Engine>>() else {
+    let Some(batch) = http.app_data::<Rc<Batch>>() else {
         return HttpResponse::InternalServerError().finish();
     };
-    if let Some(request) = engine.requests.borrow().get(id.as_str()) {
-        request.cancelled.set(true);
-        request.changed.notify_waiters();
-    }
+    batch.cancel(&id);
     HttpResponse::NoContent().finish()
 }
 
-/// The events of a request from token number `from` on.
-fn events(request: Rc<Request>, from: u32) -> HttpResponse {
-    let body = stream::unfold(Some((request, from)), |state| async move {
-        let (request, next) = state?;
-        let (text, next, over) = more(&request, next).await?;
-        let state = (!over).then_some((request, next));
-        Some((Ok::<_, io::Error>(Bytes::from(text)), state))
-    });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .streaming(body)
-}
-
-/// Waits for tokens from `next` on; the flag says that the answer is whole.
-async fn more(request: &Request, mut next: u32) -> Option<(String, u32, bool)> {
-    loop {
-        let changed = request.changed.notified();
-        if request.cancelled.get() {
-            return None;
-        }
-
-        let mut text = String::new();
-        while next < request.made.get() {
-            write_token(&mut text, request, next);
-            next += 1;
-        }
-        let over = request.ended.get().is_some();
-        if over {
-            write_end(&mut text, request);
-        }
-        if !text.is_empty() {
-            return Some((text, next, over));
-        }
-        changed.await;
+/// Gives out a load report, as old as the faults say.
+async fn load(http: HttpRequest) -> HttpResponse {
+    match http.app_data::<Rc<Batch>>() {
+        Some(batch) => HttpResponse::Ok().json(batch.report()),
+        None => HttpResponse::InternalServerError().finish(),
     }
 }
 
-fn write_token(out: &mut String, request: &Request, seq: u32) {
-    let text = format!("{}:{seq} ", request.mark);
-    let choices = vec![Choice {
-        text,
-        finish_reason: None,
-    }];
-    write_event(
-        out,
-        &Chunk {
-            seq,
-            choices,
-            usage: None,
-        },
-    );
+/// Gives out cache events from a number on.
+async fn cache_events(
+    http: HttpRequest,
+    query: web::Query<HashMap<String, u64>>,
+) -> HttpResponse {
+    let from = query.get("from").copied().unwrap_or(0);
+    match http.app_data::<Rc<Batch>>() {
+        Some(batch) => HttpResponse::Ok().json(batch.cache_events(from)),
+        None => HttpResponse::InternalServerError().finish(),
+    }
 }
 
-fn write_end(out: &mut String, request: &Request) {
-    let made = request.made.get();
-    let choices = vec![Choice {
-        text: String::new(),
-        finish_reason: Some("stop".to_owned()),
-    }];
-    let usage = Usage {
-        prompt_tokens: request.prompt,
-        completion_tokens: made,
-        cached_tokens: 0,
+/// Changes the faults.
+async fn set_faults(http: HttpRequest, body: web::Json<Faults>) -> HttpResponse {
+    let Some(batch) = http.app_data::<Rc<Batch>>() else {
+        return HttpResponse::InternalServerError().finish();
     };
-    write_event(
-        out,
-        &Chunk {
-            seq: made,
-            choices,
-            usage: Some(usage),
-        },
-    );
-    out.push_str("data: [DONE]\n\n");
+    batch.faults.change(|faults| *faults = body.into_inner());
+    HttpResponse::NoContent().finish()
 }
 
-fn write_event(out: &mut String, chunk: &Chunk) {
-    if let Ok(json) = serde_json::to_string(chunk) {
-        out.push_str("data: ");
-        out.push_str(&json);
-        out.push_str("\n\n");
+/// Gives out what the stand-in saw.
+async fn show_ledger(http: HttpRequest) -> HttpResponse {
+    match http.app_data::<Rc<Batch>>() {
+        Some(batch) => HttpResponse::Ok().json(batch.ledger.all()),
+        None => HttpResponse::InternalServerError().finish(),
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`engine`]: a model engine that batches continuously.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`plain`]: a plain service.
+//! - [`silence`]: a forwarder whose connections can go silent.
 
 pub mod control;
 pub mod engine;
 pub mod ledger;
 pub mod plain;
+pub mod silence;
 
 pub use control::Control;
 pub use ledger::Ledger;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use base::settings::Span;
@@ -10,8 +11,13 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 
-use crate::ledger::Ledger;
+use crate::control::Control;
+use crate::ledger::{Account, Ledger};
+
+/// How often a stand-in looks whether it should crash or come back.
+const CRASH_POLL: Duration = Duration::from_millis(5);
 
 /// Settings of a plain service's stand-in.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -22,6 +28,21 @@
     /// How long one call takes.
     #[serde(default = "default_work")]
     pub work: Span,
+    /// Faults from the start on; changed by `PUT /faults`.
+    #[serde(default)]
+    pub faults: Faults,
+}
+
+/// What is wrong with a plain service.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Time that each call takes beyond its work.
+    pub delay: Span,
+    /// Whether it is down: connections are dropped and refused.
+    pub crashed: bool,
+    /// Whether calls take effect while their answers never come.
+    pub silent: bool,
 }
 
 fn default_work() -> Span {
@@ -37,6 +58,7 @@
 
 struct Plain {
     settings: Settings,
+    faults: Control<Faults>,
     ledger: Ledger,
 }
 
@@ -46,10 +68,54 @@
 ///
 /// Returns the error when the service cannot listen.
 pub async fn run(settings: Settings, ledger: Ledger, stop: Stop) -> io::Result<()> {
-    let listener = TcpListener::bind(settings.listen).await?;
-    let plain = Rc::new(Plain { settings, ledger });
-    let app = App::new().app_data(plain).default_service(web::to(call));
-    base::http::serve(listener, app, stop).await
+    let faults = Control::new(settings.faults.clone());
+    run_with(settings, faults, ledger, stop).await
+}
+
+/// Runs a plain service whose faults are changed by `faults` until `stop` is
+/// asked.
+///
+/// # Errors
+///
+/// Returns the error when the service cannot listen.
+pub async fn run_with(
+    settings: Settings,
+    faults: Control<Faults>,
+    ledger: Ledger,
+    stop: Stop,
+) -> io::Result<()> {
+    loop {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let plain = Rc::new(Plain {
+            settings: settings.clone(),
+            faults: faults.clone(),
+            ledger: ledger.clone(),
+        });
+        let app = App::new()
+            .app_data(plain)
+            .route("/faults", web::put().to(set_faults))
+            .route("/ledger", web::get().to(show_ledger))
+            .default_service(web::to(call));
+
+        // Dropping the life's tasks closes its sockets as a crash would.
+        let life = LocalSet::new();
+        tokio::select! {
+            ended = life.run_until(base::http::serve(listener, app, stop.clone())) => return ended,
+            () = until(&faults, true) => {}
+        }
+        drop(life);
+        tokio::select! {
+            () = until(&faults, false) => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+/// Waits until the service should be down, or up again.
+async fn until(faults: &Control<Faults>, crashed: bool) {
+    while faults.get().crashed != crashed {
+        tokio::time::sleep(CRASH_POLL).await;
+    }
 }
 
 /// Does the call's work and answers with its mark.
@@ -60,9 +126,31 @@
     let mark = serde_json::from_slice::<Body>(&body)
         .map(|b| b.mark)
         .unwrap_or_default();
+    let account = plain.ledger.account(&mark);
+    let faults = plain.faults.get();
 
-    plain.ledger.note(&mark, |seen| seen.runs += 1);
-    tokio::time::sleep(plain.settings.work.0).await;
-    plain.ledger.note(&mark, |seen| seen.ended += 1);
+    Account::add(&account.runs, 1);
+    tokio::time::sleep(plain.settings.work.0 + faults.delay.0).await;
+    Account::add(&account.ended, 1);
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
     HttpResponse::Ok().json(serde_json::json!({ "mark": mark, "done": true }))
 }
+
+/// Changes the faults.
+async fn set_faults(http: HttpRequest, body: web::Json<Faults>) -> HttpResponse {
+    let Some(plain) = http.app_data::<Rc<Plain>>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    plain.faults.change(|faults| *faults = body.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+/// Gives out what the stand-in saw.
+async fn show_ledger(http: HttpRequest) -> HttpResponse {
+    match http.app_data::<Rc<Plain>>() {
+        Some(plain) => HttpResponse::Ok().json(plain.ledger.all()),
+        None => HttpResponse::InternalServerError().finish(),
+    }
+}
