Read callers' requests strictly and count every refusal

Change: request/{body,rights}, shape, a token index in the bundle's lookup, counters for each refusal and retry reason, an operators' application.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -48,6 +48,10 @@
     let factory = HttpService::build()
         .client_request_timeout(REQUEST_TIMEOUT)
         .keep_alive(KEEP_ALIVE)
+        // A caller that closes its side has gone away. Kept half open, its
+        // request would go on waiting and running for nobody; dropping the
+        // handler at once is enough, since that cancels down to the engine.
+        .h1_allow_half_closed(false)
         .h1(map_config(app, |()| AppConfig::default()))
         .tcp();
     let service = factory.new_service(()).await;
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`settings`]: JSON settings with errors that name the place.
 //! - [`logging`]: one line of key=value pairs for each event.
 //! - [`telemetry`]: the metrics recorder of one daemon.
+//! - [`operators`]: health, status and metrics of one daemon.
 //! - [`http`]: serving an actix-web application on the daemon's own thread.
 //! - [`stop`]: a shared flag and wake-up for graceful shutdown.
 
@@ -14,6 +15,7 @@
 pub mod http;
 pub mod ids;
 pub mod logging;
+pub mod operators;
 pub mod reason;
 pub mod settings;
 pub mod stop;
--- a/crates/base/src/telemetry.rs
+++ b/crates/base/src/telemetry.rs
@@ -4,12 +4,57 @@
 //! one process (the demo) without mixing their counters: the recorder is the
 //! thread's local one.
 
+use std::cell::RefCell;
+
+use metrics::counter;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
-/// Runs `body` with a fresh recorder as the thread's own; `body` gets the
-/// handle that renders what was counted.
-pub fn with_recorder<T>(body: impl FnOnce(PrometheusHandle) -> T) -> T {
+use crate::reason::{Ran, Refusal, Retry};
+
+/// Name of the counter of refusals, by reason and by what was said about
+/// having run.
+const REFUSALS: &str = "pimentocart_refusals_total";
+
+/// Name of the counter of retries, by reason.
+const RETRIES: &str = "pimentocart_retries_total";
+
+thread_local! {
+    /// Renders what this thread's recorder counted.
+    static HANDLE: RefCell<Option<PrometheusHandle>> = const { RefCell::new(None) };
+}
+
+/// Runs `body` with a fresh recorder as the thread's own. Every reason starts
+/// at zero, so that a scrape shows those that have not happened too.
+pub fn with_recorder<T>(body: impl FnOnce() -> T) -> T {
     let recorder = PrometheusBuilder::new().build_recorder();
-    let handle = recorder.handle();
-    metrics::with_local_recorder(&recorder, || body(handle))
+    HANDLE.set(Some(recorder.handle()));
+    metrics::with_local_recorder(&recorder, || {
+        for reason in Refusal::ALL {
+            counter!(REFUSALS, "reason" => reason.as_str(), "ran" => Ran::No.as_str()).absolute(0);
+        }
+        for reason in Retry::ALL {
+            counter!(RETRIES, "reason" => reason.as_str()).absolute(0);
+        }
+        body()
+    })
+}
+
+/// What this thread's recorder counted, in the text format for scraping.
+#[must_use]
+pub fn render() -> String {
+    HANDLE.with_borrow(|handle| {
+        handle
+            .as_ref()
+            .map_or_else(String::new, PrometheusHandle::render)
+    })
+}
+
+/// Counts one refusal.
+pub fn count_refusal(reason: Refusal, ran: Ran) {
+    counter!(REFUSALS, "reason" => reason.as_str(), "ran" => ran.as_str()).increment(1);
+}
+
+/// Counts one retry.
+pub fn count_retry(reason: Retry) {
+    counter!(RETRIES, "reason" => reason.as_str()).increment(1);
 }
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -14,7 +14,7 @@
     F: FnOnce(Stop) -> Fut,
     Fut: Future<Output = io::Result<()>>,
 {
-    base::telemetry::with_recorder(|_| {
+    base::telemetry::with_recorder(|| {
         actix_rt::System::new().block_on(async {
             let stop = Stop::new();
             actix_rt::spawn(signals(stop.clone()));
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -12,7 +12,6 @@
 use load::Mix;
 use load::arrivals::Flow;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use sidecar::settings::Backend;
 use standin::Ledger;
 
@@ -251,8 +250,7 @@
         };
         bundle.classes.insert(name.to_owned(), class);
 
-        let hash = Sha256::digest(token(name).as_bytes());
-        let hash = hash.iter().map(|b| format!("{b:02x}")).collect();
+        let hash = bundle::token_hash(&token(name));
         let workspace = Workspace {
             tokens: BTreeSet::from([hash]),
             classes: BTreeSet::from([name.to_owned()]),
--- a/crates/demo/src/host.rs
+++ b/crates/demo/src/host.rs
@@ -20,7 +20,7 @@
     {
         let shown = name.to_owned();
         let run = move || {
-            base::telemetry::with_recorder(|_| {
+            base::telemetry::with_recorder(|| {
                 if let Err(e) = actix_rt::System::new().block_on(body()) {
                     error!("daemon failed", kv: { name = shown.as_str(), error = e.to_string().as_str() });
                 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`http`]: the callers' side.
 //! - [`dispatch`]: getting a slot for a request and starting it there.
 //! - [`relay`]: passing the answer's pieces on.
+//! - [`shape`]: how answers are written.
 //! - [`refuse`]: the answer to a request that is refused.
 
 pub mod dispatch;
@@ -15,6 +16,7 @@
 pub mod relay;
 pub mod request;
 pub mod settings;
+pub mod shape;
 pub mod state;
 
 use std::io;
--- a/crates/entry/src/refuse.rs
+++ b/crates/entry/src/refuse.rs
@@ -70,9 +70,15 @@
         }
     }
 
-    /// The whole answer.
+    /// Counts the refusal. Each is counted where its caller is told.
+    pub fn count(&self) {
+        base::telemetry::count_refusal(self.reason, self.ran);
+    }
+
+    /// The whole answer; counts the refusal.
     #[must_use]
     pub fn response(&self) -> HttpResponse {
+        self.count();
         let status = StatusCode::from_u16(self.reason.status());
         let mut response = HttpResponse::build(status.unwrap_or(StatusCode::BAD_GATEWAY));
         if let Some(after) = self.after {
--- /dev/null
+++ b/crates/entry/src/request/body.rs
@@ -0,0 +1,126 @@
+//! What the router reads of a completion's body; the rest passes through.
+
+use base::reason::Refusal;
+use serde::Deserialize;
+
+use crate::refuse::Refused;
+
+/// Bytes of a prompt for one token, as a rough rule. The estimates correct
+/// it by what engines report.
+const TOKEN_BYTES: usize = 4;
+
+/// Bytes of the prompt that decide its cache affinity.
+const PREFIX_BYTES: usize = 1024;
+
+/// A completion's body, in the shape of chat completions or completions.
+#[derive(Debug, Default, Deserialize)]
+pub struct Body {
+    /// The model or class asked for.
+    pub model: Option<String>,
+    /// Whether the caller wants the answer as it is made.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens that the answer may have.
+    #[serde(alias = "max_completion_tokens")]
+    pub max_tokens: Option<u32>,
+    /// How many answers are wanted; only one can be given.
+    n: Option<u32>,
+    prompt: Option<Prompt>,
+    messages: Option<Vec<Message>>,
+}
+
+/// A prompt of the completions shape.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    One(String),
+    Many(Vec<String>),
+}
+
+/// A message of the chat shape. An assistant's message that only calls tools
+/// has no content.
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: Option<Content>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+/// A part of a message; parts other than text have no `text`.
+#[derive(Debug, Deserialize)]
+struct Part {
+    #[serde(default)]
+    text: String,
+}
+
+impl Body {
+    /// Reads a body and checks that it is a completion of its shape.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal to answer with.
+    pub fn parse(raw: &[u8], chat: bool) -> Result<Self, Refused> {
+        let bad = |hint: &str| Refused::not_run(Refusal::BadRequest, hint);
+        let body: Self = serde_json::from_slice(raw)
+            .map_err(|e| bad(&format!("the body is not a completion: {e}")))?;
+
+        if chat && body.messages.as_ref().is_none_or(Vec::is_empty) {
+            return Err(bad("messages: expected a list with at least one message"));
+        }
+        if !chat && body.prompt.is_none() {
+            return Err(bad("prompt: expected a string or a list of strings"));
+        }
+        if body.n.is_some_and(|n| n != 1) {
+            return Err(bad(
+                "n: only one answer can be given, send 1 or leave it out",
+            ));
+        }
+        if body.max_tokens == Some(0) {
+            return Err(bad("max_tokens: expected a number above 0"));
+        }
+        Ok(body)
+    }
+
+    /// Size of the prompt, in tokens, by a rough rule.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        let bytes: usize = self.texts().map(str::len).sum();
+        u32::try_from(bytes / TOKEN_BYTES)
+            .unwrap_or(u32::MAX)
+            .max(1)
+    }
+
+    /// Hash of the prompt's prefix, equal for prompts that begin alike.
+    #[must_use]
+    pub fn prefix(&self) -> u64 {
+        let mut prefix = Vec::with_capacity(PREFIX_BYTES);
+        for text in self.texts() {
+            let left = PREFIX_BYTES - prefix.len();
+            prefix.extend_from_slice(&text.as_bytes()[..text.len().min(left)]);
+        }
+        rapidhash::v3::rapidhash_v3(&prefix)
+    }
+
+    /// The texts of the prompt, in order.
+    fn texts(&self) -> impl Iterator<Item = &str> {
+        let prompts = self.prompt.iter().flat_map(|prompt| match prompt {
+            Prompt::One(text) => std::slice::from_ref(text).iter(),
+            Prompt::Many(texts) => texts.iter(),
+        });
+        let contents = self
+            .messages
+            .iter()
+            .flatten()
+            .filter_map(|m| m.content.as_ref());
+        let texts = contents.flat_map(|content| match content {
+            Content::Text(text) => vec![text.as_str()],
+            Content::Parts(parts) => parts.iter().map(|p| p.text.as_str()).collect(),
+        });
+        prompts.map(String::as_str).chain(texts)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/rights.rs
@@ -0,0 +1,105 @@
+//! Who asks, and for which class, model or service.
+
+use actix_web::HttpRequest;
+use actix_web::http::header::AUTHORIZATION;
+use base::reason::Refusal;
+use bundle::{Bundle, Class, Lookup, Service};
+
+use crate::refuse::Refused;
+
+/// Header that names the request class.
+pub const CLASS: &str = "x-request-class";
+
+/// How many names a hint lists.
+const HINT_NAMES: usize = 12;
+
+/// The workspace that the bearer token stands for.
+///
+/// # Errors
+///
+/// Returns [`Refusal::BadToken`].
+pub fn workspace<'a>(http: &HttpRequest, bundle: &'a Lookup) -> Result<&'a str, Refused> {
+    let header = http
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok());
+    let token = header.and_then(|v| v.strip_prefix("Bearer "));
+    let owner = token.and_then(|t| bundle.owner(t));
+    owner.ok_or_else(|| {
+        let hint = "send a workspace's token as \"Authorization: Bearer TOKEN\"";
+        Refused::not_run(Refusal::BadToken, hint)
+    })
+}
+
+/// The class from the header, or the one that `named` stands for.
+///
+/// # Errors
+///
+/// Returns [`Refusal::UnknownClass`].
+pub fn class<'a>(
+    http: &HttpRequest,
+    named: Option<&str>,
+    bundle: &'a Bundle,
+) -> Result<(&'a str, &'a Class), Refused> {
+    let header = http.headers().get(CLASS).and_then(|v| v.to_str().ok());
+    let name = header.or(named).unwrap_or("");
+    let found = bundle.classes.get_key_value(name);
+    found
+        .map(|(name, class)| (name.as_str(), class))
+        .ok_or_else(|| {
+            let known: Vec<_> = bundle.classes.keys().take(HINT_NAMES).collect();
+            let hint = format!("no class {name:?}; name one of {known:?} in {CLASS} or as model");
+            Refused::not_run(Refusal::UnknownClass, &hint)
+        })
+}
+
+/// Checks that the workspace may use the class.
+///
+/// # Errors
+///
+/// Returns [`Refusal::NotEntitled`].
+pub fn entitled(bundle: &Bundle, workspace: &str, class: &str) -> Result<(), Refused> {
+    let may = bundle
+        .workspaces
+        .get(workspace)
+        .is_some_and(|w| w.classes.contains(class));
+    if may {
+        return Ok(());
+    }
+    let hint = format!("workspace {workspace:?} is not entitled to class {class:?}");
+    Err(Refused::not_run(Refusal::NotEntitled, &hint))
+}
+
+/// The model that serves the request: the one named, or the class's own when
+/// the name is that of a class.
+///
+/// # Errors
+///
+/// Returns [`Refusal::UnknownTarget`].
+pub fn model<'a>(
+    bundle: &'a Bundle,
+    named: Option<&str>,
+    class: &'a Class,
+) -> Result<&'a str, Refused> {
+    let Some(named) = named.filter(|n| !bundle.classes.contains_key(*n)) else {
+        return Ok(&class.model);
+    };
+    let found = bundle.models.get_key_value(named);
+    found.map(|(name, _)| name.as_str()).ok_or_else(|| {
+        let hint = format!("no model or class {named:?} in the bundle");
+        Refused::not_run(Refusal::UnknownTarget, &hint)
+    })
+}
+
+/// The plain service of a name.
+///
+/// # Errors
+///
+/// Returns [`Refusal::UnknownTarget`].
+pub fn service<'a>(bundle: &'a Bundle, name: &str) -> Result<&'a Service, Refused> {
+    bundle.services.get(name).ok_or_else(|| {
+        let known: Vec<_> = bundle.services.keys().take(HINT_NAMES).collect();
+        let hint = format!("no service {name:?} in the bundle; there are {known:?}");
+        Refused::not_run(Refusal::UnknownTarget, &hint)
+    })
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,7 +6,7 @@
 
 use base::clock::Clock;
 use base::ids::Sequence;
-use bundle::Bundle;
+use bundle::{Bundle, Lookup};
 use policy::Placement;
 use policy::placement::ServerIndex;
 use wire::{Peer, Stamp};
@@ -23,7 +23,7 @@
     /// Where the time comes from.
     pub clock: Rc<dyn Clock>,
     /// The bundle in force.
-    pub bundle: RefCell<Rc<Bundle>>,
+    pub bundle: RefCell<Rc<Lookup>>,
     /// The known sidecars.
     pub servers: RefCell<Vec<Rc<Server>>>,
     /// Where to ask for a slot.
@@ -55,7 +55,7 @@
             servers: RefCell::new(servers.collect()),
             settings,
             clock,
-            bundle: RefCell::new(Rc::new(bundle)),
+            bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
             placement: RefCell::new(Placement::new(seed)),
             open: Cell::new(0),
         })
