Judge runs by what stand-ins and callers saw, with bursts and faults

Cause: the load knew one kind of caller, called an error event a refusal and never counted doubled work; the engine stand-in knew no faults, so no promise under a burst or a fault could be shown.

Change: load draws bursts, plain calls, idempotency keys, workspaces, shared prefixes, callers that take the answer whole or go away; a balancer tries the next entry only when no connection could be made. Engine stand-in: prefix cache with events, load reports that lag, crash, straggler, muted streams, priorities, steps on an absolute schedule. A forwarder that goes silent. Demo: capacity in tokens, hosts that crash, pause and restart, fault plans. `load` against any entries.

--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -1,12 +1,12 @@
 //! `demo`: a whole fleet on loopback in one process, under load.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use base::logging::{self, Level};
-use base::settings::Span;
+use base::settings::{self, Span};
 use bpaf::Bpaf;
-use demo::Fleet;
+use demo::faults::FaultPlan;
+use demo::{Fleet, Options};
 
 use crate::Outcome;
 
@@ -28,6 +28,15 @@
     /// Seed of all random numbers
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     seed: u64,
+    /// One lower-tier class comes at 5 times its rate in the middle third
+    burst: bool,
+    /// One model engine is 4 times slower and load reports are 0.5 s late
+    straggler: bool,
+    /// One backend server's host crashes in the middle of the run
+    crash: bool,
+    /// Further faults with their times, as JSON
+    #[bpaf(argument("FILE"))]
+    faults: Option<PathBuf>,
     /// Where to write the report as JSON
     #[bpaf(argument("FILE"))]
     report: Option<PathBuf>,
@@ -36,15 +45,21 @@
 impl Demo {
     pub(crate) fn run(self) -> Outcome {
         logging::init(Level::Warn);
-        let report = demo::run(self.fleet, self.time.0.as_secs_f64(), self.seed);
-        println!("{report}");
-        if let Some(path) = &self.report {
-            std::fs::write(path, serde_json::to_string_pretty(&report)?)?;
-        }
-        Ok(if report.sound() {
-            ExitCode::SUCCESS
-        } else {
-            ExitCode::FAILURE
-        })
+        let faults = self.faults.as_deref().map(settings::load::<FaultPlan>);
+        let options = Options {
+            fleet: self.fleet,
+            seconds: self.time.0.as_secs_f64(),
+            seed: self.seed,
+            burst: self.burst,
+            straggler: self.straggler,
+            crash: self.crash,
+            faults: faults.transpose()?.unwrap_or_default(),
+            progress: true,
+        };
+
+        let run = demo::run(&options);
+        println!("{}", run.report);
+        super::load::print_lost(&run);
+        super::load::finish(&run.report, self.report.as_deref())
     }
 }
--- /dev/null
+++ b/crates/cli/src/commands/load.rs
@@ -0,0 +1,81 @@
+//! `load`: an open-loop load generator against any entries.
+
+use std::collections::{BTreeMap, HashMap};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use base::settings;
+use bpaf::Bpaf;
+use load::{Ending, Report, Run};
+use standin::Ledger;
+
+use crate::Outcome;
+
+/// Send a seeded mix of requests to entries and report on the answers.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, generate(load))]
+pub(crate) struct Load {
+    /// JSON settings
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Where to write the report as JSON
+    #[bpaf(argument("FILE"))]
+    report: Option<PathBuf>,
+}
+
+impl Load {
+    pub(crate) fn run(self) -> Outcome {
+        let settings: load::Settings = settings::load(&self.settings)?;
+        let ledger = Ledger::default();
+        let arrivals = settings.mix.arrivals();
+        let outcomes = load::drive::drive(&arrivals, &settings.entries, true);
+        for addr in &settings.ledgers {
+            ledger.merge(&fetch(*addr)?);
+        }
+        if settings.ledgers.is_empty() {
+            println!("no ledgers given: doubled, false_not_run and tokens_made cannot be told");
+        }
+
+        let report = load::judge::judge(&settings.mix, arrivals.len(), &outcomes, &ledger);
+        println!("{report}");
+        let run = Run { report, outcomes };
+        print_lost(&run);
+        finish(&run.report, self.report.as_deref())
+    }
+}
+
+/// Fetches what a stand-in saw.
+fn fetch(
+    addr: std::net::SocketAddr,
+) -> Result<HashMap<String, standin::ledger::Seen>, Box<dyn std::error::Error>> {
+    actix_rt::System::new().block_on(async {
+        let url = format!("http://{addr}/ledger");
+        let sent = load::caller::client().get(url).send().await;
+        let mut response = sent.map_err(|e| format!("step=fetch_ledger peer={addr}: {e}"))?;
+        Ok(response.json().limit(1 << 30).await?)
+    })
+}
+
+/// Prints what became of lost requests, if any, by how often.
+pub(crate) fn print_lost(run: &Run) {
+    let mut reasons: BTreeMap<&str, u64> = BTreeMap::new();
+    for outcome in &run.outcomes {
+        if let Ending::Lost(reason) = &outcome.ending {
+            *reasons.entry(reason).or_default() += 1;
+        }
+    }
+    for (reason, count) in reasons {
+        println!("lost count={count} reason={reason:?}");
+    }
+}
+
+/// Writes the report and turns it into an exit code.
+pub(crate) fn finish(report: &Report, path: Option<&Path>) -> Outcome {
+    if let Some(path) = path {
+        std::fs::write(path, serde_json::to_string_pretty(report)?)?;
+    }
+    Ok(match report.sound() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod daemons;
 pub(crate) mod demo;
+pub(crate) mod load;
 pub(crate) mod standin;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,6 +22,7 @@
 enum Command {
     Entry(#[bpaf(external(commands::daemons::entry))] commands::daemons::Entry),
     Sidecar(#[bpaf(external(commands::daemons::sidecar))] commands::daemons::Sidecar),
+    Load(#[bpaf(external(commands::load::load))] commands::load::Load),
     Demo(#[bpaf(external(commands::demo::demo))] commands::demo::Demo),
     Standin(#[bpaf(external(commands::standin::standin))] commands::standin::Standin),
 }
@@ -30,6 +31,7 @@
     let outcome = match command().run() {
         Command::Entry(c) => c.run(),
         Command::Sidecar(c) => c.run(),
+        Command::Load(c) => c.run(),
         Command::Demo(c) => c.run(),
         Command::Standin(c) => c.run(),
     };
--- /dev/null
+++ b/crates/demo/src/cluster.rs
@@ -0,0 +1,281 @@
+//! A fleet's daemons and stand-ins, each on a thread and an address of its
+//! own on loopback.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use base::settings::Span;
+use bundle::Bundle;
+use entry::settings::Known;
+use sidecar::settings::Backend;
+use standin::{Control, Ledger, engine, plain, silence};
+
+use crate::fleet::{ENTRIES, EXTRA, Fleet, PLAINS, PREFILL, SLOTS};
+use crate::host::Host;
+
+/// Port on which every daemon listens, each on an address of its own.
+const PORT: u16 = 7100;
+
+/// Calls that a plain service takes at once.
+const PLAIN_SLOTS: usize = 16;
+
+/// How a fleet is laid out.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// Whose fleet.
+    pub fleet: Fleet,
+    /// The bundle in force.
+    pub bundle: Bundle,
+    /// Seed of the daemons' random choices.
+    pub seed: u64,
+    /// Whether entries and sidecars are reached through forwarders whose
+    /// connections can go silent.
+    pub forwarded: bool,
+    /// The first two numbers of all addresses.
+    net: [u8; 2],
+}
+
+/// A fleet that runs.
+pub struct Cluster {
+    layout: Layout,
+    /// The entries.
+    pub entries: Vec<Host>,
+    /// The backend servers, model engines first.
+    pub servers: Vec<Server>,
+    /// What the stand-ins saw.
+    pub ledger: Ledger,
+}
+
+/// A backend server's host: the backend server and the sidecar beside it.
+pub struct Server {
+    /// The backend server.
+    pub backend: Host,
+    /// Its faults.
+    pub faults: Faults,
+    /// The sidecar.
+    pub sidecar: Host,
+    /// The forwarder before the sidecar, if there is one, and its faults.
+    pub link: Option<(Host, Control<silence::Faults>)>,
+    /// The forwarder before the backend server, if there is one.
+    pub inner: Option<(Host, Control<silence::Faults>)>,
+}
+
+/// The faults of a backend server.
+pub enum Faults {
+    /// Of a model engine.
+    Engine(Control<engine::Faults>),
+    /// Of a plain service.
+    Plain(Control<plain::Faults>),
+}
+
+/// The part of the addresses that a kind of daemon has.
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    Entry = 1,
+    Sidecar = 2,
+    Backend = 3,
+    Link = 4,
+    Inner = 5,
+}
+
+impl Layout {
+    /// Lays out a fleet.
+    #[must_use]
+    pub fn new(fleet: Fleet, bundle: Bundle, seed: u64) -> Self {
+        // Each process has a part of loopback of its own, so that several
+        // demos can run side by side.
+        let [_, _, a, b] = std::process::id().to_be_bytes();
+        Self {
+            fleet,
+            bundle,
+            seed,
+            forwarded: false,
+            net: [127, a.wrapping_add(b).max(1)],
+        }
+    }
+
+    /// Where the entries listen.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        (0..ENTRIES).map(|i| self.addr(Role::Entry, i)).collect()
+    }
+
+    /// Starts every daemon and stand-in.
+    #[must_use]
+    pub fn start(self) -> Cluster {
+        let ledger = Ledger::default();
+        let count = self.fleet.engines() + PLAINS;
+        let servers = (0..count).map(|i| self.start_server(i, &ledger)).collect();
+        let entries = (0..ENTRIES).map(|i| self.start_entry(i)).collect();
+        Cluster {
+            layout: self,
+            entries,
+            servers,
+            ledger,
+        }
+    }
+
+    fn start_server(&self, i: u8, ledger: &Ledger) -> Server {
+        let (backend, faults) = match i < self.fleet.engines() {
+            true => self.start_engine(i, ledger.clone()),
+            false => self.start_plain(i, ledger.clone()),
+        };
+        let forward = |from, to| {
+            self.forwarded
+                .then(|| start_forwarder(self.addr(from, i), self.addr(to, i)))
+        };
+        Server {
+            backend,
+            faults,
+            sidecar: self.start_sidecar(i),
+            link: forward(Role::Link, Role::Sidecar),
+            inner: forward(Role::Inner, Role::Backend),
+        }
+    }
+
+    fn start_engine(&self, i: u8, ledger: Ledger) -> (Host, Faults) {
+        let settings = engine::Settings {
+            listen: self.addr(Role::Backend, i),
+            slots: SLOTS,
+            step: self.fleet.step(),
+            extra: EXTRA,
+            prefill: PREFILL,
+            cache: 200_000,
+            keep: Span::secs(5),
+            faults: engine::Faults::default(),
+        };
+        let faults = Control::new(settings.faults.clone());
+        let control = faults.clone();
+        let host = Host::start(&format!("engine-{i}"), move |stop| {
+            engine::run_with(settings.clone(), control.clone(), ledger.clone(), stop)
+        });
+        (host, Faults::Engine(faults))
+    }
+
+    fn start_plain(&self, i: u8, ledger: Ledger) -> (Host, Faults) {
+        let settings = plain::Settings {
+            listen: self.addr(Role::Backend, i),
+            work: Span::ms(5),
+            faults: plain::Faults::default(),
+        };
+        let faults = Control::new(settings.faults.clone());
+        let control = faults.clone();
+        let host = Host::start(&format!("plain-{i}"), move |stop| {
+            plain::run_with(settings.clone(), control.clone(), ledger.clone(), stop)
+        });
+        (host, Faults::Plain(faults))
+    }
+
+    fn start_sidecar(&self, i: u8) -> Host {
+        let role = if self.forwarded {
+            Role::Inner
+        } else {
+            Role::Backend
+        };
+        let addr = self.addr(role, i);
+        let backend = match i < self.fleet.engines() {
+            true => Backend::Engine { addr, slots: SLOTS },
+            false => Backend::Plain {
+                addr,
+                slots: PLAIN_SLOTS,
+                timeout: Span::secs(5),
+            },
+        };
+        let known = self.known(i);
+        let settings = sidecar::Settings {
+            name: known.name.clone(),
+            zone: known.zone,
+            listen: self.addr(Role::Sidecar, i),
+            backend,
+            hold: Span::ms(250),
+            keep: Span::secs(10),
+            log_level: base::logging::Level::Warn,
+        };
+        Host::start(&known.name, move |stop| {
+            sidecar::run(settings.clone(), stop)
+        })
+    }
+
+    fn start_entry(&self, i: u8) -> Host {
+        let count = self.fleet.engines() + PLAINS;
+        let name = format!("entry-{i}");
+        let settings = entry::Settings {
+            name: name.clone(),
+            zone: self.fleet.zones()[usize::from(i)].to_owned(),
+            listen: self.addr(Role::Entry, i),
+            sidecars: (0..count).map(|i| self.known(i)).collect(),
+            fan: 2,
+            body_limit: 4 << 20,
+            seed: Some(self.seed + u64::from(i)),
+            log_level: base::logging::Level::Warn,
+        };
+        let bundle = self.bundle.clone();
+        Host::start(&name, move |stop| {
+            entry::run(settings.clone(), bundle.clone(), stop)
+        })
+    }
+
+    /// A backend server's sidecar as entries know it.
+    fn known(&self, i: u8) -> Known {
+        let serves = match i < self.fleet.engines() {
+            true => self.fleet.model(),
+            false => self.fleet.service(),
+        };
+        let role = if self.forwarded {
+            Role::Link
+        } else {
+            Role::Sidecar
+        };
+        Known {
+            name: format!("sidecar-{i}"),
+            addr: self.addr(role, i),
+            zone: self.fleet.zones()[usize::from(i) % 3].to_owned(),
+            serves: serves.to_owned(),
+        }
+    }
+
+    fn addr(&self, role: Role, i: u8) -> SocketAddr {
+        let ip = Ipv4Addr::new(self.net[0], self.net[1], role as u8, i + 1);
+        SocketAddr::new(IpAddr::V4(ip), PORT)
+    }
+}
+
+impl Cluster {
+    /// Whose fleet it is.
+    #[must_use]
+    pub fn fleet(&self) -> Fleet {
+        self.layout.fleet
+    }
+
+    /// Ends every daemon gracefully, callers' side first.
+    pub fn end(self) {
+        let stages: [Vec<&Host>; 3] = [
+            self.entries.iter().collect(),
+            self.servers.iter().map(|s| &s.sidecar).collect(),
+            self.servers.iter().flat_map(Server::outer).collect(),
+        ];
+        for stage in stages {
+            stage.iter().for_each(|host| host.ask());
+            stage.iter().for_each(|host| host.end());
+        }
+    }
+}
+
+impl Server {
+    /// The stand-ins of the platform.
+    fn outer(&self) -> Vec<&Host> {
+        let forwarders = self.link.iter().chain(&self.inner);
+        forwarders
+            .map(|(host, _)| host)
+            .chain([&self.backend])
+            .collect()
+    }
+}
+
+fn start_forwarder(listen: SocketAddr, target: SocketAddr) -> (Host, Control<silence::Faults>) {
+    let faults = Control::new(silence::Faults::default());
+    let control = faults.clone();
+    let host = Host::start("forwarder", move |stop| {
+        silence::run(listen, target, control.clone(), stop)
+    });
+    (host, faults)
+}
--- /dev/null
+++ b/crates/demo/src/faults.rs
@@ -0,0 +1,193 @@
+//! Faults brought about at set times of a run.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base::settings::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::cluster::{Cluster, Faults, Server};
+
+/// Time between a daemon's end and its next life in a rolling restart.
+const RESTART_GAP: Duration = Duration::from_millis(50);
+
+/// Faults with their times.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultPlan {
+    /// What happens, in order of time.
+    pub events: Vec<Event>,
+}
+
+/// One fault and its time.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// When, from the start of the load.
+    pub at: Span,
+    /// What.
+    pub fault: Fault,
+}
+
+/// What goes wrong. Backend servers are named by their number, model engines
+/// first.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub enum Fault {
+    /// A model engine's steps take `pace` times as long.
+    Straggler {
+        /// The backend server.
+        server: usize,
+        /// By how much; 1 ends it.
+        pace: f64,
+    },
+    /// All load reports lag.
+    ReportLag {
+        /// By how much.
+        lag: Span,
+    },
+    /// Cache events of all engines come late and with gaps.
+    CacheEvents {
+        /// By how much.
+        lag: Span,
+        /// Share that never comes.
+        gap: f64,
+    },
+    /// A backend server crashes; its sidecar lives on.
+    CrashBackend {
+        /// The backend server.
+        server: usize,
+        /// When it comes back, if it does.
+        back: Option<Span>,
+    },
+    /// A backend server's host crashes, with its sidecar.
+    CrashHost {
+        /// The backend server.
+        server: usize,
+        /// When it comes back, if it does.
+        back: Option<Span>,
+    },
+    /// A sidecar stands still.
+    PauseSidecar {
+        /// The backend server that it stands beside.
+        server: usize,
+        /// For how long.
+        time: Span,
+    },
+    /// Open connections to a sidecar go silent for good.
+    SilenceSidecar {
+        /// The backend server that it stands beside.
+        server: usize,
+    },
+    /// Open connections to a backend server go silent for good.
+    SilenceBackend {
+        /// The backend server.
+        server: usize,
+    },
+    /// Every sidecar and entry in turn ends gracefully and starts again.
+    RollingRestart,
+}
+
+impl FaultPlan {
+    /// Whether the plan needs forwarders whose connections can go silent.
+    #[must_use]
+    pub fn forwarded(&self) -> bool {
+        let silence = |e: &Event| {
+            matches!(
+                e.fault,
+                Fault::SilenceSidecar { .. } | Fault::SilenceBackend { .. }
+            )
+        };
+        self.events.iter().any(silence)
+    }
+
+    /// Brings the faults about at their times; returns after the last.
+    pub fn run(&self, cluster: &Cluster) {
+        let start = Instant::now();
+        thread::scope(|scope| {
+            for event in &self.events {
+                scope.spawn(move || {
+                    thread::sleep(event.at.0.saturating_sub(start.elapsed()));
+                    eprintln!(
+                        "fault at={:.1}s {:?}",
+                        start.elapsed().as_secs_f64(),
+                        event.fault
+                    );
+                    event.fault.apply(cluster);
+                });
+            }
+        });
+    }
+}
+
+impl Fault {
+    fn apply(&self, cluster: &Cluster) {
+        let server = |i: &usize| cluster.servers.get(*i);
+        match self {
+            Self::Straggler { server: i, pace } => {
+                if let Some(Faults::Engine(faults)) = server(i).map(|s| &s.faults) {
+                    faults.change(|f| f.pace = *pace);
+                }
+            }
+            Self::ReportLag { lag } => each_engine(cluster, |f| f.report_lag = *lag),
+            Self::CacheEvents { lag, gap } => each_engine(cluster, |f| {
+                f.event_lag = *lag;
+                f.event_gap = *gap;
+            }),
+            Self::CrashBackend { server: i, back } => {
+                if let Some(server) = server(i) {
+                    crash(&[&server.backend], *back);
+                }
+            }
+            Self::CrashHost { server: i, back } => {
+                if let Some(server) = server(i) {
+                    crash(&[&server.backend, &server.sidecar], *back);
+                }
+            }
+            Self::PauseSidecar { server: i, time } => {
+                if let Some(server) = server(i) {
+                    server.sidecar.pause(time.0);
+                }
+            }
+            Self::SilenceSidecar { server: i } => silence(server(i).map(|s| &s.link)),
+            Self::SilenceBackend { server: i } => silence(server(i).map(|s| &s.inner)),
+            Self::RollingRestart => rolling_restart(cluster),
+        }
+    }
+}
+
+fn each_engine(cluster: &Cluster, change: impl Fn(&mut standin::engine::Faults)) {
+    for Server { faults, .. } in &cluster.servers {
+        if let Faults::Engine(faults) = faults {
+            faults.change(&change);
+        }
+    }
+}
+
+fn crash(hosts: &[&crate::host::Host], back: Option<Span>) {
+    hosts.iter().for_each(|host| host.crash());
+    if let Some(back) = back {
+        thread::sleep(back.0);
+        hosts.iter().for_each(|host| host.begin());
+    }
+}
+
+type Link = Option<(
+    crate::host::Host,
+    standin::Control<standin::silence::Faults>,
+)>;
+
+fn silence(link: Option<&Link>) {
+    if let Some(Some((_, faults))) = link {
+        faults.change(|f| f.silenced += 1);
+    }
+}
+
+fn rolling_restart(cluster: &Cluster) {
+    let sidecars = cluster.servers.iter().map(|s| &s.sidecar);
+    for host in sidecars.chain(&cluster.entries) {
+        host.end();
+        thread::sleep(RESTART_GAP);
+        host.begin();
+    }
+}
--- a/crates/demo/src/host.rs
+++ b/crates/demo/src/host.rs
@@ -1,13 +1,36 @@
 //! One daemon on a thread of its own, as it would have a host of its own.
 
 use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
+use base::stop::Stop;
 use spdlog::error;
 
-/// A daemon that runs.
+/// How often a host looks whether it should pause.
+const PAUSE_POLL: Duration = Duration::from_millis(5);
+
+type Body = dyn Fn(Stop) -> Pin<Box<dyn Future<Output = io::Result<()>>>> + Send + Sync;
+
+/// A daemon that can be stopped, started again, crashed and paused.
 pub struct Host {
-    thread: Option<JoinHandle<()>>,
+    name: String,
+    body: Arc<Body>,
+    life: Mutex<Option<Life>>,
+}
+
+/// One life of a daemon.
+struct Life {
+    /// Asks it to end when everything in progress has.
+    stop: Stop,
+    /// Ends it at once.
+    kill: Stop,
+    /// Time for which its thread should stand still, in milliseconds.
+    pause: Arc<AtomicU64>,
+    thread: JoinHandle<()>,
 }
 
 impl Host {
@@ -15,27 +38,117 @@
     /// a daemon's state never leaves its thread.
     pub fn start<F, Fut>(name: &str, body: F) -> Self
     where
-        F: FnOnce() -> Fut + Send + 'static,
-        Fut: Future<Output = io::Result<()>>,
+        F: Fn(Stop) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = io::Result<()>> + 'static,
     {
-        let shown = name.to_owned();
-        let run = move || {
-            base::telemetry::with_recorder(|| {
-                if let Err(e) = actix_rt::System::new().block_on(body()) {
-                    error!("daemon failed", kv: { name = shown.as_str(), error = e.to_string().as_str() });
-                }
-            });
+        let host = Self {
+            name: name.to_owned(),
+            body: Arc::new(move |stop| Box::pin(body(stop))),
+            life: Mutex::new(None),
         };
-        let thread = thread::Builder::new().name(name.to_owned()).spawn(run);
-        Self {
-            thread: thread.ok(),
+        host.begin();
+        host
+    }
+
+    /// The daemon's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Starts a new life, if none runs.
+    pub fn begin(&self) {
+        let mut life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        if life.is_none() {
+            *life = spawn(&self.name, Arc::clone(&self.body));
+        }
+    }
+
+    /// Asks the daemon to end, without waiting for it.
+    pub fn ask(&self) {
+        let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(life) = life.as_ref() {
+            life.stop.ask();
+        }
+    }
+
+    /// Ends the daemon gracefully and waits until it has.
+    pub fn end(&self) {
+        self.ask();
+        self.join();
+    }
+
+    /// Drops everything that the daemon has at once: its state, its tasks and
+    /// its connections.
+    pub fn crash(&self) {
+        let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(life) = life.as_ref() {
+            life.kill.ask();
+        }
+        drop(life);
+        self.join();
+    }
+
+    /// Makes the daemon's thread stand still for `time`, beginning soon.
+    pub fn pause(&self, time: Duration) {
+        let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(life) = life.as_ref() {
+            let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            life.pause.store(ms, Ordering::Relaxed);
         }
     }
 
-    /// Waits until the daemon has ended.
-    pub fn join(self) {
-        if let Some(thread) = self.thread {
-            let _ = thread.join();
+    fn join(&self) {
+        let life = self
+            .life
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(life) = life {
+            // A panic was printed by the thread itself.
+            let _ = life.thread.join();
+        }
+    }
+}
+
+fn spawn(name: &str, body: Arc<Body>) -> Option<Life> {
+    let (stop, kill) = (Stop::new(), Stop::new());
+    let pause = Arc::new(AtomicU64::new(0));
+    let (thread_stop, thread_kill) = (stop.clone(), kill.clone());
+    let (thread_pause, shown) = (Arc::clone(&pause), name.to_owned());
+
+    let run = move || {
+        base::telemetry::with_recorder(|| {
+            let system = actix_rt::System::new();
+            let ended = system.block_on(async {
+                tokio::select! {
+                    ended = body(thread_stop) => ended,
+                    () = thread_kill.wait() => Ok(()),
+                    () = stand_still(&thread_pause) => Ok(()),
+                }
+            });
+            if let Err(e) = ended {
+                error!("daemon failed", kv: { name = shown.as_str(), error = e.to_string().as_str() });
+            }
+        });
+    };
+    let thread = thread::Builder::new().name(name.to_owned()).spawn(run);
+    let thread = thread.ok()?;
+    Some(Life {
+        stop,
+        kill,
+        pause,
+        thread,
+    })
+}
+
+/// Blocks the daemon's thread whenever it is asked to; never ends.
+async fn stand_still(pause: &AtomicU64) {
+    loop {
+        let ms = pause.swap(0, Ordering::Relaxed);
+        if ms > 0 {
+            thread::sleep(Duration::from_millis(ms));
         }
+        tokio::time::sleep(PAUSE_POLL).await;
     }
 }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,39 +1,102 @@
-//! A whole fleet on loopback in one process, with load.
+//! A whole fleet on loopback in one process, with load and faults.
 //!
-//! - [`fleet`]: the two users' fleets.
+//! - [`fleet`]: the two users' fleets in the sizes of the brief.
+//! - [`plan`]: what a fleet declares and what its callers send.
+//! - [`cluster`]: the daemons and stand-ins.
 //! - [`host`]: one daemon on a thread of its own.
+//! - [`faults`]: faults brought about at set times.
 
+pub mod cluster;
+pub mod faults;
 pub mod fleet;
 pub mod host;
+pub mod plan;
 
+use std::thread;
 use std::time::Duration;
 
-use base::stop::Stop;
-use load::Report;
-use standin::Ledger;
+use base::settings::Span;
+use load::{Mix, Run};
 
+use cluster::Layout;
+use faults::{Event, Fault, FaultPlan};
 pub use fleet::Fleet;
-use fleet::Plan;
 
 /// Time for the daemons to start listening.
 const WARM_UP: Duration = Duration::from_millis(300);
 
-/// Runs a fleet under load for `seconds` and reports on it.
-#[must_use]
-pub fn run(fleet: Fleet, seconds: f64, seed: u64) -> Report {
-    let plan = Plan::new(fleet, seed, seconds);
-    let ledger = Ledger::default();
-    let stop = Stop::new();
-    let hosts = plan.start(&ledger, &stop);
-
-    let report = actix_rt::System::new().block_on(async {
-        tokio::time::sleep(WARM_UP).await;
-        load::run(&plan.mix, &plan.entries(), &ledger).await
-    });
+/// How much slower a straggler is.
+const STRAGGLER_PACE: f64 = 4.0;
+
+/// How late load reports are while there is a straggler.
+const REPORT_LAG: Span = Span::ms(500);
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Whose fleet.
+    pub fleet: Fleet,
+    /// How long requests arrive, in seconds.
+    pub seconds: f64,
+    /// Seed of all random numbers.
+    pub seed: u64,
+    /// Whether one lower-tier class bursts in the middle third.
+    pub burst: bool,
+    /// Whether one engine is four times slower and load reports are late.
+    pub straggler: bool,
+    /// Whether one backend server's host crashes in the burst.
+    pub crash: bool,
+    /// Further faults.
+    pub faults: FaultPlan,
+    /// Whether to print progress.
+    pub progress: bool,
+}
+
+impl Options {
+    /// The load.
+    #[must_use]
+    pub fn mix(&self) -> Mix {
+        plan::mix(self.fleet, self.seed, self.seconds, self.burst)
+    }
 
-    stop.ask();
-    for host in hosts {
-        host.join();
+    /// All faults with their times.
+    #[must_use]
+    pub fn fault_plan(&self) -> FaultPlan {
+        let mut plan = self.faults.clone();
+        let mut add = |at: f64, fault| {
+            let at = Span(Duration::from_secs_f64(at));
+            plan.events.push(Event { at, fault });
+        };
+        if self.straggler {
+            let pace = STRAGGLER_PACE;
+            // With a crash, the second fault comes in the midst of the burst.
+            let at = if self.crash { self.seconds * 0.4 } else { 0.0 };
+            add(at, Fault::Straggler { server: 0, pace });
+            add(0.0, Fault::ReportLag { lag: REPORT_LAG });
+        }
+        if self.crash {
+            let (server, back) = (1, None);
+            add(self.seconds * 0.45, Fault::CrashHost { server, back });
+        }
+        plan
     }
-    report
+}
+
+/// Runs a fleet under load and reports on it.
+#[must_use]
+pub fn run(options: &Options) -> Run {
+    let mix = options.mix();
+    let faults = options.fault_plan();
+    let mut layout = Layout::new(options.fleet, plan::bundle(options.fleet), options.seed);
+    layout.forwarded = faults.forwarded();
+
+    let entries = layout.entries();
+    let cluster = layout.start();
+    thread::sleep(WARM_UP);
+    let run = thread::scope(|scope| {
+        scope.spawn(|| faults.run(&cluster));
+        load::run(&mix, &entries, &cluster.ledger, options.progress)
+    });
+    cluster.end();
+    run
 }
--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -231,9 +231,7 @@
             return workspace.token.clone();
         }
     }
-    workspaces
-        .last()
-        .map_or(String::new(), |w| w.token.clone())
+    workspaces.last().map_or(String::new(), |w| w.token.clone())
 }
 
 /// Draws a size from a lognormal distribution.
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -73,6 +73,21 @@
     pub ran: String,
 }
 
+impl Outcome {
+    /// The outcome of a request that came to no end.
+    #[must_use]
+    pub fn lost(arrival: Arrival, reason: &str) -> Self {
+        Self {
+            arrival,
+            first: None,
+            total: Duration::ZERO,
+            tokens: 0,
+            mixed: false,
+            ending: Ending::Lost(reason.to_owned()),
+        }
+    }
+}
+
 /// Makes the HTTP client that all callers of a thread share.
 #[must_use]
 pub fn client() -> awc::Client {
@@ -86,14 +101,7 @@
 /// Sends one request and takes in its answer.
 pub async fn call(http: awc::Client, balancer: &Balancer, arrival: Arrival) -> Outcome {
     let began = Instant::now();
-    let mut outcome = Outcome {
-        arrival,
-        first: None,
-        total: Duration::ZERO,
-        tokens: 0,
-        mixed: false,
-        ending: Ending::Left,
-    };
+    let mut outcome = Outcome::lost(arrival, "not sent");
     outcome.ending = take(&http, balancer, &mut outcome, began).await;
     outcome.total = began.elapsed();
     outcome
@@ -124,10 +132,6 @@
     }
 }
 
-type Response = awc::ClientResponse<
-    actix_http::encoding::Decoder<actix_http::Payload>,
->;
-
 /// Sends the request to one entry after the other, as a balancer does: only a
 /// connection that could not be made leads to the next, since the request
 /// certainly never went out on it.
@@ -135,7 +139,7 @@
     http: &awc::Client,
     balancer: &Balancer,
     arrival: &Arrival,
-) -> Result<Response, Ending> {
+) -> Result<awc::ClientResponse, Ending> {
     for entry in balancer.order() {
         match request(http, entry, arrival).await {
             Ok(response) => return Ok(response),
@@ -150,7 +154,7 @@
     http: &awc::Client,
     entry: SocketAddr,
     arrival: &Arrival,
-) -> Result<Response, SendRequestError> {
+) -> Result<awc::ClientResponse, SendRequestError> {
     let path = match &arrival.kind {
         Kind::Completion => "chat/completions".to_owned(),
         Kind::Call { service } => format!("services/{service}/send"),
@@ -174,7 +178,11 @@
     }
     // A token is four bytes to the stand-ins.
     let shared = format!("{:<4}", arrival.prefix % 1000).repeat(arrival.shared as usize);
-    let own = format!("{} {}", arrival.mark, "word".repeat(arrival.prompt as usize));
+    let own = format!(
+        "{} {}",
+        arrival.mark,
+        "word".repeat(arrival.prompt as usize)
+    );
     json!({
         "model": arrival.class,
         "stream": arrival.stream,
@@ -188,7 +196,7 @@
 }
 
 /// Takes in an answer as it is made.
-async fn stream(response: Response, outcome: &mut Outcome, began: Instant) -> Ending {
+async fn stream(response: awc::ClientResponse, outcome: &mut Outcome, began: Instant) -> Ending {
     let mut events = std::pin::pin!(response.timeout(Duration::MAX).eventsource());
     let mut finished = false;
     loop {
@@ -231,7 +239,7 @@
 }
 
 /// Takes in an answer that comes at once.
-async fn whole(mut response: Response, outcome: &mut Outcome) -> Ending {
+async fn whole(mut response: awc::ClientResponse, outcome: &mut Outcome) -> Ending {
     let Ok(body) = response.json::<Value>().limit(ANSWER_LIMIT).await else {
         return Ending::Lost("whole answer broke off".to_owned());
     };
@@ -248,7 +256,7 @@
 }
 
 /// Takes in a plain service's answer.
-async fn called(mut response: Response, outcome: &mut Outcome) -> Ending {
+async fn called(mut response: awc::ClientResponse, outcome: &mut Outcome) -> Ending {
     let Ok(body) = response.json::<Value>().await else {
         return Ending::Lost("plain answer broke off".to_owned());
     };
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -31,7 +31,7 @@
 }
 
 /// Sends the arrivals to the entries and waits for the outcomes. Arrivals
-/// without an outcome by the end of the grace time have none in the result.
+/// without an end by the end of the grace time are lost.
 #[must_use]
 pub fn drive(arrivals: &[Arrival], entries: &[SocketAddr], progress: bool) -> Vec<Outcome> {
     let balancer = Arc::new(Balancer::new(entries));
@@ -76,20 +76,23 @@
             tokio::time::sleep_until((start + arrival.at).into()).await;
             counts.sent.fetch_add(1, Ordering::Relaxed);
             let (http, balancer) = (http.clone(), Arc::clone(balancer));
-            let counts = Arc::clone(counts);
-            calls.push(actix_rt::spawn(async move {
+            let (counts, sent) = (Arc::clone(counts), arrival.clone());
+            let call = actix_rt::spawn(async move {
                 let outcome = caller::call(http, &balancer, arrival).await;
                 counts.note(&outcome.ending);
                 outcome
-            }));
+            });
+            calls.push((sent, call));
         }
 
         let deadline = tokio::time::Instant::now() + GRACE;
         let mut outcomes = Vec::with_capacity(calls.len());
-        for call in calls {
-            if let Ok(Ok(outcome)) = tokio::time::timeout_at(deadline, call).await {
-                outcomes.push(outcome);
-            }
+        for (sent, call) in calls {
+            let outcome = match tokio::time::timeout_at(deadline, call).await {
+                Ok(Ok(outcome)) => outcome,
+                _ => Outcome::lost(sent, "no end within the grace time"),
+            };
+            outcomes.push(outcome);
         }
         outcomes
     })
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -238,7 +238,7 @@
     for message in &body.messages {
         text.push_str(&message.content);
     }
-    let request = batch.submit(Job {
+    let request = batch.submit(&Job {
         id: header(REQUEST_ID).unwrap_or_default(),
         mark: &body.mark,
         priority: header(PRIORITY).and_then(|p| p.parse().ok()).unwrap_or(0),
@@ -284,10 +284,7 @@
 }
 
 /// Gives out cache events from a number on.
-async fn cache_events(
-    http: HttpRequest,
-    query: web::Query<HashMap<String, u64>>,
-) -> HttpResponse {
+async fn cache_events(http: HttpRequest, query: web::Query<HashMap<String, u64>>) -> HttpResponse {
     let from = query.get("from").copied().unwrap_or(0);
     match http.app_data::<Rc<Batch>>() {
         Some(batch) => HttpResponse::Ok().json(batch.cache_events(from)),
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -112,13 +112,7 @@
 /// Notes the load again and again, for reports that lag.
 pub async fn observe(batch: Rc<Batch>, stop: Stop) {
     while !stop.asked() {
-        let now = batch.now();
-        let mut observed = batch.observed.borrow_mut();
-        observed.push_back((Instant::now(), now));
-        if observed.len() > OBSERVED {
-            observed.pop_front();
-        }
-        drop(observed);
+        batch.note_load();
         tokio::time::sleep(OBSERVE).await;
     }
 }
@@ -143,7 +137,7 @@
     }
 
     /// Takes in a request.
-    pub fn submit(&self, job: Job<'_>) -> Rc<Request> {
+    pub fn submit(&self, job: &Job<'_>) -> Rc<Request> {
         let prompt = u32::try_from(job.text.len() / 4).unwrap_or(u32::MAX).max(1);
         let cached = self.cache.borrow_mut().admit(job.text, Instant::now());
         let account = self.ledger.account(job.mark);
@@ -210,6 +204,16 @@
         CacheEvents { next, events }
     }
 
+    /// Notes the load as it is now.
+    fn note_load(&self) {
+        let now = self.now();
+        let mut observed = self.observed.borrow_mut();
+        observed.push_back((Instant::now(), now));
+        if observed.len() > OBSERVED {
+            observed.pop_front();
+        }
+    }
+
     /// Whether nothing runs or waits.
     fn idle(&self) -> bool {
         self.running.borrow().is_empty() && self.waiting.borrow().is_empty()
--- a/crates/standin/src/silence.rs
+++ b/crates/standin/src/silence.rs
@@ -41,12 +41,7 @@
     }
 }
 
-async fn forward(
-    mut near: TcpStream,
-    target: SocketAddr,
-    faults: Control<Faults>,
-    stop: Stop,
-) {
+async fn forward(mut near: TcpStream, target: SocketAddr, faults: Control<Faults>, stop: Stop) {
     let Ok(mut far) = TcpStream::connect(target).await else {
         return;
     };
