--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`settings`]: JSON settings with errors that name the place.
 //! - [`logging`]: one line of key=value pairs for each event.
 //! - [`telemetry`]: the metrics recorder of one daemon.
+//! - [`mod@listen`]: listening on an address from the settings.
 //! - [`operators`]: health, status and metrics of one daemon.
 //! - [`http`]: serving an actix-web application on the daemon's own thread.
 //! - [`stop`]: a shared flag and wake-up for graceful shutdown.
@@ -14,9 +15,11 @@
 pub mod clock;
 pub mod http;
 pub mod ids;
+pub mod listen;
 pub mod logging;
 pub mod operators;
 pub mod reason;
 pub mod settings;
 pub mod stop;
 pub mod telemetry;
+pub use listen::listen;
--- a/crates/base/src/settings.rs
+++ b/crates/base/src/settings.rs
@@ -41,6 +41,23 @@
     Ok(value)
 }
 
+/// Checks one value: `fine` tells whether it is possible.
+///
+/// # Errors
+///
+/// Returns [`Error::Check`] with the key, what was found and the hint.
+pub fn check(key: &str, found: impl Display, fine: bool, hint: &str) -> Result<(), Error> {
+    if fine {
+        return Ok(());
+    }
+    CheckSnafu {
+        key,
+        found: found.to_string(),
+        hint,
+    }
+    .fail()
+}
+
 /// Why settings could not be used.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,3 +3,4 @@
 pub(crate) mod daemons;
 pub(crate) mod demo;
 pub(crate) mod standin;
+pub(crate) mod status;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,11 +8,14 @@
 
 use std::process::ExitCode;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, ParseFailure};
 
 /// Exit code for bad input.
 const BAD_INPUT: u8 = 2;
 
+/// Width to which help is wrapped.
+const TERMINAL_WIDTH: usize = 100;
+
 /// What a command comes to.
 type Outcome = Result<ExitCode, Box<dyn std::error::Error>>;
 
@@ -23,18 +26,33 @@
     Entry(#[bpaf(external(commands::daemons::entry))] commands::daemons::Entry),
     Sidecar(#[bpaf(external(commands::daemons::sidecar))] commands::daemons::Sidecar),
     Demo(#[bpaf(external(commands::demo::demo))] commands::demo::Demo),
+    Status(#[bpaf(external(commands::status::status))] commands::status::Status),
     Standin(#[bpaf(external(commands::standin::standin))] commands::standin::Standin),
 }
 
 fn main() -> ExitCode {
-    let outcome = match command().run() {
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return explain(&failure),
+    };
+    let outcome = match command {
         Command::Entry(c) => c.run(),
         Command::Sidecar(c) => c.run(),
         Command::Demo(c) => c.run(),
         Command::Standin(c) => c.run(),
+        Command::Status(c) => c.run(),
     };
     outcome.unwrap_or_else(|e| {
         eprintln!("pimentocart: {e}");
         ExitCode::from(BAD_INPUT)
     })
 }
+
+/// Shows the help that was asked for, or what is wrong with the arguments.
+fn explain(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(TERMINAL_WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(BAD_INPUT),
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+    }
+}
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -20,6 +20,9 @@
 /// Port on which every daemon listens, each on an address of its own.
 const PORT: u16 = 7100;
 
+/// Port of every daemon's operators' address.
+const OPERATORS_PORT: u16 = 7101;
+
 /// Requests that an engine runs at once.
 const SLOTS: usize = 8;
 
@@ -190,6 +193,7 @@
             name: known.name.clone(),
             zone: known.zone,
             listen: known.addr,
+            operators: Some(self.operators(2, i)),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -204,6 +208,7 @@
             name: name.clone(),
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(1, i),
+            operators: Some(self.operators(1, i)),
             sidecars,
             fan: 2,
             body_limit: 4 << 20,
@@ -233,6 +238,11 @@
         let ip = Ipv4Addr::new(self.net[0], self.net[1], role, i + 1);
         SocketAddr::new(IpAddr::V4(ip), PORT)
     }
+
+    /// The operators' address of a daemon.
+    fn operators(&self, role: u8, i: u8) -> SocketAddr {
+        SocketAddr::new(self.addr(role, i).ip(), OPERATORS_PORT)
+    }
 }
 
 fn token(class: &str) -> String {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`http`]: the callers' side.
 //! - [`dispatch`]: getting a slot for a request and starting it there.
 //! - [`relay`]: passing the answer's pieces on.
+//! - [`status`]: what operators are shown.
 //! - [`shape`]: how answers are written.
 //! - [`refuse`]: the answer to a request that is refused.
 
@@ -18,15 +19,16 @@
 pub mod settings;
 pub mod shape;
 pub mod state;
+pub mod status;
 
 use std::io;
 use std::rc::Rc;
 
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
+use base::{listen, operators};
 use bundle::Bundle;
 use spdlog::info;
-use tokio::net::TcpListener;
 
 pub use settings::Settings;
 use state::State;
@@ -35,14 +37,31 @@
 ///
 /// # Errors
 ///
-/// Returns the error when the entry cannot listen.
+/// Returns the error when the settings are impossible or the entry cannot
+/// listen.
 pub async fn run(settings: Settings, bundle: Bundle, stop: Stop) -> io::Result<()> {
+    settings.check().map_err(io::Error::other)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let listener = TcpListener::bind(settings.listen).await?;
-    info!("entry ready", kv: { name = settings.name.as_str(), listen = settings.listen.to_string().as_str() });
-
+    let listener = listen("listen", settings.listen).await?;
+    let operators = settings.operators;
     let state = State::new(settings, bundle, clock);
+
+    // The operators' address goes on until the process ends, so that a drain
+    // can be watched.
+    let end = Stop::new();
+    if let Some(addr) = operators {
+        let listener = listen("operators", addr).await?;
+        actix_rt::spawn(operators::serve(listener, Rc::clone(&state), end.clone()));
+    }
+
+    info!("entry ready", kv: {
+        name = state.settings.name.as_str(),
+        listen = state.settings.listen.to_string().as_str()
+    });
     base::http::serve(listener, http::app(Rc::clone(&state)), stop).await?;
+
+    state.draining.set(true);
     state.drain().await;
+    end.ask();
     Ok(())
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,8 +3,12 @@
 use std::net::SocketAddr;
 
 use base::logging::Level;
+use base::settings::{Error, check};
 use serde::{Deserialize, Serialize};
 
+/// Largest body limit: a start must fit into one frame of the inner protocol.
+const BODY_MOST: usize = 16 << 20;
+
 /// Settings of one entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,6 +19,9 @@
     pub zone: String,
     /// Where callers reach the entry.
     pub listen: SocketAddr,
+    /// Where operators reach health, status and metrics, if at all.
+    #[serde(default)]
+    pub operators: Option<SocketAddr>,
     /// Sidecars known from the start.
     #[serde(default)]
     pub sidecars: Vec<Known>,
@@ -46,6 +53,40 @@
     pub serves: String,
 }
 
+impl Settings {
+    /// Checks what no single value shows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first impossible value with its key and a hint.
+    pub fn check(&self) -> Result<(), Error> {
+        check(
+            "name",
+            &self.name,
+            !self.name.is_empty(),
+            "give the entry a name",
+        )?;
+        check(
+            "fan",
+            self.fan,
+            (1..=8).contains(&self.fan),
+            "ask 1 to 8 sidecars at once",
+        )?;
+        check(
+            "body_limit",
+            self.body_limit,
+            (1024..=BODY_MOST).contains(&self.body_limit),
+            "allow 1024 to 16777216 bytes",
+        )?;
+        check(
+            "operators",
+            self.listen,
+            self.operators != Some(self.listen),
+            "operators need an address apart from the callers'",
+        )
+    }
+}
+
 fn default_fan() -> usize {
     2
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -28,6 +28,8 @@
     pub servers: RefCell<Vec<Rc<Server>>>,
     /// Where to ask for a slot.
     pub placement: RefCell<Placement>,
+    /// Whether no new requests are taken.
+    pub draining: Cell<bool>,
     /// Requests in progress.
     open: Cell<usize>,
 }
@@ -57,6 +59,7 @@
             clock,
             bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
             placement: RefCell::new(Placement::new(seed)),
+            draining: Cell::new(false),
             open: Cell::new(0),
         })
     }
@@ -88,6 +91,11 @@
         }
     }
 
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.open.get()
+    }
+
     /// Waits until no request is in progress.
     pub async fn drain(&self) {
         while self.open.get() > 0 {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`settings`]: what the operators set.
 //! - [`state`]: the tickets and their states.
 //! - [`service`]: the inner protocol's calls.
+//! - [`status`]: what operators are shown.
 //! - [`run`]: running one ticket at the backend server.
 
 pub mod run;
 pub mod service;
 pub mod settings;
 pub mod state;
+pub mod status;
 
 use std::io;
 use std::rc::Rc;
@@ -17,8 +19,8 @@
 
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
+use base::{listen, operators};
 use spdlog::info;
-use tokio::net::TcpListener;
 
 pub use settings::Settings;
 use state::State;
@@ -30,13 +32,23 @@
 ///
 /// # Errors
 ///
-/// Returns the error when the sidecar cannot listen.
+/// Returns the error when the settings are impossible or the sidecar cannot
+/// listen.
 pub async fn run(settings: Settings, stop: Stop) -> io::Result<()> {
+    settings.check().map_err(io::Error::other)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let listener = TcpListener::bind(settings.listen).await?;
+    let listener = listen("listen", settings.listen).await?;
+    let operators = settings.operators;
     info!("sidecar ready", kv: { name = settings.name.as_str(), listen = settings.listen.to_string().as_str() });
 
     let state = State::new(settings, clock);
+    // The operators' address goes on until the process ends, so that a drain
+    // can be watched.
+    let end = Stop::new();
+    if let Some(addr) = operators {
+        let listener = listen("operators", addr).await?;
+        actix_rt::spawn(operators::serve(listener, Rc::clone(&state), end.clone()));
+    }
     actix_rt::spawn(sweep(Rc::clone(&state), stop.clone()));
     let served = wire::serve::serve(
         listener,
@@ -47,6 +59,7 @@
 
     // Everything in progress ends whole before the process does.
     state.drain().await;
+    end.ask();
     Ok(())
 }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -5,7 +5,7 @@
 use base::reason::{Ran, Refusal};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use platform::engine::{Engine, Event};
+use platform::engine::{Engine, Error, Event};
 use platform::plain::Plain;
 use spdlog::warn;
 use wire::{End, Piece, Work};
@@ -38,8 +38,7 @@
         Ok(events) => events,
         Err(e) => {
             warn!("run failed", kv: { ticket = entry.ticket.to_string().as_str(), error = e.to_string().as_str() });
-            let ran = if e.not_run() { Ran::No } else { Ran::Unknown };
-            return broken(Refusal::BackendFailed, ran);
+            return failed(&e);
         }
     };
 
@@ -114,9 +113,27 @@
                 cached: 0,
             }
         }
-        Err(e) => {
-            let ran = if e.not_run() { Ran::No } else { Ran::Unknown };
-            broken(Refusal::BackendFailed, ran)
+        Err(e) => failed(&e),
+    }
+}
+
+/// The end of a request that the backend server did not take.
+fn failed(error: &Error) -> End {
+    // A body that one engine finds faulty is faulty for all: told as the
+    // engine's failure, it would be tried at each of them in turn.
+    if matches!(
+        error,
+        Error::Refused {
+            status: 400 | 413 | 422,
+            ..
         }
+    ) {
+        return broken(Refusal::BadRequest, Ran::No);
     }
+    let ran = if error.not_run() {
+        Ran::No
+    } else {
+        Ran::Unknown
+    };
+    broken(Refusal::BackendFailed, ran)
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,6 +18,7 @@
 use futures_util::stream;
 use platform::engine::{Choice, Chunk, REQUEST_ID, Usage};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -70,7 +71,7 @@
 #[derive(Debug, Deserialize)]
 struct Body {
     #[serde(default)]
-    prompt: Option<String>,
+    prompt: Value,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default = "default_max")]
@@ -83,7 +84,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Message {
-    content: String,
+    content: Value,
 }
 
 fn default_max() -> u32 {
@@ -210,8 +211,8 @@
     let id = http.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
     let id = id.unwrap_or_default().to_owned();
 
-    let chars: usize = body.messages.iter().map(|m| m.content.len()).sum();
-    let chars = chars + body.prompt.as_ref().map_or(0, String::len);
+    let contents = body.messages.iter().map(|m| chars(&m.content));
+    let chars = contents.sum::<usize>() + chars(&body.prompt);
     let prompt = u32::try_from(chars / 4).unwrap_or(u32::MAX).max(1);
     engine.ledger.note(&body.mark, |seen| seen.runs += 1);
 
@@ -231,6 +232,16 @@
     events(request, 0)
 }
 
+/// Characters of a prompt or content, a text or a list of texts or parts.
+fn chars(value: &Value) -> usize {
+    match value {
+        Value::String(text) => text.len(),
+        Value::Array(items) => items.iter().map(chars).sum(),
+        Value::Object(part) => part.get("text").map_or(0, chars),
+        _ => 0,
+    }
+}
+
 /// Goes on with a stream from a token number on.
 async fn resume(
     http: HttpRequest,
