Carry weight, pace and preemption in the inner protocol

Cause: a sidecar cannot weigh workspaces, an entry cannot compare two offers, and a refusal cannot say when to come back. Change: Reserve has weight and preempted; Ready has the expected time to the first piece and between tokens; a refusal has retry_after_ms; Load has wait_us; Refusal::Preempted. Conclusion: the shapes stand, so that both sides can be built against them.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -57,6 +57,8 @@
     TargetUnreachable,
     /// The queue is full and this request stands last.
     Shed,
+    /// The run was stopped for a request of a higher tier.
+    Preempted,
     /// The target passed while the request was waiting.
     Expired,
     /// No backend server can take the request.
@@ -83,7 +85,7 @@
 
 impl Refusal {
     /// Every reason, for setting up counters.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -93,6 +95,7 @@
         Self::NoBundle,
         Self::TargetUnreachable,
         Self::Shed,
+        Self::Preempted,
         Self::Expired,
         Self::NoServer,
         Self::RetryBudget,
@@ -119,6 +122,7 @@
             Self::NoBundle => "no_bundle",
             Self::TargetUnreachable => "target_unreachable",
             Self::Shed => "shed",
+            Self::Preempted => "preempted",
             Self::Expired => "expired",
             Self::NoServer => "no_server",
             Self::RetryBudget => "retry_budget",
@@ -143,7 +147,7 @@
             Self::UnknownTarget => 404,
             Self::KeyTaken | Self::KeyReused => 409,
             Self::TooLarge => 413,
-            Self::TargetUnreachable | Self::Shed => 429,
+            Self::TargetUnreachable | Self::Shed | Self::Preempted => 429,
             Self::BackendFailed | Self::BrokenOff => 502,
             Self::NoBundle
             | Self::NoServer
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -117,7 +117,7 @@
                 return (server, Ok(reply.incarnation));
             }
             Reserved::Waiting { .. } => {}
-            Reserved::Refused(reason) => return (server, Err(Some(reason))),
+            Reserved::Refused { reason, .. } => return (server, Err(Some(reason))),
         }
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -35,6 +35,8 @@
     pub ticket: Ticket,
     /// Who asks.
     pub workspace: String,
+    /// The workspace's weight in the fair share.
+    pub weight: u32,
     /// The class, by name.
     pub class: String,
     /// What the class promises.
@@ -47,6 +49,8 @@
     pub stream: bool,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// How often the request was preempted.
+    pub preempted: u32,
     /// The caller's name for a call that must run at most once.
     pub key: Option<String>,
     /// Size of the prompt, in tokens.
@@ -83,6 +87,7 @@
         Ok(Self {
             ticket: Ticket::random(),
             workspace: workspace.to_owned(),
+            weight: rights::weight(bundle, workspace),
             class: class.to_owned(),
             promise: promise.clone(),
             target: target.to_owned(),
@@ -90,6 +95,7 @@
             stream: body.stream,
             repeatable: key.is_none() && repeatable(http)?,
             key,
+            preempted: 0,
             prompt: body.tokens(),
             max_tokens: body.max_tokens.unwrap_or(u32::MAX),
             prefix: body.prefix(),
@@ -128,6 +134,7 @@
         Ok(Self {
             ticket: Ticket::random(),
             workspace: workspace.to_owned(),
+            weight: rights::weight(bundle, workspace),
             class: class.to_owned(),
             promise: promise.clone(),
             target: name.to_owned(),
@@ -135,6 +142,7 @@
             stream: false,
             repeatable: key.is_none() && service.repeatable && repeatable(http)?,
             key,
+            preempted: 0,
             prompt: 0,
             max_tokens: 0,
             prefix: 0,
@@ -158,6 +166,7 @@
             ticket: self.ticket,
             class: self.class.clone(),
             workspace: self.workspace.clone(),
+            weight: self.weight,
             tier: self.promise.tier,
             first_left_us: left(self.promise.targets.first_token.0),
             whole_left_us: left(self.promise.targets.whole.0),
@@ -165,6 +174,7 @@
             max_tokens: self.max_tokens,
             prefix: self.prefix,
             repeatable: self.repeatable,
+            preempted: self.preempted,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         }
     }
--- a/crates/entry/src/request/rights.rs
+++ b/crates/entry/src/request/rights.rs
@@ -31,6 +31,12 @@
     })
 }
 
+/// The workspace's weight in the fair share, never 0.
+pub fn weight(bundle: &Bundle, workspace: &str) -> u32 {
+    let found = bundle.workspaces.get(workspace);
+    found.map_or(1, |w| w.weight.max(1))
+}
+
 /// The class from the header, or the one that `named` stands for.
 ///
 /// # Errors
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -175,10 +175,17 @@
             Phase::Held { until } => {
                 let left = until.saturating_duration_since(self.clock.now());
                 let hold_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-                Reserved::Ready { hold_ms }
+                Reserved::Ready {
+                    hold_ms,
+                    first_us: 0,
+                    token_us: 0,
+                }
             }
             Phase::Started(_) => Reserved::AlreadyStarted,
-            Phase::Never { reason, .. } => Reserved::Refused(*reason),
+            Phase::Never { reason, .. } => Reserved::Refused {
+                reason: *reason,
+                retry_after_ms: 0,
+            },
         }
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -38,6 +38,9 @@
     pub token_us: u32,
     /// Recent time from a start to the first token, in microseconds.
     pub first_us: u32,
+    /// Estimated wait of a request that came now, in microseconds; 0 when a
+    /// slot is free or nothing was observed yet.
+    pub wait_us: u32,
     /// Whether the sidecar takes no new requests any more.
     pub draining: bool,
 }
@@ -51,6 +54,8 @@
     pub class: String,
     /// Its workspace, by name, for the fair share.
     pub workspace: String,
+    /// The workspace's weight in the fair share; 0 counts as 1.
+    pub weight: u32,
     /// Its tier.
     pub tier: Tier,
     /// Time left until the first piece is due, in microseconds.
@@ -65,6 +70,10 @@
     pub prefix: u64,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// How often the request was preempted before. One that was is not
+    /// preempted again, and a sidecar that preempted it takes it anew only
+    /// when the number has grown.
+    pub preempted: u32,
     /// Longest time that the call may be held, in milliseconds.
     pub wait_ms: u32,
 }
@@ -76,6 +85,12 @@
     Ready {
         /// How long the slot is held, in milliseconds.
         hold_ms: u32,
+        /// Expected time from a start to the first piece, in microseconds;
+        /// 0 when nothing was observed yet.
+        first_us: u32,
+        /// Expected time between two tokens, in microseconds; 0 when nothing
+        /// was observed yet.
+        token_us: u32,
     },
     /// The ticket is queued.
     Waiting {
@@ -83,7 +98,13 @@
         estimate_us: u64,
     },
     /// The ticket is not queued and will not run here.
-    Refused(Refusal),
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When asking here again may help, in milliseconds; 0 when it never
+        /// will.
+        retry_after_ms: u32,
+    },
     /// The ticket already started here.
     AlreadyStarted,
 }
