--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -15,6 +15,9 @@
 /// Port on which every daemon listens, each on an address of its own.
 const PORT: u16 = 7100;
 
+/// Port of every daemon's operators' address.
+const OPERATORS_PORT: u16 = 7101;
+
 /// Calls that a plain service takes at once.
 const PLAIN_SLOTS: usize = 16;
 
@@ -185,6 +188,7 @@
             name: known.name.clone(),
             zone: known.zone,
             listen: self.addr(Role::Sidecar, i),
+            operators: Some(self.operators(Role::Sidecar, i)),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -202,6 +206,7 @@
             name: name.clone(),
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(Role::Entry, i),
+            operators: Some(self.operators(Role::Entry, i)),
             sidecars: (0..count).map(|i| self.known(i)).collect(),
             fan: 2,
             body_limit: 4 << 20,
@@ -237,6 +242,11 @@
         let ip = Ipv4Addr::new(self.net[0], self.net[1], role as u8, i + 1);
         SocketAddr::new(IpAddr::V4(ip), PORT)
     }
+
+    /// The operators' address of a daemon.
+    fn operators(&self, role: Role, i: u8) -> SocketAddr {
+        SocketAddr::new(self.addr(role, i).ip(), OPERATORS_PORT)
+    }
 }
 
 impl Cluster {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,6 +25,7 @@
 use bytes::Bytes;
 use platform::engine::{PRIORITY, REQUEST_ID};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -200,7 +201,7 @@
 #[derive(Debug, Deserialize)]
 struct Body {
     #[serde(default)]
-    prompt: Option<String>,
+    prompt: Value,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default = "default_max")]
@@ -213,7 +214,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Message {
-    content: String,
+    content: Value,
 }
 
 fn default_max() -> u32 {
@@ -234,9 +235,10 @@
     };
     let header = |name| http.headers().get(name).and_then(|v| v.to_str().ok());
 
-    let mut text = body.prompt.unwrap_or_default();
+    let mut text = String::new();
+    append(&mut text, &body.prompt);
     for message in &body.messages {
-        text.push_str(&message.content);
+        append(&mut text, &message.content);
     }
     let request = batch.submit(&Job {
         id: header(REQUEST_ID).unwrap_or_default(),
@@ -248,6 +250,20 @@
     answer::events(Rc::clone(batch), request, 0)
 }
 
+/// Appends a prompt or content, a text or a list of texts or parts.
+fn append(out: &mut String, value: &Value) {
+    match value {
+        Value::String(text) => out.push_str(text),
+        Value::Array(items) => items.iter().for_each(|item| append(out, item)),
+        Value::Object(part) => {
+            if let Some(text) = part.get("text") {
+                append(out, text);
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Goes on with a stream from a token number on.
 async fn resume(
     http: HttpRequest,
