Compare policies side by side on the same seeded arrivals

Cause: no claim about a policy could be measured against another.

Change: `compare` runs arms in turn for each seed, works out by arithmetic what an oracle could reach, checks that each lower class is served in every 10 s window, and prints medians.

--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -6,7 +6,7 @@
 use base::settings::{self, Span};
 use bpaf::Bpaf;
 use demo::faults::FaultPlan;
-use demo::{Fleet, Options};
+use demo::{Arm, Fleet, Options};
 
 use crate::Outcome;
 
@@ -54,6 +54,7 @@
             straggler: self.straggler,
             crash: self.crash,
             faults: faults.transpose()?.unwrap_or_default(),
+            arm: Arm::default(),
             progress: true,
         };
 
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -9,6 +9,7 @@
 use sidecar::settings::Backend;
 use standin::{Control, Ledger, engine, plain, silence};
 
+use crate::arm::Arm;
 use crate::fleet::{ENTRIES, EXTRA, Fleet, PLAINS, PREFILL, SLOTS};
 use crate::host::Host;
 
@@ -30,6 +31,8 @@
     pub bundle: Bundle,
     /// Seed of the daemons' random choices.
     pub seed: u64,
+    /// The router's policy.
+    pub arm: Arm,
     /// Whether entries and sidecars are reached through forwarders whose
     /// connections can go silent.
     pub forwarded: bool,
@@ -91,6 +94,7 @@
             fleet,
             bundle,
             seed,
+            arm: Arm::default(),
             forwarded: false,
             net: [127, a.wrapping_add(b).max(1)],
         }
@@ -202,7 +206,7 @@
     fn start_entry(&self, i: u8) -> Host {
         let count = self.fleet.engines() + PLAINS;
         let name = format!("entry-{i}");
-        let settings = entry::Settings {
+        let mut settings = entry::Settings {
             name: name.clone(),
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(Role::Entry, i),
@@ -213,6 +217,7 @@
             seed: Some(self.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
         };
+        self.arm.entry(&mut settings);
         let bundle = self.bundle.clone();
         Host::start(&name, move |stop| {
             entry::run(settings.clone(), bundle.clone(), stop)
--- /dev/null
+++ b/crates/demo/src/compare.rs
@@ -0,0 +1,220 @@
+//! Arms of a comparison, side by side on the same seeded arrivals.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+
+use load::{Mix, Report, Run, judge};
+use serde::{Deserialize, Serialize};
+
+use crate::Options;
+use crate::arm::Arm;
+use crate::oracle::{Oracle, oracle};
+
+/// Length of the windows in which each lower class has to be served, in
+/// seconds.
+const WINDOW: f64 = 10.0;
+
+/// The runs of all arms.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Comparison {
+    /// The arms in the order in which they ran.
+    pub arms: Vec<ArmRuns>,
+    /// Goodput that an oracle would reach, by seed.
+    pub oracle: BTreeMap<u64, f64>,
+}
+
+/// The runs of one arm.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ArmRuns {
+    /// The arm.
+    pub arm: Arm,
+    /// Its runs by seed.
+    pub runs: BTreeMap<u64, ArmRun>,
+}
+
+/// One run of an arm.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ArmRun {
+    /// The report.
+    pub report: Report,
+    /// The fewest answers of a lower-tier class that ended whole in any
+    /// window of ten seconds; absent when the run is shorter.
+    pub least_served: Option<u64>,
+}
+
+/// Medians over the seeds of one arm.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Medians {
+    /// Share of top-tier requests in target.
+    pub top: f64,
+    /// Top-tier requests not in target.
+    pub misses: f64,
+    /// Share of lower-tier completions in target.
+    pub lower: f64,
+    /// Tokens a second in target.
+    pub goodput: f64,
+    /// Goodput as a share of the oracle's.
+    pub of_oracle: f64,
+    /// Share of tokens wasted.
+    pub wasted: f64,
+    /// The most of the four things that must never happen.
+    pub faults: u64,
+    /// The fewest answers of a lower class in any window.
+    pub least_served: Option<u64>,
+}
+
+/// Runs the arms in turn for each seed.
+#[must_use]
+pub fn compare(options: &Options, arms: &[Arm], seeds: &[u64]) -> Comparison {
+    let mut comparison = Comparison::default();
+    for arm in arms {
+        let (arm, runs) = (*arm, BTreeMap::new());
+        comparison.arms.push(ArmRuns { arm, runs });
+    }
+
+    for seed in seeds {
+        let mut options = options.clone();
+        options.seed = *seed;
+        let mix = options.mix();
+        let bound = oracle(&options, &mix);
+        comparison.oracle.insert(*seed, bound.goodput);
+        eprintln!(
+            "seed={seed} oracle: {:.0} tokens/s in target, of {:.0} offered, at a capacity of {:.0}",
+            bound.goodput, bound.offered, bound.capacity
+        );
+
+        for arm in &mut comparison.arms {
+            options.arm = arm.arm;
+            let run = crate::run(&options);
+            let run = ArmRun::new(&mix, run);
+            eprintln!("arm={} {}", arm.arm, run.report);
+            arm.runs.insert(*seed, run);
+        }
+    }
+    comparison
+}
+
+impl ArmRun {
+    fn new(mix: &Mix, run: Run) -> Self {
+        Self {
+            least_served: least_served(mix, &run),
+            report: run.report,
+        }
+    }
+
+    /// Top-tier requests offered and in target.
+    fn top(&self) -> (u64, u64) {
+        sum(self, |tier| tier == 0)
+    }
+}
+
+/// Requests offered and in target of the tiers that `chosen` picks.
+fn sum(run: &ArmRun, chosen: impl Fn(u8) -> bool) -> (u64, u64) {
+    let classes = run.report.classes.values().filter(|c| chosen(c.tier));
+    classes.fold((0, 0), |(offered, met), c| {
+        (offered + c.offered, met + c.in_target)
+    })
+}
+
+impl ArmRuns {
+    /// The arm's medians, against the oracle's goodput by seed.
+    #[must_use]
+    pub fn medians(&self, oracle: &BTreeMap<u64, f64>) -> Medians {
+        let runs = || self.runs.values();
+        let share = |(offered, met): (u64, u64)| met as f64 / offered.max(1) as f64;
+        let of_oracle = |(seed, run): (&u64, &ArmRun)| {
+            run.report.goodput / oracle.get(seed).copied().unwrap_or(f64::INFINITY)
+        };
+        let faults = |r: &Report| r.doubled + r.lost + r.mixed + r.false_not_run;
+        Medians {
+            top: median(runs().map(|r| share(r.top()))),
+            misses: median(runs().map(|r| (r.top().0 - r.top().1) as f64)),
+            lower: median(runs().map(|r| share(sum(r, |tier| tier > 0)))),
+            goodput: median(runs().map(|r| r.report.goodput)),
+            of_oracle: median(self.runs.iter().map(of_oracle)),
+            wasted: median(runs().map(|r| r.report.wasted_share)),
+            faults: runs().map(|r| faults(&r.report)).max().unwrap_or(0),
+            least_served: runs().filter_map(|r| r.least_served).min(),
+        }
+    }
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<_> = values.collect();
+    values.sort_by(f64::total_cmp);
+    let middle = values.len() / 2;
+    match values.len() {
+        0 => 0.0,
+        n if n % 2 == 1 => values[middle],
+        _ => f64::midpoint(values[middle - 1], values[middle]),
+    }
+}
+
+/// The fewest answers of a lower-tier class that ended whole in any window.
+fn least_served(mix: &Mix, run: &Run) -> Option<u64> {
+    let mut least = None;
+    for (name, _) in mix.classes.iter().filter(|(_, flow)| flow.tier > 0) {
+        let of_class = run.outcomes.iter().filter(|o| &o.arrival.class == name);
+        let ends: Vec<f64> = of_class
+            .filter(|o| judge::ended_whole(o))
+            .map(|o| (o.arrival.at + o.total).as_secs_f64())
+            .collect();
+
+        let mut from = 0.0;
+        while from + WINDOW <= mix.seconds {
+            let inside = |end: &&f64| (from..from + WINDOW).contains(*end);
+            let count = ends.iter().filter(inside).count() as u64;
+            least = Some(least.map_or(count, |l: u64| l.min(count)));
+            from += 1.0;
+        }
+    }
+    least
+}
+
+impl Display for Comparison {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let bound = median(self.oracle.values().copied());
+        writeln!(f, "oracle goodput={bound:.0} tokens/s (median)")?;
+        writeln!(
+            f,
+            "{:<16} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>7} {:>12}",
+            "arm",
+            "top",
+            "misses",
+            "lower",
+            "goodput",
+            "of oracle",
+            "wasted",
+            "faults",
+            "least served"
+        )?;
+        for arm in &self.arms {
+            let m = arm.medians(&self.oracle);
+            let least = m.least_served.map_or("-".to_owned(), |n| n.to_string());
+            writeln!(
+                f,
+                "{:<16} {:>8.4} {:>8.0} {:>8.4} {:>9.0} {:>9.3} {:>8.4} {:>7} {:>12}",
+                arm.arm.to_string(),
+                m.top,
+                m.misses,
+                m.lower,
+                m.goodput,
+                m.of_oracle,
+                m.wasted,
+                m.faults,
+                least
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl Display for Oracle {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "oracle goodput={:.0} offered={:.0} capacity={:.0} tokens/s",
+            self.goodput, self.offered, self.capacity
+        )
+    }
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,15 +1,21 @@
 //! A whole fleet on loopback in one process, with load and faults.
 //!
+//! - [`arm`]: the policies that a comparison sets side by side.
+//! - [`compare`]: running them on the same arrivals.
+//! - [`oracle`]: what an oracle could make of a load, by arithmetic.
 //! - [`fleet`]: the two users' fleets in the sizes of the brief.
 //! - [`plan`]: what a fleet declares and what its callers send.
 //! - [`cluster`]: the daemons and stand-ins.
 //! - [`host`]: one daemon on a thread of its own.
 //! - [`faults`]: faults brought about at set times.
 
+pub mod arm;
 pub mod cluster;
+pub mod compare;
 pub mod faults;
 pub mod fleet;
 pub mod host;
+pub mod oracle;
 pub mod plan;
 
 use std::thread;
@@ -18,6 +24,7 @@
 use base::settings::Span;
 use load::{Mix, Run};
 
+pub use arm::Arm;
 use cluster::Layout;
 use faults::{Event, Fault, FaultPlan};
 pub use fleet::Fleet;
@@ -48,6 +55,8 @@
     pub crash: bool,
     /// Further faults.
     pub faults: FaultPlan,
+    /// The router's policy.
+    pub arm: Arm,
     /// Whether to print progress.
     pub progress: bool,
 }
@@ -89,6 +98,7 @@
     let faults = options.fault_plan();
     let mut layout = Layout::new(options.fleet, plan::bundle(options.fleet), options.seed);
     layout.forwarded = faults.forwarded();
+    layout.arm = options.arm;
 
     let entries = layout.entries();
     let cluster = layout.start();
