--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -8,7 +8,7 @@
 use base::settings::Span;
 use base::stop::Stop;
 use bundle::{Bundle, Class, Pool, Service, Targets, Workspace};
-use entry::settings::Known;
+use entry::settings::{Known, Routing};
 use load::Mix;
 use load::arrivals::Flow;
 use serde::{Deserialize, Serialize};
@@ -211,6 +211,7 @@
             operators: Some(self.operators(1, i)),
             sidecars,
             fan: 2,
+            routing: Routing::default(),
             body_limit: 4 << 20,
             seed: Some(self.mix.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,30 +1,47 @@
-//! Getting a slot for a request and starting it there.
+//! Getting a request to run, again at another server if need be. See
+//! docs/DECISIONS/0202-retries.md.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::ids::Incarnation;
-use base::reason::{Ran, Refusal};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
-use policy::placement::ServerIndex;
-use spdlog::debug;
-use wire::{Reserved, Start, Started};
+use base::ids::Ticket;
+use base::reason::{Ran, Refusal, Retry};
+use policy::placement::{ServerIndex, Want};
+use policy::retry::{Failure, Verdict};
 
+use crate::counters;
 use crate::refuse::Refused;
 use crate::request::Request;
-use crate::state::{Server, State};
+use crate::reserve::{Rejection, Round};
+use crate::start::{Outcome, Run};
+use crate::state::State;
 
-/// How long one reserve call may be held.
-const RESERVE_HOLD: Duration = Duration::from_millis(1000);
+/// When to come back if no sidecar said.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request that runs at a sidecar.
 pub struct Granted {
-    /// Where it runs.
-    pub server: Rc<Server>,
-    /// The sidecar's life in which it runs.
-    pub incarnation: Incarnation,
+    /// Its run.
+    pub run: Run,
+    /// The tries so far.
+    pub tries: Tries,
+}
+
+/// The tries of one request so far.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Sidecars that failed or refused it.
+    tried: Vec<ServerIndex>,
+    /// Whether any answer was begun; its first token is late by then.
+    begun: bool,
+}
+
+/// A try that came to nothing, and what its caller is told if it is the last.
+pub struct Failed {
+    /// What is known about it.
+    pub failure: Failure,
+    /// The refusal.
+    pub refused: Refused,
 }
 
 /// Gets a slot and starts the request there.
@@ -33,138 +50,187 @@
 ///
 /// Returns the refusal to answer with when the request could not be started.
 pub async fn grant(state: &Rc<State>, request: &Request) -> Result<Granted, Refused> {
-    let candidates = state.candidates(&request.target);
-    let mut tried: HashSet<ServerIndex> = HashSet::new();
+    place(state, request, Tries::default(), None).await
+}
 
+/// Gets the request to run again after its run at `server` failed.
+///
+/// # Errors
+///
+/// Returns the refusal to answer with when it must not or cannot run again.
+pub async fn again(
+    state: &Rc<State>,
+    request: &Request,
+    mut tries: Tries,
+    server: ServerIndex,
+    failed: Failed,
+) -> Result<Granted, Refused> {
+    tries.tried.push(server);
+    tries.begun = true;
+    place(state, request, tries, Some(failed)).await
+}
+
+async fn place(
+    state: &Rc<State>,
+    request: &Request,
+    mut tries: Tries,
+    mut failed: Option<Failed>,
+) -> Result<Granted, Refused> {
+    let mut ticket = request.ticket;
     loop {
-        let left: Vec<_> = candidates
-            .iter()
-            .copied()
-            .filter(|c| !tried.contains(c))
-            .collect();
-        let chosen = state
-            .placement
-            .borrow_mut()
-            .choose(&left, state.settings.fan);
-        if chosen.is_empty() {
-            return Err(
-                Refused::not_run(Refusal::NoServer, "no backend server can take it")
-                    .after(Duration::from_secs(1)),
-            );
+        let chosen = choose(state, request, &tries);
+        if let Some(last) = failed.take() {
+            admit(state, request, &tries, last, chosen.is_empty())?;
+            // The last try's ticket is cancelled wherever it was.
+            ticket = Ticket::random();
+        } else if chosen.is_empty() {
+            return Err(no_server());
         }
-        tried.extend(&chosen);
 
-        let Some((server, incarnation)) = first_ready(state, request, &chosen).await? else {
-            continue;
+        let left = tries.begun.then(|| {
+            let left = time_left(state, request, &tries);
+            left.saturating_sub(time_needed(state, request, &tries))
+        });
+        let round = Round::new(state, request, ticket, &chosen);
+        let run = match round.run(left).await {
+            Ok(run) => run,
+            Err(rejections) => {
+                tries.tried.extend(&chosen);
+                failed = Some(rejected(&rejections));
+                continue;
+            }
         };
-        if let Some(granted) = start(state, request, server, incarnation).await? {
-            return Ok(granted);
+        match run.start(&request.work).await {
+            Outcome::Running => {
+                let share = state.bundle.borrow().shares.retries;
+                state.budget.borrow_mut().granted(&request.class, share);
+                counters::grant(request.promise.tier);
+                return Ok(Granted { run, tries });
+            }
+            outcome => {
+                tries.tried.push(run.server.index);
+                failed = Some(not_started(outcome));
+            }
         }
     }
 }
 
-/// Asks several sidecars at once; the first that is ready wins, and the
-/// others are told to forget the request.
-async fn first_ready(
-    state: &Rc<State>,
+fn choose(state: &State, request: &Request, tries: &Tries) -> Vec<ServerIndex> {
+    let want = Want {
+        target: &request.target,
+        prefix: request.prefix,
+        tried: &tries.tried,
+    };
+    let now = state.clock.now();
+    state.placement.borrow_mut().choose(now, &want)
+}
+
+/// Whether to try again; an error is the caller's answer.
+fn admit(
+    state: &State,
     request: &Request,
-    chosen: &[ServerIndex],
-) -> Result<Option<(Rc<Server>, Incarnation)>, Refused> {
-    let servers: Vec<_> = chosen.iter().filter_map(|i| state.server(*i)).collect();
-    let asks = servers
-        .iter()
-        .map(|server| reserve(state, request, Rc::clone(server)));
-    let mut asks: FuturesUnordered<_> = asks.collect();
-
-    let mut refused = None;
-    while let Some((server, outcome)) = asks.next().await {
-        match outcome {
-            Ok(incarnation) => {
-                drop(asks);
-                cancel_others(state, request, &servers, &server);
-                return Ok(Some((server, incarnation)));
-            }
-            Err(reason) => refused = reason.or(refused),
-        }
+    tries: &Tries,
+    failed: Failed,
+    alone: bool,
+) -> Result<(), Refused> {
+    let Failed { failure, refused } = failed;
+    let left = time_left(state, request, tries);
+    let need = time_needed(state, request, tries);
+    if alone || failure.judge(request.repeatable, left, need) != Verdict::Again {
+        return Err(refused);
     }
 
-    // A request whose time is up is not asked for elsewhere.
-    if refused == Some(Refusal::Expired) {
-        return Err(
-            Refused::not_run(Refusal::Expired, "no slot in time").after(Duration::from_secs(1))
-        );
+    // A draining sidecar is not asked again, and a request is preempted once
+    // at the most, so neither kind of retry can multiply.
+    let free = matches!(failure.cause, Retry::Draining | Retry::Preempted);
+    if !free && !state.budget.borrow_mut().take(&request.class) {
+        return Err(match refused.reason {
+            Refusal::NoServer => Refused {
+                reason: Refusal::RetryBudget,
+                ..refused
+            },
+            _ => refused,
+        });
     }
-    Ok(None)
+    base::telemetry::count_retry(failure.cause);
+    Ok(())
 }
 
-/// Asks one sidecar until a slot is held or refused there.
-async fn reserve(
-    state: &Rc<State>,
-    request: &Request,
-    server: Rc<Server>,
-) -> (Rc<Server>, Result<Incarnation, Option<Refusal>>) {
-    loop {
-        let ask = request.ask(state.clock.now(), RESERVE_HOLD);
-        let reply = match server.peer.reserve(state.stamp(), ask).await {
-            Ok(reply) => reply,
-            Err(e) => {
-                debug!("reserve failed", kv: { error = e.to_string().as_str() });
-                return (server, Err(None));
-            }
-        };
-        match reply.body {
-            Reserved::Ready { .. } | Reserved::AlreadyStarted => {
-                return (server, Ok(reply.incarnation));
-            }
-            Reserved::Waiting { .. } => {}
-            Reserved::Refused { reason, .. } => return (server, Err(Some(reason))),
-        }
+/// Time until the first piece is due; once an answer was begun and lost, only
+/// the end counts.
+fn time_left(state: &State, request: &Request, tries: &Tries) -> Duration {
+    let now = state.clock.now();
+    let waited = now.saturating_duration_since(request.arrived);
+    let targets = &request.promise.targets;
+    if tries.begun && !request.stream {
+        return targets.whole.0.saturating_sub(waited);
     }
+    targets.first_token.0.saturating_sub(waited)
 }
 
-fn cancel_others(state: &Rc<State>, request: &Request, servers: &[Rc<Server>], won: &Rc<Server>) {
-    for server in servers.iter().filter(|s| !Rc::ptr_eq(s, won)) {
-        let (state, server, ticket) = (Rc::clone(state), Rc::clone(server), request.ticket);
-        actix_rt::spawn(async move {
-            // A slot held in vain lapses by itself.
-            let _ = server.peer.cancel(state.stamp(), ticket).await;
-        });
+/// What another try takes at least, until the piece that is due.
+fn time_needed(state: &State, request: &Request, tries: &Tries) -> Duration {
+    let now = state.clock.now();
+    let usual = state.placement.borrow_mut().usual(now, &request.target);
+    if tries.begun && !request.stream {
+        let lengths = state.lengths.borrow();
+        return usual.finish(lengths.expect(&request.class, request.max_tokens));
     }
+    usual.first
 }
 
-/// Starts the request where a slot is held. `None` when it did not run there.
-async fn start(
-    state: &Rc<State>,
-    request: &Request,
-    server: Rc<Server>,
-    incarnation: Incarnation,
-) -> Result<Option<Granted>, Refused> {
-    let order = Start {
-        ticket: request.ticket,
-        incarnation,
-        work: request.work.clone(),
+fn no_server() -> Refused {
+    Refused::not_run(Refusal::NoServer, "no backend server can take it").after(RETRY_AFTER)
+}
+
+/// A round in which no sidecar gave a slot. The refusal that tells the caller
+/// most stands for all.
+fn rejected(rejections: &[Rejection]) -> Failed {
+    let telling = rejections
+        .iter()
+        .filter(|r| r.cause == Retry::Refused)
+        .find(|r| r.refusal.is_some())
+        .or(rejections.first());
+    let cause = telling.map_or(Retry::Unreachable, |r| r.cause);
+    let after = rejections.iter().filter_map(|r| r.after).min();
+
+    let reason = telling.and_then(|r| r.refusal);
+    let refused = match reason {
+        None | Some(Refusal::Draining) => no_server(),
+        Some(reason) => Refused::not_run(reason, "no backend server can take it in time"),
+    };
+    Failed {
+        failure: Failure {
+            cause,
+            ran: Ran::No,
+            delivered: false,
+        },
+        refused: refused.after(after.unwrap_or(RETRY_AFTER)),
+    }
+}
+
+/// A start after which the request does not run, or may not.
+fn not_started(outcome: Outcome) -> Failed {
+    let (cause, ran, refused) = match outcome {
+        Outcome::NotRun(cause) => (cause, Ran::No, no_server()),
+        Outcome::Running | Outcome::Unknown => (Retry::Unknown, Ran::Unknown, unknown()),
     };
-    let unknown = || Refused {
+    Failed {
+        failure: Failure {
+            cause,
+            ran,
+            delivered: false,
+        },
+        refused,
+    }
+}
+
+/// The answer when nobody can tell whether the request ran.
+pub(crate) fn unknown() -> Refused {
+    Refused {
         reason: Refusal::OutcomeUnknown,
         ran: Ran::Unknown,
         after: None,
         hint: "the backend server's host became unreachable".to_owned(),
-    };
-
-    let reply = match server.peer.start(state.stamp(), order.clone()).await {
-        Ok(reply) => reply,
-        // The same start once more settles whether it ran.
-        Err(_) => {
-            let again = server.peer.start(state.stamp(), order).await;
-            again.map_err(|_| unknown())?
-        }
-    };
-    match reply.body {
-        Started::Running => Ok(Some(Granted {
-            server,
-            incarnation,
-        })),
-        Started::Lapsed | Started::Cancelled | Started::Refused(_) => Ok(None),
-        Started::OtherIncarnation => Err(unknown()),
     }
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -83,9 +83,10 @@
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
 
     let granted = dispatch::grant(state, &request).await?;
-    let answer = Answer::new(Rc::clone(state), request.ticket, granted);
     let shape = Shape::new(request.ticket, &request.target, chat, request.prompt);
-    if request.stream {
+    let stream = request.stream;
+    let answer = Answer::new(Rc::clone(state), request, granted);
+    if stream {
         return Ok(streamed(answer, shape, open));
     }
 
@@ -108,7 +109,7 @@
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
 
     let granted = dispatch::grant(state, &request).await?;
-    let whole = collect(Answer::new(Rc::clone(state), request.ticket, granted)).await?;
+    let whole = collect(Answer::new(Rc::clone(state), request, granted)).await?;
     let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
     if !whole.finish.is_empty() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,19 +5,25 @@
 //! - [`state`]: the bundle in force and the known sidecars.
 //! - [`request`]: reading a caller's request.
 //! - [`http`]: the callers' side.
-//! - [`dispatch`]: getting a slot for a request and starting it there.
+//! - [`dispatch`]: getting a request to run, again if need be.
+//! - [`reserve`]: asking several sidecars for a slot.
+//! - [`start`]: starting a request where a slot is held.
 //! - [`relay`]: passing the answer's pieces on.
 //! - [`status`]: what operators are shown.
 //! - [`shape`]: how answers are written.
+//! - [`counters`]: what placement counts.
 //! - [`refuse`]: the answer to a request that is refused.
 
+pub mod counters;
 pub mod dispatch;
 pub mod http;
 pub mod refuse;
 pub mod relay;
 pub mod request;
+pub mod reserve;
 pub mod settings;
 pub mod shape;
+pub mod start;
 pub mod state;
 pub mod status;
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,31 +1,42 @@
-//! Passing the answer's pieces on.
+//! Passing the answer's pieces on, and running the request again where that
+//! is allowed. See docs/DECISIONS/0202-retries.md.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::ids::Ticket;
-use base::reason::{Ran, Refusal};
+use base::reason::{Ran, Refusal, Retry};
+use policy::retry::Failure;
+use spdlog::warn;
+use tokio::time::Instant;
 use wire::{End, Piece, Pull, Pulled};
 
-use crate::dispatch::Granted;
+use crate::counters;
+use crate::dispatch::{self, Failed, Granted, Tries};
 use crate::refuse::Refused;
+use crate::request::Request;
+use crate::reserve::cause;
+use crate::start::Run;
 use crate::state::State;
 
-/// How long one pull may be held.
-const PULL_HOLD: Duration = Duration::from_millis(1000);
+/// Pause between two pulls without an answer.
+const PAUSE: Duration = Duration::from_millis(50);
 
-/// How often a pull is tried again before the outcome is called unknown.
-const PULL_TRIES: u32 = 3;
+/// Pulls without an answer after which a request that may run elsewhere is
+/// not waited for any more.
+const PULLS: u32 = 2;
 
 /// The answer of one request as it comes in.
 pub struct Answer {
     state: Rc<State>,
-    ticket: Ticket,
-    granted: Granted,
+    request: Request,
+    run: Run,
+    tries: Tries,
     /// The number of the next piece.
     next: u32,
-    /// Set once the answer is whole.
-    whole: bool,
+    /// Tokens in this run's pieces so far.
+    tokens: u32,
+    /// Pieces held back for a caller that takes the answer whole.
+    kept: Vec<Piece>,
 }
 
 /// What came in.
@@ -46,40 +57,111 @@
 impl Answer {
     /// Starts to take in the answer of a granted request.
     #[must_use]
-    pub fn new(state: Rc<State>, ticket: Ticket, granted: Granted) -> Self {
+    pub fn new(state: Rc<State>, request: Request, granted: Granted) -> Self {
         Self {
             state,
-            ticket,
-            granted,
+            request,
+            run: granted.run,
+            tries: granted.tries,
             next: 0,
-            whole: false,
+            tokens: 0,
+            kept: Vec::new(),
         }
     }
 
-    /// Waits for the next part.
+    /// Waits for the next part. A caller that takes the answer whole gets one
+    /// part; until then the request may run again, since nothing of the first
+    /// run's answer has reached anyone.
     ///
     /// # Errors
     ///
     /// Returns how the answer broke off.
     pub async fn part(&mut self) -> Result<Part, Refused> {
-        let mut failed = 0;
         loop {
-            let wait_ms = u32::try_from(PULL_HOLD.as_millis()).unwrap_or(u32::MAX);
+            match self.pull().await {
+                Ok(Part::Pieces(pieces)) if self.request.stream => {
+                    return Ok(Part::Pieces(pieces));
+                }
+                Ok(Part::Pieces(pieces)) => self.kept.extend(pieces),
+                Ok(Part::Whole {
+                    mut pieces,
+                    status,
+                    finish,
+                }) => {
+                    if !self.kept.is_empty() {
+                        self.kept.append(&mut pieces);
+                        pieces = std::mem::take(&mut self.kept);
+                    }
+                    return Ok(Part::Whole {
+                        pieces,
+                        status,
+                        finish,
+                    });
+                }
+                Err(failed) => self.again(failed).await?,
+            }
+        }
+    }
+
+    /// Runs the request again after its run failed.
+    async fn again(&mut self, mut failed: Failed) -> Result<(), Refused> {
+        failed.failure.delivered = self.delivered();
+        if failed.failure.cause == Retry::Preempted {
+            self.request.preempted += 1;
+        }
+        let tries = std::mem::take(&mut self.tries);
+        let server = self.run.server.index;
+        let granted = dispatch::again(&self.state, &self.request, tries, server, failed).await?;
+
+        counters::wasted(u64::from(self.tokens));
+        self.run = granted.run;
+        self.tries = granted.tries;
+        self.next = 0;
+        self.tokens = 0;
+        self.kept.clear();
+        Ok(())
+    }
+
+    /// Whether a part of this run's answer reached the caller. The pieces of
+    /// another run must not follow it: their words would differ.
+    fn delivered(&self) -> bool {
+        self.request.stream && self.next > 0
+    }
+
+    /// Waits for the next pieces of this run.
+    async fn pull(&mut self) -> Result<Part, Failed> {
+        let hold = self.state.settings.routing.poll.0;
+        let mut failing: Option<(Instant, u32)> = None;
+        loop {
             let ask = Pull {
-                ticket: self.ticket,
+                ticket: self.run.ticket,
                 from: self.next,
-                wait_ms,
+                wait_ms: u32::try_from(hold.as_millis()).unwrap_or(u32::MAX),
             };
-            let reply = match self.granted.server.peer.pull(self.state.stamp(), ask).await {
+            let server = &self.run.server;
+            let answer = server.peer.pull(self.state.stamp(), ask).await;
+            let reply = match self.state.heard(server, answer) {
                 Ok(reply) => reply,
-                Err(_) if failed < PULL_TRIES => {
-                    failed += 1;
+                Err(e) => {
+                    if failing.is_none() {
+                        base::telemetry::count_retry(cause(&e));
+                    }
+                    let (since, pulls) = failing.unwrap_or((Instant::now(), 0));
+                    failing = Some((since, pulls + 1));
+                    if self.gives_up(since, pulls + 1) {
+                        warn!("answer lost", kv: { ticket = self.run.ticket.to_string().as_str(), error = e.to_string().as_str() });
+                        return Err(self.lost(Retry::Unknown));
+                    }
+                    tokio::time::sleep(PAUSE).await;
                     continue;
                 }
-                Err(_) => return Err(self.lost()),
             };
-            if reply.incarnation != self.granted.incarnation {
-                return Err(self.lost());
+
+            failing = None;
+            if reply.incarnation != self.run.incarnation {
+                // The life that ran it is gone with all it knew.
+                self.run.over();
+                return Err(self.lost(Retry::Incarnation));
             }
             if let Some(part) = self.take(reply.body)? {
                 return Ok(part);
@@ -87,23 +169,34 @@
         }
     }
 
+    /// Whether to stop trying to reach the sidecar. Where the request may run
+    /// elsewhere, waiting costs more than another run; where it may not, the
+    /// sidecar keeps the answer for a while.
+    fn gives_up(&self, since: Instant, pulls: u32) -> bool {
+        let elsewhere = self.request.repeatable && !self.delivered();
+        let patience = self.state.settings.routing.patience.0;
+        (elsewhere && pulls >= PULLS) || since.elapsed() >= patience
+    }
+
     /// Checks what was pulled and counts it.
-    fn take(&mut self, pulled: Pulled) -> Result<Option<Part>, Refused> {
+    fn take(&mut self, pulled: Pulled) -> Result<Option<Part>, Failed> {
         let Pulled::Pieces {
             first,
             mut pieces,
             end,
         } = pulled
         else {
-            return Err(self.lost());
+            self.run.over();
+            return Err(self.lost(Retry::Unknown));
         };
         // A piece missing between would give the caller another answer than
         // the one that was made.
         let Some(skip) = self.next.checked_sub(first) else {
-            return Err(self.lost());
+            return Err(self.lost(Retry::Unknown));
         };
         pieces.drain(..pieces.len().min(skip as usize));
         self.next += u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        self.tokens += pieces.iter().map(|p| p.tokens).sum::<u32>();
 
         match end {
             None if pieces.is_empty() => Ok(None),
@@ -114,53 +207,65 @@
                 finish,
                 ..
             }) if count == self.next => {
-                self.whole = true;
+                self.whole();
                 Ok(Some(Part::Whole {
                     pieces,
                     status,
                     finish,
                 }))
             }
-            Some(End::Whole { .. }) => Err(self.lost()),
-            Some(End::Broken { reason, ran }) => {
-                let ran = if self.next > 0 { Ran::Partial } else { ran };
-                let hint = "the backend server failed".to_owned();
-                Err(Refused {
-                    reason,
-                    ran,
-                    after: None,
-                    hint,
-                })
-            }
+            Some(End::Whole { .. }) => Err(self.lost(Retry::Unknown)),
+            Some(End::Broken { reason, ran }) => Err(self.broken(reason, ran)),
         }
     }
 
-    /// The answer can no longer be had from the sidecar.
-    fn lost(&self) -> Refused {
-        let (reason, ran) = match self.next {
-            0 => (Refusal::OutcomeUnknown, Ran::Unknown),
-            _ => (Refusal::BrokenOff, Ran::Partial),
+    fn whole(&self) {
+        self.run.over();
+        self.state.ran(&self.run.server, true);
+        let mut lengths = self.state.lengths.borrow_mut();
+        lengths.note(&self.request.class, self.tokens);
+    }
+
+    /// The sidecar says that the run broke off.
+    fn broken(&self, reason: Refusal, ran: Ran) -> Failed {
+        self.run.over();
+        if reason == Refusal::BackendFailed {
+            self.state.ran(&self.run.server, false);
+        }
+        let ran = if self.delivered() { Ran::Partial } else { ran };
+        let cause = match reason {
+            Refusal::Preempted => Retry::Preempted,
+            _ => Retry::BackendFailed,
         };
-        let hint = "the backend server's host became unreachable".to_owned();
-        Refused {
-            reason,
-            ran,
-            after: None,
-            hint,
+        Failed {
+            failure: Failure {
+                cause,
+                ran,
+                delivered: self.delivered(),
+            },
+            refused: Refused {
+                reason,
+                ran,
+                after: None,
+                hint: "the backend server failed".to_owned(),
+            },
         }
     }
-}
 
-impl Drop for Answer {
-    /// A caller that went away leaves a request that runs for nobody.
-    fn drop(&mut self) {
-        if self.whole {
-            return;
+    /// The answer can no longer be had from the sidecar.
+    fn lost(&self, cause: Retry) -> Failed {
+        let mut refused = dispatch::unknown();
+        if self.delivered() {
+            refused.reason = Refusal::BrokenOff;
+            refused.ran = Ran::Partial;
+        }
+        Failed {
+            failure: Failure {
+                cause,
+                ran: refused.ran,
+                delivered: self.delivered(),
+            },
+            refused,
         }
-        let (state, server) = (Rc::clone(&self.state), Rc::clone(&self.granted.server));
-        let ticket = self.ticket;
-        actix_rt::spawn(async move {
-            let _ = server.peer.cancel(state.stamp(), ticket).await;
-        });
     }
 }
--- /dev/null
+++ b/crates/entry/src/reserve.rs
@@ -0,0 +1,333 @@
+//! Asking several sidecars for a slot; the earliest expected finish wins. See
+//! docs/DECISIONS/0002-late-binding.md.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::ids::{Incarnation, Ticket};
+use base::reason::{Refusal, Retry};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use policy::offer::{self, Offer, Size};
+use policy::pace::Pace;
+use policy::placement::ServerIndex;
+use spdlog::debug;
+use tokio::time::Instant;
+use wire::peer::Error;
+use wire::{Reserve, Reserved};
+
+use crate::counters;
+use crate::request::Request;
+use crate::start::Run;
+use crate::state::{Server, State};
+
+/// How often one reservation is sent anew over a new connection. Only the
+/// connection is known to be bad then; a second time it is the sidecar.
+const REDIALS: u32 = 1;
+
+/// Why a sidecar did not give a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct Rejection {
+    /// The sidecar.
+    pub index: ServerIndex,
+    /// Why another one would be asked.
+    pub cause: Retry,
+    /// Its reason, if it answered.
+    pub refusal: Option<Refusal>,
+    /// When asking there again may help.
+    pub after: Option<Duration>,
+}
+
+/// One round of reservations for one ticket.
+pub struct Round<'a> {
+    state: &'a Rc<State>,
+    request: &'a Request,
+    ticket: Ticket,
+    size: Size,
+    usual: Pace,
+    bids: Vec<Bid>,
+}
+
+/// A reservation at one sidecar. Dropped while it is open, it is cancelled:
+/// a slot held for nobody, because the caller went away or another sidecar
+/// was taken, would keep others waiting until the hold ends.
+struct Bid {
+    state: Rc<State>,
+    server: Rc<Server>,
+    ticket: Ticket,
+    /// Whether the sidecar may hold or queue the ticket.
+    open: Cell<bool>,
+    /// The last estimate of the wait there.
+    wait: Cell<Option<Duration>>,
+}
+
+/// A slot that is held.
+#[derive(Clone, Copy)]
+struct Held {
+    bid: usize,
+    offer: Offer,
+    incarnation: Incarnation,
+}
+
+impl<'a> Round<'a> {
+    /// Prepares to ask the `chosen` sidecars.
+    pub fn new(
+        state: &'a Rc<State>,
+        request: &'a Request,
+        ticket: Ticket,
+        chosen: &[ServerIndex],
+    ) -> Self {
+        let now = state.clock.now();
+        let lengths = state.lengths.borrow();
+        let servers = chosen.iter().filter_map(|i| state.server(*i));
+        Self {
+            state,
+            request,
+            ticket,
+            size: Size {
+                prompt: request.prompt,
+                answer: lengths.expect(&request.class, request.max_tokens),
+            },
+            usual: state.placement.borrow_mut().usual(now, &request.target),
+            bids: servers
+                .map(|server| Bid {
+                    state: Rc::clone(state),
+                    server,
+                    ticket,
+                    open: Cell::new(false),
+                    wait: Cell::new(None),
+                })
+                .collect(),
+        }
+    }
+
+    /// Asks until a slot is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns why each sidecar gave none.
+    pub async fn run(mut self, first_left: Option<Duration>) -> Result<Run, Vec<Rejection>> {
+        let (held, rejections) = self.settle(first_left).await;
+        let Some(held) = held else {
+            return Err(rejections);
+        };
+        let won = self.bids.swap_remove(held.bid);
+        won.open.set(false);
+        Ok(Run::new(
+            Rc::clone(self.state),
+            Rc::clone(&won.server),
+            self.ticket,
+            held.incarnation,
+        ))
+    }
+
+    /// Waits for the best slot, or for all to have rejected.
+    async fn settle(&self, first_left: Option<Duration>) -> (Option<Held>, Vec<Rejection>) {
+        let mut rejections = Vec::new();
+        let mut held: Option<Held> = None;
+        let mut until = None;
+        let asks = (0..self.bids.len()).map(|i| async move { (i, self.ask(i, first_left).await) });
+        let mut asks: FuturesUnordered<_> = asks.collect();
+
+        loop {
+            let next = match until {
+                None => asks.next().await,
+                Some(until) => match tokio::time::timeout_at(until, asks.next()).await {
+                    Ok(next) => next,
+                    Err(_) => {
+                        counters::grace(false);
+                        return (held, rejections);
+                    }
+                },
+            };
+            match next {
+                None => return (held, rejections),
+                Some((_, Err(rejection))) => rejections.push(rejection),
+                Some((bid, Ok((offer, incarnation)))) => {
+                    let new = Held {
+                        bid,
+                        offer,
+                        incarnation,
+                    };
+                    if held.is_some() {
+                        counters::grace(true);
+                    }
+                    held = Some(held.map_or(new, |old| self.better(old, new)));
+                }
+            }
+
+            // Each answer may change whether waiting on pays.
+            let Some(best) = held else {
+                continue;
+            };
+            let grace = self.grace(best, &rejections);
+            if grace.is_zero() {
+                return (held, rejections);
+            }
+            let end = Instant::now() + grace;
+            until = Some(until.map_or(end, |u: Instant| u.min(end)));
+        }
+    }
+
+    /// The slot with the earlier expected finish.
+    fn better(&self, old: Held, new: Held) -> Held {
+        let finish = |held: &Held| held.offer.finish(self.size, self.usual);
+        if finish(&new) < finish(&old) {
+            new
+        } else {
+            old
+        }
+    }
+
+    /// How long to leave the best slot held.
+    fn grace(&self, best: Held, rejections: &[Rejection]) -> Duration {
+        let limit = self.state.settings.routing.grace.0;
+        let others = self.bids.iter().enumerate().filter_map(|(i, bid)| {
+            let rejected = rejections.iter().any(|r| r.index == bid.server.index);
+            (i != best.bid && !rejected)
+                .then(|| bid.expected())
+                .flatten()
+        });
+        offer::grace(best.offer, others, self.size, self.usual, limit)
+    }
+
+    /// Asks one sidecar until a slot is held or rejected there.
+    async fn ask(
+        &self,
+        bid: usize,
+        first_left: Option<Duration>,
+    ) -> Result<(Offer, Incarnation), Rejection> {
+        let bid = &self.bids[bid];
+        let mut redials = 0;
+        // The first answer comes at once: it brings the estimate, and a
+        // connection that is silent shows after the margin alone.
+        let mut hold = Duration::ZERO;
+        loop {
+            let ask = self.message(hold, first_left);
+            bid.open.set(true);
+            let answer = bid.server.peer.reserve(self.state.stamp(), ask).await;
+            let reply = match self.state.heard(&bid.server, answer) {
+                Ok(reply) => reply,
+                Err(e) => {
+                    debug!("reserve failed", kv: { error = e.to_string().as_str() });
+                    let cause = cause(&e);
+                    if redials >= REDIALS || e.never_sent() {
+                        bid.open.set(!e.never_sent());
+                        return Err(bid.rejection(cause));
+                    }
+                    redials += 1;
+                    base::telemetry::count_retry(cause);
+                    continue;
+                }
+            };
+
+            match reply.body {
+                Reserved::Ready {
+                    first_us, token_us, ..
+                } => return Ok((bid.offer(first_us, token_us), reply.incarnation)),
+                Reserved::AlreadyStarted => return Ok((bid.offer(0, 0), reply.incarnation)),
+                Reserved::Waiting { estimate_us } => {
+                    bid.wait.set(Some(Duration::from_micros(estimate_us)));
+                    hold = self.state.settings.routing.poll.0;
+                }
+                Reserved::Refused {
+                    reason,
+                    retry_after_ms,
+                } => {
+                    bid.open.set(false);
+                    return Err(bid.refused(reason, retry_after_ms));
+                }
+            }
+        }
+    }
+
+    fn message(&self, hold: Duration, first_left: Option<Duration>) -> Reserve {
+        let mut ask = self.request.ask(self.state.clock.now(), hold);
+        ask.ticket = self.ticket;
+        if let Some(left) = first_left {
+            ask.first_left_us = u64::try_from(left.as_micros()).unwrap_or(u64::MAX);
+        }
+        ask
+    }
+}
+
+impl Bid {
+    fn rejection(&self, cause: Retry) -> Rejection {
+        Rejection {
+            index: self.server.index,
+            cause,
+            refusal: None,
+            after: None,
+        }
+    }
+
+    fn refused(&self, reason: Refusal, retry_after_ms: u32) -> Rejection {
+        let cause = match reason {
+            Refusal::Draining => Retry::Draining,
+            _ => Retry::Refused,
+        };
+        let after = Duration::from_millis(u64::from(retry_after_ms));
+        Rejection {
+            refusal: Some(reason),
+            after: Some(after).filter(|after| !after.is_zero()),
+            ..self.rejection(cause)
+        }
+    }
+
+    /// The slot that the sidecar holds, with the pace that it told for this
+    /// request or, failing that, in its load.
+    fn offer(&self, first_us: u32, token_us: u32) -> Offer {
+        let us = |us: u32| Duration::from_micros(u64::from(us));
+        let told = Pace {
+            first: us(first_us),
+            token: us(token_us),
+        };
+        let load = self.state.placement.borrow().load(self.server.index);
+        Offer {
+            wait: Duration::ZERO,
+            pace: if told.known() { told } else { load.pace },
+            cached: 0,
+        }
+    }
+
+    /// What the sidecar is expected to offer; `None` when nothing tells.
+    fn expected(&self) -> Option<Offer> {
+        let load = self.state.placement.borrow().load(self.server.index);
+        let told = self.wait.get().filter(|wait| !wait.is_zero());
+        let wait = match load.full() {
+            // A full server of which no wait is known may keep us for long.
+            true => told.or(Some(load.wait).filter(|wait| !wait.is_zero()))?,
+            false => Duration::ZERO,
+        };
+        Some(Offer {
+            wait,
+            pace: load.pace,
+            cached: 0,
+        })
+    }
+}
+
+impl Drop for Bid {
+    fn drop(&mut self) {
+        if !self.open.get() {
+            return;
+        }
+        counters::hedge();
+        let (state, server, ticket) =
+            (Rc::clone(&self.state), Rc::clone(&self.server), self.ticket);
+        actix_rt::spawn(async move {
+            // Without an answer the hold ends by itself.
+            let answer = server.peer.cancel(state.stamp(), ticket).await;
+            let _ = state.heard(&server, answer);
+        });
+    }
+}
+
+/// Why a call without an answer is made again.
+pub(crate) fn cause(error: &Error) -> Retry {
+    match error {
+        Error::Dial { .. } => Retry::Unreachable,
+        Error::Call { .. } | Error::Silent { .. } => Retry::Silent,
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use base::logging::Level;
-use base::settings::{Error, check};
+use base::settings::{Error, Span, check};
+use policy::placement::Mode;
 use serde::{Deserialize, Serialize};
 
 /// Largest body limit: a start must fit into one frame of the inner protocol.
@@ -28,6 +29,9 @@
     /// How many sidecars are asked for a slot at once.
     #[serde(default = "default_fan")]
     pub fan: usize,
+    /// How requests are placed, and how long sidecars are waited for.
+    #[serde(default)]
+    pub routing: Routing,
     /// Largest request body, in bytes.
     #[serde(default = "default_body")]
     pub body_limit: usize,
@@ -39,6 +43,47 @@
     pub log_level: Level,
 }
 
+/// How requests are placed, and how long sidecars are waited for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// How servers are chosen; all but late binding are baselines.
+    pub mode: Mode,
+    /// Age of the load reports that the baselines go by.
+    pub lag: Span,
+    /// Whether a class's retries are limited by its budget.
+    pub budget: bool,
+    /// Longest time that a held slot is left waiting for a better one.
+    pub grace: Span,
+    /// How long one call may be held at a sidecar.
+    pub poll: Span,
+    /// Time allowed for an answer beyond that.
+    pub margin: Span,
+    /// Time allowed for dialling.
+    pub dial: Span,
+    /// A connection idle for so long is replaced before it is used again.
+    pub idle: Span,
+    /// How long an answer in delivery is tried for when its sidecar cannot be
+    /// reached.
+    pub patience: Span,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            mode: Mode::default(),
+            lag: Span::ms(500),
+            budget: true,
+            grace: Span::ms(100),
+            poll: Span::ms(250),
+            margin: Span::ms(500),
+            dial: Span::ms(500),
+            idle: Span::secs(15),
+            patience: Span::secs(3),
+        }
+    }
+}
+
 /// A sidecar as the settings or the host list name it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/entry/src/start.rs
@@ -0,0 +1,146 @@
+//! Starting a request where a slot is held, so that it is known whether it
+//! runs. See docs/DECISIONS/0202-retries.md.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::ids::{Incarnation, Ticket};
+use base::reason::Retry;
+use spdlog::warn;
+use wire::{Cancelled, Start, Started, Work};
+
+use crate::reserve::cause;
+use crate::state::{Server, State};
+
+/// How often a start without an answer is sent again.
+const AGAIN: u32 = 3;
+
+/// Pause before a start is sent again, so that a sidecar that resets
+/// connections is not flooded.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A ticket that holds a slot or runs at a sidecar. Dropped before it is
+/// over, it is cancelled: what runs for a caller that went away is wasted.
+pub struct Run {
+    state: Rc<State>,
+    /// Where it runs.
+    pub server: Rc<Server>,
+    /// The identity of this run.
+    pub ticket: Ticket,
+    /// The sidecar's life in which it runs.
+    pub incarnation: Incarnation,
+    /// Whether nothing is left to cancel.
+    over: Cell<bool>,
+}
+
+/// What became of a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It runs.
+    Running,
+    /// It did not run and never will.
+    NotRun(Retry),
+    /// Nobody can tell.
+    Unknown,
+}
+
+impl Run {
+    /// Takes charge of a ticket that holds a slot.
+    #[must_use]
+    pub fn new(
+        state: Rc<State>,
+        server: Rc<Server>,
+        ticket: Ticket,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            state,
+            server,
+            ticket,
+            incarnation,
+            over: Cell::new(false),
+        }
+    }
+
+    /// Notes that nothing is left to cancel.
+    pub fn over(&self) {
+        self.over.set(true);
+    }
+
+    /// Starts the work. A start without an answer may or may not have taken
+    /// effect; it is sent again for the same life of the sidecar, which
+    /// answers the same however often it is asked and so tells which.
+    pub async fn start(&self, work: &Work) -> Outcome {
+        let mut sent = false;
+        for _ in 0..=AGAIN {
+            let order = Start {
+                ticket: self.ticket,
+                incarnation: self.incarnation,
+                work: work.clone(),
+            };
+            let answer = self.server.peer.start(self.state.stamp(), order).await;
+            match self.state.heard(&self.server, answer) {
+                Ok(reply) => return self.judge(reply.body, sent),
+                Err(e) => {
+                    warn!("start without answer", kv: { ticket = self.ticket.to_string().as_str(), error = e.to_string().as_str() });
+                    sent |= !e.never_sent();
+                    base::telemetry::count_retry(cause(&e));
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+        if !sent {
+            return Outcome::NotRun(Retry::Unreachable);
+        }
+        self.cancel().await
+    }
+
+    fn judge(&self, started: Started, sent: bool) -> Outcome {
+        let outcome = match started {
+            Started::Running => return Outcome::Running,
+            Started::Lapsed | Started::Cancelled => Outcome::NotRun(Retry::Lapsed),
+            Started::Refused(_) => Outcome::NotRun(Retry::Refused),
+            // An earlier start may have run in the life that is gone.
+            Started::OtherIncarnation if sent => Outcome::Unknown,
+            Started::OtherIncarnation => Outcome::NotRun(Retry::Incarnation),
+        };
+        self.over();
+        outcome
+    }
+
+    /// The last try to find out: a cancelled ticket that never started cannot
+    /// start any more.
+    async fn cancel(&self) -> Outcome {
+        let answer = self
+            .server
+            .peer
+            .cancel(self.state.stamp(), self.ticket)
+            .await;
+        let Ok(reply) = self.state.heard(&self.server, answer) else {
+            return Outcome::Unknown;
+        };
+        self.over();
+        match reply.body {
+            Cancelled::NeverStarted if reply.incarnation == self.incarnation => {
+                Outcome::NotRun(Retry::Unreachable)
+            }
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.over.get() {
+            return;
+        }
+        let (state, server, ticket) =
+            (Rc::clone(&self.state), Rc::clone(&self.server), self.ticket);
+        actix_rt::spawn(async move {
+            // Without an answer there is nobody left to tell.
+            let answer = server.peer.cancel(state.stamp(), ticket).await;
+            let _ = state.heard(&server, answer);
+        });
+    }
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,9 +8,15 @@
 use base::ids::Sequence;
 use bundle::{Bundle, Lookup};
 use policy::Placement;
-use policy::placement::ServerIndex;
-use wire::{Peer, Stamp};
+use policy::lengths::Lengths;
+use policy::outlier::{Fault, Good};
+use policy::pace::{Load, Pace};
+use policy::placement::{Options, ServerIndex};
+use policy::retry::Budget;
+use wire::peer::{Error, Timing};
+use wire::{Peer, Reply, Stamp};
 
+use crate::counters;
 use crate::settings::{Known, Settings};
 
 /// How often draining looks whether all has ended.
@@ -24,10 +30,15 @@
     pub clock: Rc<dyn Clock>,
     /// The bundle in force.
     pub bundle: RefCell<Rc<Lookup>>,
-    /// The known sidecars.
-    pub servers: RefCell<Vec<Rc<Server>>>,
+    /// The known sidecars by their index. An index is not used again, so that
+    /// a late answer is never booked to another sidecar.
+    servers: RefCell<Vec<Option<Rc<Server>>>>,
     /// Where to ask for a slot.
     pub placement: RefCell<Placement>,
+    /// The retries that are left to each class.
+    pub budget: RefCell<Budget>,
+    /// How long answers are.
+    pub lengths: RefCell<Lengths>,
     /// Whether no new requests are taken.
     pub draining: Cell<bool>,
     /// Requests in progress.
@@ -36,6 +47,8 @@
 
 /// A sidecar and the connection to it.
 pub struct Server {
+    /// Its place among the known sidecars.
+    pub index: ServerIndex,
     /// What is known of it from outside.
     pub known: Known,
     /// The connection.
@@ -46,22 +59,28 @@
     /// Makes the state of an entry that just started.
     #[must_use]
     pub fn new(settings: Settings, bundle: Bundle, clock: Rc<dyn Clock>) -> Rc<Self> {
-        let seed = settings.seed.unwrap_or_else(rand::random);
-        let servers = settings.sidecars.iter().map(|known| {
-            Rc::new(Server {
-                known: known.clone(),
-                peer: Peer::new(known.addr),
-            })
-        });
-        Rc::new(Self {
-            servers: RefCell::new(servers.collect()),
-            settings,
+        let options = Options {
+            mode: settings.routing.mode,
+            fan: settings.fan,
+            lag: settings.routing.lag.0,
+            zone: settings.zone.clone(),
+            seed: settings.seed.unwrap_or_else(rand::random),
+        };
+        let state = Rc::new(Self {
+            servers: RefCell::default(),
             clock,
             bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
-            placement: RefCell::new(Placement::new(seed)),
+            placement: RefCell::new(Placement::new(options)),
+            budget: RefCell::new(Budget::new(!settings.routing.budget)),
+            lengths: RefCell::default(),
             draining: Cell::new(false),
             open: Cell::new(0),
-        })
+            settings,
+        });
+        for known in &state.settings.sidecars {
+            state.join(known);
+        }
+        state
     }
 
     /// What every call tells about this entry.
@@ -71,16 +90,79 @@
         }
     }
 
-    /// The sidecars whose backend server offers `target`.
-    pub fn candidates(&self, target: &str) -> Vec<ServerIndex> {
-        let servers = self.servers.borrow();
-        let serves = |(i, s): (usize, &Rc<Server>)| (s.known.serves == target).then_some(i);
-        servers.iter().enumerate().filter_map(serves).collect()
+    /// Takes a sidecar as known from now on.
+    pub fn join(&self, known: &Known) {
+        let routing = &self.settings.routing;
+        let timing = Timing {
+            margin: routing.margin.0,
+            dial: routing.dial.0,
+            idle: routing.idle.0,
+        };
+        let mut servers = self.servers.borrow_mut();
+        let index = servers.len();
+        servers.push(Some(Rc::new(Server {
+            index,
+            known: known.clone(),
+            peer: Peer::new(known.addr, timing),
+        })));
+        let mut placement = self.placement.borrow_mut();
+        placement.join(index, &known.name, &known.zone, &known.serves);
+    }
+
+    /// Sends nothing new to a sidecar from now on. Answers in progress there
+    /// go on.
+    pub fn leave(&self, index: ServerIndex) {
+        self.placement.borrow_mut().leave(index);
+        if let Some(place) = self.servers.borrow_mut().get_mut(index) {
+            place.take();
+        }
+    }
+
+    /// The sidecars known now.
+    pub fn servers(&self) -> Vec<Rc<Server>> {
+        self.servers.borrow().iter().flatten().cloned().collect()
     }
 
     /// The sidecar at an index.
     pub fn server(&self, index: ServerIndex) -> Option<Rc<Server>> {
-        self.servers.borrow().get(index).cloned()
+        self.servers.borrow().get(index)?.clone()
+    }
+
+    /// Takes in what a call of a sidecar tells about it, whatever the call
+    /// was for: the load on an answer, or the fault when there was none.
+    ///
+    /// # Errors
+    ///
+    /// Passes the call's error on.
+    pub fn heard<T>(
+        &self,
+        server: &Server,
+        answer: Result<Reply<T>, Error>,
+    ) -> Result<Reply<T>, Error> {
+        let now = self.clock.now();
+        let share = self.bundle.borrow().shares.ejected;
+        let mut placement = self.placement.borrow_mut();
+        let ejected = match &answer {
+            Ok(reply) => placement.heard(now, server.index, load(&reply.load), share),
+            Err(_) => placement.fault(now, server.index, Fault::Link, share),
+        };
+        if ejected {
+            counters::ejection(server);
+        }
+        answer
+    }
+
+    /// Notes how a run ended at a sidecar's backend server.
+    pub fn ran(&self, server: &Server, whole: bool) {
+        let now = self.clock.now();
+        let share = self.bundle.borrow().shares.ejected;
+        let mut placement = self.placement.borrow_mut();
+        if whole {
+            return placement.good(now, server.index, Good::Run);
+        }
+        if placement.fault(now, server.index, Fault::Run, share) {
+            counters::ejection(server);
+        }
     }
 
     /// Counts a request as in progress until the guard is dropped.
@@ -114,3 +196,19 @@
         self.state.open.set(self.state.open.get() - 1);
     }
 }
+
+/// The load as the policy sees it.
+fn load(told: &wire::Load) -> Load {
+    let us = |us: u32| Duration::from_micros(u64::from(us));
+    Load {
+        running: told.running,
+        slots: told.slots,
+        waiting: told.waiting,
+        wait: us(told.wait_us),
+        pace: Pace {
+            first: us(told.first_us),
+            token: us(told.token_us),
+        },
+        draining: told.draining,
+    }
+}
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -6,7 +6,7 @@
 use base::operators::Shown;
 use serde::Serialize;
 
-use crate::state::State;
+use crate::state::{Server, State};
 
 /// An entry's own view.
 #[derive(Debug, Clone, Serialize)]
@@ -38,19 +38,24 @@
     pub zone: String,
     /// The model or the plain service that its backend server offers.
     pub serves: String,
+    /// Requests that run there, as last heard.
+    pub running: u32,
+    /// Requests that wait there, as last heard.
+    pub waiting: u32,
+    /// Time since the sidecar was last heard, in milliseconds.
+    pub heard_ms: Option<u64>,
+    /// Whether it gets no requests because it failed or is far too slow.
+    pub ejected: bool,
+    /// Whether it said that it takes nothing new.
+    pub draining: bool,
 }
 
 impl Shown for State {
     type Status = Status;
 
     fn status(&self) -> Status {
-        let servers = self.servers.borrow();
-        let sidecars = servers.iter().map(|server| SidecarStatus {
-            name: server.known.name.clone(),
-            addr: server.known.addr,
-            zone: server.known.zone.clone(),
-            serves: server.known.serves.clone(),
-        });
+        let servers = self.servers();
+        let sidecars = servers.iter().map(|server| self.sidecar(server));
         Status {
             role: "entry",
             name: self.settings.name.clone(),
@@ -66,3 +71,22 @@
         !self.draining.get()
     }
 }
+
+impl State {
+    fn sidecar(&self, server: &Server) -> SidecarStatus {
+        let placement = self.placement.borrow();
+        let load = placement.load(server.index);
+        let age = placement.age(self.clock.now(), server.index);
+        SidecarStatus {
+            name: server.known.name.clone(),
+            addr: server.known.addr,
+            zone: server.known.zone.clone(),
+            serves: server.known.serves.clone(),
+            running: load.running,
+            waiting: load.waiting,
+            heard_ms: age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
+            ejected: placement.ejected(server.index),
+            draining: load.draining,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,24 @@
 //! Decisions only: no sockets, no runtime and no clock of its own. Whoever
 //! asks hands the time in.
 //!
-//! - [`queue`]: what a sidecar decides: who waits, who starts, who is shed.
-//! - [`placement`]: what an entry decides: where to ask for a slot.
+//! What a sidecar decides:
+//! - [`queue`]: who waits, who starts, who is shed.
+//!
+//! What an entry decides:
+//! - [`placement`]: where to ask for a slot.
+//! - [`pace`]: how loaded and how fast servers are.
+//! - [`offer`]: which of the offered slots to take.
+//! - [`lengths`]: how long answers are.
+//! - [`retry`]: when a request may be tried again.
+//! - [`outlier`]: which servers get no requests for a while.
 
+pub mod lengths;
+pub mod offer;
+pub mod outlier;
+pub mod pace;
 pub mod placement;
 pub mod queue;
+pub mod retry;
 
 pub use placement::Placement;
 pub use queue::Queue;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,29 +1,465 @@
-//! What an entry decides: where to ask for a slot.
+//! What an entry decides: where to ask for a slot. See
+//! docs/DECISIONS/0201-placement.md.
 
-use rand::seq::IteratorRandom;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+
+use crate::outlier::{self, Fault, Good, Outlier};
+use crate::pace::{Load, Pace, Reports};
 
 /// A backend server as an entry knows it, by its place in the entry's list.
 pub type ServerIndex = usize;
 
+/// Random places that are looked at before all are gone through in order.
+const DRAWS: usize = 4;
+
+/// How long a server that said it drains is believed to. Nobody would ask it
+/// again otherwise, and its next life at the same address would stay unused.
+const DRAIN_TRUST: Duration = Duration::from_secs(5);
+
+/// How often a pool's usual pace is worked out.
+const MEDIAN_EVERY: Duration = Duration::from_millis(500);
+
+/// Servers with a known pace from which a median means something.
+const MEDIAN_LEAST: usize = 4;
+
+/// A pace so many times the median is a fault.
+const SLOW_FACTOR: u32 = 8;
+
+/// How servers are chosen. All but the first are plain baselines to measure
+/// against: one server is chosen, and the request waits there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Ask several for a slot; the earliest expected finish wins.
+    #[default]
+    LateBinding,
+    /// Any server.
+    Random,
+    /// The least loaded by reports.
+    LeastLoaded,
+    /// The less loaded by reports of two sampled ones.
+    TwoChoices,
+}
+
+/// What placement goes by.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// How servers are chosen.
+    pub mode: Mode,
+    /// Servers asked at once in late binding.
+    pub fan: usize,
+    /// Age of the reports that the baselines go by.
+    pub lag: Duration,
+    /// The entry's availability zone.
+    pub zone: String,
+    /// Seed of the random numbers, so that a run can be repeated.
+    pub seed: u64,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// The model or plain service.
+    pub target: &'a str,
+    /// Hash of the prompt's prefix; 0 for none.
+    pub prefix: u64,
+    /// Servers that must not be asked (again).
+    pub tried: &'a [ServerIndex],
+}
+
 /// Chooses sidecars to ask for a slot.
 #[derive(Debug)]
 pub struct Placement {
-    /// Random numbers, seeded so that a run can be repeated.
+    options: Options,
     rng: Pcg64Mcg,
+    /// What is known about each server; empty places were left.
+    servers: Vec<Option<Server>>,
+    /// Servers by what they serve.
+    pools: Vec<Pool>,
+    /// The place of each model's or plain service's pool.
+    targets: HashMap<String, usize>,
+}
+
+#[derive(Debug)]
+struct Server {
+    /// Hash of its name, equal at every entry.
+    key: u64,
+    /// The place of its pool.
+    pool: usize,
+    reports: Reports,
+    health: Outlier,
+}
+
+/// The servers of one model or plain service.
+#[derive(Debug, Default)]
+struct Pool {
+    /// Those in the entry's own availability zone.
+    near: Vec<ServerIndex>,
+    /// All others.
+    far: Vec<ServerIndex>,
+    /// The median pace, and when it was worked out.
+    usual: Option<(Instant, Pace)>,
+}
+
+impl Pool {
+    fn all(&self) -> impl Iterator<Item = ServerIndex> {
+        self.near.iter().chain(&self.far).copied()
+    }
+
+    fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
 }
 
 impl Placement {
-    /// Makes a placement whose choices follow from `seed`.
+    /// Makes a placement that knows no servers.
     #[must_use]
-    pub fn new(seed: u64) -> Self {
+    pub fn new(options: Options) -> Self {
         Self {
-            rng: Pcg64Mcg::new(u128::from(seed) | 1),
+            rng: Pcg64Mcg::new(u128::from(options.seed) | 1),
+            options,
+            servers: Vec::new(),
+            pools: Vec::new(),
+            targets: HashMap::new(),
+        }
+    }
+
+    /// Adds the server at `index`, or takes it as a new one.
+    pub fn join(&mut self, index: ServerIndex, name: &str, zone: &str, target: &str) {
+        self.leave(index);
+        if self.servers.len() <= index {
+            self.servers.resize_with(index + 1, || None);
+        }
+        let near = zone == self.options.zone;
+        let pool = self.pool(target);
+        self.servers[index] = Some(Server {
+            key: rapidhash_v3(name.as_bytes()),
+            pool,
+            reports: Reports::default(),
+            health: Outlier::default(),
+        });
+
+        let pool = &mut self.pools[pool];
+        let part = if near { &mut pool.near } else { &mut pool.far };
+        part.push(index);
+    }
+
+    /// The place of the pool of `target`, made now if there is none.
+    fn pool(&mut self, target: &str) -> usize {
+        if let Some(place) = self.targets.get(target) {
+            return *place;
+        }
+        self.pools.push(Pool::default());
+        let place = self.pools.len() - 1;
+        self.targets.insert(target.to_owned(), place);
+        place
+    }
+
+    /// Forgets the server at `index`.
+    pub fn leave(&mut self, index: ServerIndex) {
+        let Some(server) = self.servers.get_mut(index).and_then(Option::take) else {
+            return;
+        };
+        let pool = &mut self.pools[server.pool];
+        pool.near.retain(|i| *i != index);
+        pool.far.retain(|i| *i != index);
+    }
+
+    /// Notes the load that an answer carried. The answer itself is a good
+    /// sign, and a pace far off the others' is a fault; returns whether that
+    /// ejected the server.
+    pub fn heard(&mut self, now: Instant, index: ServerIndex, load: Load, ejected: f64) -> bool {
+        let lag = self.options.lag;
+        let Some(server) = self.server_mut(index) else {
+            return false;
+        };
+        let pool = server.pool;
+        server.reports.note(now, load, lag);
+        server.health.good(now, Good::Link);
+        if !load.pace.known() {
+            return false;
+        }
+
+        let usual = self.usual_in(now, pool);
+        if usual.known() && load.pace.token > usual.token * SLOW_FACTOR {
+            return self.fault(now, index, Fault::Slow, ejected);
+        }
+        self.good(now, index, Good::Pace);
+        false
+    }
+
+    /// Notes a good sign about a server.
+    pub fn good(&mut self, now: Instant, index: ServerIndex, good: Good) {
+        if let Some(server) = self.server_mut(index) {
+            server.health.good(now, good);
+        }
+    }
+
+    /// Notes a fault of a server. `share` of its pool may be ejected at once;
+    /// returns whether the server was ejected.
+    pub fn fault(&mut self, now: Instant, index: ServerIndex, fault: Fault, share: f64) -> bool {
+        let Some(server) = self.server(index) else {
+            return false;
+        };
+        let pool = &self.pools[server.pool];
+        let health = |i| self.server(i).is_some_and(|s| s.health.ejected());
+        let ejected = pool.all().filter(|i| health(*i)).count();
+        let room = ejected < outlier::spare(pool.len(), share);
+
+        let server = self.server_mut(index);
+        server.is_some_and(|s| s.health.fault(now, fault, room))
+    }
+
+    /// The load last heard from a server.
+    #[must_use]
+    pub fn load(&self, index: ServerIndex) -> Load {
+        self.server(index)
+            .map_or_else(Load::default, |s| s.reports.fresh())
+    }
+
+    /// How long ago a server was last heard.
+    #[must_use]
+    pub fn age(&self, now: Instant, index: ServerIndex) -> Option<Duration> {
+        self.server(index)?.reports.age(now)
+    }
+
+    /// Whether a server is ejected or probed.
+    #[must_use]
+    pub fn ejected(&self, index: ServerIndex) -> bool {
+        self.server(index).is_some_and(|s| s.health.ejected())
+    }
+
+    /// The median pace of the servers of `target`; unknown until some told
+    /// theirs.
+    pub fn usual(&mut self, now: Instant, target: &str) -> Pace {
+        match self.targets.get(target) {
+            Some(pool) => self.usual_in(now, *pool),
+            None => Pace::default(),
+        }
+    }
+
+    fn usual_in(&mut self, now: Instant, pool: usize) -> Pace {
+        let held = self.pools[pool].usual;
+        if let Some((_, usual)) = held.filter(|(at, _)| now < *at + MEDIAN_EVERY) {
+            return usual;
+        }
+        let usual = self.median(&self.pools[pool]);
+        self.pools[pool].usual = Some((now, usual));
+        usual
+    }
+
+    fn median(&self, pool: &Pool) -> Pace {
+        let paces = pool.all().map(|i| self.load(i).pace);
+        let mut paces: Vec<Pace> = paces.filter(Pace::known).collect();
+        if paces.len() < MEDIAN_LEAST {
+            return Pace::default();
+        }
+        let middle = paces.len() / 2;
+        let (_, usual, _) = paces.select_nth_unstable_by_key(middle, |p| p.token);
+        *usual
+    }
+
+    /// Chooses the servers to ask, the most wanted first. Empty when none may
+    /// be asked.
+    pub fn choose(&mut self, now: Instant, want: &Want<'_>) -> Vec<ServerIndex> {
+        let Some(place) = self.targets.get(want.target).copied() else {
+            return Vec::new();
+        };
+        // Taken out, so that choosing may draw random numbers meanwhile.
+        let pool = std::mem::take(&mut self.pools[place]);
+        let mut chosen = Vec::with_capacity(self.options.fan);
+        match self.options.mode {
+            Mode::LateBinding => self.bind_late(now, &pool, want, &mut chosen),
+            Mode::Random => chosen.extend(self.draw(now, &pool, want, &[])),
+            Mode::LeastLoaded => chosen.extend(self.least_loaded(now, &pool, want)),
+            Mode::TwoChoices => chosen.extend(self.less_loaded(now, &pool, want)),
+        }
+        self.pools[place] = pool;
+
+        for index in &chosen {
+            if let Some(server) = self.server_mut(*index) {
+                server.health.chosen(now);
+            }
+        }
+        chosen
+    }
+
+    fn bind_late(
+        &mut self,
+        now: Instant,
+        pool: &Pool,
+        want: &Want<'_>,
+        chosen: &mut Vec<ServerIndex>,
+    ) {
+        chosen.extend(self.home(now, pool, want));
+        while chosen.len() < self.options.fan.max(1) {
+            let Some(next) = self.sample(now, pool, want, chosen) else {
+                return;
+            };
+            chosen.push(next);
+        }
+    }
+
+    /// The server where prompts of this prefix go, so that its cache is used:
+    /// the same at every entry, by rendezvous hashing, without any exchange.
+    /// One whose queue is as long as its slots is passed over for the next,
+    /// or a popular prefix would waste a reservation on each request.
+    fn home(&self, now: Instant, pool: &Pool, want: &Want<'_>) -> Option<ServerIndex> {
+        if want.prefix == 0 {
+            return None;
+        }
+        let ranked = pool.all().filter_map(|i| {
+            let server = self.usable(now, i, want.tried)?;
+            let load = server.reports.fresh();
+            let crowded = load.slots > 0 && load.waiting >= load.slots;
+            (!crowded).then(|| (weight(want.prefix, server.key), i))
+        });
+        ranked.max().map(|(_, i)| i)
+    }
+
+    /// The better of two sampled ones, in the own availability zone unless
+    /// both are full there.
+    fn sample(
+        &mut self,
+        now: Instant,
+        pool: &Pool,
+        want: &Want<'_>,
+        chosen: &[ServerIndex],
+    ) -> Option<ServerIndex> {
+        let near = self.better(now, &pool.near, want, chosen);
+        if let Some(near) = near.filter(|i| !self.load(*i).full()) {
+            return Some(near);
         }
+        let far = self.better(now, &pool.far, want, chosen);
+        match (near, far) {
+            (Some(near), Some(far)) if self.cost(near) <= self.cost(far) => Some(near),
+            (near, far) => far.or(near),
+        }
+    }
+
+    fn better(
+        &mut self,
+        now: Instant,
+        part: &[ServerIndex],
+        want: &Want<'_>,
+        chosen: &[ServerIndex],
+    ) -> Option<ServerIndex> {
+        let one = self.pick(now, part, want, chosen)?;
+        let two = self.pick(now, part, want, chosen)?;
+        Some(if self.cost(two) < self.cost(one) {
+            two
+        } else {
+            one
+        })
     }
 
-    /// Chooses up to `count` of the candidates.
-    pub fn choose(&mut self, candidates: &[ServerIndex], count: usize) -> Vec<ServerIndex> {
-        candidates.iter().copied().sample(&mut self.rng, count)
+    /// Queue for each slot, weighed by the pace: a server four times slower
+    /// frees its slots four times later.
+    fn cost(&self, index: ServerIndex) -> f64 {
+        let load = self.load(index);
+        let token = load.pace.token.max(Duration::from_micros(1));
+        load.depth() * token.as_secs_f64()
     }
+
+    fn least_loaded(&mut self, now: Instant, pool: &Pool, want: &Want<'_>) -> Option<ServerIndex> {
+        let mut least = None;
+        for index in pool.all() {
+            if self.usable(now, index, want.tried).is_none() {
+                continue;
+            }
+            // Equal ones are told apart at random, or the first would get all.
+            let rank = (self.reported(now, index), self.rng.random::<f64>());
+            if least.is_none_or(|(lowest, _)| rank < lowest) {
+                least = Some((rank, index));
+            }
+        }
+        least.map(|(_, index)| index)
+    }
+
+    fn less_loaded(&mut self, now: Instant, pool: &Pool, want: &Want<'_>) -> Option<ServerIndex> {
+        let one = self.draw(now, pool, want, &[])?;
+        let two = self.draw(now, pool, want, &[one]).unwrap_or(one);
+        let less = self.reported(now, two) < self.reported(now, one);
+        Some(if less { two } else { one })
+    }
+
+    fn reported(&self, now: Instant, index: ServerIndex) -> f64 {
+        let lag = self.options.lag;
+        self.server(index)
+            .map_or(0.0, |s| s.reports.lagged(now, lag).depth())
+    }
+
+    /// Any usable server of the pool, wherever it is.
+    fn draw(
+        &mut self,
+        now: Instant,
+        pool: &Pool,
+        want: &Want<'_>,
+        chosen: &[ServerIndex],
+    ) -> Option<ServerIndex> {
+        let near = self.rng.random_range(0..pool.len().max(1)) < pool.near.len();
+        let (first, second) = match near {
+            true => (&pool.near, &pool.far),
+            false => (&pool.far, &pool.near),
+        };
+        self.pick(now, first, want, chosen)
+            .or_else(|| self.pick(now, second, want, chosen))
+    }
+
+    /// Any usable server of a part.
+    fn pick(
+        &mut self,
+        now: Instant,
+        part: &[ServerIndex],
+        want: &Want<'_>,
+        chosen: &[ServerIndex],
+    ) -> Option<ServerIndex> {
+        if part.is_empty() {
+            return None;
+        }
+        let fits = |placement: &Self, i: ServerIndex| {
+            !chosen.contains(&i) && placement.usable(now, i, want.tried).is_some()
+        };
+        for _ in 0..DRAWS {
+            let index = part[self.rng.random_range(0..part.len())];
+            if fits(self, index) {
+                return Some(index);
+            }
+        }
+
+        // Few are left: go through all from a random place on.
+        let start = self.rng.random_range(0..part.len());
+        let (after, before) = (&part[start..], &part[..start]);
+        after.iter().chain(before).copied().find(|i| fits(self, *i))
+    }
+
+    /// The server if it may be asked.
+    fn usable(&self, now: Instant, index: ServerIndex, tried: &[ServerIndex]) -> Option<&Server> {
+        let server = self.server(index)?;
+        let drains = server.reports.fresh().draining
+            && server.reports.age(now).is_some_and(|a| a < DRAIN_TRUST);
+        (server.health.usable(now) && !drains && !tried.contains(&index)).then_some(server)
+    }
+
+    fn server(&self, index: ServerIndex) -> Option<&Server> {
+        self.servers.get(index)?.as_ref()
+    }
+
+    fn server_mut(&mut self, index: ServerIndex) -> Option<&mut Server> {
+        self.servers.get_mut(index)?.as_mut()
+    }
+}
+
+/// The weight of a server for a prefix; the highest is the prefix's home.
+fn weight(prefix: u64, key: u64) -> u64 {
+    let mut both = [0; 16];
+    both[..8].copy_from_slice(&prefix.to_le_bytes());
+    both[8..].copy_from_slice(&key.to_le_bytes());
+    rapidhash_v3(&both)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod serve;
 
 pub use message::*;
-pub use peer::Peer;
+pub use peer::{Peer, Timing};
 
 /// The calls that a sidecar answers. Each carries a [`Stamp`], so that
 /// whoever is behind on the bundle finds out before it decides.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,7 +4,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::rc::Rc;
+use std::time::Duration;
 
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
@@ -12,8 +13,10 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use base::ids::Ticket;
+use base::stop::Stop;
 
 use crate::{
     Cancelled, Pull, Pulled, Reply, Reserve, Reserved, SidecarClient, Stamp, Start, Started,
@@ -22,11 +25,42 @@
 /// Largest frame of the inner protocol, in bytes.
 const FRAME_LIMIT: usize = 32 << 20;
 
-/// Time allowed for an answer beyond what the call itself may be held.
-pub const MARGIN: Duration = Duration::from_millis(1000);
+/// Calls that one connection carries at once. Each open stream holds a long
+/// poll; with the library's 1,000, call 1,001 would wait unsent behind them
+/// until it looked like silence, and a good connection would be dropped.
+const IN_FLIGHT_LIMIT: usize = 1 << 17;
 
-/// Time allowed for dialling.
-pub const DIAL: Duration = Duration::from_millis(1000);
+/// Calls that may wait for the connection's task to write them.
+const PENDING_LIMIT: usize = 1024;
+
+/// How long a peer is left alone after one failure to connect; doubles with
+/// each further one.
+const BACKOFF_FIRST: Duration = Duration::from_millis(50);
+
+/// The longest time for which a peer is left alone.
+const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long to wait for whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Time allowed for an answer beyond what the call itself may be held.
+    pub margin: Duration,
+    /// Time allowed for dialling.
+    pub dial: Duration,
+    /// A connection on which nothing came for so long is replaced before it
+    /// is used again.
+    pub idle: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            margin: Duration::from_millis(500),
+            dial: Duration::from_millis(500),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
 
 /// One sidecar as an entry reaches it. Dials when first needed and again
 /// after a failure; calls in flight share one connection.
@@ -34,11 +68,37 @@
 pub struct Peer {
     /// Where the sidecar listens.
     addr: SocketAddr,
+    /// How long to wait for it.
+    timing: Timing,
     /// The connection in use, if any.
-    client: RefCell<Option<SidecarClient>>,
-    /// Counts connections, so that a late failure of an old connection does
-    /// not drop the new one.
-    epoch: Cell<u64>,
+    link: RefCell<Option<Rc<Link>>>,
+    /// Lets one caller dial while the others wait for what it gets.
+    dialling: tokio::sync::Mutex<()>,
+    /// Failures to connect in a row.
+    failures: Cell<u32>,
+    /// No dialling before this time.
+    rest: Cell<Option<Instant>>,
+}
+
+/// One connection.
+struct Link {
+    /// The calls' way into the connection.
+    client: SidecarClient,
+    /// When the last answer came, or the connection was made.
+    heard: Cell<Instant>,
+    /// Whether any answer ever came.
+    proven: Cell<bool>,
+    /// Tells the calls in flight that the connection is given up.
+    dead: Stop,
+}
+
+impl std::fmt::Debug for Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Link")
+            .field("heard", &self.heard)
+            .field("proven", &self.proven)
+            .finish_non_exhaustive()
+    }
 }
 
 /// Why a call got no answer. In no case does the caller know whether the
@@ -89,11 +149,14 @@
 impl Peer {
     /// Makes a peer that is not connected yet.
     #[must_use]
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(addr: SocketAddr, timing: Timing) -> Self {
         Self {
             addr,
-            client: RefCell::default(),
-            epoch: Cell::new(0),
+            timing,
+            link: RefCell::default(),
+            dialling: tokio::sync::Mutex::default(),
+            failures: Cell::new(0),
+            rest: Cell::new(None),
         }
     }
 
@@ -165,78 +228,133 @@
         .await
     }
 
-    /// Makes one call and drops the connection if it failed or went silent.
+    /// Makes one call and gives the connection up if it failed or is silent.
     ///
     /// A connection whose path has lost track of it stays open for TCP while
     /// nothing passes. The caller would wait for ever. Each call has a bound
-    /// at the sidecar, so no answer within bound and margin proves the
-    /// connection useless, and dialling anew is enough because every call is
-    /// idempotent by its ticket.
+    /// at the sidecar, so no answer to anything within bound and margin proves
+    /// the connection useless, and dialling anew is enough because every call
+    /// is idempotent by its ticket. An answer to another call meanwhile shows
+    /// that only this one was lost; the connection stays.
     async fn call<T, F, Fut>(&self, step: &'static str, hold: Duration, make: F) -> Result<T, Error>
     where
         F: FnOnce(SidecarClient, tarpc::context::Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
-        let client = self.client().await.context(DialSnafu {
-            step,
-            peer: self.addr,
-        })?;
-        let epoch = self.epoch.get();
-        let waited = hold + MARGIN;
+        let peer = self.addr;
+        let link = self.link().await.context(DialSnafu { step, peer })?;
+        let sent = Instant::now();
+        let waited = hold + self.timing.margin;
 
         let mut ctx = tarpc::context::current();
-        ctx.deadline = Instant::now() + waited;
-        let answer = tokio::time::timeout(waited, make(client, ctx)).await;
+        ctx.deadline = std::time::Instant::now() + waited;
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(waited, make(link.client.clone(), ctx)) => answer,
+            () = link.dead.wait() => return SilentSnafu { step, peer, waited: sent.elapsed() }.fail(),
+        };
 
         match answer {
-            Ok(Ok(reply)) => Ok(reply),
+            Ok(Ok(reply)) => {
+                link.heard.set(Instant::now());
+                link.proven.set(true);
+                self.failures.set(0);
+                Ok(reply)
+            }
             Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => {
-                self.drop_client(epoch);
-                SilentSnafu {
-                    step,
-                    peer: self.addr,
-                    waited,
+                if link.heard.get() <= sent {
+                    self.give_up(&link);
                 }
-                .fail()
+                SilentSnafu { step, peer, waited }.fail()
             }
             Ok(Err(source)) => {
-                self.drop_client(epoch);
-                Err(source).context(CallSnafu {
-                    step,
-                    peer: self.addr,
-                })
+                self.give_up(&link);
+                Err(source).context(CallSnafu { step, peer })
             }
         }
     }
 
     /// The connection in use, dialled now if there is none.
-    async fn client(&self) -> io::Result<SidecarClient> {
-        if let Some(client) = self.client.borrow().as_ref() {
-            return Ok(client.clone());
+    async fn link(&self) -> io::Result<Rc<Link>> {
+        if let Some(link) = self.usable() {
+            return Ok(link);
         }
 
-        let dialled = tokio::time::timeout(DIAL, TcpStream::connect(self.addr)).await;
+        // A burst towards a sidecar that just came back would dial once for
+        // each request; one dials, and the others take what it gets.
+        let _turn = self.dialling.lock().await;
+        if let Some(link) = self.usable() {
+            return Ok(link);
+        }
+        // Those who waited for a dial that failed do not dial in turn: each
+        // would pay the whole time again.
+        if self.rest.get().is_some_and(|until| Instant::now() < until) {
+            return Err(io::ErrorKind::HostUnreachable.into());
+        }
+
+        let link = self.dial().await.inspect_err(|_| self.back_off())?;
+        let link = Rc::new(link);
+        *self.link.borrow_mut() = Some(Rc::clone(&link));
+        Ok(link)
+    }
+
+    /// The connection in use, unless it was idle for so long that the path may
+    /// have lost track of it. A request would find that out only by waiting
+    /// for the margin; a new connection costs one round trip.
+    fn usable(&self) -> Option<Rc<Link>> {
+        let link = self.link.borrow().clone()?;
+        if link.heard.get().elapsed() < self.timing.idle {
+            return Some(link);
+        }
+        // Calls still in flight keep the old connection until they end.
+        self.link.borrow_mut().take();
+        None
+    }
+
+    async fn dial(&self) -> io::Result<Link> {
+        let dialled = tokio::time::timeout(self.timing.dial, TcpStream::connect(self.addr)).await;
         let stream = dialled.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
 
-        // Someone else may have dialled meanwhile; one connection is enough.
-        if let Some(client) = self.client.borrow().as_ref() {
-            return Ok(client.clone());
-        }
-        let new = SidecarClient::new(tarpc::client::Config::default(), codec(stream));
+        let mut config = tarpc::client::Config::default();
+        config.max_in_flight_requests = IN_FLIGHT_LIMIT;
+        config.pending_request_buffer = PENDING_LIMIT;
+        let new = SidecarClient::new(config, codec(stream));
         actix_rt::spawn(async move {
             // The calls in flight report the failure; there is nothing to add.
             let _ = new.dispatch.await;
         });
-        *self.client.borrow_mut() = Some(new.client.clone());
-        self.epoch.set(self.epoch.get() + 1);
-        Ok(new.client)
+        Ok(Link {
+            client: new.client,
+            heard: Cell::new(Instant::now()),
+            proven: Cell::new(false),
+            dead: Stop::new(),
+        })
     }
 
-    fn drop_client(&self, epoch: u64) {
-        if self.epoch.get() == epoch {
-            self.client.borrow_mut().take();
+    /// Stops using a connection and ends all calls in flight on it, which
+    /// would each find out by their own bound otherwise.
+    fn give_up(&self, link: &Rc<Link>) {
+        link.dead.ask();
+        let mut current = self.link.borrow_mut();
+        if !current.as_ref().is_some_and(|c| Rc::ptr_eq(c, link)) {
+            return;
         }
+        current.take();
+
+        // A peer that accepts and resets at once would be dialled in a loop.
+        // A connection that had worked is replaced without delay.
+        if !link.proven.get() {
+            self.back_off();
+        }
+    }
+
+    /// Leaves the peer alone for a while that grows with each failure.
+    fn back_off(&self) {
+        let failures = self.failures.get();
+        self.failures.set(failures.saturating_add(1));
+        let rest = BACKOFF_FIRST * 2u32.pow(failures.min(10));
+        self.rest
+            .set(Some(Instant::now() + rest.min(BACKOFF_LIMIT)));
     }
 }
 
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -12,6 +12,10 @@
 /// How long accepting pauses after it failed.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
+/// Answers that may wait for the connection to take them before their calls
+/// are held back.
+const PENDING_LIMIT: usize = 1024;
+
 /// Answers calls on `listener` by `service` until `stop` is asked.
 /// Connections already open go on after that, so that answers in progress
 /// can still be pulled.
@@ -40,7 +44,10 @@
 {
     let transport =
         codec::<tarpc::ClientMessage<SidecarRequest>, tarpc::Response<SidecarResponse>>(stream);
-    let channel = BaseChannel::with_defaults(transport);
+    let config = tarpc::server::Config {
+        pending_response_buffer: PENDING_LIMIT,
+    };
+    let channel = BaseChannel::new(config, transport);
     let mut calls = std::pin::pin!(channel.execute(service.serve()));
     while let Some(call) = calls.next().await {
         actix_rt::spawn(call);
