--- /dev/null
+++ b/crates/demo/tests/whole/common.rs
@@ -0,0 +1,202 @@
+//! A small fleet for tests: one engine, one plain service, their sidecars and
+//! an entry, each daemon on a thread and an address of its own.
+
+use std::error::Error;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use base::logging::{self, Level};
+use base::settings::{self, Span};
+use base::stop::Stop;
+use bundle::Bundle;
+use demo::host::Host;
+use entry::settings::Known;
+use serde_json::Value;
+use sidecar::settings::Backend;
+use standin::Ledger;
+
+/// Numbers the fleets of this process, for addresses of their own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// How often a condition is looked at, and the pause between.
+const TRIES: u32 = 1000;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Port on which every daemon listens, each on an address of its own.
+const PORT: u16 = 7100;
+const OPERATORS_PORT: u16 = 7101;
+
+/// The bundle of all fleets. The token of workspace `alpha` is `alpha`, that
+/// of `beta` is `beta`.
+const BUNDLE: &str = include_str!("bundle.json");
+
+/// The roles, which are the last numbers of the addresses.
+const ENTRY: u8 = 1;
+const ENGINE_SIDECAR: u8 = 2;
+const PLAIN_SIDECAR: u8 = 3;
+const ENGINE: u8 = 4;
+const PLAIN: u8 = 5;
+
+/// A small fleet that runs.
+pub(crate) struct Small {
+    net: [u8; 2],
+    /// What the stand-ins saw.
+    pub(crate) ledger: Ledger,
+    stop: Stop,
+    hosts: Vec<Host>,
+}
+
+impl Small {
+    /// Starts everything and waits until it listens. The engine has `slots`
+    /// slots and takes `step_ms` for a step.
+    pub(crate) fn start(slots: usize, step_ms: u64) -> Self {
+        logging::init(Level::Off);
+        let [_, _, a, b] = std::process::id().to_be_bytes();
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let mut fleet = Self {
+            net: [a.wrapping_mul(31).wrapping_add(b).max(1), number],
+            ledger: Ledger::default(),
+            stop: Stop::new(),
+            hosts: Vec::new(),
+        };
+        fleet.start_backends(slots, step_ms);
+        fleet.start_daemons(slots);
+        for addr in (ENTRY..=PLAIN)
+            .map(|r| fleet.addr(r))
+            .chain([fleet.operators(ENTRY)])
+        {
+            until("it listens", || TcpStream::connect(addr).is_ok());
+        }
+        fleet
+    }
+
+    /// Stops everything and waits until it has ended.
+    pub(crate) fn stop(&mut self) {
+        self.stop.ask();
+        self.hosts.drain(..).for_each(Host::join);
+    }
+
+    /// Where callers reach the entry.
+    pub(crate) fn entry(&self) -> SocketAddr {
+        self.addr(ENTRY)
+    }
+
+    /// What the entry's operators' address answers.
+    pub(crate) fn ask_entry(&self, path: &str) -> Result<String, Box<dyn Error>> {
+        ask(self.operators(ENTRY), path)
+    }
+
+    /// The engine's sidecar's status.
+    pub(crate) fn sidecar_status(&self) -> Value {
+        let text = ask(self.operators(ENGINE_SIDECAR), "/status").expect("the sidecar answers");
+        serde_json::from_str(&text).expect("a status is JSON")
+    }
+
+    fn addr(&self, role: u8) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], role);
+        SocketAddr::new(IpAddr::V4(ip), PORT)
+    }
+
+    fn operators(&self, role: u8) -> SocketAddr {
+        SocketAddr::new(self.addr(role).ip(), OPERATORS_PORT)
+    }
+
+    fn start_backends(&mut self, slots: usize, step_ms: u64) {
+        let text = format!(
+            r#"{{ "listen": "{}", "slots": {slots}, "step": "{step_ms}ms" }}"#,
+            self.addr(ENGINE)
+        );
+        let settings = settings::parse("engine", &text).expect("the settings are sound");
+        let (ledger, stop) = (self.ledger.clone(), self.stop.clone());
+        let engine = Host::start("engine", move || {
+            standin::engine::run(settings, ledger, stop)
+        });
+
+        let text = format!(r#"{{ "listen": "{}" }}"#, self.addr(PLAIN));
+        let settings = settings::parse("plain", &text).expect("the settings are sound");
+        let (ledger, stop) = (self.ledger.clone(), self.stop.clone());
+        let plain = Host::start("plain", move || standin::plain::run(settings, ledger, stop));
+        self.hosts.extend([engine, plain]);
+    }
+
+    fn start_daemons(&mut self, slots: usize) {
+        for role in [ENGINE_SIDECAR, PLAIN_SIDECAR] {
+            let (settings, stop) = (self.sidecar(role, slots), self.stop.clone());
+            self.hosts
+                .push(Host::start("sidecar", move || sidecar::run(settings, stop)));
+        }
+        let bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("the bundle is sound");
+        let (settings, stop) = (self.entry_settings(), self.stop.clone());
+        self.hosts.push(Host::start("entry", move || {
+            entry::run(settings, bundle, stop)
+        }));
+    }
+
+    fn sidecar(&self, role: u8, slots: usize) -> sidecar::Settings {
+        let backend = match role {
+            ENGINE_SIDECAR => Backend::Engine {
+                addr: self.addr(ENGINE),
+                slots,
+            },
+            _ => Backend::Plain {
+                addr: self.addr(PLAIN),
+                slots: 8,
+                timeout: Span::secs(5),
+            },
+        };
+        let backend = serde_json::to_value(backend).expect("a backend is JSON");
+        let text = format!(
+            r#"{{ "name": "s{role}", "zone": "z", "listen": "{}", "operators": "{}",
+                "log_level": "off", "backend": {backend} }}"#,
+            self.addr(role),
+            self.operators(role)
+        );
+        settings::parse("sidecar", &text).expect("the settings are sound")
+    }
+
+    fn entry_settings(&self) -> entry::Settings {
+        let known = |role, serves: &str| Known {
+            name: format!("s{role}"),
+            addr: self.addr(role),
+            zone: "z".to_owned(),
+            serves: serves.to_owned(),
+        };
+        let sidecars = [
+            known(ENGINE_SIDECAR, "small"),
+            known(PLAIN_SIDECAR, "letters"),
+        ];
+        let sidecars = serde_json::to_value(sidecars).expect("sidecars are JSON");
+        let text = format!(
+            r#"{{ "name": "e", "zone": "z", "listen": "{}", "operators": "{}", "seed": 1,
+                "body_limit": 4096, "log_level": "off", "sidecars": {sidecars} }}"#,
+            self.addr(ENTRY),
+            self.operators(ENTRY)
+        );
+        settings::parse("entry", &text).expect("the settings are sound")
+    }
+}
+
+/// Waits for a condition, for as long as a slow machine may need.
+pub(crate) fn until(what: &str, mut met: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if met() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("waited in vain until {what}");
+}
+
+fn ask(addr: SocketAddr, path: &str) -> Result<String, Box<dyn Error>> {
+    let url = format!("http://{addr}{path}");
+    actix_rt::System::new().block_on(async {
+        let mut response = awc::Client::new()
+            .get(url)
+            .send()
+            .await
+            .map_err(|e| e.to_string())?;
+        Ok(String::from_utf8(response.body().await?.to_vec())?)
+    })
+}
--- /dev/null
+++ b/crates/demo/tests/whole/sessions.rs
@@ -0,0 +1,183 @@
+//! Golden files of whole sessions over real loopback sockets.
+//!
+//! Each file under `sessions/` starts daemons and stand-ins, sends what a
+//! caller or an operator would send, and holds what came back, with random
+//! identities written as `<id>` and counters in alphabetical order. Refresh them by
+//! `UPDATE_GOLDENFILES=1 cargo test -p demo --test whole`.
+
+use std::error::Error;
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use crate::common::Small;
+use rstest::rstest;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The counters that sessions show.
+const COUNTED: [&str; 3] = [
+    "pimentocart_grants_total",
+    "pimentocart_refusals_total",
+    "pimentocart_retries_total",
+];
+
+/// Slots of the session's engine, and the time of its step.
+const SLOTS: usize = 8;
+const STEP_MS: u64 = 1;
+
+#[rstest]
+fn session_golden(#[files("tests/sessions/*")] path: PathBuf) {
+    goldenscript::run(&mut Session::default(), path).expect("the session differs");
+}
+
+/// A session's commands.
+#[derive(Debug, goldenscript::Command)]
+enum Command {
+    /// Starts a fleet of one engine, one plain service, their sidecars and
+    /// an entry.
+    Start,
+    /// Sends one call and prints its answer.
+    Send {
+        method: String,
+        path: String,
+        #[arg(key)]
+        token: Option<String>,
+        #[arg(key)]
+        class: Option<String>,
+        #[arg(key)]
+        repeat: Option<String>,
+        #[arg(key)]
+        key: Option<String>,
+        #[arg(key)]
+        body: Option<String>,
+        /// Bytes of the letter x in place of a body.
+        #[arg(key)]
+        bytes: Option<usize>,
+    },
+    /// Prints what the stand-ins saw of a mark.
+    Seen(String),
+    /// Prints the grants, refusals and retries that the entry counted.
+    Counters,
+    /// Prints an answer of the entry's operators' address.
+    Ask(String),
+}
+
+/// One session with its daemons, once they are started.
+#[derive(Default)]
+struct Session {
+    fleet: Option<Small>,
+}
+
+impl goldenscript::Runner for Session {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &goldenscript::Context,
+    ) -> Result<String, Box<dyn Error>> {
+        if let Command::Start = command {
+            self.fleet = Some(Small::start(SLOTS, STEP_MS));
+            return Ok(String::new());
+        }
+        let fleet = self.fleet.as_ref().ok_or("start the fleet first")?;
+        match command {
+            Command::Start => Ok(String::new()),
+            Command::Send { .. } => send(fleet, command),
+            Command::Seen(mark) => {
+                let seen = fleet.ledger.seen(mark);
+                Ok(format!(
+                    "runs={} ended={} tokens={}\n",
+                    seen.runs, seen.ended, seen.tokens
+                ))
+            }
+            Command::Counters => {
+                let text = fleet.ask_entry("/metrics")?;
+                let shown = |l: &str| COUNTED.iter().any(|name| l.starts_with(name));
+                let counted = |l: &&str| shown(l) && !l.ends_with(" 0");
+                let mut lines: Vec<_> = text.lines().filter(counted).collect();
+                lines.sort_unstable();
+                Ok(lines.iter().fold(String::new(), |out, l| out + l + "\n"))
+            }
+            Command::Ask(path) => fleet.ask_entry(path),
+        }
+    }
+
+    fn end_script(&mut self) -> Result<(), Box<dyn Error>> {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.stop();
+        }
+        Ok(())
+    }
+}
+
+/// Sends one call and shows its answer.
+fn send(fleet: &Small, command: &Command) -> Result<String, Box<dyn Error>> {
+    let Command::Send {
+        method,
+        path,
+        token,
+        class,
+        repeat,
+        key,
+        body,
+        bytes,
+    } = command
+    else {
+        return Err("not a call".into());
+    };
+    let url = format!("http://{}{path}", fleet.entry());
+    let body = match bytes {
+        Some(count) => "x".repeat(*count),
+        None => body.clone().unwrap_or_default(),
+    };
+    actix_rt::System::new().block_on(async {
+        let http = awc::Client::builder().timeout(TIMEOUT).finish();
+        let mut request = http
+            .request(method.parse()?, url)
+            .content_type("application/json");
+        if let Some(token) = token {
+            request = request.bearer_auth(token);
+        }
+        let headers = [
+            ("x-request-class", class),
+            ("x-no-repeat", repeat),
+            ("idempotency-key", key),
+        ];
+        for (name, value) in headers {
+            if let Some(value) = value {
+                request = request.insert_header((name, value.as_str()));
+            }
+        }
+        let mut response = request.send_body(body).await.map_err(|e| e.to_string())?;
+        let mut out = format!("{}\n", response.status().as_u16());
+        for name in ["content-type", "retry-after"] {
+            if let Some(value) = response.headers().get(name) {
+                writeln!(out, "{name}: {}", value.to_str()?)?;
+            }
+        }
+        let text = response.body().await?;
+        out.push_str(&plain(std::str::from_utf8(&text)?));
+        Ok(out)
+    })
+}
+
+/// Writes random identities as `<id>` and drops empty lines.
+fn plain(text: &str) -> String {
+    let mut out = String::new();
+    for line in text.lines().filter(|l| !l.is_empty()) {
+        let mut rest = line;
+        while let Some(at) = rest.find(r#""id":""#) {
+            let (before, after) = rest.split_at(at + 6);
+            out.push_str(before);
+            out.push_str("<id>");
+            rest = after.split_once('"').map_or("", |(_, r)| r);
+            out.push('"');
+        }
+        out.push_str(rest);
+        out.push('\n');
+    }
+    out
+}
