--- /dev/null
+++ b/crates/policy/src/estimate/fit.rs
@@ -0,0 +1,85 @@
+//! What is learned without a histogram: means and the cost of a prompt.
+
+/// Weight of a new value in a mean once there are enough of them.
+const MEAN_WEIGHT: f64 = 1.0 / 16.0;
+
+/// What is left of the older samples' weight after each new one.
+const FIT_DECAY: f64 = 0.99;
+
+/// Samples wanted before a slope is trusted.
+const FIT_FEW: f64 = 8.0;
+
+/// Prompts must spread at least this much, in tokens, for a slope.
+const FIT_SPREAD: f64 = 16.0;
+
+/// A mean in which newer values weigh more.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Mean {
+    value: f64,
+    count: u32,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, value: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = MEAN_WEIGHT.max(1.0 / f64::from(self.count));
+        self.value += (value - self.value) * weight;
+    }
+
+    /// The mean; `None` before the first value.
+    pub(crate) fn get(&self) -> Option<f64> {
+        (self.count > 0).then_some(self.value)
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        self.count
+    }
+}
+
+/// Time to the first token as a straight line over the prompt's length, by
+/// least squares in which older samples weigh less.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Fit {
+    n: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Fit {
+    /// Takes in that a prompt of `tokens` had its first token after `us`.
+    pub(crate) fn add(&mut self, tokens: u32, us: f64) {
+        let x = f64::from(tokens);
+        for (sum, new) in [
+            (&mut self.n, 1.0),
+            (&mut self.x, x),
+            (&mut self.y, us),
+            (&mut self.xx, x * x),
+            (&mut self.xy, x * us),
+        ] {
+            *sum = *sum * FIT_DECAY + new;
+        }
+    }
+
+    /// Expected time in microseconds; `None` before the first sample.
+    pub(crate) fn at(&self, tokens: u32) -> Option<f64> {
+        if self.n <= 0.0 {
+            return None;
+        }
+        let mean = self.y / self.n;
+        let slope = self.slope();
+        let base = (mean - slope * self.x / self.n).max(0.0);
+        Some((base + slope * f64::from(tokens)).max(1.0))
+    }
+
+    /// Microseconds for each token of the prompt, never negative.
+    fn slope(&self) -> f64 {
+        let spread = self.xx / self.n - (self.x / self.n).powi(2);
+        if self.n < FIT_FEW || spread < FIT_SPREAD * FIT_SPREAD {
+            return 0.0;
+        }
+        let joint = self.xy / self.n - self.x * self.y / (self.n * self.n);
+        (joint / spread).max(0.0)
+    }
+}
