Decide who waits, starts, is refused and is preempted

Cause: the queue was first come, first served: a burst of a lower tier made every tier wait, and requests that could not meet their target waited until it had passed. The sidecar looked at all its tickets every 10 ms, copied all kept pieces at each pull, treated a lapsed hold as final and kept tombstones and answers without bound. Change: policy::queue has strict tiers, fair shares between workspaces by start-time fair queueing with earliest deadline first inside, a guaranteed share of starts, admission by quantiles of what was seen, headroom for the top tier and preemption; QueuePolicy selects fifo or no admission. The sidecar carries it out with timers, bounded tombstones and bounded answers; a lapsed hold is queued again when asked for again; draining waits until every end has been handed out. Counters by tier and reason.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -197,6 +197,8 @@
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
+            kept_bytes: 16 << 20,
+            queue: Default::default(),
             log_level: base::logging::Level::Warn,
         };
         Host::start(&known.name, move || sidecar::run(settings, stop))
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`state`]: the tickets and their states.
 //! - [`service`]: the inner protocol's calls.
 //! - [`status`]: what operators are shown.
+//! - `meter`: what is counted.
 //! - [`run`]: running one ticket at the backend server.
 
+mod meter;
 pub mod run;
 pub mod service;
 pub mod settings;
--- /dev/null
+++ b/crates/sidecar/src/meter.rs
@@ -0,0 +1,53 @@
+//! What a sidecar counts; see docs/operators/bursts.md. Labels are tier and
+//! reason only, as names of classes and workspaces are without bound.
+
+use base::ids::Tier;
+use base::reason::Refusal;
+use metrics::{counter, gauge};
+use policy::queue::Standing;
+
+/// Requests that the queue refused.
+const REFUSALS: &str = "pimentocart_queue_refusals_total";
+
+/// Requests that started.
+const STARTS: &str = "pimentocart_queue_starts_total";
+
+/// Requests that started by the guaranteed share.
+const GUARANTEED: &str = "pimentocart_queue_guaranteed_total";
+
+/// Runs stopped for a higher tier.
+const PREEMPTIONS: &str = "pimentocart_queue_preemptions_total";
+
+/// Holds that ran out before a start came.
+const LAPSES: &str = "pimentocart_queue_lapses_total";
+
+/// Counts a refusal.
+pub(crate) fn refused(tier: Tier, reason: Refusal) {
+    counter!(REFUSALS, "tier" => tier.to_string(), "reason" => reason.as_str()).increment(1);
+}
+
+/// Counts a start.
+pub(crate) fn started(tier: Tier, guaranteed: bool) {
+    counter!(STARTS, "tier" => tier.to_string()).increment(1);
+    if guaranteed {
+        counter!(GUARANTEED, "tier" => tier.to_string()).increment(1);
+    }
+}
+
+/// Counts a run stopped for a higher tier.
+pub(crate) fn preempted(tier: Tier) {
+    counter!(PREEMPTIONS, "tier" => tier.to_string()).increment(1);
+}
+
+/// Counts a hold that ran out.
+pub(crate) fn lapsed(tier: Tier) {
+    counter!(LAPSES, "tier" => tier.to_string()).increment(1);
+}
+
+/// Shows how the queue stands; `kept` is the number of slots kept free.
+pub(crate) fn standing(standing: &Standing, kept: usize) {
+    gauge!("pimentocart_queue_waiting").set(standing.waiting as f64);
+    gauge!("pimentocart_queue_busy").set(standing.busy as f64);
+    gauge!("pimentocart_queue_wait_seconds").set(standing.wait_us as f64 / 1e6);
+    gauge!("pimentocart_queue_headroom").set(kept as f64);
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -49,7 +49,7 @@
             () = entry.stop.wait() => {
                 // What the engine still makes for it would be wasted.
                 let _ = engine.cancel(entry.ticket).await;
-                return broken(Refusal::CallerGone, Ran::Partial);
+                return state.stopped(entry);
             }
         };
         match event {
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -29,10 +29,10 @@
 impl Sidecar for Service {
     async fn reserve(self, _: Context, _stamp: Stamp, ask: Reserve) -> Reply<Reserved> {
         let (entry, mut stands) = self.state.reserve(&ask);
-        if matches!(stands, Reserved::Waiting { .. }) {
+        if let (Some(entry), Reserved::Waiting { .. }) = (entry, stands) {
             let changed = entry.changed.notified();
             let _ = tokio::time::timeout(hold(ask.wait_ms), changed).await;
-            stands = self.state.stands(&entry);
+            stands = self.state.stands(&entry, ask.prompt);
         }
         self.state.reply(stands)
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -4,11 +4,15 @@
 
 use base::logging::Level;
 use base::settings::{Error, Span, check};
+use policy::queue::Rules;
 use serde::{Deserialize, Serialize};
 
 /// Shortest hold: a start must be able to arrive within it.
 const HOLD_LEAST: Span = Span::ms(10);
 
+/// Fewest bytes kept: some hundred tokens for each of many slots.
+const KEPT_LEAST: usize = 64 << 10;
+
 /// Settings of one sidecar.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +34,12 @@
     /// How long an ended answer is kept for entries that still pull it.
     #[serde(default = "default_keep")]
     pub keep: Span,
+    /// Bytes of answers that are kept for entries that still pull them.
+    #[serde(default = "default_kept")]
+    pub kept_bytes: usize,
+    /// How the queue decides.
+    #[serde(default)]
+    pub queue: Rules,
     /// How much is logged.
     #[serde(default)]
     pub log_level: Level,
@@ -61,6 +71,13 @@
             hold >= HOLD_LEAST,
             "hold a slot for at least 10ms",
         )?;
+        check(
+            "kept_bytes",
+            self.kept_bytes,
+            self.kept_bytes >= KEPT_LEAST,
+            "keep at least 65536 bytes of answers",
+        )?;
+        self.check_queue()?;
         check(
             "operators",
             self.listen,
@@ -70,6 +87,36 @@
     }
 }
 
+impl Settings {
+    fn check_queue(&self) -> Result<(), Error> {
+        let rules = &self.queue;
+        check(
+            "queue.limit",
+            rules.limit,
+            rules.limit > 0,
+            "let at least one request wait",
+        )?;
+        check(
+            "queue.guaranteed",
+            rules.guaranteed,
+            (0.0..=0.5).contains(&rules.guaranteed),
+            "give a share between 0 and 0.5",
+        )?;
+        check(
+            "queue.confidence",
+            rules.confidence,
+            rules.confidence > 0.0 && rules.confidence < 1.0,
+            "give a probability between 0 and 1, as in 0.8",
+        )?;
+        check(
+            "queue.headroom",
+            rules.headroom,
+            (0.0..=1.0).contains(&rules.headroom),
+            "give a share of the slots between 0 and 1",
+        )
+    }
+}
+
 /// The kind of a backend server, and where it listens.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -109,3 +156,7 @@
 fn default_keep() -> Span {
     Span::secs(10)
 }
+
+fn default_kept() -> usize {
+    16 << 20
+}
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,32 +1,49 @@
 //! The tickets of a sidecar and their states.
+//!
+//! - `ticket`: one ticket and where it stands.
+//! - `answer`: an answer in the making.
+//! - `delivery`: taking answers in and handing them out.
+//! - `tombs`: tickets that left without having started.
+
+mod answer;
+mod delivery;
+mod ticket;
+mod tombs;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::collections::VecDeque;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use base::clock::Clock;
-use base::ids::{Incarnation, Sequence, Ticket, Tier};
+use base::ids::{Incarnation, Sequence, Ticket};
 use base::reason::{Ran, Refusal};
-use base::stop::Stop;
 use platform::engine::Engine;
 use platform::plain::Plain;
 use policy::Queue;
-use policy::queue::{Ask, Offered};
-use tokio::sync::Notify;
-use wire::{Cancelled, End, Load, Piece, Pulled, Reply, Reserve, Reserved, Start, Started};
+use policy::queue::{Ask, Offered, Verdict};
+use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
-use crate::run;
 use crate::settings::{Backend, Settings};
-
-/// How long an ended or cancelled ticket stays known, so that a delayed
-/// packet about it cannot start it.
-const TOMBSTONE: Duration = Duration::from_secs(60);
+use crate::{meter, run};
+use answer::Answer;
+pub use ticket::Entry;
+use ticket::{Left, Phase};
+use tombs::Tombs;
 
 /// How often draining looks whether all has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time that the last reply has to leave before the process ends.
+const DRAIN_GRACE: Duration = Duration::from_millis(100);
+
+/// What a draining sidecar tells newcomers; another one takes them at once.
+const DRAINING: Verdict = Verdict {
+    reason: Refusal::Draining,
+    after: Duration::ZERO,
+};
+
 /// Everything that a sidecar knows.
 pub struct State {
     /// What the operators set.
@@ -37,10 +54,20 @@
     pub incarnation: Incarnation,
     /// The backend server.
     pub backend: Client,
-    /// Who waits for a slot.
+    /// Who waits for a slot, holds one or runs.
     queue: RefCell<Queue>,
-    /// Tickets by their identity.
+    /// Tickets that wait, hold a slot or started.
     tickets: RefCell<HashMap<Ticket, Rc<Entry>>>,
+    /// Tickets that left without having started.
+    tombs: RefCell<Tombs>,
+    /// When to look at a ticket again: holds that lapse, answers to forget.
+    timers: RefCell<BinaryHeap<Reverse<(Instant, Ticket)>>>,
+    /// Tickets whose answers ended, the first to end first.
+    ended: RefCell<VecDeque<Ticket>>,
+    /// Bytes of all kept answers.
+    kept: Cell<usize>,
+    /// Ended answers whose entry has not got the end yet.
+    untold: Cell<usize>,
     /// Whether no new requests are taken.
     draining: Cell<bool>,
 }
@@ -53,43 +80,6 @@
     Plain(Plain),
 }
 
-/// One ticket.
-pub struct Entry {
-    /// The request.
-    pub ticket: Ticket,
-    /// Its tier.
-    pub tier: Tier,
-    /// Where it stands.
-    phase: RefCell<Phase>,
-    /// Wakes who waits for a change.
-    pub changed: Notify,
-    /// Asks its run to stop.
-    pub stop: Stop,
-}
-
-/// Where a ticket stands.
-enum Phase {
-    /// It waits for a slot.
-    Queued,
-    /// A slot is held for it.
-    Held { until: Instant },
-    /// It started; its answer is being made or kept.
-    Started(Answer),
-    /// It never started and never will.
-    Never { reason: Refusal, since: Instant },
-}
-
-/// An answer in the making.
-#[derive(Default)]
-struct Answer {
-    /// The number of the first piece that is still kept.
-    first: u32,
-    /// The pieces that are kept.
-    pieces: VecDeque<Piece>,
-    /// How the answer ended, and when.
-    end: Option<(End, Instant)>,
-}
-
 impl State {
     /// Makes the state of a sidecar that just started.
     #[must_use]
@@ -98,13 +88,19 @@
             Backend::Engine { addr, .. } => Client::Engine(Engine::new(*addr)),
             Backend::Plain { addr, timeout, .. } => Client::Plain(Plain::new(*addr, timeout.0)),
         };
+        let queue = Queue::new(settings.queue, settings.backend.slots(), clock.now());
         Rc::new(Self {
-            queue: RefCell::new(Queue::new(settings.backend.slots())),
+            queue: RefCell::new(queue),
             settings,
             clock,
             incarnation: Incarnation::random(),
             backend,
             tickets: RefCell::default(),
+            tombs: RefCell::default(),
+            timers: RefCell::default(),
+            ended: RefCell::default(),
+            kept: Cell::new(0),
+            untold: Cell::new(0),
             draining: Cell::new(false),
         })
     }
@@ -121,71 +117,77 @@
 
     /// How busy the backend server is.
     pub fn load(&self) -> Load {
-        let queue = self.queue.borrow();
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let standing = self.queue.borrow().standing(self.clock.now());
         Load {
-            running: count(queue.busy()),
-            slots: count(queue.slots()),
-            waiting: count(queue.waiting()),
+            running: number(standing.busy as u64),
+            slots: number(standing.slots as u64),
+            waiting: number(standing.waiting as u64),
+            token_us: number(standing.token_us),
+            first_us: number(standing.first_us),
+            wait_us: number(standing.wait_us),
             draining: self.draining.get(),
-            ..Load::default()
         }
     }
 
-    /// Finds a ticket.
+    /// Finds a ticket that waits, holds a slot or started.
     pub fn find(&self, ticket: Ticket) -> Option<Rc<Entry>> {
         self.tickets.borrow().get(&ticket).cloned()
     }
 
-    /// Queues a request that is not known yet, and tells where it stands.
-    pub fn reserve(&self, ask: &Reserve) -> (Rc<Entry>, Reserved) {
-        if let Some(entry) = self.find(ask.ticket) {
-            let stands = self.stands(&entry);
-            return (entry, stands);
+    /// Queues a request that is not known yet, and tells where it stands; the
+    /// entry is there while that may change.
+    pub fn reserve(&self, ask: &Reserve) -> (Option<Rc<Entry>>, Reserved) {
+        if let Some(entry) = self.find(ask.ticket)
+            && !self.returns(&entry, ask)
+        {
+            let stands = self.stands(&entry, ask.prompt);
+            return (Some(entry), stands);
         }
-
-        let entry = Rc::new(Entry {
-            ticket: ask.ticket,
-            tier: ask.tier,
-            phase: RefCell::new(Phase::Queued),
-            changed: Notify::new(),
-            stop: Stop::new(),
-        });
         let now = self.clock.now();
+        if let Some(left) = self.left(now, ask.ticket) {
+            return (None, refused(left));
+        }
+
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted));
         let offered = match self.draining.get() {
-            true => Offered::Refused(Refusal::Draining),
+            true => Offered::Refused(DRAINING),
             false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
         };
-        if let Offered::Refused(reason) = offered {
-            *entry.phase.borrow_mut() = Phase::Never { reason, since: now };
+        if let Offered::Refused(verdict) = offered {
+            self.leave(now, &entry, Left::Refused(verdict));
+            return (None, refused(verdict));
         }
 
-        self.tickets
-            .borrow_mut()
-            .insert(ask.ticket, Rc::clone(&entry));
+        let known = Rc::clone(&entry);
+        self.tickets.borrow_mut().insert(ask.ticket, known);
         self.advance();
-        let stands = self.stands(&entry);
-        (entry, stands)
+        let stands = self.stands(&entry, ask.prompt);
+        (Some(entry), stands)
     }
 
     /// Where a ticket stands, as an answer to `reserve`.
-    pub fn stands(&self, entry: &Entry) -> Reserved {
+    pub fn stands(&self, entry: &Entry, prompt: u32) -> Reserved {
+        let now = self.clock.now();
         match &*entry.phase.borrow() {
-            Phase::Queued => Reserved::Waiting { estimate_us: 0 },
-            Phase::Held { until } => {
-                let left = until.saturating_duration_since(self.clock.now());
-                let hold_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            Phase::Queued => {
+                let estimate = self.queue.borrow().estimate(now, entry.ticket);
+                let estimate_us = u64::try_from(estimate.as_micros()).unwrap_or(u64::MAX);
+                Reserved::Waiting { estimate_us }
+            }
+            Phase::Held { until, .. } => {
+                let left = until.saturating_duration_since(now);
+                let queue = self.queue.borrow();
                 Reserved::Ready {
-                    hold_ms,
-                    first_us: 0,
-                    token_us: 0,
+                    hold_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+                    first_us: number(queue.first_us(prompt)),
+                    token_us: number(queue.standing(now).token_us),
                 }
             }
             Phase::Started(_) => Reserved::AlreadyStarted,
-            Phase::Never { reason, .. } => Reserved::Refused {
-                reason: *reason,
-                retry_after_ms: 0,
-            },
+            Phase::Gone(Left::Refused(verdict)) => refused(*verdict),
+            Phase::Gone(Left::Cancelled) => refused(gone()),
+            // Asking again queues it anew.
+            Phase::Gone(Left::Lapsed) => Reserved::Waiting { estimate_us: 0 },
         }
     }
 
@@ -197,165 +199,78 @@
             return Started::OtherIncarnation;
         }
         let Some(entry) = self.find(order.ticket) else {
-            return Started::Lapsed;
+            let left = self.tombs.borrow().get(order.ticket);
+            return match left {
+                Some((Left::Cancelled, _)) => Started::Cancelled,
+                // A slot that lapsed may be another's by now. Its entry asks
+                // again, here or elsewhere; nothing has run.
+                _ => Started::Lapsed,
+            };
         };
 
-        let mut phase = entry.phase.borrow_mut();
-        match &*phase {
+        let guaranteed = match &*entry.phase.borrow() {
             Phase::Started(_) => return Started::Running,
-            Phase::Queued => return Started::Lapsed,
-            Phase::Never {
-                reason: Refusal::CallerGone,
-                ..
-            } => return Started::Cancelled,
-            Phase::Never { .. } => return Started::Lapsed,
-            Phase::Held { .. } => {}
-        }
-        *phase = Phase::Started(Answer::default());
-        drop(phase);
+            Phase::Queued | Phase::Gone(_) => return Started::Lapsed,
+            Phase::Held { guaranteed, .. } => *guaranteed,
+        };
+        let now = self.clock.now();
+        self.queue.borrow_mut().start(now, order.ticket);
+        entry.set(Phase::Started(Answer::default()));
+        meter::started(entry.tier, guaranteed);
 
         actix_rt::spawn(run::run(Rc::clone(self), entry, order.work));
         Started::Running
     }
 
-    /// Takes pieces from `from` on, and forgets those before.
-    pub fn pull(&self, entry: &Entry, from: u32) -> Pulled {
-        let mut phase = entry.phase.borrow_mut();
-        let Phase::Started(answer) = &mut *phase else {
-            return Pulled::Unknown;
-        };
-
-        while answer.first < from && answer.pieces.pop_front().is_some() {
-            answer.first += 1;
-        }
-        Pulled::Pieces {
-            first: answer.first,
-            pieces: answer.pieces.iter().cloned().collect(),
-            end: answer.end.as_ref().map(|(end, _)| end.clone()),
-        }
-    }
-
-    /// Adds a piece to an answer.
-    pub fn push(&self, entry: &Entry, piece: Piece) {
-        if let Phase::Started(answer) = &mut *entry.phase.borrow_mut() {
-            answer.pieces.push_back(piece);
-        }
-        entry.changed.notify_waiters();
-    }
-
-    /// Ends an answer and gives its slot back.
-    pub fn finish(&self, entry: &Entry, end: End) {
-        if let Phase::Started(answer) = &mut *entry.phase.borrow_mut() {
-            answer.end = Some((end, self.clock.now()));
-        }
-        self.queue.borrow_mut().release();
-        entry.changed.notify_waiters();
-        self.advance();
-    }
-
-    /// How many pieces an answer has so far.
-    pub fn made(&self, entry: &Entry) -> u32 {
-        match &*entry.phase.borrow() {
-            Phase::Started(answer) => {
-                answer.first + u32::try_from(answer.pieces.len()).unwrap_or(u32::MAX)
-            }
-            _ => 0,
-        }
-    }
-
     /// Ends a ticket whatever its state. One that never started never will.
     pub fn cancel(&self, ticket: Ticket) -> Cancelled {
-        let since = self.clock.now();
-        let never = Phase::Never {
-            reason: Refusal::CallerGone,
-            since,
-        };
+        let now = self.clock.now();
         let Some(entry) = self.find(ticket) else {
             // Its reserve or start may still be on the way.
-            let entry = Rc::new(Entry {
-                ticket,
-                tier: Tier::default(),
-                phase: RefCell::new(never),
-                changed: Notify::new(),
-                stop: Stop::new(),
-            });
-            self.tickets.borrow_mut().insert(ticket, entry);
+            self.tombs.borrow_mut().insert(now, ticket, Left::Cancelled);
             return Cancelled::NeverStarted;
         };
-
-        let mut phase = entry.phase.borrow_mut();
-        match &*phase {
-            Phase::Never { .. } => return Cancelled::NeverStarted,
+        match &*entry.phase.borrow() {
             Phase::Started(Answer { end: Some(_), .. }) => return Cancelled::Ended,
             Phase::Started(_) => {
-                entry.stop.ask();
+                entry.halt(Refusal::CallerGone);
                 return Cancelled::Started;
             }
-            Phase::Queued => {
-                self.queue.borrow_mut().remove(ticket);
-            }
-            Phase::Held { .. } => self.queue.borrow_mut().release(),
+            Phase::Queued | Phase::Held { .. } | Phase::Gone(_) => {}
         }
-        *phase = never;
-        drop(phase);
 
-        entry.changed.notify_waiters();
+        self.queue.borrow_mut().cancel(now, ticket, false);
+        self.leave(now, &entry, Left::Cancelled);
         self.advance();
         Cancelled::NeverStarted
     }
 
-    /// Hands free slots to those who wait.
-    fn advance(&self) {
+    /// Takes back slots held too long, gives up requests that cannot meet
+    /// their targets and forgets tickets that ended long ago. What it costs
+    /// goes by what is due and not by what is known.
+    pub fn sweep(&self) {
         let now = self.clock.now();
-        while let Some(ask) = self.queue.borrow_mut().next(now) {
-            let Some(entry) = self.find(ask.ticket) else {
-                continue;
-            };
-            let until = now + self.settings.hold.0;
-            *entry.phase.borrow_mut() = Phase::Held { until };
-            entry.changed.notify_waiters();
+        while let Some(ticket) = self.due(now) {
+            self.look(now, ticket);
         }
-    }
+        self.tombs.borrow_mut().expire(now);
 
-    /// Takes back slots held too long, ends requests that waited too long and
-    /// forgets tickets that ended long ago.
-    pub fn sweep(&self) {
-        let now = self.clock.now();
-        let expired = self.queue.borrow_mut().expire(now);
-        for (ticket, reason) in expired {
+        let given_up = self.queue.borrow_mut().review(now);
+        for (ticket, verdict) in given_up {
             if let Some(entry) = self.find(ticket) {
-                *entry.phase.borrow_mut() = Phase::Never { reason, since: now };
-                entry.changed.notify_waiters();
+                self.leave(now, &entry, Left::Refused(verdict));
             }
         }
-
-        let keep = self.settings.keep.0;
-        self.tickets.borrow_mut().retain(|_, entry| {
-            let mut phase = entry.phase.borrow_mut();
-            match &*phase {
-                Phase::Held { until } if *until <= now => {
-                    self.queue.borrow_mut().release();
-                    *phase = Phase::Never {
-                        reason: Refusal::Expired,
-                        since: now,
-                    };
-                    entry.changed.notify_waiters();
-                    true
-                }
-                Phase::Never { since, .. } => now.duration_since(*since) < TOMBSTONE,
-                Phase::Started(Answer {
-                    end: Some((_, at)), ..
-                }) => now.duration_since(*at) < keep,
-                _ => true,
-            }
-        });
         self.advance();
+
+        let queue = self.queue.borrow();
+        meter::standing(&queue.standing(now), queue.kept(now));
     }
 
-    /// Whether nothing waits or runs.
+    /// Whether nothing waits or runs and every answer has been handed out.
     pub fn idle(&self) -> bool {
         let queue = self.queue.borrow();
-        queue.busy() == 0 && queue.waiting() == 0
+        queue.busy() == 0 && queue.waiting() == 0 && self.untold.get() == 0
     }
 
     /// Takes nothing new and waits until everything in progress has ended.
@@ -364,24 +279,154 @@
         while !self.idle() {
             tokio::time::sleep(DRAIN_POLL).await;
         }
+        tokio::time::sleep(DRAIN_GRACE).await;
+    }
+
+    /// Tickets, tombstones and bytes that are kept, for measuring memory.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        let tickets = self.tickets.borrow().len();
+        (tickets, self.tombs.borrow().len(), self.kept.get())
+    }
+
+    /// Whether a ticket that was preempted here asks anew.
+    fn returns(&self, entry: &Entry, ask: &Reserve) -> bool {
+        let preempted = entry.why.get() == Some(Refusal::Preempted);
+        if !preempted || ask.preempted <= entry.preempted {
+            return false;
+        }
+        self.forget(entry.ticket);
+        self.find(entry.ticket).is_none()
+    }
+
+    /// Why a ticket that left is not queued again; `None` when it may be.
+    fn left(&self, now: Instant, ticket: Ticket) -> Option<Verdict> {
+        let (left, at) = self.tombs.borrow().get(ticket)?;
+        match left {
+            Left::Cancelled => return Some(gone()),
+            // A draining sidecar refuses for good; another refusal stands
+            // until the time that it told.
+            Left::Refused(verdict) if verdict.reason == Refusal::Draining => return Some(verdict),
+            Left::Refused(verdict) if now < at + verdict.after => return Some(verdict),
+            Left::Refused(_) | Left::Lapsed => {}
+        }
+        self.tombs.borrow_mut().remove(ticket);
+        None
+    }
+
+    /// Lets a ticket go that never started.
+    fn leave(&self, now: Instant, entry: &Entry, left: Left) {
+        match left {
+            Left::Refused(verdict) => meter::refused(entry.tier, verdict.reason),
+            Left::Lapsed => meter::lapsed(entry.tier),
+            Left::Cancelled => {}
+        }
+        self.tickets.borrow_mut().remove(&entry.ticket);
+        self.tombs.borrow_mut().insert(now, entry.ticket, left);
+        entry.set(Phase::Gone(left));
+    }
+
+    /// Hands free slots to those who wait, and takes one from a lower tier
+    /// where the top tier would wait too long.
+    fn advance(&self) {
+        let now = self.clock.now();
+        loop {
+            let next = self.queue.borrow_mut().next(now);
+            let Some(granted) = next else {
+                break;
+            };
+            let Some(entry) = self.find(granted.ticket) else {
+                self.queue.borrow_mut().cancel(now, granted.ticket, true);
+                continue;
+            };
+            let until = now + self.settings.hold.0;
+            let guaranteed = granted.guaranteed;
+            entry.set(Phase::Held { until, guaranteed });
+            self.remind(until, granted.ticket);
+        }
+
+        let victim = self.queue.borrow_mut().preempt(now);
+        if let Some(entry) = victim.and_then(|ticket| self.find(ticket)) {
+            meter::preempted(entry.tier);
+            entry.halt(Refusal::Preempted);
+        }
+    }
+
+    /// Looks at a ticket whose time may have come.
+    fn look(&self, now: Instant, ticket: Ticket) {
+        let Some(entry) = self.find(ticket) else {
+            return;
+        };
+        let (lapsed, ended) = match &*entry.phase.borrow() {
+            Phase::Held { until, .. } => (*until <= now, false),
+            Phase::Started(Answer { end, .. }) => {
+                let keep = self.settings.keep.0;
+                (false, end.as_ref().is_some_and(|(_, at)| *at + keep <= now))
+            }
+            Phase::Queued | Phase::Gone(_) => (false, false),
+        };
+        if lapsed {
+            self.queue.borrow_mut().cancel(now, ticket, true);
+            self.leave(now, &entry, Left::Lapsed);
+        }
+        if ended {
+            self.forget(ticket);
+            self.trim();
+        }
+    }
+
+    /// Has a ticket looked at again at a time.
+    fn remind(&self, at: Instant, ticket: Ticket) {
+        self.timers.borrow_mut().push(Reverse((at, ticket)));
+    }
+
+    /// The next ticket whose time has come.
+    fn due(&self, now: Instant) -> Option<Ticket> {
+        let mut timers = self.timers.borrow_mut();
+        let Reverse((at, _)) = timers.peek()?;
+        if *at > now {
+            return None;
+        }
+        timers.pop().map(|Reverse((_, ticket))| ticket)
     }
 }
 
 fn queue_ask(ask: &Reserve, now: Instant) -> Ask {
     Ask {
         ticket: ask.ticket,
-        class: ask.class.clone(),
-        workspace: ask.workspace.clone(),
+        class: Rc::from(ask.class.as_str()),
+        workspace: Rc::from(ask.workspace.as_str()),
+        weight: ask.weight,
         tier: ask.tier,
         first_due: now + Duration::from_micros(ask.first_left_us),
         whole_due: now + Duration::from_micros(ask.whole_left_us),
         prompt: ask.prompt,
+        tokens: ask.max_tokens,
         repeatable: ask.repeatable,
+        preempted: ask.preempted,
+    }
+}
+
+/// What a cancelled ticket is told.
+fn gone() -> Verdict {
+    Verdict {
+        reason: Refusal::CallerGone,
+        after: Duration::ZERO,
+    }
+}
+
+fn refused(verdict: Verdict) -> Reserved {
+    Reserved::Refused {
+        reason: verdict.reason,
+        retry_after_ms: u32::try_from(verdict.after.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
-/// An end that says the request did not run.
+/// An end of an answer that is not whole.
 #[must_use]
 pub fn broken(reason: Refusal, ran: Ran) -> End {
     End::Broken { reason, ran }
 }
+
+fn number(n: u64) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/sidecar/src/state/ticket.rs
@@ -0,0 +1,92 @@
+//! One ticket and where it stands.
+
+use std::cell::{Cell, RefCell};
+use std::time::Instant;
+
+use base::ids::{Ticket, Tier};
+use base::reason::Refusal;
+use base::stop::Stop;
+use policy::queue::Verdict;
+use tokio::sync::Notify;
+
+use super::answer::Answer;
+
+/// One ticket that waits, holds a slot or started.
+pub struct Entry {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its tier.
+    pub tier: Tier,
+    /// How often it was preempted elsewhere before.
+    pub(super) preempted: u32,
+    /// Where it stands.
+    pub(super) phase: RefCell<Phase>,
+    /// Wakes who waits for a change.
+    pub changed: Notify,
+    /// Asks its run to stop.
+    pub stop: Stop,
+    /// Why its run was asked to stop.
+    pub(super) why: Cell<Option<Refusal>>,
+}
+
+/// Where a ticket stands.
+pub(super) enum Phase {
+    /// It waits for a slot.
+    Queued,
+    /// A slot is held for it.
+    Held {
+        /// Until when.
+        until: Instant,
+        /// Whether it was let go before a higher tier.
+        guaranteed: bool,
+    },
+    /// It started; its answer is being made or kept.
+    Started(Answer),
+    /// It is gone; the tombstone says more.
+    Gone(Left),
+}
+
+/// How a ticket left without having started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Left {
+    /// Its hold ran out; it may ask again.
+    Lapsed,
+    /// The queue refused it.
+    Refused(Verdict),
+    /// It was cancelled and never starts in this life.
+    Cancelled,
+}
+
+impl Entry {
+    pub(super) fn new(ticket: Ticket, tier: Tier, preempted: u32) -> Self {
+        Self {
+            ticket,
+            tier,
+            preempted,
+            phase: RefCell::new(Phase::Queued),
+            changed: Notify::new(),
+            stop: Stop::new(),
+            why: Cell::new(None),
+        }
+    }
+
+    /// Asks the run to stop; the first reason stands.
+    pub(super) fn halt(&self, why: Refusal) {
+        if self.why.get().is_none() {
+            self.why.set(Some(why));
+        }
+        self.stop.ask();
+    }
+
+    /// Why the run was asked to stop.
+    #[must_use]
+    pub fn stopped(&self) -> Refusal {
+        self.why.get().unwrap_or(Refusal::CallerGone)
+    }
+
+    /// Moves on to another phase and wakes who waits for it.
+    pub(super) fn set(&self, phase: Phase) {
+        *self.phase.borrow_mut() = phase;
+        self.changed.notify_waiters();
+    }
+}
