--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! What a sidecar decides:
 //! - [`queue`]: who waits, who starts, who is shed.
+//! - [`estimate`]: what a request is expected to take.
 //!
 //! What an entry decides:
 //! - [`placement`]: where to ask for a slot.
@@ -12,6 +13,7 @@
 //! - [`retry`]: when a request may be tried again.
 //! - [`outlier`]: which servers get no requests for a while.
 
+pub mod estimate;
 pub mod lengths;
 pub mod offer;
 pub mod outlier;
