--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -5,7 +5,8 @@
 
 use base::settings::Span;
 use bundle::Bundle;
-use entry::settings::Known;
+use entry::settings::{Known, Routing};
+use policy::queue::Rules;
 use sidecar::settings::Backend;
 use standin::{Control, Ledger, engine, plain, silence};
 
@@ -188,7 +189,7 @@
             },
         };
         let known = self.known(i);
-        let settings = sidecar::Settings {
+        let mut settings = sidecar::Settings {
             name: known.name.clone(),
             zone: known.zone,
             listen: self.addr(Role::Sidecar, i),
@@ -196,8 +197,11 @@
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
+            kept_bytes: 16 << 20,
+            queue: Rules::default(),
             log_level: base::logging::Level::Warn,
         };
+        self.arm.sidecar(&mut settings);
         Host::start(&known.name, move |stop| {
             sidecar::run(settings.clone(), stop)
         })
@@ -213,6 +217,7 @@
             operators: Some(self.operators(Role::Entry, i)),
             sidecars: (0..count).map(|i| self.known(i)).collect(),
             fan: 2,
+            routing: Routing::default(),
             body_limit: 4 << 20,
             seed: Some(self.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
