Tell callers of all tries whether their request ran

Change: an entry's tries remember that one of them ran or may have run, and a later refusal says so.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -34,6 +34,29 @@
     tried: Vec<ServerIndex>,
     /// Whether any answer was begun; its first token is late by then.
     begun: bool,
+    /// Whether any of them ran, as far as known.
+    ran: Option<Ran>,
+}
+
+impl Tries {
+    /// Notes that a try ran or may have run.
+    pub fn note(&mut self, ran: Ran) {
+        if ran != Ran::No && self.ran != Some(Ran::Partial) {
+            self.ran = Some(ran);
+        }
+    }
+
+    /// What the caller is told after the last try. A request that was stopped
+    /// or lost at one server and then refused by the next did run: its caller
+    /// would otherwise hear "not run" while its tokens were made.
+    #[must_use]
+    pub fn tell(&self, refused: Refused) -> Refused {
+        let ran = match refused.ran {
+            Ran::No => self.ran.unwrap_or(Ran::No),
+            ran => ran,
+        };
+        Refused { ran, ..refused }
+    }
 }
 
 /// A try that came to nothing, and what its caller is told if it is the last.
@@ -50,7 +73,11 @@
 ///
 /// Returns the refusal to answer with when the request could not be started.
 pub async fn grant(state: &Rc<State>, request: &Request) -> Result<Granted, Refused> {
-    place(state, request, Tries::default(), None).await
+    let mut tries = Tries::default();
+    match place(state, request, &mut tries, None).await {
+        Ok(run) => Ok(Granted { run, tries }),
+        Err(refused) => Err(tries.tell(refused)),
+    }
 }
 
 /// Gets the request to run again after its run at `server` failed.
@@ -67,20 +94,24 @@
 ) -> Result<Granted, Refused> {
     tries.tried.push(server);
     tries.begun = true;
-    place(state, request, tries, Some(failed)).await
+    tries.note(failed.failure.ran);
+    match place(state, request, &mut tries, Some(failed)).await {
+        Ok(run) => Ok(Granted { run, tries }),
+        Err(refused) => Err(tries.tell(refused)),
+    }
 }
 
 async fn place(
     state: &Rc<State>,
     request: &Request,
-    mut tries: Tries,
+    tries: &mut Tries,
     mut failed: Option<Failed>,
-) -> Result<Granted, Refused> {
+) -> Result<Run, Refused> {
     let mut ticket = request.ticket;
     loop {
-        let chosen = choose(state, request, &tries);
+        let chosen = choose(state, request, tries);
         if let Some(last) = failed.take() {
-            admit(state, request, &tries, last, chosen.is_empty())?;
+            admit(state, request, tries, last, chosen.is_empty())?;
             // The last try's ticket is cancelled wherever it was.
             ticket = Ticket::random();
         } else if chosen.is_empty() {
@@ -88,8 +119,8 @@
         }
 
         let left = tries.begun.then(|| {
-            let left = time_left(state, request, &tries);
-            left.saturating_sub(time_needed(state, request, &tries))
+            let left = time_left(state, request, tries);
+            left.saturating_sub(time_needed(state, request, tries))
         });
         let round = Round::new(state, request, ticket, &chosen);
         let run = match round.run(left).await {
@@ -105,11 +136,13 @@
                 let share = state.bundle.borrow().shares.retries;
                 state.budget.borrow_mut().granted(&request.class, share);
                 counters::grant(request.promise.tier);
-                return Ok(Granted { run, tries });
+                return Ok(run);
             }
             outcome => {
                 tries.tried.push(run.server.index);
-                failed = Some(not_started(outcome));
+                let last = not_started(outcome);
+                tries.note(last.failure.ran);
+                failed = Some(last);
             }
         }
     }
