--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -197,6 +197,7 @@
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
+            lease: Span::secs(5),
             kept_bytes: 16 << 20,
             queue: Rules::default(),
             log_level: base::logging::Level::Warn,
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -21,6 +21,9 @@
 /// Holds that ran out before a start came.
 const LAPSES: &str = "pimentocart_queue_lapses_total";
 
+/// Runs stopped because their entry is gone, by tier.
+const ABANDONED: &str = "pimentocart_queue_abandoned_total";
+
 /// Counts a refusal.
 pub(crate) fn refused(tier: Tier, reason: Refusal) {
     counter!(REFUSALS, "tier" => tier.to_string(), "reason" => reason.as_str()).increment(1);
@@ -44,6 +47,11 @@
     counter!(LAPSES, "tier" => tier.to_string()).increment(1);
 }
 
+/// Counts a run stopped because its entry is gone.
+pub(crate) fn abandoned(tier: Tier) {
+    counter!(ABANDONED, "tier" => tier.to_string()).increment(1);
+}
+
 /// Shows how the queue stands; `kept` is the number of slots kept free.
 pub(crate) fn standing(standing: &Standing, kept: usize) {
     gauge!("pimentocart_queue_waiting").set(standing.waiting as f64);
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -7,10 +7,7 @@
 use tarpc::context::Context;
 use wire::{Cancelled, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start, Started};
 
-use crate::state::State;
-
-/// Longest time that a call is held, whatever it asks for.
-const HOLD_LIMIT: Duration = Duration::from_secs(5);
+use crate::state::{HOLD_LIMIT, State};
 
 /// Answers the calls of all connections.
 #[derive(Clone)]
@@ -46,6 +43,7 @@
         let Some(entry) = self.state.find(ask.ticket) else {
             return self.state.reply(Pulled::Unknown);
         };
+        self.state.renew(&entry, ask.wait_ms);
         let mut pulled = self.state.pull(&entry, ask.from);
         if matches!(&pulled, Pulled::Pieces { pieces, end: None, .. } if pieces.is_empty()) {
             let changed = entry.changed.notified();
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -10,6 +10,9 @@
 /// Shortest hold: a start must be able to arrive within it.
 const HOLD_LEAST: Span = Span::ms(10);
 
+/// Shortest lease: an entry must be able to replace a silent connection.
+const LEASE_LEAST: Span = Span::secs(1);
+
 /// Fewest bytes kept: some hundred tokens for each of many slots.
 const KEPT_LEAST: usize = 64 << 10;
 
@@ -34,6 +37,10 @@
     /// How long an ended answer is kept for entries that still pull it.
     #[serde(default = "default_keep")]
     pub keep: Span,
+    /// An entry that asked nothing about a ticket for so long is gone: its
+    /// request is not started, and its run is stopped.
+    #[serde(default = "default_lease")]
+    pub lease: Span,
     /// Bytes of answers that are kept for entries that still pull them.
     #[serde(default = "default_kept")]
     pub kept_bytes: usize,
@@ -71,6 +78,12 @@
             hold >= HOLD_LEAST,
             "hold a slot for at least 10ms",
         )?;
+        check(
+            "lease",
+            self.lease,
+            self.lease >= LEASE_LEAST,
+            "leave entries at least 1s to dial anew",
+        )?;
         check(
             "kept_bytes",
             self.kept_bytes,
@@ -157,6 +170,10 @@
     Span::secs(10)
 }
 
+fn default_lease() -> Span {
+    Span::secs(5)
+}
+
 fn default_kept() -> usize {
     16 << 20
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -32,6 +32,9 @@
 use ticket::{Left, Phase};
 use tombs::Tombs;
 
+/// Longest time that a call is held, whatever it asks for.
+pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
+
 /// How often draining looks whether all has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -140,6 +143,7 @@
         if let Some(entry) = self.find(ask.ticket)
             && !self.returns(&entry, ask)
         {
+            self.renew(&entry, ask.wait_ms);
             let stands = self.stands(&entry, ask.prompt);
             return (Some(entry), stands);
         }
@@ -148,7 +152,8 @@
             return (None, refused(left));
         }
 
-        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted));
+        let lease = now + self.lease(ask.wait_ms);
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted, lease));
         let offered = match self.draining.get() {
             true => Offered::Refused(DRAINING),
             false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
@@ -216,6 +221,8 @@
         let now = self.clock.now();
         self.queue.borrow_mut().start(now, order.ticket);
         entry.set(Phase::Started(Answer::default()));
+        self.renew(&entry, 0);
+        self.remind(entry.lease.get(), order.ticket);
         meter::started(entry.tier, guaranteed);
 
         actix_rt::spawn(run::run(Rc::clone(self), entry, order.work));
@@ -338,6 +345,12 @@
                 self.queue.borrow_mut().cancel(now, granted.ticket, true);
                 continue;
             };
+            // The slot would be held in vain while others wait for one.
+            if entry.lease.get() <= now {
+                self.queue.borrow_mut().cancel(now, granted.ticket, true);
+                self.leave(now, &entry, Left::Lapsed);
+                continue;
+            }
             let until = now + self.settings.hold.0;
             let guaranteed = granted.guaranteed;
             entry.set(Phase::Held { until, guaranteed });
@@ -358,10 +371,13 @@
         };
         let (lapsed, ended) = match &*entry.phase.borrow() {
             Phase::Held { until, .. } => (*until <= now, false),
-            Phase::Started(Answer { end, .. }) => {
-                let keep = self.settings.keep.0;
-                (false, end.as_ref().is_some_and(|(_, at)| *at + keep <= now))
+            Phase::Started(Answer { end: None, .. }) => {
+                self.watch(now, &entry);
+                return;
             }
+            Phase::Started(Answer {
+                end: Some((_, at)), ..
+            }) => (false, *at + self.settings.keep.0 <= now),
             Phase::Queued | Phase::Gone(_) => (false, false),
         };
         if lapsed {
@@ -374,6 +390,31 @@
         }
     }
 
+    /// Stops a run whose entry is gone. An entry that crashed pulls nothing
+    /// and cancels nothing; its answers would be made to their ends for
+    /// nobody. One that lives asks again well within its lease.
+    fn watch(&self, now: Instant, entry: &Entry) {
+        let lease = entry.lease.get();
+        if lease > now {
+            self.remind(lease, entry.ticket);
+            return;
+        }
+        meter::abandoned(entry.tier);
+        entry.halt(Refusal::CallerGone);
+    }
+
+    /// Notes that a ticket's entry asked, with a call that may be held for
+    /// `wait_ms`.
+    pub fn renew(&self, entry: &Entry, wait_ms: u32) {
+        entry.lease.set(self.clock.now() + self.lease(wait_ms));
+    }
+
+    /// How long an entry counts as there after a call held for `wait_ms`.
+    fn lease(&self, wait_ms: u32) -> Duration {
+        let held = Duration::from_millis(u64::from(wait_ms)).min(HOLD_LIMIT);
+        held + self.settings.lease.0
+    }
+
     /// Has a ticket looked at again at a time.
     fn remind(&self, at: Instant, ticket: Ticket) {
         self.timers.borrow_mut().push(Reverse((at, ticket)));
--- a/crates/sidecar/src/state/ticket.rs
+++ b/crates/sidecar/src/state/ticket.rs
@@ -21,6 +21,8 @@
     pub(super) preempted: u32,
     /// Where it stands.
     pub(super) phase: RefCell<Phase>,
+    /// Until when its entry counts as there, without asking again.
+    pub(super) lease: Cell<Instant>,
     /// Wakes who waits for a change.
     pub changed: Notify,
     /// Asks its run to stop.
@@ -58,12 +60,13 @@
 }
 
 impl Entry {
-    pub(super) fn new(ticket: Ticket, tier: Tier, preempted: u32) -> Self {
+    pub(super) fn new(ticket: Ticket, tier: Tier, preempted: u32, lease: Instant) -> Self {
         Self {
             ticket,
             tier,
             preempted,
             phase: RefCell::new(Phase::Queued),
+            lease: Cell::new(lease),
             changed: Notify::new(),
             stop: Stop::new(),
             why: Cell::new(None),
