Judge bundle records by one rule in the log's order

Cause: operators race, replies get lost, records expire; every reader must still end on one version and never go down. Change: crates/bundle has canonical content with a digest that follows a change entry by entry, signed headers, deltas, parts, checkpoints and the Acceptor. A reader that missed records judges nothing until a checkpoint leaves no gap.

--- /dev/null
+++ b/crates/bundle/src/content.rs
@@ -0,0 +1,248 @@
+//! A bundle's content as records carry it: entries of canonical JSON.
+//!
+//! A change replaces, adds or removes single entries, so that its size does
+//! not grow with the number of workspaces; see
+//! docs/DECISIONS/0303-deltas.md. Content is kept as it was signed, not as
+//! this build understands it: a daemon of another version that drops or adds
+//! a field would otherwise arrive at another digest.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use snafu::Snafu;
+
+use crate::digest::Tree;
+use crate::hash::Hash;
+use crate::model::Bundle;
+
+/// All entries of a bundle: section, then name, then canonical JSON.
+pub type Entries = BTreeMap<String, BTreeMap<String, Value>>;
+
+/// Entries to replace or add, and with `None` those to remove.
+pub type Patch = BTreeMap<String, BTreeMap<String, Option<Value>>>;
+
+/// The content of one version of the bundle, with its digest kept up to date
+/// entry by entry.
+#[derive(Debug, Clone, Default)]
+pub struct Content {
+    entries: BTreeMap<String, BTreeMap<String, Box<str>>>,
+    tree: Tree,
+}
+
+/// Why content could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+pub enum Error {
+    /// The JSON is not an object of objects.
+    #[snafu(display(
+        "step=read_bundle key={key}: expected an object (hint: a bundle is an object of sections, each an object of entries)"
+    ))]
+    Shape {
+        /// The offending key.
+        key: String,
+    },
+    /// This build cannot make sense of the content.
+    #[snafu(display("step=read_bundle key={key}: {found} (hint: run bundle check)"))]
+    Meaning {
+        /// The path of the offending key.
+        key: String,
+        /// What was found there.
+        found: String,
+    },
+}
+
+impl Content {
+    /// Takes entries as the whole content.
+    #[must_use]
+    pub fn new(entries: &Entries) -> Self {
+        let mut content = Self::default();
+        for (section, named) in entries {
+            for (name, value) in named {
+                content.set(section, name, Some(canonical(value)));
+            }
+        }
+        content.tree.settle();
+        content
+    }
+
+    /// Reads a bundle's JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Shape`] when it is not an object of objects.
+    pub fn from_json(json: &Value) -> Result<Self, Error> {
+        let shape = |key: &str| Error::Shape {
+            key: key.to_owned(),
+        };
+        let sections = json.as_object().ok_or_else(|| shape("."))?;
+
+        let mut content = Self::default();
+        for (section, named) in sections {
+            let named = named.as_object().ok_or_else(|| shape(section))?;
+            for (name, value) in named {
+                content.set(section, name, Some(canonical(value)));
+            }
+        }
+        content.tree.settle();
+        Ok(content)
+    }
+
+    /// Takes a bundle as this build writes it.
+    #[must_use]
+    pub fn of(bundle: &Bundle) -> Self {
+        // A bundle is an object of objects by its type.
+        let json = serde_json::to_value(bundle).unwrap_or_default();
+        Self::from_json(&json).unwrap_or_default()
+    }
+
+    /// The digest over all entries.
+    #[must_use]
+    pub fn digest(&self) -> Hash {
+        self.tree.root()
+    }
+
+    /// How many entries there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.values().map(BTreeMap::len).sum()
+    }
+
+    /// Whether there is no entry.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Applies a patch and returns the one that undoes it.
+    pub fn apply(&mut self, patch: &Patch) -> Patch {
+        let mut undo = Patch::new();
+        for (section, named) in patch {
+            for (name, value) in named {
+                let old = self.set(section, name, value.as_ref().map(canonical));
+                let old = old.and_then(|text| serde_json::from_str(&text).ok());
+                undo.entry(section.clone())
+                    .or_default()
+                    .insert(name.clone(), old);
+            }
+        }
+        self.tree.settle();
+        undo
+    }
+
+    /// The patch that leads from this content to `other`.
+    #[must_use]
+    pub fn patch_to(&self, other: &Self) -> Patch {
+        let mut patch = Patch::new();
+        let mut put = |section: &str, name: &str, value: Option<&str>| {
+            let value = value.and_then(|text| serde_json::from_str(text).ok());
+            patch
+                .entry(section.to_owned())
+                .or_default()
+                .insert(name.to_owned(), value);
+        };
+
+        for (section, name, value) in other.iter() {
+            if self.get(section, name) != Some(value) {
+                put(section, name, Some(value));
+            }
+        }
+        for (section, name, _) in self.iter() {
+            if other.get(section, name).is_none() {
+                put(section, name, None);
+            }
+        }
+        patch
+    }
+
+    /// All entries: section, name and canonical JSON.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str, &str)> {
+        self.entries.iter().flat_map(|(section, named)| {
+            named
+                .iter()
+                .map(move |(name, value)| (section.as_str(), name.as_str(), &**value))
+        })
+    }
+
+    /// The entries of one section: name and canonical JSON.
+    pub fn section(&self, section: &str) -> impl Iterator<Item = (&str, &str)> {
+        let named = self.entries.get(section).into_iter().flatten();
+        named.map(|(name, value)| (name.as_str(), &**value))
+    }
+
+    /// One entry's canonical JSON.
+    #[must_use]
+    pub fn get(&self, section: &str, name: &str) -> Option<&str> {
+        self.entries.get(section)?.get(name).map(|v| &**v)
+    }
+
+    /// The entries as values, for a record that carries them all.
+    #[must_use]
+    pub fn entries(&self) -> Entries {
+        let mut all = Entries::new();
+        for (section, name, value) in self.iter() {
+            let value = serde_json::from_str(value).unwrap_or_default();
+            all.entry(section.to_owned())
+                .or_default()
+                .insert(name.to_owned(), value);
+        }
+        all
+    }
+
+    /// The content as one JSON object, as an operator would write it.
+    #[must_use]
+    pub fn to_json(&self) -> Value {
+        serde_json::to_value(self.entries()).unwrap_or_default()
+    }
+
+    /// What this build understands of the content.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Meaning`] with the path of the first offence.
+    pub fn bundle(&self) -> Result<Bundle, Error> {
+        let json = self.to_json();
+        serde_path_to_error::deserialize(&json).map_err(|e| Error::Meaning {
+            key: e.path().to_string(),
+            found: e.into_inner().to_string(),
+        })
+    }
+
+    /// Sets or removes one entry and returns its former value.
+    fn set(&mut self, section: &str, name: &str, value: Option<String>) -> Option<Box<str>> {
+        self.tree.set(section, name, value.as_deref());
+        match value {
+            Some(value) => {
+                let named = self.entries.entry(section.to_owned()).or_default();
+                named.insert(name.to_owned(), value.into_boxed_str())
+            }
+            None => {
+                let named = self.entries.get_mut(section)?;
+                let old = named.remove(name);
+                if named.is_empty() {
+                    self.entries.remove(section);
+                }
+                old
+            }
+        }
+    }
+}
+
+/// Writes JSON without white space and with sorted keys, so that equal values
+/// have equal bytes.
+#[must_use]
+pub fn canonical(value: &Value) -> String {
+    sorted(value).to_string()
+}
+
+fn sorted(value: &Value) -> Value {
+    match value {
+        Value::Array(items) => Value::Array(items.iter().map(sorted).collect()),
+        Value::Object(fields) => {
+            let fields: BTreeMap<&String, Value> =
+                fields.iter().map(|(k, v)| (k, sorted(v))).collect();
+            let fields = fields.into_iter().map(|(k, v)| (k.clone(), v));
+            Value::Object(fields.collect())
+        }
+        other => other.clone(),
+    }
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -2,7 +2,26 @@
 //! is in force.
 //!
 //! - [`model`]: the declaration itself.
+//! - [`content`]: the declaration as entries of canonical JSON, and changes
+//!   of it.
+//! - [`digest`] and [`hash`]: what is signed in place of the content.
+//! - [`keys`]: operators' keys and signatures.
+//! - [`record`]: the records in the platform's log.
+//! - [`accept`] and [`verdict`]: which record is accepted.
 
+pub mod accept;
+pub mod content;
+pub mod digest;
+pub mod hash;
+pub mod keys;
 pub mod model;
+pub mod record;
+pub mod verdict;
 
+pub use accept::{Acceptor, Head};
+pub use content::Content;
+pub use hash::Hash;
+pub use keys::{Operators, SecretKey};
 pub use model::{Bundle, Class, Pool, Service, Shares, Targets, Workspace};
+pub use record::{Checkpoint, Payload, Record, Signed};
+pub use verdict::{Fault, Verdict};
--- /dev/null
+++ b/crates/bundle/tests/accept.rs
@@ -0,0 +1,277 @@
+//! One record after another, judged by the rule that all readers share.
+
+mod common;
+
+use base::ids::{Offset, Sequence};
+use bundle::record::{RECORD_LIMIT, parts};
+use bundle::{Acceptor, Content, Fault, Payload, Record, Signed, Verdict};
+use common::{Memory, awa, change, content, id, luz, mallory, operators, step, trust};
+use rstest::rstest;
+
+fn first_accepted() -> (Memory, Acceptor) {
+    let (mut log, mut reader) = (Memory::default(), Acceptor::new(trust()));
+    log.append(&change(&reader, &awa(), &content("v1", &trust())));
+    assert_eq!(log.read_all(&mut reader), [Verdict::Accepted(Sequence(1))]);
+    (log, reader)
+}
+
+#[test]
+fn apply_racing() {
+    // Two operators publish at the same time. Both records name the same
+    // parent; the one that the log put first wins, and the other's operator
+    // is told which version beat it.
+    let (mut log, mut reader) = first_accepted();
+    let one = change(&reader, &awa(), &content("v2", &trust()));
+    let two = change(&reader, &luz(), &content("v2b", &trust()));
+    log.append(&two);
+    log.append(&one);
+
+    let beaten = Verdict::Beaten {
+        by: Sequence(2),
+        operator: "luz".to_owned(),
+    };
+    assert_eq!(
+        log.read_all(&mut reader),
+        [Verdict::Accepted(Sequence(2)), beaten]
+    );
+    assert!(reader.content().get("models", "v2b").is_some());
+}
+
+#[test]
+fn apply_replayed() {
+    // A lost reply makes an operator append the same record again, or an old
+    // version turns up once more. Neither takes the bundle back.
+    let (mut log, mut reader) = first_accepted();
+    let old = log.records[0].clone();
+    log.append(&change(&reader, &awa(), &content("v2", &trust())));
+    log.records.push(old);
+
+    let replayed = Verdict::Refused(Fault::Replayed);
+    assert_eq!(
+        log.read_all(&mut reader),
+        [Verdict::Accepted(Sequence(2)), replayed]
+    );
+    assert_eq!(reader.sequence(), Sequence(2));
+}
+
+fn unknown(reader: &Acceptor) -> Vec<u8> {
+    change(reader, &mallory(), &content("bad", &trust())).bytes()
+}
+
+fn forged(reader: &Acceptor) -> Vec<u8> {
+    let to = content("bad", &trust());
+    let mut signed = step(reader, &awa(), &to);
+    signed.header.operator = "luz".to_owned();
+    let payload = Payload::Whole(to.entries());
+    Record::Change { signed, payload }.bytes()
+}
+
+fn other_parent(reader: &Acceptor) -> Vec<u8> {
+    let to = content("bad", &trust());
+    let mut header = step(reader, &awa(), &to).header;
+    header.parent = bundle::Hash::of(&[b"elsewhere"]);
+    let signed = Signed::new(header, &awa()).expect("test key");
+    let payload = Payload::Whole(to.entries());
+    Record::Change { signed, payload }.bytes()
+}
+
+fn skipped(reader: &Acceptor) -> Vec<u8> {
+    let to = content("bad", &trust());
+    let mut header = step(reader, &awa(), &to).header;
+    header.sequence.0 += 1;
+    let signed = Signed::new(header, &awa()).expect("test key");
+    let payload = Payload::Whole(to.entries());
+    Record::Change { signed, payload }.bytes()
+}
+
+fn other_content(reader: &Acceptor) -> Vec<u8> {
+    let signed = step(reader, &awa(), &content("v2", &trust()));
+    let payload = Payload::Whole(content("bad", &trust()).entries());
+    Record::Change { signed, payload }.bytes()
+}
+
+fn other_delta(reader: &Acceptor) -> Vec<u8> {
+    let signed = step(reader, &awa(), &content("v2", &trust()));
+    let payload = Payload::Delta(reader.content().patch_to(&content("bad", &trust())));
+    Record::Change { signed, payload }.bytes()
+}
+
+fn missing_parts(reader: &Acceptor) -> Vec<u8> {
+    let signed = step(reader, &awa(), &content("v2", &trust()));
+    let payload = Payload::Parts(0);
+    Record::Change { signed, payload }.bytes()
+}
+
+fn large(_: &Acceptor) -> Vec<u8> {
+    vec![b' '; RECORD_LIMIT + 1]
+}
+
+fn garbage(_: &Acceptor) -> Vec<u8> {
+    b"{\"kind\":\"change\"}".to_vec()
+}
+
+#[rstest]
+#[case::unknown_operator(unknown, Fault::UnknownOperator)]
+#[case::bad_signature(forged, Fault::BadSignature)]
+#[case::wrong_parent(other_parent, Fault::WrongParent)]
+#[case::skipped_number(skipped, Fault::WrongParent)]
+#[case::other_content(other_content, Fault::BadContent)]
+#[case::other_delta(other_delta, Fault::BadContent)]
+#[case::missing_parts(missing_parts, Fault::BadContent)]
+#[case::too_large(large, Fault::TooLarge)]
+#[case::unreadable(garbage, Fault::Unreadable)]
+fn apply_refused(#[case] make: fn(&Acceptor) -> Vec<u8>, #[case] fault: Fault) {
+    let (mut log, mut reader) = first_accepted();
+    let (before, digest) = (id(&reader), reader.content().digest());
+    log.records.push(make(&reader));
+    assert_eq!(log.read_all(&mut reader), [Verdict::Refused(fault)]);
+    assert_eq!(id(&reader), before);
+    assert_eq!(
+        reader.content().digest(),
+        digest,
+        "the content is untouched"
+    );
+
+    // The next good record is accepted as if nothing had been.
+    log.append(&change(&reader, &luz(), &content("v2", &trust())));
+    assert_eq!(log.read_all(&mut reader), [Verdict::Accepted(Sequence(2))]);
+}
+
+#[test]
+fn apply_late_duplicate() {
+    // Version 2 of luz won against that of awa, and a checkpoint holds it.
+    // Its record expires; then a duplicate of awa's record surfaces. A fresh
+    // reader, whom nothing tells that awa's record lost, must not take it.
+    let (mut log, mut reader) = first_accepted();
+    let lost = change(&reader, &awa(), &content("v2", &trust()));
+    log.append(&change(&reader, &luz(), &content("v2b", &trust())));
+    log.append(&lost);
+    log.read_all(&mut reader);
+    log.append(&reader.checkpoint_records()[0]);
+    log.append(&lost);
+    log.first = 3;
+
+    let mut fresh = Acceptor::new(trust());
+    log.read_all(&mut fresh);
+    assert_eq!(id(&fresh), id(&reader));
+
+    // Without a checkpoint it takes nothing at all.
+    log.first = 4;
+    let mut blind = Acceptor::new(trust());
+    assert_eq!(log.read_all(&mut blind), [Verdict::Unjudged]);
+    assert_eq!(blind.head(), None);
+}
+
+#[test]
+fn apply_checkpoint_with_gap() {
+    // A checkpoint's writer had judged up to offset 0; what stood at offsets
+    // 1 and 2 has expired. The winner of version 2 may have been there, so a
+    // fresh reader must not go on from that checkpoint.
+    let (mut log, reader) = first_accepted();
+    let checkpoint = reader.checkpoint_records().remove(0);
+    log.append(&change(&reader, &awa(), &content("v2", &trust())));
+    log.append(&change(&reader, &awa(), &content("v2", &trust())));
+    log.append(&checkpoint);
+    log.append(&change(&reader, &luz(), &content("v2b", &trust())));
+    log.first = 3;
+
+    let mut fresh = Acceptor::new(trust());
+    let verdicts = log.read_all(&mut fresh);
+    assert_eq!(verdicts, [Verdict::Unjudged, Verdict::Unjudged]);
+}
+
+#[test]
+fn apply_operators_replaced() {
+    // The operators of the settings have long been replaced in the bundle.
+    // A fresh reader trusts the newcomers because each change of operators
+    // was signed by one who could at the time.
+    let (mut log, mut reader) = first_accepted();
+    let team = operators(&[luz(), mallory()]);
+    log.append(&change(&reader, &awa(), &content("v2", &team)));
+    log.read_all(&mut reader);
+    log.append(&change(&reader, &awa(), &content("v3", &team)));
+    assert_eq!(
+        log.read_all(&mut reader),
+        [Verdict::Refused(Fault::UnknownOperator)]
+    );
+    log.append(&change(
+        &reader,
+        &mallory(),
+        &content("v3", &operators(&[mallory()])),
+    ));
+    log.read_all(&mut reader);
+    log.append(&change(
+        &reader,
+        &mallory(),
+        &content("v4", &operators(&[mallory()])),
+    ));
+    log.read_all(&mut reader);
+    assert_eq!(reader.sequence(), Sequence(4));
+
+    log.append(&reader.checkpoint_records()[0]);
+    log.first = log.end() - 1;
+    let mut fresh = Acceptor::new(operators(&[awa()]));
+    // Having adopted it, the reader goes back to what its writer had judged.
+    let adopted = [Verdict::Adopted(Sequence(4)), Verdict::Known];
+    assert_eq!(log.read_all(&mut fresh), adopted);
+
+    // Settings that never knew any of them take nothing.
+    let mut stranger = Acceptor::new(operators(&[luz()]));
+    let refused = Verdict::Refused(Fault::UnknownOperator);
+    assert_eq!(log.read_all(&mut stranger), [refused]);
+}
+
+#[test]
+fn apply_parts() {
+    // A bundle too large for one record travels in parts, both when it is
+    // published and when a daemon appends it again.
+    let (mut log, mut reader) = first_accepted();
+    let mut entries = content("v2", &trust()).entries();
+    for i in 0..3000 {
+        let value = serde_json::json!({ "tokens": [bundle::Hash::of(&[&[1]])], "n": i });
+        let named = entries.entry("workspaces".to_owned()).or_default();
+        named.insert(format!("workspace-{i}"), value);
+    }
+    let large = Content::new(&entries);
+    let split = parts(&large, RECORD_LIMIT - 4096);
+    assert!(split.len() > 1);
+    split.iter().for_each(|part| {
+        assert!(part.bytes().len() <= RECORD_LIMIT);
+        log.append(part);
+    });
+    let payload = Payload::Parts(u32::try_from(split.len()).expect("few"));
+    let signed = step(&reader, &awa(), &large);
+    log.append(&Record::Change { signed, payload });
+    let verdicts = log.read_all(&mut reader);
+    assert_eq!(verdicts.last(), Some(&Verdict::Accepted(Sequence(2))));
+
+    log.first = log.end();
+    for record in reader.checkpoint_records() {
+        log.append(&record);
+    }
+    let mut fresh = Acceptor::new(trust());
+    let verdicts = log.read_all(&mut fresh);
+    assert!(verdicts.contains(&Verdict::Adopted(Sequence(2))));
+    assert_eq!(fresh.content().digest(), large.digest());
+}
+
+#[test]
+fn adopt_older() {
+    // A peer that is behind offers what it holds; nothing goes down.
+    let (mut log, mut reader) = first_accepted();
+    let old = reader.snapshot().expect("a head");
+    log.append(&change(&reader, &awa(), &content("v2", &trust())));
+    log.read_all(&mut reader);
+    assert_eq!(reader.adopt(old), Ok(false));
+    assert_eq!(reader.sequence(), Sequence(2));
+}
+
+#[test]
+fn adopt_forged() {
+    let (_, reader) = first_accepted();
+    let mut offered = reader.snapshot().expect("a head");
+    offered.signed.header.sequence = Sequence(9);
+    let mut fresh = Acceptor::new(trust());
+    assert_eq!(fresh.adopt(offered), Err(Fault::BadSignature));
+    assert_eq!(fresh.next(), Offset(0));
+}
--- /dev/null
+++ b/crates/bundle/tests/common/mod.rs
@@ -0,0 +1,102 @@
+//! Operators and records for the tests.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use base::ids::{Offset, Sequence};
+use bundle::hash::Hash;
+use bundle::record::{Header, operators_hash, operators_of};
+use bundle::{Acceptor, Content, Operators, Payload, Record, SecretKey, Signed, Verdict};
+use serde_json::json;
+
+/// The operators of most tests.
+pub(crate) fn awa() -> SecretKey {
+    SecretKey::from_secret("awa", &[1; 32])
+}
+
+pub(crate) fn luz() -> SecretKey {
+    SecretKey::from_secret("luz", &[2; 32])
+}
+
+pub(crate) fn mallory() -> SecretKey {
+    SecretKey::from_secret("mallory", &[3; 32])
+}
+
+pub(crate) fn operators(keys: &[SecretKey]) -> Operators {
+    let pair = |k: &SecretKey| (k.operator.clone(), k.public.clone());
+    keys.iter().map(pair).collect()
+}
+
+pub(crate) fn trust() -> Operators {
+    operators(&[awa(), luz()])
+}
+
+/// Content that differs by `mark` alone.
+pub(crate) fn content(mark: &str, operators: &Operators) -> Content {
+    let json = json!({
+        "operators": operators,
+        "workspaces": { "mairie": { "tokens": [], "classes": ["counter"], "weight": 1 } },
+        "models": { mark: { "version": mark } },
+    });
+    Content::from_json(&json).expect("test content")
+}
+
+/// The step from what `reader` holds to `to`, as a delta.
+pub(crate) fn step(reader: &Acceptor, key: &SecretKey, to: &Content) -> Signed {
+    let parent = reader.head().map(|h| h.signed.id());
+    let header = Header {
+        sequence: Sequence(reader.sequence().0 + 1),
+        parent: parent.unwrap_or_default(),
+        digest: to.digest(),
+        operators: operators_hash(&operators_of(to)),
+        operator: key.operator.clone(),
+        restores: None,
+    };
+    Signed::new(header, key).expect("test key")
+}
+
+pub(crate) fn change(reader: &Acceptor, key: &SecretKey, to: &Content) -> Record {
+    Record::Change {
+        signed: step(reader, key, to),
+        payload: Payload::Delta(reader.content().patch_to(to)),
+    }
+}
+
+/// A log in memory that forgets its oldest records on demand.
+#[derive(Debug, Default)]
+pub(crate) struct Memory {
+    pub(crate) first: u64,
+    pub(crate) records: Vec<Vec<u8>>,
+}
+
+impl Memory {
+    pub(crate) fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    pub(crate) fn append(&mut self, record: &Record) -> Offset {
+        self.records.push(record.bytes());
+        Offset(self.end() - 1)
+    }
+
+    /// Lets `reader` read up to `most` records; the verdicts come in order.
+    pub(crate) fn read(&self, reader: &mut Acceptor, most: usize) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        while verdicts.len() < most {
+            reader.expired(Offset(self.first));
+            let at = reader.next().0;
+            let Some(bytes) = self.records.get(at as usize) else {
+                break;
+            };
+            verdicts.push(reader.apply(Offset(at), bytes));
+        }
+        verdicts
+    }
+
+    pub(crate) fn read_all(&self, reader: &mut Acceptor) -> Vec<Verdict> {
+        self.read(reader, usize::MAX)
+    }
+}
+
+pub(crate) fn id(reader: &Acceptor) -> Option<Hash> {
+    reader.head().map(|h| h.signed.id())
+}
