Follow the log with an actor that appends checkpoints

Cause: daemons keep nothing and the log forgets, fails and loses replies. Change: log client and stand-in with faults, crates/follow with the actor, the bundle in force and transfers between daemons. Not wired in yet. Conclusion: entries and sidecars come next.

--- a/crates/cli/src/commands/standin.rs
+++ b/crates/cli/src/commands/standin.rs
@@ -4,7 +4,7 @@
 
 use base::settings;
 use bpaf::Bpaf;
-use standin::Ledger;
+use standin::{Control, Ledger};
 
 use crate::{Outcome, daemon};
 
@@ -25,6 +25,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// The append-only log
+    #[bpaf(command)]
+    Log {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// A plain service
     #[bpaf(command)]
     Plain {
@@ -41,6 +48,11 @@
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::engine::run(settings, Ledger::default(), stop))
             }
+            Part::Log { settings } => {
+                let settings: standin::log::Settings = settings::load(&settings)?;
+                let control = Control::new(settings.faults.clone());
+                daemon::run(|stop| standin::log::run(settings, control, stop))
+            }
             Part::Plain { settings } => {
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::plain::run(settings, Ledger::default(), stop))
--- /dev/null
+++ b/crates/follow/src/settings.rs
@@ -0,0 +1,54 @@
+//! What the operators set for following the log.
+
+use std::net::SocketAddr;
+
+use base::settings::Span;
+use bundle::Operators;
+use serde::{Deserialize, Serialize};
+
+/// Settings of a follower, a part of each daemon's settings.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where the platform's log listens.
+    pub log: SocketAddr,
+    /// Operators who may sign the first bundle: name to public key in
+    /// base64. Later ones are named by the bundle itself.
+    pub trust: Operators,
+    /// How long one read is held while there is nothing new.
+    #[serde(default = "default_wait")]
+    pub wait: Span,
+    /// Longest pause between two tries while the log is down.
+    #[serde(default = "default_backoff")]
+    pub backoff: Span,
+    /// Longest random delay before a checkpoint is appended, so that not all
+    /// daemons append one at once.
+    #[serde(default = "default_delay")]
+    pub delay: Span,
+}
+
+impl Settings {
+    /// Settings with every default.
+    #[must_use]
+    pub fn new(log: SocketAddr, trust: Operators) -> Self {
+        Self {
+            log,
+            trust,
+            wait: default_wait(),
+            backoff: default_backoff(),
+            delay: default_delay(),
+        }
+    }
+}
+
+fn default_wait() -> Span {
+    Span::secs(5)
+}
+
+fn default_backoff() -> Span {
+    Span::secs(2)
+}
+
+fn default_delay() -> Span {
+    Span::secs(5)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,9 @@
 //! that knows their formats, which docs/PLATFORM.md writes down.
 //!
 //! - [`engine`]: running, resuming and cancelling completions.
+//! - [`log`]: the append-only log.
 //! - [`plain`]: calls of plain services.
 
 pub mod engine;
+pub mod log;
 pub mod plain;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,11 +3,13 @@
 //! - [`control`]: faults, changed while a stand-in runs.
 //! - [`engine`]: a model engine that batches continuously.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
+//! - [`log`]: the append-only log.
 //! - [`plain`]: a plain service.
 
 pub mod control;
 pub mod engine;
 pub mod ledger;
+pub mod log;
 pub mod plain;
 
 pub use control::Control;
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,306 @@
+//! The platform's append-only log, in memory.
+//!
+//! Faults are changed through [`Control`] by whoever runs it, or by hand with
+//! `PUT /faults`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use actix_web::http::StatusCode;
+use actix_web::{App, HttpRequest, HttpResponse, web};
+use base::ids::Offset;
+use base::settings::Span;
+use base::stop::Stop;
+use platform::log::{Append, Entry, Page, Place};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::control::Control;
+
+/// Largest record, in bytes.
+const RECORD_LIMIT: usize = 1 << 20;
+
+/// Most bytes of records in one answer.
+const PAGE_LIMIT: usize = 4 << 20;
+
+/// Settings of a log stand-in.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The faults to start with.
+    #[serde(default)]
+    pub faults: Faults,
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Every call fails, without effect.
+    pub down: bool,
+    /// Every call takes this much longer.
+    pub slow: Span,
+    /// So many of the next appends take effect and lose their reply.
+    pub lose: u32,
+    /// How long a lost reply holds its caller before it fails.
+    pub hold: Span,
+    /// How long records are kept; for ever when zero.
+    pub retention: Span,
+    /// Appends allowed each second; no limit when zero.
+    pub rate: u32,
+}
+
+/// A running log.
+struct Log {
+    streams: RefCell<HashMap<String, Stream>>,
+    control: Control<Faults>,
+    /// Wakes readers that wait for a record.
+    changed: Notify,
+    /// The second that is being counted, and the appends in it.
+    window: Cell<(u64, u32)>,
+}
+
+/// One stream.
+#[derive(Default)]
+struct Stream {
+    /// The offset of the oldest record.
+    first: u64,
+    records: VecDeque<(Entry, Instant)>,
+}
+
+/// The query of a read.
+#[derive(Debug, Deserialize)]
+struct Read {
+    #[serde(default)]
+    from: u64,
+    #[serde(default = "default_limit")]
+    limit: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn default_limit() -> usize {
+    100
+}
+
+/// Runs a log until `stop` is asked.
+///
+/// # Errors
+///
+/// Returns the error when the log cannot listen.
+pub async fn run(settings: Settings, control: Control<Faults>, stop: Stop) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    serve(listener, control, stop).await
+}
+
+/// Runs a log on a listener that is already bound.
+///
+/// # Errors
+///
+/// Returns the error when the log cannot be set up.
+pub async fn serve(listener: TcpListener, control: Control<Faults>, stop: Stop) -> io::Result<()> {
+    let log = Rc::new(Log {
+        streams: RefCell::default(),
+        control,
+        changed: Notify::new(),
+        window: Cell::new((0, 0)),
+    });
+    let app = App::new()
+        .app_data(web::PayloadConfig::new(2 * RECORD_LIMIT))
+        .app_data(web::JsonConfig::default().limit(2 * RECORD_LIMIT))
+        .app_data(log)
+        .route("/faults", web::put().to(faults))
+        .route("/v1/streams/{stream}/records", web::post().to(append))
+        .route("/v1/streams/{stream}/records", web::get().to(read))
+        .route("/v1/streams/{stream}/records/{id}", web::get().to(find));
+    base::http::serve(listener, app, stop).await
+}
+
+/// Replaces the faults.
+async fn faults(http: HttpRequest, body: web::Json<Faults>) -> HttpResponse {
+    if let Some(log) = http.app_data::<Rc<Log>>() {
+        log.control.change(|f| *f = body.into_inner());
+    }
+    HttpResponse::NoContent().finish()
+}
+
+async fn append(
+    http: HttpRequest,
+    stream: web::Path<String>,
+    body: web::Json<Append>,
+) -> HttpResponse {
+    let log = match reached(&http).await {
+        Ok(log) => log,
+        Err(response) => return response,
+    };
+    let Append { id, body } = body.into_inner();
+    if body.len() > RECORD_LIMIT {
+        return HttpResponse::PayloadTooLarge().finish();
+    }
+    if !log.allowed() {
+        return HttpResponse::TooManyRequests().finish();
+    }
+
+    let offset = log.put(&stream, id, body);
+    if let Some(hold) = log.loses() {
+        tokio::time::sleep(hold).await;
+        return HttpResponse::GatewayTimeout().finish();
+    }
+    HttpResponse::Ok().json(Place {
+        offset: Some(offset),
+    })
+}
+
+async fn find(http: HttpRequest, path: web::Path<(String, String)>) -> HttpResponse {
+    let log = match reached(&http).await {
+        Ok(log) => log,
+        Err(response) => return response,
+    };
+    let (stream, id) = path.into_inner();
+    let streams = log.expire();
+    let records = streams.get(&stream).map(|s| s.records.iter());
+    let found = records.into_iter().flatten().find(|(e, _)| e.id == id);
+    HttpResponse::Ok().json(Place {
+        offset: found.map(|(e, _)| e.offset),
+    })
+}
+
+async fn read(http: HttpRequest, stream: web::Path<String>, ask: web::Query<Read>) -> HttpResponse {
+    let log = match reached(&http).await {
+        Ok(log) => log,
+        Err(response) => return response,
+    };
+    let until = Instant::now() + Duration::from_millis(ask.wait_ms);
+    loop {
+        let changed = log.changed.notified();
+        let page = log.page(&stream, &ask);
+        let left = until.saturating_duration_since(Instant::now());
+        if !page.records.is_empty() || left.is_zero() {
+            return HttpResponse::Ok().json(page);
+        }
+        let _ = tokio::time::timeout(left, changed).await;
+        if log.control.get().down {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+    }
+}
+
+/// The log, if a call gets through to it.
+async fn reached(http: &HttpRequest) -> Result<Rc<Log>, HttpResponse> {
+    let fail = |status| HttpResponse::new(status);
+    let log = http.app_data::<Rc<Log>>().cloned();
+    let log = log.ok_or_else(|| fail(StatusCode::INTERNAL_SERVER_ERROR))?;
+
+    let slow = log.control.get().slow.0;
+    if !slow.is_zero() {
+        tokio::time::sleep(slow).await;
+    }
+    match log.control.get().down {
+        true => Err(fail(StatusCode::SERVICE_UNAVAILABLE)),
+        false => Ok(log),
+    }
+}
+
+impl Log {
+    /// Whether the rate allows one more append now.
+    fn allowed(&self) -> bool {
+        let rate = self.control.get().rate;
+        let second = wall_ms() / 1000;
+        let (counted, used) = self.window.get();
+        let used = if counted == second { used } else { 0 };
+        self.window.set((second, used + 1));
+        rate == 0 || used < rate
+    }
+
+    /// Whether the reply of this append is lost, and how long it hangs.
+    fn loses(&self) -> Option<Duration> {
+        let faults = self.control.get();
+        let lost = faults.lose > 0;
+        self.control.change(|f| f.lose = f.lose.saturating_sub(1));
+        lost.then_some(faults.hold.0)
+    }
+
+    fn put(&self, stream: &str, id: String, body: String) -> Offset {
+        let mut streams = self.expire();
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let offset = Offset(stream.end());
+        let entry = Entry {
+            offset,
+            id,
+            time_ms: wall_ms(),
+            body,
+        };
+        stream.records.push_back((entry, Instant::now()));
+        drop(streams);
+        self.changed.notify_waiters();
+        offset
+    }
+
+    fn page(&self, stream: &str, ask: &Read) -> Page {
+        let streams = self.expire();
+        let mut page = Page {
+            now_ms: wall_ms(),
+            retention_ms: u64::try_from(self.control.get().retention.0.as_millis()).unwrap_or(0),
+            ..Page::default()
+        };
+        let Some(stream) = streams.get(stream) else {
+            return page;
+        };
+        page.first = Offset(stream.first);
+        page.end = Offset(stream.end());
+
+        let skip = ask.from.saturating_sub(stream.first);
+        let mut size = 0;
+        for (entry, _) in stream
+            .records
+            .iter()
+            .skip(usize::try_from(skip).unwrap_or(usize::MAX))
+        {
+            size += entry.body.len();
+            let full = page.records.len() == ask.limit || size > PAGE_LIMIT;
+            if full && !page.records.is_empty() {
+                break;
+            }
+            page.records.push(entry.clone());
+        }
+        page
+    }
+
+    /// Forgets what the retention has passed by.
+    fn expire(&self) -> std::cell::RefMut<'_, HashMap<String, Stream>> {
+        let mut streams = self.streams.borrow_mut();
+        let retention = self.control.get().retention.0;
+        if retention.is_zero() {
+            return streams;
+        }
+        for stream in streams.values_mut() {
+            while stream
+                .records
+                .front()
+                .is_some_and(|(_, at)| at.elapsed() > retention)
+            {
+                stream.records.pop_front();
+                stream.first += 1;
+            }
+        }
+        streams
+    }
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(0))
+}
