--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`keys`]: operators' keys and signatures.
 //! - [`record`]: the records in the platform's log.
 //! - [`accept`] and [`verdict`]: which record is accepted.
+//! - [`lookup`]: the declaration prepared for every request.
 
 pub mod accept;
 pub mod content;
 pub mod digest;
 pub mod hash;
 pub mod keys;
+pub mod lookup;
 pub mod model;
 pub mod record;
 pub mod verdict;
@@ -22,6 +24,7 @@
 pub use content::Content;
 pub use hash::Hash;
 pub use keys::{Operators, SecretKey};
+pub use lookup::{Lookup, token_hash};
 pub use model::{Bundle, Class, Pool, Service, Shares, Targets, Workspace};
 pub use record::{Checkpoint, Payload, Record, Signed};
 pub use verdict::{Fault, Verdict};
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -8,11 +8,10 @@
 use base::settings::Span;
 use base::stop::Stop;
 use bundle::{Bundle, Class, Pool, Service, Targets, Workspace};
-use entry::settings::Known;
+use entry::settings::{Known, Routing};
 use load::Mix;
 use load::arrivals::Flow;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 use sidecar::settings::Backend;
 use standin::Ledger;
 
@@ -21,6 +20,9 @@
 /// Port on which every daemon listens, each on an address of its own.
 const PORT: u16 = 7100;
 
+/// Port of every daemon's operators' address.
+const OPERATORS_PORT: u16 = 7101;
+
 /// Requests that an engine runs at once.
 const SLOTS: usize = 8;
 
@@ -191,6 +193,7 @@
             name: known.name.clone(),
             zone: known.zone,
             listen: known.addr,
+            operators: Some(self.operators(2, i)),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -205,8 +208,10 @@
             name: name.clone(),
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(1, i),
+            operators: Some(self.operators(1, i)),
             sidecars,
             fan: 2,
+            routing: Routing::default(),
             body_limit: 4 << 20,
             seed: Some(self.mix.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
@@ -234,6 +239,11 @@
         let ip = Ipv4Addr::new(self.net[0], self.net[1], role, i + 1);
         SocketAddr::new(IpAddr::V4(ip), PORT)
     }
+
+    /// The operators' address of a daemon.
+    fn operators(&self, role: u8, i: u8) -> SocketAddr {
+        SocketAddr::new(self.addr(role, i).ip(), OPERATORS_PORT)
+    }
 }
 
 fn token(class: &str) -> String {
@@ -251,8 +261,7 @@
         };
         bundle.classes.insert(name.to_owned(), class);
 
-        let hash = Sha256::digest(token(name).as_bytes());
-        let hash = hash.iter().map(|b| format!("{b:02x}")).collect();
+        let hash = bundle::token_hash(&token(name));
         let workspace = Workspace {
             tokens: BTreeSet::from([hash]),
             classes: BTreeSet::from([name.to_owned()]),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,8 +3,13 @@
 use std::net::SocketAddr;
 
 use base::logging::Level;
+use base::settings::{Error, Span, check};
+use policy::placement::Mode;
 use serde::{Deserialize, Serialize};
 
+/// Largest body limit: a start must fit into one frame of the inner protocol.
+const BODY_MOST: usize = 16 << 20;
+
 /// Settings of one entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,12 +20,18 @@
     pub zone: String,
     /// Where callers reach the entry.
     pub listen: SocketAddr,
+    /// Where operators reach health, status and metrics, if at all.
+    #[serde(default)]
+    pub operators: Option<SocketAddr>,
     /// Sidecars known from the start.
     #[serde(default)]
     pub sidecars: Vec<Known>,
     /// How many sidecars are asked for a slot at once.
     #[serde(default = "default_fan")]
     pub fan: usize,
+    /// How requests are placed, and how long sidecars are waited for.
+    #[serde(default)]
+    pub routing: Routing,
     /// Largest request body, in bytes.
     #[serde(default = "default_body")]
     pub body_limit: usize,
@@ -32,6 +43,47 @@
     pub log_level: Level,
 }
 
+/// How requests are placed, and how long sidecars are waited for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// How servers are chosen; all but late binding are baselines.
+    pub mode: Mode,
+    /// Age of the load reports that the baselines go by.
+    pub lag: Span,
+    /// Whether a class's retries are limited by its budget.
+    pub budget: bool,
+    /// Longest time that a held slot is left waiting for a better one.
+    pub grace: Span,
+    /// How long one call may be held at a sidecar.
+    pub poll: Span,
+    /// Time allowed for an answer beyond that.
+    pub margin: Span,
+    /// Time allowed for dialling.
+    pub dial: Span,
+    /// A connection idle for so long is replaced before it is used again.
+    pub idle: Span,
+    /// How long an answer in delivery is tried for when its sidecar cannot be
+    /// reached.
+    pub patience: Span,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            mode: Mode::default(),
+            lag: Span::ms(500),
+            budget: true,
+            grace: Span::ms(100),
+            poll: Span::ms(250),
+            margin: Span::ms(500),
+            dial: Span::ms(500),
+            idle: Span::secs(15),
+            patience: Span::secs(3),
+        }
+    }
+}
+
 /// A sidecar as the settings or the host list name it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +98,40 @@
     pub serves: String,
 }
 
+impl Settings {
+    /// Checks what no single value shows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first impossible value with its key and a hint.
+    pub fn check(&self) -> Result<(), Error> {
+        check(
+            "name",
+            &self.name,
+            !self.name.is_empty(),
+            "give the entry a name",
+        )?;
+        check(
+            "fan",
+            self.fan,
+            (1..=8).contains(&self.fan),
+            "ask 1 to 8 sidecars at once",
+        )?;
+        check(
+            "body_limit",
+            self.body_limit,
+            (1024..=BODY_MOST).contains(&self.body_limit),
+            "allow 1024 to 16777216 bytes",
+        )?;
+        check(
+            "operators",
+            self.listen,
+            self.operators != Some(self.listen),
+            "operators need an address apart from the callers'",
+        )
+    }
+}
+
 fn default_fan() -> usize {
     2
 }
--- a/crates/follow/src/held.rs
+++ b/crates/follow/src/held.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use base::ids::{Offset, Sequence};
-use bundle::{Acceptor, Bundle, Operators, Verdict};
+use bundle::{Acceptor, Bundle, Lookup, Operators, Verdict};
 use bytes::Bytes;
 use spdlog::{error, info};
 use tokio::sync::Notify;
@@ -28,12 +28,12 @@
 }
 
 /// A version of the bundle that requests go by.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct InForce {
     /// Its number.
     pub sequence: Sequence,
     /// What it declares.
-    pub bundle: Rc<Bundle>,
+    pub bundle: Rc<Lookup>,
 }
 
 /// A change as it stands in the log.
@@ -62,7 +62,7 @@
         let held = Self::new(Operators::new());
         *held.current.borrow_mut() = Some(Rc::new(InForce {
             sequence: Sequence(0),
-            bundle: Rc::new(bundle),
+            bundle: Rc::new(Lookup::new(bundle)),
         }));
         held
     }
@@ -75,7 +75,7 @@
 
     /// The bundle in force, if any.
     #[must_use]
-    pub fn bundle(&self) -> Option<Rc<Bundle>> {
+    pub fn bundle(&self) -> Option<Rc<Lookup>> {
         let current = self.current.borrow();
         current.as_ref().map(|c| Rc::clone(&c.bundle))
     }
@@ -104,11 +104,19 @@
         }
     }
 
-    /// Waits until a version of at least `sequence` is in force.
+    /// Whether a peer that goes by `sequence` knows a later version. One
+    /// that was accepted and not understood here counts as known, since
+    /// waiting for it would not help.
+    #[must_use]
+    pub fn behind(&self, sequence: Sequence) -> bool {
+        sequence > self.sequence() && sequence > self.acceptor.borrow().sequence()
+    }
+
+    /// Waits until this daemon is no longer behind `sequence`.
     pub async fn reached(&self, sequence: Sequence) {
         loop {
             let changed = self.changed.notified();
-            if self.sequence() >= sequence {
+            if !self.behind(sequence) {
                 return;
             }
             changed.await;
@@ -190,7 +198,7 @@
 
         match acceptor.content().bundle() {
             Ok(bundle) => {
-                let bundle = Rc::new(bundle);
+                let bundle = Rc::new(Lookup::new(bundle));
                 *self.current.borrow_mut() = Some(Rc::new(InForce { sequence, bundle }));
             }
             Err(e) => {
