Keep the bundle level between entries and sidecars

Cause: during an outage of the log a version must still spread, and whoever is behind must not decide by an old one.

--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -4,7 +4,6 @@
 
 use base::{logging, settings};
 use bpaf::Bpaf;
-use bundle::Bundle;
 
 use crate::{Outcome, daemon};
 
@@ -15,15 +14,15 @@
     /// JSON settings
     #[bpaf(argument("FILE"))]
     settings: PathBuf,
-    /// The bundle in force
+    /// A bundle to go by for ever, in place of that in the platform's log
     #[bpaf(argument("FILE"))]
-    bundle: PathBuf,
+    bundle: Option<PathBuf>,
 }
 
 impl Entry {
     pub(crate) fn run(self) -> Outcome {
         let settings: entry::Settings = settings::load(&self.settings)?;
-        let bundle: Bundle = settings::load(&self.bundle)?;
+        let bundle = self.bundle.as_deref().map(settings::load).transpose()?;
         logging::init(settings.log_level);
         daemon::run(|stop| entry::run(settings, bundle, stop))
     }
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -194,6 +194,7 @@
             zone: known.zone,
             listen: known.addr,
             operators: Some(self.operators(2, i)),
+            follow: None,
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -209,6 +210,7 @@
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(1, i),
             operators: Some(self.operators(1, i)),
+            follow: None,
             sidecars,
             fan: 2,
             routing: Routing::default(),
@@ -217,7 +219,7 @@
             log_level: base::logging::Level::Warn,
         };
         let bundle = self.bundle.clone();
-        Host::start(&name, move || entry::run(settings, bundle, stop))
+        Host::start(&name, move || entry::run(settings, Some(bundle), stop))
     }
 
     fn known(&self, i: u8) -> Known {
--- a/crates/demo/tests/whole/common.rs
+++ b/crates/demo/tests/whole/common.rs
@@ -130,7 +130,7 @@
         let bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("the bundle is sound");
         let (settings, stop) = (self.entry_settings(), self.stop.clone());
         self.hosts.push(Host::start("entry", move || {
-            entry::run(settings, bundle, stop)
+            entry::run(settings, Some(bundle), stop)
         }));
     }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -102,7 +102,7 @@
         };
         match run.start(&request.work).await {
             Outcome::Running => {
-                let share = state.bundle.borrow().shares.retries;
+                let share = state.shares().retries;
                 state.budget.borrow_mut().granted(&request.class, share);
                 counters::grant(request.promise.tier);
                 return Ok(Granted { run, tries });
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -78,7 +78,7 @@
 ) -> Result<HttpResponse, Refused> {
     let state = state(http)?;
     let open = state.open();
-    let bundle = Rc::clone(&state.bundle.borrow());
+    let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
 
@@ -104,7 +104,7 @@
 ) -> Result<HttpResponse, Refused> {
     let state = state(http)?;
     let _open = state.open();
-    let bundle = Rc::clone(&state.bundle.borrow());
+    let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`reserve`]: asking several sidecars for a slot.
 //! - [`start`]: starting a request where a slot is held.
 //! - [`relay`]: passing the answer's pieces on.
+//! - [`spread`]: keeping the bundle level with the sidecars'.
 //! - [`status`]: what operators are shown.
 //! - [`shape`]: how answers are written.
 //! - [`counters`]: what placement counts.
@@ -23,6 +24,7 @@
 pub mod reserve;
 pub mod settings;
 pub mod shape;
+pub mod spread;
 pub mod start;
 pub mod state;
 pub mod status;
@@ -37,20 +39,32 @@
 use spdlog::info;
 
 pub use settings::Settings;
+use spread::Spread;
 use state::State;
 
+/// What an operator is told who gave neither a log nor a bundle.
+const NO_BUNDLE: &str = "step=check_settings key=follow: found nothing \
+    (hint: name the platform's log and the trusted operators under follow, or give --bundle)";
+
 /// Runs an entry until `stop` is asked and everything in progress has ended.
+/// It goes by `bundle` if there is one, else by that of the platform's log.
 ///
 /// # Errors
 ///
 /// Returns the error when the settings are impossible or the entry cannot
 /// listen.
-pub async fn run(settings: Settings, bundle: Bundle, stop: Stop) -> io::Result<()> {
+pub async fn run(settings: Settings, bundle: Option<Bundle>, stop: Stop) -> io::Result<()> {
     settings.check().map_err(io::Error::other)?;
+    let spread = match (bundle, settings.follow.clone()) {
+        (Some(bundle), _) => Spread::fixed(bundle),
+        (None, Some(follow)) => Spread::follow(follow, Rc::new(SystemClock)),
+        (None, None) => return Err(io::Error::other(NO_BUNDLE)),
+    };
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let listener = listen("listen", settings.listen).await?;
     let operators = settings.operators;
-    let state = State::new(settings, bundle, clock);
+    let state = State::new(settings, spread, clock);
+    actix_rt::spawn(spread::ask_sidecars(Rc::clone(&state)));
 
     // The operators' address goes on until the process ends, so that a drain
     // can be watched.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -23,6 +23,10 @@
     /// Where operators reach health, status and metrics, if at all.
     #[serde(default)]
     pub operators: Option<SocketAddr>,
+    /// The platform's log and who may sign the first bundle; needed unless
+    /// the bundle comes from a file.
+    #[serde(default)]
+    pub follow: Option<follow::Settings>,
     /// Sidecars known from the start.
     #[serde(default)]
     pub sidecars: Vec<Known>,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use base::clock::Clock;
-use base::ids::Sequence;
-use bundle::{Bundle, Lookup};
+use bundle::Shares;
 use policy::Placement;
 use policy::lengths::Lengths;
 use policy::outlier::{Fault, Good};
@@ -18,6 +17,7 @@
 
 use crate::counters;
 use crate::settings::{Known, Settings};
+use crate::spread::Spread;
 
 /// How often draining looks whether all has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -29,7 +29,7 @@
     /// Where the time comes from.
     pub clock: Rc<dyn Clock>,
     /// The bundle in force.
-    pub bundle: RefCell<Rc<Lookup>>,
+    pub spread: Spread,
     /// The known sidecars by their index. An index is not used again, so that
     /// a late answer is never booked to another sidecar.
     servers: RefCell<Vec<Option<Rc<Server>>>>,
@@ -58,7 +58,7 @@
 impl State {
     /// Makes the state of an entry that just started.
     #[must_use]
-    pub fn new(settings: Settings, bundle: Bundle, clock: Rc<dyn Clock>) -> Rc<Self> {
+    pub fn new(settings: Settings, spread: Spread, clock: Rc<dyn Clock>) -> Rc<Self> {
         let options = Options {
             mode: settings.routing.mode,
             fan: settings.fan,
@@ -69,7 +69,7 @@
         let state = Rc::new(Self {
             servers: RefCell::default(),
             clock,
-            bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
+            spread,
             placement: RefCell::new(Placement::new(options)),
             budget: RefCell::new(Budget::new(!settings.routing.budget)),
             lengths: RefCell::default(),
@@ -86,10 +86,18 @@
     /// What every call tells about this entry.
     pub fn stamp(&self) -> Stamp {
         Stamp {
-            sequence: Sequence::default(),
+            sequence: self.spread.held.sequence(),
         }
     }
 
+    /// The shares and limits of the bundle in force.
+    pub fn shares(&self) -> Shares {
+        self.spread
+            .held
+            .bundle()
+            .map_or_else(Shares::default, |b| b.shares)
+    }
+
     /// Takes a sidecar as known from now on.
     pub fn join(&self, known: &Known) {
         let routing = &self.settings.routing;
@@ -140,22 +148,26 @@
         answer: Result<Reply<T>, Error>,
     ) -> Result<Reply<T>, Error> {
         let now = self.clock.now();
-        let share = self.bundle.borrow().shares.ejected;
+        let share = self.shares().ejected;
         let mut placement = self.placement.borrow_mut();
         let ejected = match &answer {
             Ok(reply) => placement.heard(now, server.index, load(&reply.load), share),
             Err(_) => placement.fault(now, server.index, Fault::Link, share),
         };
+        drop(placement);
         if ejected {
             counters::ejection(server);
         }
+        if let (Ok(reply), Some(server)) = (&answer, self.server(server.index)) {
+            self.spread.compare(now, &server, reply.sequence);
+        }
         answer
     }
 
     /// Notes how a run ended at a sidecar's backend server.
     pub fn ran(&self, server: &Server, whole: bool) {
         let now = self.clock.now();
-        let share = self.bundle.borrow().shares.ejected;
+        let share = self.shares().ejected;
         let mut placement = self.placement.borrow_mut();
         if whole {
             return placement.good(now, server.index, Good::Run);
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -68,7 +68,7 @@
     }
 
     fn ready(&self) -> bool {
-        !self.draining.get()
+        !self.draining.get() && self.spread.held.in_force().is_some()
     }
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`settings`]: what the operators set.
 //! - [`state`]: the tickets and their states.
 //! - [`service`]: the inner protocol's calls.
+//! - [`spread`]: the bundle that the sidecar goes by.
 //! - [`status`]: what operators are shown.
 //! - [`run`]: running one ticket at the backend server.
 
 pub mod run;
 pub mod service;
 pub mod settings;
+pub mod spread;
 pub mod state;
 pub mod status;
 
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -7,11 +7,15 @@
 use tarpc::context::Context;
 use wire::{Cancelled, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start, Started};
 
+use crate::spread::Level;
 use crate::state::State;
 
 /// Longest time that a call is held, whatever it asks for.
 const HOLD_LIMIT: Duration = Duration::from_secs(5);
 
+/// When an entry may ask again a sidecar that has no bundle, in milliseconds.
+const NO_BUNDLE_MS: u32 = 1000;
+
 /// Answers the calls of all connections.
 #[derive(Clone)]
 pub struct Service {
@@ -27,7 +31,19 @@
 }
 
 impl Sidecar for Service {
-    async fn reserve(self, _: Context, _stamp: Stamp, ask: Reserve) -> Reply<Reserved> {
+    async fn reserve(self, _: Context, stamp: Stamp, ask: Reserve) -> Reply<Reserved> {
+        let level = self.state.spread.level(stamp.sequence, hold(ask.wait_ms));
+        match level.await {
+            Level::Decide => {}
+            Level::Behind => return self.state.reply(Reserved::Waiting { estimate_us: 0 }),
+            Level::Refuse(reason) => {
+                return self.state.reply(Reserved::Refused {
+                    reason,
+                    retry_after_ms: NO_BUNDLE_MS,
+                });
+            }
+        }
+
         let (entry, mut stands) = self.state.reserve(&ask);
         if matches!(stands, Reserved::Waiting { .. }) {
             let changed = entry.changed.notified();
@@ -60,8 +76,14 @@
         self.state.reply(cancelled)
     }
 
-    async fn fetch_bundle(self, _: Context, _stamp: Stamp) -> Reply<Option<bytes::Bytes>> {
-        self.state.reply(None)
+    async fn fetch_bundle(self, _: Context, stamp: Stamp) -> Reply<Option<bytes::Bytes>> {
+        let transfer = self.state.spread.held.transfer(stamp.sequence);
+        self.state.reply(transfer)
+    }
+
+    async fn offer_bundle(self, _: Context, _: Stamp, transfer: bytes::Bytes) -> Reply<bool> {
+        let taken = self.state.spread.take(transfer).await;
+        self.state.reply(taken)
     }
 }
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -22,6 +22,10 @@
     /// Where operators reach health, status and metrics, if at all.
     #[serde(default)]
     pub operators: Option<SocketAddr>,
+    /// The platform's log and who may sign the first bundle. Without it the
+    /// sidecar goes by no bundle.
+    #[serde(default)]
+    pub follow: Option<follow::Settings>,
     /// The backend server that the sidecar stands beside.
     pub backend: Backend,
     /// How long a slot is held for a ticket that is ready.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use base::clock::Clock;
-use base::ids::{Incarnation, Sequence, Ticket, Tier};
+use base::ids::{Incarnation, Ticket, Tier};
 use base::reason::{Ran, Refusal};
 use base::stop::Stop;
 use platform::engine::Engine;
@@ -19,6 +19,7 @@
 
 use crate::run;
 use crate::settings::{Backend, Settings};
+use crate::spread::Spread;
 
 /// How long an ended or cancelled ticket stays known, so that a delayed
 /// packet about it cannot start it.
@@ -35,6 +36,8 @@
     pub clock: Rc<dyn Clock>,
     /// This life of the sidecar.
     pub incarnation: Incarnation,
+    /// The bundle in force.
+    pub spread: Spread,
     /// The backend server.
     pub backend: Client,
     /// Who waits for a slot.
@@ -100,6 +103,7 @@
         };
         Rc::new(Self {
             queue: RefCell::new(Queue::new(settings.backend.slots())),
+            spread: Spread::new(settings.follow.as_ref(), Rc::clone(&clock)),
             settings,
             clock,
             incarnation: Incarnation::random(),
@@ -112,7 +116,7 @@
     /// Wraps an answer with what every answer tells.
     pub fn reply<T>(&self, body: T) -> Reply<T> {
         Reply {
-            sequence: Sequence::default(),
+            sequence: self.spread.held.sequence(),
             incarnation: self.incarnation,
             load: self.load(),
             body,
--- a/crates/sidecar/src/status.rs
+++ b/crates/sidecar/src/status.rs
@@ -43,6 +43,6 @@
     }
 
     fn ready(&self) -> bool {
-        !self.load().draining
+        !self.load().draining && self.spread.ready()
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -34,7 +34,12 @@
     /// Ends a ticket, whatever its state, and tells whether it ever started.
     async fn cancel(stamp: Stamp, ticket: base::ids::Ticket) -> Reply<Cancelled>;
 
-    /// Fetches the newest accepted bundle that the other side holds, as the
-    /// bytes of its log record. `None` when it holds none.
+    /// Fetches what leads from the bundle in the stamp to the newest one that
+    /// the other side holds; the `follow` package reads it. `None` when there
+    /// is nothing newer.
     async fn fetch_bundle(stamp: Stamp) -> Reply<Option<bytes::Bytes>>;
+
+    /// Hands over what leads to the bundle in the stamp, to a sidecar that
+    /// told of an earlier one. Answers whether it was taken.
+    async fn offer_bundle(stamp: Stamp, transfer: bytes::Bytes) -> Reply<bool>;
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -228,6 +228,22 @@
         .await
     }
 
+    /// Hands over a bundle; see [`crate::Sidecar::offer_bundle`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when no answer came.
+    pub async fn offer_bundle(
+        &self,
+        stamp: Stamp,
+        transfer: bytes::Bytes,
+    ) -> Result<Reply<bool>, Error> {
+        self.call("offer_bundle", Duration::ZERO, async |client, ctx| {
+            client.offer_bundle(ctx, stamp, transfer).await
+        })
+        .await
+    }
+
     /// Makes one call and gives the connection up if it failed or is silent.
     ///
     /// A connection whose path has lost track of it stays open for TCP while
