--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,8 +6,10 @@
 //! - [`service`]: the inner protocol's calls.
 //! - [`spread`]: the bundle that the sidecar goes by.
 //! - [`status`]: what operators are shown.
+//! - `meter`: what is counted.
 //! - [`run`]: running one ticket at the backend server.
 
+mod meter;
 pub mod run;
 pub mod service;
 pub mod settings;
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -45,10 +45,10 @@
         }
 
         let (entry, mut stands) = self.state.reserve(&ask);
-        if matches!(stands, Reserved::Waiting { .. }) {
+        if let (Some(entry), Reserved::Waiting { .. }) = (entry, stands) {
             let changed = entry.changed.notified();
             let _ = tokio::time::timeout(hold(ask.wait_ms), changed).await;
-            stands = self.state.stands(&entry);
+            stands = self.state.stands(&entry, ask.prompt);
         }
         self.state.reply(stands)
     }
