Publish the demo's bundle through the log

Cause: the demo read its bundle from memory, so nothing showed that following the log works, and fault plans need a log to fail. Change: demo::rollout starts a log stand-in, publishes the bundle signed by one of two operators and waits until every daemon is ready; follow::Publisher is the tool's side of it. Conclusion: fault plans can be built on Plan::rollout.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -16,6 +16,7 @@
 use standin::Ledger;
 
 use crate::host::Host;
+use crate::rollout::Rollout;
 
 /// Port on which every daemon listens, each on an address of its own.
 const PORT: u16 = 7100;
@@ -118,6 +119,8 @@
     pub bundle: Bundle,
     /// The load.
     pub mix: Mix,
+    /// The platform's log, through which the bundle is published.
+    pub rollout: Rollout,
 }
 
 impl Plan {
@@ -127,9 +130,12 @@
         // Each process has a part of loopback of its own, so that several
         // demos can run side by side.
         let [_, _, a, b] = std::process::id().to_be_bytes();
+        let net = [127, a.wrapping_add(b).max(1)];
+        let log = Ipv4Addr::new(net[0], net[1], 4, 1);
         Self {
             fleet,
-            net: [127, a.wrapping_add(b).max(1)],
+            net,
+            rollout: Rollout::new(SocketAddr::new(IpAddr::V4(log), PORT)),
             bundle: bundle(fleet),
             mix: mix(fleet, seed, seconds),
         }
@@ -141,10 +147,18 @@
         (0..2).map(|i| self.addr(1, i)).collect()
     }
 
+    /// The operators' addresses of every daemon.
+    #[must_use]
+    pub fn operators_all(&self) -> Vec<SocketAddr> {
+        let entries = (0..2).map(|i| self.operators(1, i));
+        let sidecars = (0..self.fleet.engines() + 3).map(|i| self.operators(2, i));
+        entries.chain(sidecars).collect()
+    }
+
     /// Starts every daemon and stand-in.
     #[must_use]
     pub fn start(&self, ledger: &Ledger, stop: &Stop) -> Vec<Host> {
-        let mut hosts = Vec::new();
+        let mut hosts = vec![self.rollout.start(stop.clone())];
         let mut known = Vec::new();
         for i in 0..self.fleet.engines() + 3 {
             known.push(self.known(i));
@@ -194,7 +208,7 @@
             zone: known.zone,
             listen: known.addr,
             operators: Some(self.operators(2, i)),
-            follow: None,
+            follow: Some(self.rollout.follow()),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -212,7 +226,7 @@
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(1, i),
             operators: Some(self.operators(1, i)),
-            follow: None,
+            follow: Some(self.rollout.follow()),
             sidecars,
             fan: 2,
             routing: Routing::default(),
@@ -220,8 +234,7 @@
             seed: Some(self.mix.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
         };
-        let bundle = self.bundle.clone();
-        Host::start(&name, move || entry::run(settings, Some(bundle), stop))
+        Host::start(&name, move || entry::run(settings, None, stop))
     }
 
     fn known(&self, i: u8) -> Known {
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! - [`fleet`]: the two users' fleets.
 //! - [`host`]: one daemon on a thread of its own.
+//! - [`rollout`]: the log and publishing the bundle through it.
 
 pub mod fleet;
 pub mod host;
+pub mod rollout;
 
 use std::time::Duration;
 
@@ -28,6 +30,8 @@
 
     let report = actix_rt::System::new().block_on(async {
         tokio::time::sleep(WARM_UP).await;
+        plan.rollout.publish(&plan.bundle).await;
+        rollout::ready(&plan.operators_all()).await;
         load::run(&plan.mix, &plan.entries(), &ledger).await
     });
 
--- /dev/null
+++ b/crates/demo/src/rollout.rs
@@ -0,0 +1,93 @@
+//! The platform's log of a demo, and publishing the bundle through it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::stop::Stop;
+use bundle::{Bundle, Content, Operators, SecretKey};
+use follow::{Outcome, Publisher};
+use platform::log::Log;
+use spdlog::error;
+use standin::Control;
+use standin::log::{Faults, Settings};
+
+use crate::host::Host;
+
+/// How often a daemon is asked whether it is ready, and the pause between.
+const TRIES: u32 = 500;
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// The log of a demo and the operators who publish there.
+#[derive(Clone)]
+pub struct Rollout {
+    /// Where the log listens.
+    pub log: SocketAddr,
+    /// What goes wrong with it.
+    pub faults: Control<Faults>,
+    /// Operators who may sign, two of them, so that they can race.
+    pub keys: [SecretKey; 2],
+}
+
+impl Rollout {
+    /// Lays out a log.
+    #[must_use]
+    pub fn new(log: SocketAddr) -> Self {
+        Self {
+            log,
+            faults: Control::default(),
+            keys: [SecretKey::random("awa"), SecretKey::random("luz")],
+        }
+    }
+
+    /// Starts the log.
+    #[must_use]
+    pub fn start(&self, stop: Stop) -> Host {
+        let settings = Settings {
+            listen: self.log,
+            faults: Faults::default(),
+        };
+        let faults = self.faults.clone();
+        Host::start("log", move || standin::log::run(settings, faults, stop))
+    }
+
+    /// What daemons need to follow the log.
+    #[must_use]
+    pub fn follow(&self) -> follow::Settings {
+        follow::Settings::new(self.log, self.operators())
+    }
+
+    /// Publishes a bundle, signed by the first operator. The demo's operators
+    /// are added to those that it names.
+    pub async fn publish(&self, bundle: &Bundle) -> Outcome {
+        let mut bundle = bundle.clone();
+        bundle.operators.extend(self.operators());
+        let mut publisher = Publisher::new(Log::new(self.log), self.operators());
+        if let Err(e) = publisher.read().await {
+            error!("log unreadable", kv: { error = e.to_string().as_str() });
+            return Outcome::Unknown;
+        }
+        let content = Content::of(&bundle);
+        let published = publisher.publish(&self.keys[0], &content, None).await;
+        published.unwrap_or(Outcome::Unknown)
+    }
+
+    fn operators(&self) -> Operators {
+        let pair = |k: &SecretKey| (k.operator.clone(), k.public.clone());
+        self.keys.iter().map(pair).collect()
+    }
+}
+
+/// Waits until every daemon is ready, by its operators' address.
+pub async fn ready(daemons: &[SocketAddr]) {
+    let http = awc::Client::default();
+    for daemon in daemons {
+        let url = format!("http://{daemon}/health/ready");
+        for _ in 0..TRIES {
+            let answer = http.get(&url).send().await;
+            if answer.is_ok_and(|a| a.status().is_success()) {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
