--- a/crates/bundle/src/keys.rs
+++ b/crates/bundle/src/keys.rs
@@ -1,6 +1,7 @@
 //! Operators' keys and signatures.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -27,6 +28,16 @@
     pub public: String,
 }
 
+impl fmt::Debug for SecretKey {
+    /// Leaves the secret out, so that no log line can carry it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SecretKey")
+            .field("operator", &self.operator)
+            .field("public", &self.public)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Why a key or a signature is of no use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum Error {
--- /dev/null
+++ b/crates/demo/src/arm.rs
@@ -0,0 +1,96 @@
+//! The policies that a comparison sets side by side.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use policy::placement::Mode;
+use policy::queue::QueuePolicy;
+use serde::{Deserialize, Serialize};
+
+/// A policy of the router, the shipped one or a plain baseline.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Arm {
+    /// The shipped policy: late binding, tiers, admission and retry budgets.
+    #[default]
+    Late,
+    /// One server at random is asked.
+    Random,
+    /// The server that is least loaded by reports is asked.
+    LeastLoaded,
+    /// The less loaded by reports of two random servers is asked.
+    TwoChoices,
+    /// The shipped placement before queues that are first come, first served.
+    Fifo,
+    /// The shipped policy without refusals of what cannot meet its target.
+    NoAdmission,
+    /// The shipped policy with unlimited retries.
+    NoRetryBudget,
+}
+
+impl Arm {
+    /// Every arm.
+    pub const ALL: [Self; 7] = [
+        Self::Late,
+        Self::Random,
+        Self::LeastLoaded,
+        Self::TwoChoices,
+        Self::Fifo,
+        Self::NoAdmission,
+        Self::NoRetryBudget,
+    ];
+
+    /// The arm's name.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Random => "random",
+            Self::LeastLoaded => "least_loaded",
+            Self::TwoChoices => "two_choices",
+            Self::Fifo => "fifo",
+            Self::NoAdmission => "no_admission",
+            Self::NoRetryBudget => "no_retry_budget",
+        }
+    }
+
+    /// Sets an entry up for the arm.
+    pub fn entry(self, settings: &mut entry::Settings) {
+        let routing = &mut settings.routing;
+        match self {
+            Self::Late | Self::Fifo | Self::NoAdmission => {}
+            Self::Random => routing.mode = Mode::Random,
+            Self::LeastLoaded => routing.mode = Mode::LeastLoaded,
+            Self::TwoChoices => routing.mode = Mode::TwoChoices,
+            Self::NoRetryBudget => routing.budget = false,
+        }
+    }
+
+    /// Sets a sidecar up for the arm. The placement baselines stand for plain
+    /// routers, whose queues know neither tiers nor targets.
+    pub fn sidecar(self, settings: &mut sidecar::Settings) {
+        settings.queue.policy = match self {
+            Self::Late | Self::NoRetryBudget => QueuePolicy::Full,
+            Self::NoAdmission => QueuePolicy::NoAdmission,
+            Self::Random | Self::LeastLoaded | Self::TwoChoices | Self::Fifo => QueuePolicy::Fifo,
+        };
+    }
+}
+
+impl Display for Arm {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for Arm {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|arm| arm.as_str() == text);
+        found.ok_or_else(|| {
+            let known: Vec<_> = Self::ALL.iter().map(|a| a.as_str()).collect();
+            format!("no arm {text:?}; expected one of {}", known.join(", "))
+        })
+    }
+}
--- a/crates/demo/src/rollout.rs
+++ b/crates/demo/src/rollout.rs
@@ -3,11 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::stop::Stop;
 use bundle::{Bundle, Content, Operators, SecretKey};
 use follow::{Outcome, Publisher};
 use platform::log::Log;
-use spdlog::error;
+use spdlog::{debug, error};
 use standin::Control;
 use standin::log::{Faults, Settings};
 
@@ -18,7 +17,7 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// The log of a demo and the operators who publish there.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Rollout {
     /// Where the log listens.
     pub log: SocketAddr,
@@ -41,13 +40,15 @@
 
     /// Starts the log.
     #[must_use]
-    pub fn start(&self, stop: Stop) -> Host {
+    pub fn start(&self) -> Host {
         let settings = Settings {
             listen: self.log,
             faults: Faults::default(),
         };
         let faults = self.faults.clone();
-        Host::start("log", move || standin::log::run(settings, faults, stop))
+        Host::start("log", move |stop| {
+            standin::log::run(settings.clone(), faults.clone(), stop)
+        })
     }
 
     /// What daemons need to follow the log.
@@ -56,6 +57,25 @@
         follow::Settings::new(self.log, self.operators())
     }
 
+    /// Publishes a first bundle and waits until every daemon goes by one.
+    pub fn begin(&self, bundle: &Bundle, daemons: &[SocketAddr]) {
+        actix_rt::System::new().block_on(async {
+            self.published(bundle).await;
+            ready(daemons).await;
+        });
+    }
+
+    /// Tries to publish until the log, which may only just start, takes it.
+    async fn published(&self, bundle: &Bundle) {
+        for _ in 0..TRIES {
+            if matches!(self.publish(bundle).await, Outcome::Accepted(_)) {
+                return;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        error!("bundle not published", kv: { log = self.log.to_string().as_str() });
+    }
+
     /// Publishes a bundle, signed by the first operator. The demo's operators
     /// are added to those that it names.
     pub async fn publish(&self, bundle: &Bundle) -> Outcome {
@@ -63,7 +83,7 @@
         bundle.operators.extend(self.operators());
         let mut publisher = Publisher::new(Log::new(self.log), self.operators());
         if let Err(e) = publisher.read().await {
-            error!("log unreadable", kv: { error = e.to_string().as_str() });
+            debug!("log unreadable", kv: { error = e.to_string().as_str() });
             return Outcome::Unknown;
         }
         let content = Content::of(&bundle);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`log`]: the append-only log.
 //! - [`plain`]: a plain service.
+//! - [`silence`]: a forwarder whose connections can go silent.
 
 pub mod control;
 pub mod engine;
 pub mod ledger;
 pub mod log;
 pub mod plain;
+pub mod silence;
 
 pub use control::Control;
 pub use ledger::Ledger;
