Claim idempotency keys in the log before the grant

Change: crates/claims appends claims in batches and lets the log's order decide; an entry checks the claim's window after its last wait before the start, joins further calls to the first one's answer and releases keys of calls that did not run.

--- /dev/null
+++ b/crates/claims/src/claim.rs
@@ -0,0 +1,77 @@
+//! A key that is owned by one call.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use base::ids::Ticket;
+use bundle::Hash;
+
+use crate::claims::Claims;
+use crate::record::End;
+
+/// A key that is owned. Dropped without an end, it is released if the call
+/// never began, and left as unknown if it did.
+pub struct Claim {
+    claims: Rc<Claims>,
+    key: Hash,
+    ticket: Ticket,
+    /// The call must not begin after this.
+    until: Instant,
+    begun: Cell<bool>,
+    ended: Cell<bool>,
+}
+
+impl Claim {
+    pub(crate) fn new(claims: Rc<Claims>, key: Hash, ticket: Ticket, until: Instant) -> Self {
+        Self {
+            claims,
+            key,
+            ticket,
+            until,
+            begun: Cell::new(false),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// Whether the call may begin now; from then on it may have run.
+    ///
+    /// A process that stood still since the claim would otherwise begin a
+    /// call whose key another entry owns by now, and the call would run
+    /// twice. Asked after the last wait before the grant, on the monotonic
+    /// clock, with a margin for the way to the backend server, it cannot.
+    #[must_use]
+    pub fn begin(&self, now: Instant) -> bool {
+        if now >= self.until {
+            return false;
+        }
+        self.begun.set(true);
+        true
+    }
+
+    /// Tells how the call ended.
+    pub fn end(&self, end: End) {
+        if !self.ended.replace(true) {
+            self.claims.end(self.key, self.ticket, end);
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        let end = match self.begun.get() {
+            true => End::Unknown,
+            false => End::NotRun,
+        };
+        self.end(end);
+    }
+}
+
+impl std::fmt::Debug for Claim {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Claim")
+            .field("key", &self.key)
+            .field("ticket", &self.ticket)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -5,7 +5,7 @@
 
 use base::settings::Span;
 use bundle::Bundle;
-use entry::settings::{Known, Routing};
+use entry::settings::{Keys, Known, Routing};
 use policy::queue::Rules;
 use sidecar::settings::Backend;
 use standin::{Control, Ledger, engine, plain, silence};
@@ -231,6 +231,7 @@
             sidecars: (0..count).map(|i| self.known(i)).collect(),
             fan: 2,
             routing: Routing::default(),
+            keys: Keys::default(),
             body_limit: 4 << 20,
             seed: Some(self.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,12 +9,12 @@
 use policy::placement::{ServerIndex, Want};
 use policy::retry::{Failure, Verdict};
 
-use crate::counters;
 use crate::refuse::Refused;
 use crate::request::Request;
 use crate::reserve::{Rejection, Round};
 use crate::start::{Outcome, Run};
 use crate::state::State;
+use crate::{counters, idempotency};
 
 /// When to come back if no sidecar said.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -100,6 +100,10 @@
                 continue;
             }
         };
+        // The last wait before the start is over.
+        if !request.may_start(state.clock.now()) {
+            return Err(idempotency::lapsed());
+        }
         match run.start(&request.work).await {
             Outcome::Running => {
                 let share = state.shares().retries;
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -11,12 +11,12 @@
 use bytes::Bytes;
 use futures_util::stream;
 
-use crate::dispatch;
 use crate::refuse::Refused;
 use crate::relay::{Answer, Part};
 use crate::request::Request;
 use crate::shape::Shape;
 use crate::state::{Open, State};
+use crate::{dispatch, idempotency};
 
 /// The application that callers speak to.
 pub fn app(
@@ -82,6 +82,18 @@
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
 
+    idempotency::once(state, request, async move |request| {
+        complete(state, request, chat, open).await
+    })
+    .await
+}
+
+async fn complete(
+    state: &Rc<State>,
+    request: Request,
+    chat: bool,
+    open: Open,
+) -> Result<HttpResponse, Refused> {
     let granted = dispatch::grant(state, &request).await?;
     let shape = Shape::new(request.ticket, &request.target, chat, request.prompt);
     let stream = request.stream;
@@ -108,6 +120,13 @@
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
 
+    idempotency::once(state, request, async move |request| {
+        call_once(state, request).await
+    })
+    .await
+}
+
+async fn call_once(state: &Rc<State>, request: Request) -> Result<HttpResponse, Refused> {
     let granted = dispatch::grant(state, &request).await?;
     let whole = collect(Answer::new(Rc::clone(state), request, granted)).await?;
     let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- /dev/null
+++ b/crates/entry/src/idempotency.rs
@@ -0,0 +1,413 @@
+//! Calls with an idempotency key: each runs at most once, whichever entries
+//! its caller tries.
+//!
+//! Before the grant the key is claimed in the platform's log; see the
+//! `claims` package. A second call with the key at this entry joins the first
+//! one's answer while it is kept; at another entry it hears what is known.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::body::{BodySize, BoxBody, MessageBody};
+use actix_web::http::StatusCode;
+use actix_web::http::header::CONTENT_TYPE;
+use base::reason::{Ran, Refusal};
+use bundle::Hash;
+use bytes::Bytes;
+use claims::claims::key_hash;
+use claims::{Claim, Denied, End};
+use futures_util::stream;
+use tokio::sync::Notify;
+use wire::Work;
+
+use crate::refuse::Refused;
+use crate::request::Request;
+use crate::state::{Open, State};
+
+/// Bytes of answers that are kept at the most, over all keys.
+const KEPT_BYTES: usize = 16 << 20;
+
+/// Answers that are kept at the most.
+const KEPT_CALLS: usize = 10_000;
+
+/// The end of a whole stream of events.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// The calls with a key that this entry keeps.
+#[derive(Default)]
+pub struct Calls {
+    by_key: RefCell<HashMap<Hash, Rc<Call>>>,
+    /// Keys in the order in which their calls came.
+    order: RefCell<VecDeque<Hash>>,
+    /// Bytes of all kept answers.
+    bytes: Cell<usize>,
+}
+
+/// One call with a key, and its answer as far as it came.
+struct Call {
+    /// Hash of what the call asks for.
+    asks: Hash,
+    head: RefCell<Option<Head>>,
+    body: RefCell<Vec<u8>>,
+    end: RefCell<Option<Result<(), Refused>>>,
+    changed: Notify,
+}
+
+/// The status and the content type of an answer.
+#[derive(Clone)]
+struct Head {
+    status: StatusCode,
+    kind: String,
+}
+
+/// Runs a request that has a key once, or joins the call that runs already;
+/// runs a request without a key as it is.
+///
+/// # Errors
+///
+/// Returns the refusal to answer with.
+pub async fn once(
+    state: &Rc<State>,
+    mut request: Request,
+    run: impl AsyncFnOnce(Request) -> Result<HttpResponse, Refused>,
+) -> Result<HttpResponse, Refused> {
+    let Some(key) = request.key.clone() else {
+        return run(request).await;
+    };
+    let hash = key_hash(&request.workspace, &key);
+    let asks = asks(&request);
+    let found = state.calls.by_key.borrow().get(&hash).cloned();
+    if let Some(call) = found {
+        return join(call, asks, state.open()).await;
+    }
+
+    let first = First::new(state, hash, asks);
+    let claimed = claim(state, &request, &key, asks).await;
+    request.claim = claimed.inspect_err(|refused| first.refuse(refused))?;
+    let claim = request.claim.clone();
+    match run(request).await {
+        Ok(response) => Ok(first.answer(response, claim)),
+        Err(refused) => {
+            if let Some(claim) = claim {
+                claim.end(end_of(refused.ran));
+            }
+            first.refuse(&refused);
+            Err(refused)
+        }
+    }
+}
+
+/// Claims the key in the log. Without a log there is nobody to claim it from,
+/// and only this entry knows of it.
+async fn claim(
+    state: &State,
+    request: &Request,
+    key: &str,
+    asks: Hash,
+) -> Result<Option<Rc<Claim>>, Refused> {
+    let Some(claims) = &state.claims else {
+        return Ok(None);
+    };
+    let claimed = claims.claim(&request.workspace, key, asks, request.ticket);
+    match claimed.await {
+        Ok(claim) => Ok(Some(Rc::new(claim))),
+        Err(denied) => Err(refusal(denied)),
+    }
+}
+
+/// What a caller is told whose key is not its own.
+fn refusal(denied: Denied) -> Refused {
+    let (ran, hint) = match (denied.reason, denied.end) {
+        (Refusal::KeyReused, _) => (Ran::No, "the key was used with another request"),
+        (Refusal::KeyTaken, Some(End::Whole)) => (Ran::Unknown, "the first call ran to its end"),
+        (Refusal::KeyTaken, _) => (Ran::Unknown, "another entry took a call with this key"),
+        _ => (Ran::No, "the platform's log is needed and does not answer"),
+    };
+    Refused {
+        reason: denied.reason,
+        ran,
+        after: denied.after.map(|a| a.max(Duration::from_secs(1))),
+        hint: hint.to_owned(),
+    }
+}
+
+/// The refusal of a call that waited longer than its claim lasts.
+#[must_use]
+pub fn lapsed() -> Refused {
+    let hint = "the claim of the idempotency key lapsed while the call waited";
+    Refused::not_run(Refusal::Expired, hint).after(Duration::from_secs(1))
+}
+
+/// Hash of what a call asks for.
+fn asks(request: &Request) -> Hash {
+    match &request.work {
+        Work::Completion { body, chat } => {
+            let shape: &[u8] = if *chat { b"chat" } else { b"text" };
+            Hash::of(&[shape, request.class.as_bytes(), body])
+        }
+        Work::Call {
+            method, path, body, ..
+        } => {
+            let target = request.target.as_bytes();
+            Hash::of(&[target, method.as_bytes(), path.as_bytes(), body])
+        }
+    }
+}
+
+fn end_of(ran: Ran) -> End {
+    match ran {
+        Ran::No => End::NotRun,
+        Ran::Unknown | Ran::Partial => End::Unknown,
+    }
+}
+
+/// The first call with a key. Dropped before it has an answer, it ends those
+/// who joined it.
+struct First {
+    state: Rc<State>,
+    key: Hash,
+    call: Rc<Call>,
+    settled: Cell<bool>,
+}
+
+impl First {
+    fn new(state: &Rc<State>, key: Hash, asks: Hash) -> Self {
+        let call = Rc::new(Call {
+            asks,
+            head: RefCell::default(),
+            body: RefCell::default(),
+            end: RefCell::default(),
+            changed: Notify::new(),
+        });
+        state.calls.insert(key, &call);
+        Self {
+            state: Rc::clone(state),
+            key,
+            call,
+            settled: Cell::new(false),
+        }
+    }
+
+    /// Ends the call with a refusal. One that did not run leaves the key
+    /// free, so that its caller may try again.
+    fn refuse(&self, refused: &Refused) {
+        self.settled.set(true);
+        self.call.finish(Err(refused.clone()));
+        if refused.ran == Ran::No || refused.reason == Refusal::KeyTaken {
+            self.state.calls.remove(&self.key);
+        }
+    }
+
+    /// Keeps the answer while it goes out.
+    fn answer(self, response: HttpResponse, claim: Option<Rc<Claim>>) -> HttpResponse {
+        self.settled.set(true);
+        let kind = response.headers().get(CONTENT_TYPE);
+        *self.call.head.borrow_mut() = Some(Head {
+            status: response.status(),
+            kind: kind.and_then(|v| v.to_str().ok()).unwrap_or("").to_owned(),
+        });
+        self.call.changed.notify_waiters();
+        let (state, key, call) = (Rc::clone(&self.state), self.key, Rc::clone(&self.call));
+        response.map_body(|_, inner| {
+            BoxBody::new(Tee {
+                inner,
+                state,
+                key,
+                call,
+                claim,
+            })
+        })
+    }
+}
+
+impl Drop for First {
+    fn drop(&mut self) {
+        if !self.settled.get() {
+            self.call.finish(Err(gone()));
+            self.state.calls.remove(&self.key);
+        }
+    }
+}
+
+/// Passes an answer on and keeps it.
+struct Tee {
+    inner: BoxBody,
+    state: Rc<State>,
+    key: Hash,
+    call: Rc<Call>,
+    claim: Option<Rc<Claim>>,
+}
+
+impl Tee {
+    fn keep(&self, data: &[u8]) {
+        self.call.body.borrow_mut().extend_from_slice(data);
+        self.call.changed.notify_waiters();
+        self.state.calls.grow(data.len());
+        // The length is known from the start, so the end is not asked for.
+        if self.inner.size() == BodySize::Sized(self.call.body.borrow().len() as u64) {
+            self.whole();
+        }
+    }
+
+    fn whole(&self) {
+        let streamed = self.call.streamed();
+        let whole = !streamed || self.call.body.borrow().ends_with(DONE);
+        if let Some(claim) = &self.claim {
+            claim.end(if whole { End::Whole } else { End::Unknown });
+        }
+        // A stream that broke off has told its caller so itself.
+        self.call.finish(Ok(()));
+    }
+}
+
+impl MessageBody for Tee {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.inner.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let polled = Pin::new(&mut self.inner).poll_next(cx);
+        match &polled {
+            Poll::Ready(Some(Ok(data))) => self.keep(data),
+            Poll::Ready(None) => self.whole(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        polled
+    }
+}
+
+impl Drop for Tee {
+    /// A caller that goes away ends the run, so those who joined get no whole
+    /// answer either; one that comes later hears that the outcome is unknown.
+    fn drop(&mut self) {
+        if self.call.end.borrow().is_some() {
+            return;
+        }
+        if self.inner.size() == BodySize::Sized(0) {
+            return self.whole();
+        }
+        self.call.finish(Err(gone()));
+        self.state.calls.remove(&self.key);
+    }
+}
+
+fn gone() -> Refused {
+    Refused {
+        reason: Refusal::OutcomeUnknown,
+        ran: Ran::Unknown,
+        after: None,
+        hint: "the first call with this key was broken off by its caller".to_owned(),
+    }
+}
+
+/// Answers a further call with the first one's answer.
+async fn join(call: Rc<Call>, asks: Hash, open: Open) -> Result<HttpResponse, Refused> {
+    if call.asks != asks {
+        let hint = "the key was used with another request";
+        return Err(Refused::not_run(Refusal::KeyReused, hint));
+    }
+    let head = call.begun().await?;
+    metrics::counter!("pimentocart_claims_total", "outcome" => "joined").increment(1);
+
+    let body = stream::unfold(Some((call, 0, open)), |state| async move {
+        let (call, from, open) = state?;
+        let (data, over) = call.more(from).await;
+        let from = from + data.len();
+        let state = (!over).then_some((call, from, open));
+        Some((Ok::<_, io::Error>(data), state))
+    });
+    let mut response = HttpResponse::build(head.status);
+    if !head.kind.is_empty() {
+        response.content_type(head.kind);
+    }
+    Ok(response.streaming(body))
+}
+
+impl Call {
+    fn finish(&self, end: Result<(), Refused>) {
+        self.end.borrow_mut().get_or_insert(end);
+        self.changed.notify_waiters();
+    }
+
+    fn streamed(&self) -> bool {
+        let head = self.head.borrow();
+        head.as_ref()
+            .is_some_and(|h| h.kind.starts_with("text/event-stream"))
+    }
+
+    /// Waits until the answer has begun.
+    async fn begun(&self) -> Result<Head, Refused> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(head) = self.head.borrow().clone() {
+                return Ok(head);
+            }
+            if let Some(Err(refused)) = &*self.end.borrow() {
+                return Err(refused.clone());
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits for more of the answer; the flag says that there is no more.
+    async fn more(&self, from: usize) -> (Bytes, bool) {
+        loop {
+            let changed = self.changed.notified();
+            let mut data = self.body.borrow().get(from..).unwrap_or(&[]).to_vec();
+            let end = self.end.borrow().clone();
+            if let Some(Err(refused)) = &end {
+                write_error(&mut data, refused);
+            }
+            if end.is_some() || !data.is_empty() {
+                return (Bytes::from(data), end.is_some());
+            }
+            changed.await;
+        }
+    }
+}
+
+/// Adds the error event by which a stream of events tells that it broke off.
+fn write_error(out: &mut Vec<u8>, refused: &Refused) {
+    out.extend_from_slice(b"data: ");
+    // Writing to memory cannot fail.
+    let _ = serde_json::to_writer(&mut *out, &refused.body());
+    out.extend_from_slice(b"\n\n");
+}
+
+impl Calls {
+    fn insert(&self, key: Hash, call: &Rc<Call>) {
+        self.by_key.borrow_mut().insert(key, Rc::clone(call));
+        self.order.borrow_mut().push_back(key);
+        self.grow(0);
+    }
+
+    fn remove(&self, key: &Hash) {
+        if let Some(call) = self.by_key.borrow_mut().remove(key) {
+            let size = call.body.borrow().len();
+            self.bytes.set(self.bytes.get().saturating_sub(size));
+        }
+    }
+
+    /// Counts kept bytes and forgets the oldest answers beyond the limits.
+    /// Who is joined to them still gets them whole.
+    fn grow(&self, by: usize) {
+        self.bytes.set(self.bytes.get() + by);
+        while self.bytes.get() > KEPT_BYTES || self.order.borrow().len() > KEPT_CALLS {
+            let Some(key) = self.order.borrow_mut().pop_front() else {
+                return;
+            };
+            self.remove(&key);
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`state`]: the bundle in force and the known sidecars.
 //! - [`request`]: reading a caller's request.
 //! - [`http`]: the callers' side.
+//! - [`idempotency`]: running a call with a key at most once.
 //! - [`dispatch`]: getting a request to run, again if need be.
 //! - [`reserve`]: asking several sidecars for a slot.
 //! - [`start`]: starting a request where a slot is held.
@@ -18,6 +19,7 @@
 pub mod counters;
 pub mod dispatch;
 pub mod http;
+pub mod idempotency;
 pub mod refuse;
 pub mod relay;
 pub mod request;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod rights;
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_web::HttpRequest;
@@ -14,6 +15,7 @@
 use base::reason::Refusal;
 use bundle::{Class, Lookup};
 use bytes::Bytes;
+use claims::Claim;
 use wire::{Reserve, Work};
 
 use crate::refuse::Refused;
@@ -53,6 +55,8 @@
     pub preempted: u32,
     /// The caller's name for a call that must run at most once.
     pub key: Option<String>,
+    /// What this entry holds of the key, set before the grant.
+    pub claim: Option<Rc<Claim>>,
     /// Size of the prompt, in tokens.
     pub prompt: u32,
     /// Most tokens that the answer may have.
@@ -95,6 +99,7 @@
             stream: body.stream,
             repeatable: key.is_none() && repeatable(http)?,
             key,
+            claim: None,
             preempted: 0,
             prompt: body.tokens(),
             max_tokens: body.max_tokens.unwrap_or(u32::MAX),
@@ -142,6 +147,7 @@
             stream: false,
             repeatable: key.is_none() && service.repeatable && repeatable(http)?,
             key,
+            claim: None,
             preempted: 0,
             prompt: 0,
             max_tokens: 0,
@@ -155,6 +161,12 @@
         })
     }
 
+    /// Whether the request may be started at `now`; always so without a key.
+    #[must_use]
+    pub fn may_start(&self, now: Instant) -> bool {
+        self.claim.as_ref().is_none_or(|claim| claim.begin(now))
+    }
+
     /// The request as sidecars are asked for a slot.
     #[must_use]
     pub fn ask(&self, now: Instant, wait: Duration) -> Reserve {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,6 +36,9 @@
     /// How requests are placed, and how long sidecars are waited for.
     #[serde(default)]
     pub routing: Routing,
+    /// How idempotency keys are claimed; the same at every entry.
+    #[serde(default)]
+    pub keys: Keys,
     /// Largest request body, in bytes.
     #[serde(default = "default_body")]
     pub body_limit: usize,
@@ -72,6 +75,27 @@
     pub patience: Span,
 }
 
+/// How idempotency keys are claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Keys {
+    /// How long a key names its first call. Half of the log's retention at
+    /// the most.
+    pub window: Span,
+    /// Least time between two appends of one entry; claims that come
+    /// meanwhile share one.
+    pub gap: Span,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        Self {
+            window: Span::secs(600),
+            gap: Span::ms(10),
+        }
+    }
+}
+
 impl Default for Routing {
     fn default() -> Self {
         Self {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,6 +6,7 @@
 
 use base::clock::Clock;
 use bundle::Shares;
+use claims::Claims;
 use policy::Placement;
 use policy::lengths::Lengths;
 use policy::outlier::{Fault, Good};
@@ -16,6 +17,7 @@
 use wire::{Peer, Reply, Stamp};
 
 use crate::counters;
+use crate::idempotency::Calls;
 use crate::settings::{Known, Settings};
 use crate::spread::Spread;
 
@@ -30,6 +32,10 @@
     pub clock: Rc<dyn Clock>,
     /// The bundle in force.
     pub spread: Spread,
+    /// Claims idempotency keys; none without a log.
+    pub claims: Option<Rc<Claims>>,
+    /// Calls with a key that further calls may join.
+    pub calls: Calls,
     /// The known sidecars by their index. An index is not used again, so that
     /// a late answer is never booked to another sidecar.
     servers: RefCell<Vec<Option<Rc<Server>>>>,
@@ -68,7 +74,9 @@
         };
         let state = Rc::new(Self {
             servers: RefCell::default(),
+            claims: claims(&settings, &clock),
             clock,
+            calls: Calls::default(),
             spread,
             placement: RefCell::new(Placement::new(options)),
             budget: RefCell::new(Budget::new(!settings.routing.budget)),
@@ -198,6 +206,18 @@
     }
 }
 
+/// Starts to claim idempotency keys in the log, if there is one.
+fn claims(settings: &Settings, clock: &Rc<dyn Clock>) -> Option<Rc<Claims>> {
+    let follow = settings.follow.as_ref()?;
+    let settings = claims::Settings {
+        log: follow.log,
+        entry: settings.name.clone(),
+        window: settings.keys.window,
+        gap: settings.keys.gap,
+    };
+    Some(Claims::start(settings, Rc::clone(clock)))
+}
+
 /// Counts one request as in progress for as long as it lives.
 pub struct Open {
     state: Rc<State>,
