--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -8,10 +8,7 @@
 use wire::{Cancelled, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start, Started};
 
 use crate::spread::Level;
-use crate::state::State;
-
-/// Longest time that a call is held, whatever it asks for.
-const HOLD_LIMIT: Duration = Duration::from_secs(5);
+use crate::state::{HOLD_LIMIT, State};
 
 /// When an entry may ask again a sidecar that has no bundle, in milliseconds.
 const NO_BUNDLE_MS: u32 = 1000;
@@ -62,6 +59,7 @@
         let Some(entry) = self.state.find(ask.ticket) else {
             return self.state.reply(Pulled::Unknown);
         };
+        self.state.renew(&entry, ask.wait_ms);
         let mut pulled = self.state.pull(&entry, ask.from);
         if matches!(&pulled, Pulled::Pieces { pieces, end: None, .. } if pieces.is_empty()) {
             let changed = entry.changed.notified();
