--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -7,9 +7,11 @@
 use serde::{Deserialize, Serialize};
 
 /// Everything that operators declare, as one versioned unit. All maps are
-/// ordered, so that equal bundles have equal bytes and signatures.
+/// ordered, so that equal bundles have equal bytes and signatures. A section
+/// that is left out is empty: content is signed entry by entry, and an empty
+/// section has none.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 pub struct Bundle {
     /// Request classes by name.
     pub classes: BTreeMap<String, Class>,
@@ -18,13 +20,11 @@
     /// Pools of model engines by the model's name.
     pub models: BTreeMap<String, Pool>,
     /// Plain services by name, reached under `/v1/services/{name}/`.
-    #[serde(default)]
     pub services: BTreeMap<String, Service>,
     /// Operators who may sign the bundle after this one: name to public key
     /// in base64.
     pub operators: BTreeMap<String, String>,
     /// The policy's shares and limits.
-    #[serde(default)]
     pub shares: Shares,
 }
 
--- a/crates/claims/src/claims.rs
+++ b/crates/claims/src/claims.rs
@@ -43,6 +43,9 @@
 /// way to the backend server.
 const MARGIN: Duration = Duration::from_secs(5);
 
+/// When to ask again about a call that goes on elsewhere.
+const IN_PROGRESS: Duration = Duration::from_secs(2);
+
 /// Longest time that a call waits for its claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -124,9 +127,15 @@
         ticket: Ticket,
     ) -> Result<Claim, Denied> {
         let key = key_hash(workspace, key);
-        // Known to be taken already: no need to ask the log.
+        // Known to be taken already: no need to append. The owner may have
+        // released the key since this entry last read the log.
         if let Some(denied) = self.held(&key, body) {
-            return Err(denied);
+            if denied.end.is_some() || self.read(None).await.is_err() {
+                return Err(denied);
+            }
+            if let Some(denied) = self.held(&key, body) {
+                return Err(denied);
+            }
         }
 
         let (reply, answer) = oneshot::channel();
@@ -178,11 +187,17 @@
                 after: None,
             };
         }
+        // More may be known soon of a call that goes on; one that ended keeps
+        // its key until the claim lapses.
         let left = owner.until_ms.saturating_sub(self.clock.wall_ms());
+        let after = match owner.end {
+            None => IN_PROGRESS,
+            Some(_) => Duration::from_millis(left),
+        };
         Denied {
             reason: Refusal::KeyTaken,
             end: owner.end,
-            after: Some(Duration::from_millis(left)),
+            after: Some(after),
         }
     }
 
--- a/crates/follow/src/follower.rs
+++ b/crates/follow/src/follower.rs
@@ -6,7 +6,7 @@
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use base::clock::Clock;
 use base::ids::{Offset, Sequence};
-use bundle::Verdict;
+use bundle::{Fault, Verdict};
 use bytes::Bytes;
 use platform::log::{Error, Log, Page};
 use spdlog::{debug, info, warn};
@@ -140,7 +140,8 @@
 
     /// Counts and logs what became of a record.
     fn note(&mut self, verdict: &Verdict, time_ms: u64) {
-        metrics::counter!("bundle_records_total", "verdict" => verdict.as_str()).increment(1);
+        metrics::counter!("pimentocart_bundle_records_total", "verdict" => verdict.as_str())
+            .increment(1);
         match verdict {
             Verdict::Accepted(sequence) => {
                 info!("bundle accepted", kv: { sequence = sequence.0 });
@@ -161,6 +162,8 @@
                 self.contradicted = false;
             }
             Verdict::Behind => self.contradicted = true,
+            // Ordinary: an append whose reply was lost, tried again.
+            Verdict::Refused(Fault::Replayed) => debug!("bundle record replayed"),
             Verdict::Beaten { .. } | Verdict::Refused(_) => {
                 warn!("bundle record refused", kv: { verdict = verdict.as_str() });
             }
@@ -172,7 +175,7 @@
     fn report_lag(&self) {
         let lag = self.clock.wall_ms().saturating_sub(self.head_ms);
         let seconds = Duration::from_millis(lag).as_secs_f64();
-        metrics::histogram!("bundle_in_force_seconds").record(seconds);
+        metrics::histogram!("pimentocart_bundle_in_force_seconds").record(seconds);
     }
 
     /// Passes over a gap that nobody's checkpoint closes.
@@ -230,7 +233,7 @@
         };
         let then = append.into_actor(self).map(|done, actor, ctx| {
             let outcome = if done.is_ok() { "ok" } else { "failed" };
-            metrics::counter!("log_appends_total", "stream" => STREAM, "outcome" => outcome)
+            metrics::counter!("pimentocart_log_appends_total", "stream" => STREAM, "outcome" => outcome)
                 .increment(1);
             actor.read(ctx);
         });
@@ -245,7 +248,7 @@
         // Every label is there from the start, so that a rate over it is
         // never of nothing.
         for verdict in Verdict::LABELS {
-            metrics::counter!("bundle_records_total", "verdict" => verdict).absolute(0);
+            metrics::counter!("pimentocart_bundle_records_total", "verdict" => verdict).absolute(0);
         }
         self.read(ctx);
     }
@@ -257,7 +260,7 @@
     fn handle(&mut self, Take(bytes): Take, _: &mut Self::Context) -> Self::Result {
         let taken = self.held.take(&bytes);
         let outcome = if taken.is_ok() { "ok" } else { "refused" };
-        metrics::counter!("bundle_transfers_total", "outcome" => outcome).increment(1);
+        metrics::counter!("pimentocart_bundle_transfers_total", "outcome" => outcome).increment(1);
         if let Err(e) = &taken {
             warn!("transfer refused", kv: { error = e.to_string().as_str() });
         }
--- a/crates/follow/src/held.rs
+++ b/crates/follow/src/held.rs
@@ -172,7 +172,7 @@
         if self.reachable.replace(reachable) != reachable {
             info!("log reachable", kv: { reachable = reachable });
         }
-        metrics::gauge!("log_reachable").set(f64::from(u8::from(reachable)));
+        metrics::gauge!("pimentocart_log_reachable").set(f64::from(u8::from(reachable)));
     }
 
     /// Puts the accepted version in force, if it is a new one that this
@@ -207,7 +207,7 @@
             }
         }
         info!("bundle in force", kv: { sequence = sequence.0, operator = head.signed.header.operator.as_str() });
-        metrics::gauge!("bundle_sequence").set(sequence.0 as f64);
+        metrics::gauge!("pimentocart_bundle_sequence").set(sequence.0 as f64);
         self.changed.notify_waiters();
         true
     }
