Give operators commands to sign, roll out and roll back

Cause: operators need to be told what became of a publication, never a guess. Change: bundle new, check, sign, publish, rollback, show and diff, keys new; bundle::check finds every fault in one run; a sign-off is kept with the bundle.

--- a/crates/bundle/src/accept.rs
+++ b/crates/bundle/src/accept.rs
@@ -121,6 +121,12 @@
         &self.content
     }
 
+    /// Who may sign the next version.
+    #[must_use]
+    pub fn operators(&self) -> &Operators {
+        &self.operators
+    }
+
     /// The offset to read next.
     #[must_use]
     pub fn next(&self) -> Offset {
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -2,15 +2,19 @@
 //! is in force.
 //!
 //! - [`model`]: the declaration itself.
+//! - [`check`]: every fault of a declaration in one run.
 //! - [`content`]: the declaration as entries of canonical JSON, and changes
 //!   of it.
 //! - [`digest`] and [`hash`]: what is signed in place of the content.
+//! - [`approval`]: an operator's sign-off of a bundle.
 //! - [`keys`]: operators' keys and signatures.
 //! - [`record`]: the records in the platform's log.
 //! - [`accept`] and [`verdict`]: which record is accepted.
 //! - [`lookup`]: the declaration prepared for every request.
 
 pub mod accept;
+pub mod approval;
+pub mod check;
 pub mod content;
 pub mod digest;
 pub mod hash;
@@ -21,6 +25,7 @@
 pub mod verdict;
 
 pub use accept::{Acceptor, Head};
+pub use approval::Approval;
 pub use content::Content;
 pub use hash::Hash;
 pub use keys::{Operators, SecretKey};
--- /dev/null
+++ b/crates/bundle/tests/check.rs
@@ -0,0 +1,82 @@
+//! Each fault of a bundle is found, and all of them in one run.
+
+use bundle::SecretKey;
+use bundle::check::check;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+fn sound() -> Value {
+    let key = SecretKey::from_secret("awa", &[1; 32]);
+    json!({
+        "classes": { "counter": {
+            "tier": 0,
+            "targets": { "first_token": "300ms", "token_gap": "43ms", "whole": "20s" },
+            "model": "dossier-8b",
+        } },
+        "workspaces": { "mairie": { "tokens": ["a".repeat(64)], "classes": ["counter"] } },
+        "models": { "dossier-8b": {} },
+        "services": { "messaging": { "class": "counter" } },
+        "operators": { "awa": key.public },
+        "shares": { "guaranteed": 0.05 },
+    })
+}
+
+/// Puts `value` at a path of object keys.
+fn put(json: &mut Value, path: &str, value: Value) {
+    let pointer = format!("/{}", path.replace('.', "/"));
+    if let Some(place) = json.pointer_mut(&pointer) {
+        *place = value;
+        return;
+    }
+    let (parent, name) = pointer.rsplit_once('/').expect("a path");
+    json.pointer_mut(parent).expect("a parent")[name] = value;
+}
+
+#[test]
+fn check_sound() {
+    assert_eq!(check(&sound()), []);
+}
+
+#[rstest]
+#[case::section("clases", json!({}), "clases")]
+#[case::section_shape("models", json!([]), "models")]
+#[case::tier("classes.counter.tier", json!(8), "classes.counter.tier")]
+#[case::unit("classes.counter.targets.whole", json!("20x"), "classes.counter.targets.whole")]
+#[case::zero("classes.counter.targets.token_gap", json!("0s"), "classes.counter.targets.token_gap")]
+#[case::order("classes.counter.targets.whole", json!("200ms"), "classes.counter.targets.whole")]
+#[case::model("classes.counter.model", json!("none"), "classes.counter.model")]
+#[case::unknown_key("classes.counter.colour", json!(1), "classes.counter.colour")]
+#[case::no_targets("classes.counter.targets", json!({}), "classes.counter.targets")]
+#[case::workspace_class("workspaces.mairie.classes", json!(["count"]), "workspaces.mairie.classes[0]")]
+#[case::weight("workspaces.mairie.weight", json!(0), "workspaces.mairie.weight")]
+#[case::token("workspaces.mairie.tokens", json!(["secret"]), "workspaces.mairie.tokens[0]")]
+#[case::two_owners("workspaces.other", json!({ "tokens": ["a".repeat(64)], "classes": [] }), "workspaces.other.tokens[0]")]
+#[case::service_class("services.messaging.class", json!("none"), "services.messaging.class")]
+#[case::service_name("services.dossier-8b", json!({ "class": "counter" }), "services.dossier-8b")]
+#[case::operator("operators.awa", json!("key"), "operators.awa")]
+#[case::no_operator("operators", json!({}), "operators")]
+#[case::share("shares.guaranteed", json!(0.6), "shares.guaranteed")]
+#[case::negative_share("shares.retries", json!(-0.1), "shares.retries")]
+fn check_fault(#[case] at: &str, #[case] value: Value, #[case] path: &str) {
+    let mut json = sound();
+    put(&mut json, at, value);
+    let findings = check(&json);
+    let found: Vec<&str> = findings.iter().map(|f| f.path.as_str()).collect();
+    assert_eq!(found, [path], "{findings:?}");
+    assert!(
+        findings
+            .iter()
+            .all(|f| !f.found.is_empty() && !f.hint.is_empty())
+    );
+}
+
+#[test]
+fn check_many() {
+    let mut json = sound();
+    put(&mut json, "classes.counter.tier", json!("high"));
+    put(&mut json, "workspaces.mairie.tokens", json!(["x", "y"]));
+    put(&mut json, "operators.luz", json!("key"));
+    put(&mut json, "shares.ejected", json!(2));
+    // What names the class that cannot be read is not a fault of its own.
+    assert_eq!(check(&json).len(), 5);
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! The commands, a file for each group.
 
+pub(crate) mod bundle;
 pub(crate) mod compare;
 pub(crate) mod daemons;
 pub(crate) mod demo;
+pub(crate) mod keys;
 pub(crate) mod load;
 pub(crate) mod standin;
 pub(crate) mod status;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -25,6 +25,8 @@
 enum Command {
     Entry(#[bpaf(external(commands::daemons::entry))] commands::daemons::Entry),
     Sidecar(#[bpaf(external(commands::daemons::sidecar))] commands::daemons::Sidecar),
+    Bundle(#[bpaf(external(commands::bundle::bundle))] commands::bundle::BundleCommand),
+    Keys(#[bpaf(external(commands::keys::keys))] commands::keys::Keys),
     Compare(#[bpaf(external(commands::compare::compare))] commands::compare::Compare),
     Load(#[bpaf(external(commands::load::load))] commands::load::Load),
     Demo(#[bpaf(external(commands::demo::demo))] commands::demo::Demo),
@@ -40,6 +42,8 @@
     let outcome = match command {
         Command::Entry(c) => c.run(),
         Command::Sidecar(c) => c.run(),
+        Command::Bundle(c) => c.run(),
+        Command::Keys(c) => c.run(),
         Command::Compare(c) => c.run(),
         Command::Load(c) => c.run(),
         Command::Demo(c) => c.run(),
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -3,6 +3,7 @@
 //!
 //! The stand-ins run inside the test, so that it sees what they saw.
 
+mod bundles;
 mod caller;
 mod fleet;
 mod settings;
