--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -147,7 +147,7 @@
         async move {
             let mut settings = settings.ok_or_else(|| std::io::Error::other("bad settings"))?;
             settings.sidecars = known;
-            entry::run(settings, bundle(1), stop).await
+            entry::run(settings, Some(bundle(1)), stop).await
         }
     })
 }
