--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -1,6 +1,6 @@
 //! `load`: an open-loop load generator against any entries.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -56,16 +56,26 @@
     })
 }
 
-/// Prints what became of lost requests, if any, by how often.
+/// Most lost requests that are printed one by one.
+const SHOWN: usize = 10;
+
+/// Prints what became of lost requests, if any.
 pub(crate) fn print_lost(run: &Run) {
-    let mut reasons: BTreeMap<&str, u64> = BTreeMap::new();
-    for outcome in &run.outcomes {
-        if let Ending::Lost(reason) = &outcome.ending {
-            *reasons.entry(reason).or_default() += 1;
-        }
-    }
-    for (reason, count) in reasons {
-        println!("lost count={count} reason={reason:?}");
+    let lost = run.outcomes.iter().filter_map(|o| match &o.ending {
+        Ending::Lost(reason) => Some((o, reason)),
+        _ => None,
+    });
+    for (outcome, reason) in lost.take(SHOWN) {
+        let arrival = &outcome.arrival;
+        println!(
+            "lost mark={} at={:.1}s ended={:.1}s tokens={} of={} stream={} reason={reason:?}",
+            arrival.mark,
+            arrival.at.as_secs_f64(),
+            (arrival.at + outcome.total).as_secs_f64(),
+            outcome.tokens,
+            arrival.answer,
+            arrival.stream
+        );
     }
 }
 
--- /dev/null
+++ b/crates/demo/src/changes.rs
@@ -0,0 +1,151 @@
+//! Changes of the bundle while a demo runs, and how fast they are in force.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base::ids::Sequence;
+use bundle::{Bundle, Content};
+use follow::{Outcome, Publisher};
+use platform::log::Log;
+use serde::Deserialize;
+
+use crate::rollout::Rollout;
+
+/// How long a publication is tried, and the pause between tries.
+const TRY_FOR: Duration = Duration::from_secs(15);
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// How long every daemon has to come up to a change.
+const IN_FORCE: Duration = Duration::from_secs(20);
+
+/// What a daemon shows of the bundle that it goes by.
+#[derive(Debug, Deserialize)]
+struct Shown {
+    sequence: Sequence,
+}
+
+/// What an operator changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// One operator publishes.
+    Publish,
+    /// Two operators publish at once.
+    Race,
+    /// One operator goes back to the first version.
+    Rollback,
+}
+
+/// Makes a change and waits until it is in force everywhere; says how long
+/// that took, on one line.
+#[must_use]
+pub fn make(change: Change, rollout: &Rollout, bundle: &Bundle, daemons: &[SocketAddr]) -> String {
+    actix_rt::System::new().block_on(async {
+        let outcomes = match change {
+            Change::Publish => vec![publish(rollout, 0, &marked(bundle, "one")).await],
+            Change::Rollback => vec![rollback(rollout).await],
+            Change::Race => {
+                let (one, two) = (marked(bundle, "race-a"), marked(bundle, "race-b"));
+                let (one, two) = tokio::join!(publish(rollout, 0, &one), publish(rollout, 1, &two));
+                vec![one, two]
+            }
+        };
+        let won = outcomes.iter().find_map(|outcome| match outcome {
+            Outcome::Accepted(sequence) => Some(*sequence),
+            _ => None,
+        });
+        let Some(sequence) = won else {
+            return format!("change={change:?} outcomes={outcomes:?} in_force=never");
+        };
+        match in_force(sequence, daemons).await {
+            Some(took) => format!(
+                "change={change:?} outcomes={outcomes:?} in_force_everywhere={:.3}s daemons={}",
+                took.as_secs_f64(),
+                daemons.len()
+            ),
+            None => format!("change={change:?} outcomes={outcomes:?} in_force=late"),
+        }
+    })
+}
+
+/// A bundle that differs from all others by one workspace that nobody uses.
+fn marked(bundle: &Bundle, mark: &str) -> Bundle {
+    let mut bundle = bundle.clone();
+    let workspace = bundle::Workspace {
+        tokens: [bundle::token_hash(mark)].into(),
+        ..bundle::Workspace::default()
+    };
+    bundle
+        .workspaces
+        .insert(format!("marked-{mark}"), workspace);
+    bundle
+}
+
+async fn publish(rollout: &Rollout, operator: usize, bundle: &Bundle) -> Outcome {
+    let mut bundle = bundle.clone();
+    bundle.operators.extend(rollout.operators());
+    let content = Content::of(&bundle);
+    attempt(
+        async |publisher| {
+            let published = publisher.publish(&rollout.keys[operator], &content, None);
+            published.await.unwrap_or(Outcome::Unknown)
+        },
+        rollout,
+    )
+    .await
+}
+
+async fn rollback(rollout: &Rollout) -> Outcome {
+    attempt(
+        async |publisher| {
+            let first = Sequence(1);
+            let Ok(Some(content)) = publisher.content(first).await else {
+                return Outcome::Unknown;
+            };
+            let published = publisher.publish(&rollout.keys[0], &content, Some(first));
+            published.await.unwrap_or(Outcome::Unknown)
+        },
+        rollout,
+    )
+    .await
+}
+
+/// Tries for as long as the outcome is unknown, as an operator who is told to
+/// look again does.
+async fn attempt(
+    mut publish: impl AsyncFnMut(&mut Publisher) -> Outcome,
+    rollout: &Rollout,
+) -> Outcome {
+    let began = Instant::now();
+    let mut publisher = Publisher::new(Log::new(rollout.log), rollout.operators());
+    let mut outcome = Outcome::Unknown;
+    while outcome == Outcome::Unknown && began.elapsed() < TRY_FOR {
+        if publisher.read().await.is_ok() {
+            outcome = publish(&mut publisher).await;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    outcome
+}
+
+/// Time until every daemon that answers goes by the version or a later one.
+async fn in_force(sequence: Sequence, daemons: &[SocketAddr]) -> Option<Duration> {
+    let began = Instant::now();
+    let http = awc::Client::default();
+    for daemon in daemons {
+        let url = format!("http://{daemon}/status");
+        loop {
+            let shown = match http.get(&url).send().await {
+                Ok(mut answer) => answer.json::<Shown>().await.ok(),
+                Err(_) => None,
+            };
+            if shown.is_some_and(|s| s.sequence >= sequence) {
+                break;
+            }
+            if began.elapsed() > IN_FORCE {
+                return None;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    Some(began.elapsed())
+}
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -2,7 +2,9 @@
 //! own on loopback.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
+use base::ids::Offset;
 use base::settings::Span;
 use bundle::Bundle;
 use entry::settings::{Keys, Known, Routing};
@@ -11,6 +13,7 @@
 use standin::{Control, Ledger, engine, plain, silence};
 
 use crate::arm::Arm;
+use crate::changes::{self, Change};
 use crate::fleet::{ENTRIES, EXTRA, Fleet, PLAINS, PREFILL, SLOTS};
 use crate::host::Host;
 use crate::rollout::Rollout;
@@ -47,6 +50,8 @@
 /// A fleet that runs.
 pub struct Cluster {
     layout: Layout,
+    /// The forwarder before the log, which counts bytes.
+    log_link: (Host, Control<silence::Faults>),
     /// The entries.
     pub entries: Vec<Host>,
     /// The backend servers, model engines first.
@@ -88,6 +93,7 @@
     Link = 4,
     Inner = 5,
     Log = 6,
+    LogLink = 7,
 }
 
 impl Layout {
@@ -120,6 +126,7 @@
     pub fn start(self) -> Cluster {
         let ledger = Ledger::default();
         let log = self.rollout.start();
+        let log_link = start_forwarder(self.addr(Role::LogLink, 0), self.rollout.log);
         let count = self.fleet.engines() + PLAINS;
         let servers = (0..count).map(|i| self.start_server(i, &ledger)).collect();
         let entries = (0..ENTRIES).map(|i| self.start_entry(i)).collect();
@@ -127,6 +134,7 @@
         Cluster {
             layout: self,
             log,
+            log_link,
             entries,
             servers,
             ledger,
@@ -205,7 +213,7 @@
             zone: known.zone,
             listen: self.addr(Role::Sidecar, i),
             operators: Some(self.operators(Role::Sidecar, i)),
-            follow: Some(self.rollout.follow()),
+            follow: Some(self.follow()),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -228,7 +236,7 @@
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(Role::Entry, i),
             operators: Some(self.operators(Role::Entry, i)),
-            follow: Some(self.rollout.follow()),
+            follow: Some(self.follow()),
             sidecars: (0..count).map(|i| self.known(i)).collect(),
             fan: 2,
             routing: Routing::default(),
@@ -241,6 +249,14 @@
         Host::start(&name, move |stop| entry::run(settings.clone(), None, stop))
     }
 
+    /// What daemons need to follow the log. They reach it through a forwarder
+    /// that counts their bytes.
+    fn follow(&self) -> follow::Settings {
+        let mut settings = self.rollout.follow();
+        settings.log = self.addr(Role::LogLink, 0);
+        settings
+    }
+
     /// A backend server's sidecar as entries know it.
     fn known(&self, i: u8) -> Known {
         let serves = match i < self.fleet.engines() {
@@ -279,6 +295,43 @@
 }
 
 impl Cluster {
+    /// Changes the bundle; says what became of that.
+    #[must_use]
+    pub fn change(&self, change: Change) -> String {
+        let layout = &self.layout;
+        changes::make(change, &layout.rollout, &layout.bundle, &layout.daemons())
+    }
+
+    /// What goes wrong with the log.
+    #[must_use]
+    pub fn log_faults(&self) -> &Control<standin::log::Faults> {
+        &self.layout.rollout.faults
+    }
+
+    /// What the daemons and the log cost each other in `seconds`, on one line.
+    #[must_use]
+    pub fn control(&self, seconds: f64) -> String {
+        let bytes = self.log_link.1.get().bytes.total() as f64;
+        let daemons = self.layout.daemons().len() as f64;
+        let appends = actix_rt::System::new().block_on(self.appends());
+        format!(
+            "log appends={appends} appends_per_second={:.2} bytes_per_second_per_daemon={:.0}",
+            appends as f64 / seconds,
+            bytes / seconds / daemons
+        )
+    }
+
+    /// Records in the log's streams.
+    async fn appends(&self) -> u64 {
+        let log = platform::log::Log::new(self.layout.rollout.log);
+        let mut all = 0;
+        for stream in [follow::STREAM, claims::STREAM] {
+            let page = log.read(stream, Offset(0), 1, Duration::ZERO).await;
+            all += page.map_or(0, |page| page.end.0);
+        }
+        all
+    }
+
     /// Whose fleet it is.
     #[must_use]
     pub fn fleet(&self) -> Fleet {
@@ -296,6 +349,7 @@
             stage.iter().for_each(|host| host.ask());
             stage.iter().for_each(|host| host.end());
         }
+        self.log_link.0.end();
         self.log.end();
     }
 }
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -6,6 +6,7 @@
 use base::settings::Span;
 use serde::{Deserialize, Serialize};
 
+use crate::changes::Change;
 use crate::cluster::{Cluster, Faults, Server};
 
 /// Time between a daemon's end and its next life in a rolling restart.
@@ -84,6 +85,22 @@
         /// The backend server.
         server: usize,
     },
+    /// The log answers nobody.
+    LogOutage {
+        /// For how long.
+        time: Span,
+    },
+    /// Replies of the log are lost after the appends took effect.
+    LogLosesReplies {
+        /// Of how many appends.
+        count: u32,
+    },
+    /// An operator publishes a changed bundle.
+    Publish,
+    /// Two operators publish different bundles at once.
+    RacePublish,
+    /// An operator goes back to the first version of the bundle.
+    Rollback,
     /// Every sidecar and entry in turn ends gracefully and starts again.
     RollingRestart,
 }
@@ -151,6 +168,15 @@
             }
             Self::SilenceSidecar { server: i } => silence(server(i).map(|s| &s.link)),
             Self::SilenceBackend { server: i } => silence(server(i).map(|s| &s.inner)),
+            Self::LogOutage { time } => {
+                cluster.log_faults().change(|f| f.down = true);
+                thread::sleep(time.0);
+                cluster.log_faults().change(|f| f.down = false);
+            }
+            Self::LogLosesReplies { count } => cluster.log_faults().change(|f| f.lose = *count),
+            Self::Publish => eprintln!("{}", cluster.change(Change::Publish)),
+            Self::RacePublish => eprintln!("{}", cluster.change(Change::Race)),
+            Self::Rollback => eprintln!("{}", cluster.change(Change::Rollback)),
             Self::RollingRestart => rolling_restart(cluster),
         }
     }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`oracle`]: what an oracle could make of a load, by arithmetic.
 //! - [`fleet`]: the two users' fleets in the sizes of the brief.
 //! - [`plan`]: what a fleet declares and what its callers send.
+//! - [`changes`]: changes of the bundle while a demo runs.
 //! - [`cluster`]: the daemons and stand-ins.
 //! - [`host`]: one daemon on a thread of its own.
 //! - [`rollout`]: the log and publishing the bundle through it.
 //! - [`faults`]: faults brought about at set times.
 
 pub mod arm;
+pub mod changes;
 pub mod cluster;
 pub mod compare;
 pub mod faults;
@@ -21,7 +23,7 @@
 pub mod rollout;
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::settings::Span;
 use load::{Mix, Run};
@@ -105,10 +107,13 @@
     let entries = layout.entries();
     let cluster = layout.start();
     thread::sleep(WARM_UP);
+    let began = Instant::now();
     let run = thread::scope(|scope| {
         scope.spawn(|| faults.run(&cluster));
         load::run(&mix, &entries, &cluster.ledger, options.progress)
     });
+    let took = began.elapsed().as_secs_f64();
+    eprintln!("{}", cluster.control(took));
     cluster.end();
     run
 }
--- a/crates/demo/src/rollout.rs
+++ b/crates/demo/src/rollout.rs
@@ -91,7 +91,9 @@
         published.unwrap_or(Outcome::Unknown)
     }
 
-    fn operators(&self) -> Operators {
+    /// The operators who may sign.
+    #[must_use]
+    pub fn operators(&self) -> Operators {
         let pair = |k: &SecretKey| (k.operator.clone(), k.public.clone());
         self.keys.iter().map(pair).collect()
     }
