--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -3,6 +3,7 @@
 
 use std::fmt::Write as _;
 
+use crate::fit::Line;
 use crate::slopes::Slopes;
 
 /// The size to design for.
@@ -96,7 +97,9 @@
     let per_one = |name: &str| slope(slopes, name);
     let cpu = |by: &str| per_one(&format!("{}_us_by_{by}", share.prefix));
     let link = |by: &str| per_one(&format!("link_bytes_by_{by}"));
+    let idle = base(slopes, &format!("{}_us_by_peer_second", share.prefix))?;
     let rows = [
+        ("the process itself, idle", 1.0, idle, 0.0, 0.0),
         (
             "requests a second",
             share.requests,
@@ -158,7 +161,7 @@
         (state + lookup) / 1e6
     );
 
-    let control = share.peers * cpu("peer_second")?.max(0.0) / MICROS;
+    let control = (idle.max(0.0) + share.peers * cpu("peer_second")?.max(0.0)) / MICROS;
     let bytes = share.peers * link("peer_second")?.max(0.0);
     let _ = writeln!(
         out,
@@ -202,7 +205,14 @@
 }
 
 fn slope(slopes: &Slopes, name: &str) -> Result<f64, String> {
-    let line = slopes.lines.get(name);
-    line.map(|l| l.slope)
-        .ok_or_else(|| format!("step=capacity: no line {name:?} among the slopes"))
+    line(slopes, name).map(|l| l.slope)
+}
+
+fn base(slopes: &Slopes, name: &str) -> Result<f64, String> {
+    line(slopes, name).map(|l| l.base)
+}
+
+fn line<'a>(slopes: &'a Slopes, name: &str) -> Result<&'a Line, String> {
+    let found = slopes.lines.get(name);
+    found.ok_or_else(|| format!("step=capacity: no line {name:?} among the slopes"))
 }
