Test where a request may run again, and how connections fail

Cause: the retry paths and the connection's safeguards had no tests, and a repeatable request waited through four unanswered starts before it went on. A repeatable request goes elsewhere after the second unanswered start.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -100,7 +100,7 @@
                 continue;
             }
         };
-        match run.start(&request.work).await {
+        match run.start(&request.work, request.repeatable).await {
             Outcome::Running => {
                 let share = state.bundle.borrow().shares.retries;
                 state.budget.borrow_mut().granted(&request.class, share);
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -13,9 +13,13 @@
 use crate::reserve::cause;
 use crate::state::{Server, State};
 
-/// How often a start without an answer is sent again.
+/// How often a start without an answer is sent again where nothing else can
+/// tell whether the request ran.
 const AGAIN: u32 = 3;
 
+/// How often it is sent again for a request that may run elsewhere instead.
+const AGAIN_REPEATABLE: u32 = 1;
+
 /// Pause before a start is sent again, so that a sidecar that resets
 /// connections is not flooded.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -71,9 +75,10 @@
     /// Starts the work. A start without an answer may or may not have taken
     /// effect; it is sent again for the same life of the sidecar, which
     /// answers the same however often it is asked and so tells which.
-    pub async fn start(&self, work: &Work) -> Outcome {
+    pub async fn start(&self, work: &Work, repeatable: bool) -> Outcome {
+        let again = if repeatable { AGAIN_REPEATABLE } else { AGAIN };
         let mut sent = false;
-        for _ in 0..=AGAIN {
+        for _ in 0..=again {
             let order = Start {
                 ticket: self.ticket,
                 incarnation: self.incarnation,
@@ -93,6 +98,11 @@
         if !sent {
             return Outcome::NotRun(Retry::Unreachable);
         }
+        // The caller of a repeatable request waits for its answer elsewhere;
+        // this run, if there is one, is cancelled when it is dropped.
+        if repeatable {
+            return Outcome::Unknown;
+        }
         self.cancel().await
     }
 
--- /dev/null
+++ b/crates/entry/tests/routing/fake.rs
@@ -0,0 +1,401 @@
+//! A sidecar that answers by a script, and an entry that knows a few of them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::clock::SystemClock;
+use base::ids::{Incarnation, Ticket, Tier};
+use base::reason::{Ran, Refusal};
+use base::settings::Span;
+use base::stop::Stop;
+use bundle::{Bundle, Class, Targets};
+use bytes::Bytes;
+use entry::refuse::Refused;
+use entry::relay::{Answer, Part};
+use entry::request::Request;
+use entry::settings::{Known, Routing, Settings};
+use entry::state::State;
+use policy::placement::Mode;
+use tarpc::context::Context;
+use wire::{
+    Cancelled, End, Load, Piece, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start,
+    Started, Work,
+};
+
+/// Longest time that a test waits for anything.
+const BOUND: Duration = Duration::from_secs(20);
+
+/// How the fake answers a reservation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Reserving {
+    Ready {
+        token_us: u32,
+    },
+    /// It waits for ever, and says for how long.
+    Busy {
+        wait_us: u32,
+    },
+    Refuse(Refusal),
+    Silent,
+}
+
+/// How the fake answers a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Starting {
+    Run,
+    Lapsed,
+    /// It runs, but the first answer is lost.
+    ReplyLost,
+    /// The first start gets no answer; then the sidecar has a new life.
+    Reborn,
+    /// The sidecar has a new life before the start comes.
+    RebornBefore,
+    /// No start ever gets an answer.
+    Silent,
+}
+
+/// How a run goes on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Running {
+    /// Two pieces and the end.
+    Whole,
+    /// Breaks off after so many pieces.
+    Broken(u32, Ran),
+    /// The first pull gets no answer.
+    PullLost,
+}
+
+/// What the fake does.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Script {
+    pub(crate) reserving: Reserving,
+    pub(crate) starting: Starting,
+    pub(crate) running: Running,
+    pub(crate) draining: bool,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        Self {
+            reserving: Reserving::Ready { token_us: 3000 },
+            starting: Starting::Run,
+            running: Running::Whole,
+            draining: false,
+        }
+    }
+}
+
+/// A scripted sidecar and what it saw.
+pub(crate) struct Fake {
+    pub(crate) script: Cell<Script>,
+    pub(crate) reserves: Cell<u32>,
+    pub(crate) offers: Cell<u32>,
+    pub(crate) starts: Cell<u32>,
+    pub(crate) pulls: Cell<u32>,
+    /// A first poll is answered "waiting", and later ones once the other fake
+    /// offered so many slots.
+    pub(crate) busy: RefCell<Option<(Rc<Fake>, u32)>>,
+    /// A reservation is answered once the other fake was asked so often.
+    pub(crate) after: RefCell<Option<(Rc<Fake>, u32)>>,
+    pub(crate) cancels: RefCell<Vec<Ticket>>,
+    incarnation: Cell<u64>,
+    /// The word that marks this fake's pieces.
+    pub(crate) name: &'static str,
+}
+
+#[derive(Clone)]
+pub(crate) struct Service(pub(crate) Rc<Fake>);
+
+impl Fake {
+    pub(crate) fn new(name: &'static str, script: Script) -> Rc<Self> {
+        Rc::new(Self {
+            script: Cell::new(script),
+            reserves: Cell::default(),
+            offers: Cell::default(),
+            starts: Cell::default(),
+            pulls: Cell::default(),
+            busy: RefCell::default(),
+            after: RefCell::default(),
+            cancels: RefCell::default(),
+            incarnation: Cell::new(1),
+            name,
+        })
+    }
+
+    fn reply<T>(&self, body: T) -> Reply<T> {
+        let busy = match self.script.get().reserving {
+            Reserving::Busy { wait_us } => Some(wait_us),
+            _ => self.busy.borrow().as_ref().map(|_| 2_000_000),
+        };
+        let load = Load {
+            slots: 8,
+            running: if busy.is_some() { 8 } else { 0 },
+            wait_us: busy.unwrap_or(0),
+            token_us: 3000,
+            first_us: 3000,
+            draining: self.script.get().draining,
+            ..Load::default()
+        };
+        Reply {
+            sequence: base::ids::Sequence::default(),
+            incarnation: Incarnation(self.incarnation.get()),
+            load,
+            body,
+        }
+    }
+
+    fn piece(&self, number: u32) -> Piece {
+        Piece {
+            tokens: 1,
+            data: Bytes::from(format!("{}{number} ", self.name)),
+        }
+    }
+}
+
+/// Waits until the other fake was asked often enough.
+async fn asked(other: &RefCell<Option<(Rc<Fake>, u32)>>) {
+    let Some((fake, times)) = other.borrow().clone() else {
+        return;
+    };
+    while fake.reserves.get() < times {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn count(cell: &Cell<u32>) -> u32 {
+    cell.set(cell.get() + 1);
+    cell.get()
+}
+
+impl Sidecar for Service {
+    async fn reserve(self, _: Context, _: Stamp, _: Reserve) -> Reply<Reserved> {
+        let fake = self.0;
+        let nth = count(&fake.reserves);
+        asked(&fake.after).await;
+        if fake.busy.borrow().is_some() && nth == 1 {
+            return fake.reply(Reserved::Waiting {
+                estimate_us: 2_000_000,
+            });
+        }
+        if let Some((other, times)) = fake.busy.borrow().clone() {
+            while other.offers.get() < times {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            // Lets the other's offer come first; the verdict is the same if
+            // it does not.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        match fake.script.get().reserving {
+            Reserving::Busy { wait_us } => {
+                if nth > 1 {
+                    std::future::pending::<()>().await;
+                }
+                fake.reply(Reserved::Waiting {
+                    estimate_us: u64::from(wait_us),
+                })
+            }
+            Reserving::Silent => std::future::pending().await,
+            Reserving::Refuse(reason) => fake.reply(Reserved::Refused {
+                reason,
+                retry_after_ms: 7000,
+            }),
+            Reserving::Ready { token_us } => {
+                count(&fake.offers);
+                fake.reply(Reserved::Ready {
+                    hold_ms: 250,
+                    first_us: token_us,
+                    token_us,
+                })
+            }
+        }
+    }
+
+    async fn start(self, _: Context, _: Stamp, _: Start) -> Reply<Started> {
+        let fake = self.0;
+        let nth = count(&fake.starts);
+        match (fake.script.get().starting, nth) {
+            (Starting::Silent, _) | (Starting::ReplyLost | Starting::Reborn, 1) => {
+                std::future::pending().await
+            }
+            (Starting::Run | Starting::ReplyLost, _) => fake.reply(Started::Running),
+            (Starting::Lapsed, _) => fake.reply(Started::Lapsed),
+            (Starting::Reborn | Starting::RebornBefore, _) => {
+                fake.incarnation.set(2);
+                fake.reply(Started::OtherIncarnation)
+            }
+        }
+    }
+
+    async fn pull(self, _: Context, _: Stamp, ask: Pull) -> Reply<Pulled> {
+        let fake = self.0;
+        let nth = count(&fake.pulls);
+        let running = fake.script.get().running;
+        if running == Running::PullLost && nth == 1 {
+            std::future::pending::<()>().await;
+        }
+        let (pieces, end) = match running {
+            Running::Whole | Running::PullLost => {
+                let end = End::Whole {
+                    count: 2,
+                    status: 200,
+                    finish: "stop".to_owned(),
+                    cached: 0,
+                };
+                (ask.from..2, end)
+            }
+            Running::Broken(after, ran) => {
+                let reason = Refusal::BackendFailed;
+                (ask.from..after, End::Broken { reason, ran })
+            }
+        };
+        // The pieces come before the end, as they would from an engine.
+        let end = pieces.is_empty().then_some(end);
+        fake.reply(Pulled::Pieces {
+            first: ask.from,
+            pieces: pieces.map(|n| fake.piece(n)).collect(),
+            end,
+        })
+    }
+
+    async fn cancel(self, _: Context, _: Stamp, ticket: Ticket) -> Reply<Cancelled> {
+        self.0.cancels.borrow_mut().push(ticket);
+        if self.0.script.get().starting == Starting::Silent {
+            return std::future::pending().await;
+        }
+        self.0.reply(Cancelled::NeverStarted)
+    }
+
+    async fn fetch_bundle(self, _: Context, _: Stamp) -> Reply<Option<Bytes>> {
+        self.0.reply(None)
+    }
+}
+
+/// An entry in zone `a` that knows the given fakes, the first in its zone, and
+/// asks `fan` of them at once. Asked one by one, the first comes first.
+pub(crate) async fn entry(fakes: &[Rc<Fake>], fan: usize) -> Rc<State> {
+    entry_with(fakes, fan, Mode::LateBinding).await
+}
+
+/// An entry that places by the given mode.
+pub(crate) async fn entry_with(fakes: &[Rc<Fake>], fan: usize, mode: Mode) -> Rc<State> {
+    let mut sidecars = Vec::new();
+    for (i, fake) in fakes.iter().enumerate() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        sidecars.push(Known {
+            name: fake.name.to_owned(),
+            addr: listener.local_addr().unwrap(),
+            zone: if i == 0 { "a" } else { "b" }.to_owned(),
+            serves: "model".to_owned(),
+        });
+        let service = Service(Rc::clone(fake));
+        actix_rt::spawn(wire::serve::serve(listener, service, Stop::new()));
+    }
+    state(sidecars, fan, mode)
+}
+
+/// An entry that knows the given sidecars.
+pub(crate) fn state(sidecars: Vec<Known>, fan: usize, mode: Mode) -> Rc<State> {
+    let settings = serde_json::json!({
+        "name": "entry", "zone": "a", "listen": "127.0.0.1:0", "seed": 1,
+    });
+    let mut settings: Settings = serde_json::from_value(settings).unwrap();
+    settings.sidecars = sidecars;
+    settings.fan = fan;
+    settings.routing = quick(mode);
+    State::new(settings, Bundle::default(), Rc::new(SystemClock))
+}
+
+/// Timing under which a silent connection shows soon.
+fn quick(mode: Mode) -> Routing {
+    Routing {
+        poll: Span::ms(100),
+        margin: Span::ms(300),
+        patience: Span::secs(1),
+        grace: Span::secs(5),
+        mode,
+        ..Routing::default()
+    }
+}
+
+pub(crate) fn request(stream: bool, repeatable: bool) -> Request {
+    let targets = Targets {
+        first_token: Span::secs(10),
+        token_gap: Span::ms(43),
+        whole: Span::secs(20),
+    };
+    Request {
+        ticket: Ticket::random(),
+        workspace: "w".to_owned(),
+        weight: 1,
+        class: "class".to_owned(),
+        promise: Class {
+            tier: Tier(0),
+            targets,
+            model: "model".to_owned(),
+        },
+        target: "model".to_owned(),
+        arrived: Instant::now(),
+        stream,
+        repeatable,
+        preempted: 0,
+        key: None,
+        prompt: 10,
+        max_tokens: 2,
+        prefix: 0,
+        work: Work::Completion {
+            body: Bytes::from_static(b"{}"),
+            chat: true,
+        },
+    }
+}
+
+/// What one caller gets.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Got {
+    pub(crate) text: String,
+    pub(crate) end: Result<(), (Refusal, Ran)>,
+}
+
+impl Got {
+    pub(crate) fn whole(text: &str) -> Self {
+        Self {
+            text: text.to_owned(),
+            end: Ok(()),
+        }
+    }
+
+    pub(crate) fn refused(text: &str, reason: Refusal, ran: Ran) -> Self {
+        Self {
+            text: text.to_owned(),
+            end: Err((reason, ran)),
+        }
+    }
+}
+
+/// Makes one request and takes in its answer.
+pub(crate) async fn call(state: &Rc<State>, request: Request) -> Got {
+    let mut text = String::new();
+    let taken = tokio::time::timeout(BOUND, take(state, request, &mut text)).await;
+    let end = taken
+        .expect("the request ends")
+        .map_err(|r| (r.reason, r.ran));
+    Got { text, end }
+}
+
+async fn take(state: &Rc<State>, request: Request, text: &mut String) -> Result<(), Refused> {
+    let granted = entry::dispatch::grant(state, &request).await?;
+    let mut answer = Answer::new(Rc::clone(state), request, granted);
+    loop {
+        let (pieces, whole) = match answer.part().await? {
+            Part::Pieces(pieces) => (pieces, false),
+            Part::Whole { pieces, .. } => (pieces, true),
+        };
+        for piece in pieces {
+            text.push_str(std::str::from_utf8(&piece.data).unwrap());
+        }
+        if whole {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/routing/main.rs
@@ -0,0 +1,5 @@
+//! Failures on a request's way through an entry, played by scripted sidecars.
+
+mod fake;
+mod offers;
+mod retries;
