--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The commands, a file for each group.
 
+pub(crate) mod compare;
 pub(crate) mod daemons;
 pub(crate) mod demo;
+pub(crate) mod load;
 pub(crate) mod standin;
 pub(crate) mod status;
