--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -178,7 +178,8 @@
                 estimate_us: 2_000_000,
             });
         }
-        if let Some((other, times)) = fake.busy.borrow().clone() {
+        let busy = fake.busy.borrow().clone();
+        if let Some((other, times)) = busy {
             while other.offers.get() < times {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
