--- a/crates/demo/tests/whole/common.rs
+++ b/crates/demo/tests/whole/common.rs
@@ -132,7 +132,7 @@
         let bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("the bundle is sound");
         let settings = self.entry_settings();
         self.hosts.push(Host::start("entry", move |stop| {
-            entry::run(settings.clone(), bundle.clone(), stop)
+            entry::run(settings.clone(), Some(bundle.clone()), stop)
         }));
     }
 
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -15,6 +15,7 @@
 use entry::relay::{Answer, Part};
 use entry::request::Request;
 use entry::settings::{Known, Routing, Settings};
+use entry::spread::Spread;
 use entry::state::State;
 use policy::placement::Mode;
 use tarpc::context::Context;
@@ -267,6 +268,10 @@
         self.0.reply(Cancelled::NeverStarted)
     }
 
+    async fn offer_bundle(self, _: Context, _: Stamp, _: Bytes) -> Reply<bool> {
+        self.0.reply(false)
+    }
+
     async fn fetch_bundle(self, _: Context, _: Stamp) -> Reply<Option<Bytes>> {
         self.0.reply(None)
     }
@@ -304,7 +309,11 @@
     settings.sidecars = sidecars;
     settings.fan = fan;
     settings.routing = quick(mode);
-    State::new(settings, Bundle::default(), Rc::new(SystemClock))
+    State::new(
+        settings,
+        Spread::fixed(Bundle::default()),
+        Rc::new(SystemClock),
+    )
 }
 
 /// Timing under which a silent connection shows soon.
@@ -341,6 +350,7 @@
         repeatable,
         preempted: 0,
         key: None,
+        claim: None,
         prompt: 10,
         max_tokens: 2,
         prefix: 0,
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -60,6 +60,10 @@
         reply(Cancelled::NeverStarted)
     }
 
+    async fn offer_bundle(self, _: Context, _: Stamp, _: Bytes) -> Reply<bool> {
+        reply(false)
+    }
+
     async fn fetch_bundle(self, _: Context, _: Stamp) -> Reply<Option<Bytes>> {
         reply(None)
     }
