--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -135,7 +135,7 @@
         if !request.may_start(state.clock.now()) {
             return Err(idempotency::lapsed());
         }
-        match run.start(&request.work).await {
+        match run.start(&request.work, request.repeatable).await {
             Outcome::Running => {
                 let share = state.shares().retries;
                 state.budget.borrow_mut().granted(&request.class, share);
