--- a/crates/demo/src/changes.rs
+++ b/crates/demo/src/changes.rs
@@ -67,6 +67,26 @@
     })
 }
 
+/// Waits until a daemon that was just replaced goes by the newest version
+/// that any of the others has; says how long that took, on one line.
+#[must_use]
+pub fn caught_up(daemon: SocketAddr, others: &[SocketAddr]) -> String {
+    actix_rt::System::new().block_on(async {
+        let http = awc::Client::default();
+        let mut newest = Sequence::default();
+        for other in others.iter().filter(|o| **o != daemon) {
+            newest = newest.max(sequence(&http, *other).await.unwrap_or_default());
+        }
+        match in_force(newest, &[daemon]).await {
+            Some(took) => format!(
+                "replaced={daemon} version={newest} in_force={:.3}s",
+                took.as_secs_f64()
+            ),
+            None => format!("replaced={daemon} version={newest} in_force=late"),
+        }
+    })
+}
+
 /// A bundle that differs from all others by one workspace that nobody uses.
 fn marked(bundle: &Bundle, mark: &str) -> Bundle {
     let mut bundle = bundle.clone();
@@ -128,17 +148,13 @@
 }
 
 /// Time until every daemon that answers goes by the version or a later one.
-async fn in_force(sequence: Sequence, daemons: &[SocketAddr]) -> Option<Duration> {
+async fn in_force(sought: Sequence, daemons: &[SocketAddr]) -> Option<Duration> {
     let began = Instant::now();
     let http = awc::Client::default();
     for daemon in daemons {
-        let url = format!("http://{daemon}/status");
         loop {
-            let shown = match http.get(&url).send().await {
-                Ok(mut answer) => answer.json::<Shown>().await.ok(),
-                Err(_) => None,
-            };
-            if shown.is_some_and(|s| s.sequence >= sequence) {
+            let shown = sequence(&http, *daemon).await;
+            if shown.is_some_and(|shown| shown >= sought) {
                 break;
             }
             if began.elapsed() > IN_FORCE {
@@ -149,3 +165,11 @@
     }
     Some(began.elapsed())
 }
+
+/// The version that a daemon goes by, if it answers.
+async fn sequence(http: &awc::Client, daemon: SocketAddr) -> Option<Sequence> {
+    let url = format!("http://{daemon}/status");
+    let mut answer = http.get(url).send().await.ok()?;
+    let shown: Shown = answer.json().await.ok()?;
+    Some(shown.sequence)
+}
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -302,6 +302,17 @@
         changes::make(change, &layout.rollout, &layout.bundle, &layout.daemons())
     }
 
+    /// Ends an entry gracefully and starts a fresh one in its place; says how
+    /// soon that has the bundle in force.
+    #[must_use]
+    pub fn replace_entry(&self, i: u8) -> Option<String> {
+        let host = self.entries.get(usize::from(i))?;
+        host.end();
+        host.begin();
+        let fresh = self.layout.operators(Role::Entry, i);
+        Some(changes::caught_up(fresh, &self.layout.daemons()))
+    }
+
     /// What goes wrong with the log.
     #[must_use]
     pub fn log_faults(&self) -> &Control<standin::log::Faults> {
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -85,6 +85,11 @@
         /// The backend server.
         server: usize,
     },
+    /// An entry ends gracefully and a fresh one takes its place.
+    ReplaceEntry {
+        /// The entry.
+        entry: u8,
+    },
     /// The log answers nobody.
     LogOutage {
         /// For how long.
@@ -168,6 +173,11 @@
             }
             Self::SilenceSidecar { server: i } => silence(server(i).map(|s| &s.link)),
             Self::SilenceBackend { server: i } => silence(server(i).map(|s| &s.inner)),
+            Self::ReplaceEntry { entry } => {
+                if let Some(line) = cluster.replace_entry(*entry) {
+                    eprintln!("{line}");
+                }
+            }
             Self::LogOutage { time } => {
                 cluster.log_faults().change(|f| f.down = true);
                 thread::sleep(time.0);
