--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -137,9 +137,7 @@
     /// Queues a request that is not known yet, and tells where it stands; the
     /// entry is there while that may change.
     pub fn reserve(&self, ask: &Reserve) -> (Option<Rc<Entry>>, Reserved) {
-        if let Some(entry) = self.find(ask.ticket)
-            && !self.returns(&entry, ask)
-        {
+        if let Some(entry) = self.find(ask.ticket) {
             let stands = self.stands(&entry, ask.prompt);
             return (Some(entry), stands);
         }
@@ -148,7 +146,7 @@
             return (None, refused(left));
         }
 
-        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted));
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier));
         let offered = match self.draining.get() {
             true => Offered::Refused(DRAINING),
             false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
@@ -288,16 +286,6 @@
         (tickets, self.tombs.borrow().len(), self.kept.get())
     }
 
-    /// Whether a ticket that was preempted here asks anew.
-    fn returns(&self, entry: &Entry, ask: &Reserve) -> bool {
-        let preempted = entry.why.get() == Some(Refusal::Preempted);
-        if !preempted || ask.preempted <= entry.preempted {
-            return false;
-        }
-        self.forget(entry.ticket);
-        self.find(entry.ticket).is_none()
-    }
-
     /// Why a ticket that left is not queued again; `None` when it may be.
     fn left(&self, now: Instant, ticket: Ticket) -> Option<Verdict> {
         let (left, at) = self.tombs.borrow().get(ticket)?;
--- a/crates/sidecar/src/state/ticket.rs
+++ b/crates/sidecar/src/state/ticket.rs
@@ -17,8 +17,6 @@
     pub ticket: Ticket,
     /// Its tier.
     pub tier: Tier,
-    /// How often it was preempted elsewhere before.
-    pub(super) preempted: u32,
     /// Where it stands.
     pub(super) phase: RefCell<Phase>,
     /// Wakes who waits for a change.
@@ -58,11 +56,10 @@
 }
 
 impl Entry {
-    pub(super) fn new(ticket: Ticket, tier: Tier, preempted: u32) -> Self {
+    pub(super) fn new(ticket: Ticket, tier: Tier) -> Self {
         Self {
             ticket,
             tier,
-            preempted,
             phase: RefCell::new(Phase::Queued),
             changed: Notify::new(),
             stop: Stop::new(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -70,9 +70,8 @@
     pub prefix: u64,
     /// Whether the request may run more than once.
     pub repeatable: bool,
-    /// How often the request was preempted before. One that was is not
-    /// preempted again, and a sidecar that preempted it takes it anew only
-    /// when the number has grown.
+    /// How often the request was preempted before; one that was is not
+    /// preempted again.
     pub preempted: u32,
     /// Longest time that the call may be held, in milliseconds.
     pub wait_ms: u32,
