--- a/crates/demo/tests/whole/common.rs
+++ b/crates/demo/tests/whole/common.rs
@@ -9,7 +9,6 @@
 
 use base::logging::{self, Level};
 use base::settings::{self, Span};
-use base::stop::Stop;
 use bundle::Bundle;
 use demo::host::Host;
 use entry::settings::Known;
@@ -44,7 +43,6 @@
     net: [u8; 2],
     /// What the stand-ins saw.
     pub(crate) ledger: Ledger,
-    stop: Stop,
     hosts: Vec<Host>,
 }
 
@@ -58,7 +56,6 @@
         let mut fleet = Self {
             net: [a.wrapping_mul(31).wrapping_add(b).max(1), number],
             ledger: Ledger::default(),
-            stop: Stop::new(),
             hosts: Vec::new(),
         };
         fleet.start_backends(slots, step_ms);
@@ -74,8 +71,8 @@
 
     /// Stops everything and waits until it has ended.
     pub(crate) fn stop(&mut self) {
-        self.stop.ask();
-        self.hosts.drain(..).for_each(Host::join);
+        self.hosts.iter().for_each(Host::ask);
+        self.hosts.drain(..).for_each(|host| host.end());
     }
 
     /// Where callers reach the entry.
@@ -108,29 +105,34 @@
             r#"{{ "listen": "{}", "slots": {slots}, "step": "{step_ms}ms" }}"#,
             self.addr(ENGINE)
         );
-        let settings = settings::parse("engine", &text).expect("the settings are sound");
-        let (ledger, stop) = (self.ledger.clone(), self.stop.clone());
-        let engine = Host::start("engine", move || {
-            standin::engine::run(settings, ledger, stop)
+        let settings = settings::parse::<standin::engine::Settings>("engine", &text)
+            .expect("the settings are sound");
+        let ledger = self.ledger.clone();
+        let engine = Host::start("engine", move |stop| {
+            standin::engine::run(settings.clone(), ledger.clone(), stop)
         });
 
         let text = format!(r#"{{ "listen": "{}" }}"#, self.addr(PLAIN));
-        let settings = settings::parse("plain", &text).expect("the settings are sound");
-        let (ledger, stop) = (self.ledger.clone(), self.stop.clone());
-        let plain = Host::start("plain", move || standin::plain::run(settings, ledger, stop));
+        let settings = settings::parse::<standin::plain::Settings>("plain", &text)
+            .expect("the settings are sound");
+        let ledger = self.ledger.clone();
+        let plain = Host::start("plain", move |stop| {
+            standin::plain::run(settings.clone(), ledger.clone(), stop)
+        });
         self.hosts.extend([engine, plain]);
     }
 
     fn start_daemons(&mut self, slots: usize) {
         for role in [ENGINE_SIDECAR, PLAIN_SIDECAR] {
-            let (settings, stop) = (self.sidecar(role, slots), self.stop.clone());
-            self.hosts
-                .push(Host::start("sidecar", move || sidecar::run(settings, stop)));
+            let settings = self.sidecar(role, slots);
+            self.hosts.push(Host::start("sidecar", move |stop| {
+                sidecar::run(settings.clone(), stop)
+            }));
         }
         let bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("the bundle is sound");
-        let (settings, stop) = (self.entry_settings(), self.stop.clone());
-        self.hosts.push(Host::start("entry", move || {
-            entry::run(settings, bundle, stop)
+        let settings = self.entry_settings();
+        self.hosts.push(Host::start("entry", move |stop| {
+            entry::run(settings.clone(), bundle.clone(), stop)
         }));
     }
 
