Count only the part of a queue that stays until it starts

Cause: an entry asks two sidecars and cancels at one, so that about half of what waits takes no slot time; the estimate counted it all and refused work that there was room for. Change: the share of requests that stay until their start is learned and scales the work before a request.

--- a/crates/policy/src/estimate/fit.rs
+++ b/crates/policy/src/estimate/fit.rs
@@ -3,6 +3,9 @@
 /// Weight of a new value in a mean once there are enough of them.
 const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Weight of a new event in a share.
+const SHARE_WEIGHT: f64 = 1.0 / 128.0;
+
 /// What is left of the older samples' weight after each new one.
 const FIT_DECAY: f64 = 0.99;
 
@@ -36,6 +39,25 @@
     }
 }
 
+/// A share of events in which newer ones weigh more; 1 before the first.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Share(f64);
+
+impl Share {
+    pub(crate) fn new() -> Self {
+        Self(1.0)
+    }
+
+    pub(crate) fn add(&mut self, counts: bool) {
+        let value = f64::from(u8::from(counts));
+        self.0 += (value - self.0) * SHARE_WEIGHT;
+    }
+
+    pub(crate) fn get(self) -> f64 {
+        self.0
+    }
+}
+
 /// Time to the first token as a straight line over the prompt's length, by
 /// least squares in which older samples weigh less.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -28,6 +28,7 @@
 use base::ids::{Ticket, Tier};
 
 use crate::estimate::Estimator;
+use crate::estimate::fit::Share;
 use backlog::Backlog;
 use guarantee::Guarantee;
 use headroom::Headroom;
@@ -69,6 +70,10 @@
     headroom: Headroom,
     usage: Usage,
     estimator: Estimator,
+    /// Share of the requests that stay until they start. An entry asks several
+    /// sidecars and cancels at the others when one is ready, so that a part of
+    /// what waits will take no slot time here.
+    staying: Share,
     /// Slots freed by preemption that are not granted again yet.
     reclaimed: usize,
     /// Requests taken out whose callers were not told yet.
@@ -124,6 +129,7 @@
             headroom: Headroom::new(slots, unless_fifo(rules.headroom), now),
             usage: Usage::default(),
             estimator: Estimator::new(rules.confidence),
+            staying: Share::new(),
             reclaimed: 0,
             given_up: Vec::new(),
             cursor: None,
@@ -236,11 +242,13 @@
     /// was given, or one that never starts could take turn after turn.
     pub fn cancel(&mut self, now: Instant, ticket: Ticket, lapsed: bool) -> bool {
         if let Some(seq) = self.numbers.get(&ticket).copied() {
+            self.staying.add(false);
             return self.take(seq, false).is_some();
         }
         let Some(grant) = self.slots.unhold(ticket) else {
             return false;
         };
+        self.staying.add(false);
         if let Some(backlog) = self.tiers.get_mut(&grant.tier) {
             backlog.refund(&grant.flow, grant.cost);
         }
@@ -255,7 +263,11 @@
 
     /// Starts a request that holds a slot.
     pub fn start(&mut self, now: Instant, ticket: Ticket) -> bool {
-        self.slots.start(now, ticket)
+        let started = self.slots.start(now, ticket);
+        if started {
+            self.staying.add(true);
+        }
+        started
     }
 
     /// Notes that a run made a piece of `tokens` tokens.
@@ -331,7 +343,8 @@
         let full = busy + waiting >= self.slots.total();
         let mean = self.mean_service(now).unwrap_or(0.0);
         let work: u64 = self.tiers.values().map(Backlog::cost).sum();
-        let wait = (work as f64 + mean) / self.slots.total().max(1) as f64;
+        let work = work as f64 * self.staying.get();
+        let wait = (work + mean) / self.slots.total().max(1) as f64;
         Standing {
             slots: self.slots.total(),
             busy,
--- a/crates/policy/src/queue/admission.rs
+++ b/crates/policy/src/queue/admission.rs
@@ -191,7 +191,8 @@
         let slots = self.slots.total().saturating_sub(reserve).max(1) as f64;
         let above = self.usage.above(now, tier, self.slots.total());
         let left = (1.0 - above).max(LEFT_LEAST);
-        let in_turn = (work.max(0.0) + mean) / slots / left;
+        let work = work.max(0.0) * self.staying.get();
+        let in_turn = (work + mean) / slots / left;
 
         let us = match self.out_of_turn(tier, class, mean / slots) {
             Some(us) => in_turn.min(us),
@@ -209,7 +210,8 @@
             return None;
         }
         let turns = self.guarantee.waiting(tier, class) * self.guarantee.claims(top).max(1);
-        let missing = 1.0 - self.guarantee.credit() + turns as f64;
+        let turns = turns as f64 * self.staying.get();
+        let missing = 1.0 - self.guarantee.credit() + turns;
         Some((missing / share + 1.0) * interval)
     }
 
