--- a/crates/demo/src/arm.rs
+++ b/crates/demo/src/arm.rs
@@ -7,7 +7,8 @@
 use policy::queue::QueuePolicy;
 use serde::{Deserialize, Serialize};
 
-/// A policy of the router, the shipped one or a plain baseline.
+/// A policy of the router: the shipped one, or one in which exactly one thing
+/// is as a plain router has it, or one in which all are.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Arm {
@@ -16,21 +17,25 @@
     Late,
     /// One server at random is asked.
     Random,
-    /// The server that is least loaded by reports is asked.
+    /// The server with the least load by late reports is asked.
     LeastLoaded,
-    /// The less loaded by reports of two random servers is asked.
+    /// The less loaded of two by late reports is asked.
     TwoChoices,
-    /// The shipped placement before queues that are first come, first served.
+    /// Queues go first come, first served, without tiers.
     Fifo,
-    /// The shipped policy without refusals of what cannot meet its target.
+    /// Queues hold what cannot meet its target until that has passed.
     NoAdmission,
-    /// The shipped policy with unlimited retries.
+    /// Retries are not limited by a budget.
     NoRetryBudget,
+    /// The less loaded of two by late reports, first come, first served,
+    /// without admission and retry budget: what a router without late binding
+    /// and tiers does.
+    Plain,
 }
 
 impl Arm {
     /// Every arm.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Late,
         Self::Random,
         Self::LeastLoaded,
@@ -38,6 +43,7 @@
         Self::Fifo,
         Self::NoAdmission,
         Self::NoRetryBudget,
+        Self::Plain,
     ];
 
     /// The arm's name.
@@ -51,6 +57,7 @@
             Self::Fifo => "fifo",
             Self::NoAdmission => "no_admission",
             Self::NoRetryBudget => "no_retry_budget",
+            Self::Plain => "plain",
         }
     }
 
@@ -63,17 +70,24 @@
             Self::LeastLoaded => routing.mode = Mode::LeastLoaded,
             Self::TwoChoices => routing.mode = Mode::TwoChoices,
             Self::NoRetryBudget => routing.budget = false,
+            Self::Plain => {
+                routing.mode = Mode::TwoChoices;
+                routing.budget = false;
+            }
         }
     }
 
-    /// Sets a sidecar up for the arm. The placement baselines stand for plain
-    /// routers, whose queues know neither tiers nor targets.
+    /// Sets a sidecar up for the arm.
     pub fn sidecar(self, settings: &mut sidecar::Settings) {
-        settings.queue.policy = match self {
-            Self::Late | Self::NoRetryBudget => QueuePolicy::Full,
-            Self::NoAdmission => QueuePolicy::NoAdmission,
-            Self::Random | Self::LeastLoaded | Self::TwoChoices | Self::Fifo => QueuePolicy::Fifo,
-        };
+        match self {
+            Self::Fifo | Self::Plain => settings.queue.policy = QueuePolicy::Fifo,
+            Self::NoAdmission => settings.queue.policy = QueuePolicy::NoAdmission,
+            Self::Late
+            | Self::Random
+            | Self::LeastLoaded
+            | Self::TwoChoices
+            | Self::NoRetryBudget => {}
+        }
     }
 }
 
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`plan`]: what a fleet declares and what its callers send.
 //! - [`cluster`]: the daemons and stand-ins.
 //! - [`host`]: one daemon on a thread of its own.
+//! - [`rollout`]: the log and publishing the bundle through it.
 //! - [`faults`]: faults brought about at set times.
 
 pub mod arm;
@@ -17,6 +18,7 @@
 pub mod host;
 pub mod oracle;
 pub mod plan;
+pub mod rollout;
 
 use std::thread;
 use std::time::Duration;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -3,12 +3,14 @@
 //! - `ticket`: one ticket and where it stands.
 //! - `answer`: an answer in the making.
 //! - `delivery`: taking answers in and handing them out.
+//! - `upkeep`: handing slots out, and what falls due with time.
 //! - `tombs`: tickets that left without having started.
 
 mod answer;
 mod delivery;
 mod ticket;
 mod tombs;
+mod upkeep;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -17,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use base::clock::Clock;
-use base::ids::{Incarnation, Sequence, Ticket};
+use base::ids::{Incarnation, Ticket};
 use base::reason::{Ran, Refusal};
 use platform::engine::Engine;
 use platform::plain::Plain;
@@ -26,12 +28,16 @@
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
 use crate::settings::{Backend, Settings};
+use crate::spread::Spread;
 use crate::{meter, run};
 use answer::Answer;
 pub use ticket::Entry;
 use ticket::{Left, Phase};
 use tombs::Tombs;
 
+/// Longest time that a call is held, whatever it asks for.
+pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
+
 /// How often draining looks whether all has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -52,6 +58,8 @@
     pub clock: Rc<dyn Clock>,
     /// This life of the sidecar.
     pub incarnation: Incarnation,
+    /// The bundle in force.
+    pub spread: Spread,
     /// The backend server.
     pub backend: Client,
     /// Who waits for a slot, holds one or runs.
@@ -91,6 +99,7 @@
         let queue = Queue::new(settings.queue, settings.backend.slots(), clock.now());
         Rc::new(Self {
             queue: RefCell::new(queue),
+            spread: Spread::new(settings.follow.as_ref(), Rc::clone(&clock)),
             settings,
             clock,
             incarnation: Incarnation::random(),
@@ -108,7 +117,7 @@
     /// Wraps an answer with what every answer tells.
     pub fn reply<T>(&self, body: T) -> Reply<T> {
         Reply {
-            sequence: Sequence::default(),
+            sequence: self.spread.held.sequence(),
             incarnation: self.incarnation,
             load: self.load(),
             body,
@@ -138,6 +147,7 @@
     /// entry is there while that may change.
     pub fn reserve(&self, ask: &Reserve) -> (Option<Rc<Entry>>, Reserved) {
         if let Some(entry) = self.find(ask.ticket) {
+            self.renew(&entry, ask.wait_ms);
             let stands = self.stands(&entry, ask.prompt);
             return (Some(entry), stands);
         }
@@ -146,7 +156,8 @@
             return (None, refused(left));
         }
 
-        let entry = Rc::new(Entry::new(ask.ticket, ask.tier));
+        let lease = now + self.lease(ask.wait_ms);
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, lease));
         let offered = match self.draining.get() {
             true => Offered::Refused(DRAINING),
             false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
@@ -214,6 +225,8 @@
         let now = self.clock.now();
         self.queue.borrow_mut().start(now, order.ticket);
         entry.set(Phase::Started(Answer::default()));
+        self.renew(&entry, 0);
+        self.remind(entry.lease.get(), order.ticket);
         meter::started(entry.tier, guaranteed);
 
         actix_rt::spawn(run::run(Rc::clone(self), entry, order.work));
@@ -243,28 +256,6 @@
         Cancelled::NeverStarted
     }
 
-    /// Takes back slots held too long, gives up requests that cannot meet
-    /// their targets and forgets tickets that ended long ago. What it costs
-    /// goes by what is due and not by what is known.
-    pub fn sweep(&self) {
-        let now = self.clock.now();
-        while let Some(ticket) = self.due(now) {
-            self.look(now, ticket);
-        }
-        self.tombs.borrow_mut().expire(now);
-
-        let given_up = self.queue.borrow_mut().review(now);
-        for (ticket, verdict) in given_up {
-            if let Some(entry) = self.find(ticket) {
-                self.leave(now, &entry, Left::Refused(verdict));
-            }
-        }
-        self.advance();
-
-        let queue = self.queue.borrow();
-        meter::standing(&queue.standing(now), queue.kept(now));
-    }
-
     /// Whether nothing waits or runs and every answer has been handed out.
     pub fn idle(&self) -> bool {
         let queue = self.queue.borrow();
@@ -312,70 +303,6 @@
         self.tombs.borrow_mut().insert(now, entry.ticket, left);
         entry.set(Phase::Gone(left));
     }
-
-    /// Hands free slots to those who wait, and takes one from a lower tier
-    /// where the top tier would wait too long.
-    fn advance(&self) {
-        let now = self.clock.now();
-        loop {
-            let next = self.queue.borrow_mut().next(now);
-            let Some(granted) = next else {
-                break;
-            };
-            let Some(entry) = self.find(granted.ticket) else {
-                self.queue.borrow_mut().cancel(now, granted.ticket, true);
-                continue;
-            };
-            let until = now + self.settings.hold.0;
-            let guaranteed = granted.guaranteed;
-            entry.set(Phase::Held { until, guaranteed });
-            self.remind(until, granted.ticket);
-        }
-
-        let victim = self.queue.borrow_mut().preempt(now);
-        if let Some(entry) = victim.and_then(|ticket| self.find(ticket)) {
-            meter::preempted(entry.tier);
-            entry.halt(Refusal::Preempted);
-        }
-    }
-
-    /// Looks at a ticket whose time may have come.
-    fn look(&self, now: Instant, ticket: Ticket) {
-        let Some(entry) = self.find(ticket) else {
-            return;
-        };
-        let (lapsed, ended) = match &*entry.phase.borrow() {
-            Phase::Held { until, .. } => (*until <= now, false),
-            Phase::Started(Answer { end, .. }) => {
-                let keep = self.settings.keep.0;
-                (false, end.as_ref().is_some_and(|(_, at)| *at + keep <= now))
-            }
-            Phase::Queued | Phase::Gone(_) => (false, false),
-        };
-        if lapsed {
-            self.queue.borrow_mut().cancel(now, ticket, true);
-            self.leave(now, &entry, Left::Lapsed);
-        }
-        if ended {
-            self.forget(ticket);
-            self.trim();
-        }
-    }
-
-    /// Has a ticket looked at again at a time.
-    fn remind(&self, at: Instant, ticket: Ticket) {
-        self.timers.borrow_mut().push(Reverse((at, ticket)));
-    }
-
-    /// The next ticket whose time has come.
-    fn due(&self, now: Instant) -> Option<Ticket> {
-        let mut timers = self.timers.borrow_mut();
-        let Reverse((at, _)) = timers.peek()?;
-        if *at > now {
-            return None;
-        }
-        timers.pop().map(|Reverse((_, ticket))| ticket)
-    }
 }
 
 fn queue_ask(ask: &Reserve, now: Instant) -> Ask {
--- a/crates/sidecar/src/state/ticket.rs
+++ b/crates/sidecar/src/state/ticket.rs
@@ -19,6 +19,8 @@
     pub tier: Tier,
     /// Where it stands.
     pub(super) phase: RefCell<Phase>,
+    /// Until when its entry counts as there, without asking again.
+    pub(super) lease: Cell<Instant>,
     /// Wakes who waits for a change.
     pub changed: Notify,
     /// Asks its run to stop.
@@ -56,11 +58,12 @@
 }
 
 impl Entry {
-    pub(super) fn new(ticket: Ticket, tier: Tier) -> Self {
+    pub(super) fn new(ticket: Ticket, tier: Tier, lease: Instant) -> Self {
         Self {
             ticket,
             tier,
             phase: RefCell::new(Phase::Queued),
+            lease: Cell::new(lease),
             changed: Notify::new(),
             stop: Stop::new(),
             why: Cell::new(None),
--- a/crates/sidecar/tests/state.rs
+++ b/crates/sidecar/tests/state.rs
@@ -22,6 +22,9 @@
 
 const KEEP: Duration = Duration::from_secs(10);
 
+/// Longer than any case takes, so that entries count as there.
+const LEASE: Duration = Duration::from_secs(3600);
+
 /// A sidecar with one slot and room for one waiting request.
 fn sidecar() -> (Rc<State>, ManualClock) {
     let clock = ManualClock::new();
@@ -36,6 +39,8 @@
         },
         hold: Span(HOLD),
         keep: Span(KEEP),
+        lease: Span(LEASE),
+        follow: None,
         kept_bytes: 64 << 10,
         queue: Rules {
             limit: 1,
