Go by the bundle's guaranteed share and test the headroom

Cause: the share of starts that a bundle declares had no effect, and a scratch copy in which slots in use by a tier were never counted down passed all tests.

--- a/crates/policy/src/queue/rules.rs
+++ b/crates/policy/src/queue/rules.rs
@@ -25,7 +25,7 @@
     /// Requests that may wait.
     pub limit: usize,
     /// Share of starts that goes to lower-tier work while higher-tier work
-    /// waits, between 0 and 0.5.
+    /// waits, between 0 and 0.5; a bundle's share goes before it.
     pub guaranteed: f64,
     /// Probability with which an admitted request should meet its target,
     /// between 0 and 1.
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -273,6 +273,49 @@
     assert_eq!(queue.offer(now, short), Offered::Queued);
 }
 
+// Callers of the top tier have lately used two slots at a time, and a slot in
+// lower hands takes a second to fall free. Lower tiers then leave two free,
+// whether or not the top tier uses them now, until it has not come for long.
+#[test]
+fn next_headroom() {
+    let mut now = Instant::now();
+    let rules = Rules {
+        limit: 1000,
+        ..rules(QueuePolicy::Full)
+    };
+    let mut queue = Queue::new(rules, 4, now);
+    for ticket in 0..10 {
+        queue.offer(now, ask(ticket, 1, "a", now + Duration::from_secs(9)));
+        run(&mut queue, &mut now, Duration::from_secs(1));
+    }
+    for round in 0..100 {
+        let tops = [100 + 2 * round, 101 + 2 * round];
+        for ticket in tops {
+            queue.offer(now, ask(ticket, 0, "a", now + 100 * MS));
+            let granted = queue.next(now).expect("a slot is free");
+            queue.start(now, granted.ticket);
+        }
+        now += 10 * MS;
+        queue.review(now);
+        for ticket in tops {
+            queue.finish(now, Ticket(ticket), false);
+        }
+    }
+
+    assert_eq!(queue.kept(now), 2);
+    for ticket in 1000..1010 {
+        queue.offer(now, ask(ticket, 1, "a", now + Duration::from_secs(60)));
+    }
+    let granted = |queue: &mut Queue, now| std::iter::from_fn(|| queue.next(now)).count();
+    assert_eq!(granted(&mut queue, now), 2);
+    queue.offer(now, ask(2000, 0, "a", now + 100 * MS));
+    assert_eq!(granted(&mut queue, now), 1, "the top tier's own");
+    assert_eq!(queue.kept(now), 1);
+
+    now += Duration::from_secs(10);
+    assert_eq!(granted(&mut queue, now), 1);
+}
+
 // Every slot runs lower-tier work when a top-tier request comes whose time is
 // short. The run of the lowest tier with the least done is stopped, but never
 // one that may not repeat, was stopped before or was seen by its caller.
--- a/crates/sidecar/src/state/upkeep.rs
+++ b/crates/sidecar/src/state/upkeep.rs
@@ -21,6 +21,11 @@
             self.look(now, ticket);
         }
         self.tombs.borrow_mut().expire(now);
+        // The bundle goes before the settings, which only count without one.
+        if let Some(bundle) = self.spread.held.bundle() {
+            let share = bundle.shares.guaranteed;
+            self.queue.borrow_mut().set_guaranteed(share);
+        }
 
         let given_up = self.queue.borrow_mut().review(now);
         for (ticket, verdict) in given_up {
