--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,7 +2,7 @@
 //! asks hands the time in.
 //!
 //! What a sidecar decides:
-//! - [`queue`]: who waits, who starts, who is shed.
+//! - [`queue`]: who waits, who starts, who is shed or preempted.
 //! - [`estimate`]: what a request is expected to take.
 //!
 //! What an entry decides:
