Read the platform's list of hosts, with a stand-in that lags and freezes

Cause: entries know sidecars only from their settings. Conclusion: an unchanged list costs one small answer for each reading.

--- a/crates/cli/src/commands/standin.rs
+++ b/crates/cli/src/commands/standin.rs
@@ -5,6 +5,7 @@
 use base::settings;
 use bpaf::Bpaf;
 use standin::Ledger;
+use standin::hosts::Registry;
 
 use crate::{Outcome, daemon};
 
@@ -25,6 +26,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// The list of hosts
+    #[bpaf(command)]
+    Hosts {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// A plain service
     #[bpaf(command)]
     Plain {
@@ -41,6 +49,11 @@
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::engine::run(settings, Ledger::default(), stop))
             }
+            Part::Hosts { settings } => {
+                let settings: standin::hosts::Settings = settings::load(&settings)?;
+                let registry = Registry::new(settings.hosts.clone());
+                daemon::run(|stop| standin::hosts::run(settings, registry, stop))
+            }
             Part::Plain { settings } => {
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::plain::run(settings, Ledger::default(), stop))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,9 @@
 //! that knows their formats, which docs/PLATFORM.md writes down.
 //!
 //! - [`engine`]: running, resuming and cancelling completions.
+//! - [`hosts`]: the lagging list of live and leaving hosts.
 //! - [`plain`]: calls of plain services.
 
 pub mod engine;
+pub mod hosts;
 pub mod plain;
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,200 @@
+//! The platform's list of hosts, which lags, freezes, empties and goes out.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use actix_web::http::header::{ETAG, IF_NONE_MATCH};
+use actix_web::{App, HttpRequest, HttpResponse, web};
+use base::settings::Span;
+use base::stop::Stop;
+use platform::hosts::{Host, List, Standing};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use crate::control::Control;
+
+/// Settings of the host list's stand-in.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Hosts that stand in the list from the start.
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+    /// What is wrong from the start.
+    #[serde(default)]
+    pub faults: Faults,
+}
+
+/// What is wrong with the list.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// How far the list is behind.
+    pub lag: Span,
+    /// Whether changes stop showing; what was last served stays.
+    pub frozen: bool,
+    /// Whether the list has no hosts in it.
+    pub empty: bool,
+    /// Whether every reading fails.
+    pub outage: bool,
+}
+
+/// The hosts as they really are, with their past; clones share one record.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    inner: Arc<Mutex<Past>>,
+    /// What is wrong, changed while the list is served.
+    pub control: Control<Faults>,
+}
+
+/// Every version of the list, so that an old one can be served.
+#[derive(Debug)]
+struct Past {
+    versions: Vec<(Instant, Arc<Vec<Host>>)>,
+    /// The version that was served last.
+    served: usize,
+}
+
+impl Registry {
+    /// Makes a registry with the given hosts.
+    #[must_use]
+    pub fn new(hosts: Vec<Host>) -> Self {
+        let past = Past {
+            versions: vec![(Instant::now(), Arc::new(hosts))],
+            served: 0,
+        };
+        Self {
+            inner: Arc::new(Mutex::new(past)),
+            control: Control::default(),
+        }
+    }
+
+    /// Adds a host, or replaces the one of the same name.
+    pub fn put(&self, host: Host) {
+        self.change(|hosts| {
+            hosts.retain(|h| h.name != host.name);
+            hosts.push(host);
+        });
+    }
+
+    /// Marks a host as about to go away.
+    pub fn leave(&self, name: &str) {
+        self.change(|hosts| {
+            let found = hosts.iter_mut().find(|h| h.name == name);
+            if let Some(host) = found {
+                host.standing = Standing::Leaving;
+            }
+        });
+    }
+
+    /// Takes a host out.
+    pub fn remove(&self, name: &str) {
+        self.change(|hosts| hosts.retain(|h| h.name != name));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Host>)) {
+        let mut past = self.lock();
+        let last = past.versions.last().map(|(_, hosts)| hosts.as_ref());
+        let mut hosts = last.cloned().unwrap_or_default();
+        change(&mut hosts);
+        past.versions.push((Instant::now(), Arc::new(hosts)));
+    }
+
+    /// The version that is shown now, with its number.
+    fn shown(&self, now: Instant) -> (usize, Arc<Vec<Host>>) {
+        let faults = self.control.get();
+        let mut past = self.lock();
+        if !faults.frozen {
+            let old = |(at, _): &&(Instant, _)| now.duration_since(*at) >= faults.lag.0;
+            let count = past.versions.iter().take_while(old).count();
+            // The first version is shown however young it is.
+            past.served = count.saturating_sub(1);
+        }
+        let served = past.served;
+        (served, Arc::clone(&past.versions[served].1))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Past> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves the list until `stop` is asked.
+///
+/// # Errors
+///
+/// Returns the error when the list cannot be served.
+pub async fn run(settings: Settings, registry: Registry, stop: Stop) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    registry.control.change(|faults| *faults = settings.faults);
+    let app = App::new()
+        .app_data(registry)
+        .route("/hosts", web::get().to(list))
+        .route("/hosts/{name}", web::put().to(put))
+        .route("/hosts/{name}", web::delete().to(remove))
+        .route("/faults", web::put().to(faults));
+    base::http::serve(listener, app, stop).await
+}
+
+/// What a reader asks for.
+#[derive(Debug, Deserialize)]
+struct Query {
+    #[serde(default)]
+    region: String,
+}
+
+async fn list(http: HttpRequest, query: web::Query<Query>) -> HttpResponse {
+    let Some(registry) = http.app_data::<Registry>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    let faults = registry.control.get();
+    if faults.outage {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    if faults.empty {
+        return HttpResponse::Ok().json(List::default());
+    }
+
+    let (version, hosts) = registry.shown(Instant::now());
+    let tag = format!("\"{version}\"");
+    let known = http.headers().get(IF_NONE_MATCH);
+    if known.is_some_and(|v| v.as_bytes() == tag.as_bytes()) {
+        return HttpResponse::NotModified().finish();
+    }
+    let wanted = |h: &&Host| query.region.is_empty() || h.region == query.region;
+    let hosts = hosts.iter().filter(wanted).cloned().collect();
+    HttpResponse::Ok()
+        .insert_header((ETAG, tag))
+        .json(List { hosts })
+}
+
+async fn put(http: HttpRequest, name: web::Path<String>, host: web::Json<Host>) -> HttpResponse {
+    let Some(registry) = http.app_data::<Registry>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    if *name != host.name {
+        return HttpResponse::BadRequest().finish();
+    }
+    registry.put(host.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn remove(http: HttpRequest, name: web::Path<String>) -> HttpResponse {
+    let Some(registry) = http.app_data::<Registry>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    registry.remove(&name);
+    HttpResponse::NoContent().finish()
+}
+
+async fn faults(http: HttpRequest, faults: web::Json<Faults>) -> HttpResponse {
+    let Some(registry) = http.app_data::<Registry>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    registry.control.change(|f| *f = faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`control`]: faults, changed while a stand-in runs.
 //! - [`engine`]: a model engine that batches continuously.
+//! - [`hosts`]: the list of hosts.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`plain`]: a plain service.
 
 pub mod control;
 pub mod engine;
+pub mod hosts;
 pub mod ledger;
 pub mod plain;
 
--- /dev/null
+++ b/crates/standin/tests/hosts.rs
@@ -0,0 +1,89 @@
+//! The host list's client against its stand-in.
+
+use std::net::{SocketAddr, TcpListener};
+
+use base::settings::Span;
+use base::stop::Stop;
+use platform::hosts::{Error, Host, Hosts, Role, Standing};
+use rstest::rstest;
+use standin::hosts::{Faults, Registry, Settings, run};
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn host(name: &str, region: &str) -> Host {
+    Host {
+        name: name.to_owned(),
+        addr: free(),
+        zone: "plateau".to_owned(),
+        region: region.to_owned(),
+        role: Role::Sidecar,
+        serves: "dossier-8b".to_owned(),
+        standing: Standing::Live,
+    }
+}
+
+async fn start() -> (Registry, Hosts) {
+    let registry = Registry::new(vec![host("a", "dakar"), host("far", "thies")]);
+    let settings = Settings {
+        listen: free(),
+        hosts: Vec::new(),
+        faults: Faults::default(),
+    };
+    let hosts = Hosts::new(settings.listen, "dakar");
+    actix_rt::spawn(run(settings, registry.clone(), Stop::new()));
+    while hosts.read().await.is_err() {
+        tokio::task::yield_now().await;
+    }
+    let fresh = Hosts::new(hosts.addr(), "dakar");
+    (registry, fresh)
+}
+
+fn names(list: Option<Vec<Host>>) -> Option<Vec<String>> {
+    list.map(|hosts| hosts.into_iter().map(|h| h.name).collect())
+}
+
+#[actix_rt::test]
+async fn read_own_region() {
+    let (registry, hosts) = start().await;
+    assert_eq!(names(hosts.read().await.unwrap()), Some(vec!["a".into()]));
+    assert_eq!(names(hosts.read().await.unwrap()), None);
+
+    registry.put(host("b", "dakar"));
+    let now = names(hosts.read().await.unwrap());
+    assert_eq!(now, Some(vec!["a".into(), "b".into()]));
+
+    registry.remove("a");
+    registry.leave("b");
+    let left = hosts.read().await.unwrap().unwrap();
+    assert_eq!(left.len(), 1);
+    assert_eq!(left[0].standing, Standing::Leaving);
+}
+
+#[rstest]
+#[case::lag(Faults { lag: Span::secs(30), ..Faults::default() }, None)]
+#[case::frozen(Faults { frozen: true, ..Faults::default() }, None)]
+#[case::empty(Faults { empty: true, ..Faults::default() }, Some(vec![]))]
+#[actix_rt::test]
+async fn read_faulty(#[case] faults: Faults, #[case] expected: Option<Vec<String>>) {
+    let (registry, hosts) = start().await;
+    hosts.read().await.unwrap();
+    registry.control.change(|f| *f = faults);
+    registry.put(host("b", "dakar"));
+    assert_eq!(names(hosts.read().await.unwrap()), expected);
+
+    // Once the fault is over, the change shows.
+    registry.control.change(|f| *f = Faults::default());
+    let now = names(hosts.read().await.unwrap());
+    assert_eq!(now, Some(vec!["a".into(), "b".into()]));
+}
+
+#[actix_rt::test]
+async fn read_outage() {
+    let (registry, hosts) = start().await;
+    registry.control.change(|f| f.outage = true);
+    let failed = hosts.read().await;
+    assert!(matches!(failed, Err(Error::Refused { status: 503, .. })));
+}
