Decide who is there, and which servers an entry knows

Cause: an entry must live with a list that lags, and cannot hold a connection to each of 10,000 servers. Change: policy::membership keeps a host that answers whatever the list says; policy::subset lets each server choose its entries by rendezvous hash. With 180 entries and 1,250 servers of one service, covers differ by 3 at the most (asserted); a server that leaves closes only its own connections (asserted). Conclusion: even covers and little movement without any agreement.

--- /dev/null
+++ b/crates/policy/tests/membership.rs
@@ -0,0 +1,138 @@
+//! Who is there when the list lags, freezes, empties and hosts come and go.
+
+use std::time::{Duration, Instant};
+
+use base::ids::Incarnation;
+use policy::membership::{Applied, Host, Kind, Limits, Membership};
+use policy::subset::Size;
+use rstest::rstest;
+
+const FORGET: Duration = Duration::from_secs(30);
+
+fn sidecar(i: u16) -> Host {
+    Host {
+        name: format!("sidecar-{i}"),
+        addr: ([127, 0, 0, 1], 7000 + i).into(),
+        zone: "plateau".to_owned(),
+        kind: Kind::Sidecar {
+            serves: "dossier-8b".to_owned(),
+        },
+        leaving: false,
+    }
+}
+
+fn leaving(i: u16) -> Host {
+    Host {
+        leaving: true,
+        ..sidecar(i)
+    }
+}
+
+fn membership() -> Membership {
+    let size = Size {
+        total: 128,
+        far: 16,
+    };
+    let forget = FORGET;
+    Membership::new("entry-0", "plateau", Limits { size, forget })
+}
+
+fn names(known: &Membership) -> Vec<&str> {
+    known.chosen().iter().map(|h| h.name.as_str()).collect()
+}
+
+// The platform's list comes back empty, or shows only entries. Callers see
+// nothing of it: an empty list says more about the list than about the fleet,
+// so every sidecar known before stays.
+#[rstest]
+#[case::empty(vec![])]
+#[case::only_entries(vec![Host { kind: Kind::Entry, ..sidecar(9) }])]
+fn list_without_sidecars(#[case] list: Vec<Host>) {
+    let (mut known, now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0), sidecar(1)]);
+
+    let late = now + FORGET * 10;
+    assert_eq!(known.list(late, &list), Applied::Ignored);
+    assert_eq!(known.sweep(late), 0);
+    assert_eq!(names(&known), ["sidecar-0", "sidecar-1"]);
+}
+
+// The list loses a host that still answers, for ten times the time to forget.
+// Callers see nothing of it: the host keeps taking work while it answers, and
+// is forgotten only a bounded time after its last answer.
+#[test]
+fn list_loses_answering_host() {
+    let (mut known, mut now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0), sidecar(1)]);
+
+    for _ in 0..20 {
+        now += FORGET / 2;
+        known.list(now, &[sidecar(0)]);
+        known.answered(now, "sidecar-1", Incarnation(1));
+        assert_eq!(known.sweep(now), 0);
+    }
+    assert!(!known.listed("sidecar-1"));
+    assert!(!known.leaving("sidecar-1"));
+
+    now += FORGET;
+    assert_eq!(known.sweep(now), 1);
+    assert_eq!(names(&known), ["sidecar-0"]);
+}
+
+// A host goes from the list and this entry had no reason to call it for an
+// hour. It is not forgotten in that instant: it gets the whole time to answer.
+#[test]
+fn list_loses_idle_host() {
+    let (mut known, mut now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0), sidecar(1)]);
+
+    now += Duration::from_secs(3600);
+    known.list(now, &[sidecar(0)]);
+    assert_eq!(known.sweep(now), 0);
+    assert_eq!(known.sweep(now + FORGET), 1);
+}
+
+#[test]
+fn list_marks_leaving() {
+    let (mut known, now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0), sidecar(1)]);
+    known.list(now, &[sidecar(0), leaving(1)]);
+    assert!(!known.leaving("sidecar-0"));
+    assert!(known.leaving("sidecar-1"));
+    assert!(known.leaving("sidecar-2"), "an unknown host gets no work");
+}
+
+// A sidecar is replaced during a rolling restart while the list lags by 30 s
+// and still calls it leaving. Its answer in a new life shows that it is back,
+// so callers get its slots again at once.
+#[test]
+fn list_lags_behind_restart() {
+    let (mut known, mut now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0)]);
+    known.answered(now, "sidecar-0", Incarnation(1));
+    known.list(now, &[leaving(0)]);
+    known.answered(now, "sidecar-0", Incarnation(1));
+    assert!(known.leaving("sidecar-0"));
+
+    now += Duration::from_secs(3);
+    known.answered(now, "sidecar-0", Incarnation(2));
+    known.list(now, &[leaving(0)]);
+    assert!(!known.leaving("sidecar-0"));
+
+    // The same host leaves once more: the list must change to say so.
+    known.list(now, &[sidecar(0)]);
+    known.list(now, &[leaving(0)]);
+    assert!(known.leaving("sidecar-0"));
+}
+
+#[test]
+fn list_moves_host() {
+    let (mut known, now) = (membership(), Instant::now());
+    known.list(now, &[sidecar(0)]);
+    let moved = Host {
+        addr: ([127, 0, 0, 2], 7000).into(),
+        ..sidecar(0)
+    };
+    known.list(now, std::slice::from_ref(&moved));
+    assert_eq!(known.chosen(), [&moved]);
+}
--- /dev/null
+++ b/crates/policy/tests/subset.rs
@@ -0,0 +1,152 @@
+//! How evenly subsets cover the servers, and how little moves.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use policy::subset::{Place, Size, choose};
+use rstest::rstest;
+
+const ZONES: [&str; 3] = ["plateau", "almadies", "rufisque"];
+
+/// Names with their zones, dealt out in turn.
+fn hosts(kind: &str, count: usize) -> Vec<(String, &'static str)> {
+    let host = |i| (format!("{kind}-{i}"), ZONES[i % ZONES.len()]);
+    (0..count).map(host).collect()
+}
+
+fn places<'a>(hosts: &'a [(String, &'static str)]) -> Vec<Place<'a>> {
+    let place = |(name, zone): &'a (String, &'static str)| Place { name, zone };
+    hosts.iter().map(place).collect()
+}
+
+/// Which servers each entry knows.
+fn cover<'a>(
+    entries: &[Place<'a>],
+    servers: &[Place<'a>],
+    size: Size,
+) -> BTreeMap<&'a str, BTreeSet<&'a str>> {
+    let known = |me: &Place<'a>| {
+        let chosen = choose(*me, entries, servers, size);
+        (me.name, chosen.iter().map(|i| servers[*i].name).collect())
+    };
+    entries.iter().map(known).collect()
+}
+
+/// How many entries know each server.
+fn counts(cover: &BTreeMap<&str, BTreeSet<&str>>, servers: &[Place]) -> Vec<usize> {
+    let count = |s: &Place| cover.values().filter(|k| k.contains(s.name)).count();
+    servers.iter().map(count).collect()
+}
+
+#[rstest]
+#[case::fleet_of_today(2, 18)]
+#[case::exactly_the_size(60, 128)]
+fn choose_few_servers(#[case] entries: usize, #[case] servers: usize) {
+    let (entries, servers) = (hosts("entry", entries), hosts("sidecar", servers));
+    let size = Size {
+        total: 128,
+        far: 16,
+    };
+    for known in cover(&places(&entries), &places(&servers), size).values() {
+        assert_eq!(known.len(), servers.len());
+    }
+}
+
+// One region at the size to design for: 180 entries, and services of 400 to
+// 1,250 servers. Each server must be within a few entries of the mean, else
+// the least covered one stands idle while others queue.
+#[rstest]
+#[case::region(180, 1250, 128, 16)]
+#[case::one_service(180, 400, 128, 16)]
+#[case::small_subset(180, 1250, 24, 4)]
+fn choose_evenly(
+    #[case] entries: usize,
+    #[case] servers: usize,
+    #[case] total: usize,
+    #[case] far: usize,
+) {
+    let (entries, servers) = (hosts("entry", entries), hosts("sidecar", servers));
+    let (entries, servers) = (places(&entries), places(&servers));
+    let cover = cover(&entries, &servers, Size { total, far });
+
+    // A fraction is rounded up or down once for each of the three zones.
+    let counts = counts(&cover, &servers);
+    let (min, max) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+    assert!(max - min <= 3, "covered by {min} to {max} entries");
+    assert!(*min >= 1);
+
+    // An entry's own subset varies as a random draw does, around its mean.
+    let sizes: Vec<usize> = cover.values().map(BTreeSet::len).collect();
+    let mean = sizes.iter().sum::<usize>() as f64 / sizes.len() as f64;
+    assert!((mean / total as f64 - 1.0).abs() < 0.02, "mean {mean}");
+    assert!(*sizes.iter().max().unwrap() < total * 2);
+}
+
+#[test]
+fn choose_own_zone_first() {
+    let (entries, servers) = (hosts("entry", 60), hosts("sidecar", 1200));
+    let (entries, servers) = (places(&entries), places(&servers));
+    let size = Size {
+        total: 128,
+        far: 16,
+    };
+
+    let chosen = choose(entries[0], &entries, &servers, size);
+    let near = chosen.iter().filter(|i| servers[**i].zone == "plateau");
+    let near = near.count();
+    assert!(
+        near > 80 && near < chosen.len(),
+        "{near} of {}",
+        chosen.len()
+    );
+}
+
+// One server of 1,250 leaves: only the connections that it had are made anew
+// elsewhere. A choice by position in a sorted list would move nearly all.
+#[test]
+fn choose_server_leaves() {
+    let (entries, servers) = (hosts("entry", 180), hosts("sidecar", 1250));
+    let (entries, servers) = (places(&entries), places(&servers));
+    let size = Size {
+        total: 128,
+        far: 16,
+    };
+
+    let before = cover(&entries, &servers, size);
+    let fewer: Vec<Place> = servers
+        .iter()
+        .copied()
+        .filter(|s| s.name != "sidecar-7")
+        .collect();
+    let after = cover(&entries, &fewer, size);
+
+    let had = before.values().filter(|k| k.contains("sidecar-7")).count();
+    let lost: usize = before
+        .iter()
+        .map(|(e, k)| k.difference(&after[e]).count())
+        .sum();
+    let new: usize = before
+        .iter()
+        .map(|(e, k)| after[e].difference(k).count())
+        .sum();
+    assert_eq!(lost, had, "no other connection closes");
+    assert!(new <= had * 2, "{new} new connections for {had}");
+}
+
+// One entry of 180 leaves: its servers find another entry, and each of the
+// remaining entries changes a few of its 128 connections.
+#[test]
+fn choose_entry_leaves() {
+    let (entries, servers) = (hosts("entry", 180), hosts("sidecar", 1250));
+    let (entries, servers) = (places(&entries), places(&servers));
+    let size = Size {
+        total: 128,
+        far: 16,
+    };
+
+    let before = cover(&entries, &servers, size);
+    let after = cover(&entries[1..], &servers, size);
+    for (entry, known) in &after {
+        let moved = known.symmetric_difference(&before[entry]).count();
+        assert!(moved <= 16, "{entry} changes {moved} of {}", known.len());
+    }
+}
