--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -205,6 +205,7 @@
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(1, i),
             sidecars,
+            roster: entry::settings::Roster::default(),
             fan: 2,
             body_limit: 4 << 20,
             seed: Some(self.mix.seed + u64::from(i)),
--- /dev/null
+++ b/crates/demo/tests/fleet/mod.rs
@@ -0,0 +1,222 @@
+//! A small fleet on loopback, each daemon on a thread of its own, for tests
+//! that start and stop daemons one by one.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use base::stop::Stop;
+use bundle::Bundle;
+use demo::host::Host;
+use platform::hosts::{Host as Listed, Role, Standing};
+use serde_json::{Value, json};
+use standin::Ledger;
+use standin::hosts::{Faults, Registry};
+
+/// Ports that one fleet may use.
+const PORTS: u16 = 64;
+
+/// The longest that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const TOKEN: &str = "token";
+
+pub struct Fleet {
+    /// The platform's list of hosts.
+    pub registry: Registry,
+    /// What the engines saw.
+    pub ledger: Ledger,
+    /// The first port.
+    port: u16,
+    daemons: HashMap<String, (Stop, Host)>,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Fleet {
+    /// A fleet with nothing but the list of hosts.
+    pub fn new() -> Self {
+        static FLEETS: AtomicU16 = AtomicU16::new(0);
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let mut fleet = Self {
+            registry: Registry::new(Vec::new()),
+            ledger: Ledger::default(),
+            port: 7200 + number * PORTS,
+            daemons: HashMap::new(),
+        };
+        let settings = standin::hosts::Settings {
+            listen: fleet.addr(0),
+            hosts: Vec::new(),
+            faults: Faults::default(),
+        };
+        let registry = fleet.registry.clone();
+        fleet.start("hosts", |stop| {
+            standin::hosts::run(settings, registry, stop)
+        });
+        fleet
+    }
+
+    /// Starts a daemon of any kind.
+    pub fn start<F, Fut>(&mut self, name: &str, run: F)
+    where
+        F: FnOnce(Stop) -> Fut + Send + 'static,
+        Fut: Future<Output = std::io::Result<()>>,
+    {
+        let stop = Stop::new();
+        let asked = stop.clone();
+        let host = Host::start(name, move || run(asked));
+        self.daemons.insert(name.to_owned(), (stop, host));
+    }
+
+    /// Starts an engine.
+    pub fn engine(&mut self, i: u16) {
+        let settings = json!({ "listen": self.addr(20 + i), "slots": 8, "step": "2ms" });
+        let settings = serde_json::from_value(settings).unwrap();
+        let ledger = self.ledger.clone();
+        self.start(&format!("engine-{i}"), |stop| {
+            standin::engine::run(settings, ledger, stop)
+        });
+    }
+
+    /// Starts a sidecar beside an engine, without listing it.
+    pub fn sidecar(&mut self, i: u16) {
+        let settings = json!({
+            "name": format!("sidecar-{i}"),
+            "zone": "plateau",
+            "listen": self.addr(40 + i),
+            "backend": { "engine": { "addr": self.addr(20 + i), "slots": 8 } },
+        });
+        let settings: sidecar::Settings = serde_json::from_value(settings).unwrap();
+        self.start(&format!("sidecar-{i}"), |stop| sidecar::run(settings, stop));
+    }
+
+    /// Puts a sidecar on the list.
+    pub fn list(&self, i: u16) {
+        self.registry.put(Listed {
+            name: format!("sidecar-{i}"),
+            addr: self.addr(40 + i),
+            zone: "plateau".to_owned(),
+            region: "dakar".to_owned(),
+            role: Role::Sidecar,
+            serves: "dossier-8b".to_owned(),
+            standing: Standing::Live,
+        });
+    }
+
+    /// Starts an engine and its sidecar, and lists it.
+    pub fn server(&mut self, i: u16) {
+        self.engine(i);
+        self.sidecar(i);
+        self.list(i);
+    }
+
+    /// Starts an entry.
+    pub fn entry(&mut self, i: u16) {
+        let settings = json!({
+            "name": format!("entry-{i}"),
+            "zone": "plateau",
+            "listen": self.addr(1 + i),
+            "seed": 1 + i,
+            "roster": { "hosts": self.addr(0), "region": "dakar", "poll": "100ms", "forget": "2s" },
+        });
+        let settings: entry::Settings = serde_json::from_value(settings).unwrap();
+        self.start(&format!("entry-{i}"), |stop| {
+            entry::run(settings, bundle(), stop)
+        });
+    }
+
+    /// Asks a daemon to stop, as SIGTERM does, and goes on.
+    pub fn ask(&self, name: &str) {
+        self.daemons[name].0.ask();
+    }
+
+    /// Asks a daemon to stop and waits until it has ended.
+    pub fn stop(&mut self, name: &str) {
+        let (stop, host) = self.daemons.remove(name).unwrap();
+        stop.ask();
+        host.join();
+    }
+
+    /// Sends a request and takes in its whole answer.
+    pub async fn call(&self, entry: u16, mark: &str, length: u32) -> Answer {
+        let body = json!({
+            "model": "counter", "mark": mark, "length": length,
+            "messages": [{ "role": "user", "content": "Is the dossier complete?" }],
+        });
+        let url = format!("http://{}/v1/chat/completions", self.addr(1 + entry));
+        let http = awc::Client::builder().timeout(PATIENCE).finish();
+        let sent = http.post(url).bearer_auth(TOKEN).send_json(&body).await;
+        let Ok(mut response) = sent else {
+            return Answer {
+                status: 0,
+                body: Value::Null,
+            };
+        };
+        let body = response.body().await.unwrap_or_default();
+        Answer {
+            status: response.status().as_u16(),
+            body: serde_json::from_slice(&body).unwrap_or_default(),
+        }
+    }
+
+    /// Sends requests until one is answered whole.
+    pub async fn ready(&self, entry: u16) {
+        let began = Instant::now();
+        while self.call(entry, "ready", 1).await.status != 200 {
+            assert!(began.elapsed() < PATIENCE, "the fleet does not get ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn addr(&self, i: u16) -> SocketAddr {
+        // Each process has a part of loopback of its own, so that several
+        // test binaries can run side by side.
+        let [_, _, a, b] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, a.max(1), b, 1);
+        SocketAddr::new(IpAddr::V4(ip), self.port + i)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for (stop, _) in self.daemons.values() {
+            stop.ask();
+        }
+        // Entries need their sidecars to drain, so all stop together.
+        for (_, (_, host)) in self.daemons.drain() {
+            host.join();
+        }
+    }
+}
+
+/// The text of a whole answer.
+pub fn text(answer: &Answer) -> &str {
+    answer.body["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap_or_default()
+}
+
+/// The text that the stand-in makes for a request.
+pub fn expected(mark: &str, length: u32) -> String {
+    (0..length).map(|i| format!("{mark}:{i} ")).collect()
+}
+
+fn bundle() -> Bundle {
+    let hash = bundle::token_hash(TOKEN);
+    let bundle = json!({
+        "classes": { "counter": {
+            "tier": 0, "model": "dossier-8b",
+            "targets": { "first_token": "10s", "token_gap": "1s", "whole": "60s" },
+        } },
+        "workspaces": { "cantine": { "tokens": [hash], "classes": ["counter"] } },
+        "models": { "dossier-8b": {} },
+        "operators": {},
+    });
+    serde_json::from_value(bundle).unwrap()
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -14,7 +14,8 @@
 
 use crate::refuse::Refused;
 use crate::request::Request;
-use crate::state::{Server, State};
+use crate::servers::Server;
+use crate::state::State;
 
 /// How long one reserve call may be held.
 const RESERVE_HOLD: Duration = Duration::from_millis(1000);
@@ -33,7 +34,7 @@
 ///
 /// Returns the refusal to answer with when the request could not be started.
 pub async fn grant(state: &Rc<State>, request: &Request) -> Result<Granted, Refused> {
-    let candidates = state.candidates(&request.target);
+    let candidates = state.servers.candidates(&request.target);
     let mut tried: HashSet<ServerIndex> = HashSet::new();
 
     loop {
@@ -70,7 +71,10 @@
     request: &Request,
     chosen: &[ServerIndex],
 ) -> Result<Option<(Rc<Server>, Incarnation)>, Refused> {
-    let servers: Vec<_> = chosen.iter().filter_map(|i| state.server(*i)).collect();
+    let servers: Vec<_> = chosen
+        .iter()
+        .filter_map(|i| state.servers.get(*i))
+        .collect();
     let asks = servers
         .iter()
         .map(|server| reserve(state, request, Rc::clone(server)));
@@ -112,6 +116,7 @@
                 return (server, Err(None));
             }
         };
+        server.note(state.clock.now(), &reply);
         match reply.body {
             Reserved::Ready { .. } | Reserved::AlreadyStarted => {
                 return (server, Ok(reply.incarnation));
@@ -159,6 +164,7 @@
             again.map_err(|_| unknown())?
         }
     };
+    server.note(state.clock.now(), &reply);
     match reply.body {
         Started::Running => Ok(Some(Granted {
             server,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,9 @@
 //! retries. It is the only one that may grant a request.
 //!
 //! - [`settings`]: what the operators set.
-//! - [`state`]: the bundle in force and the known sidecars.
+//! - [`state`]: the bundle in force and the requests in progress.
+//! - [`servers`]: the known sidecars.
+//! - [`roster`]: following the host list.
 //! - [`request`]: reading a caller's request.
 //! - [`http`]: the callers' side.
 //! - [`dispatch`]: getting a slot for a request and starting it there.
@@ -15,6 +17,8 @@
 pub mod refuse;
 pub mod relay;
 pub mod request;
+pub mod roster;
+pub mod servers;
 pub mod settings;
 pub mod shape;
 pub mod state;
@@ -22,6 +26,7 @@
 use std::io;
 use std::rc::Rc;
 
+use actix::Actor;
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
 use bundle::Bundle;
@@ -42,6 +47,7 @@
     info!("entry ready", kv: { name = settings.name.as_str(), listen = settings.listen.to_string().as_str() });
 
     let state = State::new(settings, bundle, clock);
+    roster::Roster::new(Rc::clone(&state)).start();
     base::http::serve(listener, http::app(Rc::clone(&state)), stop).await?;
     state.drain().await;
     Ok(())
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -78,6 +78,7 @@
                 }
                 Err(_) => return Err(self.lost()),
             };
+            self.granted.server.note(self.state.clock.now(), &reply);
             if reply.incarnation != self.granted.incarnation {
                 return Err(self.lost());
             }
--- /dev/null
+++ b/crates/entry/src/roster.rs
@@ -0,0 +1,230 @@
+//! Keeping the known sidecars in step with the host list and with what the
+//! sidecars say themselves. See docs/DECISIONS/0401-membership.md.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
+use base::ids::Ticket;
+use metrics::{counter, gauge};
+use platform::hosts::{Error, Host as Listed, Hosts, Role, Standing};
+use policy::membership::{Applied, Host, Kind, Limits, Membership};
+use policy::subset::Size;
+use spdlog::{info, warn};
+use wire::Pull;
+
+use crate::servers::Server;
+use crate::settings::Known;
+use crate::state::State;
+
+/// How often sidecars that may come back or be gone are asked.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// A ticket that no request ever has. Pulling it changes nothing at the
+/// sidecar and brings its life and load back.
+const NOBODY: Ticket = Ticket(0);
+
+/// Follows the host list, and asks after sidecars that the list or their own
+/// word calls gone.
+pub struct Roster {
+    state: Rc<State>,
+    hosts: Option<Rc<Hosts>>,
+    known: Membership,
+    /// Whether the list could be read last time, to log changes only.
+    readable: bool,
+    /// Calls that ask after a sidecar and are still out.
+    asking: Rc<Cell<usize>>,
+}
+
+impl Roster {
+    /// Makes the roster of an entry.
+    #[must_use]
+    pub fn new(state: Rc<State>) -> Self {
+        let settings = &state.settings;
+        let limits = Limits {
+            size: Size {
+                total: settings.roster.subset,
+                far: settings.roster.far,
+            },
+            forget: settings.roster.forget.0,
+        };
+        let mut known = Membership::new(&settings.name, &settings.zone, limits);
+        // Sidecars named in the settings are believed until a list shows
+        // otherwise and they stop answering.
+        let named: Vec<Host> = settings.sidecars.iter().map(named).collect();
+        known.list(state.clock.now(), &named);
+
+        let region = &settings.roster.region;
+        let hosts = settings
+            .roster
+            .hosts
+            .map(|a| Rc::new(Hosts::new(a, region)));
+        Self {
+            state,
+            hosts,
+            known,
+            readable: true,
+            asking: Rc::default(),
+        }
+    }
+
+    /// Reads the list, and again after a while.
+    fn poll(&mut self, ctx: &mut Context<Self>) {
+        let Some(hosts) = self.hosts.clone() else {
+            return;
+        };
+        let read = async move { hosts.read().await };
+        let done = read.into_actor(self).map(|list, roster, ctx| {
+            roster.take(&list);
+            // Entries that start together must not ask together for ever.
+            let poll = roster.state.settings.roster.poll.0;
+            let wait = poll.mul_f64(rand::random_range(0.5..1.5));
+            ctx.run_later(wait, Self::poll);
+        });
+        ctx.spawn(done);
+    }
+
+    /// Takes over what the reading brought.
+    fn take(&mut self, list: &Result<Option<Vec<Listed>>, Error>) {
+        // Which life the list calls leaving shows only against the newest one.
+        self.hear();
+        let outcome = match list {
+            Ok(None) => "unchanged",
+            Ok(Some(list)) => {
+                let hosts: Vec<Host> = list.iter().map(host).collect();
+                match self.known.list(self.state.clock.now(), &hosts) {
+                    Applied::Taken => "taken",
+                    Applied::Ignored => "empty",
+                }
+            }
+            Err(_) => "failed",
+        };
+        counter!("pimentocart_host_lists_total", "outcome" => outcome).increment(1);
+
+        let readable = list.is_ok();
+        if let (Err(e), true) = (list, self.readable) {
+            warn!("host list unreadable", kv: { error = e.to_string().as_str() });
+        }
+        self.readable = readable;
+        if outcome == "taken" {
+            self.apply();
+        }
+    }
+
+    /// Notes who answered since.
+    fn hear(&mut self) {
+        for server in self.state.servers.all() {
+            if let Some((at, life)) = server.heard.get() {
+                self.known.answered(at, &server.known.name, life);
+            }
+        }
+    }
+
+    /// Notes who answered, forgets who is gone and asks after the doubtful.
+    fn beat(&mut self, _: &mut Context<Self>) {
+        self.hear();
+        let forgotten = self.known.sweep(self.state.clock.now());
+        if forgotten > 0 {
+            info!("hosts forgotten", kv: { count = forgotten });
+            counter!("pimentocart_hosts_forgotten_total").increment(forgotten as u64);
+            self.apply();
+        }
+        self.mark();
+
+        // The answers of those asked the last time are still awaited.
+        if self.asking.get() > 0 {
+            return;
+        }
+        for server in self.state.servers.all() {
+            let doubtful = !server.takes() || !self.known.listed(&server.known.name);
+            if doubtful {
+                self.ask(server);
+            }
+        }
+    }
+
+    /// Asks one sidecar how it is.
+    fn ask(&self, server: Rc<Server>) {
+        let (state, asking) = (Rc::clone(&self.state), Rc::clone(&self.asking));
+        asking.set(asking.get() + 1);
+        actix_rt::spawn(async move {
+            let ask = Pull {
+                ticket: NOBODY,
+                from: 0,
+                wait_ms: 0,
+            };
+            // No answer is told by the time since the last one.
+            if let Ok(reply) = server.peer.pull(state.stamp(), ask).await {
+                server.note(state.clock.now(), &reply);
+            }
+            asking.set(asking.get() - 1);
+        });
+    }
+
+    /// Gives the entry the sidecars that it should know.
+    fn apply(&self) {
+        let chosen: Vec<Known> = self.known.chosen().into_iter().filter_map(known).collect();
+        self.state.servers.set(&chosen);
+        self.mark();
+        gauge!("pimentocart_hosts_known").set(self.known.len() as f64);
+        gauge!("pimentocart_servers_known").set(chosen.len() as f64);
+    }
+
+    /// Marks the sidecars that the list calls leaving.
+    fn mark(&self) {
+        for server in self.state.servers.all() {
+            server.leaving.set(self.known.leaving(&server.known.name));
+        }
+    }
+}
+
+impl Actor for Roster {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        self.poll(ctx);
+        ctx.run_interval(BEAT, Self::beat);
+    }
+}
+
+fn named(known: &Known) -> Host {
+    let kind = Kind::Sidecar {
+        serves: known.serves.clone(),
+    };
+    Host {
+        name: known.name.clone(),
+        addr: known.addr,
+        zone: known.zone.clone(),
+        kind,
+        leaving: false,
+    }
+}
+
+fn host(listed: &Listed) -> Host {
+    let kind = match listed.role {
+        Role::Entry => Kind::Entry,
+        Role::Sidecar => Kind::Sidecar {
+            serves: listed.serves.clone(),
+        },
+    };
+    Host {
+        name: listed.name.clone(),
+        addr: listed.addr,
+        zone: listed.zone.clone(),
+        kind,
+        leaving: listed.standing == Standing::Leaving,
+    }
+}
+
+fn known(host: &Host) -> Option<Known> {
+    let Kind::Sidecar { serves } = &host.kind else {
+        return None;
+    };
+    Some(Known {
+        name: host.name.clone(),
+        addr: host.addr,
+        zone: host.zone.clone(),
+        serves: serves.clone(),
+    })
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::logging::Level;
+use base::settings::Span;
 use serde::{Deserialize, Serialize};
 
 /// Settings of one entry.
@@ -18,6 +19,9 @@
     /// Sidecars known from the start.
     #[serde(default)]
     pub sidecars: Vec<Known>,
+    /// How the entry learns which hosts there are.
+    #[serde(default)]
+    pub roster: Roster,
     /// How many sidecars are asked for a slot at once.
     #[serde(default = "default_fan")]
     pub fan: usize,
@@ -32,8 +36,40 @@
     pub log_level: Level,
 }
 
-/// A sidecar as the settings or the host list name it.
+/// How an entry learns which hosts there are.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Roster {
+    /// Where the platform serves the list of hosts; without it, only the
+    /// sidecars named in the settings are known.
+    pub hosts: Option<SocketAddr>,
+    /// The region whose hosts are known.
+    pub region: String,
+    /// How often the list is read, on average.
+    pub poll: Span,
+    /// Sidecars of one service that are known, on average.
+    pub subset: usize,
+    /// How many of these stand in other availability zones, at the least.
+    pub far: usize,
+    /// How long a host stays that is not listed and does not answer.
+    pub forget: Span,
+}
+
+impl Default for Roster {
+    fn default() -> Self {
+        Self {
+            hosts: None,
+            region: String::new(),
+            poll: Span::secs(2),
+            subset: 128,
+            far: 16,
+            forget: Span::secs(30),
+        }
+    }
+}
+
+/// A sidecar as the settings or the host list name it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Known {
     /// The sidecar's name.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,10 +8,10 @@
 use base::ids::Sequence;
 use bundle::{Bundle, Lookup};
 use policy::Placement;
-use policy::placement::ServerIndex;
-use wire::{Peer, Stamp};
+use wire::Stamp;
 
-use crate::settings::{Known, Settings};
+use crate::servers::Servers;
+use crate::settings::Settings;
 
 /// How often draining looks whether all has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -25,34 +25,22 @@
     /// The bundle in force.
     pub bundle: RefCell<Rc<Lookup>>,
     /// The known sidecars.
-    pub servers: RefCell<Vec<Rc<Server>>>,
+    pub servers: Servers,
     /// Where to ask for a slot.
     pub placement: RefCell<Placement>,
     /// Requests in progress.
     open: Cell<usize>,
 }
 
-/// A sidecar and the connection to it.
-pub struct Server {
-    /// What is known of it from outside.
-    pub known: Known,
-    /// The connection.
-    pub peer: Peer,
-}
-
 impl State {
     /// Makes the state of an entry that just started.
     #[must_use]
     pub fn new(settings: Settings, bundle: Bundle, clock: Rc<dyn Clock>) -> Rc<Self> {
         let seed = settings.seed.unwrap_or_else(rand::random);
-        let servers = settings.sidecars.iter().map(|known| {
-            Rc::new(Server {
-                known: known.clone(),
-                peer: Peer::new(known.addr),
-            })
-        });
+        let servers = Servers::default();
+        servers.set(&settings.sidecars);
         Rc::new(Self {
-            servers: RefCell::new(servers.collect()),
+            servers,
             settings,
             clock,
             bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
@@ -68,18 +56,6 @@
         }
     }
 
-    /// The sidecars whose backend server offers `target`.
-    pub fn candidates(&self, target: &str) -> Vec<ServerIndex> {
-        let servers = self.servers.borrow();
-        let serves = |(i, s): (usize, &Rc<Server>)| (s.known.serves == target).then_some(i);
-        servers.iter().enumerate().filter_map(serves).collect()
-    }
-
-    /// The sidecar at an index.
-    pub fn server(&self, index: ServerIndex) -> Option<Rc<Server>> {
-        self.servers.borrow().get(index).cloned()
-    }
-
     /// Counts a request as in progress until the guard is dropped.
     pub fn open(self: &Rc<Self>) -> Open {
         self.open.set(self.open.get() + 1);
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -132,6 +132,11 @@
         if let Some(record) = self.hosts.get_mut(name) {
             record.seen = record.seen.max(at);
             record.life = Some(life);
+            // A host first heard of after the list called it leaving: that
+            // this is its next life already cannot be told.
+            if record.host.leaving && record.ending.is_none() {
+                record.ending = Some(life);
+            }
         }
     }
 
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -125,6 +125,18 @@
     assert!(known.leaving("sidecar-0"));
 }
 
+// The list calls a sidecar leaving before this entry ever called it. Its first
+// answer does not count as coming back; one in a life after that does.
+#[test]
+fn list_marks_unheard_host() {
+    let (mut known, now) = (membership(), Instant::now());
+    known.list(now, &[leaving(0)]);
+    known.answered(now, "sidecar-0", Incarnation(1));
+    assert!(known.leaving("sidecar-0"));
+    known.answered(now, "sidecar-0", Incarnation(2));
+    assert!(!known.leaving("sidecar-0"));
+}
+
 #[test]
 fn list_moves_host() {
     let (mut known, now) = (membership(), Instant::now());
