--- a/crates/demo/tests/fleet/mod.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -18,15 +18,15 @@
 const PORTS: u16 = 64;
 
 /// The longest that a test waits for a condition.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 const TOKEN: &str = "token";
 
-pub struct Fleet {
+pub(crate) struct Fleet {
     /// The platform's list of hosts.
-    pub registry: Registry,
+    pub(crate) registry: Registry,
     /// What the engines saw.
-    pub ledger: Ledger,
+    pub(crate) ledger: Ledger,
     /// The first port.
     port: u16,
     daemons: HashMap<String, (Stop, Host)>,
@@ -34,14 +34,14 @@
 
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Answer {
-    pub status: u16,
-    pub body: Value,
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
 }
 
 impl Fleet {
     /// A fleet with nothing but the list of hosts.
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         static FLEETS: AtomicU16 = AtomicU16::new(0);
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let mut fleet = Self {
@@ -63,7 +63,7 @@
     }
 
     /// Starts a daemon of any kind.
-    pub fn start<F, Fut>(&mut self, name: &str, run: F)
+    pub(crate) fn start<F, Fut>(&mut self, name: &str, run: F)
     where
         F: FnOnce(Stop) -> Fut + Send + 'static,
         Fut: Future<Output = std::io::Result<()>>,
@@ -75,7 +75,7 @@
     }
 
     /// Starts an engine.
-    pub fn engine(&mut self, i: u16) {
+    pub(crate) fn engine(&mut self, i: u16) {
         let settings = json!({ "listen": self.addr(20 + i), "slots": 8, "step": "2ms" });
         let settings = serde_json::from_value(settings).unwrap();
         let ledger = self.ledger.clone();
@@ -85,7 +85,7 @@
     }
 
     /// Starts a sidecar beside an engine, without listing it.
-    pub fn sidecar(&mut self, i: u16) {
+    pub(crate) fn sidecar(&mut self, i: u16) {
         let settings = json!({
             "name": format!("sidecar-{i}"),
             "zone": "plateau",
@@ -97,7 +97,7 @@
     }
 
     /// Puts a sidecar on the list.
-    pub fn list(&self, i: u16) {
+    pub(crate) fn list(&self, i: u16) {
         self.registry.put(Listed {
             name: format!("sidecar-{i}"),
             addr: self.addr(40 + i),
@@ -110,14 +110,14 @@
     }
 
     /// Starts an engine and its sidecar, and lists it.
-    pub fn server(&mut self, i: u16) {
+    pub(crate) fn server(&mut self, i: u16) {
         self.engine(i);
         self.sidecar(i);
         self.list(i);
     }
 
     /// Starts an entry.
-    pub fn entry(&mut self, i: u16) {
+    pub(crate) fn entry(&mut self, i: u16) {
         let settings = json!({
             "name": format!("entry-{i}"),
             "zone": "plateau",
@@ -131,20 +131,15 @@
         });
     }
 
-    /// Asks a daemon to stop, as SIGTERM does, and goes on.
-    pub fn ask(&self, name: &str) {
-        self.daemons[name].0.ask();
-    }
-
     /// Asks a daemon to stop and waits until it has ended.
-    pub fn stop(&mut self, name: &str) {
+    pub(crate) fn stop(&mut self, name: &str) {
         let (stop, host) = self.daemons.remove(name).unwrap();
         stop.ask();
         host.join();
     }
 
     /// Sends a request and takes in its whole answer.
-    pub async fn call(&self, entry: u16, mark: &str, length: u32) -> Answer {
+    pub(crate) async fn call(&self, entry: u16, mark: &str, length: u32) -> Answer {
         let body = json!({
             "model": "counter", "mark": mark, "length": length,
             "messages": [{ "role": "user", "content": "Is the dossier complete?" }],
@@ -166,7 +161,7 @@
     }
 
     /// Sends requests until one is answered whole.
-    pub async fn ready(&self, entry: u16) {
+    pub(crate) async fn ready(&self, entry: u16) {
         let began = Instant::now();
         while self.call(entry, "ready", 1).await.status != 200 {
             assert!(began.elapsed() < PATIENCE, "the fleet does not get ready");
@@ -196,14 +191,14 @@
 }
 
 /// The text of a whole answer.
-pub fn text(answer: &Answer) -> &str {
+pub(crate) fn text(answer: &Answer) -> &str {
     answer.body["choices"][0]["message"]["content"]
         .as_str()
         .unwrap_or_default()
 }
 
 /// The text that the stand-in makes for a request.
-pub fn expected(mark: &str, length: u32) -> String {
+pub(crate) fn expected(mark: &str, length: u32) -> String {
     (0..length).map(|i| format!("{mark}:{i} ")).collect()
 }
 
--- a/crates/demo/tests/membership.rs
+++ b/crates/demo/tests/failures/membership.rs
@@ -1,11 +1,9 @@
 //! Who gets work when hosts come and go and the list does not keep up.
 
-mod fleet;
-
 use std::time::{Duration, Instant};
 
+use crate::fleet::{Answer, Fleet, PATIENCE, expected, text};
 use base::settings::Span;
-use fleet::{Answer, Fleet, PATIENCE, expected, text};
 use standin::hosts::Faults;
 
 /// Sends requests one by one until `count` were answered.
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -21,6 +21,9 @@
 /// How often sidecars that may come back or be gone are asked.
 const BEAT: Duration = Duration::from_millis(500);
 
+/// How often the list is read while no host is known, on average.
+const EAGER: Duration = Duration::from_millis(100);
+
 /// A ticket that no request ever has. Pulling it changes nothing at the
 /// sidecar and brings its life and load back.
 const NOBODY: Ticket = Ticket(0);
@@ -77,8 +80,12 @@
         let read = async move { hosts.read().await };
         let done = read.into_actor(self).map(|list, roster, ctx| {
             roster.take(&list);
+            // An entry that knows nobody can serve nobody.
+            let poll = match roster.known.is_empty() {
+                true => EAGER,
+                false => roster.state.settings.roster.poll.0,
+            };
             // Entries that start together must not ask together for ever.
-            let poll = roster.state.settings.roster.poll.0;
             let wait = poll.mul_f64(rand::random_range(0.5..1.5));
             ctx.run_later(wait, Self::poll);
         });
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -28,6 +28,8 @@
     pub servers: Servers,
     /// Where to ask for a slot.
     pub placement: RefCell<Placement>,
+    /// Whether no new requests are taken.
+    pub draining: Cell<bool>,
     /// Requests in progress.
     open: Cell<usize>,
 }
@@ -45,6 +47,7 @@
             clock,
             bundle: RefCell::new(Rc::new(Lookup::new(bundle))),
             placement: RefCell::new(Placement::new(seed)),
+            draining: Cell::new(false),
             open: Cell::new(0),
         })
     }
@@ -64,6 +67,11 @@
         }
     }
 
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.open.get()
+    }
+
     /// Waits until no request is in progress.
     pub async fn drain(&self) {
         while self.open.get() > 0 {
