--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -14,7 +14,7 @@
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
 use actix_web::Error;
 use actix_web::dev::{AppConfig, ServiceResponse};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::stop::Stop;
 
@@ -27,8 +27,12 @@
 /// How long accepting pauses after it failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until `stop` is asked; returns at once then, while
-/// connections already open go on until they end by themselves.
+/// How often the end of the last connections is looked for.
+const CLOSE_POLL: Duration = Duration::from_millis(10);
+
+/// Accepts connections until `stop` is asked and returns at once then. Idle
+/// connections close, and those with a request in progress go on for as long
+/// as the process does.
 ///
 /// # Errors
 ///
@@ -45,6 +49,67 @@
         > + 'static,
     B: MessageBody + 'static,
 {
+    accept(listener, app, stop).await?;
+    Ok(())
+}
+
+/// Accepts connections until `stop` is asked, then waits until every answer
+/// in progress has left whole and its connection is closed, for `limit` at
+/// the most.
+///
+/// Without this wait a process that has made its last answer would end while
+/// that answer still stands in the connection's buffer, and its caller would
+/// see it cut. Idle connections are closed at once, so they hold nothing up.
+///
+/// # Errors
+///
+/// Returns the error when the application cannot be set up.
+pub async fn serve_whole<F, A, B>(
+    listener: TcpListener,
+    app: F,
+    stop: Stop,
+    limit: Duration,
+) -> io::Result<()>
+where
+    F: IntoServiceFactory<A, actix_http::Request> + 'static,
+    A: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    B: MessageBody + 'static,
+{
+    let open = accept(listener, app, stop).await?;
+    let closed = async {
+        while Rc::strong_count(&open) > 1 {
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    };
+    let _ = tokio::time::timeout(limit, closed).await;
+    Ok(())
+}
+
+/// Accepts connections until `stop` is asked. Each connection that is open
+/// holds a clone of the result.
+async fn accept<F, A, B>(listener: TcpListener, app: F, stop: Stop) -> io::Result<Rc<()>>
+where
+    F: IntoServiceFactory<A, actix_http::Request> + 'static,
+    A: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    B: MessageBody + 'static,
+{
+    let closing = stop.clone();
+    let closing = move || {
+        let closing = closing.clone();
+        async move { closing.wait().await }
+    };
     let factory = HttpService::build()
         .client_request_timeout(REQUEST_TIMEOUT)
         .keep_alive(KEEP_ALIVE)
@@ -52,15 +117,18 @@
         // request would go on waiting and running for nobody; dropping the
         // handler at once is enough, since that cancels down to the engine.
         .h1_allow_half_closed(false)
+        // Closes idle connections, and others after the answer in progress.
+        .graceful_shutdown_signal(closing)
         .h1(map_config(app, |()| AppConfig::default()))
         .tcp();
     let service = factory.new_service(()).await;
     let service = Rc::new(service.map_err(|()| io::Error::other("step=start_http"))?);
 
+    let open = Rc::new(());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.wait() => return Ok(()),
+            () = stop.wait() => return Ok(open),
         };
         let Ok((stream, _)) = accepted else {
             // Out of file descriptors, for one: others may close meanwhile.
@@ -70,10 +138,24 @@
         // Pieces are small and wanted at once, so they must not wait for an
         // acknowledgement of the piece before.
         let _ = stream.set_nodelay(true);
-        let service = Rc::clone(&service);
+        let (service, stop, open) = (Rc::clone(&service), stop.clone(), Rc::clone(&open));
         actix_rt::spawn(async move {
-            // An error here ends this one connection; its caller sees that.
-            let _ = service.call(stream).await;
+            if begun(&stream, &stop).await {
+                // An error here ends this one connection; its caller sees that.
+                let _ = service.call(stream).await;
+            }
+            drop(open);
         });
     }
 }
+
+/// Waits for a connection's first bytes. The library keeps a connection that
+/// has sent nothing for the whole request timeout, also when it is closing.
+async fn begun(stream: &TcpStream, stop: &Stop) -> bool {
+    let readable = tokio::time::timeout(REQUEST_TIMEOUT, stream.readable());
+    tokio::select! {
+        biased;
+        readable = readable => matches!(readable, Ok(Ok(()))),
+        () = stop.wait() => false,
+    }
+}
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -124,6 +124,7 @@
             "listen": self.addr(1 + i),
             "seed": 1 + i,
             "roster": { "hosts": self.addr(0), "region": "dakar", "poll": "100ms", "forget": "2s" },
+            "drain": { "linger": "100ms" },
         });
         let settings: entry::Settings = serde_json::from_value(settings).unwrap();
         self.start(&format!("entry-{i}"), |stop| {
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use futures_util::stream;
 
-use crate::dispatch;
+use crate::dispatch::{self, Granted};
+use crate::drain;
 use crate::refuse::Refused;
 use crate::relay::{Answer, Part};
 use crate::request::Request;
@@ -76,16 +77,16 @@
     body: Result<Bytes, Error>,
     chat: bool,
 ) -> Result<HttpResponse, Refused> {
-    let state = state(http)?;
-    let open = state.open();
+    let (state, open) = enter(http)?;
     let bundle = Rc::clone(&state.bundle.borrow());
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
 
-    let granted = dispatch::grant(state, &request).await?;
-    let answer = Answer::new(Rc::clone(state), request.ticket, granted);
+    let granted = grant(state, &request).await?;
     let shape = Shape::new(request.ticket, &request.target, chat, request.prompt);
-    if request.stream {
+    let stream = request.stream;
+    let answer = Answer::new(Rc::clone(state), request, granted);
+    if stream {
         return Ok(streamed(answer, shape, open));
     }
 
@@ -101,14 +102,13 @@
     target: (&str, &str),
     body: Result<Bytes, Error>,
 ) -> Result<HttpResponse, Refused> {
-    let state = state(http)?;
-    let _open = state.open();
+    let (state, _open) = enter(http)?;
     let bundle = Rc::clone(&state.bundle.borrow());
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
 
-    let granted = dispatch::grant(state, &request).await?;
-    let whole = collect(Answer::new(Rc::clone(state), request.ticket, granted)).await?;
+    let granted = grant(state, &request).await?;
+    let whole = collect(Answer::new(Rc::clone(state), request, granted)).await?;
     let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
     if !whole.finish.is_empty() {
@@ -117,9 +117,23 @@
     Ok(response.body(whole.body))
 }
 
-fn state(http: &HttpRequest) -> Result<&Rc<State>, Refused> {
+/// Takes a request as in progress, unless it comes after the entry drained.
+fn enter(http: &HttpRequest) -> Result<(&Rc<State>, Open), Refused> {
     let state = http.app_data::<Rc<State>>();
-    state.ok_or_else(|| Refused::not_run(Refusal::NoBundle, "the entry is not set up"))
+    let state =
+        state.ok_or_else(|| Refused::not_run(Refusal::NoBundle, "the entry is not set up"))?;
+    if state.refusing.get() {
+        return Err(drain::refused());
+    }
+    Ok((state, state.open()))
+}
+
+/// Gets the request to run, unless the drain's limit passes.
+async fn grant(state: &Rc<State>, request: &Request) -> Result<Granted, Refused> {
+    tokio::select! {
+        granted = dispatch::grant(state, request) => granted,
+        () = state.cutoff.wait() => Err(drain::cut_off(false)),
+    }
 }
 
 /// The refusal of a body that could not be read.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,26 +2,32 @@
 //! retries. It is the only one that may grant a request.
 //!
 //! - [`settings`]: what the operators set.
-//! - [`state`]: the bundle in force and the requests in progress.
-//! - [`servers`]: the known sidecars.
+//! - [`state`]: the bundle in force and the known sidecars.
 //! - [`roster`]: following the host list.
 //! - [`request`]: reading a caller's request.
 //! - [`http`]: the callers' side.
-//! - [`dispatch`]: getting a slot for a request and starting it there.
+//! - [`dispatch`]: getting a request to run, again if need be.
+//! - [`reserve`]: asking several sidecars for a slot.
+//! - [`start`]: starting a request where a slot is held.
 //! - [`relay`]: passing the answer's pieces on.
 //! - [`status`]: what operators are shown.
+//! - [`drain`]: stopping without cutting anything off.
 //! - [`shape`]: how answers are written.
+//! - [`counters`]: what placement counts.
 //! - [`refuse`]: the answer to a request that is refused.
 
+pub mod counters;
 pub mod dispatch;
+pub mod drain;
 pub mod http;
 pub mod refuse;
 pub mod relay;
 pub mod request;
+pub mod reserve;
 pub mod roster;
-pub mod servers;
 pub mod settings;
 pub mod shape;
+pub mod start;
 pub mod state;
 pub mod status;
 
@@ -64,10 +70,10 @@
         name = state.settings.name.as_str(),
         listen = state.settings.listen.to_string().as_str()
     });
-    base::http::serve(listener, http::app(Rc::clone(&state)), stop).await?;
-
-    state.draining.set(true);
-    state.drain().await;
+    let drained = Stop::new();
+    actix_rt::spawn(drain::drain(Rc::clone(&state), stop, drained.clone()));
+    let app = http::app(Rc::clone(&state));
+    base::http::serve_whole(listener, app, drained, drain::CLOSE_LIMIT).await?;
     end.ask();
     Ok(())
 }
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -14,9 +14,8 @@
 use spdlog::{info, warn};
 use wire::Pull;
 
-use crate::servers::Server;
 use crate::settings::Known;
-use crate::state::State;
+use crate::state::{Server, State};
 
 /// How often sidecars that may come back or be gone are asked.
 const BEAT: Duration = Duration::from_millis(500);
@@ -121,7 +120,7 @@
 
     /// Notes who answered since.
     fn hear(&mut self) {
-        for server in self.state.servers.all() {
+        for server in self.state.servers() {
             if let Some((at, life)) = server.heard.get() {
                 self.known.answered(at, &server.known.name, life);
             }
@@ -143,9 +142,9 @@
         if self.asking.get() > 0 {
             return;
         }
-        for server in self.state.servers.all() {
-            let doubtful = !server.takes() || !self.known.listed(&server.known.name);
-            if doubtful {
+        for server in self.state.servers() {
+            let open = self.state.placement.borrow().open(server.index);
+            if !open || !self.known.listed(&server.known.name) {
                 self.ask(server);
             }
         }
@@ -162,9 +161,8 @@
                 wait_ms: 0,
             };
             // No answer is told by the time since the last one.
-            if let Ok(reply) = server.peer.pull(state.stamp(), ask).await {
-                server.note(state.clock.now(), &reply);
-            }
+            let answer = server.peer.pull(state.stamp(), ask).await;
+            let _ = state.heard(&server, answer);
             asking.set(asking.get() - 1);
         });
     }
@@ -172,7 +170,7 @@
     /// Gives the entry the sidecars that it should know.
     fn apply(&self) {
         let chosen: Vec<Known> = self.known.chosen().into_iter().filter_map(known).collect();
-        self.state.servers.set(&chosen);
+        self.state.set_servers(&chosen);
         self.mark();
         gauge!("pimentocart_hosts_known").set(self.known.len() as f64);
         gauge!("pimentocart_servers_known").set(chosen.len() as f64);
@@ -180,8 +178,10 @@
 
     /// Marks the sidecars that the list calls leaving.
     fn mark(&self) {
-        for server in self.state.servers.all() {
-            server.leaving.set(self.known.leaving(&server.known.name));
+        let servers = self.state.servers();
+        let mut placement = self.state.placement.borrow_mut();
+        for server in servers {
+            placement.close(server.index, self.known.leaving(&server.known.name));
         }
     }
 }
