--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -197,6 +197,9 @@
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
+            drain_limit: Span::secs(600),
+            kept_bytes: 16 << 20,
+            queue: Default::default(),
             log_level: base::logging::Level::Warn,
         };
         Host::start(&known.name, move || sidecar::run(settings, stop))
--- a/crates/demo/src/host.rs
+++ b/crates/demo/src/host.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Whether the daemon has ended.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
     /// Waits until the daemon has ended.
     pub fn join(self) {
         if let Some(thread) = self.thread {
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -42,6 +42,7 @@
 impl Fleet {
     /// A fleet with nothing but the list of hosts.
     pub(crate) fn new() -> Self {
+        base::logging::init(base::logging::Level::Off);
         static FLEETS: AtomicU16 = AtomicU16::new(0);
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let mut fleet = Self {
@@ -118,13 +119,18 @@
 
     /// Starts an entry.
     pub(crate) fn entry(&mut self, i: u16) {
+        self.entry_with(i, &json!({ "linger": "100ms" }));
+    }
+
+    /// Starts an entry that drains by the given settings.
+    pub(crate) fn entry_with(&mut self, i: u16, drain: &Value) {
         let settings = json!({
             "name": format!("entry-{i}"),
             "zone": "plateau",
             "listen": self.addr(1 + i),
             "seed": 1 + i,
             "roster": { "hosts": self.addr(0), "region": "dakar", "poll": "100ms", "forget": "2s" },
-            "drain": { "linger": "100ms" },
+            "drain": drain,
         });
         let settings: entry::Settings = serde_json::from_value(settings).unwrap();
         self.start(&format!("entry-{i}"), |stop| {
@@ -132,33 +138,31 @@
         });
     }
 
-    /// Asks a daemon to stop and waits until it has ended.
-    pub(crate) fn stop(&mut self, name: &str) {
-        let (stop, host) = self.daemons.remove(name).unwrap();
-        stop.ask();
-        host.join();
+    /// Asks a daemon to stop, as SIGTERM does, and waits until it has ended.
+    pub(crate) async fn stop(&mut self, name: &str) {
+        self.ask(name);
+        self.ended(name).await;
+    }
+
+    /// Asks a daemon to stop, as SIGTERM does.
+    pub(crate) fn ask(&self, name: &str) {
+        self.daemons[name].0.ask();
+    }
+
+    /// Waits until a daemon has ended.
+    pub(crate) async fn ended(&mut self, name: &str) {
+        let (_, host) = self.daemons.remove(name).unwrap();
+        until("the daemon ends", || host.ended()).await;
     }
 
     /// Sends a request and takes in its whole answer.
     pub(crate) async fn call(&self, entry: u16, mark: &str, length: u32) -> Answer {
-        let body = json!({
-            "model": "counter", "mark": mark, "length": length,
-            "messages": [{ "role": "user", "content": "Is the dossier complete?" }],
-        });
-        let url = format!("http://{}/v1/chat/completions", self.addr(1 + entry));
-        let http = awc::Client::builder().timeout(PATIENCE).finish();
-        let sent = http.post(url).bearer_auth(TOKEN).send_json(&body).await;
-        let Ok(mut response) = sent else {
-            return Answer {
-                status: 0,
-                body: Value::Null,
-            };
-        };
-        let body = response.body().await.unwrap_or_default();
-        Answer {
-            status: response.status().as_u16(),
-            body: serde_json::from_slice(&body).unwrap_or_default(),
-        }
+        call(self.addr(1 + entry), mark, length).await
+    }
+
+    /// Where an entry listens.
+    pub(crate) fn entry_addr(&self, entry: u16) -> SocketAddr {
+        self.addr(1 + entry)
     }
 
     /// Sends requests until one is answered whole.
@@ -191,6 +195,43 @@
     }
 }
 
+/// Sends a request and takes in its whole answer. The status is 0 when no
+/// connection was made, and 1 when the answer broke off.
+pub(crate) async fn call(entry: SocketAddr, mark: &str, length: u32) -> Answer {
+    let body = json!({
+        "model": "counter", "mark": mark, "length": length,
+        "messages": [{ "role": "user", "content": "Is the dossier complete?" }],
+    });
+    let url = format!("http://{entry}/v1/chat/completions");
+    let http = awc::Client::builder().timeout(PATIENCE).finish();
+    let sent = http.post(url).bearer_auth(TOKEN).send_json(&body).await;
+    let broken = |status| Answer {
+        status,
+        body: Value::Null,
+    };
+    let mut response = match sent {
+        Ok(response) => response,
+        Err(awc::error::SendRequestError::Connect(_)) => return broken(0),
+        Err(_) => return broken(1),
+    };
+    let Ok(body) = response.body().await else {
+        return broken(1);
+    };
+    Answer {
+        status: response.status().as_u16(),
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// The text of a whole answer.
 pub(crate) fn text(answer: &Answer) -> &str {
     answer.body["choices"][0]["message"]["content"]
--- a/crates/demo/tests/failures/membership.rs
+++ b/crates/demo/tests/failures/membership.rs
@@ -39,7 +39,7 @@
             ..Faults::default()
         }
     });
-    fleet.stop("sidecar-0");
+    fleet.stop("sidecar-0").await;
     let answers = calls(&fleet, "after", 20).await;
     assert_eq!(whole("after", &answers), 20, "{answers:?}");
 }
@@ -54,7 +54,7 @@
     fleet.ready(0).await;
 
     fleet.server(1);
-    fleet.stop("sidecar-0");
+    fleet.stop("sidecar-0").await;
     fleet.ready(0).await;
 }
 
@@ -118,7 +118,7 @@
         assert!(began.elapsed() < PATIENCE, "a leaving host takes work");
     }
     fleet.registry.control.change(|f| f.frozen = true);
-    fleet.stop("sidecar-0");
+    fleet.stop("sidecar-0").await;
     fleet.sidecar(0);
     fleet.ready(0).await;
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -79,11 +79,11 @@
     /// Returns how the answer broke off.
     pub async fn part(&mut self) -> Result<Part, Refused> {
         let cutoff = self.state.cutoff.clone();
-        let begun = self.next > 0;
         tokio::select! {
-            part = self.next_part() => part,
-            () = cutoff.wait() => Err(drain::cut_off(begun)),
+            part = self.next_part() => return part,
+            () = cutoff.wait() => {}
         }
+        Err(drain::cut_off(self.next > 0))
     }
 
     async fn next_part(&mut self) -> Result<Part, Refused> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! What a sidecar decides:
 //! - [`queue`]: who waits, who starts, who is shed.
+//! - [`estimate`]: what a request is expected to take.
 //!
 //! What an entry decides:
 //! - [`membership`]: which hosts there are.
@@ -14,6 +15,7 @@
 //! - [`retry`]: when a request may be tried again.
 //! - [`outlier`]: which servers get no requests for a while.
 
+pub mod estimate;
 pub mod lengths;
 pub mod membership;
 pub mod offer;
--- /dev/null
+++ b/crates/sidecar/src/state/drain.rs
@@ -0,0 +1,96 @@
+//! Stopping without cutting anything off. See docs/operators/drain.md.
+
+use std::time::Duration;
+
+use base::reason::Refusal;
+use policy::queue::Verdict;
+
+use super::State;
+use super::answer::Answer;
+use super::ticket::{Left, Phase};
+
+/// How often draining looks whether all has ended.
+const POLL: Duration = Duration::from_millis(20);
+
+/// How long an answer's end stays to be pulled again. The reply that carried
+/// it may be lost with its connection; an entry notices that within its
+/// call's bound and margin, dials anew and asks again.
+const GRACE: Duration = Duration::from_millis(1500);
+
+/// How long runs may take to stop after the cut-off.
+const CUTOFF_LIMIT: Duration = Duration::from_secs(2);
+
+/// What a draining sidecar tells newcomers; another one takes them at once.
+pub(super) const DRAINING: Verdict = Verdict {
+    reason: Refusal::Draining,
+    after: Duration::ZERO,
+};
+
+/// How a drain ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Drained {
+    /// Everything in progress ended by itself.
+    Whole,
+    /// The limit passed, and what was left was stopped.
+    CutOff,
+}
+
+impl State {
+    /// Takes nothing new and waits until everything in progress has ended and
+    /// its entries have had it, for `limit` at the most.
+    ///
+    /// Requests that wait are refused at once, so that they get a slot
+    /// elsewhere in time; slots that are held may still be started, since
+    /// their entries count on them.
+    pub async fn drain(&self, limit: Duration) -> Drained {
+        self.draining.set(true);
+        self.refuse_waiting();
+        if tokio::time::timeout(limit, self.quiet()).await.is_ok() {
+            return Drained::Whole;
+        }
+
+        self.stop_runs();
+        let _ = tokio::time::timeout(CUTOFF_LIMIT, self.quiet()).await;
+        Drained::CutOff
+    }
+
+    /// Whether the sidecar drains.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    fn refuse_waiting(&self) {
+        let now = self.clock.now();
+        let tickets = self.tickets.borrow();
+        let waiting = |phase: &Phase| matches!(phase, Phase::Queued);
+        let waiting = tickets.values().filter(|e| waiting(&e.phase.borrow()));
+        let waiting: Vec<_> = waiting.cloned().collect();
+        drop(tickets);
+
+        for entry in waiting {
+            self.queue.borrow_mut().cancel(now, entry.ticket, false);
+            self.leave(now, &entry, Left::Refused(DRAINING));
+        }
+    }
+
+    fn stop_runs(&self) {
+        let running = |phase: &Phase| matches!(phase, Phase::Started(Answer { end: None, .. }));
+        for entry in self.tickets.borrow().values() {
+            if running(&entry.phase.borrow()) {
+                entry.halt(Refusal::Draining);
+            }
+        }
+    }
+
+    /// Waits until nothing is in progress and the last answers have arrived.
+    async fn quiet(&self) {
+        let arrived = || {
+            let told = self.told_at.get();
+            told.is_none_or(|at| self.clock.now().saturating_duration_since(at) >= GRACE)
+        };
+        while !(self.idle() && arrived()) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
