--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -29,7 +29,7 @@
     pub(crate) ledger: Ledger,
     /// The first port.
     port: u16,
-    daemons: HashMap<String, (Stop, Host)>,
+    daemons: HashMap<String, Host>,
 }
 
 /// What a caller got.
@@ -57,8 +57,8 @@
             faults: Faults::default(),
         };
         let registry = fleet.registry.clone();
-        fleet.start("hosts", |stop| {
-            standin::hosts::run(settings, registry, stop)
+        fleet.start("hosts", move |stop| {
+            standin::hosts::run(settings.clone(), registry.clone(), stop)
         });
         fleet
     }
@@ -66,22 +66,19 @@
     /// Starts a daemon of any kind.
     pub(crate) fn start<F, Fut>(&mut self, name: &str, run: F)
     where
-        F: FnOnce(Stop) -> Fut + Send + 'static,
-        Fut: Future<Output = std::io::Result<()>>,
+        F: Fn(Stop) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = std::io::Result<()>> + 'static,
     {
-        let stop = Stop::new();
-        let asked = stop.clone();
-        let host = Host::start(name, move || run(asked));
-        self.daemons.insert(name.to_owned(), (stop, host));
+        self.daemons.insert(name.to_owned(), Host::start(name, run));
     }
 
     /// Starts an engine.
     pub(crate) fn engine(&mut self, i: u16) {
         let settings = json!({ "listen": self.addr(20 + i), "slots": 8, "step": "2ms" });
-        let settings = serde_json::from_value(settings).unwrap();
+        let settings: standin::engine::Settings = serde_json::from_value(settings).unwrap();
         let ledger = self.ledger.clone();
-        self.start(&format!("engine-{i}"), |stop| {
-            standin::engine::run(settings, ledger, stop)
+        self.start(&format!("engine-{i}"), move |stop| {
+            standin::engine::run(settings.clone(), ledger.clone(), stop)
         });
     }
 
@@ -94,7 +91,9 @@
             "backend": { "engine": { "addr": self.addr(20 + i), "slots": 8 } },
         });
         let settings: sidecar::Settings = serde_json::from_value(settings).unwrap();
-        self.start(&format!("sidecar-{i}"), |stop| sidecar::run(settings, stop));
+        self.start(&format!("sidecar-{i}"), move |stop| {
+            sidecar::run(settings.clone(), stop)
+        });
     }
 
     /// Puts a sidecar on the list.
@@ -133,8 +132,8 @@
             "drain": drain,
         });
         let settings: entry::Settings = serde_json::from_value(settings).unwrap();
-        self.start(&format!("entry-{i}"), |stop| {
-            entry::run(settings, bundle(), stop)
+        self.start(&format!("entry-{i}"), move |stop| {
+            entry::run(settings.clone(), bundle(), stop)
         });
     }
 
@@ -146,12 +145,12 @@
 
     /// Asks a daemon to stop, as SIGTERM does.
     pub(crate) fn ask(&self, name: &str) {
-        self.daemons[name].0.ask();
+        self.daemons[name].ask();
     }
 
     /// Waits until a daemon has ended.
     pub(crate) async fn ended(&mut self, name: &str) {
-        let (_, host) = self.daemons.remove(name).unwrap();
+        let host = self.daemons.remove(name).unwrap();
         until("the daemon ends", || host.ended()).await;
     }
 
@@ -185,13 +184,9 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for (stop, _) in self.daemons.values() {
-            stop.ask();
-        }
         // Entries need their sidecars to drain, so all stop together.
-        for (_, (_, host)) in self.daemons.drain() {
-            host.join();
-        }
+        self.daemons.values().for_each(Host::ask);
+        self.daemons.values().for_each(Host::end);
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`hosts`]: the list of hosts.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`plain`]: a plain service.
+//! - [`silence`]: a forwarder whose connections can go silent.
 
 pub mod control;
 pub mod engine;
 pub mod hosts;
 pub mod ledger;
 pub mod plain;
+pub mod silence;
 
 pub use control::Control;
 pub use ledger::Ledger;
