--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -229,6 +229,8 @@
             hold: Span::ms(250),
             keep: Span::secs(10),
             drain_limit: Span::secs(600),
+            streams: sidecar::settings::Streams::default(),
+            lease: Span::secs(5),
             kept_bytes: 16 << 20,
             queue: Rules::default(),
             log_level: base::logging::Level::Warn,
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+use awc::error::{ConnectError, SendRequestError};
 use base::stop::Stop;
 use bundle::Bundle;
 use demo::host::Host;
 use platform::hosts::{Host as Listed, Role, Standing};
 use serde_json::{Value, json};
-use standin::Ledger;
 use standin::hosts::{Faults, Registry};
+use standin::{Control, Ledger, engine};
 
 /// Ports that one fleet may use.
 const PORTS: u16 = 64;
@@ -27,6 +28,8 @@
     pub(crate) registry: Registry,
     /// What the engines saw.
     pub(crate) ledger: Ledger,
+    /// What is wrong with each engine.
+    pub(crate) engines: HashMap<u16, Control<engine::Faults>>,
     /// The first port.
     port: u16,
     daemons: HashMap<String, Host>,
@@ -48,6 +51,7 @@
         let mut fleet = Self {
             registry: Registry::new(Vec::new()),
             ledger: Ledger::default(),
+            engines: HashMap::new(),
             port: 7200 + number * PORTS,
             daemons: HashMap::new(),
         };
@@ -75,10 +79,12 @@
     /// Starts an engine.
     pub(crate) fn engine(&mut self, i: u16) {
         let settings = json!({ "listen": self.addr(20 + i), "slots": 8, "step": "2ms" });
-        let settings: standin::engine::Settings = serde_json::from_value(settings).unwrap();
+        let settings: engine::Settings = serde_json::from_value(settings).unwrap();
+        let faults = Control::new(settings.faults.clone());
+        self.engines.insert(i, faults.clone());
         let ledger = self.ledger.clone();
         self.start(&format!("engine-{i}"), move |stop| {
-            standin::engine::run(settings.clone(), ledger.clone(), stop)
+            engine::run_with(settings.clone(), faults.clone(), ledger.clone(), stop)
         });
     }
 
@@ -89,6 +95,7 @@
             "zone": "plateau",
             "listen": self.addr(40 + i),
             "backend": { "engine": { "addr": self.addr(20 + i), "slots": 8 } },
+            "streams": { "silence": "300ms", "patience": "5s" },
         });
         let settings: sidecar::Settings = serde_json::from_value(settings).unwrap();
         self.start(&format!("sidecar-{i}"), move |stop| {
@@ -206,7 +213,9 @@
     };
     let mut response = match sent {
         Ok(response) => response,
-        Err(awc::error::SendRequestError::Connect(_)) => return broken(0),
+        // Reported also when the connection closed without an answer.
+        Err(SendRequestError::Connect(ConnectError::Disconnected)) => return broken(1),
+        Err(SendRequestError::Connect(_)) => return broken(0),
         Err(_) => return broken(1),
     };
     let Ok(body) = response.body().await else {
--- a/crates/demo/tests/failures/main.rs
+++ b/crates/demo/tests/failures/main.rs
@@ -4,7 +4,9 @@
 //! - [`drain`]: daemons stop under load.
 //! - [`fleet`]: the fleet, whose daemons start and stop one by one.
 //! - [`membership`]: hosts come and go, and the list does not keep up.
+//! - [`silence`]: engines and connections to them go silent, break and crash.
 
 mod drain;
 mod fleet;
 mod membership;
+mod silence;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`state`]: the tickets and their states.
 //! - [`service`]: the inner protocol's calls.
 //! - [`status`]: what operators are shown.
+//! - `health`: whether the backend server answers.
 //! - `meter`: what is counted.
 //! - [`run`]: running one ticket at the backend server.
 
+mod health;
 mod meter;
 pub mod run;
 pub mod service;
@@ -52,6 +54,7 @@
         actix_rt::spawn(operators::serve(listener, Rc::clone(&state), end.clone()));
     }
     actix_rt::spawn(sweep(Rc::clone(&state), end.clone()));
+    actix_rt::spawn(health::watch(Rc::clone(&state), end.clone()));
     // Entries may have to dial anew during a drain to get their answers, so
     // connections are taken until the very end.
     let service = service::Service::new(Rc::clone(&state));
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -6,6 +6,7 @@
 use metrics::{counter, gauge};
 use policy::queue::Standing;
 
+use crate::run::Fault;
 use crate::state::Drained;
 
 /// Requests that the queue refused.
@@ -23,6 +24,9 @@
 /// Holds that ran out before a start came.
 const LAPSES: &str = "pimentocart_queue_lapses_total";
 
+/// Runs stopped because their entry is gone, by tier.
+const ABANDONED: &str = "pimentocart_queue_abandoned_total";
+
 /// Counts a refusal.
 pub(crate) fn refused(tier: Tier, reason: Refusal) {
     counter!(REFUSALS, "tier" => tier.to_string(), "reason" => reason.as_str()).increment(1);
@@ -46,6 +50,11 @@
     counter!(LAPSES, "tier" => tier.to_string()).increment(1);
 }
 
+/// Counts a run stopped because its entry is gone.
+pub(crate) fn abandoned(tier: Tier) {
+    counter!(ABANDONED, "tier" => tier.to_string()).increment(1);
+}
+
 /// Shows how the queue stands; `kept` is the number of slots kept free.
 pub(crate) fn standing(standing: &Standing, kept: usize) {
     gauge!("pimentocart_queue_waiting").set(standing.waiting as f64);
@@ -62,3 +71,18 @@
     };
     counter!("pimentocart_drains_total", "outcome" => outcome).increment(1);
 }
+
+/// Counts an attempt to resume an engine's stream, by its cause.
+pub(crate) fn resume(fault: Fault) {
+    counter!("pimentocart_engine_resumes_total", "cause" => fault.as_str()).increment(1);
+}
+
+/// Counts a token that came a second time and was dropped.
+pub(crate) fn duplicate() {
+    counter!("pimentocart_engine_duplicates_total").increment(1);
+}
+
+/// Counts a time at which the backend server could not be reached any more.
+pub(crate) fn failure() {
+    counter!("pimentocart_backend_failures_total").increment(1);
+}
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -10,6 +10,9 @@
 /// Shortest hold: a start must be able to arrive within it.
 const HOLD_LEAST: Span = Span::ms(10);
 
+/// Shortest lease: an entry must be able to replace a silent connection.
+const LEASE_LEAST: Span = Span::secs(1);
+
 /// Fewest bytes kept: some hundred tokens for each of many slots.
 const KEPT_LEAST: usize = 64 << 10;
 
@@ -38,6 +41,13 @@
     /// left then is ended.
     #[serde(default = "default_drain")]
     pub drain_limit: Span,
+    /// An entry that asked nothing about a ticket for so long is gone: its
+    /// request is not started, and its run is stopped.
+    #[serde(default = "default_lease")]
+    pub lease: Span,
+    /// When an engine's stream is resumed, and when it is given up.
+    #[serde(default)]
+    pub streams: Streams,
     /// Bytes of answers that are kept for entries that still pull them.
     #[serde(default = "default_kept")]
     pub kept_bytes: usize,
@@ -75,6 +85,12 @@
             hold >= HOLD_LEAST,
             "hold a slot for at least 10ms",
         )?;
+        check(
+            "lease",
+            self.lease,
+            self.lease >= LEASE_LEAST,
+            "leave entries at least 1s to dial anew",
+        )?;
         check(
             "kept_bytes",
             self.kept_bytes,
@@ -121,6 +137,29 @@
     }
 }
 
+/// When an engine's stream is resumed, and when it is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Streams {
+    /// A stream that brings nothing for so long is resumed over a new
+    /// connection.
+    pub silence: Span,
+    /// Attempts to resume after a broken connection until one brings a token.
+    pub attempts: u32,
+    /// A stream that brings no token for so long is given up.
+    pub patience: Span,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            silence: Span::secs(1),
+            attempts: 5,
+            patience: Span::secs(30),
+        }
+    }
+}
+
 /// The kind of a backend server, and where it listens.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -165,6 +204,10 @@
     Span::secs(600)
 }
 
+fn default_lease() -> Span {
+    Span::secs(5)
+}
+
 fn default_kept() -> usize {
     16 << 20
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -25,17 +25,20 @@
 use platform::plain::Plain;
 use policy::Queue;
 use policy::queue::{Ask, Offered, Verdict};
+use tokio::sync::Notify;
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
 use crate::settings::{Backend, Settings};
 use crate::{meter, run};
 use answer::Answer;
-use drain::DRAINING;
 pub use drain::Drained;
 pub use ticket::Entry;
 use ticket::{Left, Phase};
 use tombs::Tombs;
 
+/// Longest time that a call is held, whatever it asks for.
+pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
+
 /// Everything that a sidecar knows.
 pub struct State {
     /// What the operators set.
@@ -64,6 +67,10 @@
     told_at: Cell<Option<Instant>>,
     /// Whether no new requests are taken.
     draining: Cell<bool>,
+    /// Whether the backend server cannot be reached.
+    failed: Cell<bool>,
+    /// Wakes who probes the backend server.
+    pub(crate) failure: Notify,
 }
 
 /// The client of the backend server.
@@ -97,6 +104,8 @@
             untold: Cell::new(0),
             told_at: Cell::new(None),
             draining: Cell::new(false),
+            failed: Cell::new(false),
+            failure: Notify::new(),
         })
     }
 
@@ -120,7 +129,7 @@
             token_us: number(standing.token_us),
             first_us: number(standing.first_us),
             wait_us: number(standing.wait_us),
-            draining: self.draining.get(),
+            draining: self.closed().is_some(),
         }
     }
 
@@ -135,6 +144,7 @@
         if let Some(entry) = self.find(ask.ticket)
             && !self.returns(&entry, ask)
         {
+            self.renew(&entry, ask.wait_ms);
             let stands = self.stands(&entry, ask.prompt);
             return (Some(entry), stands);
         }
@@ -143,10 +153,11 @@
             return (None, refused(left));
         }
 
-        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted));
-        let offered = match self.draining.get() {
-            true => Offered::Refused(DRAINING),
-            false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
+        let lease = now + self.lease(ask.wait_ms);
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted, lease));
+        let offered = match self.closed() {
+            Some(verdict) => Offered::Refused(verdict),
+            None => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
         };
         if let Offered::Refused(verdict) = offered {
             self.leave(now, &entry, Left::Refused(verdict));
@@ -211,6 +222,8 @@
         let now = self.clock.now();
         self.queue.borrow_mut().start(now, order.ticket);
         entry.set(Phase::Started(Answer::default()));
+        self.renew(&entry, 0);
+        self.remind(entry.lease.get(), order.ticket);
         meter::started(entry.tier, guaranteed);
 
         actix_rt::spawn(run::run(Rc::clone(self), entry, order.work));
@@ -324,6 +337,12 @@
                 self.queue.borrow_mut().cancel(now, granted.ticket, true);
                 continue;
             };
+            // The slot would be held in vain while others wait for one.
+            if entry.lease.get() <= now {
+                self.queue.borrow_mut().cancel(now, granted.ticket, true);
+                self.leave(now, &entry, Left::Lapsed);
+                continue;
+            }
             let until = now + self.settings.hold.0;
             let guaranteed = granted.guaranteed;
             entry.set(Phase::Held { until, guaranteed });
@@ -344,10 +363,13 @@
         };
         let (lapsed, ended) = match &*entry.phase.borrow() {
             Phase::Held { until, .. } => (*until <= now, false),
-            Phase::Started(Answer { end, .. }) => {
-                let keep = self.settings.keep.0;
-                (false, end.as_ref().is_some_and(|(_, at)| *at + keep <= now))
+            Phase::Started(Answer { end: None, .. }) => {
+                self.watch(now, &entry);
+                return;
             }
+            Phase::Started(Answer {
+                end: Some((_, at)), ..
+            }) => (false, *at + self.settings.keep.0 <= now),
             Phase::Queued | Phase::Gone(_) => (false, false),
         };
         if lapsed {
@@ -360,6 +382,31 @@
         }
     }
 
+    /// Stops a run whose entry is gone. An entry that crashed pulls nothing
+    /// and cancels nothing; its answers would be made to their ends for
+    /// nobody. One that lives asks again well within its lease.
+    fn watch(&self, now: Instant, entry: &Entry) {
+        let lease = entry.lease.get();
+        if lease > now {
+            self.remind(lease, entry.ticket);
+            return;
+        }
+        meter::abandoned(entry.tier);
+        entry.halt(Refusal::CallerGone);
+    }
+
+    /// Notes that a ticket's entry asked, with a call that may be held for
+    /// `wait_ms`.
+    pub fn renew(&self, entry: &Entry, wait_ms: u32) {
+        entry.lease.set(self.clock.now() + self.lease(wait_ms));
+    }
+
+    /// How long an entry counts as there after a call held for `wait_ms`.
+    fn lease(&self, wait_ms: u32) -> Duration {
+        let held = Duration::from_millis(u64::from(wait_ms)).min(HOLD_LIMIT);
+        held + self.settings.lease.0
+    }
+
     /// Has a ticket looked at again at a time.
     fn remind(&self, at: Instant, ticket: Ticket) {
         self.timers.borrow_mut().push(Reverse((at, ticket)));
--- a/crates/sidecar/src/state/drain.rs
+++ b/crates/sidecar/src/state/drain.rs
@@ -21,11 +21,17 @@
 const CUTOFF_LIMIT: Duration = Duration::from_secs(2);
 
 /// What a draining sidecar tells newcomers; another one takes them at once.
-pub(super) const DRAINING: Verdict = Verdict {
+const DRAINING: Verdict = Verdict {
     reason: Refusal::Draining,
     after: Duration::ZERO,
 };
 
+/// What newcomers are told while the backend server cannot be reached.
+const FAILED: Verdict = Verdict {
+    reason: Refusal::BackendFailed,
+    after: Duration::from_secs(1),
+};
+
 /// How a drain ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Drained {
@@ -44,7 +50,7 @@
     /// their entries count on them.
     pub async fn drain(&self, limit: Duration) -> Drained {
         self.draining.set(true);
-        self.refuse_waiting();
+        self.refuse_waiting(DRAINING);
         if tokio::time::timeout(limit, self.quiet()).await.is_ok() {
             return Drained::Whole;
         }
@@ -54,13 +60,28 @@
         Drained::CutOff
     }
 
-    /// Whether the sidecar drains.
-    #[must_use]
-    pub fn draining(&self) -> bool {
-        self.draining.get()
+    /// Takes nothing new until the backend server is back.
+    pub(crate) fn fail(&self) {
+        if !self.failed.replace(true) {
+            self.refuse_waiting(FAILED);
+            self.failure.notify_one();
+        }
+    }
+
+    /// Takes requests again.
+    pub(crate) fn recover(&self) {
+        self.failed.set(false);
+    }
+
+    /// Why nothing new is taken, if so.
+    pub(super) fn closed(&self) -> Option<Verdict> {
+        if self.draining.get() {
+            return Some(DRAINING);
+        }
+        self.failed.get().then_some(FAILED)
     }
 
-    fn refuse_waiting(&self) {
+    fn refuse_waiting(&self, verdict: Verdict) {
         let now = self.clock.now();
         let tickets = self.tickets.borrow();
         let waiting = |phase: &Phase| matches!(phase, Phase::Queued);
@@ -70,7 +91,7 @@
 
         for entry in waiting {
             self.queue.borrow_mut().cancel(now, entry.ticket, false);
-            self.leave(now, &entry, Left::Refused(DRAINING));
+            self.leave(now, &entry, Left::Refused(verdict));
         }
     }
 
