--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -5,7 +5,7 @@
 
 use base::settings::Span;
 use bundle::Bundle;
-use entry::settings::{Drain, Known, Roster, Routing};
+use entry::settings::{Drain, Keys, Known, Roster, Routing};
 use platform::hosts::{Host as Listed, Role as Kind, Standing};
 use policy::queue::Rules;
 use sidecar::settings::Backend;
@@ -15,6 +15,7 @@
 use crate::arm::Arm;
 use crate::fleet::{ENTRIES, EXTRA, Fleet, PLAINS, PREFILL, SLOTS};
 use crate::host::Host;
+use crate::rollout::Rollout;
 
 /// Port on which every daemon listens, each on an address of its own.
 const PORT: u16 = 7100;
@@ -39,6 +40,8 @@
     /// Whether entries and sidecars are reached through forwarders whose
     /// connections can go silent.
     pub forwarded: bool,
+    /// The platform's log, through which the bundle is published.
+    pub rollout: Rollout,
     /// The first two numbers of all addresses.
     net: [u8; 2],
 }
@@ -52,6 +55,8 @@
     pub servers: Vec<Server>,
     /// The platform's list of hosts, and what really is there.
     pub hosts: (Host, Registry),
+    /// The platform's log.
+    pub log: Host,
     /// What the stand-ins saw.
     pub ledger: Ledger,
 }
@@ -86,7 +91,8 @@
     Backend = 3,
     Link = 4,
     Inner = 5,
-    Hosts = 6,
+    Log = 6,
+    Hosts = 7,
 }
 
 impl Layout {
@@ -96,13 +102,15 @@
         // Each process has a part of loopback of its own, so that several
         // demos can run side by side.
         let [_, _, a, b] = std::process::id().to_be_bytes();
+        let net = [127, a.wrapping_add(b).max(1)];
         Self {
             fleet,
             bundle,
             seed,
             arm: Arm::default(),
             forwarded: false,
-            net: [127, a.wrapping_add(b).max(1)],
+            rollout: Rollout::new(addr(net, Role::Log, 0)),
+            net,
         }
     }
 
@@ -116,12 +124,15 @@
     #[must_use]
     pub fn start(self) -> Cluster {
         let ledger = Ledger::default();
+        let log = self.rollout.start();
         let count = self.fleet.engines() + PLAINS;
         let hosts = self.start_hosts();
         let servers = (0..count).map(|i| self.start_server(i, &ledger)).collect();
         let entries = (0..ENTRIES).map(|i| self.start_entry(i)).collect();
+        self.rollout.begin(&self.bundle, &self.daemons());
         Cluster {
             layout: self,
+            log,
             entries,
             servers,
             hosts,
@@ -225,6 +236,7 @@
             zone: known.zone,
             listen: self.addr(Role::Sidecar, i),
             operators: Some(self.operators(Role::Sidecar, i)),
+            follow: Some(self.rollout.follow()),
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
@@ -248,6 +260,7 @@
             zone: self.fleet.zones()[usize::from(i)].to_owned(),
             listen: self.addr(Role::Entry, i),
             operators: Some(self.operators(Role::Entry, i)),
+            follow: Some(self.rollout.follow()),
             sidecars: Vec::new(),
             roster: Roster {
                 hosts: Some(self.addr(Role::Hosts, 0)),
@@ -261,15 +274,13 @@
             },
             fan: 2,
             routing: Routing::default(),
+            keys: Keys::default(),
             body_limit: 4 << 20,
             seed: Some(self.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
         };
         self.arm.entry(&mut settings);
-        let bundle = self.bundle.clone();
-        Host::start(&name, move |stop| {
-            entry::run(settings.clone(), bundle.clone(), stop)
-        })
+        Host::start(&name, move |stop| entry::run(settings.clone(), None, stop))
     }
 
     /// A backend server's sidecar as entries know it.
@@ -292,8 +303,15 @@
     }
 
     fn addr(&self, role: Role, i: u8) -> SocketAddr {
-        let ip = Ipv4Addr::new(self.net[0], self.net[1], role as u8, i + 1);
-        SocketAddr::new(IpAddr::V4(ip), PORT)
+        addr(self.net, role, i)
+    }
+
+    /// The operators' addresses of all daemons.
+    fn daemons(&self) -> Vec<SocketAddr> {
+        let count = self.fleet.engines() + PLAINS;
+        let entries = (0..ENTRIES).map(|i| self.operators(Role::Entry, i));
+        let sidecars = (0..count).map(|i| self.operators(Role::Sidecar, i));
+        entries.chain(sidecars).collect()
     }
 
     /// The operators' address of a daemon.
@@ -324,6 +342,7 @@
             stage.iter().for_each(|host| host.ask());
             stage.iter().for_each(|host| host.end());
         }
+        self.log.end();
     }
 }
 
@@ -338,6 +357,11 @@
     }
 }
 
+fn addr(net: [u8; 2], role: Role, i: u8) -> SocketAddr {
+    let ip = Ipv4Addr::new(net[0], net[1], role as u8, i + 1);
+    SocketAddr::new(IpAddr::V4(ip), PORT)
+}
+
 fn start_forwarder(listen: SocketAddr, target: SocketAddr) -> (Host, Control<silence::Faults>) {
     let faults = Control::new(silence::Faults::default());
     let control = faults.clone();
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -140,7 +140,7 @@
         });
         let settings: entry::Settings = serde_json::from_value(settings).unwrap();
         self.start(&format!("entry-{i}"), move |stop| {
-            entry::run(settings.clone(), bundle(), stop)
+            entry::run(settings.clone(), Some(bundle()), stop)
         });
     }
 
--- a/crates/demo/tests/whole/common.rs
+++ b/crates/demo/tests/whole/common.rs
@@ -105,16 +105,16 @@
             r#"{{ "listen": "{}", "slots": {slots}, "step": "{step_ms}ms" }}"#,
             self.addr(ENGINE)
         );
-        let settings = settings::parse::<standin::engine::Settings>("engine", &text)
-            .expect("the settings are sound");
+        let settings: standin::engine::Settings =
+            settings::parse("engine", &text).expect("the settings are sound");
         let ledger = self.ledger.clone();
         let engine = Host::start("engine", move |stop| {
             standin::engine::run(settings.clone(), ledger.clone(), stop)
         });
 
         let text = format!(r#"{{ "listen": "{}" }}"#, self.addr(PLAIN));
-        let settings = settings::parse::<standin::plain::Settings>("plain", &text)
-            .expect("the settings are sound");
+        let settings: standin::plain::Settings =
+            settings::parse("plain", &text).expect("the settings are sound");
         let ledger = self.ledger.clone();
         let plain = Host::start("plain", move |stop| {
             standin::plain::run(settings.clone(), ledger.clone(), stop)
@@ -132,7 +132,7 @@
         let bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("the bundle is sound");
         let settings = self.entry_settings();
         self.hosts.push(Host::start("entry", move |stop| {
-            entry::run(settings.clone(), bundle.clone(), stop)
+            entry::run(settings.clone(), Some(bundle.clone()), stop)
         }));
     }
 
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -11,13 +11,14 @@
 use bytes::Bytes;
 use futures_util::stream;
 
-use crate::dispatch::{self, Granted};
+use crate::dispatch::Granted;
 use crate::drain;
 use crate::refuse::Refused;
 use crate::relay::{Answer, Part};
 use crate::request::Request;
 use crate::shape::Shape;
 use crate::state::{Open, State};
+use crate::{dispatch, idempotency};
 
 /// The application that callers speak to.
 pub fn app(
@@ -78,10 +79,22 @@
     chat: bool,
 ) -> Result<HttpResponse, Refused> {
     let (state, open) = enter(http)?;
-    let bundle = Rc::clone(&state.bundle.borrow());
+    let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
 
+    idempotency::once(state, request, async move |request| {
+        complete(state, request, chat, open).await
+    })
+    .await
+}
+
+async fn complete(
+    state: &Rc<State>,
+    request: Request,
+    chat: bool,
+    open: Open,
+) -> Result<HttpResponse, Refused> {
     let granted = grant(state, &request).await?;
     let shape = Shape::new(request.ticket, &request.target, chat, request.prompt);
     let stream = request.stream;
@@ -103,10 +116,17 @@
     body: Result<Bytes, Error>,
 ) -> Result<HttpResponse, Refused> {
     let (state, _open) = enter(http)?;
-    let bundle = Rc::clone(&state.bundle.borrow());
+    let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
 
+    idempotency::once(state, request, async move |request| {
+        call_once(state, request).await
+    })
+    .await
+}
+
+async fn call_once(state: &Rc<State>, request: Request) -> Result<HttpResponse, Refused> {
     let granted = grant(state, &request).await?;
     let whole = collect(Answer::new(Rc::clone(state), request, granted)).await?;
     let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,8 +4,10 @@
 //!
 //! - [`engine`]: running, resuming and cancelling completions.
 //! - [`hosts`]: the lagging list of live and leaving hosts.
+//! - [`log`]: the append-only log.
 //! - [`plain`]: calls of plain services.
 
 pub mod engine;
 pub mod hosts;
+pub mod log;
 pub mod plain;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`settings`]: what the operators set.
 //! - [`state`]: the tickets and their states.
 //! - [`service`]: the inner protocol's calls.
+//! - [`spread`]: the bundle that the sidecar goes by.
 //! - [`status`]: what operators are shown.
 //! - `health`: whether the backend server answers.
 //! - `meter`: what is counted.
@@ -14,6 +15,7 @@
 pub mod run;
 pub mod service;
 pub mod settings;
+pub mod spread;
 pub mod state;
 pub mod status;
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use base::clock::Clock;
-use base::ids::{Incarnation, Sequence, Ticket};
+use base::ids::{Incarnation, Ticket};
 use base::reason::{Ran, Refusal};
 use platform::engine::Engine;
 use platform::plain::Plain;
@@ -29,6 +29,7 @@
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
 use crate::settings::{Backend, Settings};
+use crate::spread::Spread;
 use crate::{meter, run};
 use answer::Answer;
 pub use drain::Drained;
@@ -47,6 +48,8 @@
     pub clock: Rc<dyn Clock>,
     /// This life of the sidecar.
     pub incarnation: Incarnation,
+    /// The bundle in force.
+    pub spread: Spread,
     /// The backend server.
     pub backend: Client,
     /// Who waits for a slot, holds one or runs.
@@ -92,6 +95,7 @@
         let queue = Queue::new(settings.queue, settings.backend.slots(), clock.now());
         Rc::new(Self {
             queue: RefCell::new(queue),
+            spread: Spread::new(settings.follow.as_ref(), Rc::clone(&clock)),
             settings,
             clock,
             incarnation: Incarnation::random(),
@@ -112,7 +116,7 @@
     /// Wraps an answer with what every answer tells.
     pub fn reply<T>(&self, body: T) -> Reply<T> {
         Reply {
-            sequence: Sequence::default(),
+            sequence: self.spread.held.sequence(),
             incarnation: self.incarnation,
             load: self.load(),
             body,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`engine`]: a model engine that batches continuously.
 //! - [`hosts`]: the list of hosts.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
+//! - [`log`]: the append-only log.
 //! - [`plain`]: a plain service.
 //! - [`silence`]: a forwarder whose connections can go silent.
 
@@ -11,6 +12,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod ledger;
+pub mod log;
 pub mod plain;
 pub mod silence;
 
