Order engines under a lease in the log, with fencing and paced loads

Cause: nothing made an engine load what the bundle wants, and two sidecars beside one engine could undo each other's orders. Streams to callers carry a comment every 5 s when there is nothing to write. Conclusion: a paused holder orders nothing after its lease. The demo gives no orders.

--- a/crates/cli/src/commands/standin.rs
+++ b/crates/cli/src/commands/standin.rs
@@ -40,6 +40,20 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// The weight store
+    #[bpaf(command)]
+    Weights {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// The side of a model engine that takes orders
+    #[bpaf(command)]
+    Orders {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// A plain service
     #[bpaf(command)]
     Plain {
@@ -66,6 +80,16 @@
                 let control = Control::new(settings.faults.clone());
                 daemon::run(|stop| standin::log::run(settings, control, stop))
             }
+            Part::Weights { settings } => {
+                let settings = settings::load(&settings)?;
+                let store = standin::weights::Store::default();
+                daemon::run(|stop| standin::weights::run(settings, store, stop))
+            }
+            Part::Orders { settings } => {
+                let settings = settings::load(&settings)?;
+                let record = standin::orders::Record::default();
+                daemon::run(|stop| standin::orders::run(settings, record, stop))
+            }
             Part::Plain { settings } => {
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::plain::run(settings, Ledger::default(), stop))
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -242,6 +242,7 @@
             keep: Span::secs(10),
             drain_limit: Span::secs(600),
             streams: sidecar::settings::Streams::default(),
+            orders: None,
             lease: Span::secs(5),
             kept_bytes: 16 << 20,
             queue: Rules::default(),
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,7 +1,9 @@
 //! The callers' side.
 
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::body::MessageBody;
 use actix_web::dev::{ServiceFactory, ServiceRequest, ServiceResponse};
@@ -20,6 +22,12 @@
 use crate::state::{Open, State};
 use crate::{dispatch, idempotency};
 
+/// How long a stream may bring nothing until a comment is written.
+const COMMENT_EVERY: Duration = Duration::from_secs(5);
+
+/// A line that every reader of server-sent events skips.
+const COMMENT: &[u8] = b": waiting\n\n";
+
 /// The application that callers speak to.
 pub fn app(
     state: Rc<State>,
@@ -207,12 +215,34 @@
     }
 }
 
+/// An answer whose next part is waited for.
+type Waiting = Pin<Box<dyn Future<Output = (Answer, Result<Part, Refused>)>>>;
+
+/// Waits for an answer's next part. Taking a part must not be dropped halfway,
+/// so the wait is kept from one comment to the next.
+fn wait(mut answer: Answer) -> Waiting {
+    Box::pin(async move {
+        let part = answer.part().await;
+        (answer, part)
+    })
+}
+
 /// Gives the answer as it is made.
+///
+/// With nothing to write, a caller that vanished without closing its
+/// connection would never be noticed, and its request would hold a slot. A
+/// comment, which callers skip, makes its host answer with a reset.
 fn streamed(answer: Answer, shape: Shape, open: Open) -> HttpResponse {
-    let body = stream::unfold(Some((answer, shape, open)), |state| async move {
-        let (mut answer, shape, open) = state?;
+    let body = stream::unfold(Some((wait(answer), shape, open)), |state| async move {
+        let (mut waiting, shape, open) = state?;
+        let part = tokio::time::timeout(COMMENT_EVERY, waiting.as_mut()).await;
+        let Ok((answer, part)) = part else {
+            let state = Some((waiting, shape, open));
+            return Some((Ok::<_, io::Error>(Bytes::from_static(COMMENT)), state));
+        };
+
         let mut out = Vec::new();
-        let more = match answer.part().await {
+        let more = match part {
             Ok(Part::Pieces(pieces)) => {
                 shape.pieces(&mut out, &pieces);
                 true
@@ -228,7 +258,7 @@
                 false
             }
         };
-        let state = more.then_some((answer, shape, open));
+        let state = more.then(|| (wait(answer), shape, open));
         Some((Ok::<_, io::Error>(Bytes::from(out)), state))
     });
     HttpResponse::Ok()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,9 +5,13 @@
 //! - [`engine`]: running, resuming and cancelling completions.
 //! - [`hosts`]: the lagging list of live and leaving hosts.
 //! - [`log`]: the append-only log.
+//! - [`orders`]: orders to model engines.
 //! - [`plain`]: calls of plain services.
+//! - [`weights`]: permits of the weight store.
 
 pub mod engine;
 pub mod hosts;
 pub mod log;
+pub mod orders;
 pub mod plain;
+pub mod weights;
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -224,7 +224,7 @@
         let lost = |detail: String| Error::Lost { step, peer, detail };
         let whole = async {
             let mut response = sent.await.map_err(|e| match e {
-                awc::error::SendRequestError::Connect(_) => Error::Connect { step, peer },
+                e if crate::engine::never_sent(&e) => Error::Connect { step, peer },
                 other => lost(other.to_string()),
             })?;
             if response.status() != StatusCode::OK {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,9 @@
 //! What a sidecar decides:
 //! - [`queue`]: who waits, who starts, who is shed.
 //! - [`estimate`]: what a request is expected to take.
+//! - [`wish`]: what a backend server should have loaded.
+//! - [`lease`]: who may give it orders.
+//! - [`pacing`]: when to ask a rate-limited service again.
 //!
 //! What an entry decides:
 //! - [`membership`]: which hosts there are.
@@ -16,15 +19,18 @@
 //! - [`outlier`]: which servers get no requests for a while.
 
 pub mod estimate;
+pub mod lease;
 pub mod lengths;
 pub mod membership;
 pub mod offer;
 pub mod outlier;
 pub mod pace;
+pub mod pacing;
 pub mod placement;
 pub mod queue;
 pub mod retry;
 pub mod subset;
+pub mod wish;
 
 pub use placement::Placement;
 pub use queue::Queue;
--- /dev/null
+++ b/crates/policy/tests/orders.rs
@@ -0,0 +1,85 @@
+//! Leases, what to load next, and how long to wait for a permit.
+
+use std::time::{Duration, Instant};
+
+use base::ids::Offset;
+use policy::lease::{Claim, Lease, in_force};
+use policy::pacing;
+use policy::wish::{Loaded, Step, next};
+use rstest::rstest;
+
+const TTL: Duration = Duration::from_secs(10);
+
+/// A claim for ten seconds at a time of the log, in seconds.
+fn claim(offset: u64, secs: u64, holder: &str) -> Claim<'_> {
+    Claim {
+        offset: Offset(offset),
+        time_ms: secs * 1000,
+        holder,
+        ttl_ms: 10_000,
+    }
+}
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::first(&[(0, 0, "a")], Some((0, "a")))]
+#[case::second_in_vain(&[(0, 0, "a"), (1, 9, "b")], Some((0, "a")))]
+#[case::renewed(&[(0, 0, "a"), (1, 9, "a"), (2, 12, "b")], Some((1, "a")))]
+#[case::lapsed(&[(0, 0, "a"), (1, 10, "b")], Some((1, "b")))]
+#[case::late_renewal_in_vain(&[(0, 0, "a"), (1, 10, "b"), (2, 11, "a")], Some((1, "b")))]
+#[case::race(&[(0, 0, "a"), (1, 10, "b"), (2, 10, "c")], Some((1, "b")))]
+fn in_force_claims(#[case] claims: &[(u64, u64, &str)], #[case] expected: Option<(u64, &str)>) {
+    let held = in_force(claims.iter().map(|(o, t, h)| claim(*o, *t, h)));
+    assert_eq!(held.map(|c| (c.offset.0, c.holder)), expected);
+}
+
+// A holder is paused for longer than its lease and still believes in it when
+// it goes on. It has no number to give an order with, so it gives none, and
+// what its successor ordered stays.
+#[test]
+fn fence_after_pause() {
+    let sent = Instant::now();
+    let lease = Lease::new(Offset(7), sent, TTL);
+    assert_eq!(lease.fence(sent), Some(Offset(7)));
+    assert!(!lease.due(sent + TTL / 4));
+    assert!(lease.due(sent + TTL / 2));
+    assert_eq!(lease.fence(sent + TTL), None);
+    // It ends before the log lets anyone else in.
+    assert_eq!(lease.fence(sent + TTL * 9 / 10), None);
+}
+
+fn loaded(version: &str, adapters: &[&str]) -> Loaded {
+    Loaded {
+        version: version.to_owned(),
+        adapters: adapters.iter().map(|a| (*a).to_owned()).collect(),
+    }
+}
+
+#[rstest]
+#[case::nothing_wanted(loaded("", &[]), loaded("1", &["x"]), None)]
+#[case::there(loaded("1", &["x"]), loaded("1", &["x"]), None)]
+#[case::version_first(loaded("2", &["y"]), loaded("1", &[]), Some(Step::Version("2".into())))]
+#[case::adapter(loaded("1", &["x"]), loaded("1", &["y"]), Some(Step::Adapter("x".into())))]
+#[case::unload_last(loaded("1", &["x"]), loaded("1", &["x", "y"]), Some(Step::Unload("y".into())))]
+fn next_step(#[case] wanted: Loaded, #[case] is: Loaded, #[case] expected: Option<Step>) {
+    assert_eq!(next(&wanted, &is), expected);
+}
+
+#[rstest]
+#[case::first(1, 0, 1.0, 100)]
+#[case::doubled(3, 0, 1.0, 400)]
+#[case::drawn(3, 0, 0.5, 200)]
+#[case::told(1, 2000, 0.0, 2000)]
+#[case::bounded(40, 0, 1.0, 30_000)]
+fn wait_for_permit(
+    #[case] attempt: u32,
+    #[case] after: u64,
+    #[case] drawn: f64,
+    #[case] expected: u64,
+) {
+    let ms = Duration::from_millis;
+    assert_eq!(
+        pacing::wait(attempt, ms(100), ms(after), drawn),
+        ms(expected)
+    );
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`status`]: what operators are shown.
 //! - `health`: whether the backend server answers.
 //! - `meter`: what is counted.
+//! - [`orders`]: ordering the engine to load what the bundle wants.
 //! - [`run`]: running one ticket at the backend server.
 
 mod health;
 mod meter;
+pub mod orders;
 pub mod run;
 pub mod service;
 pub mod settings;
@@ -23,6 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix::Actor;
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
 use base::{listen, operators};
@@ -56,6 +59,9 @@
         actix_rt::spawn(operators::serve(listener, Rc::clone(&state), end.clone()));
     }
     actix_rt::spawn(sweep(Rc::clone(&state), end.clone()));
+    if let Some(orders) = state.settings.orders.clone() {
+        orders::Ordering::new(Rc::clone(&state), orders).start();
+    }
     actix_rt::spawn(health::watch(Rc::clone(&state), end.clone()));
     // Entries may have to dial anew during a drain to get their answers, so
     // connections are taken until the very end.
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -6,6 +6,7 @@
 use metrics::{counter, gauge};
 use policy::queue::Standing;
 
+use crate::orders::Round;
 use crate::run::Fault;
 use crate::state::Drained;
 
@@ -86,3 +87,13 @@
 pub(crate) fn failure() {
     counter!("pimentocart_backend_failures_total").increment(1);
 }
+
+/// Counts a round of orders by what it came to.
+pub(crate) fn order(round: Round) {
+    counter!("pimentocart_orders_total", "outcome" => round.as_str()).increment(1);
+}
+
+/// Counts a wait for the weight store's permit.
+pub(crate) fn weight_wait() {
+    counter!("pimentocart_weight_waits_total").increment(1);
+}
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -49,6 +49,9 @@
     /// request is not started, and its run is stopped.
     #[serde(default = "default_lease")]
     pub lease: Span,
+    /// How the engine is ordered to load what the bundle wants, if at all.
+    #[serde(default)]
+    pub orders: Option<crate::orders::Settings>,
     /// When an engine's stream is resumed, and when it is given up.
     #[serde(default)]
     pub streams: Streams,
--- /dev/null
+++ b/crates/sidecar/tests/orders.rs
@@ -0,0 +1,214 @@
+//! Two sidecars beside one engine, with the log, the weight store and engines
+//! that check fencing numbers or ignore them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::clock::SystemClock;
+use base::ids::Offset;
+use base::settings::Span;
+use base::stop::Stop;
+use platform::orders::{Error, Order, Orders};
+use policy::wish::Loaded;
+use rstest::rstest;
+use sidecar::orders::{Keeper, Round, Settings};
+use standin::log::Faults as LogFaults;
+use standin::weights::Store;
+use standin::{Control, orders, weights};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Short, so that a test can wait for it to lapse.
+const LEASE: Span = Span::ms(300);
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// The platform around one engine.
+struct Platform {
+    engine: SocketAddr,
+    log: SocketAddr,
+    store: SocketAddr,
+    record: orders::Record,
+    faults: Control<LogFaults>,
+    weights: Store,
+}
+
+impl Platform {
+    fn start(checks_fencing: bool, every: Span) -> Self {
+        let platform = Self {
+            engine: free(),
+            log: free(),
+            store: free(),
+            record: orders::Record::default(),
+            faults: Control::new(LogFaults::default()),
+            weights: Store::default(),
+        };
+        let settings = orders::Settings {
+            listen: platform.engine,
+            checks_fencing,
+            load: Span::ms(0),
+        };
+        actix_rt::spawn(orders::run(settings, platform.record.clone(), Stop::new()));
+        let settings = weights::Settings {
+            listen: platform.store,
+            every,
+            faults: weights::Faults::default(),
+        };
+        actix_rt::spawn(weights::run(
+            settings,
+            platform.weights.clone(),
+            Stop::new(),
+        ));
+        let settings = standin::log::Settings {
+            listen: platform.log,
+            faults: LogFaults::default(),
+        };
+        let faults = platform.faults.clone();
+        actix_rt::spawn(standin::log::run(settings, faults, Stop::new()));
+        platform
+    }
+
+    fn keeper(&self, holder: &str) -> Keeper {
+        self.keeper_with(holder, Some(self.store), LEASE)
+    }
+
+    /// A keeper that needs no permits and whose lease outlasts the test.
+    fn keeper_without(&self, holder: &str) -> Keeper {
+        self.keeper_with(holder, None, Span::secs(600))
+    }
+
+    fn keeper_with(&self, holder: &str, weights: Option<SocketAddr>, lease: Span) -> Keeper {
+        let settings = Settings {
+            addr: self.engine,
+            log: self.log,
+            weights,
+            server: "engine-0".to_owned(),
+            model: "dossier-8b".to_owned(),
+            lease,
+            every: Span::ms(10),
+            wait: Span::secs(10),
+        };
+        Keeper::new(settings, holder.to_owned(), Rc::new(SystemClock))
+    }
+
+    fn versions(&self) -> Vec<String> {
+        let version = |(_, order)| match order {
+            Order::LoadVersion(version) => Some(version),
+            _ => None,
+        };
+        self.record
+            .taken()
+            .into_iter()
+            .filter_map(version)
+            .collect()
+    }
+}
+
+fn loaded(version: &str) -> Loaded {
+    Loaded {
+        version: version.to_owned(),
+        ..Loaded::default()
+    }
+}
+
+/// Takes rounds until one comes to `wanted`.
+async fn rounds(keeper: &mut Keeper, version: &str, wanted: Round) {
+    let began = Instant::now();
+    while keeper.round(&loaded(version)).await != wanted {
+        assert!(began.elapsed() < PATIENCE, "no round comes to {wanted:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn round_loads_and_rests() {
+    let platform = Platform::start(true, Span::ms(1));
+    let mut keeper = platform.keeper("a");
+    rounds(&mut keeper, "v1", Round::Given).await;
+    rounds(&mut keeper, "v1", Round::Idle).await;
+    assert_eq!(platform.versions(), ["v1"]);
+    assert_eq!(platform.weights.given(), ["v1"]);
+}
+
+// A sidecar's host is replaced while the old one still runs. The engine is
+// ordered by one of them at a time: the new one waits until the old lease has
+// lapsed by the log's clock, and then takes over.
+#[actix_rt::test]
+async fn round_after_lapse() {
+    let platform = Platform::start(true, Span::ms(1));
+    let (mut old, mut new) = (platform.keeper("old"), platform.keeper("new"));
+    rounds(&mut old, "v1", Round::Given).await;
+    assert_eq!(new.round(&loaded("v2")).await, Round::NotHolder);
+    rounds(&mut new, "v2", Round::Given).await;
+    assert_eq!(platform.versions(), ["v1", "v2"]);
+
+    // Numbers only grow.
+    let fences: Vec<Offset> = platform.record.taken().iter().map(|(f, _)| *f).collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+}
+
+// A sidecar holds the lease and waits for the weight store for longer than
+// the lease lasts; meanwhile another one takes over and orders a newer
+// version. The first comes back and gives no order, also where the engine
+// ignores fencing numbers: the new version stays.
+#[rstest]
+#[case::checks(true)]
+#[case::ignores(false)]
+#[actix_rt::test]
+async fn round_outlasts_lease(#[case] checks: bool) {
+    let platform = Platform::start(checks, Span::ms(1));
+    let (mut old, mut new) = (platform.keeper("old"), platform.keeper_without("new"));
+    rounds(&mut old, "v0", Round::Given).await;
+    rounds(&mut old, "v0", Round::Idle).await;
+
+    platform.weights.control.change(|f| f.outage = true);
+    let paused = actix_rt::spawn(async move { old.round(&loaded("v1")).await });
+    rounds(&mut new, "v2", Round::Given).await;
+    platform.weights.control.change(|f| f.outage = false);
+
+    assert_eq!(paused.await.unwrap(), Round::NotHolder);
+    assert_eq!(platform.versions(), ["v0", "v2"]);
+}
+
+// An order with an old number reaches the engine after a newer one. An engine
+// that checks refuses it; one that ignores the number takes it, which is why
+// a sidecar must not rely on the engine.
+#[rstest]
+#[case::checks(true)]
+#[case::ignores(false)]
+#[actix_rt::test]
+async fn give_old_number(#[case] checks: bool) {
+    let platform = Platform::start(checks, Span::ms(1));
+    let mut keeper = platform.keeper("a");
+    rounds(&mut keeper, "v1", Round::Given).await;
+
+    let client = Orders::new(platform.engine);
+    let order = |v: &str| Order::LoadVersion(v.to_owned());
+    client.give(&order("v2"), Offset(90)).await.unwrap();
+    let old = client.give(&order("v1"), Offset(89)).await;
+    match checks {
+        true => assert!(matches!(old, Err(Error::Old { .. })), "{old:?}"),
+        false => assert!(old.is_ok(), "{old:?}"),
+    }
+}
+
+// The log is down when an order is due. No order is given without a lease;
+// once the log is back, it is.
+#[actix_rt::test]
+async fn round_log_down() {
+    let platform = Platform::start(true, Span::ms(1));
+    let mut keeper = platform.keeper("a");
+    rounds(&mut keeper, "v1", Round::Given).await;
+    rounds(&mut keeper, "v1", Round::Idle).await;
+
+    platform.faults.change(|f| f.down = true);
+    tokio::time::sleep(LEASE.0).await;
+    assert_eq!(keeper.round(&loaded("v2")).await, Round::Failed);
+    assert_eq!(platform.versions(), ["v1"]);
+    platform.faults.change(|f| f.down = false);
+    rounds(&mut keeper, "v2", Round::Given).await;
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`hosts`]: the list of hosts.
 //! - [`ledger`]: what the stand-ins saw, for judging the router.
 //! - [`log`]: the append-only log.
+//! - [`orders`]: the side of an engine that takes orders.
+//! - [`weights`]: the weight store.
 //! - [`plain`]: a plain service.
 //! - [`silence`]: a forwarder whose connections can go silent.
 
@@ -13,8 +15,10 @@
 pub mod hosts;
 pub mod ledger;
 pub mod log;
+pub mod orders;
 pub mod plain;
 pub mod silence;
+pub mod weights;
 
 pub use control::Control;
 pub use ledger::Ledger;
