--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,6 +12,7 @@
 
 use crate::counters;
 use crate::dispatch::{self, Failed, Granted, Tries};
+use crate::drain;
 use crate::refuse::Refused;
 use crate::request::Request;
 use crate::reserve::cause;
@@ -77,6 +78,15 @@
     ///
     /// Returns how the answer broke off.
     pub async fn part(&mut self) -> Result<Part, Refused> {
+        let cutoff = self.state.cutoff.clone();
+        tokio::select! {
+            part = self.next_part() => return part,
+            () = cutoff.wait() => {}
+        }
+        Err(drain::cut_off(self.next > 0))
+    }
+
+    async fn next_part(&mut self) -> Result<Part, Refused> {
         loop {
             match self.pull().await {
                 Ok(Part::Pieces(pieces)) if self.request.stream => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,10 +1,13 @@
 //! What an entry knows: the bundle in force and the sidecars.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::clock::Clock;
+use base::ids::Incarnation;
+use base::stop::Stop;
 use bundle::Shares;
 use claims::Claims;
 use policy::Placement;
@@ -21,9 +24,6 @@
 use crate::settings::{Known, Settings};
 use crate::spread::Spread;
 
-/// How often draining looks whether all has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-
 /// Everything that an entry knows.
 pub struct State {
     /// What the operators set.
@@ -45,8 +45,12 @@
     pub budget: RefCell<Budget>,
     /// How long answers are.
     pub lengths: RefCell<Lengths>,
-    /// Whether no new requests are taken.
+    /// Whether readiness is off: the balancer should send nothing more.
     pub draining: Cell<bool>,
+    /// Whether new requests are refused.
+    pub refusing: Cell<bool>,
+    /// Asked when requests in progress must end now, whole or not.
+    pub cutoff: Stop,
     /// Requests in progress.
     open: Cell<usize>,
 }
@@ -59,6 +63,8 @@
     pub known: Known,
     /// The connection.
     pub peer: Peer,
+    /// When it answered last, and in which life.
+    pub heard: Cell<Option<(Instant, Incarnation)>>,
 }
 
 impl State {
@@ -82,6 +88,8 @@
             budget: RefCell::new(Budget::new(!settings.routing.budget)),
             lengths: RefCell::default(),
             draining: Cell::new(false),
+            refusing: Cell::new(false),
+            cutoff: Stop::new(),
             open: Cell::new(0),
             settings,
         });
@@ -120,6 +128,7 @@
             index,
             known: known.clone(),
             peer: Peer::new(known.addr, timing),
+            heard: Cell::new(None),
         })));
         let mut placement = self.placement.borrow_mut();
         placement.join(index, &known.name, &known.zone, &known.serves);
@@ -134,6 +143,20 @@
         }
     }
 
+    /// Makes the known sidecars exactly these. Those that stay keep their
+    /// index, their connection and what was learned of them.
+    pub fn set_servers(&self, known: &[Known]) {
+        let mut new: HashSet<&Known> = known.iter().collect();
+        for server in self.servers() {
+            if !new.remove(&server.known) {
+                self.leave(server.index);
+            }
+        }
+        for known in known.iter().filter(|k| new.contains(k)) {
+            self.join(known);
+        }
+    }
+
     /// The sidecars known now.
     pub fn servers(&self) -> Vec<Rc<Server>> {
         self.servers.borrow().iter().flatten().cloned().collect()
@@ -158,6 +181,9 @@
         let now = self.clock.now();
         let share = self.shares().ejected;
         let mut placement = self.placement.borrow_mut();
+        if let Ok(reply) = &answer {
+            server.heard.set(Some((now, reply.incarnation)));
+        }
         let ejected = match &answer {
             Ok(reply) => placement.heard(now, server.index, load(&reply.load), share),
             Err(_) => placement.fault(now, server.index, Fault::Link, share),
@@ -197,13 +223,6 @@
     pub fn in_progress(&self) -> usize {
         self.open.get()
     }
-
-    /// Waits until no request is in progress.
-    pub async fn drain(&self) {
-        while self.open.get() > 0 {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
-    }
 }
 
 /// Starts to claim idempotency keys in the log, if there is one.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -94,6 +94,8 @@
     pool: usize,
     reports: Reports,
     health: Outlier,
+    /// Whether the host list leaves it no new requests.
+    closed: bool,
 }
 
 /// The servers of one model or plain service.
@@ -143,6 +145,7 @@
             pool,
             reports: Reports::default(),
             health: Outlier::default(),
+            closed: false,
         });
 
         let pool = &mut self.pools[pool];
@@ -171,6 +174,20 @@
         pool.far.retain(|i| *i != index);
     }
 
+    /// Closes or opens a server for new requests, by the host list's word.
+    pub fn close(&mut self, index: ServerIndex, closed: bool) {
+        if let Some(server) = self.server_mut(index) {
+            server.closed = closed;
+        }
+    }
+
+    /// Whether a server takes new requests, by its own word and the list's.
+    #[must_use]
+    pub fn open(&self, index: ServerIndex) -> bool {
+        self.server(index)
+            .is_some_and(|s| !s.closed && !s.reports.fresh().draining)
+    }
+
     /// Notes the load that an answer carried. The answer itself is a good
     /// sign, and a pace far off the others' is a fault; returns whether that
     /// ejected the server.
@@ -444,7 +461,8 @@
         let server = self.server(index)?;
         let drains = server.reports.fresh().draining
             && server.reports.age(now).is_some_and(|a| a < DRAIN_TRUST);
-        (server.health.usable(now) && !drains && !tried.contains(&index)).then_some(server)
+        (server.health.usable(now) && !server.closed && !drains && !tried.contains(&index))
+            .then_some(server)
     }
 
     fn server(&self, index: ServerIndex) -> Option<&Server> {
--- a/crates/sidecar/src/meter.rs
+++ b/crates/sidecar/src/meter.rs
@@ -6,6 +6,10 @@
 use metrics::{counter, gauge};
 use policy::queue::Standing;
 
+use crate::orders::Round;
+use crate::run::Fault;
+use crate::state::Drained;
+
 /// Requests that the queue refused.
 const REFUSALS: &str = "pimentocart_queue_refusals_total";
 
@@ -59,3 +63,37 @@
     gauge!("pimentocart_queue_wait_seconds").set(standing.wait_us as f64 / 1e6);
     gauge!("pimentocart_queue_headroom").set(kept as f64);
 }
+
+/// Counts a drain.
+pub(crate) fn drained(drained: Drained) {
+    let outcome = match drained {
+        Drained::Whole => "whole",
+        Drained::CutOff => "cut_off",
+    };
+    counter!("pimentocart_drains_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts an attempt to resume an engine's stream, by its cause.
+pub(crate) fn resume(fault: Fault) {
+    counter!("pimentocart_engine_resumes_total", "cause" => fault.as_str()).increment(1);
+}
+
+/// Counts a token that came a second time and was dropped.
+pub(crate) fn duplicate() {
+    counter!("pimentocart_engine_duplicates_total").increment(1);
+}
+
+/// Counts a time at which the backend server could not be reached any more.
+pub(crate) fn failure() {
+    counter!("pimentocart_backend_failures_total").increment(1);
+}
+
+/// Counts a round of orders by what it came to.
+pub(crate) fn order(round: Round) {
+    counter!("pimentocart_orders_total", "outcome" => round.as_str()).increment(1);
+}
+
+/// Counts a wait for the weight store's permit.
+pub(crate) fn weight_wait() {
+    counter!("pimentocart_weight_waits_total").increment(1);
+}
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -2,12 +2,14 @@
 //!
 //! - `ticket`: one ticket and where it stands.
 //! - `answer`: an answer in the making.
+//! - `drain`: stopping without cutting anything off.
 //! - `delivery`: taking answers in and handing them out.
 //! - `upkeep`: handing slots out, and what falls due with time.
 //! - `tombs`: tickets that left without having started.
 
 mod answer;
 mod delivery;
+mod drain;
 mod ticket;
 mod tombs;
 mod upkeep;
@@ -25,12 +27,14 @@
 use platform::plain::Plain;
 use policy::Queue;
 use policy::queue::{Ask, Offered, Verdict};
+use tokio::sync::Notify;
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
 use crate::settings::{Backend, Settings};
 use crate::spread::Spread;
 use crate::{meter, run};
 use answer::Answer;
+pub use drain::Drained;
 pub use ticket::Entry;
 use ticket::{Left, Phase};
 use tombs::Tombs;
@@ -38,18 +42,6 @@
 /// Longest time that a call is held, whatever it asks for.
 pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
 
-/// How often draining looks whether all has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-
-/// Time that the last reply has to leave before the process ends.
-const DRAIN_GRACE: Duration = Duration::from_millis(100);
-
-/// What a draining sidecar tells newcomers; another one takes them at once.
-const DRAINING: Verdict = Verdict {
-    reason: Refusal::Draining,
-    after: Duration::ZERO,
-};
-
 /// Everything that a sidecar knows.
 pub struct State {
     /// What the operators set.
@@ -76,8 +68,14 @@
     kept: Cell<usize>,
     /// Ended answers whose entry has not got the end yet.
     untold: Cell<usize>,
+    /// When an entry was last handed an answer's end.
+    told_at: Cell<Option<Instant>>,
     /// Whether no new requests are taken.
     draining: Cell<bool>,
+    /// Whether the backend server cannot be reached.
+    failed: Cell<bool>,
+    /// Wakes who probes the backend server.
+    pub(crate) failure: Notify,
 }
 
 /// The client of the backend server.
@@ -110,7 +108,10 @@
             ended: RefCell::default(),
             kept: Cell::new(0),
             untold: Cell::new(0),
+            told_at: Cell::new(None),
             draining: Cell::new(false),
+            failed: Cell::new(false),
+            failure: Notify::new(),
         })
     }
 
@@ -134,7 +135,7 @@
             token_us: number(standing.token_us),
             first_us: number(standing.first_us),
             wait_us: number(standing.wait_us),
-            draining: self.draining.get(),
+            draining: self.closed().is_some(),
         }
     }
 
@@ -158,9 +159,9 @@
 
         let lease = now + self.lease(ask.wait_ms);
         let entry = Rc::new(Entry::new(ask.ticket, ask.tier, lease));
-        let offered = match self.draining.get() {
-            true => Offered::Refused(DRAINING),
-            false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
+        let offered = match self.closed() {
+            Some(verdict) => Offered::Refused(verdict),
+            None => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
         };
         if let Offered::Refused(verdict) = offered {
             self.leave(now, &entry, Left::Refused(verdict));
@@ -262,15 +263,6 @@
         queue.busy() == 0 && queue.waiting() == 0 && self.untold.get() == 0
     }
 
-    /// Takes nothing new and waits until everything in progress has ended.
-    pub async fn drain(&self) {
-        self.draining.set(true);
-        while !self.idle() {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
-        tokio::time::sleep(DRAIN_GRACE).await;
-    }
-
     /// Tickets, tombstones and bytes that are kept, for measuring memory.
     pub fn sizes(&self) -> (usize, usize, usize) {
         let tickets = self.tickets.borrow().len();
--- a/crates/sidecar/tests/state.rs
+++ b/crates/sidecar/tests/state.rs
@@ -14,7 +14,7 @@
 use policy::queue::Rules;
 use rstest::rstest;
 use sidecar::Settings;
-use sidecar::settings::Backend;
+use sidecar::settings::{Backend, Streams};
 use sidecar::state::{Entry, State, broken};
 use wire::{Cancelled, End, Piece, Pulled, Reserve, Reserved, Start, Started, Work};
 
@@ -40,6 +40,9 @@
         hold: Span(HOLD),
         keep: Span(KEEP),
         lease: Span(LEASE),
+        drain_limit: Span(LEASE),
+        orders: None,
+        streams: Streams::default(),
         follow: None,
         kept_bytes: 64 << 10,
         queue: Rules {
