--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -10,6 +10,9 @@
 /// loses when it crashes, too few to add to an overload.
 const SAVED: f64 = 10.0;
 
+/// Rounding that sums of small shares may have lost.
+const SLACK: f64 = 1e-6;
+
 /// The retries that are left to each class: a token bucket that only grants
 /// fill. When every server fails nothing is granted, so nothing fills it, and
 /// the retries end after those saved up.
@@ -47,7 +50,11 @@
         if !self.left.contains_key(class) {
             self.left.insert(class.to_owned(), SAVED);
         }
-        let left = self.left.get_mut(class).filter(|left| **left >= 1.0);
+        // Ten tenths add up to a little less than one.
+        let left = self
+            .left
+            .get_mut(class)
+            .filter(|left| **left + SLACK >= 1.0);
         left.map(|left| *left -= 1.0).is_some()
     }
 
