--- /dev/null
+++ b/crates/demo/tests/failures/fleet.rs
@@ -0,0 +1,263 @@
+//! A small fleet on loopback, each daemon on a thread of its own, for tests
+//! that start and stop daemons one by one.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use awc::error::{ConnectError, SendRequestError};
+use base::stop::Stop;
+use bundle::Bundle;
+use demo::host::Host;
+use platform::hosts::{Host as Listed, Role, Standing};
+use serde_json::{Value, json};
+use standin::hosts::{Faults, Registry};
+use standin::{Control, Ledger, engine};
+
+/// Ports that one fleet may use.
+const PORTS: u16 = 64;
+
+/// The longest that a test waits for a condition.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+const TOKEN: &str = "token";
+
+pub(crate) struct Fleet {
+    /// The platform's list of hosts.
+    pub(crate) registry: Registry,
+    /// What the engines saw.
+    pub(crate) ledger: Ledger,
+    /// What is wrong with each engine.
+    pub(crate) engines: HashMap<u16, Control<engine::Faults>>,
+    /// The first port.
+    port: u16,
+    daemons: HashMap<String, Host>,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl Fleet {
+    /// A fleet with nothing but the list of hosts.
+    pub(crate) fn new() -> Self {
+        base::logging::init(base::logging::Level::Off);
+        static FLEETS: AtomicU16 = AtomicU16::new(0);
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let mut fleet = Self {
+            registry: Registry::new(Vec::new()),
+            ledger: Ledger::default(),
+            engines: HashMap::new(),
+            port: 7200 + number * PORTS,
+            daemons: HashMap::new(),
+        };
+        let settings = standin::hosts::Settings {
+            listen: fleet.addr(0),
+            hosts: Vec::new(),
+            faults: Faults::default(),
+        };
+        let registry = fleet.registry.clone();
+        fleet.start("hosts", move |stop| {
+            standin::hosts::run(settings.clone(), registry.clone(), stop)
+        });
+        fleet
+    }
+
+    /// Starts a daemon of any kind.
+    pub(crate) fn start<F, Fut>(&mut self, name: &str, run: F)
+    where
+        F: Fn(Stop) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = std::io::Result<()>> + 'static,
+    {
+        self.daemons.insert(name.to_owned(), Host::start(name, run));
+    }
+
+    /// Starts an engine.
+    pub(crate) fn engine(&mut self, i: u16) {
+        let settings = json!({ "listen": self.addr(20 + i), "slots": 8, "step": "2ms" });
+        let settings: engine::Settings = serde_json::from_value(settings).unwrap();
+        let faults = Control::new(settings.faults.clone());
+        self.engines.insert(i, faults.clone());
+        let ledger = self.ledger.clone();
+        self.start(&format!("engine-{i}"), move |stop| {
+            engine::run_with(settings.clone(), faults.clone(), ledger.clone(), stop)
+        });
+    }
+
+    /// Starts a sidecar beside an engine, without listing it.
+    pub(crate) fn sidecar(&mut self, i: u16) {
+        let settings = json!({
+            "name": format!("sidecar-{i}"),
+            "zone": "plateau",
+            "listen": self.addr(40 + i),
+            "backend": { "engine": { "addr": self.addr(20 + i), "slots": 8 } },
+            "streams": { "silence": "300ms", "patience": "5s" },
+        });
+        let settings: sidecar::Settings = serde_json::from_value(settings).unwrap();
+        self.start(&format!("sidecar-{i}"), move |stop| {
+            sidecar::run(settings.clone(), stop)
+        });
+    }
+
+    /// Puts a sidecar on the list.
+    pub(crate) fn list(&self, i: u16) {
+        self.registry.put(Listed {
+            name: format!("sidecar-{i}"),
+            addr: self.addr(40 + i),
+            zone: "plateau".to_owned(),
+            region: "dakar".to_owned(),
+            role: Role::Sidecar,
+            serves: "dossier-8b".to_owned(),
+            standing: Standing::Live,
+        });
+    }
+
+    /// Starts an engine and its sidecar, and lists it.
+    pub(crate) fn server(&mut self, i: u16) {
+        self.engine(i);
+        self.sidecar(i);
+        self.list(i);
+    }
+
+    /// Starts an entry.
+    pub(crate) fn entry(&mut self, i: u16) {
+        self.entry_with(i, &json!({ "linger": "100ms" }));
+    }
+
+    /// Starts an entry that drains by the given settings.
+    pub(crate) fn entry_with(&mut self, i: u16, drain: &Value) {
+        let settings = json!({
+            "name": format!("entry-{i}"),
+            "zone": "plateau",
+            "listen": self.addr(1 + i),
+            "seed": 1 + i,
+            "roster": { "hosts": self.addr(0), "region": "dakar", "poll": "100ms", "forget": "2s" },
+            "drain": drain,
+        });
+        let settings: entry::Settings = serde_json::from_value(settings).unwrap();
+        self.start(&format!("entry-{i}"), move |stop| {
+            entry::run(settings.clone(), Some(bundle()), stop)
+        });
+    }
+
+    /// Asks a daemon to stop, as SIGTERM does, and waits until it has ended.
+    pub(crate) async fn stop(&mut self, name: &str) {
+        self.ask(name);
+        self.ended(name).await;
+    }
+
+    /// Asks a daemon to stop, as SIGTERM does.
+    pub(crate) fn ask(&self, name: &str) {
+        self.daemons[name].ask();
+    }
+
+    /// Waits until a daemon has ended.
+    pub(crate) async fn ended(&mut self, name: &str) {
+        let host = self.daemons.remove(name).unwrap();
+        until("the daemon ends", || host.ended()).await;
+    }
+
+    /// Sends a request and takes in its whole answer.
+    pub(crate) async fn call(&self, entry: u16, mark: &str, length: u32) -> Answer {
+        call(self.addr(1 + entry), mark, length).await
+    }
+
+    /// Where an entry listens.
+    pub(crate) fn entry_addr(&self, entry: u16) -> SocketAddr {
+        self.addr(1 + entry)
+    }
+
+    /// Sends requests until one is answered whole.
+    pub(crate) async fn ready(&self, entry: u16) {
+        let began = Instant::now();
+        while self.call(entry, "ready", 1).await.status != 200 {
+            assert!(began.elapsed() < PATIENCE, "the fleet does not get ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn addr(&self, i: u16) -> SocketAddr {
+        // Each process has a part of loopback of its own, so that several
+        // test binaries can run side by side.
+        let [_, _, a, b] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, a.max(1), b, 1);
+        SocketAddr::new(IpAddr::V4(ip), self.port + i)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Entries need their sidecars to drain, so all stop together.
+        self.daemons.values().for_each(Host::ask);
+        self.daemons.values().for_each(Host::end);
+    }
+}
+
+/// Sends a request and takes in its whole answer. The status is 0 when no
+/// connection was made, and 1 when the answer broke off.
+pub(crate) async fn call(entry: SocketAddr, mark: &str, length: u32) -> Answer {
+    let body = json!({
+        "model": "counter", "mark": mark, "length": length,
+        "messages": [{ "role": "user", "content": "Is the dossier complete?" }],
+    });
+    let url = format!("http://{entry}/v1/chat/completions");
+    let http = awc::Client::builder().timeout(PATIENCE).finish();
+    let sent = http.post(url).bearer_auth(TOKEN).send_json(&body).await;
+    let broken = |status| Answer {
+        status,
+        body: Value::Null,
+    };
+    let mut response = match sent {
+        Ok(response) => response,
+        // Reported also when the connection closed without an answer.
+        Err(SendRequestError::Connect(ConnectError::Disconnected)) => return broken(1),
+        Err(SendRequestError::Connect(_)) => return broken(0),
+        Err(_) => return broken(1),
+    };
+    let Ok(body) = response.body().await else {
+        return broken(1);
+    };
+    Answer {
+        status: response.status().as_u16(),
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The text of a whole answer.
+pub(crate) fn text(answer: &Answer) -> &str {
+    answer.body["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap_or_default()
+}
+
+/// The text that the stand-in makes for a request.
+pub(crate) fn expected(mark: &str, length: u32) -> String {
+    (0..length).map(|i| format!("{mark}:{i} ")).collect()
+}
+
+fn bundle() -> Bundle {
+    let hash = bundle::token_hash(TOKEN);
+    let bundle = json!({
+        "classes": { "counter": {
+            "tier": 0, "model": "dossier-8b",
+            "targets": { "first_token": "10s", "token_gap": "1s", "whole": "60s" },
+        } },
+        "workspaces": { "cantine": { "tokens": [hash], "classes": ["counter"] } },
+        "models": { "dossier-8b": {} },
+        "operators": {},
+    });
+    serde_json::from_value(bundle).unwrap()
+}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,7 +1,9 @@
 //! The callers' side.
 
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::body::MessageBody;
 use actix_web::dev::{ServiceFactory, ServiceRequest, ServiceResponse};
@@ -11,6 +13,8 @@
 use bytes::Bytes;
 use futures_util::stream;
 
+use crate::dispatch::Granted;
+use crate::drain;
 use crate::refuse::Refused;
 use crate::relay::{Answer, Part};
 use crate::request::Request;
@@ -18,6 +22,12 @@
 use crate::state::{Open, State};
 use crate::{dispatch, idempotency};
 
+/// How long a stream may bring nothing until a comment is written.
+const COMMENT_EVERY: Duration = Duration::from_secs(5);
+
+/// A line that every reader of server-sent events skips.
+const COMMENT: &[u8] = b": waiting\n\n";
+
 /// The application that callers speak to.
 pub fn app(
     state: Rc<State>,
@@ -76,8 +86,7 @@
     body: Result<Bytes, Error>,
     chat: bool,
 ) -> Result<HttpResponse, Refused> {
-    let state = state(http)?;
-    let open = state.open();
+    let (state, open) = enter(http)?;
     let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::completion(http, body, chat, &bundle, state.clock.now())?;
@@ -94,7 +103,7 @@
     chat: bool,
     open: Open,
 ) -> Result<HttpResponse, Refused> {
-    let granted = dispatch::grant(state, &request).await?;
+    let granted = grant(state, &request).await?;
     let shape = Shape::new(request.ticket, &request.target, chat, request.prompt);
     let stream = request.stream;
     let answer = Answer::new(Rc::clone(state), request, granted);
@@ -114,8 +123,7 @@
     target: (&str, &str),
     body: Result<Bytes, Error>,
 ) -> Result<HttpResponse, Refused> {
-    let state = state(http)?;
-    let _open = state.open();
+    let (state, _open) = enter(http)?;
     let bundle = state.spread.current().await?;
     let body = body.map_err(|e| unread(&e, state))?;
     let request = Request::call(http, body, target, &bundle, state.clock.now())?;
@@ -127,7 +135,7 @@
 }
 
 async fn call_once(state: &Rc<State>, request: Request) -> Result<HttpResponse, Refused> {
-    let granted = dispatch::grant(state, &request).await?;
+    let granted = grant(state, &request).await?;
     let whole = collect(Answer::new(Rc::clone(state), request, granted)).await?;
     let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
@@ -137,9 +145,23 @@
     Ok(response.body(whole.body))
 }
 
-fn state(http: &HttpRequest) -> Result<&Rc<State>, Refused> {
+/// Takes a request as in progress, unless it comes after the entry drained.
+fn enter(http: &HttpRequest) -> Result<(&Rc<State>, Open), Refused> {
     let state = http.app_data::<Rc<State>>();
-    state.ok_or_else(|| Refused::not_run(Refusal::NoBundle, "the entry is not set up"))
+    let state =
+        state.ok_or_else(|| Refused::not_run(Refusal::NoBundle, "the entry is not set up"))?;
+    if state.refusing.get() {
+        return Err(drain::refused());
+    }
+    Ok((state, state.open()))
+}
+
+/// Gets the request to run, unless the drain's limit passes.
+async fn grant(state: &Rc<State>, request: &Request) -> Result<Granted, Refused> {
+    tokio::select! {
+        granted = dispatch::grant(state, request) => granted,
+        () = state.cutoff.wait() => Err(drain::cut_off(false)),
+    }
 }
 
 /// The refusal of a body that could not be read.
@@ -193,12 +215,34 @@
     }
 }
 
+/// An answer whose next part is waited for.
+type Waiting = Pin<Box<dyn Future<Output = (Answer, Result<Part, Refused>)>>>;
+
+/// Waits for an answer's next part. Taking a part must not be dropped halfway,
+/// so the wait is kept from one comment to the next.
+fn wait(mut answer: Answer) -> Waiting {
+    Box::pin(async move {
+        let part = answer.part().await;
+        (answer, part)
+    })
+}
+
 /// Gives the answer as it is made.
+///
+/// With nothing to write, a caller that vanished without closing its
+/// connection would never be noticed, and its request would hold a slot. A
+/// comment, which callers skip, makes its host answer with a reset.
 fn streamed(answer: Answer, shape: Shape, open: Open) -> HttpResponse {
-    let body = stream::unfold(Some((answer, shape, open)), |state| async move {
-        let (mut answer, shape, open) = state?;
+    let body = stream::unfold(Some((wait(answer), shape, open)), |state| async move {
+        let (mut waiting, shape, open) = state?;
+        let part = tokio::time::timeout(COMMENT_EVERY, waiting.as_mut()).await;
+        let Ok((answer, part)) = part else {
+            let state = Some((waiting, shape, open));
+            return Some((Ok::<_, io::Error>(Bytes::from_static(COMMENT)), state));
+        };
+
         let mut out = Vec::new();
-        let more = match answer.part().await {
+        let more = match part {
             Ok(Part::Pieces(pieces)) => {
                 shape.pieces(&mut out, &pieces);
                 true
@@ -214,7 +258,7 @@
                 false
             }
         };
-        let state = more.then_some((answer, shape, open));
+        let state = more.then(|| (wait(answer), shape, open));
         Some((Ok::<_, io::Error>(Bytes::from(out)), state))
     });
     HttpResponse::Ok()
--- a/crates/entry/src/reserve.rs
+++ b/crates/entry/src/reserve.rs
@@ -264,7 +264,9 @@
 
     fn refused(&self, reason: Refusal, retry_after_ms: u32) -> Rejection {
         let cause = match reason {
-            Refusal::Draining => Retry::Draining,
+            // A sidecar whose backend server cannot be reached takes nothing
+            // new either, and says so on every answer.
+            Refusal::Draining | Refusal::BackendFailed => Retry::Draining,
             _ => Retry::Refused,
         };
         let after = Duration::from_millis(u64::from(retry_after_ms));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -30,6 +30,12 @@
     /// Sidecars known from the start.
     #[serde(default)]
     pub sidecars: Vec<Known>,
+    /// How the entry learns which hosts there are.
+    #[serde(default)]
+    pub roster: Roster,
+    /// How the entry stops.
+    #[serde(default)]
+    pub drain: Drain,
     /// How many sidecars are asked for a slot at once.
     #[serde(default = "default_fan")]
     pub fan: usize,
@@ -112,8 +118,60 @@
     }
 }
 
-/// A sidecar as the settings or the host list name it.
+/// How an entry learns which hosts there are.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Roster {
+    /// Where the platform serves the list of hosts; without it, only the
+    /// sidecars named in the settings are known.
+    pub hosts: Option<SocketAddr>,
+    /// The region whose hosts are known.
+    pub region: String,
+    /// How often the list is read, on average.
+    pub poll: Span,
+    /// Sidecars of one service that are known, on average.
+    pub subset: usize,
+    /// How many of these stand in other availability zones, at the least.
+    pub far: usize,
+    /// How long a host stays that is not listed and does not answer.
+    pub forget: Span,
+}
+
+impl Default for Roster {
+    fn default() -> Self {
+        Self {
+            hosts: None,
+            region: String::new(),
+            poll: Span::secs(2),
+            subset: 128,
+            far: 16,
+            forget: Span::secs(30),
+        }
+    }
+}
+
+/// How an entry stops; see docs/operators/drain.md.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Drain {
+    /// How long new requests are still taken after readiness went off, until
+    /// the balancer has seen it.
+    pub linger: Span,
+    /// How long requests in progress may take; what is left then is ended.
+    pub limit: Span,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            linger: Span::secs(5),
+            limit: Span::secs(600),
+        }
+    }
+}
+
+/// A sidecar as the settings or the host list name it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Known {
     /// The sidecar's name.
@@ -151,6 +209,18 @@
             (1024..=BODY_MOST).contains(&self.body_limit),
             "allow 1024 to 16777216 bytes",
         )?;
+        check(
+            "roster.subset",
+            self.roster.subset,
+            self.roster.subset > self.roster.far,
+            "know more sidecars in all than in other zones (roster.far)",
+        )?;
+        check(
+            "roster.poll",
+            self.roster.poll,
+            !self.roster.poll.0.is_zero(),
+            "read the list every few seconds, as in \"2s\"",
+        )?;
         check(
             "operators",
             self.listen,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -2,13 +2,17 @@
 //!
 //! - `ticket`: one ticket and where it stands.
 //! - `answer`: an answer in the making.
+//! - `drain`: stopping without cutting anything off.
 //! - `delivery`: taking answers in and handing them out.
+//! - `upkeep`: handing slots out, and what falls due with time.
 //! - `tombs`: tickets that left without having started.
 
 mod answer;
 mod delivery;
+mod drain;
 mod ticket;
 mod tombs;
+mod upkeep;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -23,12 +27,14 @@
 use platform::plain::Plain;
 use policy::Queue;
 use policy::queue::{Ask, Offered, Verdict};
+use tokio::sync::Notify;
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
 
 use crate::settings::{Backend, Settings};
 use crate::spread::Spread;
 use crate::{meter, run};
 use answer::Answer;
+pub use drain::Drained;
 pub use ticket::Entry;
 use ticket::{Left, Phase};
 use tombs::Tombs;
@@ -36,18 +42,6 @@
 /// Longest time that a call is held, whatever it asks for.
 pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
 
-/// How often draining looks whether all has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-
-/// Time that the last reply has to leave before the process ends.
-const DRAIN_GRACE: Duration = Duration::from_millis(100);
-
-/// What a draining sidecar tells newcomers; another one takes them at once.
-const DRAINING: Verdict = Verdict {
-    reason: Refusal::Draining,
-    after: Duration::ZERO,
-};
-
 /// Everything that a sidecar knows.
 pub struct State {
     /// What the operators set.
@@ -74,8 +68,14 @@
     kept: Cell<usize>,
     /// Ended answers whose entry has not got the end yet.
     untold: Cell<usize>,
+    /// When an entry was last handed an answer's end.
+    told_at: Cell<Option<Instant>>,
     /// Whether no new requests are taken.
     draining: Cell<bool>,
+    /// Whether the backend server cannot be reached.
+    failed: Cell<bool>,
+    /// Wakes who probes the backend server.
+    pub(crate) failure: Notify,
 }
 
 /// The client of the backend server.
@@ -108,7 +108,10 @@
             ended: RefCell::default(),
             kept: Cell::new(0),
             untold: Cell::new(0),
+            told_at: Cell::new(None),
             draining: Cell::new(false),
+            failed: Cell::new(false),
+            failure: Notify::new(),
         })
     }
 
@@ -132,7 +135,7 @@
             token_us: number(standing.token_us),
             first_us: number(standing.first_us),
             wait_us: number(standing.wait_us),
-            draining: self.draining.get(),
+            draining: self.closed().is_some(),
         }
     }
 
@@ -144,9 +147,7 @@
     /// Queues a request that is not known yet, and tells where it stands; the
     /// entry is there while that may change.
     pub fn reserve(&self, ask: &Reserve) -> (Option<Rc<Entry>>, Reserved) {
-        if let Some(entry) = self.find(ask.ticket)
-            && !self.returns(&entry, ask)
-        {
+        if let Some(entry) = self.find(ask.ticket) {
             self.renew(&entry, ask.wait_ms);
             let stands = self.stands(&entry, ask.prompt);
             return (Some(entry), stands);
@@ -157,10 +158,10 @@
         }
 
         let lease = now + self.lease(ask.wait_ms);
-        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, ask.preempted, lease));
-        let offered = match self.draining.get() {
-            true => Offered::Refused(DRAINING),
-            false => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
+        let entry = Rc::new(Entry::new(ask.ticket, ask.tier, lease));
+        let offered = match self.closed() {
+            Some(verdict) => Offered::Refused(verdict),
+            None => self.queue.borrow_mut().offer(now, queue_ask(ask, now)),
         };
         if let Offered::Refused(verdict) = offered {
             self.leave(now, &entry, Left::Refused(verdict));
@@ -256,59 +257,18 @@
         Cancelled::NeverStarted
     }
 
-    /// Takes back slots held too long, gives up requests that cannot meet
-    /// their targets and forgets tickets that ended long ago. What it costs
-    /// goes by what is due and not by what is known.
-    pub fn sweep(&self) {
-        let now = self.clock.now();
-        while let Some(ticket) = self.due(now) {
-            self.look(now, ticket);
-        }
-        self.tombs.borrow_mut().expire(now);
-
-        let given_up = self.queue.borrow_mut().review(now);
-        for (ticket, verdict) in given_up {
-            if let Some(entry) = self.find(ticket) {
-                self.leave(now, &entry, Left::Refused(verdict));
-            }
-        }
-        self.advance();
-
-        let queue = self.queue.borrow();
-        meter::standing(&queue.standing(now), queue.kept(now));
-    }
-
     /// Whether nothing waits or runs and every answer has been handed out.
     pub fn idle(&self) -> bool {
         let queue = self.queue.borrow();
         queue.busy() == 0 && queue.waiting() == 0 && self.untold.get() == 0
     }
 
-    /// Takes nothing new and waits until everything in progress has ended.
-    pub async fn drain(&self) {
-        self.draining.set(true);
-        while !self.idle() {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
-        tokio::time::sleep(DRAIN_GRACE).await;
-    }
-
     /// Tickets, tombstones and bytes that are kept, for measuring memory.
     pub fn sizes(&self) -> (usize, usize, usize) {
         let tickets = self.tickets.borrow().len();
         (tickets, self.tombs.borrow().len(), self.kept.get())
     }
 
-    /// Whether a ticket that was preempted here asks anew.
-    fn returns(&self, entry: &Entry, ask: &Reserve) -> bool {
-        let preempted = entry.why.get() == Some(Refusal::Preempted);
-        if !preempted || ask.preempted <= entry.preempted {
-            return false;
-        }
-        self.forget(entry.ticket);
-        self.find(entry.ticket).is_none()
-    }
-
     /// Why a ticket that left is not queued again; `None` when it may be.
     fn left(&self, now: Instant, ticket: Ticket) -> Option<Verdict> {
         let (left, at) = self.tombs.borrow().get(ticket)?;
@@ -335,104 +295,6 @@
         self.tombs.borrow_mut().insert(now, entry.ticket, left);
         entry.set(Phase::Gone(left));
     }
-
-    /// Hands free slots to those who wait, and takes one from a lower tier
-    /// where the top tier would wait too long.
-    fn advance(&self) {
-        let now = self.clock.now();
-        loop {
-            let next = self.queue.borrow_mut().next(now);
-            let Some(granted) = next else {
-                break;
-            };
-            let Some(entry) = self.find(granted.ticket) else {
-                self.queue.borrow_mut().cancel(now, granted.ticket, true);
-                continue;
-            };
-            // The slot would be held in vain while others wait for one.
-            if entry.lease.get() <= now {
-                self.queue.borrow_mut().cancel(now, granted.ticket, true);
-                self.leave(now, &entry, Left::Lapsed);
-                continue;
-            }
-            let until = now + self.settings.hold.0;
-            let guaranteed = granted.guaranteed;
-            entry.set(Phase::Held { until, guaranteed });
-            self.remind(until, granted.ticket);
-        }
-
-        let victim = self.queue.borrow_mut().preempt(now);
-        if let Some(entry) = victim.and_then(|ticket| self.find(ticket)) {
-            meter::preempted(entry.tier);
-            entry.halt(Refusal::Preempted);
-        }
-    }
-
-    /// Looks at a ticket whose time may have come.
-    fn look(&self, now: Instant, ticket: Ticket) {
-        let Some(entry) = self.find(ticket) else {
-            return;
-        };
-        let (lapsed, ended) = match &*entry.phase.borrow() {
-            Phase::Held { until, .. } => (*until <= now, false),
-            Phase::Started(Answer { end: None, .. }) => {
-                self.watch(now, &entry);
-                return;
-            }
-            Phase::Started(Answer {
-                end: Some((_, at)), ..
-            }) => (false, *at + self.settings.keep.0 <= now),
-            Phase::Queued | Phase::Gone(_) => (false, false),
-        };
-        if lapsed {
-            self.queue.borrow_mut().cancel(now, ticket, true);
-            self.leave(now, &entry, Left::Lapsed);
-        }
-        if ended {
-            self.forget(ticket);
-            self.trim();
-        }
-    }
-
-    /// Stops a run whose entry is gone. An entry that crashed pulls nothing
-    /// and cancels nothing; its answers would be made to their ends for
-    /// nobody. One that lives asks again well within its lease.
-    fn watch(&self, now: Instant, entry: &Entry) {
-        let lease = entry.lease.get();
-        if lease > now {
-            self.remind(lease, entry.ticket);
-            return;
-        }
-        meter::abandoned(entry.tier);
-        entry.halt(Refusal::CallerGone);
-    }
-
-    /// Notes that a ticket's entry asked, with a call that may be held for
-    /// `wait_ms`.
-    pub fn renew(&self, entry: &Entry, wait_ms: u32) {
-        entry.lease.set(self.clock.now() + self.lease(wait_ms));
-    }
-
-    /// How long an entry counts as there after a call held for `wait_ms`.
-    fn lease(&self, wait_ms: u32) -> Duration {
-        let held = Duration::from_millis(u64::from(wait_ms)).min(HOLD_LIMIT);
-        held + self.settings.lease.0
-    }
-
-    /// Has a ticket looked at again at a time.
-    fn remind(&self, at: Instant, ticket: Ticket) {
-        self.timers.borrow_mut().push(Reverse((at, ticket)));
-    }
-
-    /// The next ticket whose time has come.
-    fn due(&self, now: Instant) -> Option<Ticket> {
-        let mut timers = self.timers.borrow_mut();
-        let Reverse((at, _)) = timers.peek()?;
-        if *at > now {
-            return None;
-        }
-        timers.pop().map(|Reverse((_, ticket))| ticket)
-    }
 }
 
 fn queue_ask(ask: &Reserve, now: Instant) -> Ask {
--- /dev/null
+++ b/crates/sidecar/src/state/upkeep.rs
@@ -0,0 +1,139 @@
+//! Handing slots out, and what falls due with time.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use base::ids::Ticket;
+use base::reason::Refusal;
+
+use super::answer::Answer;
+use super::ticket::{Entry, Left, Phase};
+use super::{HOLD_LIMIT, State};
+use crate::meter;
+
+impl State {
+    /// Takes back slots held too long, gives up requests that cannot meet
+    /// their targets and forgets tickets that ended long ago. What it costs
+    /// goes by what is due and not by what is known.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        while let Some(ticket) = self.due(now) {
+            self.look(now, ticket);
+        }
+        self.tombs.borrow_mut().expire(now);
+        // The bundle goes before the settings, which only count without one.
+        if let Some(bundle) = self.spread.held.bundle() {
+            let share = bundle.shares.guaranteed;
+            self.queue.borrow_mut().set_guaranteed(share);
+        }
+
+        let given_up = self.queue.borrow_mut().review(now);
+        for (ticket, verdict) in given_up {
+            if let Some(entry) = self.find(ticket) {
+                self.leave(now, &entry, Left::Refused(verdict));
+            }
+        }
+        self.advance();
+
+        let queue = self.queue.borrow();
+        meter::standing(&queue.standing(now), queue.kept(now));
+    }
+
+    /// Hands free slots to those who wait, and takes one from a lower tier
+    /// where the top tier would wait too long.
+    pub(super) fn advance(&self) {
+        let now = self.clock.now();
+        loop {
+            let next = self.queue.borrow_mut().next(now);
+            let Some(granted) = next else {
+                break;
+            };
+            let Some(entry) = self.find(granted.ticket) else {
+                self.queue.borrow_mut().cancel(now, granted.ticket, true);
+                continue;
+            };
+            // The slot would be held in vain while others wait for one.
+            if entry.lease.get() <= now {
+                self.queue.borrow_mut().cancel(now, granted.ticket, true);
+                self.leave(now, &entry, Left::Lapsed);
+                continue;
+            }
+            let until = now + self.settings.hold.0;
+            let guaranteed = granted.guaranteed;
+            entry.set(Phase::Held { until, guaranteed });
+            self.remind(until, granted.ticket);
+        }
+
+        let victim = self.queue.borrow_mut().preempt(now);
+        if let Some(entry) = victim.and_then(|ticket| self.find(ticket)) {
+            meter::preempted(entry.tier);
+            entry.halt(Refusal::Preempted);
+        }
+    }
+
+    /// Looks at a ticket whose time may have come.
+    fn look(&self, now: Instant, ticket: Ticket) {
+        let Some(entry) = self.find(ticket) else {
+            return;
+        };
+        let (lapsed, ended) = match &*entry.phase.borrow() {
+            Phase::Held { until, .. } => (*until <= now, false),
+            Phase::Started(Answer { end: None, .. }) => {
+                self.watch(now, &entry);
+                return;
+            }
+            Phase::Started(Answer {
+                end: Some((_, at)), ..
+            }) => (false, *at + self.settings.keep.0 <= now),
+            Phase::Queued | Phase::Gone(_) => (false, false),
+        };
+        if lapsed {
+            self.queue.borrow_mut().cancel(now, ticket, true);
+            self.leave(now, &entry, Left::Lapsed);
+        }
+        if ended {
+            self.forget(ticket);
+            self.trim();
+        }
+    }
+
+    /// Stops a run whose entry is gone. An entry that crashed pulls nothing
+    /// and cancels nothing; its answers would be made to their ends for
+    /// nobody. One that lives asks again well within its lease.
+    fn watch(&self, now: Instant, entry: &Entry) {
+        let lease = entry.lease.get();
+        if lease > now {
+            self.remind(lease, entry.ticket);
+            return;
+        }
+        meter::abandoned(entry.tier);
+        entry.halt(Refusal::CallerGone);
+    }
+
+    /// Notes that a ticket's entry asked, with a call that may be held for
+    /// `wait_ms`.
+    pub fn renew(&self, entry: &Entry, wait_ms: u32) {
+        entry.lease.set(self.clock.now() + self.lease(wait_ms));
+    }
+
+    /// How long an entry counts as there after a call held for `wait_ms`.
+    pub(super) fn lease(&self, wait_ms: u32) -> Duration {
+        let held = Duration::from_millis(u64::from(wait_ms)).min(HOLD_LIMIT);
+        held + self.settings.lease.0
+    }
+
+    /// Has a ticket looked at again at a time.
+    pub(super) fn remind(&self, at: Instant, ticket: Ticket) {
+        self.timers.borrow_mut().push(Reverse((at, ticket)));
+    }
+
+    /// The next ticket whose time has come.
+    fn due(&self, now: Instant) -> Option<Ticket> {
+        let mut timers = self.timers.borrow_mut();
+        let Reverse((at, _)) = timers.peek()?;
+        if *at > now {
+            return None;
+        }
+        timers.pop().map(|Reverse((_, ticket))| ticket)
+    }
+}
