--- a/crates/load/src/balancer.rs
+++ b/crates/load/src/balancer.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// How long an entry that refused a connection is passed over.
-const PASS_OVER: Duration = Duration::from_millis(250);
+/// How long an entry is passed over that refused a connection or said that it
+/// takes nothing; about the interval of a balancer's health checks.
+const PASS_OVER: Duration = Duration::from_secs(1);
 
-/// Sends callers to entries in turn and passes over those that refuse
-/// connections.
+/// Sends callers to entries in turn and passes over those that are down or
+/// not ready. The caller that found out keeps its refusal.
 #[derive(Debug)]
 pub struct Balancer {
     entries: Vec<Target>,
@@ -51,7 +52,7 @@
         up.into_iter().chain(down).map(|t| t.addr).collect()
     }
 
-    /// Notes that an entry refused a connection.
+    /// Notes that an entry refused a connection or is not ready.
     pub fn failed(&self, entry: SocketAddr) {
         let until = self.now() + u64::try_from(PASS_OVER.as_millis()).unwrap_or(0);
         for target in self.entries.iter().filter(|t| t.addr == entry) {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -31,6 +31,9 @@
 /// Header that names the request class.
 const CLASS: &str = "x-request-class";
 
+/// Refusals that tell that an entry takes nothing at all.
+const NOT_READY: [&str; 2] = ["draining", "no_bundle"];
+
 /// What a caller saw of its request.
 #[derive(Debug, Clone)]
 pub struct Outcome {
@@ -113,16 +116,19 @@
     outcome: &mut Outcome,
     began: Instant,
 ) -> Ending {
-    let mut response = match send(http, balancer, &outcome.arrival).await {
-        Ok(response) => response,
+    let (entry, mut response) = match send(http, balancer, &outcome.arrival).await {
+        Ok(sent) => sent,
         Err(ending) => return ending,
     };
     if !response.status().is_success() {
         let body = response.json::<Value>().await.unwrap_or_default();
-        return match told(&body) {
-            Some(told) => Ending::Refused(told),
-            None => Ending::Lost(format!("status {} without a reason", response.status())),
+        let Some(told) = told(&body) else {
+            return Ending::Lost(format!("status {} without a reason", response.status()));
         };
+        if NOT_READY.contains(&told.reason.as_str()) {
+            balancer.failed(entry);
+        }
+        return Ending::Refused(told);
     }
 
     match (&outcome.arrival.kind, outcome.arrival.stream) {
@@ -139,10 +145,10 @@
     http: &awc::Client,
     balancer: &Balancer,
     arrival: &Arrival,
-) -> Result<awc::ClientResponse, Ending> {
+) -> Result<(SocketAddr, awc::ClientResponse), Ending> {
     for entry in balancer.order() {
         match request(http, entry, arrival).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => return Ok((entry, response)),
             // Reported also for a request that went out and got no answer.
             Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
                 return Err(Ending::Lost("the connection closed".to_owned()));
