Put a change in force without reading all workspaces anew

Change: the acceptor remembers which entries a change touched and the lookup follows just those; workspaces are shared between versions. A property test holds it against reading all anew; it found that a token owned by two workspaces lost its owner when one of them left.

--- a/crates/bundle/src/accept.rs
+++ b/crates/bundle/src/accept.rs
@@ -9,11 +9,11 @@
 //! could win otherwise, once the winner has expired.
 //! See docs/DECISIONS/0301-bundle-acceptance.md.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use base::ids::{Offset, Sequence};
 
-use crate::content::{Content, Entries};
+use crate::content::{Content, Entries, Patch};
 use crate::hash::Hash;
 use crate::keys::{self, Operators};
 use crate::record::{
@@ -33,6 +33,9 @@
 /// Room for a record's other fields beside a part's entries.
 const PART_LIMIT: usize = RECORD_LIMIT - (4 << 10);
 
+/// Entries that changed, as section and name.
+pub type Touched = BTreeSet<(String, String)>;
+
 /// Judges records in the log's order.
 #[derive(Debug, Clone)]
 pub struct Acceptor {
@@ -56,6 +59,9 @@
     parts: VecDeque<(Hash, BTreeMap<u32, Entries>)>,
     /// The newest checkpoint: where it stands and what it holds.
     newest: Option<(Offset, Sequence)>,
+    /// Entries that changed since [`Self::take_touched`]; none when all may
+    /// have.
+    touched: Option<Touched>,
 }
 
 /// The version in force.
@@ -100,6 +106,7 @@
             history: VecDeque::new(),
             parts: VecDeque::new(),
             newest: None,
+            touched: None,
         }
     }
 
@@ -121,6 +128,12 @@
         &self.content
     }
 
+    /// The entries that changed since this was last asked; none when all may
+    /// have.
+    pub fn take_touched(&mut self) -> Option<Touched> {
+        self.touched.replace(Touched::new())
+    }
+
     /// Who may sign the next version.
     #[must_use]
     pub fn operators(&self) -> &Operators {
@@ -422,6 +435,7 @@
             Payload::Delta(patch) => {
                 let undo = self.content.apply(&patch);
                 if fits(&self.content) {
+                    self.touch(&patch);
                     return Ok(());
                 }
                 self.content.apply(&undo);
@@ -435,9 +449,21 @@
             return Err(Fault::BadContent);
         }
         self.content = content;
+        self.touched = None;
         Ok(())
     }
 
+    /// Remembers which entries a patch changed.
+    fn touch(&mut self, patch: &Patch) {
+        let Some(touched) = &mut self.touched else {
+            return;
+        };
+        for (section, named) in patch {
+            let entries = named.keys().map(|name| (section.clone(), name.clone()));
+            touched.extend(entries);
+        }
+    }
+
     /// Joins the parts of larger content, if all are there.
     fn join(&mut self, digest: Hash, count: u32) -> Option<Content> {
         let at = self.parts.iter().position(|(d, _)| *d == digest)?;
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
 
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -90,7 +91,7 @@
         let shares = json.get("shares").cloned();
         Bundle {
             classes: self.section::<Class>(json, "classes"),
-            workspaces: self.section::<Workspace>(json, "workspaces"),
+            workspaces: self.section::<Arc<Workspace>>(json, "workspaces"),
             models: self.section::<Pool>(json, "models"),
             services: self.section::<Service>(json, "services"),
             operators: self.section::<String>(json, "operators"),
--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -13,6 +13,7 @@
 use snafu::Snafu;
 
 use crate::digest::Tree;
+use crate::entry::Entry;
 use crate::hash::Hash;
 use crate::model::Bundle;
 
@@ -200,11 +201,11 @@
     ///
     /// Returns [`Error::Meaning`] with the path of the first offence.
     pub fn bundle(&self) -> Result<Bundle, Error> {
-        let json = self.to_json();
-        serde_path_to_error::deserialize(&json).map_err(|e| Error::Meaning {
-            key: e.path().to_string(),
-            found: e.into_inner().to_string(),
-        })
+        let mut bundle = Bundle::default();
+        for (section, name, _) in self.iter() {
+            bundle.set(section, name, Entry::read(self, section, name)?);
+        }
+        Ok(bundle)
     }
 
     /// Sets or removes one entry and returns its former value.
--- /dev/null
+++ b/crates/bundle/src/entry.rs
@@ -0,0 +1,107 @@
+//! One entry of a bundle, read by itself.
+//!
+//! A change names few entries. Reading 46,000 workspaces anew for each would
+//! take a daemon 0.2 s; see docs/DECISIONS/0303-deltas.md.
+
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+
+use crate::content::{Content, Error};
+use crate::model::{Bundle, Class, Pool, Service, Shares, Workspace};
+
+/// One entry as this build understands it.
+#[derive(Debug, Clone)]
+pub enum Entry {
+    /// A request class.
+    Class(Class),
+    /// A workspace.
+    Workspace(Arc<Workspace>),
+    /// A pool of model engines.
+    Model(Pool),
+    /// A plain service.
+    Service(Service),
+    /// An operator's public key.
+    Operator(String),
+    /// All shares, which are read together.
+    Shares(Shares),
+    /// No entry any more.
+    Gone,
+}
+
+impl Entry {
+    /// Reads an entry of `content`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Meaning`] when this build cannot make sense of it.
+    pub fn read(content: &Content, section: &str, name: &str) -> Result<Self, Error> {
+        if section == "shares" {
+            return shares(content).map(Self::Shares);
+        }
+        let Some(text) = content.get(section, name) else {
+            return Ok(Self::Gone);
+        };
+        let key = || format!("{section}.{name}");
+        match section {
+            "classes" => parse(text, key).map(Self::Class),
+            "workspaces" => parse(text, key).map(|w| Self::Workspace(Arc::new(w))),
+            "models" => parse(text, key).map(Self::Model),
+            "services" => parse(text, key).map(Self::Service),
+            "operators" => parse(text, key).map(Self::Operator),
+            _ => Err(Error::Meaning {
+                key: section.to_owned(),
+                found: "unknown section".to_owned(),
+            }),
+        }
+    }
+}
+
+impl Bundle {
+    /// Puts an entry in place, or takes it away.
+    pub(crate) fn set(&mut self, section: &str, name: &str, entry: Entry) {
+        let name = name.to_owned();
+        match entry {
+            Entry::Class(class) => drop(self.classes.insert(name, class)),
+            Entry::Workspace(workspace) => drop(self.workspaces.insert(name, workspace)),
+            Entry::Model(pool) => drop(self.models.insert(name, pool)),
+            Entry::Service(service) => drop(self.services.insert(name, service)),
+            Entry::Operator(key) => drop(self.operators.insert(name, key)),
+            Entry::Shares(shares) => self.shares = shares,
+            Entry::Gone => self.remove(section, &name),
+        }
+    }
+
+    fn remove(&mut self, section: &str, name: &str) {
+        match section {
+            "classes" => drop(self.classes.remove(name)),
+            "workspaces" => drop(self.workspaces.remove(name)),
+            "models" => drop(self.models.remove(name)),
+            "services" => drop(self.services.remove(name)),
+            "operators" => drop(self.operators.remove(name)),
+            _ => {}
+        }
+    }
+}
+
+fn shares(content: &Content) -> Result<Shares, Error> {
+    let fields = content.section("shares").map(|(name, value)| {
+        let value = serde_json::from_str(value).unwrap_or_default();
+        (name.to_owned(), value)
+    });
+    let fields: serde_json::Map<_, serde_json::Value> = fields.collect();
+    parse(&serde_json::Value::Object(fields).to_string(), || {
+        "shares".to_owned()
+    })
+}
+
+fn parse<T: DeserializeOwned>(text: &str, key: impl Fn() -> String) -> Result<T, Error> {
+    let mut de = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut de).map_err(|e| Error::Meaning {
+        key: match e.path().to_string().as_str() {
+            "." => key(),
+            inner => format!("{}.{inner}", key()),
+        },
+        found: e.into_inner().to_string(),
+    })
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`check`]: every fault of a declaration in one run.
 //! - [`content`]: the declaration as entries of canonical JSON, and changes
 //!   of it.
+//! - [`entry`]: one entry, as this build understands it.
 //! - [`digest`] and [`hash`]: what is signed in place of the content.
 //! - [`approval`]: an operator's sign-off of a bundle.
 //! - [`keys`]: operators' keys and signatures.
@@ -17,6 +18,7 @@
 pub mod check;
 pub mod content;
 pub mod digest;
+pub mod entry;
 pub mod hash;
 pub mod keys;
 pub mod lookup;
--- a/crates/bundle/src/lookup.rs
+++ b/crates/bundle/src/lookup.rs
@@ -3,10 +3,15 @@
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::ops::Deref;
+use std::sync::Arc;
 
 use sha2::{Digest, Sha256};
 
-use crate::Bundle;
+use crate::accept::Touched;
+use crate::content::{Content, Error};
+use crate::entry::Entry;
+use crate::hash::Hash;
+use crate::model::{Bundle, Workspace};
 
 /// A bundle with an index of its bearer tokens. A bundle may have tens of
 /// thousands of workspaces, and every request names its own by a token; going
@@ -15,27 +20,93 @@
 pub struct Lookup {
     /// The bundle.
     bundle: Bundle,
-    /// Workspace names by the hex SHA-256 of a token.
-    tokens: HashMap<String, String>,
+    /// Workspace names by the SHA-256 of a token.
+    tokens: HashMap<Hash, Arc<str>>,
+    /// Whether two workspaces have the same token; `check` refuses that.
+    contested: bool,
 }
 
 impl Lookup {
     /// Prepares a bundle.
     #[must_use]
     pub fn new(bundle: Bundle) -> Self {
-        let mut tokens = HashMap::new();
-        for (name, workspace) in &bundle.workspaces {
-            for token in &workspace.tokens {
-                tokens.insert(token.clone(), name.clone());
+        let mut lookup = Self {
+            bundle,
+            ..Self::default()
+        };
+        lookup.index_all();
+        lookup
+    }
+
+    /// Follows a change of the `touched` entries, as section and name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Meaning`] when this build cannot make sense of one;
+    /// nothing has changed then.
+    pub fn update(&mut self, content: &Content, touched: &Touched) -> Result<(), Error> {
+        let read = touched.iter().map(|(section, name)| {
+            let entry = Entry::read(content, section, name)?;
+            Ok((section, name, entry))
+        });
+        let entries: Vec<_> = read.collect::<Result<_, Error>>()?;
+        for (section, name, entry) in entries {
+            if section == "workspaces" {
+                self.forget(name);
+            }
+            if let Entry::Workspace(workspace) = &entry {
+                self.index(name, workspace);
+            }
+            self.bundle.set(section, name, entry);
+        }
+        // The index knows one owner of a token; if it goes, the other one
+        // stays, which only a look at all of them tells.
+        if self.contested {
+            self.index_all();
+        }
+        Ok(())
+    }
+
+    fn index_all(&mut self) {
+        self.tokens.clear();
+        self.contested = false;
+        for (name, workspace) in self.bundle.workspaces.clone() {
+            self.index(&name, &workspace);
+        }
+    }
+
+    /// Adds a workspace's tokens to the index. One that is no hash stands for
+    /// no token.
+    fn index(&mut self, name: &str, workspace: &Workspace) {
+        let name: Arc<str> = name.into();
+        for token in workspace.tokens.iter().filter_map(|t| t.parse().ok()) {
+            let before = self.tokens.insert(token, Arc::clone(&name));
+            self.contested |= before.is_some_and(|owner| owner != name);
+        }
+    }
+
+    /// Takes a workspace's tokens out of the index, but for those that went
+    /// over to another workspace.
+    fn forget(&mut self, name: &str) {
+        let Some(workspace) = self.bundle.workspaces.get(name) else {
+            return;
+        };
+        for token in workspace.tokens.iter().filter_map(|t| t.parse().ok()) {
+            if self
+                .tokens
+                .get(&token)
+                .is_some_and(|owner| **owner == *name)
+            {
+                self.tokens.remove(&token);
             }
         }
-        Self { bundle, tokens }
     }
 
     /// The workspace that a bearer token stands for.
     #[must_use]
     pub fn owner(&self, token: &str) -> Option<&str> {
-        self.tokens.get(&token_hash(token)).map(String::as_str)
+        let hash = Hash(Sha256::digest(token.as_bytes()).into());
+        self.tokens.get(&hash).map(|name| &**name)
     }
 }
 
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -1,6 +1,7 @@
 //! The declaration that operators write, sign and roll out.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use base::ids::Tier;
 use base::settings::Span;
@@ -15,8 +16,9 @@
 pub struct Bundle {
     /// Request classes by name.
     pub classes: BTreeMap<String, Class>,
-    /// Workspaces by name.
-    pub workspaces: BTreeMap<String, Workspace>,
+    /// Workspaces by name; shared, so that the next version of a bundle with
+    /// many of them is made without copying them.
+    pub workspaces: BTreeMap<String, Arc<Workspace>>,
     /// Pools of model engines by the model's name.
     pub models: BTreeMap<String, Pool>,
     /// Plain services by name, reached under `/v1/services/{name}/`.
--- /dev/null
+++ b/crates/bundle/tests/lookup.rs
@@ -0,0 +1,76 @@
+//! Following changes entry by entry comes to the same as reading all anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bundle::accept::Touched;
+use bundle::content::Patch;
+use bundle::{Content, Lookup, token_hash};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+/// Names and tokens come from few, so that tokens go from one workspace to
+/// another and entries come and go.
+fn patch() -> impl Strategy<Value = Patch> {
+    let tokens = prop::collection::btree_set(0..4u8, 0..3);
+    let workspace = prop::option::of(tokens.prop_map(|tokens| {
+        let tokens: Vec<String> = tokens.iter().map(|t| token_hash(&t.to_string())).collect();
+        json!({ "tokens": tokens, "classes": [] })
+    }));
+    let share = (1..4u8).prop_map(|n| Some(json!(f64::from(n) / 10.0)));
+    (
+        prop::collection::btree_map("[a-c]", workspace, 0..3),
+        prop::collection::btree_map("(retries|ejected)", share, 0..2),
+        prop::collection::btree_map("[a-c]", prop::option::of(Just(json!({}))), 0..2),
+    )
+        .prop_map(|(workspaces, shares, models)| {
+            let sections = [
+                ("workspaces", workspaces),
+                ("shares", shares),
+                ("models", models),
+            ];
+            let named = |(name, entries): (&str, BTreeMap<String, Option<Value>>)| {
+                (name.to_owned(), entries)
+            };
+            sections.into_iter().map(named).collect()
+        })
+}
+
+fn touched(patch: &Patch) -> Touched {
+    let names = patch
+        .iter()
+        .flat_map(|(section, named)| named.keys().map(|name| (section.clone(), name.clone())));
+    names.collect::<BTreeSet<_>>()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn update_any_patch(patches in prop::collection::vec(patch(), 1..8)) {
+        let mut content = Content::default();
+        let mut lookup = Lookup::default();
+        for patch in &patches {
+            content.apply(patch);
+            lookup.update(&content, &touched(patch)).expect("it can be read");
+
+            let bundle = content.bundle().expect("it can be read");
+            prop_assert_eq!(&*lookup, &bundle);
+            for token in 0..4u8 {
+                // Which of two owners of one token stands for it is not
+                // defined; check refuses such a bundle.
+                let hash = token_hash(&token.to_string());
+                let owns = |name: &&String| bundle.workspaces[*name].tokens.contains(&hash);
+                let owners: Vec<&String> = bundle.workspaces.keys().filter(owns).collect();
+                if let [] | [_] = owners[..] {
+                    let owner = lookup.owner(&token.to_string());
+                    prop_assert_eq!(owner, owners.first().map(|o| o.as_str()));
+                }
+            }
+        }
+    }
+}
--- a/crates/demo/src/plan.rs
+++ b/crates/demo/src/plan.rs
@@ -55,7 +55,7 @@
         };
         bundle
             .workspaces
-            .insert(format!("workspace-{i}"), workspace);
+            .insert(format!("workspace-{i}"), workspace.into());
     }
 
     let model = fleet.model().to_owned();
--- a/crates/demo/tests/rollout/common.rs
+++ b/crates/demo/tests/rollout/common.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -102,11 +103,8 @@
     pub(crate) fn publish(&self) -> u64 {
         let mut bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("sound");
         let version = self.versions.fetch_add(1, Ordering::Relaxed) + 1;
-        bundle
-            .workspaces
-            .entry("alpha".to_owned())
-            .or_default()
-            .weight = version;
+        let workspace = bundle.workspaces.entry("alpha".to_owned()).or_default();
+        Arc::make_mut(workspace).weight = version;
         let published = Cell::new(0);
         until("the log takes the bundle", || {
             let told = actix_rt::System::new().block_on(self.rollout.publish(&bundle));
--- a/crates/follow/src/held.rs
+++ b/crates/follow/src/held.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use base::ids::{Offset, Sequence};
-use bundle::{Acceptor, Bundle, Lookup, Operators, Verdict};
+use bundle::accept::Touched;
+use bundle::content;
+use bundle::{Acceptor, Bundle, Content, Hash, Lookup, Operators, Verdict};
 use bytes::Bytes;
 use spdlog::{error, info};
 use tokio::sync::Notify;
@@ -22,6 +24,11 @@
     current: RefCell<Option<Rc<InForce>>>,
     /// Changes accepted lately, each with its offset, oldest first.
     tail: RefCell<VecDeque<Change>>,
+    /// The version that was last made, or could not be made, to go by.
+    tried: Cell<Option<Hash>>,
+    /// Whether the version in force is the last one that was tried, so that
+    /// a change of it leads to the next.
+    exact: Cell<bool>,
     /// Whether the log's last call was answered.
     reachable: Cell<bool>,
     changed: Notify,
@@ -51,6 +58,8 @@
             acceptor: RefCell::new(Acceptor::new(trust)),
             current: RefCell::default(),
             tail: RefCell::default(),
+            tried: Cell::new(None),
+            exact: Cell::new(false),
             reachable: Cell::new(false),
             changed: Notify::new(),
         })
@@ -148,6 +157,19 @@
         Some(transfer.bytes())
     }
 
+    /// Takes over a checkpoint that is known to hold, for measurements.
+    pub fn load(&self, checkpoint: bundle::Checkpoint) -> bool {
+        let adopted = self.with(|a| a.adopt(checkpoint));
+        adopted.is_ok_and(|adopted| adopted && self.settle())
+    }
+
+    /// Judges one record and puts what it leads to in force, for
+    /// measurements.
+    pub fn step(&self, at: Offset, body: &str) -> bool {
+        self.judge(at, body);
+        self.settle()
+    }
+
     /// Lets the acceptor work on something and returns what it made of it.
     /// Nothing becomes the version in force before [`Self::settle`].
     pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Acceptor) -> T) -> T {
@@ -182,23 +204,21 @@
     /// daemons of two builds would otherwise accept different versions. One
     /// that does not understand a version goes on with the one before.
     pub(crate) fn settle(&self) -> bool {
-        let acceptor = self.acceptor.borrow();
-        let Some(head) = acceptor.head() else {
+        let mut acceptor = self.acceptor.borrow_mut();
+        let Some(head) = acceptor.head().cloned() else {
             return false;
         };
-        let sequence = head.sequence();
-        if self
-            .current
-            .borrow()
-            .as_ref()
-            .is_some_and(|c| c.sequence == sequence)
-        {
+        let (sequence, id) = (head.sequence(), head.signed.id());
+        if self.tried.replace(Some(id)) == Some(id) {
             return false;
         }
 
-        match acceptor.content().bundle() {
+        let touched = acceptor.take_touched().filter(|_| self.exact.get());
+        let made = self.make(acceptor.content(), touched.as_ref());
+        self.exact.set(made.is_ok());
+        match made {
             Ok(bundle) => {
-                let bundle = Rc::new(Lookup::new(bundle));
+                let bundle = Rc::new(bundle);
                 *self.current.borrow_mut() = Some(Rc::new(InForce { sequence, bundle }));
             }
             Err(e) => {
@@ -231,6 +251,18 @@
         }
     }
 
+    /// Makes what requests go by: from the version in force if only the
+    /// `touched` entries differ, else anew.
+    fn make(&self, content: &Content, touched: Option<&Touched>) -> Result<Lookup, content::Error> {
+        let current = self.current.borrow();
+        if let (Some(current), Some(touched)) = (current.as_ref(), touched) {
+            let mut next = Lookup::clone(&current.bundle);
+            next.update(content, touched)?;
+            return Ok(next);
+        }
+        content.bundle().map(Lookup::new)
+    }
+
     /// Forgets the changes kept for others, after a version came without the
     /// change that led to it.
     pub(crate) fn forget_tail(&self) {
