--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -10,6 +10,9 @@
 /// Largest record, in bytes. Larger content travels in parts.
 pub const RECORD_LIMIT: usize = 256 << 10;
 
+/// Bytes of entries in one part, which leaves room for its other fields.
+pub const PART_LIMIT: usize = RECORD_LIMIT - (4 << 10);
+
 /// What an operator signs: one step from a version to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/follow/src/publish.rs
+++ b/crates/follow/src/publish.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base::ids::{Offset, Sequence};
-use bundle::record::{Header, RECORD_LIMIT, operators_hash, operators_of, parts};
+use bundle::record::{Header, PART_LIMIT, RECORD_LIMIT, operators_hash, operators_of, parts};
 use bundle::{Acceptor, Content, Hash, Operators, Payload, Record, SecretKey, Signed, Verdict};
 use platform::log::{Error, Log, Page};
 
@@ -15,9 +15,6 @@
 /// Most records in one read.
 const PAGE: usize = 500;
 
-/// Room for a record's other fields beside a part's entries.
-const PART_LIMIT: usize = RECORD_LIMIT - (4 << 10);
-
 /// A reader of the log that remembers which versions it read.
 pub struct Publisher {
     log: Log,
@@ -144,6 +141,10 @@
         content: &Content,
         restores: Option<Sequence>,
     ) -> Result<Outcome, bundle::keys::Error> {
+        // What follows on nothing, no reader could judge.
+        if !self.acceptor.anchored() {
+            return Ok(Outcome::Unknown);
+        }
         // As after an earlier try whose reply was lost.
         let held = self.acceptor.content().digest() == content.digest();
         if held && self.acceptor.head().is_some() {
