Wait until a restarted sidecar listens before a test calls it

Change: the tests wait for the sidecar's operators' address first; what they assert is the same, and a failed call now shows the refusal. Conclusion: the fault was the tests'.

--- a/crates/demo/tests/rollout/bundles.rs
+++ b/crates/demo/tests/rollout/bundles.rs
@@ -18,9 +18,10 @@
 
     fleet.sidecar.crash();
     fleet.sidecar.begin();
+    fleet.until_answers(Role::Sidecar);
     // A call with a key needs the log, so it only brings the versions level.
     until("the sidecar goes by the bundle", || {
-        assert_eq!(fleet.plain_call(Role::One).status / 100, 2);
+        fleet.must_answer(Role::One);
         fleet.sequence(Role::Sidecar) == 1
     });
 
@@ -57,13 +58,13 @@
     // entry has handed it the bundle, then answers it; and each later version
     // comes with the next call.
     let fleet = Fleet::start(&[Role::Sidecar]);
-    assert_eq!(fleet.plain_call(Role::One).status, 200);
+    fleet.must_answer(Role::One);
     assert_eq!(fleet.sequence(Role::Sidecar), 1);
     for _ in 0..2 {
         let next = fleet.publish();
         until("the entry goes by it", || fleet.sequence(Role::One) == next);
         until("the sidecar goes by it", || {
-            assert_eq!(fleet.plain_call(Role::One).status, 200);
+            fleet.must_answer(Role::One);
             fleet.sequence(Role::Sidecar) == next
         });
     }
--- a/crates/demo/tests/rollout/common.rs
+++ b/crates/demo/tests/rollout/common.rs
@@ -92,6 +92,7 @@
         fleet.publish();
         for role in [Role::Sidecar, Role::One, Role::Two] {
             // A sidecar without a log gets the bundle with the first call.
+            fleet.until_answers(role);
             if !matches!(role, Role::Sidecar) || cut.is_empty() {
                 fleet.until_ready(role);
             }
@@ -124,6 +125,12 @@
         until("it is ready", || self.status(role)["ready"] == json!(true));
     }
 
+    /// Waits until a daemon listens; while it does not, an entry refuses calls
+    /// as "no server", and rightly so.
+    pub(crate) fn until_answers(&self, role: Role) {
+        until("it answers", || !self.status(role).is_null());
+    }
+
     pub(crate) fn sequence(&self, role: Role) -> u64 {
         self.status(role)["sequence"].as_u64().unwrap_or(0)
     }
@@ -146,6 +153,12 @@
         self.call(role, None, "plain")
     }
 
+    /// Makes a call without an idempotency key, which must succeed.
+    pub(crate) fn must_answer(&self, role: Role) {
+        let answer = self.plain_call(role);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
     /// Sends a letter with an idempotency key.
     pub(crate) fn letter(&self, role: Role, key: &str, mark: &str) -> Answer {
         self.call(role, Some(key), mark)
