--- a/crates/cli/src/commands/standin.rs
+++ b/crates/cli/src/commands/standin.rs
@@ -4,6 +4,7 @@
 
 use base::settings;
 use bpaf::Bpaf;
+use standin::hosts::Registry;
 use standin::{Control, Ledger};
 
 use crate::{Outcome, daemon};
@@ -25,6 +26,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// The list of hosts
+    #[bpaf(command)]
+    Hosts {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// The append-only log
     #[bpaf(command)]
     Log {
@@ -32,6 +40,20 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// The weight store
+    #[bpaf(command)]
+    Weights {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// The side of a model engine that takes orders
+    #[bpaf(command)]
+    Orders {
+        /// JSON settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// A plain service
     #[bpaf(command)]
     Plain {
@@ -48,11 +70,26 @@
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::engine::run(settings, Ledger::default(), stop))
             }
+            Part::Hosts { settings } => {
+                let settings: standin::hosts::Settings = settings::load(&settings)?;
+                let registry = Registry::new(settings.hosts.clone());
+                daemon::run(|stop| standin::hosts::run(settings, registry, stop))
+            }
             Part::Log { settings } => {
                 let settings: standin::log::Settings = settings::load(&settings)?;
                 let control = Control::new(settings.faults.clone());
                 daemon::run(|stop| standin::log::run(settings, control, stop))
             }
+            Part::Weights { settings } => {
+                let settings = settings::load(&settings)?;
+                let store = standin::weights::Store::default();
+                daemon::run(|stop| standin::weights::run(settings, store, stop))
+            }
+            Part::Orders { settings } => {
+                let settings = settings::load(&settings)?;
+                let record = standin::orders::Record::default();
+                daemon::run(|stop| standin::orders::run(settings, record, stop))
+            }
             Part::Plain { settings } => {
                 let settings = settings::load(&settings)?;
                 daemon::run(|stop| standin::plain::run(settings, Ledger::default(), stop))
--- a/crates/demo/tests/whole/common.rs
+++ b/crates/demo/tests/whole/common.rs
@@ -172,7 +172,8 @@
         let sidecars = serde_json::to_value(sidecars).expect("sidecars are JSON");
         let text = format!(
             r#"{{ "name": "e", "zone": "z", "listen": "{}", "operators": "{}", "seed": 1,
-                "body_limit": 4096, "log_level": "off", "sidecars": {sidecars} }}"#,
+                "body_limit": 4096, "log_level": "off", "drain": {{ "linger": "0ms" }},
+                "sidecars": {sidecars} }}"#,
             self.addr(ENTRY),
             self.operators(ENTRY)
         );
--- a/crates/entry/src/refuse.rs
+++ b/crates/entry/src/refuse.rs
@@ -81,6 +81,10 @@
         self.count();
         let status = StatusCode::from_u16(self.reason.status());
         let mut response = HttpResponse::build(status.unwrap_or(StatusCode::BAD_GATEWAY));
+        if self.reason == Refusal::Draining {
+            // The caller's next request must find another entry.
+            response.force_close();
+        }
         if let Some(after) = self.after {
             // Whole seconds are all that the header can say.
             let secs = after.as_secs() + u64::from(after.subsec_nanos() > 0);
--- a/crates/sidecar/src/state/ticket.rs
+++ b/crates/sidecar/src/state/ticket.rs
@@ -17,8 +17,6 @@
     pub ticket: Ticket,
     /// Its tier.
     pub tier: Tier,
-    /// How often it was preempted elsewhere before.
-    pub(super) preempted: u32,
     /// Where it stands.
     pub(super) phase: RefCell<Phase>,
     /// Until when its entry counts as there, without asking again.
@@ -60,11 +58,10 @@
 }
 
 impl Entry {
-    pub(super) fn new(ticket: Ticket, tier: Tier, preempted: u32, lease: Instant) -> Self {
+    pub(super) fn new(ticket: Ticket, tier: Tier, lease: Instant) -> Self {
         Self {
             ticket,
             tier,
-            preempted,
             phase: RefCell::new(Phase::Queued),
             lease: Cell::new(lease),
             changed: Notify::new(),
