Ask more sidecars in each further round; bench the relay

A start sent again did not look at the claim of its key after the wait. Change: each round of reservations asks twice as many as the last, up to four times the fan; a start is only sent again while its claim holds. A benchmark of the pieces that one entry passes on.

--- /dev/null
+++ b/crates/entry/benches/relay.rs
@@ -0,0 +1,252 @@
+//! Pieces that one entry passes on a second, and what share of a core it
+//! takes. A sidecar makes a piece every 20 ms for each stream; callers read
+//! them as server-sent events. Run it by `cargo bench -p entry --bench relay`.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base::ids::{Incarnation, Sequence, Ticket};
+use base::stop::Stop;
+use bundle::Bundle;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use serde_json::json;
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use wire::{
+    Cancelled, Load, Piece, Pull, Pulled, Reply, Reserve, Reserved, Sidecar, Stamp, Start, Started,
+};
+
+/// Time between two pieces of one stream.
+const GAP: Duration = Duration::from_millis(20);
+
+/// Time until all streams run.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Time that is measured.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Threads that read answers.
+const READERS: usize = 3;
+
+/// The bearer token of the only workspace.
+const TOKEN: &str = "token";
+
+fn main() {
+    base::logging::init(base::logging::Level::Warn);
+    println!("streams  offered/s  passed/s  entry's share of a core  us/piece");
+    for streams in streams() {
+        measure(streams);
+    }
+}
+
+/// What the threads tell each other.
+#[derive(Default)]
+struct Counts {
+    /// Pieces that reached callers.
+    pieces: AtomicU64,
+    /// Processor time of the entry's thread, in nanoseconds.
+    entry_ns: AtomicU64,
+}
+
+fn measure(streams: usize) {
+    let (sidecar, entry) = (free_addr(), free_addr());
+    let counts = Arc::new(Counts::default());
+    let stop = Stop::new();
+
+    let asked = stop.clone();
+    let making = thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let listener = TcpListener::bind(sidecar).await.unwrap();
+            wire::serve::serve(listener, Maker::default(), asked).await;
+        });
+    });
+    let (told, asked) = (Arc::clone(&counts), stop.clone());
+    let passing = thread::spawn(move || run_entry(entry, sidecar, &told, asked));
+    thread::sleep(Duration::from_millis(300));
+
+    let readers: Vec<_> = (0..READERS)
+        .map(|i| {
+            let (counts, stop) = (Arc::clone(&counts), stop.clone());
+            let mine = streams / READERS + usize::from(i < streams % READERS);
+            thread::spawn(move || read(entry, mine, &counts, &stop))
+        })
+        .collect();
+
+    thread::sleep(WARM_UP);
+    let before = sample(&counts);
+    thread::sleep(WINDOW);
+    let after = sample(&counts);
+    stop.ask();
+    for reader in readers {
+        reader.join().unwrap();
+    }
+    // The entry's and the sidecar's threads end with the streams' own time.
+    drop((making, passing));
+
+    let pieces = (after.0 - before.0) as f64;
+    let busy = (after.1 - before.1) as f64 / 1e9;
+    let offered = streams as f64 / GAP.as_secs_f64();
+    println!(
+        "{streams:7} {offered:10.0} {:9.0} {:24.3} {:9.2}",
+        pieces / WINDOW.as_secs_f64(),
+        busy / WINDOW.as_secs_f64(),
+        busy * 1e6 / pieces
+    );
+}
+
+fn sample(counts: &Counts) -> (u64, u64) {
+    (
+        counts.pieces.load(Ordering::Relaxed),
+        counts.entry_ns.load(Ordering::Relaxed),
+    )
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn run_entry(listen: SocketAddr, sidecar: SocketAddr, counts: &Arc<Counts>, stop: Stop) {
+    let settings = json!({
+        "name": "entry", "zone": "a", "listen": listen,
+        "sidecars": [{"name": "sidecar", "addr": sidecar, "zone": "a", "serves": "model"}],
+    });
+    let class = json!({
+        "tier": 0, "model": "model",
+        "targets": {"first_token": "10s", "token_gap": "1s", "whole": "60s"},
+    });
+    let bundle = json!({
+        "classes": {"class": class},
+        "workspaces": {"w": {"tokens": [bundle::token_hash(TOKEN)], "classes": ["class"]}},
+        "models": {"model": {}}, "operators": {},
+    });
+    let settings = serde_json::from_value(settings).unwrap();
+    let bundle: Bundle = serde_json::from_value(bundle).unwrap();
+    let counts = Arc::clone(counts);
+    actix_rt::System::new().block_on(async move {
+        actix_rt::spawn(async move {
+            loop {
+                counts.entry_ns.store(thread_ns(), Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        });
+        entry::run(settings, Some(bundle), stop).await.unwrap();
+    });
+}
+
+/// Processor time of the calling thread, in nanoseconds.
+fn thread_ns() -> u64 {
+    let stat = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    stat.split(' ').next().unwrap().parse().unwrap()
+}
+
+fn read(entry: SocketAddr, streams: usize, counts: &Arc<Counts>, stop: &Stop) {
+    let body = json!({"model": "class", "stream": true, "messages": [{"role": "user", "content": "hello"}]}).to_string();
+    actix_rt::System::new().block_on(async {
+        let connector = awc::Connector::new().limit(0);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .timeout(Duration::from_secs(20))
+            .finish();
+        for _ in 0..streams {
+            let call = http
+                .post(format!("http://{entry}/v1/chat/completions"))
+                .insert_header(("authorization", format!("Bearer {TOKEN}")))
+                .send_body(body.clone());
+            let counts = Arc::clone(counts);
+            actix_rt::spawn(async move {
+                let mut answer = call.await.unwrap();
+                assert!(answer.status().is_success(), "{:?}", answer.body().await);
+                while let Some(Ok(bytes)) = answer.next().await {
+                    let events = bytes.windows(6).filter(|w| w == b"data: ").count();
+                    counts.pieces.fetch_add(events as u64, Ordering::Relaxed);
+                }
+            });
+            // Arrivals spread over a gap, as streams would be.
+            tokio::time::sleep(GAP / 200).await;
+        }
+        stop.wait().await;
+    });
+}
+
+/// Makes a piece every gap for each started ticket.
+#[derive(Clone, Default)]
+struct Maker {
+    started: Rc<RefCell<HashMap<Ticket, Instant>>>,
+}
+
+fn reply<T>(body: T) -> Reply<T> {
+    Reply {
+        sequence: Sequence(0),
+        incarnation: Incarnation(1),
+        load: Load {
+            slots: 10_000,
+            ..Load::default()
+        },
+        body,
+    }
+}
+
+impl Sidecar for Maker {
+    async fn reserve(self, _: Context, _: Stamp, _: Reserve) -> Reply<Reserved> {
+        reply(Reserved::Ready {
+            hold_ms: 250,
+            first_us: 0,
+            token_us: 0,
+        })
+    }
+
+    async fn start(self, _: Context, _: Stamp, order: Start) -> Reply<Started> {
+        let mut started = self.started.borrow_mut();
+        started.insert(order.ticket, Instant::now());
+        reply(Started::Running)
+    }
+
+    async fn pull(self, _: Context, _: Stamp, ask: Pull) -> Reply<Pulled> {
+        let began = self.started.borrow().get(&ask.ticket).copied();
+        let Some(began) = began else {
+            return reply(Pulled::Unknown);
+        };
+        let due = began + GAP * (ask.from + 1);
+        tokio::time::sleep_until(due.into()).await;
+        let made = (began.elapsed().as_micros() / GAP.as_micros()) as u32;
+        let piece = Piece {
+            tokens: 1,
+            data: Bytes::from_static(b" token"),
+        };
+        reply(Pulled::Pieces {
+            first: ask.from,
+            pieces: vec![piece; made.saturating_sub(ask.from) as usize],
+            end: None,
+        })
+    }
+
+    async fn cancel(self, _: Context, _: Stamp, ticket: Ticket) -> Reply<Cancelled> {
+        self.started.borrow_mut().remove(&ticket);
+        reply(Cancelled::Started)
+    }
+
+    async fn fetch_bundle(self, _: Context, _: Stamp) -> Reply<Option<Bytes>> {
+        reply(None)
+    }
+
+    async fn offer_bundle(self, _: Context, _: Stamp, _: Bytes) -> Reply<bool> {
+        reply(false)
+    }
+}
+
+/// The numbers of streams to measure, from the command line if any are given.
+fn streams() -> Vec<usize> {
+    let given: Vec<usize> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    if given.is_empty() {
+        return vec![100, 500, 1000, 2000, 3000];
+    }
+    given
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -19,6 +19,10 @@
 /// When to come back if no sidecar said.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Rounds of reservations that each ask twice as many sidecars as the last.
+/// Asking costs little, and a request that was refused twice has little time.
+const ROUNDS_WIDER: u32 = 2;
+
 /// A request that runs at a sidecar.
 pub struct Granted {
     /// Its run.
@@ -32,6 +36,8 @@
 pub struct Tries {
     /// Sidecars that failed or refused it.
     tried: Vec<ServerIndex>,
+    /// Rounds of reservations that gave no slot.
+    rounds: u32,
     /// Whether any answer was begun; its first token is late by then.
     begun: bool,
     /// Whether any of them ran, as far as known.
@@ -127,6 +133,7 @@
             Ok(run) => run,
             Err(rejections) => {
                 tries.tried.extend(&chosen);
+                tries.rounds += 1;
                 failed = Some(rejected(&rejections));
                 continue;
             }
@@ -135,7 +142,7 @@
         if !request.may_start(state.clock.now()) {
             return Err(idempotency::lapsed());
         }
-        match run.start(&request.work, request.repeatable).await {
+        match run.start(request).await {
             Outcome::Running => {
                 let share = state.shares().retries;
                 state.budget.borrow_mut().granted(&request.class, share);
@@ -157,6 +164,7 @@
         target: &request.target,
         prefix: request.prefix,
         tried: &tries.tried,
+        fan: state.settings.fan << tries.rounds.min(ROUNDS_WIDER),
     };
     let now = state.clock.now();
     state.placement.borrow_mut().choose(now, &want)
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -8,8 +8,9 @@
 use base::ids::{Incarnation, Ticket};
 use base::reason::Retry;
 use spdlog::warn;
-use wire::{Cancelled, Start, Started, Work};
+use wire::{Cancelled, Start, Started};
 
+use crate::request::Request;
 use crate::reserve::cause;
 use crate::state::{Server, State};
 
@@ -75,14 +76,23 @@
     /// Starts the work. A start without an answer may or may not have taken
     /// effect; it is sent again for the same life of the sidecar, which
     /// answers the same however often it is asked and so tells which.
-    pub async fn start(&self, work: &Work, repeatable: bool) -> Outcome {
-        let again = if repeatable { AGAIN_REPEATABLE } else { AGAIN };
+    pub async fn start(&self, request: &Request) -> Outcome {
+        let again = match request.repeatable {
+            true => AGAIN_REPEATABLE,
+            false => AGAIN,
+        };
         let mut sent = false;
         for _ in 0..=again {
+            // This process may have stood still while it waited, and another
+            // entry may own the call's key by now. A start sent then could be
+            // the second run; cancelling tells what became of the first.
+            if sent && !request.may_start(self.state.clock.now()) {
+                break;
+            }
             let order = Start {
                 ticket: self.ticket,
                 incarnation: self.incarnation,
-                work: work.clone(),
+                work: request.work.clone(),
             };
             let answer = self.server.peer.start(self.state.stamp(), order).await;
             match self.state.heard(&self.server, answer) {
@@ -100,7 +110,7 @@
         }
         // The caller of a repeatable request waits for its answer elsewhere;
         // this run, if there is one, is cancelled when it is dropped.
-        if repeatable {
+        if request.repeatable {
             return Outcome::Unknown;
         }
         self.cancel().await
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -67,7 +67,6 @@
     pub fn new(settings: Settings, spread: Spread, clock: Rc<dyn Clock>) -> Rc<Self> {
         let options = Options {
             mode: settings.routing.mode,
-            fan: settings.fan,
             lag: settings.routing.lag.0,
             zone: settings.zone.clone(),
             seed: settings.seed.unwrap_or_else(rand::random),
--- a/crates/policy/benches/placement.rs
+++ b/crates/policy/benches/placement.rs
@@ -38,7 +38,6 @@
 fn placement(mode: Mode, servers: usize) -> Placement {
     let mut placement = Placement::new(Options {
         mode,
-        fan: 2,
         lag: Duration::from_millis(500),
         zone: "a".to_owned(),
         seed: 1,
@@ -58,6 +57,7 @@
             target: "model",
             prefix: u64::from(i) + 1,
             tried: &[],
+            fan: 2,
         };
         black_box(placement.choose(now, &want));
     }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -52,8 +52,6 @@
 pub struct Options {
     /// How servers are chosen.
     pub mode: Mode,
-    /// Servers asked at once in late binding.
-    pub fan: usize,
     /// Age of the reports that the baselines go by.
     pub lag: Duration,
     /// The entry's availability zone.
@@ -71,6 +69,8 @@
     pub prefix: u64,
     /// Servers that must not be asked (again).
     pub tried: &'a [ServerIndex],
+    /// Servers to ask at once in late binding; the baselines ask one.
+    pub fan: usize,
 }
 
 /// Chooses sidecars to ask for a slot.
@@ -273,7 +273,7 @@
         };
         // Taken out, so that choosing may draw random numbers meanwhile.
         let pool = std::mem::take(&mut self.pools[place]);
-        let mut chosen = Vec::with_capacity(self.options.fan);
+        let mut chosen = Vec::with_capacity(want.fan);
         match self.options.mode {
             Mode::LateBinding => self.bind_late(now, &pool, want, &mut chosen),
             Mode::Random => chosen.extend(self.draw(now, &pool, want, &[])),
@@ -298,7 +298,7 @@
         chosen: &mut Vec<ServerIndex>,
     ) {
         chosen.extend(self.home(now, pool, want));
-        while chosen.len() < self.options.fan.max(1) {
+        while chosen.len() < want.fan.max(1) {
             let Some(next) = self.sample(now, pool, want, chosen) else {
                 return;
             };
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -16,7 +16,6 @@
 fn placement(mode: Mode, count: usize) -> Placement {
     let mut placement = Placement::new(Options {
         mode,
-        fan: 2,
         lag: Duration::from_millis(500),
         zone: "a".to_owned(),
         seed: 7,
@@ -33,6 +32,7 @@
         target: "model",
         prefix,
         tried,
+        fan: 2,
     }
 }
 
