--- a/crates/demo/src/host.rs
+++ b/crates/demo/src/host.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Whether the daemon has ended.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        life.as_ref().is_none_or(|life| life.thread.is_finished())
+    }
+
     /// Asks the daemon to end, without waiting for it.
     pub fn ask(&self) {
         let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`settings`]: what the operators set.
 //! - [`state`]: the bundle in force and the known sidecars.
+//! - [`roster`]: following the host list.
 //! - [`request`]: reading a caller's request.
 //! - [`http`]: the callers' side.
 //! - [`idempotency`]: running a call with a key at most once.
@@ -12,18 +13,21 @@
 //! - [`relay`]: passing the answer's pieces on.
 //! - [`spread`]: keeping the bundle level with the sidecars'.
 //! - [`status`]: what operators are shown.
+//! - [`drain`]: stopping without cutting anything off.
 //! - [`shape`]: how answers are written.
 //! - [`counters`]: what placement counts.
 //! - [`refuse`]: the answer to a request that is refused.
 
 pub mod counters;
 pub mod dispatch;
+pub mod drain;
 pub mod http;
 pub mod idempotency;
 pub mod refuse;
 pub mod relay;
 pub mod request;
 pub mod reserve;
+pub mod roster;
 pub mod settings;
 pub mod shape;
 pub mod spread;
@@ -34,6 +38,7 @@
 use std::io;
 use std::rc::Rc;
 
+use actix::Actor;
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
 use base::{listen, operators};
@@ -67,6 +72,7 @@
     let operators = settings.operators;
     let state = State::new(settings, spread, clock);
     actix_rt::spawn(spread::ask_sidecars(Rc::clone(&state)));
+    roster::Roster::new(Rc::clone(&state)).start();
 
     // The operators' address goes on until the process ends, so that a drain
     // can be watched.
@@ -80,10 +86,10 @@
         name = state.settings.name.as_str(),
         listen = state.settings.listen.to_string().as_str()
     });
-    base::http::serve(listener, http::app(Rc::clone(&state)), stop).await?;
-
-    state.draining.set(true);
-    state.drain().await;
+    let drained = Stop::new();
+    actix_rt::spawn(drain::drain(Rc::clone(&state), stop, drained.clone()));
+    let app = http::app(Rc::clone(&state));
+    base::http::serve_whole(listener, app, drained, drain::CLOSE_LIMIT).await?;
     end.ask();
     Ok(())
 }
--- /dev/null
+++ b/crates/sidecar/src/health.rs
@@ -0,0 +1,65 @@
+//! Whether the backend server answers. See docs/DECISIONS/0404-silence.md.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::stop::Stop;
+use platform::engine::Error;
+use spdlog::{info, warn};
+
+use crate::meter;
+use crate::state::{Client, State};
+
+/// The first pause between two probes of a failed backend server.
+const PROBE_FIRST: Duration = Duration::from_millis(50);
+
+/// The longest pause; the new life of a backend server stays unused for so
+/// long at the most.
+const PROBE_LONGEST: Duration = Duration::from_secs(2);
+
+/// Time allowed for an answer to a probe.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Notes that a call of the backend server failed.
+///
+/// Only a server that cannot be reached counts as failed: it answers refusals
+/// faster than any other server answers work, so that its empty queue would
+/// draw requests from all entries, each in vain.
+pub(crate) fn note(state: &State, error: &Error) {
+    if matches!(error, Error::Connect { .. }) {
+        state.fail();
+    }
+}
+
+/// Probes the backend server whenever it failed, until `end`.
+pub(crate) async fn watch(state: Rc<State>, end: Stop) {
+    loop {
+        tokio::select! {
+            () = state.failure.notified() => {}
+            () = end.wait() => return,
+        }
+        warn!("backend failed", kv: { name = state.settings.name.as_str() });
+        meter::failure();
+
+        let mut pause = PROBE_FIRST;
+        while !answers(&state).await {
+            if end.asked() {
+                return;
+            }
+            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(PROBE_LONGEST);
+        }
+        state.recover();
+        info!("backend back", kv: { name = state.settings.name.as_str() });
+    }
+}
+
+async fn answers(state: &State) -> bool {
+    let probe = async {
+        match &state.backend {
+            Client::Engine(engine) => engine.probe().await,
+            Client::Plain(plain) => plain.probe().await,
+        }
+    };
+    matches!(tokio::time::timeout(PROBE_LIMIT, probe).await, Ok(Ok(())))
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,10 +6,14 @@
 //! - [`service`]: the inner protocol's calls.
 //! - [`spread`]: the bundle that the sidecar goes by.
 //! - [`status`]: what operators are shown.
+//! - `health`: whether the backend server answers.
 //! - `meter`: what is counted.
+//! - [`orders`]: ordering the engine to load what the bundle wants.
 //! - [`run`]: running one ticket at the backend server.
 
+mod health;
 mod meter;
+pub mod orders;
 pub mod run;
 pub mod service;
 pub mod settings;
@@ -21,6 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix::Actor;
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
 use base::{listen, operators};
@@ -53,22 +58,27 @@
         let listener = listen("operators", addr).await?;
         actix_rt::spawn(operators::serve(listener, Rc::clone(&state), end.clone()));
     }
-    actix_rt::spawn(sweep(Rc::clone(&state), stop.clone()));
-    let served = wire::serve::serve(
-        listener,
-        service::Service::new(Rc::clone(&state)),
-        stop.clone(),
-    );
-    served.await;
+    actix_rt::spawn(sweep(Rc::clone(&state), end.clone()));
+    if let Some(orders) = state.settings.orders.clone() {
+        orders::Ordering::new(Rc::clone(&state), orders).start();
+    }
+    actix_rt::spawn(health::watch(Rc::clone(&state), end.clone()));
+    // Entries may have to dial anew during a drain to get their answers, so
+    // connections are taken until the very end.
+    let service = service::Service::new(Rc::clone(&state));
+    actix_rt::spawn(wire::serve::serve(listener, service, end.clone()));
 
-    // Everything in progress ends whole before the process does.
-    state.drain().await;
+    stop.wait().await;
+    info!("sidecar drains", kv: { name = state.settings.name.as_str() });
+    let drained = state.drain(state.settings.drain_limit.0).await;
+    meter::drained(drained);
+    info!("sidecar drained", kv: { name = state.settings.name.as_str() });
     end.ask();
     Ok(())
 }
 
-async fn sweep(state: Rc<State>, stop: Stop) {
-    while !(stop.asked() && state.idle()) {
+async fn sweep(state: Rc<State>, end: Stop) {
+    while !end.asked() {
         state.sweep();
         tokio::time::sleep(SWEEP).await;
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -41,10 +41,20 @@
     /// How long an ended answer is kept for entries that still pull it.
     #[serde(default = "default_keep")]
     pub keep: Span,
+    /// How long requests in progress may take when the sidecar stops; what is
+    /// left then is ended.
+    #[serde(default = "default_drain")]
+    pub drain_limit: Span,
     /// An entry that asked nothing about a ticket for so long is gone: its
     /// request is not started, and its run is stopped.
     #[serde(default = "default_lease")]
     pub lease: Span,
+    /// How the engine is ordered to load what the bundle wants, if at all.
+    #[serde(default)]
+    pub orders: Option<crate::orders::Settings>,
+    /// When an engine's stream is resumed, and when it is given up.
+    #[serde(default)]
+    pub streams: Streams,
     /// Bytes of answers that are kept for entries that still pull them.
     #[serde(default = "default_kept")]
     pub kept_bytes: usize,
@@ -134,6 +144,29 @@
     }
 }
 
+/// When an engine's stream is resumed, and when it is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Streams {
+    /// A stream that brings nothing for so long is resumed over a new
+    /// connection.
+    pub silence: Span,
+    /// Attempts to resume after a broken connection until one brings a token.
+    pub attempts: u32,
+    /// A stream that brings no token for so long is given up.
+    pub patience: Span,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            silence: Span::secs(1),
+            attempts: 5,
+            patience: Span::secs(30),
+        }
+    }
+}
+
 /// The kind of a backend server, and where it listens.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -174,6 +207,10 @@
     Span::secs(10)
 }
 
+fn default_drain() -> Span {
+    Span::secs(600)
+}
+
 fn default_lease() -> Span {
     Span::secs(5)
 }
