--- a/crates/entry/benches/relay.rs
+++ b/crates/entry/benches/relay.rs
@@ -200,6 +200,7 @@
             hold_ms: 250,
             first_us: 0,
             token_us: 0,
+            cached: 0,
         })
     }
 
--- a/crates/entry/src/reserve.rs
+++ b/crates/entry/src/reserve.rs
@@ -224,9 +224,15 @@
 
             match reply.body {
                 Reserved::Ready {
-                    first_us, token_us, ..
-                } => return Ok((bid.offer(first_us, token_us), reply.incarnation)),
-                Reserved::AlreadyStarted => return Ok((bid.offer(0, 0), reply.incarnation)),
+                    first_us,
+                    token_us,
+                    cached,
+                    ..
+                } => {
+                    let offer = bid.offer(first_us, token_us, cached);
+                    return Ok((offer, reply.incarnation));
+                }
+                Reserved::AlreadyStarted => return Ok((bid.offer(0, 0, 0), reply.incarnation)),
                 Reserved::Waiting { estimate_us } => {
                     bid.wait.set(Some(Duration::from_micros(estimate_us)));
                     hold = self.state.settings.routing.poll.0;
@@ -279,7 +285,7 @@
 
     /// The slot that the sidecar holds, with the pace that it told for this
     /// request or, failing that, in its load.
-    fn offer(&self, first_us: u32, token_us: u32) -> Offer {
+    fn offer(&self, first_us: u32, token_us: u32, cached: u32) -> Offer {
         let us = |us: u32| Duration::from_micros(u64::from(us));
         let told = Pace {
             first: us(first_us),
@@ -289,7 +295,7 @@
         Offer {
             wait: Duration::ZERO,
             pace: if told.known() { told } else { load.pace },
-            cached: 0,
+            cached,
         }
     }
 
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -208,6 +208,7 @@
                     hold_ms: 250,
                     first_us: token_us,
                     token_us,
+                    cached: 0,
                 })
             }
         }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -27,6 +27,9 @@
 /// Time allowed for a new connection to an engine.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest answer about the prefix cache, in bytes.
+const EVENTS_BYTES: usize = 4 << 20;
+
 /// The last event of a stream, by the usual protocol.
 const DONE: &str = "[DONE]";
 
@@ -278,6 +281,25 @@
         sent.map(|_| ()).map_err(|e| self.failure("probe", &e))
     }
 
+    /// Fetches the changes of the prefix cache from number `from` on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine cannot be reached or its answer does
+    /// not fit.
+    pub async fn cache_events(&self, from: u64) -> Result<CacheEvents, Error> {
+        let (step, peer) = ("cache_events", self.addr);
+        let url = format!("http://{}/v1/cache/events?from={from}", self.addr);
+        let sent = self.http.get(url).send().await;
+        let mut response = sent.map_err(|e| self.failure(step, &e))?;
+        let body = response.body().limit(EVENTS_BYTES).await;
+        let body = body.map_err(|e| {
+            let detail = e.to_string();
+            LostSnafu { step, peer, detail }.build()
+        })?;
+        serde_json::from_slice(&body).context(EventSnafu { peer })
+    }
+
     async fn stream(
         &self,
         step: &'static str,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! What a sidecar decides:
 //! - [`queue`]: who waits, who starts, who is shed or preempted.
 //! - [`estimate`]: what a request is expected to take.
+//! - [`caches`]: which prompt prefixes the engine holds.
 //! - [`wish`]: what a backend server should have loaded.
 //! - [`lease`]: who may give it orders.
 //! - [`pacing`]: when to ask a rate-limited service again.
@@ -18,6 +19,7 @@
 //! - [`retry`]: when a request may be tried again.
 //! - [`outlier`]: which servers get no requests for a while.
 
+pub mod caches;
 pub mod estimate;
 pub mod lease;
 pub mod lengths;
--- /dev/null
+++ b/crates/sidecar/src/caches.rs
@@ -0,0 +1,56 @@
+//! Following the engine's cache events, so that offers tell which prompts
+//! would find their prefix cached. Nothing of it is sent to anyone unasked.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::stop::Stop;
+use platform::engine::{CacheChange, CacheEvents, Engine};
+use policy::caches::{CacheMap, Change};
+use spdlog::debug;
+
+use crate::state::{Client, State};
+
+/// How often the events are fetched. They come late anyway.
+const EVERY: Duration = Duration::from_secs(1);
+
+/// Follows the events until `stop` is asked. A plain service has none.
+pub async fn follow(state: Rc<State>, stop: Stop) {
+    let Client::Engine(engine) = &state.backend else {
+        return;
+    };
+    while !stop.asked() {
+        fetch(&state, engine).await;
+        tokio::select! {
+            () = tokio::time::sleep(EVERY) => {}
+            () = stop.wait() => {}
+        }
+    }
+}
+
+async fn fetch(state: &State, engine: &Engine) {
+    let from = state.caches.borrow().next();
+    match engine.cache_events(from).await {
+        Ok(events) => take(&mut state.caches.borrow_mut(), &events),
+        // What is known may be wrong by the time the engine is back.
+        Err(e) => {
+            debug!("no cache events", kv: { error = e.to_string().as_str() });
+            state.caches.borrow_mut().reset();
+        }
+    }
+}
+
+fn take(map: &mut CacheMap, events: &CacheEvents) {
+    // The numbers began anew: the engine restarted with an empty cache.
+    if events.next < map.next() {
+        map.reset();
+    }
+    for event in &events.events {
+        let change = match event.change {
+            CacheChange::Stored => Change::Stored,
+            CacheChange::Removed => Change::Removed,
+        };
+        map.take(event.seq, change, event.block);
+    }
+    map.until(events.next);
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,8 +9,10 @@
 //! - `health`: whether the backend server answers.
 //! - `meter`: what is counted.
 //! - [`orders`]: ordering the engine to load what the bundle wants.
+//! - [`caches`]: following the engine's cache events.
 //! - [`run`]: running one ticket at the backend server.
 
+pub mod caches;
 mod health;
 mod meter;
 pub mod orders;
@@ -63,6 +65,7 @@
         orders::Ordering::new(Rc::clone(&state), orders).start();
     }
     actix_rt::spawn(health::watch(Rc::clone(&state), end.clone()));
+    actix_rt::spawn(caches::follow(Rc::clone(&state), end.clone()));
     // Entries may have to dial anew during a drain to get their answers, so
     // connections are taken until the very end.
     let service = service::Service::new(Rc::clone(&state));
--- a/crates/sidecar/src/service.rs
+++ b/crates/sidecar/src/service.rs
@@ -47,6 +47,14 @@
             let _ = tokio::time::timeout(hold(ask.wait_ms), changed).await;
             stands = self.state.stands(&entry, ask.prompt);
         }
+        if let Reserved::Ready { cached, .. } = &mut stands {
+            *cached = self
+                .state
+                .caches
+                .borrow()
+                .cached(ask.prefix)
+                .min(ask.prompt);
+        }
         self.state.reply(stands)
     }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -26,6 +26,7 @@
 use platform::engine::Engine;
 use platform::plain::Plain;
 use policy::Queue;
+use policy::caches::CacheMap;
 use policy::queue::{Ask, Offered, Verdict};
 use tokio::sync::Notify;
 use wire::{Cancelled, End, Load, Reply, Reserve, Reserved, Start, Started};
@@ -54,6 +55,8 @@
     pub spread: Spread,
     /// The backend server.
     pub backend: Client,
+    /// What its prefix cache is believed to hold.
+    pub caches: RefCell<CacheMap>,
     /// Who waits for a slot, holds one or runs.
     queue: RefCell<Queue>,
     /// Tickets that wait, hold a slot or started.
@@ -102,6 +105,7 @@
             clock,
             incarnation: Incarnation::random(),
             backend,
+            caches: RefCell::default(),
             tickets: RefCell::default(),
             tombs: RefCell::default(),
             timers: RefCell::default(),
@@ -191,6 +195,7 @@
                     hold_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
                     first_us: number(queue.first_us(prompt)),
                     token_us: number(queue.standing(now).token_us),
+                    cached: 0,
                 }
             }
             Phase::Started(_) => Reserved::AlreadyStarted,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -90,6 +90,9 @@
         /// Expected time between two tokens, in microseconds; 0 when nothing
         /// was observed yet.
         token_us: u32,
+        /// Tokens of the prompt that the backend server's cache is believed
+        /// to hold.
+        cached: u32,
     },
     /// The ticket is queued.
     Waiting {
