--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -1,6 +1,7 @@
 //! One entry before a few sidecars and stand-ins, each on a thread of its own.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -179,7 +180,7 @@
         };
         bundle
             .workspaces
-            .insert(format!("workspace-{i:06}"), workspace);
+            .insert(format!("workspace-{i:06}"), Arc::new(workspace));
     }
     bundle
 }
--- a/crates/demo/src/changes.rs
+++ b/crates/demo/src/changes.rs
@@ -1,6 +1,7 @@
 //! Changes of the bundle while a demo runs, and how fast they are in force.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base::ids::Sequence;
@@ -96,7 +97,7 @@
     };
     bundle
         .workspaces
-        .insert(format!("marked-{mark}"), workspace);
+        .insert(format!("marked-{mark}"), Arc::new(workspace));
     bundle
 }
 
--- a/crates/scenario/tests/run/route.rs
+++ b/crates/scenario/tests/run/route.rs
@@ -22,6 +22,7 @@
 #[derive(Default)]
 pub(crate) struct Route {
     placement: Option<Placement>,
+    fan: usize,
     names: Vec<String>,
     budget: Budget,
 }
@@ -43,10 +44,10 @@
 
     /// Makes the entry: `entry zone=z fan=2 mode=late_binding seed=1`.
     fn entry(&mut self, words: &Words) -> Said {
+        self.fan = words.get("fan", 2)?;
         let mode = words.key("mode").unwrap_or("late_binding");
         self.placement = Some(Placement::new(Options {
             mode: word::<Mode>(mode)?,
-            fan: words.get("fan", 2)?,
             lag: words.get("lag", Span::ms(500))?.0,
             zone: words.key("zone").unwrap_or("z").to_owned(),
             seed: words.get("seed", 1)?,
@@ -140,6 +141,7 @@
                 target: &target,
                 prefix,
                 tried: &tried,
+                fan: self.fan,
             };
             let chosen = self.placement()?.choose(clock.now(), &want);
             for index in chosen {
