Take requests only once sidecars are known; close listeners without resets

Change: an entry reads the list before it takes requests (5 s at the most) and is ready only when it knows sidecars; serve_whole takes the connections that stand in the backlog, and gives those made last 200 ms for their request. Comments to callers have a setting and a test; the fault plan has the host list; permits of the weight store are shared by eight sidecars in a test.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -24,6 +24,11 @@
 /// An idle connection is kept this long for a caller's next request.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// How long connections that were made just before the stop may still send
+/// their first request. Closed at once, they would look to their callers like
+/// a request that went out and was lost.
+const LAST_REQUEST: Duration = Duration::from_millis(200);
+
 /// How long accepting pauses after it failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -125,16 +130,7 @@
     let service = Rc::new(service.map_err(|()| io::Error::other("step=start_http"))?);
 
     let open = Rc::new(());
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.wait() => return Ok(open),
-        };
-        let Ok((stream, _)) = accepted else {
-            // Out of file descriptors, for one: others may close meanwhile.
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let take = |stream: TcpStream| {
         // Pieces are small and wanted at once, so they must not wait for an
         // acknowledgement of the piece before.
         let _ = stream.set_nodelay(true);
@@ -146,7 +142,28 @@
             }
             drop(open);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.wait() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => take(stream),
+            // Out of file descriptors, for one: others may close meanwhile.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+
+    // Connections that the system made for us already may have brought a
+    // request; closing the listener would reset them. The runtime may not
+    // have heard of them yet, so the system is asked.
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        take(TcpStream::from_std(stream)?);
     }
+    Ok(open)
 }
 
 /// Waits for a connection's first bytes. The library keeps a connection that
@@ -155,7 +172,9 @@
     let readable = tokio::time::timeout(REQUEST_TIMEOUT, stream.readable());
     tokio::select! {
         biased;
-        readable = readable => matches!(readable, Ok(Ok(()))),
-        () = stop.wait() => false,
+        readable = readable => return matches!(readable, Ok(Ok(()))),
+        () = stop.wait() => {}
     }
+    let readable = tokio::time::timeout(LAST_REQUEST, stream.readable()).await;
+    matches!(readable, Ok(Ok(())))
 }
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -276,6 +276,7 @@
             fan: 2,
             routing: Routing::default(),
             keys: Keys::default(),
+            comment: Span::secs(5),
             body_limit: 4 << 20,
             seed: Some(self.seed + u64::from(i)),
             log_level: base::logging::Level::Warn,
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -84,6 +84,11 @@
         /// The backend server.
         server: usize,
     },
+    /// The platform's list of hosts goes wrong.
+    HostList {
+        /// In what way; empty ends it.
+        faults: standin::hosts::Faults,
+    },
     /// Every sidecar and entry in turn ends gracefully and starts again.
     RollingRestart,
 }
@@ -151,6 +156,7 @@
             }
             Self::SilenceSidecar { server: i } => silence(server(i).map(|s| &s.link)),
             Self::SilenceBackend { server: i } => silence(server(i).map(|s| &s.inner)),
+            Self::HostList { faults } => cluster.hosts.1.control.change(|f| *f = *faults),
             Self::RollingRestart => rolling_restart(cluster),
         }
     }
--- a/crates/demo/tests/failures/silence.rs
+++ b/crates/demo/tests/failures/silence.rs
@@ -1,6 +1,6 @@
 //! Engines and the connections to them go silent, break and crash.
 
-use crate::fleet::{Answer, Fleet, call, expected, text, until};
+use crate::fleet::{Answer, Fleet, call, expected, stream, text, until};
 
 /// Tokens of an answer that takes about a second.
 const LONG: u32 = 400;
@@ -81,3 +81,23 @@
         assert_eq!(text(&answer), expected(&mark, 3), "{answer:?}");
     }
 }
+
+// An engine takes long for each token. The caller's stream carries comments
+// meanwhile, which readers skip, so that a caller whose host is gone answers
+// with a reset and its request ends; the answer itself stays whole.
+#[actix_rt::test]
+async fn caller_stream_comments() {
+    let mut fleet = Fleet::new();
+    fleet.server(0);
+    fleet.entry(0);
+    fleet.ready(0).await;
+    fleet.engines[&0].change(|f| f.pace = 100.0);
+
+    let body = stream(fleet.entry_addr(0), "slow", 2).await;
+    assert!(body.contains(": waiting\n\n"), "{body}");
+    assert!(
+        body.contains("slow:0 ") && body.contains("slow:1 "),
+        "{body}"
+    );
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_web::body::MessageBody;
 use actix_web::dev::{ServiceFactory, ServiceRequest, ServiceResponse};
@@ -22,9 +21,6 @@
 use crate::state::{Open, State};
 use crate::{dispatch, idempotency};
 
-/// How long a stream may bring nothing until a comment is written.
-const COMMENT_EVERY: Duration = Duration::from_secs(5);
-
 /// A line that every reader of server-sent events skips.
 const COMMENT: &[u8] = b": waiting\n\n";
 
@@ -233,9 +229,11 @@
 /// connection would never be noticed, and its request would hold a slot. A
 /// comment, which callers skip, makes its host answer with a reset.
 fn streamed(answer: Answer, shape: Shape, open: Open) -> HttpResponse {
-    let body = stream::unfold(Some((wait(answer), shape, open)), |state| async move {
+    let every = answer.comment();
+    let state = Some((wait(answer), shape, open));
+    let body = stream::unfold(state, move |state| async move {
         let (mut waiting, shape, open) = state?;
-        let part = tokio::time::timeout(COMMENT_EVERY, waiting.as_mut()).await;
+        let part = tokio::time::timeout(every, waiting.as_mut()).await;
         let Ok((answer, part)) = part else {
             let state = Some((waiting, shape, open));
             return Some((Ok::<_, io::Error>(Bytes::from_static(COMMENT)), state));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix::Actor;
 use base::clock::{Clock, SystemClock};
@@ -53,6 +54,9 @@
 const NO_BUNDLE: &str = "step=check_settings key=follow: found nothing \
     (hint: name the platform's log and the trusted operators under follow, or give --bundle)";
 
+/// How long an entry waits for the list of hosts before it takes requests.
+const LIST_WAIT: Duration = Duration::from_secs(5);
+
 /// Runs an entry until `stop` is asked and everything in progress has ended.
 /// It goes by `bundle` if there is one, else by that of the platform's log.
 ///
@@ -86,6 +90,14 @@
         name = state.settings.name.as_str(),
         listen = state.settings.listen.to_string().as_str()
     });
+    // An entry that just started would refuse its first requests for want of
+    // sidecars that the list names. They wait for it, but not for ever: the
+    // list may be out of reach.
+    let settings = &state.settings;
+    if settings.roster.hosts.is_some() && settings.sidecars.is_empty() {
+        let _ = tokio::time::timeout(LIST_WAIT, state.listed.wait()).await;
+    }
+
     let drained = Stop::new();
     actix_rt::spawn(drain::drain(Rc::clone(&state), stop, drained.clone()));
     let app = http::app(Rc::clone(&state));
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -86,6 +86,12 @@
         Err(drain::cut_off(self.next > 0))
     }
 
+    /// How long its stream may bring nothing until a comment is written.
+    #[must_use]
+    pub fn comment(&self) -> Duration {
+        self.state.settings.comment.0
+    }
+
     async fn next_part(&mut self) -> Result<Part, Refused> {
         loop {
             match self.pull().await {
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -115,6 +115,7 @@
         self.readable = readable;
         if outcome == "taken" {
             self.apply();
+            self.state.listed.ask();
         }
     }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -45,6 +45,10 @@
     /// How idempotency keys are claimed; the same at every entry.
     #[serde(default)]
     pub keys: Keys,
+    /// How long a stream to a caller may bring nothing until a comment is
+    /// written, by which a caller that vanished is found.
+    #[serde(default = "default_comment")]
+    pub comment: Span,
     /// Largest request body, in bytes.
     #[serde(default = "default_body")]
     pub body_limit: usize,
@@ -215,6 +219,12 @@
             self.roster.subset > self.roster.far,
             "know more sidecars in all than in other zones (roster.far)",
         )?;
+        check(
+            "comment",
+            self.comment,
+            !self.comment.0.is_zero(),
+            "write a comment every few seconds, as in \"5s\"",
+        )?;
         check(
             "roster.poll",
             self.roster.poll,
@@ -234,6 +244,10 @@
     2
 }
 
+fn default_comment() -> Span {
+    Span::secs(5)
+}
+
 fn default_body() -> usize {
     4 << 20
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -47,6 +47,8 @@
     pub lengths: RefCell<Lengths>,
     /// Whether readiness is off: the balancer should send nothing more.
     pub draining: Cell<bool>,
+    /// Asked once the sidecars are known from the host list.
+    pub listed: Stop,
     /// Whether new requests are refused.
     pub refusing: Cell<bool>,
     /// Asked when requests in progress must end now, whole or not.
@@ -88,6 +90,7 @@
             budget: RefCell::new(Budget::new(!settings.routing.budget)),
             lengths: RefCell::default(),
             draining: Cell::new(false),
+            listed: Stop::new(),
             refusing: Cell::new(false),
             cutoff: Stop::new(),
             open: Cell::new(0),
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -68,7 +68,8 @@
     }
 
     fn ready(&self) -> bool {
-        !self.draining.get() && self.spread.held.in_force().is_some()
+        let known = !self.servers().is_empty();
+        known && !self.draining.get() && self.spread.held.in_force().is_some()
     }
 }
 
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -212,3 +212,28 @@
     platform.faults.change(|f| f.down = false);
     rounds(&mut keeper, "v2", Round::Given).await;
 }
+
+// A new version is rolled out: eight sidecars ask the weight store at once,
+// which gives one permit every 30 ms and then goes out for a while. Each gets
+// exactly one permit in the end, and its engine one order.
+#[actix_rt::test]
+async fn permits_shared() {
+    let first = Platform::start(true, Span::ms(30));
+    let others = (1..8).map(|_| Platform::start(true, Span::ms(30)));
+    let engines: Vec<Platform> = std::iter::once(first).chain(others).collect();
+    let store = engines[0].store;
+    engines[0].weights.control.change(|f| f.outage = true);
+
+    let keepers = engines.iter().enumerate().map(|(i, platform)| {
+        let mut keeper = platform.keeper_with(&format!("k{i}"), Some(store), Span::secs(600));
+        actix_rt::spawn(async move { rounds(&mut keeper, "v1", Round::Given).await })
+    });
+    let keepers: Vec<_> = keepers.collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    engines[0].weights.control.change(|f| f.outage = false);
+    for keeper in keepers {
+        keeper.await.unwrap();
+    }
+    assert_eq!(engines[0].weights.given(), ["v1"; 8]);
+    assert!(engines.iter().all(|e| e.versions() == ["v1"]));
+}
