--- a/crates/demo/tests/failures/drain.rs
+++ b/crates/demo/tests/failures/drain.rs
@@ -133,6 +133,7 @@
     fleet.server(1);
     fleet.entry(0);
     fleet.ready(0).await;
+    fleet.all_usable(0).await;
 
     // Twice as many as there are slots, so that half of them wait.
     let callers = Callers::start(32, &[fleet.entry_addr(0)], LONG);
@@ -157,6 +158,7 @@
     fleet.server(1);
     fleet.entry(0);
     fleet.ready(0).await;
+    fleet.all_usable(0).await;
 
     let frozen = Faults {
         frozen: true,
@@ -244,6 +246,7 @@
     fleet.server(1);
     fleet.entry(0);
     fleet.ready(0).await;
+    fleet.all_usable(0).await;
     let lag = Faults {
         lag: Span::secs(30),
         ..Faults::default()
--- a/crates/demo/tests/failures/silence.rs
+++ b/crates/demo/tests/failures/silence.rs
@@ -73,6 +73,8 @@
     fleet.server(1);
     fleet.entry(0);
     fleet.ready(0).await;
+    // The other one must not still count as failed from before it listened.
+    fleet.all_usable(0).await;
     fleet.engines[&0].change(|f| f.crashed = true);
 
     for i in 0..40 {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -28,6 +28,7 @@
 use base::ids::{Ticket, Tier};
 
 use crate::estimate::Estimator;
+use crate::estimate::fit::Share;
 use backlog::Backlog;
 use guarantee::Guarantee;
 use headroom::Headroom;
@@ -37,6 +38,10 @@
 use slots::{Grant, Slots};
 use usage::Usage;
 
+/// Least time before the latest start at which a run is stopped for it. The
+/// caller looks every few milliseconds, and the backend server has to stop.
+const PREEMPT_LEAD: Duration = Duration::from_millis(20);
+
 /// Slot time in microseconds that a request is taken to need before any was
 /// seen. It only has to be the same for all.
 const NOMINAL_US: u64 = 100_000;
@@ -65,6 +70,10 @@
     headroom: Headroom,
     usage: Usage,
     estimator: Estimator,
+    /// Share of the requests that stay until they start. An entry asks several
+    /// sidecars and cancels at the others when one is ready, so that a part of
+    /// what waits will take no slot time here.
+    staying: Share,
     /// Slots freed by preemption that are not granted again yet.
     reclaimed: usize,
     /// Requests taken out whose callers were not told yet.
@@ -120,6 +129,7 @@
             headroom: Headroom::new(slots, unless_fifo(rules.headroom), now),
             usage: Usage::default(),
             estimator: Estimator::new(rules.confidence),
+            staying: Share::new(),
             reclaimed: 0,
             given_up: Vec::new(),
             cursor: None,
@@ -232,11 +242,13 @@
     /// was given, or one that never starts could take turn after turn.
     pub fn cancel(&mut self, now: Instant, ticket: Ticket, lapsed: bool) -> bool {
         if let Some(seq) = self.numbers.get(&ticket).copied() {
+            self.staying.add(false);
             return self.take(seq, false).is_some();
         }
         let Some(grant) = self.slots.unhold(ticket) else {
             return false;
         };
+        self.staying.add(false);
         if let Some(backlog) = self.tiers.get_mut(&grant.tier) {
             backlog.refund(&grant.flow, grant.cost);
         }
@@ -251,7 +263,11 @@
 
     /// Starts a request that holds a slot.
     pub fn start(&mut self, now: Instant, ticket: Ticket) -> bool {
-        self.slots.start(now, ticket)
+        let started = self.slots.start(now, ticket);
+        if started {
+            self.staying.add(true);
+        }
+        started
     }
 
     /// Notes that a run made a piece of `tokens` tokens.
@@ -308,8 +324,9 @@
         let latest = self.items.get(&first.seq)?.latest;
         let service = self.mean_service(now).unwrap_or(0.0);
         let interval = service / self.slots.total().max(1) as f64;
-        let left = latest.saturating_duration_since(now).as_secs_f64() * 1e6;
-        if left > interval || self.slots.stopping() {
+        let lead = Duration::from_micros(interval as u64).max(PREEMPT_LEAD);
+        let left = latest.saturating_duration_since(now);
+        if left > lead || self.slots.stopping() {
             return None;
         }
 
@@ -326,7 +343,8 @@
         let full = busy + waiting >= self.slots.total();
         let mean = self.mean_service(now).unwrap_or(0.0);
         let work: u64 = self.tiers.values().map(Backlog::cost).sum();
-        let wait = (work as f64 + mean) / self.slots.total().max(1) as f64;
+        let work = work as f64 * self.staying.get();
+        let wait = (work + mean) / self.slots.total().max(1) as f64;
         Standing {
             slots: self.slots.total(),
             busy,
