--- a/crates/demo/tests/failures/membership.rs
+++ b/crates/demo/tests/failures/membership.rs
@@ -31,6 +31,7 @@
     fleet.server(1);
     fleet.entry(0);
     fleet.ready(0).await;
+    fleet.all_usable(0).await;
 
     let lag = Span::secs(30);
     fleet.registry.control.change(|f| {
