--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -179,7 +179,7 @@
         };
         bundle
             .workspaces
-            .insert(format!("workspace-{i:06}"), workspace);
+            .insert(format!("workspace-{i:06}"), workspace.into());
     }
     bundle
 }
--- a/crates/claims/examples/slopes.rs
+++ b/crates/claims/examples/claim_slopes.rs
@@ -1,5 +1,5 @@
 //! What claims cost: bytes and microseconds for each claim, by batch. Run with
-//! `cargo run --release -p claims --example slopes`.
+//! `cargo run --release -p claims --example claim_slopes`.
 
 use std::time::Instant;
 
--- a/crates/demo/src/changes.rs
+++ b/crates/demo/src/changes.rs
@@ -76,7 +76,7 @@
     };
     bundle
         .workspaces
-        .insert(format!("marked-{mark}"), workspace);
+        .insert(format!("marked-{mark}"), workspace.into());
     bundle
 }
 
--- a/crates/follow/examples/slopes.rs
+++ b/crates/follow/examples/bundle_slopes.rs
@@ -1,6 +1,6 @@
 //! What bundles and claims cost at size: microseconds and bytes for each
 //! change, by the number of workspaces. Run with
-//! `cargo run --release -p follow --example slopes`.
+//! `cargo run --release -p follow --example bundle_slopes`.
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
