--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -85,6 +85,16 @@
         /// The backend server.
         server: usize,
     },
+    /// An entry ends gracefully and a fresh one takes its place.
+    ReplaceEntry {
+        /// The entry.
+        entry: u8,
+    },
+    /// The platform's list of hosts goes wrong.
+    HostList {
+        /// In what way; empty ends it.
+        faults: standin::hosts::Faults,
+    },
     /// The log answers nobody.
     LogOutage {
         /// For how long.
@@ -168,6 +178,12 @@
             }
             Self::SilenceSidecar { server: i } => silence(server(i).map(|s| &s.link)),
             Self::SilenceBackend { server: i } => silence(server(i).map(|s| &s.inner)),
+            Self::ReplaceEntry { entry } => {
+                if let Some(line) = cluster.replace_entry(*entry) {
+                    eprintln!("{line}");
+                }
+            }
+            Self::HostList { faults } => cluster.hosts.1.control.change(|f| *f = *faults),
             Self::LogOutage { time } => {
                 cluster.log_faults().change(|f| f.down = true);
                 thread::sleep(time.0);
