Give each test's stand-ins addresses that nothing else takes

Cause: permits_shared failed once in five runs on a machine with load 28: a stand-in's port was drawn from those that the system also gives to outgoing connections, and another took it first. (That this was the cause is an inference: the run kept no more than the missing order.) Change: the tests of orders, resume and hosts take their own part of loopback.

--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -1,8 +1,9 @@
 //! Two sidecars beside one engine, with the log, the weight store and engines
 //! that check fencing numbers or ignore them.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use base::clock::SystemClock;
@@ -22,9 +23,13 @@
 /// Short, so that a test can wait for it to lapse.
 const LEASE: Span = Span::ms(300);
 
+/// An address that nobody else has: a part of loopback for each process, and
+/// below the ports that the system gives to outgoing connections.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static PORTS: AtomicU16 = AtomicU16::new(7100);
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let port = PORTS.fetch_add(1, Ordering::Relaxed);
+    (Ipv4Addr::new(127, a.max(1), b, 2), port).into()
 }
 
 /// The platform around one engine.
--- a/crates/sidecar/tests/resume.rs
+++ b/crates/sidecar/tests/resume.rs
@@ -4,8 +4,9 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use actix_web::{App, HttpRequest, HttpResponse, web};
@@ -89,6 +90,15 @@
     }
 }
 
+/// An address that nobody else has: a part of loopback for each process, and
+/// below the ports that the system gives to outgoing connections.
+fn free() -> SocketAddr {
+    static PORTS: AtomicU16 = AtomicU16::new(7100);
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let port = PORTS.fetch_add(1, Ordering::Relaxed);
+    (Ipv4Addr::new(127, a.max(1), b, 2), port).into()
+}
+
 /// Starts an engine that plays `plays` and a sidecar beside it.
 async fn start(plays: &[Play]) -> (Peer, Script) {
     let script = Script {
@@ -103,9 +113,7 @@
         .route("/v1/streams/{id}", web::get().to(play));
     actix_rt::spawn(base::http::serve(listener, app, Stop::new()));
 
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr: SocketAddr = free.local_addr().unwrap();
-    drop(free);
+    let addr = free();
     let settings = json!({
         "name": "sidecar", "zone": "plateau", "listen": addr, "log_level": "off",
         "backend": { "engine": { "addr": engine, "slots": 1 } },
--- a/crates/standin/tests/hosts.rs
+++ b/crates/standin/tests/hosts.rs
@@ -1,6 +1,7 @@
 //! The host list's client against its stand-in.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use base::settings::Span;
 use base::stop::Stop;
@@ -8,9 +9,13 @@
 use rstest::rstest;
 use standin::hosts::{Faults, Registry, Settings, run};
 
+/// An address that nobody else has: a part of loopback for each process, and
+/// below the ports that the system gives to outgoing connections.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static PORTS: AtomicU16 = AtomicU16::new(7100);
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let port = PORTS.fetch_add(1, Ordering::Relaxed);
+    (Ipv4Addr::new(127, a.max(1), b, 2), port).into()
 }
 
 fn host(name: &str, region: &str) -> Host {
