--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -7,9 +7,11 @@
 use base::ids::Offset;
 use base::settings::Span;
 use bundle::Bundle;
-use entry::settings::{Keys, Known, Routing};
+use entry::settings::{Drain, Keys, Known, Roster, Routing};
+use platform::hosts::{Host as Listed, Role as Kind, Standing};
 use policy::queue::Rules;
 use sidecar::settings::Backend;
+use standin::hosts::{self, Registry};
 use standin::{Control, Ledger, engine, plain, silence};
 
 use crate::arm::Arm;
@@ -56,6 +58,8 @@
     pub entries: Vec<Host>,
     /// The backend servers, model engines first.
     pub servers: Vec<Server>,
+    /// The platform's list of hosts, and what really is there.
+    pub hosts: (Host, Registry),
     /// The platform's log.
     pub log: Host,
     /// What the stand-ins saw.
@@ -94,6 +98,7 @@
     Inner = 5,
     Log = 6,
     LogLink = 7,
+    Hosts = 8,
 }
 
 impl Layout {
@@ -128,6 +133,7 @@
         let log = self.rollout.start();
         let log_link = start_forwarder(self.addr(Role::LogLink, 0), self.rollout.log);
         let count = self.fleet.engines() + PLAINS;
+        let hosts = self.start_hosts();
         let servers = (0..count).map(|i| self.start_server(i, &ledger)).collect();
         let entries = (0..ENTRIES).map(|i| self.start_entry(i)).collect();
         self.rollout.begin(&self.bundle, &self.daemons());
@@ -137,10 +143,35 @@
             log_link,
             entries,
             servers,
+            hosts,
             ledger,
         }
     }
 
+    fn start_hosts(&self) -> (Host, Registry) {
+        let count = self.fleet.engines() + PLAINS;
+        let sidecars = (0..count).map(|i| self.known(i)).map(|known| Listed {
+            name: known.name,
+            addr: known.addr,
+            zone: known.zone,
+            region: self.fleet.name().to_owned(),
+            role: Kind::Sidecar,
+            serves: known.serves,
+            standing: Standing::Live,
+        });
+        let registry = Registry::new(sidecars.collect());
+        let settings = hosts::Settings {
+            listen: self.addr(Role::Hosts, 0),
+            hosts: Vec::new(),
+            faults: hosts::Faults::default(),
+        };
+        let served = registry.clone();
+        let host = Host::start("hosts", move |stop| {
+            hosts::run(settings.clone(), served.clone(), stop)
+        });
+        (host, registry)
+    }
+
     fn start_server(&self, i: u8, ledger: &Ledger) -> Server {
         let (backend, faults) = match i < self.fleet.engines() {
             true => self.start_engine(i, ledger.clone()),
@@ -217,6 +248,9 @@
             backend,
             hold: Span::ms(250),
             keep: Span::secs(10),
+            drain_limit: Span::secs(600),
+            streams: sidecar::settings::Streams::default(),
+            orders: None,
             lease: Span::secs(5),
             kept_bytes: 16 << 20,
             queue: Rules::default(),
@@ -229,7 +263,6 @@
     }
 
     fn start_entry(&self, i: u8) -> Host {
-        let count = self.fleet.engines() + PLAINS;
         let name = format!("entry-{i}");
         let mut settings = entry::Settings {
             name: name.clone(),
@@ -237,7 +270,17 @@
             listen: self.addr(Role::Entry, i),
             operators: Some(self.operators(Role::Entry, i)),
             follow: Some(self.follow()),
-            sidecars: (0..count).map(|i| self.known(i)).collect(),
+            sidecars: Vec::new(),
+            roster: Roster {
+                hosts: Some(self.addr(Role::Hosts, 0)),
+                region: self.fleet.name().to_owned(),
+                ..Roster::default()
+            },
+            drain: Drain {
+                // The demo's callers go on to the next entry at once.
+                linger: Span::ms(100),
+                ..Drain::default()
+            },
             fan: 2,
             routing: Routing::default(),
             keys: Keys::default(),
@@ -302,6 +345,17 @@
         changes::make(change, &layout.rollout, &layout.bundle, &layout.daemons())
     }
 
+    /// Ends an entry gracefully and starts a fresh one in its place; says how
+    /// soon that has the bundle in force.
+    #[must_use]
+    pub fn replace_entry(&self, i: u8) -> Option<String> {
+        let host = self.entries.get(usize::from(i))?;
+        host.end();
+        host.begin();
+        let fresh = self.layout.operators(Role::Entry, i);
+        Some(changes::caught_up(fresh, &self.layout.daemons()))
+    }
+
     /// What goes wrong with the log.
     #[must_use]
     pub fn log_faults(&self) -> &Control<standin::log::Faults> {
@@ -343,7 +397,11 @@
         let stages: [Vec<&Host>; 3] = [
             self.entries.iter().collect(),
             self.servers.iter().map(|s| &s.sidecar).collect(),
-            self.servers.iter().flat_map(Server::outer).collect(),
+            self.servers
+                .iter()
+                .flat_map(Server::outer)
+                .chain([&self.hosts.0])
+                .collect(),
         ];
         for stage in stages {
             stage.iter().for_each(|host| host.ask());
--- a/crates/demo/tests/rollout/common.rs
+++ b/crates/demo/tests/rollout/common.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -91,6 +92,7 @@
         fleet.publish();
         for role in [Role::Sidecar, Role::One, Role::Two] {
             // A sidecar without a log gets the bundle with the first call.
+            fleet.until_answers(role);
             if !matches!(role, Role::Sidecar) || cut.is_empty() {
                 fleet.until_ready(role);
             }
@@ -102,11 +104,8 @@
     pub(crate) fn publish(&self) -> u64 {
         let mut bundle: Bundle = settings::parse("bundle.json", BUNDLE).expect("sound");
         let version = self.versions.fetch_add(1, Ordering::Relaxed) + 1;
-        bundle
-            .workspaces
-            .entry("alpha".to_owned())
-            .or_default()
-            .weight = version;
+        let workspace = bundle.workspaces.entry("alpha".to_owned()).or_default();
+        Arc::make_mut(workspace).weight = version;
         let published = Cell::new(0);
         until("the log takes the bundle", || {
             let told = actix_rt::System::new().block_on(self.rollout.publish(&bundle));
@@ -126,6 +125,12 @@
         until("it is ready", || self.status(role)["ready"] == json!(true));
     }
 
+    /// Waits until a daemon listens; while it does not, an entry refuses calls
+    /// as "no server", and rightly so.
+    pub(crate) fn until_answers(&self, role: Role) {
+        until("it answers", || !self.status(role).is_null());
+    }
+
     pub(crate) fn sequence(&self, role: Role) -> u64 {
         self.status(role)["sequence"].as_u64().unwrap_or(0)
     }
@@ -148,6 +153,12 @@
         self.call(role, None, "plain")
     }
 
+    /// Makes a call without an idempotency key, which must succeed.
+    pub(crate) fn must_answer(&self, role: Role) {
+        let answer = self.plain_call(role);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
     /// Sends a letter with an idempotency key.
     pub(crate) fn letter(&self, role: Role, key: &str, mark: &str) -> Answer {
         self.call(role, Some(key), mark)
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use serde::Deserialize;
@@ -143,6 +143,10 @@
     for entry in balancer.order() {
         match request(http, entry, arrival).await {
             Ok(response) => return Ok(response),
+            // Reported also for a request that went out and got no answer.
+            Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+                return Err(Ending::Lost("the connection closed".to_owned()));
+            }
             Err(SendRequestError::Connect(_)) => balancer.failed(entry),
             Err(e) => return Err(Ending::Lost(format!("no answer: {e}"))),
         }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use base::ids::{Ticket, Tier};
 use bytes::Bytes;
@@ -23,6 +24,12 @@
 /// Time allowed until an engine answers with a header.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time allowed for a new connection to an engine.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest answer about the prefix cache, in bytes.
+const EVENTS_BYTES: usize = 4 << 20;
+
 /// The last event of a stream, by the usual protocol.
 const DONE: &str = "[DONE]";
 
@@ -31,7 +38,7 @@
 pub struct Engine {
     /// Where the engine listens.
     addr: SocketAddr,
-    /// The HTTP client, which keeps connections.
+    /// The HTTP client, which makes a connection for each call.
     http: awc::Client,
 }
 
@@ -192,8 +199,12 @@
     /// Makes a client for the engine at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
+        // A kept connection may have gone silent for good. A request sent on
+        // it would vanish, and nobody could tell whether it ran; a request on
+        // a new connection either goes out or certainly did not run.
         let connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
+            .timeout(DIAL_TIMEOUT)
+            .conn_keep_alive(Duration::ZERO)
             .limit(0);
         let http = awc::Client::builder()
             .connector(connector)
@@ -225,7 +236,8 @@
             .post(format!("http://{}/v1/completions", self.addr))
             .insert_header((REQUEST_ID, ticket.to_string()))
             .insert_header((PRIORITY, tier.to_string()))
-            .content_type("application/json");
+            .content_type("application/json")
+            .force_close();
         self.stream("run", request.send_body(body)).await
     }
 
@@ -242,7 +254,8 @@
         from: u32,
     ) -> Result<impl Stream<Item = Result<Event, Error>> + use<>, Error> {
         let url = format!("http://{}/v1/streams/{ticket}?from={from}", self.addr);
-        self.stream("resume", self.http.get(url).send()).await
+        let request = self.http.get(url).force_close();
+        self.stream("resume", request.send()).await
     }
 
     /// Stops a request. A request that the engine does not know is no error.
@@ -252,10 +265,41 @@
     /// Returns [`Error`] when the engine cannot be reached.
     pub async fn cancel(&self, ticket: Ticket) -> Result<(), Error> {
         let url = format!("http://{}/v1/streams/{ticket}", self.addr);
-        let sent = self.http.delete(url).send().await;
+        let sent = self.http.delete(url).force_close().send().await;
         sent.map(|_| ()).map_err(|e| self.failure("cancel", &e))
     }
 
+    /// Asks after a stream that no request ever has. Any answer shows that
+    /// the engine can be reached.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine does not answer.
+    pub async fn probe(&self) -> Result<(), Error> {
+        let url = format!("http://{}/v1/streams/{}", self.addr, Ticket(0));
+        let sent = self.http.get(url).force_close().send().await;
+        sent.map(|_| ()).map_err(|e| self.failure("probe", &e))
+    }
+
+    /// Fetches the changes of the prefix cache from number `from` on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the engine cannot be reached or its answer does
+    /// not fit.
+    pub async fn cache_events(&self, from: u64) -> Result<CacheEvents, Error> {
+        let (step, peer) = ("cache_events", self.addr);
+        let url = format!("http://{}/v1/cache/events?from={from}", self.addr);
+        let sent = self.http.get(url).send().await;
+        let mut response = sent.map_err(|e| self.failure(step, &e))?;
+        let body = response.body().limit(EVENTS_BYTES).await;
+        let body = body.map_err(|e| {
+            let detail = e.to_string();
+            LostSnafu { step, peer, detail }.build()
+        })?;
+        serde_json::from_slice(&body).context(EventSnafu { peer })
+    }
+
     async fn stream(
         &self,
         step: &'static str,
@@ -292,10 +336,10 @@
     }
 
     /// Tells a request that never went out from one that may have.
-    fn failure(&self, step: &'static str, error: &awc::error::SendRequestError) -> Error {
+    fn failure(&self, step: &'static str, error: &SendRequestError) -> Error {
         let peer = self.addr;
         match error {
-            awc::error::SendRequestError::Connect(_) => ConnectSnafu { step, peer }.build(),
+            e if never_sent(e) => ConnectSnafu { step, peer }.build(),
             other => LostSnafu {
                 step,
                 peer,
@@ -306,6 +350,16 @@
     }
 }
 
+/// Whether a call that failed certainly never went out.
+///
+/// The client also reports a connection that closed between the request and
+/// the answer as one that was not made (`Disconnected`). Taken at its word, a
+/// request that a crashing server had begun would be told as not run, and
+/// one that must not run twice would run again.
+pub(crate) fn never_sent(error: &SendRequestError) -> bool {
+    matches!(error, SendRequestError::Connect(e) if !matches!(e, ConnectError::Disconnected))
+}
+
 fn parse(peer: SocketAddr, data: &str) -> Result<Event, Error> {
     let chunk: Chunk = serde_json::from_str(data).context(EventSnafu { peer })?;
     let choice = chunk
--- a/crates/platform/src/plain.rs
+++ b/crates/platform/src/plain.rs
@@ -6,7 +6,14 @@
 use base::ids::Ticket;
 use bytes::Bytes;
 
-use crate::engine::{Error, REQUEST_ID};
+use crate::engine::{Error, REQUEST_ID, never_sent};
+
+/// Time allowed for a new connection to a service.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is kept. The longer it is, the more calls end
+/// with an unknown outcome because their connection had gone silent.
+const IDLE: Duration = Duration::from_secs(5);
 
 /// Largest answer of a plain service, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
@@ -36,7 +43,8 @@
     #[must_use]
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
         let connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
+            .timeout(DIAL_TIMEOUT)
+            .conn_keep_alive(IDLE)
             .limit(0);
         let http = awc::Client::builder()
             .connector(connector)
@@ -45,6 +53,23 @@
         Self { addr, http }
     }
 
+    /// Dials the service, which shows whether it can be reached.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when no connection is made.
+    pub async fn probe(&self) -> Result<(), Error> {
+        let peer = self.addr;
+        let dialled = tokio::net::TcpStream::connect(peer);
+        match tokio::time::timeout(DIAL_TIMEOUT, dialled).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Error::Connect {
+                step: "probe",
+                peer,
+            }),
+        }
+    }
+
     /// Makes one call. `path` starts with a slash and includes the query.
     ///
     /// # Errors
@@ -81,7 +106,7 @@
         }
 
         let mut response = request.send_body(body).await.map_err(|e| match e {
-            awc::error::SendRequestError::Connect(_) => Error::Connect { step: "call", peer },
+            e if never_sent(&e) => Error::Connect { step: "call", peer },
             other => lost(other.to_string()),
         })?;
         let status = response.status().as_u16();
--- a/crates/sidecar/src/state/delivery.rs
+++ b/crates/sidecar/src/state/delivery.rs
@@ -31,6 +31,7 @@
         let (first, pieces, end) = answer.batch();
         if answer.told && !told {
             self.untold.set(self.untold.get() - 1);
+            self.told_at.set(Some(self.clock.now()));
         }
         let delivered = answer.delivered;
         drop(phase);
