--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -90,6 +90,11 @@
         /// The entry.
         entry: u8,
     },
+    /// The platform's list of hosts goes wrong.
+    HostList {
+        /// In what way; empty ends it.
+        faults: standin::hosts::Faults,
+    },
     /// The log answers nobody.
     LogOutage {
         /// For how long.
@@ -178,6 +183,7 @@
                     eprintln!("{line}");
                 }
             }
+            Self::HostList { faults } => cluster.hosts.1.control.change(|f| *f = *faults),
             Self::LogOutage { time } => {
                 cluster.log_faults().change(|f| f.down = true);
                 thread::sleep(time.0);
