--- a/crates/policy/src/queue/headroom.rs
+++ b/crates/policy/src/queue/headroom.rs
@@ -20,7 +20,7 @@
 /// Probability that a request of the top tier may find no slot in its time
 /// here. Its entry asks at two servers, so that it finds none at both far more
 /// rarely; and then a lower-tier run is stopped for it.
-const MISS: f64 = 0.05;
+const MISS: f64 = 0.02;
 
 /// Sizes the slots kept free for the top tier.
 ///
