--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -1,4 +1,5 @@
-//! A shared flag and wake-up for graceful shutdown.
+//! What a daemon is told from outside: to stop gracefully, or to read its
+//! settings again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +17,7 @@
 struct Inner {
     asked: AtomicBool,
     notify: Notify,
+    reload: Notify,
 }
 
 impl Stop {
@@ -37,6 +39,16 @@
         self.inner.asked.load(Ordering::Acquire)
     }
 
+    /// Says that the settings may have changed.
+    pub fn reload(&self) {
+        self.inner.reload.notify_one();
+    }
+
+    /// Waits until the settings may have changed.
+    pub async fn reloaded(&self) {
+        self.inner.reload.notified().await;
+    }
+
     /// Waits until the flag is set.
     pub async fn wait(&self) {
         loop {
--- a/crates/claims/src/claims.rs
+++ b/crates/claims/src/claims.rs
@@ -10,7 +10,7 @@
 use base::reason::Refusal;
 use base::settings::Span;
 use bundle::Hash;
-use platform::log::{Error, Log};
+use clients::log::{Error, Log};
 use spdlog::debug;
 use tokio::sync::{Notify, oneshot};
 
--- a/crates/claims/tests/failures.rs
+++ b/crates/claims/tests/failures.rs
@@ -12,7 +12,7 @@
 use base::stop::Stop;
 use bundle::Hash;
 use claims::{Claim, Claims, Denied, End, STREAM, Settings};
-use platform::log::Log;
+use clients::log::Log;
 use standin::Control;
 use standin::log::Faults;
 use tokio::net::TcpListener;
--- a/crates/cli/src/commands/bundle.rs
+++ b/crates/cli/src/commands/bundle.rs
@@ -10,8 +10,8 @@
 use bundle::check::check;
 use bundle::record::operators_of;
 use bundle::{Content, SecretKey};
+use clients::log::Log;
 use follow::{Outcome as Told, Publisher, Settings};
-use platform::log::Log;
 use serde_json::Value;
 
 use crate::{BAD_INPUT, Outcome};
--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -1,9 +1,15 @@
-//! `entry` and `sidecar`: the two daemons.
+//! `entry`, `sidecar` and `forward`: the daemons.
 
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use base::{logging, settings};
 use bpaf::Bpaf;
+use forward::reload::Reload;
+use platform::dialect::Headers;
+use platform::operators::Operators;
+use platform::servers::Servers;
+use platform::store::Reader;
 
 use crate::{Outcome, daemon};
 
@@ -44,3 +50,28 @@
         daemon::run(|stop| sidecar::run(settings, stop))
     }
 }
+
+/// Run the daemon that forwards routed calls on the users' platform.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, generate(forward))]
+pub(crate) struct Forward {
+    /// JSON settings
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+}
+
+impl Forward {
+    pub(crate) fn run(self) -> Outcome {
+        let settings: forward::Settings = settings::load(&self.settings)?;
+        settings.check()?;
+        logging::init(settings.log_level);
+        daemon::run(async |stop| {
+            let store = settings.store;
+            let catalogs = Reader::<Operators>::new(store);
+            let servers = Reader::<Servers>::new(store);
+            let reload = Reload::new(self.settings, &settings);
+            actix_rt::spawn(reload.watch(stop.clone()));
+            forward::run(settings, Rc::new(Headers), catalogs, servers, stop).await
+        })
+    }
+}
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -27,12 +27,18 @@
 async fn signals(stop: Stop) {
     let term = signal(SignalKind::terminate());
     let int = signal(SignalKind::interrupt());
-    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+    let hup = signal(SignalKind::hangup());
+    let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
         return;
     };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            // Without a handler the signal would end the process and cut off
+            // every call in progress.
+            _ = hup.recv() => stop.reload(),
+        }
     }
     stop.ask();
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -25,6 +25,7 @@
 enum Command {
     Entry(#[bpaf(external(commands::daemons::entry))] commands::daemons::Entry),
     Sidecar(#[bpaf(external(commands::daemons::sidecar))] commands::daemons::Sidecar),
+    Forward(#[bpaf(external(commands::daemons::forward))] commands::daemons::Forward),
     Bench(#[bpaf(external(commands::bench::bench))] commands::bench::Bench),
     Bundle(#[bpaf(external(commands::bundle::bundle))] commands::bundle::BundleCommand),
     Keys(#[bpaf(external(commands::keys::keys))] commands::keys::Keys),
@@ -43,6 +44,7 @@
     let outcome = match command {
         Command::Entry(c) => c.run(),
         Command::Sidecar(c) => c.run(),
+        Command::Forward(c) => c.run(),
         Command::Bench(c) => c.run(),
         Command::Bundle(c) => c.run(),
         Command::Keys(c) => c.run(),
--- a/crates/demo/src/changes.rs
+++ b/crates/demo/src/changes.rs
@@ -6,8 +6,8 @@
 
 use base::ids::Sequence;
 use bundle::{Bundle, Content};
+use clients::log::Log;
 use follow::{Outcome, Publisher};
-use platform::log::Log;
 use serde::Deserialize;
 
 use crate::rollout::Rollout;
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -7,8 +7,8 @@
 use base::ids::Offset;
 use base::settings::Span;
 use bundle::Bundle;
+use clients::hosts::{Host as Listed, Role as Kind, Standing};
 use entry::settings::{Drain, Keys, Known, Roster, Routing};
-use platform::hosts::{Host as Listed, Role as Kind, Standing};
 use policy::queue::Rules;
 use sidecar::settings::Backend;
 use standin::hosts::{self, Registry};
@@ -378,7 +378,7 @@
 
     /// Records in the log's streams.
     async fn appends(&self) -> u64 {
-        let log = platform::log::Log::new(self.layout.rollout.log);
+        let log = clients::log::Log::new(self.layout.rollout.log);
         let mut all = 0;
         for stream in [follow::STREAM, claims::STREAM] {
             let page = log.read(stream, Offset(0), 1, Duration::ZERO).await;
--- a/crates/demo/src/rollout.rs
+++ b/crates/demo/src/rollout.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bundle::{Bundle, Content, Operators, SecretKey};
+use clients::log::Log;
 use follow::{Outcome, Publisher};
-use platform::log::Log;
 use spdlog::{debug, error};
 use standin::Control;
 use standin::log::{Faults, Settings};
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -7,8 +7,8 @@
 
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use base::ids::Ticket;
+use clients::hosts::{Error, Host as Listed, Hosts, Role, Standing};
 use metrics::{counter, gauge};
-use platform::hosts::{Error, Host as Listed, Hosts, Role, Standing};
 use policy::membership::{Applied, Host, Kind, Limits, Membership};
 use policy::subset::Size;
 use spdlog::{info, warn};
--- a/crates/follow/src/follower.rs
+++ b/crates/follow/src/follower.rs
@@ -8,7 +8,7 @@
 use base::ids::{Offset, Sequence};
 use bundle::{Fault, Verdict};
 use bytes::Bytes;
-use platform::log::{Error, Log, Page};
+use clients::log::{Error, Log, Page};
 use spdlog::{debug, info, warn};
 
 use crate::held::Held;
--- a/crates/follow/src/publish.rs
+++ b/crates/follow/src/publish.rs
@@ -8,7 +8,7 @@
 use base::ids::{Offset, Sequence};
 use bundle::record::{Header, PART_LIMIT, RECORD_LIMIT, operators_hash, operators_of, parts};
 use bundle::{Acceptor, Content, Hash, Operators, Payload, Record, SecretKey, Signed, Verdict};
-use platform::log::{Error, Log, Page};
+use clients::log::{Error, Log, Page};
 
 use crate::STREAM;
 
--- /dev/null
+++ b/crates/forward/src/call.rs
@@ -0,0 +1,364 @@
+//! One call, and getting it to run.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::ids::Tier;
+use base::reason::Refusal;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+use policy::balance::{Listed, Want};
+use policy::rendezvous;
+use policy::routes::{Access, Catalog, Kind, Route, Workspace};
+use rand::RngExt;
+use spdlog::{info, warn};
+
+use crate::edge::{Ask, Order, Part};
+use crate::exchange::{self, Answer, Body, Failure};
+use crate::relay::Relay;
+use crate::reply::{Own, Reply};
+use crate::state::{Open, State};
+
+/// Connections that are tried before a call is given up that could not be
+/// sent anywhere: a region that lost some hosts has others.
+const DIALS: usize = 4;
+
+/// Largest answer that is held until it is whole. Larger ones of calls that
+/// are no streams are a fault of the server: plain services answer with a
+/// few kilobytes, and an entry has about a hundred megabytes in all.
+const WHOLE_LIMIT: usize = 8 << 20;
+
+/// When to come back if no server takes the call: servers that were replaced
+/// are known about so long after.
+const AFTER_NO_SERVER: Duration = Duration::from_millis(400);
+
+/// When to come back if the server was full: a slot falls free about that
+/// often on a busy server.
+const AFTER_FULL: Duration = Duration::from_millis(100);
+
+/// When to come back if the catalog is not known yet.
+const AFTER_START: Duration = Duration::from_millis(500);
+
+/// A caller's call.
+#[derive(Debug)]
+pub struct Call {
+    /// What the entry knows.
+    pub state: Rc<State>,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service that it goes to.
+    pub service: Rc<str>,
+    /// What its headers say.
+    pub ask: Ask,
+    /// Its workspace, if callers have keys.
+    pub workspace: Option<Rc<Workspace>>,
+    /// When it came.
+    pub came: Instant,
+    /// When the caller or the route gives it up.
+    pub until: Instant,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A call as it came.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub uri: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When it came.
+    pub came: Instant,
+}
+
+impl Call {
+    /// Reads a call by the catalog in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for a call that is not served.
+    pub fn read(state: &Rc<State>, incoming: Incoming) -> Result<Self, Own> {
+        let catalog = state.catalog.borrow().clone();
+        let Some(catalog) = catalog else {
+            return Err(Own::refused(Refusal::NoBundle, AFTER_START));
+        };
+        let ask = state.dialect.ask(&incoming.headers);
+        let route = find(&catalog, &incoming)?;
+        let workspace = match catalog.access(&route, ask.key.as_deref()) {
+            Access::Open => None,
+            Access::Workspace(workspace) => Some(workspace),
+            Access::Denied => return Err(Own::denied(401, Refusal::BadToken)),
+        };
+        let Some(service) = route.service(rand::rng().random()).cloned() else {
+            return Err(Own::refused(Refusal::NoServer, AFTER_NO_SERVER));
+        };
+        let patience = ask.patience.unwrap_or(route.timeout);
+        Ok(Self {
+            state: Rc::clone(state),
+            until: incoming.came + route.timeout.min(patience),
+            route,
+            service,
+            ask,
+            workspace,
+            came: incoming.came,
+            method: incoming.method,
+            uri: incoming.uri,
+            headers: incoming.headers,
+            body: incoming.body,
+        })
+    }
+
+    /// The caller's identity of the call, for logs.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        self.ask.id.as_deref().unwrap_or("-")
+    }
+
+    /// Milliseconds since it came.
+    #[must_use]
+    pub fn age_ms(&self) -> u64 {
+        let age = self.state.clock.now().saturating_duration_since(self.came);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The call's tier: the workspace's, or else the route's.
+    #[must_use]
+    pub fn tier(&self) -> Tier {
+        let own = self.workspace.as_ref().and_then(|w| w.tier);
+        own.unwrap_or(self.route.tier)
+    }
+
+    /// Gets the call to run and says what to answer.
+    pub async fn run(self: Rc<Self>) -> Reply {
+        let open = Open::new(&self.state);
+        let mut tried = Vec::new();
+        self.state
+            .budget
+            .borrow_mut()
+            .sent(self.came, &self.service);
+        let mut last = None;
+        for attempt in 1..=self.route.attempts.max(1) {
+            if attempt > 1 && !self.repeat() {
+                break;
+            }
+            let answer = self.send(&mut tried, None).await;
+            let failure = match answer {
+                Ok(answer) => match self.accept(answer, &tried, &open).await {
+                    Ok(reply) => return reply,
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            info!("send failed", kv: {
+                id = self.name(),
+                route = self.route.name.as_str(),
+                attempt,
+                server = tried.last().map_or("-", |s| &**s),
+                cause = failure.word(),
+                detail = format!("{failure:?}").as_str(),
+                ms = self.age_ms()
+            });
+            let again = failure.not_run() || self.route.kind.repeatable();
+            let over = failure == Failure::Late;
+            last = Some(failure);
+            if !again || over {
+                break;
+            }
+        }
+        Reply::Own(self.given_up(last.as_ref()))
+    }
+
+    /// Goes on with a stream after event `last` at another server.
+    pub async fn resume(
+        self: Rc<Self>,
+        last: Option<u64>,
+        tried: &mut Vec<Rc<str>>,
+    ) -> Option<Body> {
+        while tried.len() < self.route.attempts as usize {
+            if !self.repeat() {
+                return None;
+            }
+            match self.send(tried, last).await {
+                Ok(answer) if good(&answer) => return Some(answer.body),
+                Ok(_) => {}
+                Err(Failure::Late) => return None,
+                Err(_) => {}
+            }
+        }
+        None
+    }
+
+    /// Takes one repeat from the budget.
+    fn repeat(&self) -> bool {
+        let now = self.state.clock.now();
+        let left = self.state.budget.borrow_mut().repeat(now, &self.service);
+        if !left {
+            info!("no repeat left", kv: { id = self.name(), service = &*self.service });
+        }
+        left
+    }
+
+    /// Sends the call to one server. Servers that cannot be reached count as
+    /// no send.
+    async fn send(&self, tried: &mut Vec<Rc<str>>, last: Option<u64>) -> Result<Answer, Failure> {
+        let mut failure = Failure::NeverSent("no server".to_owned());
+        let mut unreachable = Vec::new();
+        for _ in 0..DIALS {
+            let now = self.state.clock.now();
+            if now >= self.until {
+                return Err(Failure::Late);
+            }
+            let Some(server) = self.choose(now, tried, &unreachable) else {
+                break;
+            };
+            let request = self.request(now, &server, last);
+            let id = self.ask.id.as_deref();
+            let sent = exchange::send(&self.state, &server, request, id, self.until).await;
+            match sent {
+                Err(Failure::NeverSent(e)) => {
+                    warn!("server unreachable", kv: {
+                        id = self.name(), server = &*server.id, cause = e.as_str()
+                    });
+                    unreachable.push(Rc::clone(&server.id));
+                    failure = Failure::NeverSent(e);
+                }
+                sent => {
+                    self.note(&server, &sent);
+                    tried.push(Rc::clone(&server.id));
+                    return sent;
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    fn choose(&self, now: Instant, tried: &[Rc<str>], out: &[Rc<str>]) -> Option<Listed> {
+        let avoid: Vec<Rc<str>> = tried.iter().chain(out).cloned().collect();
+        let want = Want {
+            service: &self.service,
+            prefix: prefix(&self.ask.parts),
+            tried: &avoid,
+        };
+        self.state.balance.borrow_mut().choose(now, &want)
+    }
+
+    fn request(&self, now: Instant, server: &Listed, last: Option<u64>) -> Request<Full<Bytes>> {
+        let order = Order {
+            left: self.until.saturating_duration_since(now),
+            server: &server.id,
+            workspace: self.workspace.as_ref().map(|w| w.name.as_str()),
+            tier: Some(self.tier().0),
+            last_event: last,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.state.dialect.outgoing(&self.headers, &order);
+        request
+    }
+
+    /// Notes what a send tells about the server.
+    fn note(&self, server: &Listed, sent: &Result<Answer, Failure>) {
+        let now = self.state.clock.now();
+        let mut balance = self.state.balance.borrow_mut();
+        match sent {
+            Ok(answer) if answer.status < 500 => balance.good(&server.id),
+            Ok(_) => balance.failed(now, &server.id),
+            Err(Failure::Unknown(_)) => balance.failed(now, &server.id),
+            Err(_) => {}
+        }
+    }
+
+    /// Takes an answer whose head has come.
+    async fn accept(
+        self: &Rc<Self>,
+        mut answer: Answer,
+        tried: &[Rc<str>],
+        open: &Open,
+    ) -> Result<Reply, Failure> {
+        let success = (200..300).contains(&answer.status);
+        if success && !good(&answer) {
+            return Err(Failure::Unknown(
+                "an answer that nobody vouches for".to_owned(),
+            ));
+        }
+        if success && self.route.kind.streams() {
+            let first = self.within(answer.body.next()).await?;
+            let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
+            let (call, tried) = (Rc::clone(self), tried.to_vec());
+            let relay = Relay::new(call, answer.body, first, tried, Open::new(&self.state));
+            return Ok(Reply::Stream {
+                headers: answer.headers,
+                relay: Box::new(relay),
+            });
+        }
+        let _ = open;
+        let body = self.whole(&mut answer.body).await?;
+        // Another server may well serve what this one failed.
+        let spare = tried.len() < self.route.attempts as usize;
+        if answer.status >= 500 && self.route.kind == Kind::Idempotent && spare {
+            return Err(Failure::Unknown(format!("status {}", answer.status)));
+        }
+        Ok(Reply::Whole {
+            status: answer.status,
+            headers: answer.headers,
+            body,
+        })
+    }
+
+    /// Reads an answer to its end, so that a broken one can be told from a
+    /// whole one before the caller sees anything of it.
+    async fn whole(&self, body: &mut Body) -> Result<Bytes, Failure> {
+        let mut all = Vec::new();
+        while let Some(bytes) = self.within(body.next()).await?.map_err(Failure::Unknown)? {
+            if all.len() + bytes.len() > WHOLE_LIMIT {
+                return Err(Failure::Unknown("an answer beyond all bounds".to_owned()));
+            }
+            all.extend_from_slice(&bytes);
+        }
+        Ok(all.into())
+    }
+
+    async fn within<T>(&self, step: impl Future<Output = T>) -> Result<T, Failure> {
+        let done = tokio::time::timeout_at(self.until.into(), step).await;
+        done.map_err(|_| Failure::Late)
+    }
+
+    /// The answer when no server has served the call.
+    fn given_up(&self, last: Option<&Failure>) -> Own {
+        match last {
+            Some(Failure::Late) => Own::failed(504, Refusal::Expired),
+            Some(Failure::Unknown(_)) => Own::failed(502, Refusal::OutcomeUnknown),
+            Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, AFTER_FULL),
+            Some(Failure::NeverSent(_)) | None => Own::refused(Refusal::NoServer, AFTER_NO_SERVER),
+        }
+    }
+}
+
+/// Whether a success may be passed on.
+fn good(answer: &Answer) -> bool {
+    let signs = &answer.signs;
+    (200..300).contains(&answer.status) && signs.sealed && signs.id.is_some() && !signs.encoded
+}
+
+fn find(catalog: &Catalog, incoming: &Incoming) -> Result<Rc<Route>, Own> {
+    let host = incoming.headers.get(http::header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or("");
+    let route = catalog.route(host, incoming.uri.path()).cloned();
+    route.ok_or(Own::denied(404, Refusal::UnknownTarget))
+}
+
+/// The shared parts of a prompt as one number: all but the last one, which
+/// belongs to the call itself.
+fn prefix(parts: &[Part]) -> Option<u64> {
+    let (_, shared) = parts.split_last()?;
+    let last = shared.last().or(parts.last())?;
+    Some(rendezvous::weight(last.id, u64::from(last.tokens)))
+}
--- /dev/null
+++ b/crates/forward/src/drain.rs
@@ -0,0 +1,22 @@
+//! Stopping without cutting anything off.
+
+use std::rc::Rc;
+
+use base::stop::Stop;
+use spdlog::info;
+
+use crate::state::State;
+
+/// Waits for `stop`, lets the balancer notice, then has the listener closed.
+///
+/// The balancer goes on sending connections until it has asked twice. An
+/// entry that closed its listener at once would reset callers that have done
+/// nothing wrong; serving them until the balancer knows is enough.
+pub async fn drain(state: Rc<State>, stop: Stop, closed: Stop) {
+    stop.wait().await;
+    state.stopping.ask();
+    info!("entry drains", kv: { name = state.settings.name.as_str(), open = state.open.get() });
+    tokio::time::sleep(state.settings.notice()).await;
+    info!("entry closes", kv: { name = state.settings.name.as_str(), open = state.open.get() });
+    closed.ask();
+}
--- /dev/null
+++ b/crates/forward/src/edge.rs
@@ -0,0 +1,135 @@
+//! What a platform has to translate for this package. Everything here speaks
+//! of what the words on the wire mean, not of how they are spelled.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use snafu::Snafu;
+
+/// How callers and backend servers are spoken to.
+pub trait Dialect {
+    /// What a caller's headers say.
+    fn ask(&self, headers: &HeaderMap) -> Ask;
+
+    /// The headers for a backend server: the caller's, without those that
+    /// concern one connection only or that callers must not set, and with
+    /// what `order` says.
+    fn outgoing(&self, headers: &HeaderMap, order: &Order<'_>) -> HeaderMap;
+
+    /// What a backend server's headers say.
+    fn signs(&self, status: u16, headers: &HeaderMap) -> Signs;
+}
+
+/// What a caller's headers say about its call.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// The caller's identity of this try.
+    pub id: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Size of the prompt, in tokens; 0 when it was not said.
+    pub prompt: u32,
+    /// Most tokens that the answer may have; 0 when it was not said.
+    pub output: u32,
+    /// The caller's guess of the answer's tokens.
+    pub hint: Option<u32>,
+    /// The parts of the prompt in order; the last one belongs to the call
+    /// itself or its session.
+    pub parts: Vec<Part>,
+    /// The number of the last event that the caller has of a stream.
+    pub last_event: Option<u64>,
+}
+
+/// A part of a prompt that other calls may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Equal for equal parts.
+    pub id: u64,
+    /// Its size.
+    pub tokens: u32,
+}
+
+/// What a backend server is told beside the caller's own headers.
+#[derive(Debug, Clone, Copy)]
+pub struct Order<'a> {
+    /// How long the caller goes on waiting.
+    pub left: Duration,
+    /// The life of the server that is meant; another one refuses.
+    pub server: &'a str,
+    /// The caller's workspace.
+    pub workspace: Option<&'a str>,
+    /// The call's tier, for engines.
+    pub tier: Option<u8>,
+    /// The last event that the caller has of a stream that goes on.
+    pub last_event: Option<u64>,
+}
+
+/// What a backend server's headers say about its answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Signs {
+    /// The call that the answer belongs to.
+    pub id: Option<String>,
+    /// Whether the server has made this answer itself, and vouches for it.
+    pub sealed: bool,
+    /// Whether the server says that it did not run the call.
+    pub not_run: bool,
+    /// Whether the body was encoded on the way, which no caller asked for.
+    pub encoded: bool,
+    /// How long the server keeps an idle connection.
+    pub keep: Option<Duration>,
+    /// Whether the server closes the connection after this answer.
+    pub close: bool,
+}
+
+/// A table in the platform's store: the newest record of each key, and what
+/// changed since.
+pub trait Source {
+    /// What a record says.
+    type Item;
+
+    /// Everything that the table holds.
+    fn newest(&self) -> impl Future<Output = Result<Changes<Self::Item>, SourceError>>;
+
+    /// What changed from position `from` on; waits up to `wait` for the first
+    /// change.
+    fn changes(
+        &self,
+        from: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes<Self::Item>, SourceError>>;
+}
+
+/// Records of a table.
+#[derive(Debug, Clone)]
+pub struct Changes<T> {
+    /// Keys with what they say now; none for a key that was dropped.
+    pub records: Vec<(String, Option<T>)>,
+    /// The position from which to go on.
+    pub next: u64,
+}
+
+/// Why the store gave no records.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum SourceError {
+    /// The store has dropped the records that were asked for.
+    #[snafu(display("step={step} peer={peer}: the store has dropped these records"))]
+    Expired {
+        /// The call.
+        step: &'static str,
+        /// The store.
+        peer: String,
+    },
+    /// The store could not be reached, refused or answered nonsense.
+    #[snafu(display("step={step} peer={peer}: {cause}"))]
+    Unavailable {
+        /// The call.
+        step: &'static str,
+        /// The store.
+        peer: String,
+        /// What came instead of an answer.
+        cause: String,
+    },
+}
--- /dev/null
+++ b/crates/forward/src/events.rs
@@ -0,0 +1,75 @@
+//! Where the events of a stream end, and their numbers.
+
+use bytes::{Bytes, BytesMut};
+
+/// What separates two events.
+const BLANK: &[u8] = b"\n\n";
+
+/// The field that holds an event's number.
+const NUMBER: &[u8] = b"id:";
+
+/// Cuts a stream of bytes into whole events.
+///
+/// A server may stop in the middle of an event. A caller that got the first
+/// half would see it joined to the event with which another server goes on;
+/// handing out whole events only is enough to prevent that.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    /// Bytes of the buffer that were searched already.
+    searched: usize,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes, with the blank line that ends it.
+    pub bytes: Bytes,
+    /// Its number, if it has one.
+    pub number: Option<u64>,
+}
+
+impl Splitter {
+    /// Takes bytes in.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, if there is one.
+    pub fn event(&mut self) -> Option<Event> {
+        let from = self.searched.saturating_sub(BLANK.len() - 1);
+        let found = find(&self.buffer[from..], BLANK);
+        let Some(at) = found else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(from + at + BLANK.len()).freeze();
+        let number = number(&bytes);
+        Some(Event { bytes, number })
+    }
+
+    /// Bytes that no event has ended yet.
+    #[must_use]
+    pub fn rest(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Takes the bytes that no event has ended.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+fn number(event: &[u8]) -> Option<u64> {
+    let line = event
+        .split(|b| *b == b'\n')
+        .find(|l| l.starts_with(NUMBER))?;
+    let text = std::str::from_utf8(&line[NUMBER.len()..]).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/forward/src/exchange.rs
@@ -0,0 +1,259 @@
+//! Sending a call to a backend server once, and what is known when it fails.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use policy::balance::Listed;
+
+use crate::edge::Signs;
+use crate::pool::{Conn, Pool};
+use crate::state::State;
+
+/// What of a failed send is known about the call having run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the call has left this process.
+    NeverSent(String),
+    /// The server says that it did not run the call and never will.
+    NotRun(u16),
+    /// The call may have run.
+    Unknown(String),
+    /// The caller's time is over; the call may have run.
+    Late,
+}
+
+impl Failure {
+    /// Whether the call has certainly not run.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::NeverSent(_) | Self::NotRun(_))
+    }
+
+    /// One word for logs and labels.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::NeverSent(_) => "never_sent",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown(_) => "unknown",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// What the headers say.
+    pub signs: Signs,
+    /// The rest.
+    pub body: Body,
+}
+
+/// The body of an answer and the connection that it comes on. Dropped before
+/// its end, it closes the connection, and the server stops working on it.
+#[derive(Debug)]
+pub struct Body {
+    state: Rc<State>,
+    /// The server that makes it.
+    pub server: Listed,
+    incoming: Incoming,
+    conn: Option<Conn>,
+    reusable: bool,
+}
+
+impl Body {
+    /// The next bytes; none at the end. Bytes end without an error only where
+    /// the answer is whole by its framing.
+    ///
+    /// # Errors
+    ///
+    /// Returns what broke when the answer is not whole.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            match self.incoming.frame().await {
+                None => {
+                    self.end();
+                    return Ok(None);
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data()
+                        && !data.is_empty()
+                    {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(e)) => {
+                    self.conn = None;
+                    return Err(describe(&e));
+                }
+            }
+        }
+    }
+
+    /// Gives the connection back for the next call.
+    fn end(&mut self) {
+        let Some(conn) = self.conn.take() else { return };
+        if self.reusable {
+            let now = self.state.clock.now();
+            self.state.pool.put(now, &self.server.id, conn);
+        }
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.state.balance.borrow_mut().ended(&self.server.id);
+    }
+}
+
+/// Sends a call to `server` and waits for the head of the answer until
+/// `until`.
+///
+/// # Errors
+///
+/// Returns what is known about the call having run.
+pub async fn send(
+    state: &Rc<State>,
+    server: &Listed,
+    request: Request<Full<Bytes>>,
+    id: Option<&str>,
+    until: Instant,
+) -> Result<Answer, Failure> {
+    let out = Out::new(state, &server.id);
+    let sent = tokio::time::timeout_at(until.into(), deliver(state, server, request)).await;
+    let (response, mut conn) = match sent {
+        Ok(sent) => sent?,
+        Err(_) => return Err(Failure::Late),
+    };
+    let status = response.status().as_u16();
+    let signs = state.dialect.signs(status, response.headers());
+
+    // A server may send a second answer to an earlier call late, just where
+    // the answer to this one is expected. Its identity tells; the connection
+    // is of no use any more, since the true answer may follow at any time.
+    if signs.id.is_some() && signs.id.as_deref() != id {
+        return Err(Failure::Unknown("answer to another call".to_owned()));
+    }
+    if signs.not_run {
+        // Its body has no use, but its connection has.
+        drain(state, server, response, conn).await;
+        return Err(Failure::NotRun(status));
+    }
+    if let Some(keep) = signs.keep {
+        conn.keep_for(keep);
+    }
+    let (parts, incoming) = response.into_parts();
+    out.keep();
+    let body = Body {
+        state: Rc::clone(state),
+        server: server.clone(),
+        incoming,
+        reusable: !signs.close,
+        conn: Some(conn),
+    };
+    Ok(Answer {
+        status,
+        headers: parts.headers,
+        signs,
+        body,
+    })
+}
+
+/// Counts a call at a server until its answer's body takes over.
+struct Out<'a> {
+    state: &'a State,
+    id: &'a str,
+    kept: bool,
+}
+
+impl<'a> Out<'a> {
+    fn new(state: &'a State, id: &'a str) -> Self {
+        state.balance.borrow_mut().sent(id);
+        Self {
+            state,
+            id,
+            kept: false,
+        }
+    }
+
+    fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.state.balance.borrow_mut().ended(self.id);
+        }
+    }
+}
+
+/// Gets the request out on a kept connection or a new one. A kept connection
+/// that closed before the request was written gives it back, and only then it
+/// is sent again.
+async fn deliver(
+    state: &Rc<State>,
+    server: &Listed,
+    mut request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Conn), Failure> {
+    while let Some(mut conn) = state.pool.take(state.clock.now(), &server.id) {
+        match conn.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, conn)),
+            Err(mut e) => match e.take_message() {
+                Some(back) => request = back,
+                None => return Err(Failure::Unknown(describe(e.error()))),
+            },
+        }
+    }
+
+    let now = state.clock.now();
+    let dialled = Pool::dial(now, server.addr).await;
+    let mut conn = dialled.map_err(|e| {
+        state.balance.borrow_mut().unreachable(now, &server.id);
+        Failure::NeverSent(e.to_string())
+    })?;
+    metrics::counter!("pimentocart_dials_total").increment(1);
+    match conn.sender.try_send_request(request).await {
+        Ok(response) => Ok((response, conn)),
+        Err(mut e) => match e.take_message() {
+            Some(_) => Err(Failure::NeverSent(describe(e.error()))),
+            None => Err(Failure::Unknown(describe(e.error()))),
+        },
+    }
+}
+
+/// Reads the short body of a refusal, so that the connection can be used
+/// again.
+async fn drain(state: &Rc<State>, server: &Listed, response: Response<Incoming>, conn: Conn) {
+    let signs = state.dialect.signs(0, response.headers());
+    let read = response.into_body().collect();
+    let read = tokio::time::timeout(REFUSAL_LIMIT, read).await;
+    if matches!(read, Ok(Ok(_))) && !signs.close {
+        state.pool.put(state.clock.now(), &server.id, conn);
+    }
+}
+
+/// How long the body of a refusal is waited for; it is a few bytes.
+const REFUSAL_LIMIT: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// An error with its causes on one line.
+fn describe(e: &hyper::Error) -> String {
+    let mut text = e.to_string();
+    let mut cause = std::error::Error::source(e);
+    while let Some(c) = cause {
+        text.push_str(": ");
+        text.push_str(&c.to_string());
+        cause = c.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/forward/src/follow.rs
@@ -0,0 +1,195 @@
+//! Keeping level with the platform's tables.
+//!
+//! A reader takes a whole table once and then its changes. When the store is
+//! away, what was read last stays in force: a catalog never goes back, and a
+//! server that is only missing from view may well live.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::balance::Listed;
+use policy::routes::Catalog;
+use spdlog::{info, warn};
+
+use crate::edge::{Source, SourceError};
+use crate::state::State;
+
+/// How long the store may hold a question for which there is no news. A
+/// question that got lost costs so long, which must stay well within the
+/// time in which a catalog has to be in force.
+const WAIT: Duration = Duration::from_millis(1200);
+
+/// The pause after a failed question; the store comes back at any moment.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Servers report every second or so, each at another moment. Asking again
+/// at once would cost a call for each report; in this pause several come
+/// together, and a leaving server is still known far sooner than it must be.
+const GATHER: Duration = Duration::from_millis(350);
+
+/// Servers whose entries lapsed while the store was away write them anew
+/// within two seconds of its return. Those still missing then are gone.
+const RETURN: Duration = Duration::from_millis(2500);
+
+/// Follows what the operators declare.
+pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
+    let mut reader = Reader::new("catalog", source);
+    loop {
+        let Some(news) = reader.next(&state).await else {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        for (_, catalog) in news.records {
+            if let Some(catalog) = catalog {
+                put(&state, catalog);
+            }
+        }
+    }
+}
+
+/// Puts a catalog in force unless a newer one is.
+fn put(state: &State, catalog: Catalog) {
+    let held = state.catalog.borrow().as_ref().map(|c| c.version);
+    if held.is_some_and(|v| v >= catalog.version) {
+        return;
+    }
+    info!("catalog in force", kv: {
+        version = catalog.version,
+        before = held.unwrap_or(0),
+        routes = catalog.routes()
+    });
+    metrics::gauge!("pimentocart_catalog_version").set(catalog.version as f64);
+    *state.catalog.borrow_mut() = Some(Rc::new(catalog));
+}
+
+/// Follows the backend servers.
+pub async fn servers<S: Source<Item = Listed>>(state: Rc<State>, source: S) {
+    let mut reader = Reader::new("servers", source);
+    // Servers that the last whole table did not show, and when it came.
+    let mut missing: Option<(Instant, HashSet<Rc<str>>)> = None;
+    loop {
+        let Some(news) = reader.next(&state).await else {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        let now = state.clock.now();
+        if news.whole {
+            let shown: HashSet<&str> = news.records.iter().map(|(k, _)| k.as_str()).collect();
+            let balance = state.balance.borrow();
+            let gone = balance.servers().map(|s| &s.id);
+            let gone = gone.filter(|id| !shown.contains(&***id)).cloned();
+            missing = Some((now, gone.collect()));
+        }
+        for (id, listed) in news.records {
+            if let Some((_, ids)) = &mut missing {
+                ids.remove(id.as_str());
+            }
+            match listed {
+                Some(listed) => list(&state, listed),
+                None => remove(&state, &id, "dropped"),
+            }
+        }
+        if let Some((_, ids)) = missing.take_if(|(at, _)| now >= *at + RETURN) {
+            ids.iter().for_each(|id| remove(&state, id, "missing"));
+        }
+        state.listed.set(true);
+        tokio::time::sleep(GATHER).await;
+    }
+}
+
+fn list(state: &State, listed: Listed) {
+    let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
+    let (addr, zone) = (listed.addr, Rc::clone(&listed.zone));
+    if !state.balance.borrow_mut().list(listed) {
+        return;
+    }
+    if leaving {
+        state.pool.forget(&id);
+    }
+    info!("server listed", kv: {
+        server = &*id,
+        addr = addr.to_string().as_str(),
+        zone = &*zone,
+        leaving
+    });
+}
+
+fn remove(state: &State, id: &str, why: &str) {
+    if state.balance.borrow_mut().remove(id) {
+        state.pool.forget(id);
+        info!("server gone", kv: { server = id, why });
+    }
+}
+
+/// Reads a table, then its changes, and starts over when it fell behind.
+struct Reader<S> {
+    name: &'static str,
+    source: S,
+    /// The position from which to go on; none before a whole table was read.
+    from: Option<u64>,
+    /// Failures since the last answer.
+    failures: u32,
+}
+
+/// What a read brought.
+struct News<T> {
+    records: Vec<(String, Option<T>)>,
+    /// Whether this is the whole table.
+    whole: bool,
+}
+
+impl<S: Source> Reader<S> {
+    fn new(name: &'static str, source: S) -> Self {
+        Self {
+            name,
+            source,
+            from: None,
+            failures: 0,
+        }
+    }
+
+    async fn next(&mut self, state: &State) -> Option<News<S::Item>> {
+        let whole = self.from.is_none();
+        let read = match self.from {
+            None => self.source.newest().await,
+            Some(from) => self.source.changes(from, WAIT).await,
+        };
+        match read {
+            Ok(changes) => {
+                if self.failures > 0 {
+                    info!("store regained", kv: { table = self.name, failures = self.failures });
+                    // Whatever lapsed meanwhile shows only in a whole table.
+                    self.failures = 0;
+                    self.from = None;
+                    if !whole {
+                        return Some(self.news(changes.records, false));
+                    }
+                }
+                self.from = Some(changes.next);
+                Some(self.news(changes.records, whole))
+            }
+            Err(e) => {
+                self.failed(state, &e);
+                None
+            }
+        }
+    }
+
+    fn news(&self, records: Vec<(String, Option<S::Item>)>, whole: bool) -> News<S::Item> {
+        News { records, whole }
+    }
+
+    fn failed(&mut self, state: &State, e: &SourceError) {
+        metrics::counter!("pimentocart_store_failures_total", "table" => self.name).increment(1);
+        if matches!(e, SourceError::Expired { .. }) {
+            self.from = None;
+        }
+        self.failures = self.failures.saturating_add(1);
+        // The first of a row is logged; the rest are counted.
+        if self.failures == 1 {
+            let version = state.catalog.borrow().as_ref().map_or(0, |c| c.version);
+            warn!("store lost", kv: { table = self.name, cause = e.to_string().as_str(), version });
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,87 @@
+//! The entry for routed calls: each goes straight to a backend server and its
+//! answer straight back. See docs/DECISIONS/0601-on-the-platform.md.
+//!
+//! - [`settings`]: what the operators set.
+//! - [`edge`]: what a platform has to translate for this package.
+//! - [`follow`]: keeping level with the platform's tables.
+//! - [`state`]: the catalog in force, the known servers, what is open.
+//! - [`http`]: the callers' side.
+//! - [`call`]: one call, and getting it to run.
+//! - [`pool`]: connections to backend servers.
+//! - [`exchange`]: sending a call once, and what is known when it fails.
+//! - [`relay`]: passing a stream on, and going on with it elsewhere.
+//! - [`events`]: where the events of a stream end, and their numbers.
+//! - [`reply`]: answers to callers.
+//! - [`reload`]: reading the settings again.
+//! - [`drain`]: stopping without cutting anything off.
+
+pub mod call;
+pub mod drain;
+pub mod edge;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod http;
+pub mod pool;
+pub mod relay;
+pub mod reload;
+pub mod reply;
+pub mod settings;
+pub mod state;
+
+use std::io;
+use std::rc::Rc;
+
+use base::clock::{Clock, SystemClock};
+use base::listen;
+use base::stop::Stop;
+use edge::{Dialect, Source};
+use policy::balance::Listed;
+use policy::routes::Catalog;
+use spdlog::info;
+
+pub use settings::Settings;
+use state::State;
+
+/// Runs an entry for routed calls until `stop` is asked and everything in
+/// progress has ended.
+///
+/// # Errors
+///
+/// Returns the error when the entry cannot listen.
+pub async fn run<C, S>(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    catalogs: C,
+    servers: S,
+    stop: Stop,
+) -> io::Result<()>
+where
+    C: Source<Item = Catalog> + 'static,
+    S: Source<Item = Listed> + 'static,
+{
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let listener = listen("listen", settings.listen).await?;
+    let ready = listen("ready", settings.ready).await?;
+    let state = State::new(settings, dialect, clock);
+
+    let end = Stop::new();
+    actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
+    actix_rt::spawn(http::operators(ready, Rc::clone(&state), end.clone()));
+    info!("entry started", kv: {
+        name = state.settings.name.as_str(),
+        zone = state.settings.zone.as_str(),
+        listen = state.settings.listen.to_string().as_str()
+    });
+
+    let closed = Stop::new();
+    actix_rt::spawn(drain::drain(Rc::clone(&state), stop, closed.clone()));
+    let app = http::app(Rc::clone(&state));
+    let limit = state.settings.last_wait();
+    base::http::serve_whole(listener, app, closed, limit).await?;
+    info!("entry stopped", kv: { name = state.settings.name.as_str(), open = state.open.get() });
+    end.ask();
+    Ok(())
+}
--- /dev/null
+++ b/crates/forward/src/relay.rs
@@ -0,0 +1,188 @@
+//! Passing a stream on, and going on with it at another server.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use policy::balance::Listed;
+use snafu::Snafu;
+use spdlog::info;
+
+use crate::call::Call;
+use crate::events::Splitter;
+use crate::exchange::Body;
+use crate::state::Open;
+
+/// A stream on its way to a caller.
+#[derive(Debug)]
+pub struct Relay {
+    call: Rc<Call>,
+    body: Body,
+    splitter: Splitter,
+    /// Bytes that came before the caller was answered.
+    first: Option<Bytes>,
+    /// The number of the last event that was passed on.
+    last: Option<u64>,
+    /// Events passed on.
+    count: u64,
+    /// Servers that the call was sent to.
+    tried: Vec<Rc<str>>,
+    /// Keeps the entry from stopping meanwhile.
+    _open: Open,
+}
+
+/// Why a stream ended before its end.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Cut {
+    /// The route's time is over.
+    #[snafu(display("step=relay peer={server}: the route's timeout has passed"))]
+    Late {
+        /// The server.
+        server: String,
+    },
+    /// The server broke off and nobody can go on.
+    #[snafu(display("step=relay peer={server}: {cause}"))]
+    Broken {
+        /// The server.
+        server: String,
+        /// What was seen.
+        cause: String,
+    },
+}
+
+impl Relay {
+    /// Takes over a stream of which `first` has come.
+    #[must_use]
+    pub fn new(call: Rc<Call>, body: Body, first: Bytes, tried: Vec<Rc<str>>, open: Open) -> Self {
+        Self {
+            last: call.ask.last_event,
+            call,
+            body,
+            splitter: Splitter::default(),
+            first: Some(first),
+            count: 0,
+            tried,
+            _open: open,
+        }
+    }
+
+    /// The stream's bytes as they come. It ends with an error when it is not
+    /// whole, which closes the caller's connection instead of ending the
+    /// answer.
+    pub fn events(self) -> impl Stream<Item = Result<Bytes, Cut>> {
+        futures_util::stream::unfold(Some(Box::new(self)), |relay| async {
+            let mut relay = relay?;
+            match relay.step().await {
+                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+                Ok(None) => {
+                    relay.log("whole");
+                    None
+                }
+                Err(cut) => {
+                    relay.log(&cut.to_string());
+                    Some((Err(cut), None))
+                }
+            }
+        })
+    }
+
+    /// The next bytes for the caller; none at the end.
+    async fn step(&mut self) -> Result<Option<Bytes>, Cut> {
+        loop {
+            if let Some(bytes) = self.whole_events()? {
+                return Ok(Some(bytes));
+            }
+            let next = match self.first.take() {
+                Some(first) => Ok(Ok(Some(first))),
+                None => {
+                    let until: Instant = self.call.until;
+                    tokio::time::timeout_at(until.into(), self.body.next()).await
+                }
+            };
+            match next {
+                Err(_) => {
+                    return LateSnafu {
+                        server: self.server(),
+                    }
+                    .fail();
+                }
+                Ok(Ok(Some(bytes))) => self.splitter.push(&bytes),
+                Ok(Ok(None)) if self.splitter.rest() == 0 => return Ok(None),
+                Ok(Ok(None)) => self.go_on("ended inside an event").await?,
+                Ok(Err(cause)) => self.go_on(&cause).await?,
+            }
+        }
+    }
+
+    /// The events that are whole by now, as one piece.
+    fn whole_events(&mut self) -> Result<Option<Bytes>, Cut> {
+        let mut piece = Vec::new();
+        while let Some(event) = self.splitter.event() {
+            if let (Some(last), Some(number)) = (self.last, event.number)
+                && number != last + 1
+            {
+                // Passed on, the caller would have a stream with a hole or a
+                // doubled event that looks whole.
+                let cause = format!("event {number} after {last}");
+                let server = self.server();
+                return BrokenSnafu { server, cause }.fail();
+            }
+            self.last = event.number.or(self.last);
+            self.count += 1;
+            piece.extend_from_slice(&event.bytes);
+        }
+        Ok((!piece.is_empty()).then(|| piece.into()))
+    }
+
+    /// Goes on at another server after the last whole event, if that may be.
+    async fn go_on(&mut self, cause: &str) -> Result<(), Cut> {
+        let broken = |server: String, cause: &str| Cut::Broken {
+            server,
+            cause: cause.to_owned(),
+        };
+        let from = self.server();
+        self.call
+            .state
+            .balance
+            .borrow_mut()
+            .failed(self.call.state.clock.now(), &from);
+        let resumable = self.call.route.kind == policy::routes::Kind::Resumable;
+        if !resumable || self.last.is_none() && self.count > 0 {
+            return Err(broken(from, cause));
+        }
+        self.splitter.take_rest();
+        let went = Rc::clone(&self.call)
+            .resume(self.last, &mut self.tried)
+            .await;
+        let Some(body) = went else {
+            return Err(broken(from, cause));
+        };
+        info!("stream resumed", kv: {
+            id = self.call.name(),
+            from = from.as_str(),
+            at = &*body.server.id,
+            after = self.last.unwrap_or(0),
+            cause
+        });
+        self.body = body;
+        Ok(())
+    }
+
+    fn server(&self) -> String {
+        let Listed { id, .. } = &self.body.server;
+        id.to_string()
+    }
+
+    fn log(&self, outcome: &str) {
+        info!("stream ended", kv: {
+            id = self.call.name(),
+            route = self.call.route.name.as_str(),
+            server = &*self.body.server.id,
+            events = self.count,
+            ms = self.call.age_ms(),
+            outcome
+        });
+    }
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,91 @@
+//! What the operators set.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::logging::Level;
+use base::settings::Span;
+use policy::budget;
+use serde::{Deserialize, Serialize};
+
+/// Part of the grace time that is left for closing connections once calls in
+/// progress were waited for.
+const CLOSE_SHARE: f64 = 0.06;
+
+/// Settings of an entry for routed calls.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The daemon's name, for logs.
+    pub name: String,
+    /// The availability zone that it stands in.
+    pub zone: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether to send new connections.
+    pub ready: SocketAddr,
+    /// The path that the balancer asks for.
+    pub ready_path: String,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// How long a stop may take before the process is killed, in seconds.
+    pub grace_s: f64,
+    /// Repeats to other servers for each call, over all entries together.
+    pub repeat_ratio: f64,
+    /// The span over which repeats are counted, in seconds.
+    pub repeat_window_s: f64,
+    /// How often the balancer asks; two answers in a row decide.
+    #[serde(default = "ask_every")]
+    pub ask_every: Span,
+    /// How much is logged.
+    #[serde(default)]
+    pub log_level: Level,
+}
+
+fn ask_every() -> Span {
+    Span::secs(1)
+}
+
+impl Settings {
+    /// Checks what parsing cannot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the key, what was found and a hint.
+    pub fn check(&self) -> Result<(), base::settings::Error> {
+        use base::settings::check;
+        let seconds = |s: f64| s.is_finite() && s > 0.0;
+        let hint = "seconds above zero";
+        check("grace_s", self.grace_s, seconds(self.grace_s), hint)?;
+        let window = self.repeat_window_s;
+        check("repeat_window_s", window, seconds(window), hint)?;
+        let ratio = self.repeat_ratio;
+        let fine = (0.0..=1.0).contains(&ratio);
+        check("repeat_ratio", ratio, fine, "a share from 0 to 1")?;
+        let fine = self.ready_path.starts_with('/');
+        check("ready_path", &self.ready_path, fine, "a path from its /")
+    }
+
+    /// The share of calls that may be repeated.
+    #[must_use]
+    pub fn repeats(&self) -> budget::Share {
+        budget::Share {
+            ratio: self.repeat_ratio,
+            window: Duration::from_secs_f64(self.repeat_window_s),
+        }
+    }
+
+    /// How long the balancer may take to notice that the entry stops: two
+    /// questions in a row, and half of one for connections on their way.
+    #[must_use]
+    pub fn notice(&self) -> Duration {
+        self.ask_every.0 * 5 / 2
+    }
+
+    /// How long calls in progress are waited for once no new ones are taken.
+    #[must_use]
+    pub fn last_wait(&self) -> Duration {
+        let grace = Duration::from_secs_f64(self.grace_s * (1.0 - CLOSE_SHARE));
+        grace.saturating_sub(self.notice())
+    }
+}
--- /dev/null
+++ b/crates/forward/src/state.rs
@@ -0,0 +1,104 @@
+//! The catalog in force, the known servers, and what is open.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::clock::Clock;
+use base::stop::Stop;
+use policy::balance::Balance;
+use policy::budget::Budget;
+use policy::routes::Catalog;
+
+use crate::edge::Dialect;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// How often idle connections are looked through. Nothing waits for it: a
+/// connection whose time is over is not used either way.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// All that the parts of an entry share.
+pub struct State {
+    /// What the operators set.
+    pub settings: Settings,
+    /// How callers and servers are spoken to.
+    pub dialect: Rc<dyn Dialect>,
+    /// The time.
+    pub clock: Rc<dyn Clock>,
+    /// The catalog in force, once there is one.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The known servers.
+    pub balance: RefCell<Balance>,
+    /// Repeats that are left.
+    pub budget: RefCell<Budget>,
+    /// Connections to servers.
+    pub pool: Pool,
+    /// Whether the servers are known.
+    pub listed: Cell<bool>,
+    /// Set when the entry is about to stop.
+    pub stopping: Stop,
+    /// Calls whose answers have not left whole.
+    pub open: Cell<usize>,
+}
+
+impl std::fmt::Debug for State {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("State")
+            .field("name", &self.settings.name)
+            .field("open", &self.open)
+            .finish_non_exhaustive()
+    }
+}
+
+impl State {
+    /// Makes the state of an entry that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Self {
+            balance: RefCell::new(Balance::new(&settings.zone)),
+            budget: RefCell::new(Budget::new(settings.repeats())),
+            settings,
+            dialect,
+            clock,
+            catalog: RefCell::default(),
+            pool: Pool::default(),
+            listed: Cell::new(false),
+            stopping: Stop::new(),
+            open: Cell::new(0),
+        })
+    }
+
+    /// Whether new connections should be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.stopping.asked() && self.listed.get() && self.catalog.borrow().is_some()
+    }
+}
+
+/// Counts one open call for as long as it lives.
+#[derive(Debug)]
+pub struct Open(Rc<State>);
+
+impl Open {
+    /// Counts a call as open.
+    #[must_use]
+    pub fn new(state: &Rc<State>) -> Self {
+        state.open.set(state.open.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
+
+/// Closes connections whose time is over until `end`.
+pub async fn sweep(state: Rc<State>, end: Stop) {
+    while !end.asked() {
+        tokio::time::sleep(SWEEP).await;
+        state.pool.sweep(state.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,90 @@
+//! How many calls may be sent to a second server.
+//!
+//! The budget is one for all entries together, and they do not talk about it.
+//! Each keeps its own repeats within the allowed share of its own first
+//! sends, so that the sum keeps to the share as well, however many entries
+//! there are.
+
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Slices of the window; the count of a window is off by one slice at most.
+const SLICES: u32 = 10;
+
+/// What repeats may add to a service's load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Repeats for each first send.
+    pub ratio: f64,
+    /// The span over which both are counted.
+    pub window: Duration,
+}
+
+/// Counts sends and repeats by service.
+#[derive(Debug)]
+pub struct Budget {
+    share: Share,
+    services: HashMap<Rc<str>, VecDeque<Slice>>,
+}
+
+/// What happened in one slice of the window.
+#[derive(Debug, Clone, Copy)]
+struct Slice {
+    since: Instant,
+    first: u32,
+    repeats: u32,
+}
+
+impl Budget {
+    /// Makes a budget in which nothing was sent yet.
+    #[must_use]
+    pub fn new(share: Share) -> Self {
+        Self {
+            share,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Notes the first send of a call.
+    pub fn sent(&mut self, now: Instant, service: &Rc<str>) {
+        self.slice(now, service).first += 1;
+    }
+
+    /// Takes one repeat, if the share has one left.
+    pub fn repeat(&mut self, now: Instant, service: &Rc<str>) -> bool {
+        let ratio = self.share.ratio;
+        self.slice(now, service);
+        let Some(slices) = self.services.get(service) else {
+            return false;
+        };
+        let first: u32 = slices.iter().map(|s| s.first).sum();
+        let repeats: u32 = slices.iter().map(|s| s.repeats).sum();
+        if f64::from(repeats + 1) > f64::from(first) * ratio {
+            return false;
+        }
+        self.slice(now, service).repeats += 1;
+        true
+    }
+
+    /// The slice that `now` falls into; drops those out of the window.
+    fn slice(&mut self, now: Instant, service: &Rc<str>) -> &mut Slice {
+        let Share { window, .. } = self.share;
+        if !self.services.contains_key(service) {
+            self.services.insert(Rc::clone(service), VecDeque::new());
+        }
+        let slices = self.services.get_mut(service).expect("inserted above");
+        while slices.front().is_some_and(|s| now >= s.since + window) {
+            slices.pop_front();
+        }
+        let fresh = |s: &Slice| now < s.since + window / SLICES;
+        if !slices.back().is_some_and(fresh) {
+            slices.push_back(Slice {
+                since: now,
+                first: 0,
+                repeats: 0,
+            });
+        }
+        slices.back_mut().expect("pushed above")
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,13 @@
 //! - [`lease`]: who may give it orders.
 //! - [`pacing`]: when to ask a rate-limited service again.
 //!
-//! What an entry decides:
+//! What an entry decides about the calls that it sends by itself:
+//! - [`routes`]: which route a call takes and who may ask.
+//! - [`balance`]: which backend server gets it.
+//! - [`budget`]: whether it may be sent to a second one.
+//! - [`rendezvous`]: one order of servers for every process.
+//!
+//! What an entry decides about the chat interface:
 //! - [`membership`]: which hosts there are.
 //! - [`subset`]: which backend servers one entry keeps connections to.
 //! - [`placement`]: where to ask for a slot.
@@ -19,6 +25,8 @@
 //! - [`retry`]: when a request may be tried again.
 //! - [`outlier`]: which servers get no requests for a while.
 
+pub mod balance;
+pub mod budget;
 pub mod caches;
 pub mod estimate;
 pub mod lease;
@@ -30,7 +38,9 @@
 pub mod pacing;
 pub mod placement;
 pub mod queue;
+pub mod rendezvous;
 pub mod retry;
+pub mod routes;
 pub mod subset;
 pub mod wish;
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,11 +6,11 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
 use crate::outlier::{self, Fault, Good, Outlier};
 use crate::pace::{Load, Pace, Reports};
+use crate::rendezvous::{number, weight};
 
 /// A backend server as an entry knows it, by its place in the entry's list.
 pub type ServerIndex = usize;
@@ -141,7 +141,7 @@
         let near = zone == self.options.zone;
         let pool = self.pool(target);
         self.servers[index] = Some(Server {
-            key: rapidhash_v3(name.as_bytes()),
+            key: number(name),
             pool,
             reports: Reports::default(),
             health: Outlier::default(),
@@ -473,11 +473,3 @@
         self.servers.get_mut(index)?.as_mut()
     }
 }
-
-/// The weight of a server for a prefix; the highest is the prefix's home.
-fn weight(prefix: u64, key: u64) -> u64 {
-    let mut both = [0; 16];
-    both[..8].copy_from_slice(&prefix.to_le_bytes());
-    both[8..].copy_from_slice(&key.to_le_bytes());
-    rapidhash_v3(&both)
-}
--- a/crates/sidecar/src/caches.rs
+++ b/crates/sidecar/src/caches.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::stop::Stop;
-use platform::engine::{CacheChange, CacheEvents, Engine};
+use clients::engine::{CacheChange, CacheEvents, Engine};
 use policy::caches::{CacheMap, Change};
 use spdlog::debug;
 
--- a/crates/sidecar/src/health.rs
+++ b/crates/sidecar/src/health.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::stop::Stop;
-use platform::engine::Error;
+use clients::engine::Error;
 use spdlog::{info, warn};
 
 use crate::meter;
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -9,9 +9,9 @@
 use base::clock::Clock;
 use base::ids::Offset;
 use base::settings::Span;
-use platform::log::{self, Log};
-use platform::orders::{Order, Orders};
-use platform::weights::{Permit, Weights};
+use clients::log::{self, Log};
+use clients::orders::{Order, Orders};
+use clients::weights::{Permit, Weights};
 use policy::lease::{Claim, Lease, in_force};
 use policy::pacing;
 use policy::wish::{self, Loaded, Step};
@@ -197,8 +197,9 @@
             Err(e) => {
                 warn!("order failed", kv: { server = self.settings.server.as_str(), error = e.to_string().as_str() });
                 match e {
-                    platform::orders::Error::Old { .. }
-                    | platform::orders::Error::Refused { .. } => Round::Refused,
+                    clients::orders::Error::Old { .. } | clients::orders::Error::Refused { .. } => {
+                        Round::Refused
+                    }
                     // Whether it was taken shows in what the engine has.
                     _ => Round::Failed,
                 }
--- a/crates/sidecar/src/run/engine.rs
+++ b/crates/sidecar/src/run/engine.rs
@@ -7,8 +7,8 @@
 
 use base::reason::{Ran, Refusal};
 use bytes::Bytes;
+use clients::engine::{Engine, Error, Event};
 use futures_util::{Stream, StreamExt};
-use platform::engine::{Engine, Error, Event};
 use spdlog::warn;
 use wire::{End, Piece};
 
--- a/crates/sidecar/src/run/mod.rs
+++ b/crates/sidecar/src/run/mod.rs
@@ -10,8 +10,8 @@
 
 use base::reason::{Ran, Refusal};
 use bytes::Bytes;
-use platform::engine::Error;
-use platform::plain::Plain;
+use clients::engine::Error;
+use clients::plain::Plain;
 use wire::{End, Piece, Work};
 
 use crate::health;
--- a/crates/sidecar/tests/caches.rs
+++ b/crates/sidecar/tests/caches.rs
@@ -7,7 +7,7 @@
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use base::ids::{Sequence, Ticket, Tier};
 use base::stop::Stop;
-use platform::engine::{CacheChange, CacheEvent, CacheEvents};
+use clients::engine::{CacheChange, CacheEvent, CacheEvents};
 use serde_json::json;
 use tokio::net::TcpListener;
 use wire::{Peer, Reserve, Reserved, Stamp, Timing};
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -10,7 +10,7 @@
 use base::ids::Offset;
 use base::settings::Span;
 use base::stop::Stop;
-use platform::orders::{Error, Order, Orders};
+use clients::orders::{Error, Order, Orders};
 use policy::wish::Loaded;
 use rstest::rstest;
 use sidecar::orders::{Keeper, Round, Settings};
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,7 +23,7 @@
 use base::settings::Span;
 use base::stop::Stop;
 use bytes::Bytes;
-use platform::engine::{PRIORITY, REQUEST_ID};
+use clients::engine::{PRIORITY, REQUEST_ID};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::TcpListener;
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -5,8 +5,8 @@
 
 use actix_web::HttpResponse;
 use bytes::Bytes;
+use clients::engine::{Choice, Chunk, Usage};
 use futures_util::stream;
-use platform::engine::{Choice, Chunk, Usage};
 
 use super::batch::{Batch, Request};
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use base::stop::Stop;
-use platform::engine::{CacheEvents, LoadReport};
+use clients::engine::{CacheEvents, LoadReport};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Instant;
 
-use platform::engine::{CacheChange, CacheEvent};
+use clients::engine::{CacheChange, CacheEvent};
 
 /// Bytes of prompt text in one block of the cache.
 pub const BLOCK_BYTES: usize = 1024;
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -9,7 +9,7 @@
 use actix_web::{App, HttpRequest, HttpResponse, web};
 use base::settings::Span;
 use base::stop::Stop;
-use platform::hosts::{Host, List, Standing};
+use clients::hosts::{Host, List, Standing};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -15,7 +15,7 @@
 use base::ids::Offset;
 use base::settings::Span;
 use base::stop::Stop;
-use platform::log::{Append, Entry, Page, Place};
+use clients::log::{Append, Entry, Page, Place};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
--- a/crates/standin/src/orders.rs
+++ b/crates/standin/src/orders.rs
@@ -9,7 +9,7 @@
 use base::ids::Offset;
 use base::settings::Span;
 use base::stop::Stop;
-use platform::orders::{FENCE, Order, Standing};
+use clients::orders::{FENCE, Order, Standing};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/standin/tests/cache.rs
+++ b/crates/standin/tests/cache.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::engine::CacheChange;
+use clients::engine::CacheChange;
 use standin::engine::cache::{BLOCK_BYTES, BLOCK_TOKENS, Cache};
 
 fn text(first: u8, blocks: usize) -> Vec<u8> {
--- a/crates/standin/tests/hosts.rs
+++ b/crates/standin/tests/hosts.rs
@@ -5,7 +5,7 @@
 
 use base::settings::Span;
 use base::stop::Stop;
-use platform::hosts::{Error, Host, Hosts, Role, Standing};
+use clients::hosts::{Error, Host, Hosts, Role, Standing};
 use rstest::rstest;
 use standin::hosts::{Faults, Registry, Settings, run};
 
