Keep prompt readers and answer writers on engines of their own

Change: `policy::pools` tells routes by answer tokens for each prompt token and splits the engines by measured demand; all entries cut one common order. The rank for engines is the workspace's tier, then the route's. A server missing from the list gets calls only as a last resort.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -8,18 +8,23 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
-use policy::balance::{Listed, Want};
+use policy::balance::{Listed, Part, Want};
+use policy::pools::Work;
 use policy::rendezvous;
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
 use rand::RngExt;
 use spdlog::{info, warn};
 
-use crate::edge::{Ask, Order, Part};
+use crate::edge::{self, Ask, Order};
 use crate::exchange::{self, Answer, Body, Failure};
 use crate::relay::Relay;
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
 
+/// Ranks of routes within one tier of workspaces: engines know ten ranks,
+/// and three tiers of each fit.
+const RANKS: u8 = 3;
+
 /// Connections that are tried before a call is given up that could not be
 /// sent anywhere: a region that lost some hosts has others.
 const DIALS: usize = 4;
@@ -57,12 +62,23 @@
     pub came: Instant,
     /// When the caller or the route gives it up.
     pub until: Instant,
+    /// What its time goes into, if an engine serves it.
+    work: Option<Work>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.work == Some(Work::Writing) {
+            let now = self.state.clock.now();
+            self.state.pools.borrow_mut().ended(now, &self.service);
+        }
+    }
+}
+
 /// A call as it came.
 #[derive(Debug)]
 pub struct Incoming {
@@ -99,10 +115,16 @@
         let Some(service) = route.service(rand::rng().random()).cloned() else {
             return Err(Own::refused(Refusal::NoServer, AFTER_NO_SERVER));
         };
+        let engine = catalog.service(&service).and_then(|s| s.engine);
+        let work = engine.map(|_| {
+            let mut pools = state.pools.borrow_mut();
+            pools.came(incoming.came, &service, &route.name, ask.prompt, ask.output)
+        });
         let patience = ask.patience.unwrap_or(route.timeout);
         Ok(Self {
             state: Rc::clone(state),
             until: incoming.came + route.timeout.min(patience),
+            work,
             route,
             service,
             ask,
@@ -135,6 +157,17 @@
         own.unwrap_or(self.route.tier)
     }
 
+    /// The call's rank for engines. The workspace's tier goes first; within
+    /// it the route's decides, or an engine that runs out of memory could
+    /// preempt a live stream for the bulk work of an equal workspace.
+    fn rank(&self) -> u8 {
+        let route = self.route.tier.0.min(RANKS - 1);
+        match self.workspace.as_ref().and_then(|w| w.tier) {
+            Some(tier) => tier.0.saturating_mul(RANKS).saturating_add(route),
+            None => route,
+        }
+    }
+
     /// Gets the call to run and says what to answer.
     pub async fn run(self: Rc<Self>) -> Reply {
         let open = Open::new(&self.state);
@@ -241,20 +274,42 @@
 
     fn choose(&self, now: Instant, tried: &[Rc<str>], out: &[Rc<str>]) -> Option<Listed> {
         let avoid: Vec<Rc<str>> = tried.iter().chain(out).cloned().collect();
+        let part = self.part(now);
         let want = Want {
             service: &self.service,
-            prefix: prefix(&self.ask.parts),
+            prefix: match part {
+                // What little these calls share is read faster than a crowded
+                // server writes.
+                Part::First(_) => None,
+                _ => prefix(&self.ask.parts),
+            },
             tried: &avoid,
+            part,
         };
         self.state.balance.borrow_mut().choose(now, &want)
     }
 
+    /// The part of the engines that the call should go to.
+    fn part(&self, now: Instant) -> Part {
+        let Some(work) = self.work else {
+            return Part::All;
+        };
+        let (engines, slots) = self.state.balance.borrow().size(&self.service);
+        let mut pools = self.state.pools.borrow_mut();
+        let writers = pools.writers(now, &self.service, engines, slots);
+        match (writers, work) {
+            (0, _) => Part::All,
+            (count, Work::Writing) => Part::First(count),
+            (count, Work::Reading) => Part::Rest(count),
+        }
+    }
+
     fn request(&self, now: Instant, server: &Listed, last: Option<u64>) -> Request<Full<Bytes>> {
         let order = Order {
             left: self.until.saturating_duration_since(now),
             server: &server.id,
             workspace: self.workspace.as_ref().map(|w| w.name.as_str()),
-            tier: Some(self.tier().0),
+            rank: Some(self.rank()),
             last_event: last,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -357,7 +412,7 @@
 
 /// The shared parts of a prompt as one number: all but the last one, which
 /// belongs to the call itself.
-fn prefix(parts: &[Part]) -> Option<u64> {
+fn prefix(parts: &[edge::Part]) -> Option<u64> {
     let (_, shared) = parts.split_last()?;
     let last = shared.last().or(parts.last())?;
     Some(rendezvous::weight(last.id, u64::from(last.tokens)))
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -60,8 +60,8 @@
     pub server: &'a str,
     /// The caller's workspace.
     pub workspace: Option<&'a str>,
-    /// The call's tier, for engines.
-    pub tier: Option<u8>,
+    /// The call's rank for engines; 0 is the most urgent.
+    pub rank: Option<u8>,
     /// The last event that the caller has of a stream that goes on.
     pub last_event: Option<u64>,
 }
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -18,7 +18,7 @@
 /// How long the store may hold a question for which there is no news. A
 /// question that got lost costs so long, which must stay well within the
 /// time in which a catalog has to be in force.
-const WAIT: Duration = Duration::from_millis(1200);
+const WAIT: Duration = Duration::from_millis(800);
 
 /// The pause after a failed question; the store comes back at any moment.
 const RETRY: Duration = Duration::from_millis(150);
@@ -30,7 +30,7 @@
 
 /// Servers whose entries lapsed while the store was away write them anew
 /// within two seconds of its return. Those still missing then are gone.
-const RETURN: Duration = Duration::from_millis(2500);
+const RETURN: Duration = Duration::from_secs(2);
 
 /// Follows what the operators declare.
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
@@ -66,8 +66,6 @@
 /// Follows the backend servers.
 pub async fn servers<S: Source<Item = Listed>>(state: Rc<State>, source: S) {
     let mut reader = Reader::new("servers", source);
-    // Servers that the last whole table did not show, and when it came.
-    let mut missing: Option<(Instant, HashSet<Rc<str>>)> = None;
     loop {
         let Some(news) = reader.next(&state).await else {
             tokio::time::sleep(RETRY).await;
@@ -76,22 +74,19 @@
         let now = state.clock.now();
         if news.whole {
             let shown: HashSet<&str> = news.records.iter().map(|(k, _)| k.as_str()).collect();
-            let balance = state.balance.borrow();
-            let gone = balance.servers().map(|s| &s.id);
-            let gone = gone.filter(|id| !shown.contains(&***id)).cloned();
-            missing = Some((now, gone.collect()));
+            let known: Vec<Rc<str>> = state.balance.borrow().ids();
+            let unseen = known.iter().filter(|id| !shown.contains(&***id));
+            unseen.for_each(|id| miss(&state, now, id));
         }
         for (id, listed) in news.records {
-            if let Some((_, ids)) = &mut missing {
-                ids.remove(id.as_str());
-            }
             match listed {
                 Some(listed) => list(&state, listed),
-                None => remove(&state, &id, "dropped"),
+                None => miss(&state, now, &id),
             }
         }
-        if let Some((_, ids)) = missing.take_if(|(at, _)| now >= *at + RETURN) {
-            ids.iter().for_each(|id| remove(&state, id, "missing"));
+        for id in state.balance.borrow_mut().forget(now, RETURN) {
+            state.pool.forget(&id);
+            info!("server forgotten", kv: { server = &*id });
         }
         state.listed.set(true);
         tokio::time::sleep(GATHER).await;
@@ -115,10 +110,9 @@
     });
 }
 
-fn remove(state: &State, id: &str, why: &str) {
-    if state.balance.borrow_mut().remove(id) {
-        state.pool.forget(id);
-        info!("server gone", kv: { server = id, why });
+fn miss(state: &State, now: Instant, id: &str) {
+    if state.balance.borrow_mut().miss(now, id) {
+        info!("server missing", kv: { server = id });
     }
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -8,6 +8,7 @@
 use base::stop::Stop;
 use policy::balance::Balance;
 use policy::budget::Budget;
+use policy::pools::Pools;
 use policy::routes::Catalog;
 
 use crate::edge::Dialect;
@@ -30,6 +31,8 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// The known servers.
     pub balance: RefCell<Balance>,
+    /// What calls load the engines with.
+    pub pools: RefCell<Pools>,
     /// Repeats that are left.
     pub budget: RefCell<Budget>,
     /// Connections to servers.
@@ -57,6 +60,7 @@
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Rc<dyn Clock>) -> Rc<Self> {
         Rc::new(Self {
             balance: RefCell::new(Balance::new(&settings.zone)),
+            pools: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.repeats())),
             settings,
             dialect,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -7,7 +7,8 @@
 //! rendezvous hashing without any exchange, until that engine is clearly
 //! busier than the others. See docs/DECISIONS/0601-on-the-platform.md.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -23,6 +24,16 @@
 /// are gone for good leave the list within seconds.
 const REST_LIMIT: Duration = Duration::from_secs(3);
 
+/// A home server with so many times the mean of own calls is passed over.
+const CROWDED: f64 = 2.0;
+
+/// Own calls at a server that never make it crowded: with few calls in all,
+/// two at one server are chance.
+const CROWDED_LEAST: u32 = 1;
+
+/// The key by which all entries order servers before they cut the order.
+const CUT: u64 = 0x706f_6f6c;
+
 /// Failed runs in a row after which a server is left alone: single failures
 /// belong to the calls.
 const RUN_LIMIT: u32 = 3;
@@ -53,6 +64,21 @@
     pub prefix: Option<u64>,
     /// Servers that the call was sent to before.
     pub tried: &'a [Rc<str>],
+    /// The part of the servers that it should go to.
+    pub part: Part,
+}
+
+/// A part of a service's servers, the same at every entry that cuts at the
+/// same place.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Part {
+    /// All of them.
+    #[default]
+    All,
+    /// So many, from the start of the common order.
+    First(usize),
+    /// All but so many.
+    Rest(usize),
 }
 
 /// The servers that an entry knows, and its own calls at them.
@@ -78,6 +104,8 @@
     failed: u32,
     /// Left alone until then.
     rest: Option<Instant>,
+    /// Since when the list has not shown it.
+    missing: Option<Instant>,
 }
 
 impl Balance {
@@ -95,10 +123,11 @@
     /// changed.
     pub fn list(&mut self, listed: Listed) -> bool {
         match self.servers.get_mut(&listed.id) {
-            Some(server) if server.listed == listed => false,
             Some(server) => {
+                let back = server.missing.take().is_some();
+                let same = server.listed == listed;
                 server.listed = listed;
-                true
+                back || !same
             }
             None => {
                 let server = Server {
@@ -107,6 +136,7 @@
                     refused: 0,
                     failed: 0,
                     rest: None,
+                    missing: None,
                     listed,
                 };
                 self.servers.insert(Rc::clone(&server.listed.id), server);
@@ -115,14 +145,32 @@
         }
     }
 
-    /// Forgets a server; returns whether it was known.
-    pub fn remove(&mut self, id: &str) -> bool {
-        self.servers.remove(id).is_some()
+    /// Notes that the list does not show a server any more; returns whether
+    /// it did before.
+    ///
+    /// Entries lapse while the store is away though their servers live, and a
+    /// server that left is missing in the same way. It gets calls only while
+    /// no server is listed that could take them.
+    pub fn miss(&mut self, now: Instant, id: &str) -> bool {
+        let server = self.servers.get_mut(id);
+        server.is_some_and(|s| s.missing.replace(s.missing.unwrap_or(now)).is_none())
+    }
+
+    /// Forgets the servers that have been missing for `wait`.
+    pub fn forget(&mut self, now: Instant, wait: Duration) -> Vec<Rc<str>> {
+        let gone = |s: &&Server| s.missing.is_some_and(|since| now >= since + wait);
+        let gone = self.servers.values().filter(gone);
+        let gone: Vec<Rc<str>> = gone.map(|s| Rc::clone(&s.listed.id)).collect();
+        for id in &gone {
+            self.servers.remove(id);
+        }
+        gone
     }
 
-    /// The known servers.
-    pub fn servers(&self) -> impl Iterator<Item = &Listed> {
-        self.servers.values().map(|s| &s.listed)
+    /// The names of the known servers.
+    #[must_use]
+    pub fn ids(&self) -> Vec<Rc<str>> {
+        self.servers.keys().cloned().collect()
     }
 
     /// Whether a server is known and takes new calls.
@@ -131,11 +179,13 @@
         self.servers.get(id).is_some_and(|s| !s.listed.leaving)
     }
 
-    /// Servers of `service` that take new calls.
+    /// How many servers of `service` take new calls, and the slots of each.
     #[must_use]
-    pub fn count(&self, service: &str) -> usize {
-        let open = |s: &&Server| &*s.listed.service == service && !s.listed.leaving;
-        self.servers.values().filter(open).count()
+    pub fn size(&self, service: &str) -> (usize, u32) {
+        let open =
+            |s: &&Server| &*s.listed.service == service && !s.listed.leaving && s.missing.is_none();
+        let open = self.servers.values().filter(open);
+        open.fold((0, 0), |(n, slots), s| (n + 1, slots.max(s.listed.slots)))
     }
 
     /// The server for a call, or none when no server may take it.
@@ -152,20 +202,50 @@
                 && !want.tried.contains(&s.listed.id)
         };
         let mut fit: Vec<&Server> = self.servers.values().filter(usable).collect();
+        let listed = |s: &&Server| s.missing.is_none();
+        if fit.iter().any(listed) {
+            fit.retain(listed);
+        }
         let well = |s: &&Server| s.rest.is_none_or(|until| until <= now);
         // With none well, one that rests is better than none at all.
         if fit.iter().any(well) {
             fit.retain(well);
         }
+        self.keep_part(&mut fit, want);
         let spread = want.prefix.unwrap_or(self.turn);
         let zone = &self.zone;
         match want.prefix {
-            Some(_) => fit.sort_by_key(|s| std::cmp::Reverse(weight(spread, s.key))),
+            Some(_) => {
+                let limit = crowded(&fit);
+                let home = |s: &&Server| (s.open > limit, Reverse(weight(spread, s.key)));
+                fit.sort_by_key(home);
+            }
             None => fit.sort_by_key(|s| (s.open, s.listed.zone != *zone, weight(spread, s.key))),
         }
         fit.into_iter().map(|s| s.listed.clone()).collect()
     }
 
+    /// Leaves the servers of the wanted part, if any of them may be used.
+    fn keep_part(&self, fit: &mut Vec<&Server>, want: &Want<'_>) {
+        let (count, first) = match want.part {
+            Part::All => return,
+            Part::First(count) => (count, true),
+            Part::Rest(count) => (count, false),
+        };
+        // The cut is made among all servers that take calls, so that an entry
+        // for which one of them rests cuts where the others do.
+        let mut order: Vec<&Server> = self.servers.values().collect();
+        order.retain(|s| {
+            &*s.listed.service == want.service && !s.listed.leaving && s.missing.is_none()
+        });
+        order.sort_by_key(|s| weight(CUT, s.key));
+        let part: HashSet<u64> = order.iter().take(count).map(|s| s.key).collect();
+        let inside = |s: &&Server| part.contains(&s.key) == first;
+        if fit.iter().any(inside) {
+            fit.retain(inside);
+        }
+    }
+
     /// Own calls that are out at a server.
     #[must_use]
     pub fn out(&self, id: &str) -> u32 {
@@ -215,6 +295,13 @@
     }
 }
 
+/// Own calls at a server from which it counts as crowded.
+fn crowded(fit: &[&Server]) -> u32 {
+    let open: u32 = fit.iter().map(|s| s.open).sum();
+    let mean = f64::from(open) / fit.len().max(1) as f64;
+    (mean * CROWDED).ceil() as u32 + CROWDED_LEAST
+}
+
 /// How long a server is left alone after so many failures.
 fn rest(failures: u32) -> Duration {
     let doubled = REST_FIRST.saturating_mul(2u32.saturating_pow(failures.saturating_sub(1).min(8)));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! What an entry decides about the calls that it sends by itself:
 //! - [`routes`]: which route a call takes and who may ask.
 //! - [`balance`]: which backend server gets it.
+//! - [`pools`]: which engines read prompts and which write answers.
 //! - [`budget`]: whether it may be sent to a second one.
 //! - [`rendezvous`]: one order of servers for every process.
 //!
@@ -37,6 +38,7 @@
 pub mod pace;
 pub mod pacing;
 pub mod placement;
+pub mod pools;
 pub mod queue;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/pools.rs
@@ -0,0 +1,162 @@
+//! Which engines read long prompts and which write long answers.
+//!
+//! Load pattern: one kind of call brings prompts of thousands of tokens in
+//! bursts, another streams hundreds of tokens to a reader who notices each
+//! pause. An engine that reads a chunk of a prompt in every step makes the
+//! tokens of all its streams wait, so that seven steps in a row stretch one
+//! event past what its reader bears, though the engine is half idle. Kept on
+//! engines of their own, the streams never meet such a chunk. The split
+//! follows the load, so that neither side waits while the other has room, and
+//! there is none while only one kind comes. See
+//! docs/DECISIONS/0601-on-the-platform.md.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Answer tokens for each prompt token from which a route's calls spend their
+/// time on writing. Reading a prompt token takes about a hundredth of the
+/// time of writing one, so at a tenth writing takes ten times as long as
+/// reading, and the pauses between tokens are what callers notice.
+const WRITING_RATIO: f64 = 0.1;
+
+/// Part of an engine's slots that streams should take on average; the rest
+/// takes up bursts.
+const SLOT_SHARE: f64 = 0.6;
+
+/// Streams that one engine should write on average, however many slots it
+/// has: each further one slows all the others down.
+const STREAMS: f64 = 12.0;
+
+/// Prompt tokens that one engine reads in a second while it keeps half of its
+/// time for writing. Engines in use read 80 to 160 tokens in a millisecond.
+const READ_RATE: f64 = 50_000.0;
+
+/// How fast the measure of load follows it: a burst lasts some seconds.
+const SMOOTH: Duration = Duration::from_millis(2500);
+
+/// How much one call tells about the shape of its route's calls.
+const SHAPE_STEP: f64 = 0.05;
+
+/// What a call's time goes into.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// Reading a long prompt.
+    Reading,
+    /// Writing a long answer.
+    Writing,
+}
+
+/// How the calls of a service load its engines, as one entry sees it.
+#[derive(Debug, Default)]
+pub struct Pools {
+    routes: HashMap<String, Shape>,
+    services: HashMap<Rc<str>, Demand>,
+}
+
+/// What the calls of a route are like on average.
+#[derive(Debug, Clone, Copy)]
+struct Shape {
+    /// Tokens of the prompt.
+    prompt: f64,
+    /// Tokens of the answer.
+    answer: f64,
+}
+
+/// What comes for a service.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    /// When the averages were brought up to date.
+    at: Instant,
+    /// Prompt tokens a second of calls that read.
+    reading: f64,
+    /// Calls in progress that write, now and on average.
+    open: u32,
+    writing: f64,
+}
+
+impl Pools {
+    /// Notes a call and says what its time goes into.
+    pub fn came(
+        &mut self,
+        now: Instant,
+        service: &Rc<str>,
+        route: &str,
+        prompt: u32,
+        answer: u32,
+    ) -> Work {
+        let work = self.shape(route, f64::from(prompt), f64::from(answer));
+        let demand = self.demand(now, service);
+        match work {
+            Work::Reading => demand.reading += f64::from(prompt) / SMOOTH.as_secs_f64(),
+            Work::Writing => demand.open += 1,
+        }
+        work
+    }
+
+    /// Notes that a call which writes has ended.
+    pub fn ended(&mut self, now: Instant, service: &Rc<str>) {
+        let demand = self.demand(now, service);
+        demand.open = demand.open.saturating_sub(1);
+    }
+
+    /// How many of `engines` with so many `slots` each should be left to
+    /// calls that write; none when there is nothing to keep apart.
+    pub fn writers(
+        &mut self,
+        now: Instant,
+        service: &Rc<str>,
+        engines: usize,
+        slots: u32,
+    ) -> usize {
+        let demand = *self.demand(now, service);
+        let writing = demand.writing.max(f64::from(demand.open) / 2.0);
+        let writing = writing / (f64::from(slots.max(1)) * SLOT_SHARE).min(STREAMS);
+        let reading = demand.reading / READ_RATE;
+        if engines < 2 || writing <= 0.0 || reading <= 0.0 {
+            return 0;
+        }
+        let share = writing / (writing + reading);
+        let count = (engines as f64 * share).round() as usize;
+        count.clamp(1, engines - 1)
+    }
+
+    fn shape(&mut self, route: &str, prompt: f64, answer: f64) -> Work {
+        let shape = match self.routes.get_mut(route) {
+            Some(shape) => {
+                shape.prompt += (prompt - shape.prompt) * SHAPE_STEP;
+                shape.answer += (answer - shape.answer) * SHAPE_STEP;
+                *shape
+            }
+            None => {
+                let shape = Shape { prompt, answer };
+                self.routes.insert(route.to_owned(), shape);
+                shape
+            }
+        };
+        match shape.answer >= shape.prompt * WRITING_RATIO {
+            true => Work::Writing,
+            false => Work::Reading,
+        }
+    }
+
+    /// The demand for a service, with its averages brought up to `now`.
+    fn demand(&mut self, now: Instant, service: &Rc<str>) -> &mut Demand {
+        if !self.services.contains_key(service) {
+            let none = Demand {
+                at: now,
+                reading: 0.0,
+                open: 0,
+                writing: 0.0,
+            };
+            self.services.insert(Rc::clone(service), none);
+        }
+        let demand = self.services.get_mut(service).expect("inserted above");
+        let passed = now.saturating_duration_since(demand.at).as_secs_f64();
+        let kept = (-passed / SMOOTH.as_secs_f64()).exp();
+        demand.at = now;
+        demand.reading *= kept;
+        demand.writing = demand.writing * kept + f64::from(demand.open) * (1.0 - kept);
+        demand
+    }
+}
