Let entries tell each other what they have in progress

Cause: each entry cut the engines by its own calls only, a quarter of them, so that cuts differed from entry to entry and streams met prompts on the engines between.

Ruled out: the store as the channel (a write and a read a second for each entry would double the calls that are paid for).

Change: entries write their address into the store once and then send each other one datagram every 100 ms or more (8 KB a second each at most) with their calls at each server and their demand; placement and the split count all entries' calls. What is older than four intervals is not believed.

To be looked at: prefixes that move when the cut moves.

--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -7,6 +7,7 @@
 use bpaf::Bpaf;
 use forward::reload::Reload;
 use platform::dialect::Headers;
+use platform::entries::Entries;
 use platform::operators::Operators;
 use platform::servers::Servers;
 use platform::store::Reader;
@@ -69,9 +70,18 @@
             let store = settings.store;
             let catalogs = Reader::<Operators>::new(store);
             let servers = Reader::<Servers>::new(store);
+            let directory = Entries::new(store);
             let reload = Reload::new(self.settings, &settings);
             actix_rt::spawn(reload.watch(stop.clone()));
-            forward::run(settings, Rc::new(Headers), catalogs, servers, stop).await
+            forward::run(
+                settings,
+                Rc::new(Headers),
+                catalogs,
+                servers,
+                directory,
+                stop,
+            )
+            .await
         })
     }
 }
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -1,6 +1,7 @@
 //! What a platform has to translate for this package. Everything here speaks
 //! of what the words on the wire mean, not of how they are spelled.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -101,6 +102,19 @@
     ) -> impl Future<Output = Result<Changes<Self::Item>, SourceError>>;
 }
 
+/// Where entries find each other.
+pub trait Directory {
+    /// Writes an entry's address under its name.
+    fn announce(
+        &self,
+        name: &str,
+        addr: SocketAddr,
+    ) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// The addresses that were written, also those of entries that are gone.
+    fn entries(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
+}
+
 /// Records of a table.
 #[derive(Debug, Clone)]
 pub struct Changes<T> {
--- /dev/null
+++ b/crates/forward/src/gossip.rs
@@ -0,0 +1,199 @@
+//! Telling the other entries what this one has in progress, and hearing what
+//! they have.
+//!
+//! Entries find each other through the platform's store, where each writes
+//! its address once, and by what they hear. Without any peer an entry goes by
+//! its own calls.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::ids::Incarnation;
+use base::stop::Stop;
+use policy::others::Saying;
+use policy::pools::Told;
+use policy::rendezvous;
+use spdlog::{info, warn};
+use tokio::net::UdpSocket;
+use wire::gossip;
+
+use crate::edge::Directory;
+use crate::state::State;
+
+/// The shortest interval: what is told is as old as that, and a call takes
+/// about ten of it.
+const EVERY_LEAST: Duration = Duration::from_millis(100);
+
+/// The longest interval; told more rarely, it would say nothing.
+const EVERY_MOST: Duration = Duration::from_secs(1);
+
+/// Bytes a second that one entry may send, from the size that the system is
+/// designed for (docs/CAPACITY.md).
+const RATE: f64 = 8192.0;
+
+/// Bytes around the contents of a datagram.
+const FRAME: usize = 28;
+
+/// A peer that was not heard for so long gets no datagrams.
+const SILENT: Duration = Duration::from_secs(30);
+
+/// How often the directory is read, to find entries that this one has missed.
+const LOOK: Duration = Duration::from_secs(15);
+
+/// The pause after the directory could not be reached.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Tells and hears until `end`.
+pub async fn run(state: Rc<State>, socket: UdpSocket, end: Stop) {
+    let socket = Rc::new(socket);
+    actix_rt::spawn(hear(Rc::clone(&state), Rc::clone(&socket)));
+    let life = Incarnation::random().0;
+    let mut seq = 0;
+    while !end.asked() {
+        let now = state.clock.now();
+        seq += 1;
+        let every = tell(&state, &socket, now, life, seq).await;
+        tokio::time::sleep(every).await;
+        take_over(&state, state.clock.now());
+    }
+}
+
+/// Sends what this entry has to all peers; returns when to do so again.
+async fn tell(state: &State, socket: &UdpSocket, now: Instant, life: u64, seq: u32) -> Duration {
+    let peers: Vec<SocketAddr> = {
+        let mut peers = state.peers.borrow_mut();
+        peers.retain(|_, heard| now < *heard + SILENT);
+        peers.keys().copied().collect()
+    };
+    let every = state.every.get();
+    let bytes = gossip::encode(saying(state, now, life, seq, every));
+    for peer in &peers {
+        // A datagram that cannot be sent is like one that is lost.
+        let _ = socket.try_send_to(&bytes, *peer);
+    }
+    let sent = (bytes.len() + FRAME) * peers.len();
+    let every = Duration::from_secs_f64(sent as f64 / RATE);
+    let every = every.clamp(EVERY_LEAST, EVERY_MOST);
+    state.every.set(every);
+    every
+}
+
+fn saying(state: &State, now: Instant, life: u64, seq: u32, every: Duration) -> gossip::Saying {
+    let services = state.pools.borrow_mut().told(now);
+    let mut open = state.balance.borrow().told();
+    open.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let service = |(name, told): (Rc<str>, Told)| gossip::Service {
+        number: number(&name),
+        reading: told.reading as f32,
+        writing: told.writing as f32,
+        pace: told.pace as f32,
+    };
+    gossip::Saying {
+        life,
+        seq,
+        every_ms: u32::try_from(every.as_millis()).unwrap_or(u32::MAX),
+        services: services.into_iter().map(service).collect(),
+        open,
+    }
+}
+
+/// A service's number between entries.
+fn number(service: &str) -> u32 {
+    rendezvous::number(service) as u32
+}
+
+async fn hear(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; gossip::LARGEST];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(got) => got,
+            Err(e) => {
+                // An unreachable peer's refusal shows up here; it says
+                // nothing about the others.
+                metrics::counter!("pimentocart_gossip_errors_total").increment(1);
+                if e.kind() != io::ErrorKind::ConnectionRefused {
+                    tokio::time::sleep(RETRY).await;
+                }
+                continue;
+            }
+        };
+        let said = match gossip::decode(&buffer[..length]) {
+            Ok(said) => said,
+            Err(e) => {
+                warn!("gossip not understood", kv: {
+                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
+                });
+                continue;
+            }
+        };
+        let now = state.clock.now();
+        if state.peers.borrow_mut().insert(from, now).is_none() {
+            info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
+        }
+        state.others.borrow_mut().hear(now, read(&said));
+    }
+}
+
+fn read(said: &gossip::Saying) -> Saying {
+    let told = |s: &gossip::Service| {
+        let told = Told {
+            reading: f64::from(s.reading),
+            writing: f64::from(s.writing),
+            pace: f64::from(s.pace),
+        };
+        (s.number, told)
+    };
+    Saying {
+        life: said.life,
+        seq: said.seq,
+        every: Duration::from_millis(u64::from(said.every_ms)),
+        services: said.services.iter().map(told).collect(),
+        open: said.open.clone(),
+    }
+}
+
+/// Hands what the others have to those who decide.
+fn take_over(state: &State, now: Instant) {
+    let mut others = state.others.borrow_mut();
+    others.forget(now);
+    metrics::gauge!("pimentocart_entries_heard").set(others.count() as f64);
+    let open = others.open();
+    let open = |server: u16| open.get(&server).copied().unwrap_or(0);
+    state.balance.borrow_mut().hear(open);
+    let Some(catalog) = state.catalog.borrow().clone() else {
+        return;
+    };
+    for service in catalog.services().filter(|s| s.engine.is_some()) {
+        let told = others.told(number(&service.name));
+        state.pools.borrow_mut().hear(now, &service.name, told);
+    }
+}
+
+/// Writes this entry's address into the directory and finds the others there.
+pub async fn find<D: Directory>(state: Rc<State>, directory: D, addr: SocketAddr, end: Stop) {
+    let mut announced = false;
+    while !end.asked() {
+        if !announced {
+            let name = &state.settings.name;
+            announced = directory.announce(name, addr).await.is_ok();
+        }
+        let found = directory.entries().await;
+        let wait = if found.is_ok() && announced {
+            LOOK
+        } else {
+            RETRY
+        };
+        let now = state.clock.now();
+        for peer in found.unwrap_or_default() {
+            let known = state.peers.borrow().contains_key(&peer);
+            if peer != addr && !known {
+                info!("entry found", kv: { peer = peer.to_string().as_str(), by = "directory" });
+                state.peers.borrow_mut().insert(peer, now);
+            }
+        }
+        tokio::time::sleep(wait).await;
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`edge`]: what a platform has to translate for this package.
 //! - [`follow`]: keeping level with the platform's tables.
 //! - [`state`]: the catalog in force, the known servers, what is open.
+//! - [`gossip`]: what entries tell each other.
 //! - [`http`]: the callers' side.
 //! - [`call`]: one call, and getting it to run.
 //! - [`pool`]: connections to backend servers.
@@ -21,6 +22,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod gossip;
 pub mod http;
 pub mod pool;
 pub mod relay;
@@ -35,10 +37,11 @@
 use base::clock::{Clock, SystemClock};
 use base::listen;
 use base::stop::Stop;
-use edge::{Dialect, Source};
+use edge::{Dialect, Directory, Source};
 use policy::balance::Listed;
 use policy::routes::Catalog;
 use spdlog::info;
+use tokio::net::UdpSocket;
 
 pub use settings::Settings;
 use state::State;
@@ -49,25 +52,36 @@
 /// # Errors
 ///
 /// Returns the error when the entry cannot listen.
-pub async fn run<C, S>(
+pub async fn run<C, S, D>(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
     catalogs: C,
     servers: S,
+    directory: D,
     stop: Stop,
 ) -> io::Result<()>
 where
     C: Source<Item = Catalog> + 'static,
     S: Source<Item = Listed> + 'static,
+    D: Directory + 'static,
 {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let listener = listen("listen", settings.listen).await?;
     let ready = listen("ready", settings.ready).await?;
+    let addr = settings.gossip;
+    let socket = UdpSocket::bind(addr).await?;
     let state = State::new(settings, dialect, clock);
 
     let end = Stop::new();
     actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
     actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
+    actix_rt::spawn(gossip::find(
+        Rc::clone(&state),
+        directory,
+        addr,
+        end.clone(),
+    ));
     actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
     actix_rt::spawn(http::operators(ready, Rc::clone(&state), end.clone()));
     info!("entry started", kv: {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -26,6 +26,8 @@
     pub ready: SocketAddr,
     /// The path that the balancer asks for.
     pub ready_path: String,
+    /// Where other entries tell this one what they have in progress.
+    pub gossip: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// How long a stop may take before the process is killed, in seconds.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -1,13 +1,16 @@
 //! The catalog in force, the known servers, and what is open.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::clock::Clock;
 use base::stop::Stop;
 use policy::balance::Balance;
 use policy::budget::Budget;
+use policy::others::Others;
 use policy::pools::Pools;
 use policy::routes::Catalog;
 
@@ -33,6 +36,12 @@
     pub balance: RefCell<Balance>,
     /// What calls load the engines with.
     pub pools: RefCell<Pools>,
+    /// What other entries have in progress.
+    pub others: RefCell<Others>,
+    /// Other entries, with when they were last heard.
+    pub peers: RefCell<HashMap<SocketAddr, Instant>>,
+    /// How often this entry tells the others what it has.
+    pub every: Cell<Duration>,
     /// Repeats that are left.
     pub budget: RefCell<Budget>,
     /// Connections to servers.
@@ -61,6 +70,9 @@
         Rc::new(Self {
             balance: RefCell::new(Balance::new(&settings.zone)),
             pools: RefCell::default(),
+            others: RefCell::default(),
+            peers: RefCell::default(),
+            every: Cell::new(Duration::from_secs(1)),
             budget: RefCell::new(Budget::new(settings.repeats())),
             settings,
             dialect,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -98,6 +98,8 @@
     key: u64,
     /// Own calls that are out.
     open: u32,
+    /// Calls of other entries, as far as they have told.
+    others: u32,
     /// Failures to connect in a row.
     refused: u32,
     /// Failed runs in a row.
@@ -109,6 +111,13 @@
     missing: Option<(Instant, Instant)>,
 }
 
+impl Server {
+    /// Calls at the server, of all entries.
+    fn load(&self) -> u32 {
+        self.open + self.others
+    }
+}
+
 impl Balance {
     /// Makes a balance that knows no servers.
     #[must_use]
@@ -134,6 +143,7 @@
                 let server = Server {
                     key: number(&listed.id),
                     open: 0,
+                    others: 0,
                     refused: 0,
                     failed: 0,
                     rest: None,
@@ -220,10 +230,10 @@
         match want.prefix {
             Some(_) => {
                 let limit = crowded(&fit);
-                let home = |s: &&Server| (s.open > limit, Reverse(weight(spread, s.key)));
+                let home = |s: &&Server| (s.load() > limit, Reverse(weight(spread, s.key)));
                 fit.sort_by_key(home);
             }
-            None => fit.sort_by_key(|s| (s.open, s.listed.zone != *zone, weight(spread, s.key))),
+            None => fit.sort_by_key(|s| (s.load(), s.listed.zone != *zone, weight(spread, s.key))),
         }
         fit.into_iter().map(|s| s.listed.clone()).collect()
     }
@@ -249,10 +259,19 @@
         }
     }
 
-    /// Own calls that are out at a server.
+    /// Own calls that are out, by the server's short number.
     #[must_use]
-    pub fn out(&self, id: &str) -> u32 {
-        self.servers.get(id).map_or(0, |s| s.open)
+    pub fn told(&self) -> Vec<(u16, u16)> {
+        let open = self.servers.values().filter(|s| s.open > 0);
+        let told = |s: &Server| (short(s.key), u16::try_from(s.open).unwrap_or(u16::MAX));
+        open.map(told).collect()
+    }
+
+    /// Takes over how many calls all other entries together have out.
+    pub fn hear(&mut self, others: impl Fn(u16) -> u32) {
+        for server in self.servers.values_mut() {
+            server.others = others(short(server.key));
+        }
     }
 
     /// Notes that a call goes out to a server.
@@ -298,9 +317,15 @@
     }
 }
 
+/// A server's number between entries. Two servers of one number, one pair in
+/// sixty among fifty servers, look a little busier than they are.
+fn short(key: u64) -> u16 {
+    key as u16
+}
+
 /// Own calls at a server from which it counts as crowded.
 fn crowded(fit: &[&Server]) -> u32 {
-    let open: u32 = fit.iter().map(|s| s.open).sum();
+    let open: u32 = fit.iter().map(|s| s.load()).sum();
     let mean = f64::from(open) / fit.len().max(1) as f64;
     (mean * CROWDED).ceil() as u32 + CROWDED_LEAST
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`routes`]: which route a call takes and who may ask.
 //! - [`balance`]: which backend server gets it.
 //! - [`pools`]: which engines read prompts and which write answers.
+//! - [`others`]: what other entries have in progress.
 //! - [`budget`]: whether it may be sent to a second one.
 //! - [`rendezvous`]: one order of servers for every process.
 //!
@@ -34,6 +35,7 @@
 pub mod lengths;
 pub mod membership;
 pub mod offer;
+pub mod others;
 pub mod outlier;
 pub mod pace;
 pub mod pacing;
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -85,15 +85,34 @@
     writing: f64,
     /// Time to the first event by what had to be read.
     first: Fit,
+    /// What other entries say of their own calls.
+    others: Told,
+}
+
+/// What one entry, or several together, have for a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Told {
+    /// Prompt tokens a second of calls that read.
+    pub reading: f64,
+    /// Calls in progress that write.
+    pub writing: f64,
+    /// Seconds that an engine takes to read a token; 0 when unknown.
+    pub pace: f64,
 }
 
 impl Demand {
-    /// Seconds that an engine takes to read one token, with all that waits
-    /// for it: more load makes it longer, and more engines are left to read.
-    fn read_time(&self) -> f64 {
-        match self.first.slope() * 1e-6 {
-            slope if slope > 0.0 => slope.max(READ_LEAST),
-            _ => READ_GUESS,
+    /// This entry's own calls.
+    fn told(&self) -> Told {
+        let slope = self.first.slope() * 1e-6;
+        Told {
+            reading: self.reading,
+            writing: self.writing.max(f64::from(self.open) / 2.0),
+            // More load makes it longer, and more engines are left to read.
+            pace: if slope > 0.0 {
+                slope.max(READ_LEAST)
+            } else {
+                0.0
+            },
         }
     }
 }
@@ -131,6 +150,21 @@
         demand.open = demand.open.saturating_sub(1);
     }
 
+    /// What this entry has for each service.
+    pub fn told(&mut self, now: Instant) -> Vec<(Rc<str>, Told)> {
+        let services: Vec<Rc<str>> = self.services.keys().cloned().collect();
+        let told = |s: Rc<str>| {
+            let told = self.demand(now, &s).told();
+            (s, told)
+        };
+        services.into_iter().map(told).collect()
+    }
+
+    /// Takes over what all other entries together have for a service.
+    pub fn hear(&mut self, now: Instant, service: &Rc<str>, told: Told) {
+        self.demand(now, service).others = told;
+    }
+
     /// How many of `engines` with so many `slots` each should be left to
     /// calls that write; none when there is nothing to keep apart.
     pub fn writers(
@@ -141,9 +175,15 @@
         slots: u32,
     ) -> usize {
         let demand = *self.demand(now, service);
-        let writing = demand.writing.max(f64::from(demand.open) / 2.0);
+        let (own, others) = (demand.told(), demand.others);
+        let writing = own.writing + others.writing;
         let writing = writing / (f64::from(slots.max(1)) * SLOT_SHARE).min(STREAMS);
-        let reading = demand.reading * demand.read_time() / READ_SHARE;
+        let pace = match (own.pace, others.pace) {
+            (0.0, 0.0) => READ_GUESS,
+            (own, others) if own == 0.0 || others == 0.0 => own + others,
+            (own, others) => f64::midpoint(own, others),
+        };
+        let reading = (own.reading + others.reading) * pace / READ_SHARE;
         if engines < 2 || writing <= 0.0 || reading <= 0.0 {
             return 0;
         }
@@ -180,6 +220,7 @@
                 open: 0,
                 writing: 0.0,
                 first: Fit::default(),
+                others: Told::default(),
             };
             self.services.insert(Rc::clone(service), none);
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,4 @@
-//! The inner protocol between an entry and a sidecar.
+//! The inner protocols: between an entry and a sidecar, and between entries.
 //!
 //! Four idempotent calls by ticket, entry as client and sidecar as server;
 //! see docs/DECISIONS/0002-late-binding.md for why. The order of a request:
@@ -8,7 +8,9 @@
 //! - [`message`]: what the calls carry.
 //! - [`peer`]: a connection that finds out when it has gone silent.
 //! - [`serve`]: answering the calls.
+//! - [`gossip`]: what entries tell each other about their own calls.
 
+pub mod gossip;
 pub mod message;
 pub mod peer;
 pub mod serve;
