--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -15,10 +15,14 @@
 use crate::edge::{Source, SourceError};
 use crate::state::State;
 
-/// How long the store may hold a question for which there is no news. A
-/// question that got lost costs so long, which must stay well within the
-/// time in which a catalog has to be in force.
-const WAIT: Duration = Duration::from_millis(800);
+/// How long the store may hold a question for which there is no new catalog.
+/// A question that got lost with its link costs so long, which must stay well
+/// within the time in which a catalog has to be in force.
+const CATALOG_WAIT: Duration = Duration::from_millis(1500);
+
+/// The same for servers. They report all the time, so that an answer comes at
+/// once; a lost question should be given up soon.
+const SERVER_WAIT: Duration = Duration::from_millis(300);
 
 /// The pause after a failed question; the store comes back at any moment.
 const RETRY: Duration = Duration::from_millis(150);
@@ -26,7 +30,7 @@
 /// Servers report every second or so, each at another moment. Asking again
 /// at once would cost a call for each report; in this pause several come
 /// together, and a leaving server is still known far sooner than it must be.
-const GATHER: Duration = Duration::from_millis(350);
+const GATHER: Duration = Duration::from_millis(800);
 
 /// Servers whose entries lapsed while the store was away write them anew
 /// within two seconds of its return. Those still missing then are gone.
@@ -42,7 +46,7 @@
 
 /// Follows what the operators declare.
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("catalog", source);
+    let mut reader = Reader::new("catalog", source, CATALOG_WAIT);
     loop {
         let Some(news) = reader.next(&state).await else {
             tokio::time::sleep(RETRY).await;
@@ -73,7 +77,7 @@
 
 /// Follows the backend servers.
 pub async fn servers<S: Source<Item = Listed>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("servers", source);
+    let mut reader = Reader::new("servers", source, SERVER_WAIT);
     loop {
         let Some(news) = reader.next(&state).await else {
             tokio::time::sleep(RETRY).await;
@@ -130,6 +134,8 @@
 struct Reader<S> {
     name: &'static str,
     source: S,
+    /// How long the store may hold a question.
+    wait: Duration,
     /// The position from which to go on; none before a whole table was read.
     from: Option<u64>,
     /// Failures since the last answer.
@@ -146,10 +152,11 @@
 }
 
 impl<S: Source> Reader<S> {
-    fn new(name: &'static str, source: S) -> Self {
+    fn new(name: &'static str, source: S, wait: Duration) -> Self {
         Self {
             name,
             source,
+            wait,
             from: None,
             failures: 0,
             regained: None,
@@ -160,7 +167,7 @@
         let whole = self.from.is_none();
         let read = match self.from {
             None => self.source.newest().await,
-            Some(from) => self.source.changes(from, WAIT).await,
+            Some(from) => self.source.changes(from, self.wait).await,
         };
         match read {
             Ok(changes) => {
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -5,7 +5,6 @@
 //! its address once, and by what they hear. Without any peer an entry goes by
 //! its own calls.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
