Give streams the engines that they need first

Ruled out: slow engines (10.5 ms a token at 80 streams is what so many cost); prompts beside the streams (none ran there in those seconds).

Change: writing takes what it needs by the calls that are open now, a quarter of the engines stays with prompts whatever the load, and what is over is shared in proportion.

--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -42,6 +42,9 @@
 /// are all cached would make any engine look endlessly fast.
 const READ_LEAST: f64 = 2e-6;
 
+/// One engine in so many is left to calls that read, whatever the load.
+const READERS_LEAST: usize = 4;
+
 /// How fast the measure of load follows it: a burst lasts some seconds.
 const SMOOTH: Duration = Duration::from_millis(2500);
 
@@ -106,7 +109,7 @@
         let slope = self.first.slope() * 1e-6;
         Told {
             reading: self.reading,
-            writing: self.writing.max(f64::from(self.open) / 2.0),
+            writing: self.writing.max(f64::from(self.open)),
             // More load makes it longer, and more engines are left to read.
             pace: if slope > 0.0 {
                 slope.max(READ_LEAST)
@@ -187,9 +190,14 @@
         if engines < 2 || writing <= 0.0 || reading <= 0.0 {
             return 0;
         }
-        let share = writing / (writing + reading);
-        let count = (engines as f64 * share).round() as usize;
-        count.clamp(1, engines - 1)
+        // What is left over when both have what they need is shared in the
+        // same proportion. When there is not enough for both, streams go
+        // first: a prompt that waits is late at the worst, a stream among too
+        // many makes all of them late.
+        let share = engines as f64 * writing / (writing + reading);
+        let count = share.max(writing).round() as usize;
+        let readers = (engines / READERS_LEAST).max(1);
+        count.clamp(1, engines - readers)
     }
 
     fn shape(&mut self, route: &str, prompt: f64, answer: f64) -> Work {
