--- /dev/null
+++ b/crates/policy/tests/balance.rs
@@ -0,0 +1,163 @@
+//! Which server gets a call that an entry sends by itself.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::balance::{Balance, Listed, Part, Want};
+
+const AWAY: Duration = Duration::from_secs(2);
+
+fn listed(id: &str, zone: &str) -> Listed {
+    Listed {
+        id: Rc::from(id),
+        service: Rc::from("llm"),
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        zone: Rc::from(zone),
+        slots: 16,
+        leaving: false,
+    }
+}
+
+fn balance(count: usize) -> Balance {
+    let mut balance = Balance::new("a");
+    for i in 0..count {
+        balance.list(listed(&format!("s{i}"), ["a", "b"][i % 2]));
+    }
+    balance
+}
+
+fn want(prefix: Option<u64>) -> Want<'static> {
+    Want {
+        service: "llm",
+        prefix,
+        tried: &[],
+        part: Part::All,
+    }
+}
+
+fn chosen(balance: &mut Balance, now: Instant, want: &Want<'_>) -> Option<String> {
+    balance.choose(now, want).map(|s| s.id.to_string())
+}
+
+#[test]
+fn prefix_goes_home_from_every_entry() {
+    let now = Instant::now();
+    let (mut one, mut two) = (balance(12), Balance::new("b"));
+    for i in (0..12).rev() {
+        two.list(listed(&format!("s{i}"), "c"));
+    }
+    for prefix in 0..100 {
+        let want = want(Some(prefix));
+        assert_eq!(chosen(&mut one, now, &want), chosen(&mut two, now, &want));
+    }
+}
+
+/// Many calls share one prompt part. Without a limit all of them would wait
+/// at one engine while eleven are idle, because the hash sends them there.
+#[test]
+fn hot_prefix_spills() {
+    let (now, mut balance) = (Instant::now(), balance(12));
+    let want = want(Some(7));
+    let mut used = HashSet::new();
+    for _ in 0..48 {
+        let server = balance.choose(now, &want).expect("a server");
+        balance.sent(&server.id);
+        used.insert(server.id);
+    }
+    assert!(used.len() > 3, "only {} servers were used", used.len());
+}
+
+/// Other entries fill an engine that this one has no call at. By its own
+/// calls alone it looks idle; what the others tell shows that it is not.
+#[test]
+fn calls_of_others_count() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    let idle = chosen(&mut balance, now, &want(None)).expect("a server");
+    balance.sent(&idle);
+    let busy = balance.told();
+    balance.ended(&idle);
+    balance.hear(|server| if server == busy[0].0 { 9 } else { 0 });
+    for _ in 0..8 {
+        assert_ne!(chosen(&mut balance, now, &want(None)), Some(idle.clone()));
+    }
+}
+
+/// A host stops answering. The first call finds out; those after it must not
+/// each find out again, and once the host is back it gets calls again.
+#[test]
+fn unreachable_rests() {
+    let (now, mut balance) = (Instant::now(), balance(3));
+    let home = chosen(&mut balance, now, &want(Some(3))).expect("a server");
+    balance.unreachable(now, &home);
+    assert_ne!(chosen(&mut balance, now, &want(Some(3))), Some(home.clone()));
+    let later = now + Duration::from_secs(4);
+    assert_eq!(chosen(&mut balance, later, &want(Some(3))), Some(home));
+}
+
+#[test]
+fn resting_is_better_than_none() {
+    let (now, mut balance) = (Instant::now(), balance(1));
+    balance.unreachable(now, "s0");
+    assert!(balance.choose(now, &want(None)).is_some());
+}
+
+#[test]
+fn leaving_gets_nothing() {
+    let (now, mut balance) = (Instant::now(), balance(1));
+    balance.list(Listed {
+        leaving: true,
+        ..listed("s0", "a")
+    });
+    assert!(balance.choose(now, &want(None)).is_none());
+}
+
+/// An entry was cut off while servers left, and its fresh list does not show
+/// them. It used them on for two seconds, as if the store had lost entries of
+/// live servers. While any server is listed, those that are not get nothing,
+/// not even a repeat that was everywhere else already.
+#[test]
+fn missing_gets_nothing_beside_listed() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    balance.miss(now, "s0", now + AWAY);
+    let tried = [Rc::from("s1")];
+    let again = Want {
+        tried: &tried,
+        ..want(None)
+    };
+    assert_eq!(chosen(&mut balance, now, &want(None)).as_deref(), Some("s1"));
+    assert!(balance.choose(now, &again).is_none());
+}
+
+/// The store comes back from an outage in which all entries lapsed, though
+/// the servers live. They are called on until they had the time to write
+/// their entries anew, and not longer.
+#[test]
+fn missing_all_serve_for_a_while() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    for id in ["s0", "s1"] {
+        balance.miss(now, id, now + AWAY);
+    }
+    assert!(balance.choose(now, &want(None)).is_some());
+    assert!(balance.choose(now + AWAY, &want(None)).is_none());
+    balance.list(listed("s1", "b"));
+    assert_eq!(chosen(&mut balance, now + AWAY, &want(None)).as_deref(), Some("s1"));
+    assert_eq!(balance.forget(now + AWAY, AWAY), [Rc::from("s0")]);
+}
+
+#[test]
+fn parts_do_not_overlap() {
+    let (now, mut balance) = (Instant::now(), balance(12));
+    let mut seen = [HashSet::new(), HashSet::new()];
+    for prefix in 0..200 {
+        for (part, seen) in [Part::First(4), Part::Rest(4)].into_iter().zip(&mut seen) {
+            let want = Want {
+                part,
+                ..want(Some(prefix))
+            };
+            seen.insert(chosen(&mut balance, now, &want).expect("a server"));
+        }
+    }
+    assert_eq!(seen.each_ref().map(HashSet::len), [4, 8]);
+    assert!(seen[0].is_disjoint(&seen[1]));
+}
--- /dev/null
+++ b/crates/policy/tests/pools.rs
@@ -0,0 +1,168 @@
+//! Which engines read prompts and which write answers, replayed under the
+//! load that the split is for.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::others::{Others, Saying};
+use policy::pools::{Pools, Told, Work};
+
+const ENGINES: usize = 18;
+const SLOTS: u32 = 16;
+
+/// Seconds that an engine takes to read a token; 150 in a millisecond.
+const PACE: f64 = 1.0 / 150_000.0;
+
+struct Load {
+    now: Instant,
+    pools: Pools,
+    service: Rc<str>,
+    /// Streams in progress, by the tenth of a second in which they came.
+    open: VecDeque<u32>,
+}
+
+impl Load {
+    fn new() -> Self {
+        Self {
+            now: Instant::now(),
+            pools: Pools::default(),
+            service: Rc::from("llm"),
+            open: VecDeque::new(),
+        }
+    }
+
+    /// Lets `prompts` long prompts and `streams` long answers a second come
+    /// for some seconds; a stream takes one second.
+    fn run(&mut self, seconds: u32, prompts: u32, streams: u32) {
+        let step = Duration::from_millis(100);
+        for _ in 0..seconds * 10 {
+            for i in 0..prompts / 10 {
+                let tokens = 2000 + 400 * (i % 5);
+                let came = self.pools.came(self.now, &self.service, "bulk", tokens, 50);
+                assert_eq!(came, Work::Reading);
+                let took = Duration::from_secs_f64(0.03 + f64::from(tokens) * PACE);
+                self.pools.first(self.now, &self.service, tokens, took);
+            }
+            for _ in 0..streams / 10 {
+                let came = self.pools.came(self.now, &self.service, "chat", 500, 280);
+                assert_eq!(came, Work::Writing);
+            }
+            self.open.push_back(streams / 10);
+            self.now += step;
+            // Those that came a second ago end now.
+            if self.open.len() > 10 {
+                for _ in 0..self.open.pop_front().unwrap_or(0) {
+                    self.pools.ended(self.now, &self.service);
+                }
+            }
+        }
+    }
+
+    fn writers(&mut self) -> usize {
+        self.pools
+            .writers(self.now, &self.service, ENGINES, SLOTS)
+    }
+}
+
+#[test]
+fn one_kind_takes_all() {
+    let mut load = Load::new();
+    load.run(5, 100, 0);
+    assert_eq!(load.writers(), 0);
+    let mut load = Load::new();
+    load.run(5, 0, 20);
+    assert_eq!(load.writers(), 0);
+}
+
+/// Long prompts burst beside live streams. Shared engines read a chunk in
+/// each step and every stream on them pauses for longer than its reader
+/// bears; so some engines must be left to streams alone.
+#[test]
+fn streams_keep_engines_in_a_burst() {
+    let mut load = Load::new();
+    load.run(5, 100, 20);
+    let calm = load.writers();
+    assert!((2..=9).contains(&calm), "{calm} engines of {ENGINES}");
+    load.run(5, 300, 20);
+    let burst = load.writers();
+    assert!(burst >= 2, "{burst} engines are left to streams");
+    assert!(burst <= calm, "prompts got no further engines");
+}
+
+/// Twice the streams come within a second. A split that follows slowly lets
+/// them wait for slots while the readers' engines are half idle.
+#[test]
+fn more_streams_get_more_engines() {
+    let mut load = Load::new();
+    load.run(5, 100, 20);
+    let before = load.writers();
+    for _ in 0..60 {
+        load.pools.came(load.now, &load.service, "chat", 500, 280);
+    }
+    assert!(load.writers() > before);
+}
+
+/// However many streams come, prompts go on being read.
+#[test]
+fn readers_keep_a_quarter() {
+    let mut load = Load::new();
+    load.run(3, 100, 20);
+    for _ in 0..5000 {
+        load.pools.came(load.now, &load.service, "chat", 500, 280);
+    }
+    assert!(load.writers() <= ENGINES - ENGINES / 4);
+}
+
+/// Four entries see a quarter of the load each. They must cut at the same
+/// place, or streams of one meet prompts of another.
+#[test]
+fn entries_cut_alike() {
+    let mut whole = Load::new();
+    whole.run(5, 200, 40);
+    let mut quarter = Load::new();
+    quarter.run(5, 50, 10);
+    let (_, told) = quarter.pools.told(quarter.now).remove(0);
+    let others = Told {
+        reading: told.reading * 3.0,
+        writing: told.writing * 3.0,
+        pace: told.pace,
+    };
+    quarter.pools.hear(quarter.now, &quarter.service, others);
+    let (a, b) = (whole.writers(), quarter.writers());
+    assert!(a.abs_diff(b) <= 1, "{a} and {b}");
+}
+
+fn saying(life: u64, seq: u32, calls: u16) -> Saying {
+    Saying {
+        life,
+        seq,
+        every: Duration::from_millis(100),
+        services: Vec::new(),
+        open: vec![(1, calls)],
+    }
+}
+
+/// An entry is killed and never speaks again. Its calls end with it, so what
+/// it told must not keep servers looking busy.
+#[test]
+fn silent_entry_is_forgotten() {
+    let (now, mut others) = (Instant::now(), Others::default());
+    others.hear(now, saying(1, 1, 5));
+    others.hear(now, saying(2, 1, 3));
+    assert_eq!(others.open()[&1], 8);
+    let later = now + Duration::from_millis(300);
+    others.hear(later, saying(2, 2, 4));
+    others.forget(now + Duration::from_millis(500));
+    assert_eq!(others.open()[&1], 4);
+    assert_eq!(others.count(), 1);
+}
+
+/// Datagrams overtake each other; the older one must not count.
+#[test]
+fn late_saying_is_dropped() {
+    let (now, mut others) = (Instant::now(), Others::default());
+    others.hear(now, saying(1, 2, 5));
+    others.hear(now, saying(1, 1, 9));
+    assert_eq!(others.open()[&1], 5);
+}
--- /dev/null
+++ b/crates/policy/tests/routes.rs
@@ -0,0 +1,94 @@
+//! Which route a call takes and who may ask.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::ids::Tier;
+use policy::routes::{Access, Catalog, Kind, Limits, Route, Workspace};
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        gap: None,
+        tier: Tier(1),
+        split: vec![(Rc::from("app"), 1)],
+        attempts: 2,
+        open: false,
+    }
+}
+
+fn catalog(keys: Option<HashMap<String, Rc<Workspace>>>) -> Catalog {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "A.example", "/x/y/"),
+        route("other", "b.example", "/"),
+    ];
+    Catalog::new(1, routes, Vec::new(), keys, Limits::default())
+}
+
+#[rstest]
+#[case::longest("a.example", "/x/y/z", Some("long"))]
+#[case::shorter("a.example", "/x/z", Some("short"))]
+#[case::slash_is_part("a.example", "/x", None)]
+#[case::name_in_capitals("A.EXAMPLE", "/x/", Some("short"))]
+#[case::with_port("a.example:8080", "/x/", Some("short"))]
+#[case::other_host("b.example", "/anything", Some("other"))]
+#[case::no_host("c.example", "/x/", None)]
+fn route_found(#[case] host: &str, #[case] path: &str, #[case] wanted: Option<&str>) {
+    let catalog = catalog(None);
+    let found = catalog.route(host, path).map(|r| r.name.as_str());
+    assert_eq!(found, wanted);
+}
+
+#[test]
+fn key_asked_for() {
+    let workspace = Rc::new(Workspace {
+        name: "w".to_owned(),
+        tier: Some(Tier(0)),
+    });
+    let keys = HashMap::from([("k".to_owned(), Rc::clone(&workspace))]);
+    let catalog = catalog(Some(keys));
+    let closed = route("closed", "a.example", "/x/");
+    let open = Route {
+        open: true,
+        ..closed.clone()
+    };
+
+    let owned = Access::Workspace(workspace);
+    assert_eq!(catalog.access(&closed, Some("k")), owned);
+    assert_eq!(catalog.access(&closed, Some("K")), Access::Denied);
+    assert_eq!(catalog.access(&closed, None), Access::Denied);
+    assert_eq!(catalog.access(&open, None), Access::Open);
+    assert_eq!(catalog.access(&open, Some("stale")), Access::Open);
+}
+
+#[test]
+fn key_not_asked_for_without_workspaces() {
+    let catalog = catalog(None);
+    let closed = route("closed", "a.example", "/x/");
+    assert_eq!(catalog.access(&closed, None), Access::Open);
+}
+
+#[rstest]
+#[case::start(0.0, "a")]
+#[case::below_the_cut(0.899, "a")]
+#[case::at_the_cut(0.9, "b")]
+#[case::end(0.9999, "b")]
+fn split_by_weight(#[case] drawn: f64, #[case] wanted: &str) {
+    let route = Route {
+        split: vec![
+            (Rc::from("a"), 90),
+            (Rc::from("none"), 0),
+            (Rc::from("b"), 10),
+        ],
+        ..route("split", "a.example", "/")
+    };
+    assert_eq!(route.service(drawn).map(|s| &**s), Some(wanted));
+}
