Test whole calls through an entry against servers that misbehave

Each kind of spoilt answer, reset, silence and refusal has a case over real sockets: what goes to a second server, what must not, what a caller sees.

--- /dev/null
+++ b/crates/forward/tests/calls/common.rs
@@ -0,0 +1,361 @@
+//! An entry with servers that do as they are told, and a caller.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::clock::SystemClock;
+use base::ids::Tier;
+use base::stop::Stop;
+use forward::edge::{Ask, Dialect, Order, Signs};
+use forward::settings::Settings;
+use forward::state::State;
+use http::{HeaderMap, HeaderValue};
+use policy::balance::Listed;
+use policy::routes::{Catalog, Kind, Limits, Route, Service, Workspace};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Each test's route takes this prefix.
+pub(crate) const PATH: &str = "/r/x?q=1";
+
+/// The header that carries a call's identity in these tests.
+const ID: &str = "call-id";
+
+/// A dialect with plain names.
+pub(crate) struct Plain;
+
+impl Dialect for Plain {
+    fn ask(&self, headers: &HeaderMap) -> Ask {
+        Ask {
+            id: text(headers, ID),
+            key: text(headers, "key"),
+            patience: text(headers, "patience-ms")
+                .and_then(|t| t.parse().ok())
+                .map(Duration::from_millis),
+            ..Ask::default()
+        }
+    }
+
+    fn outgoing(&self, headers: &HeaderMap, order: &Order<'_>) -> HeaderMap {
+        let mut out = headers.clone();
+        for name in ["connection", "content-length", "transfer-encoding", "key"] {
+            out.remove(name);
+        }
+        let mut set = |name: &'static str, value: String| {
+            out.insert(name, HeaderValue::from_str(&value).expect("a value"));
+        };
+        set("left-ms", order.left.as_millis().to_string());
+        set("server", order.server.to_owned());
+        if let Some(workspace) = order.workspace {
+            set("workspace", workspace.to_owned());
+        }
+        if let Some(last) = order.last_event {
+            set("last-event", last.to_string());
+        }
+        out
+    }
+
+    fn signs(&self, _status: u16, headers: &HeaderMap) -> Signs {
+        Signs {
+            id: text(headers, ID),
+            sealed: headers.contains_key("seal"),
+            not_run: headers.contains_key("not-run"),
+            encoded: headers.contains_key("content-encoding"),
+            keep: None,
+            close: text(headers, "connection").is_some_and(|c| c == "close"),
+        }
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// What a server does with one request.
+#[derive(Debug, Clone)]
+pub(crate) enum Act {
+    /// Sends these bytes, with `{id}` replaced by the request's identity, and
+    /// keeps the connection.
+    Send(&'static str),
+    /// Sends these bytes and closes the connection.
+    SendClose(&'static str),
+    /// Sends these bytes and resets the connection.
+    SendReset(&'static str),
+    /// Sends nothing until the caller has gone.
+    Silent,
+    /// Sends these bytes once the head has come, then takes the body.
+    Early(&'static str),
+}
+
+/// An answer that a server vouches for.
+pub(crate) const OK: &str =
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nContent-Length: 5\r\n\r\nhello";
+
+/// A refusal that says that the call did not run.
+pub(crate) const NOT_RUN: &str =
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// A failure that a server vouches for.
+pub(crate) const FAILED: &str =
+    "HTTP/1.1 500 Failed\r\ncall-id: {id}\r\nseal: s\r\nContent-Length: 3\r\n\r\nbad";
+
+/// Servers that do as they are told, one request after the other, whichever
+/// of them gets it.
+#[derive(Clone, Default)]
+pub(crate) struct Servers {
+    inner: Rc<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    acts: RefCell<Vec<Act>>,
+    /// The requests as they came, in order.
+    requests: RefCell<Vec<String>>,
+    /// Connections that were taken.
+    taken: Cell<usize>,
+    /// Connections whose other side has closed.
+    closed: Cell<usize>,
+}
+
+impl Servers {
+    pub(crate) fn requests(&self) -> Vec<String> {
+        self.inner.requests.borrow().clone()
+    }
+
+    pub(crate) fn taken(&self) -> usize {
+        self.inner.taken.get()
+    }
+
+    /// Waits until the other side of a connection has closed.
+    pub(crate) async fn closed(&self) {
+        while self.inner.closed.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn listen(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let servers = self.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                servers.inner.taken.set(servers.inner.taken.get() + 1);
+                actix_rt::spawn(servers.clone().serve(stream));
+            }
+        });
+        addr
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        loop {
+            let early = match self.inner.acts.borrow().first() {
+                Some(Act::Early(bytes)) => Some(*bytes),
+                _ => None,
+            };
+            let Some(request) = read_request(&mut stream, early).await else {
+                break;
+            };
+            let id = field(&request, ID).unwrap_or_default();
+            self.inner.requests.borrow_mut().push(request);
+            let act = {
+                let mut acts = self.inner.acts.borrow_mut();
+                if acts.is_empty() {
+                    Act::Send(OK)
+                } else {
+                    acts.remove(0)
+                }
+            };
+            let (bytes, end) = match act {
+                Act::Send(bytes) => (bytes, None),
+                Act::SendClose(bytes) => (bytes, Some(false)),
+                Act::SendReset(bytes) => (bytes, Some(true)),
+                Act::Silent | Act::Early(_) => ("", None),
+            };
+            let bytes = bytes.replace("{id}", &id);
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            match end {
+                None => {}
+                Some(false) => return,
+                Some(true) => {
+                    // Lets the bytes arrive before the reset overtakes them.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let linger = Some(Duration::ZERO);
+                    let _ = socket2::SockRef::from(&stream).set_linger(linger);
+                    return;
+                }
+            }
+        }
+        self.inner.closed.set(self.inner.closed.get() + 1);
+    }
+}
+
+/// Reads one request with its body; none when the other side has closed.
+/// Sends `early` as soon as the head has come.
+async fn read_request(stream: &mut TcpStream, mut early: Option<&str>) -> Option<String> {
+    let mut all = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&all).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            if let Some(early) = early.take() {
+                let id = field(head, ID).unwrap_or_default();
+                let _ = stream
+                    .write_all(early.replace("{id}", &id).as_bytes())
+                    .await;
+            }
+            let length = field(head, "content-length").and_then(|l| l.parse().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let mut part = [0; 4096];
+        match stream.read(&mut part).await {
+            Ok(length) if length > 0 => all.extend_from_slice(&part[..length]),
+            _ => return None,
+        }
+    }
+}
+
+/// The value of a header.
+pub(crate) fn field(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|l| l.split_once(": "));
+    let mut found = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.next().map(|(_, v)| v.to_owned())
+}
+
+/// An entry before two servers that act in order.
+pub(crate) struct Entry {
+    pub(crate) state: Rc<State>,
+    pub(crate) servers: Servers,
+    pub(crate) stop: Stop,
+    addr: SocketAddr,
+}
+
+/// What a test sets.
+pub(crate) struct Plan {
+    pub(crate) kind: Kind,
+    pub(crate) attempts: u32,
+    pub(crate) timeout: Duration,
+    pub(crate) keys: bool,
+    pub(crate) acts: Vec<Act>,
+}
+
+impl Plan {
+    pub(crate) fn new(kind: Kind, attempts: u32, acts: &[Act]) -> Self {
+        Self {
+            kind,
+            attempts,
+            timeout: Duration::from_secs(5),
+            keys: false,
+            acts: acts.to_vec(),
+        }
+    }
+}
+
+impl Entry {
+    pub(crate) async fn start(plan: Plan) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let state = State::new(settings(addr), Rc::new(Plain), Rc::new(SystemClock));
+        let servers = Servers::default();
+        for id in ["s1", "s2"] {
+            let addr = servers.listen().await;
+            state.balance.borrow_mut().list(listed(id, addr));
+        }
+        // Earlier calls that earned repeats.
+        let service = Rc::from("app");
+        for _ in 0..100 {
+            state.budget.borrow_mut().sent(state.clock.now(), &service);
+        }
+        *state.catalog.borrow_mut() = Some(Rc::new(catalog(&plan)));
+        *servers.inner.acts.borrow_mut() = plan.acts;
+
+        let stop = Stop::new();
+        let app = forward::http::app(Rc::clone(&state));
+        actix_rt::spawn(base::http::serve(listener, app, stop.clone()));
+        Self {
+            state,
+            servers,
+            stop,
+            addr,
+        }
+    }
+
+    pub(crate) async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.addr).await.expect("a connection")
+    }
+
+    /// Sends one call on a connection of its own; returns all that comes back
+    /// until the entry closes it.
+    pub(crate) async fn call(&self, headers: &str) -> String {
+        let mut stream = self.connect().await;
+        let request = request(headers, "Connection: close\r\n");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut all = Vec::new();
+        // A reset shows as an error after the bytes before it.
+        let _ = stream.read_to_end(&mut all).await;
+        String::from_utf8_lossy(&all).into_owned()
+    }
+}
+
+/// A call with a body of four bytes.
+pub(crate) fn request(headers: &str, more: &str) -> String {
+    format!(
+        "POST {PATH} HTTP/1.1\r\nHost: h.example\r\n{headers}{more}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+fn settings(addr: SocketAddr) -> Settings {
+    let text = serde_json::json!({
+        "name": "entry", "zone": "a", "listen": addr, "ready": addr, "ready_path": "/ready",
+        "gossip": addr, "store": addr, "grace_s": 8.0, "repeat_ratio": 0.2,
+        "repeat_window_s": 10.0,
+    });
+    serde_json::from_value(text).expect("settings")
+}
+
+fn listed(id: &str, addr: SocketAddr) -> Listed {
+    Listed {
+        id: Rc::from(id),
+        service: Rc::from("app"),
+        addr,
+        zone: Rc::from("a"),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn catalog(plan: &Plan) -> Catalog {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h.example".to_owned(),
+        prefix: "/r/".to_owned(),
+        kind: plan.kind,
+        timeout: plan.timeout,
+        target: Duration::from_millis(100),
+        gap: None,
+        tier: Tier(1),
+        split: vec![(Rc::from("app"), 1)],
+        attempts: plan.attempts,
+        open: false,
+    };
+    let service = Service {
+        name: Rc::from("app"),
+        connections: 10,
+        engine: None,
+    };
+    let workspace = Workspace {
+        name: "w".to_owned(),
+        tier: None,
+    };
+    let keys = HashMap::from([("k".to_owned(), Rc::new(workspace))]);
+    let keys = plan.keys.then_some(keys);
+    Catalog::new(1, vec![route], vec![service], keys, Limits::default())
+}
+
+/// The status of an answer.
+pub(crate) fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("")
+}
--- /dev/null
+++ b/crates/forward/tests/calls/main.rs
@@ -0,0 +1,7 @@
+//! Calls through a whole entry over real sockets: callers on one side,
+//! backend servers that misbehave on the other.
+
+mod callers;
+mod common;
+mod repeats;
+mod streams;
--- /dev/null
+++ b/crates/forward/tests/calls/streams.rs
@@ -0,0 +1,107 @@
+//! Streams of events: passed on whole, gone on with elsewhere, or cut so that
+//! it shows.
+
+use policy::routes::Kind;
+use rstest::rstest;
+
+use crate::common::{Act, Entry, Plan, field, status};
+
+const ID: &str = "call-id: 1\r\n";
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: one\r\n\
+    Transfer-Encoding: chunked\r\n\r\n\
+    f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+/// The second event is cut in its middle.
+const HALF: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: one\r\n\
+    Transfer-Encoding: chunked\r\n\r\n\
+    f\r\nid: 1\ndata: a\n\n\r\n8\r\nid: 2\nda\r\n";
+
+/// What another server sends to go on after event 1.
+const REST: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: two\r\n\
+    Transfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+/// A server that goes on at the wrong place.
+const WRONG: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: two\r\n\
+    Transfer-Encoding: chunked\r\n\r\nf\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n";
+
+/// The events of an answer, and whether it ended as a whole one.
+fn events(answer: &str) -> (Vec<&str>, bool) {
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    let events = body.lines().filter(|l| l.starts_with("data: "));
+    let whole = body.ends_with("0\r\n\r\n");
+    (events.map(|l| &l["data: ".len()..]).collect(), whole)
+}
+
+#[rstest]
+#[case::once(Kind::Stream)]
+#[case::resumable(Kind::Resumable)]
+#[actix_rt::test]
+async fn whole_passed_on(#[case] kind: Kind) {
+    let entry = Entry::start(Plan::new(kind, 2, &[Act::Send(WHOLE)])).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(status(&answer), "200");
+    assert_eq!(events(&answer), (vec!["a", "b"], true));
+}
+
+/// A server dies in the middle of an event. Another one goes on after the
+/// last whole event, and the caller sees one stream with the first server's
+/// headers; the half event reaches nobody.
+#[actix_rt::test]
+async fn resumed_after_last_whole_event() {
+    let acts = [Act::SendReset(HALF), Act::Send(REST)];
+    let entry = Entry::start(Plan::new(Kind::Resumable, 2, &acts)).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(events(&answer), (vec!["a", "b"], true));
+    assert_eq!(field(&answer, "seal").as_deref(), Some("one"));
+    let requests = entry.servers.requests();
+    assert_eq!(field(&requests[1], "last-event").as_deref(), Some("1"));
+    assert_ne!(field(&requests[0], "server"), field(&requests[1], "server"));
+}
+
+/// The second server goes on at another event than it was asked for. Joined,
+/// the stream would miss one and look whole; it is cut instead.
+#[actix_rt::test]
+async fn wrong_event_is_not_joined() {
+    let acts = [Act::SendReset(HALF), Act::Send(WRONG)];
+    let entry = Entry::start(Plan::new(Kind::Resumable, 2, &acts)).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(events(&answer), (vec!["a"], false));
+}
+
+/// A stream that may run once breaks. No other server may run it; the caller
+/// must not take what it has for the whole.
+#[rstest]
+#[case::reset(Act::SendReset(HALF))]
+#[case::closed(Act::SendClose(HALF))]
+#[actix_rt::test]
+async fn broken_stream_shows(#[case] act: Act) {
+    let entry = Entry::start(Plan::new(Kind::Stream, 2, &[act])).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(events(&answer), (vec!["a"], false));
+    assert_eq!(entry.servers.requests().len(), 1);
+}
+
+/// A stream without a length ends with its connection. Closed, it is whole;
+/// reset, it is not.
+#[rstest]
+#[case::closed(
+    Act::SendClose("HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n"),
+    true
+)]
+#[case::reset(
+    Act::SendReset("HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n"),
+    false
+)]
+#[case::closed_inside_an_event(
+    Act::SendClose(
+        "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nid: 1\ndata: a\n\nid: 2\nda"
+    ),
+    false
+)]
+#[actix_rt::test]
+async fn unframed_stream(#[case] act: Act, #[case] whole: bool) {
+    let entry = Entry::start(Plan::new(Kind::Stream, 1, &[act])).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(events(&answer), (vec!["a"], whole));
+}
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -90,7 +90,10 @@
     let (now, mut balance) = (Instant::now(), balance(3));
     let home = chosen(&mut balance, now, &want(Some(3))).expect("a server");
     balance.unreachable(now, &home);
-    assert_ne!(chosen(&mut balance, now, &want(Some(3))), Some(home.clone()));
+    assert_ne!(
+        chosen(&mut balance, now, &want(Some(3))),
+        Some(home.clone())
+    );
     let later = now + Duration::from_secs(4);
     assert_eq!(chosen(&mut balance, later, &want(Some(3))), Some(home));
 }
@@ -125,7 +128,10 @@
         tried: &tried,
         ..want(None)
     };
-    assert_eq!(chosen(&mut balance, now, &want(None)).as_deref(), Some("s1"));
+    assert_eq!(
+        chosen(&mut balance, now, &want(None)).as_deref(),
+        Some("s1")
+    );
     assert!(balance.choose(now, &again).is_none());
 }
 
@@ -141,7 +147,10 @@
     assert!(balance.choose(now, &want(None)).is_some());
     assert!(balance.choose(now + AWAY, &want(None)).is_none());
     balance.list(listed("s1", "b"));
-    assert_eq!(chosen(&mut balance, now + AWAY, &want(None)).as_deref(), Some("s1"));
+    assert_eq!(
+        chosen(&mut balance, now + AWAY, &want(None)).as_deref(),
+        Some("s1")
+    );
     assert_eq!(balance.forget(now + AWAY, AWAY), [Rc::from("s0")]);
 }
 
--- a/crates/policy/tests/pools.rs
+++ b/crates/policy/tests/pools.rs
@@ -60,8 +60,7 @@
     }
 
     fn writers(&mut self) -> usize {
-        self.pools
-            .writers(self.now, &self.service, ENGINES, SLOTS)
+        self.pools.writers(self.now, &self.service, ENGINES, SLOTS)
     }
 }
 
