Refuse prompts that would come too late, and leave replaced servers alone

All 26 entries took the same least loaded engine for a stream (66 at one, 2 at another), since what others tell is 0.4 s old.

Change: time to the first event is fitted over the calls ahead; the lowest tiers are refused when it is above 1.2 times their target, others at 0.6 of their timeout, and a caller that comes back is let wait longer. The time to return is spread. Streams take the better of two drawn engines. A 421 marks the server as missing at once and costs no attempt.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -8,19 +8,24 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
-use policy::balance::{Listed, Part, Want};
+use policy::balance::{By, Listed, Part, Want};
 use policy::pools::Work;
 use policy::rendezvous;
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
+use policy::waits::{Claim, Verdict};
 use rand::RngExt;
 use spdlog::{info, warn};
 
 use crate::edge::{self, Ask, Order};
 use crate::exchange::{self, Answer, Body, Failure};
-use crate::relay::Relay;
+use crate::relay::{Relay, millis};
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
 
+/// Part of the route's timeout below which a caller's time shows that it has
+/// spent some elsewhere, as those do who were turned away.
+const RETURNED: f64 = 0.97;
+
 /// Ranks of routes within one tier of workspaces: engines know ten ranks,
 /// and three tiers of each fit.
 const RANKS: u8 = 3;
@@ -190,10 +195,9 @@
             if attempt > 1 && !self.repeat() {
                 break;
             }
-            let sent = self.state.clock.now();
             let answer = self.send(&mut tried, None).await;
             let failure = match answer {
-                Ok(answer) => match self.accept(answer, sent).await {
+                Ok(answer) => match self.accept(answer).await {
                     Ok(reply) if self.better(&reply, &tried) => {
                         answered = Some(reply);
                         continue;
@@ -213,7 +217,7 @@
                 ms = self.age_ms()
             });
             let again = failure.not_run() || self.route.kind.repeatable();
-            let over = failure == Failure::Late;
+            let over = matches!(failure, Failure::Late | Failure::TooLate(_));
             last = Some(failure);
             if !again || over {
                 break;
@@ -272,9 +276,15 @@
             let Some(server) = self.choose(now, tried, &unreachable) else {
                 break;
             };
+            let ahead = self.admit(&server)?;
             let request = self.request(now, &server, last);
             let id = self.ask.id.as_deref();
             let sent = exchange::send(&self.state, &server, request, id, self.until).await;
+            let sent = sent.map(|answer| Answer {
+                sent: now,
+                ahead,
+                ..answer
+            });
             match sent {
                 Err(Failure::NeverSent(e)) => {
                     warn!("server unreachable", kv: {
@@ -283,6 +293,11 @@
                     unreachable.push(Rc::clone(&server.id));
                     failure = Failure::NeverSent(e);
                 }
+                Err(Failure::Elsewhere) => {
+                    self.gone(now, &server);
+                    unreachable.push(Rc::clone(&server.id));
+                    failure = Failure::Elsewhere;
+                }
                 sent => {
                     self.note(&server, &sent);
                     tried.push(Rc::clone(&server.id));
@@ -293,23 +308,76 @@
         Err(failure)
     }
 
+    /// Notes that another server has the address of `server` by now. The list
+    /// shows the old one for seconds, in which every call to it would be
+    /// refused; it counts as missing from here on.
+    fn gone(&self, now: Instant, server: &Listed) {
+        info!("server replaced", kv: {
+            id = self.name(), server = &*server.id, addr = server.addr.to_string().as_str()
+        });
+        self.state.balance.borrow_mut().miss(now, &server.id, now);
+    }
+
     fn choose(&self, now: Instant, tried: &[Rc<str>], out: &[Rc<str>]) -> Option<Listed> {
         let avoid: Vec<Rc<str>> = tried.iter().chain(out).cloned().collect();
         let part = self.part(now);
+        let prefix = prefix(&self.ask.parts);
         let want = Want {
             service: &self.service,
-            prefix: match part {
+            by: match (self.work, part) {
+                (None, _) => By::Own,
                 // What little these calls share is read faster than a crowded
                 // server writes.
-                Part::First(_) => None,
-                _ => prefix(&self.ask.parts),
+                (Some(Work::Writing), _) => By::Open,
+                (Some(Work::Reading), _) if prefix.is_none() => By::Open,
+                (Some(Work::Reading), _) => By::Prefix,
             },
+            prefix,
             tried: &avoid,
             part,
         };
         self.state.balance.borrow_mut().choose(now, &want)
     }
 
+    /// Whether the caller has spent a part of its time elsewhere before.
+    fn returned(&self) -> bool {
+        let usual = self.route.timeout.mul_f64(RETURNED);
+        self.ask.patience.is_some_and(|p| p < usual)
+    }
+
+    /// Whether the call may go to a server, or would come too late there.
+    fn admit(&self, server: &Listed) -> Result<u32, Failure> {
+        let ahead = self.state.balance.borrow().waiting(&server.id);
+        if self.work != Some(Work::Reading) {
+            return Ok(ahead);
+        }
+        let waits = self.state.waits.borrow();
+        let Route {
+            target, timeout, ..
+        } = *self.route;
+        let claim = Claim {
+            tier: self.route.tier.0,
+            target,
+            timeout,
+            returned: self.returned(),
+        };
+        match waits.judge(&self.service, claim, ahead, rand::rng().random()) {
+            Verdict::Send => Ok(ahead),
+            Verdict::Refuse { after, expected } => {
+                info!("call refused", kv: {
+                    id = self.name(),
+                    route = self.route.name.as_str(),
+                    server = &*server.id,
+                    ahead,
+                    expected_ms = millis(expected),
+                    target_ms = millis(target),
+                    after_ms = millis(after)
+                });
+                Err(Failure::TooLate(after))
+            }
+        }
+    }
+
     /// The part of the engines that the call should go to.
     fn part(&self, now: Instant) -> Part {
         let Some(work) = self.work else {
@@ -353,7 +421,7 @@
     }
 
     /// Takes an answer whose head has come.
-    async fn accept(self: &Rc<Self>, mut answer: Answer, sent: Instant) -> Result<Reply, Failure> {
+    async fn accept(self: &Rc<Self>, mut answer: Answer) -> Result<Reply, Failure> {
         let success = (200..300).contains(&answer.status);
         if success && !good(&answer) {
             return Err(Failure::Unknown(
@@ -363,7 +431,7 @@
         if success && self.route.kind.streams() {
             let first = self.within(answer.body.next()).await?;
             let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
-            self.note_first(sent);
+            self.note_first(&answer);
             let relay = Relay::new(Rc::clone(self), answer.body, first, Open::new(&self.state));
             return Ok(Reply::Stream {
                 headers: answer.headers,
@@ -379,12 +447,14 @@
     }
 
     /// Notes how long the first event took.
-    fn note_first(&self, sent: Instant) {
+    fn note_first(&self, answer: &Answer) {
         if self.work == Some(Work::Reading) {
             let now = self.state.clock.now();
-            let took = now.saturating_duration_since(sent);
+            let took = now.saturating_duration_since(answer.sent);
             let mut pools = self.state.pools.borrow_mut();
             pools.first(now, &self.service, fresh(&self.ask), took);
+            let mut waits = self.state.waits.borrow_mut();
+            waits.saw(&self.service, answer.ahead, took);
         }
     }
 
@@ -411,8 +481,11 @@
         match last {
             Some(Failure::Late) => Own::failed(504, Refusal::Expired),
             Some(Failure::Unknown(_)) => Own::failed(502, Refusal::OutcomeUnknown),
+            Some(Failure::TooLate(after)) => Own::refused(Refusal::TargetUnreachable, *after),
             Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, AFTER_FULL),
-            Some(Failure::NeverSent(_)) | None => Own::refused(Refusal::NoServer, AFTER_NO_SERVER),
+            Some(Failure::NeverSent(_) | Failure::Elsewhere) | None => {
+                Own::refused(Refusal::NoServer, AFTER_NO_SERVER)
+            }
         }
     }
 }
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -76,6 +76,8 @@
     pub sealed: bool,
     /// Whether the server says that it did not run the call.
     pub not_run: bool,
+    /// Whether the server says that the call was meant for another one.
+    pub elsewhere: bool,
     /// Whether the body was encoded on the way, which no caller asked for.
     pub encoded: bool,
     /// How long the server keeps an idle connection.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sending a call to a backend server once, and what is known when it fails.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -20,17 +20,25 @@
     NeverSent(String),
     /// The server says that it did not run the call and never will.
     NotRun(u16),
+    /// Another server has the address by now, and did not run the call.
+    Elsewhere,
     /// The call may have run.
     Unknown(String),
     /// The caller's time is over; the call may have run.
     Late,
+    /// The call was not sent, since it would have come too late; the caller
+    /// may come back after this time.
+    TooLate(Duration),
 }
 
 impl Failure {
     /// Whether the call has certainly not run.
     #[must_use]
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::NeverSent(_) | Self::NotRun(_))
+        matches!(
+            self,
+            Self::NeverSent(_) | Self::NotRun(_) | Self::Elsewhere | Self::TooLate(_)
+        )
     }
 
     /// One word for logs and labels.
@@ -39,8 +47,10 @@
         match self {
             Self::NeverSent(_) => "never_sent",
             Self::NotRun(_) => "not_run",
+            Self::Elsewhere => "elsewhere",
             Self::Unknown(_) => "unknown",
             Self::Late => "late",
+            Self::TooLate(_) => "too_late",
         }
     }
 }
@@ -54,6 +64,10 @@
     pub headers: HeaderMap,
     /// What the headers say.
     pub signs: Signs,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Calls that were waiting at the server then.
+    pub ahead: u32,
     /// The rest.
     pub body: Body,
 }
@@ -68,6 +82,8 @@
     incoming: Incoming,
     conn: Option<Conn>,
     reusable: bool,
+    /// Whether nothing of it has come.
+    waiting: bool,
 }
 
 impl Body {
@@ -88,6 +104,7 @@
                     if let Ok(data) = frame.into_data()
                         && !data.is_empty()
                     {
+                        self.begun();
                         return Ok(Some(data));
                     }
                 }
@@ -99,6 +116,13 @@
         }
     }
 
+    /// Notes that the call does not wait any more.
+    fn begun(&mut self) {
+        if std::mem::take(&mut self.waiting) {
+            self.state.balance.borrow_mut().begun(&self.server.id);
+        }
+    }
+
     /// Gives the connection back for the next call.
     fn end(&mut self) {
         let Some(conn) = self.conn.take() else { return };
@@ -111,6 +135,7 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
+        self.begun();
         self.state.balance.borrow_mut().ended(&self.server.id);
     }
 }
@@ -146,7 +171,10 @@
     if signs.not_run {
         // Its body has no use, but its connection has.
         drain(state, server, response, conn).await;
-        return Err(Failure::NotRun(status));
+        return Err(match signs.elsewhere {
+            true => Failure::Elsewhere,
+            false => Failure::NotRun(status),
+        });
     }
     if let Some(keep) = signs.keep {
         conn.keep_for(keep);
@@ -158,12 +186,15 @@
         server: server.clone(),
         incoming,
         reusable: !signs.close,
+        waiting: true,
         conn: Some(conn),
     };
     Ok(Answer {
         status,
         headers: parts.headers,
         signs,
+        sent: state.clock.now(),
+        ahead: 0,
         body,
     })
 }
@@ -193,7 +224,9 @@
 impl Drop for Out<'_> {
     fn drop(&mut self) {
         if !self.kept {
-            self.state.balance.borrow_mut().ended(self.id);
+            let mut balance = self.state.balance.borrow_mut();
+            balance.begun(self.id);
+            balance.ended(self.id);
         }
     }
 }
@@ -244,7 +277,7 @@
 }
 
 /// How long the body of a refusal is waited for; it is a few bytes.
-const REFUSAL_LIMIT: std::time::Duration = std::time::Duration::from_millis(20);
+const REFUSAL_LIMIT: Duration = Duration::from_millis(20);
 
 /// An error with its causes on one line.
 fn describe(e: &hyper::Error) -> String {
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -12,7 +12,7 @@
 
 use base::ids::Incarnation;
 use base::stop::Stop;
-use policy::others::Saying;
+use policy::others::{Calls, Saying};
 use policy::pools::Told;
 use policy::rendezvous;
 use spdlog::{info, warn};
@@ -82,8 +82,11 @@
 
 fn saying(state: &State, now: Instant, life: u64, seq: u32, every: Duration) -> gossip::Saying {
     let services = state.pools.borrow_mut().told(now);
-    let mut open = state.balance.borrow().told();
-    open.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let mut calls = state.balance.borrow().told();
+    calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
+    let small = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+    let calls = calls.into_iter();
+    let calls = calls.map(|(s, c)| (s, small(c.open), small(c.waiting)));
     let service = |(name, told): (Rc<str>, Told)| gossip::Service {
         number: number(&name),
         reading: told.reading as f32,
@@ -95,7 +98,7 @@
         seq,
         every_ms: u32::try_from(every.as_millis()).unwrap_or(u32::MAX),
         services: services.into_iter().map(service).collect(),
-        open,
+        calls: calls.collect(),
     }
 }
 
@@ -145,12 +148,19 @@
         };
         (s.number, told)
     };
+    let calls = |(server, open, waiting): &(u16, u16, u16)| {
+        let calls = Calls {
+            open: u32::from(*open),
+            waiting: u32::from(*waiting),
+        };
+        (*server, calls)
+    };
     Saying {
         life: said.life,
         seq: said.seq,
         every: Duration::from_millis(u64::from(said.every_ms)),
         services: said.services.iter().map(told).collect(),
-        open: said.open.clone(),
+        calls: said.calls.iter().map(calls).collect(),
     }
 }
 
@@ -159,9 +169,9 @@
     let mut others = state.others.borrow_mut();
     others.forget(now);
     metrics::gauge!("pimentocart_entries_heard").set(others.count() as f64);
-    let open = others.open();
-    let open = |server: u16| open.get(&server).copied().unwrap_or(0);
-    state.balance.borrow_mut().hear(open);
+    let calls = others.calls();
+    let calls = |server: u16| calls.get(&server).copied().unwrap_or_default();
+    state.balance.borrow_mut().hear(calls);
     let Some(catalog) = state.catalog.borrow().clone() else {
         return;
     };
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -214,6 +214,7 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
+/// Whole milliseconds, for logs.
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -13,6 +13,7 @@
 use policy::others::Others;
 use policy::pools::Pools;
 use policy::routes::Catalog;
+use policy::waits::Waits;
 
 use crate::edge::Dialect;
 use crate::pool::Pool;
@@ -36,6 +37,8 @@
     pub balance: RefCell<Balance>,
     /// What calls load the engines with.
     pub pools: RefCell<Pools>,
+    /// How long calls wait at engines.
+    pub waits: RefCell<Waits>,
     /// What other entries have in progress.
     pub others: RefCell<Others>,
     /// Other entries, with when they were last heard.
@@ -70,6 +73,7 @@
         Rc::new(Self {
             balance: RefCell::new(Balance::new(&settings.zone)),
             pools: RefCell::default(),
+            waits: RefCell::default(),
             others: RefCell::default(),
             peers: RefCell::default(),
             every: Cell::new(Duration::from_secs(1)),
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -63,6 +63,7 @@
             id: text(headers, ID),
             sealed: headers.contains_key("seal"),
             not_run: headers.contains_key("not-run"),
+            elsewhere: headers.contains_key("elsewhere"),
             encoded: headers.contains_key("content-encoding"),
             keep: None,
             close: text(headers, "connection").is_some_and(|c| c == "close"),
@@ -98,6 +99,10 @@
 pub(crate) const NOT_RUN: &str =
     "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
+/// A refusal by another server than the one that was meant.
+pub(crate) const ELSEWHERE: &str = "HTTP/1.1 421 Other\r\ncall-id: {id}\r\nnot-run: 1\r\n\
+    elsewhere: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// A failure that a server vouches for.
 pub(crate) const FAILED: &str =
     "HTTP/1.1 500 Failed\r\ncall-id: {id}\r\nseal: s\r\nContent-Length: 3\r\n\r\nbad";
--- a/crates/forward/tests/calls/repeats.rs
+++ b/crates/forward/tests/calls/repeats.rs
@@ -5,7 +5,7 @@
 use policy::routes::Kind;
 use rstest::rstest;
 
-use crate::common::{Act, Entry, FAILED, NOT_RUN, OK, Plan, field, request, status};
+use crate::common::{Act, ELSEWHERE, Entry, FAILED, NOT_RUN, OK, Plan, field, request, status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const ID: &str = "call-id: 1\r\n";
@@ -82,6 +82,26 @@
     assert_eq!(entry.servers.requests().len(), 2);
 }
 
+/// A server was replaced, and its address belongs to another one before the
+/// list shows it. Even a call that one server may get goes on to the next,
+/// and no further call is sent to the old name.
+#[actix_rt::test]
+async fn replaced_server_is_left_alone() {
+    let entry = Entry::start(Plan::new(Kind::Once, 1, &[Act::Send(ELSEWHERE)])).await;
+    for _ in 0..6 {
+        assert_eq!(status(&entry.call(ID).await), "200");
+    }
+    let requests = entry.servers.requests();
+    let old = field(&requests[0], "server");
+    assert_eq!(
+        requests
+            .iter()
+            .filter(|r| field(r, "server") == old)
+            .count(),
+        1
+    );
+}
+
 /// All servers say so: the refusal is true, and says when to come back.
 #[actix_rt::test]
 async fn refused_with_time_to_return() {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::others::Calls;
 use crate::rendezvous::{number, weight};
 
 /// How long a server that failed once is left alone; it doubles with each
@@ -24,10 +25,10 @@
 /// are gone for good leave the list within seconds.
 const REST_LIMIT: Duration = Duration::from_secs(3);
 
-/// A home server with so many times the mean of own calls is passed over.
+/// A home server with so many times the mean of open calls is passed over.
 const CROWDED: f64 = 2.0;
 
-/// Own calls at a server that never make it crowded: with few calls in all,
+/// Open calls at a server that never make it crowded: with few calls in all,
 /// two at one server are chance.
 const CROWDED_LEAST: u32 = 1;
 
@@ -66,6 +67,22 @@
     pub tried: &'a [Rc<str>],
     /// The part of the servers that it should go to.
     pub part: Part,
+    /// What decides among them.
+    pub by: By,
+}
+
+/// What decides among servers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum By {
+    /// The home of the prompt's shared parts, unless it has clearly more
+    /// open calls than the others.
+    Prefix,
+    /// Open calls of all entries.
+    Open,
+    /// The entry's own calls, in its own availability zone first: plain calls
+    /// are over before others could tell of them.
+    #[default]
+    Own,
 }
 
 /// A part of a service's servers, the same at every entry that cuts at the
@@ -96,10 +113,10 @@
     listed: Listed,
     /// Hash of its name, equal at every entry.
     key: u64,
-    /// Own calls that are out.
-    open: u32,
+    /// Own calls.
+    own: Calls,
     /// Calls of other entries, as far as they have told.
-    others: u32,
+    others: Calls,
     /// Failures to connect in a row.
     refused: u32,
     /// Failed runs in a row.
@@ -112,9 +129,14 @@
 }
 
 impl Server {
-    /// Calls at the server, of all entries.
-    fn load(&self) -> u32 {
-        self.open + self.others
+    /// Open calls at the server, of all entries.
+    fn open(&self) -> u32 {
+        self.own.open + self.others.open
+    }
+
+    /// Calls that wait for their first event there, of all entries.
+    fn waiting(&self) -> u32 {
+        self.own.waiting + self.others.waiting
     }
 }
 
@@ -142,8 +164,8 @@
             None => {
                 let server = Server {
                     key: number(&listed.id),
-                    open: 0,
-                    others: 0,
+                    own: Calls::default(),
+                    others: Calls::default(),
                     refused: 0,
                     failed: 0,
                     rest: None,
@@ -226,14 +248,27 @@
         }
         self.keep_part(&mut fit, want);
         let spread = want.prefix.unwrap_or(self.turn);
-        let zone = &self.zone;
-        match want.prefix {
-            Some(_) => {
+        let drawn = |s: &Server| weight(spread, s.key);
+        match want.by {
+            By::Prefix => {
                 let limit = crowded(&fit);
-                let home = |s: &&Server| (s.load() > limit, Reverse(weight(spread, s.key)));
-                fit.sort_by_key(home);
+                fit.sort_by_key(|s| (s.open() > limit, Reverse(drawn(s))));
+            }
+            By::Open => {
+                fit.sort_by_key(|s| drawn(s));
+                // What others tell is some tenths of a second old. If all
+                // entries took the least loaded, they would all take the same
+                // one; the better of two drawn ones spreads them.
+                if let [one, two, ..] = &fit[..]
+                    && two.open() < one.open()
+                {
+                    fit.swap(0, 1);
+                }
+            }
+            By::Own => {
+                let zone = &self.zone;
+                fit.sort_by_key(|s| (s.own.open, s.listed.zone != *zone, drawn(s)));
             }
-            None => fit.sort_by_key(|s| (s.load(), s.listed.zone != *zone, weight(spread, s.key))),
         }
         fit.into_iter().map(|s| s.listed.clone()).collect()
     }
@@ -259,32 +294,45 @@
         }
     }
 
-    /// Own calls that are out, by the server's short number.
+    /// Own calls, by the server's short number.
     #[must_use]
-    pub fn told(&self) -> Vec<(u16, u16)> {
-        let open = self.servers.values().filter(|s| s.open > 0);
-        let told = |s: &Server| (short(s.key), u16::try_from(s.open).unwrap_or(u16::MAX));
-        open.map(told).collect()
+    pub fn told(&self) -> Vec<(u16, Calls)> {
+        let busy = self.servers.values().filter(|s| s.own.open > 0);
+        busy.map(|s| (short(s.key), s.own)).collect()
     }
 
-    /// Takes over how many calls all other entries together have out.
-    pub fn hear(&mut self, others: impl Fn(u16) -> u32) {
+    /// Takes over the calls that all other entries together have.
+    pub fn hear(&mut self, others: impl Fn(u16) -> Calls) {
         for server in self.servers.values_mut() {
             server.others = others(short(server.key));
         }
     }
 
+    /// Calls of all entries that wait for their first event at a server.
+    #[must_use]
+    pub fn waiting(&self, id: &str) -> u32 {
+        self.servers.get(id).map_or(0, Server::waiting)
+    }
+
     /// Notes that a call goes out to a server.
     pub fn sent(&mut self, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.open += 1;
+            server.own.open += 1;
+            server.own.waiting += 1;
+        }
+    }
+
+    /// Notes that a call at a server has its first event, or will have none.
+    pub fn begun(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.waiting = server.own.waiting.saturating_sub(1);
         }
     }
 
-    /// Notes that a call at a server has ended.
+    /// Notes that a call at a server that has begun has ended.
     pub fn ended(&mut self, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.open = server.open.saturating_sub(1);
+            server.own.open = server.own.open.saturating_sub(1);
         }
     }
 
@@ -323,9 +371,9 @@
     key as u16
 }
 
-/// Own calls at a server from which it counts as crowded.
+/// Open calls at a server from which it counts as crowded.
 fn crowded(fit: &[&Server]) -> u32 {
-    let open: u32 = fit.iter().map(|s| s.load()).sum();
+    let open: u32 = fit.iter().map(|s| s.open()).sum();
     let mean = f64::from(open) / fit.len().max(1) as f64;
     (mean * CROWDED).ceil() as u32 + CROWDED_LEAST
 }
--- a/crates/policy/src/estimate/fit.rs
+++ b/crates/policy/src/estimate/fit.rs
@@ -12,8 +12,8 @@
 /// Samples wanted before a slope is trusted.
 const FIT_FEW: f64 = 8.0;
 
-/// Prompts must spread at least this much, in tokens, for a slope.
-const FIT_SPREAD: f64 = 16.0;
+/// The samples must spread at least this much for a slope.
+const FIT_SPREAD: f64 = 1.0;
 
 /// A mean in which newer values weigh more.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`routes`]: which route a call takes and who may ask.
 //! - [`balance`]: which backend server gets it.
 //! - [`pools`]: which engines read prompts and which write answers.
+//! - [`waits`]: whether it would come too late.
 //! - [`others`]: what other entries have in progress.
 //! - [`budget`]: whether it may be sent to a second one.
 //! - [`rendezvous`]: one order of servers for every process.
@@ -46,6 +47,7 @@
 pub mod retry;
 pub mod routes;
 pub mod subset;
+pub mod waits;
 pub mod wish;
 
 pub use placement::Placement;
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -25,7 +25,16 @@
     /// What it has for each service, by the service's number.
     pub services: Vec<(u32, Told)>,
     /// Its calls at each server, by the server's short number.
-    pub open: Vec<(u16, u16)>,
+    pub calls: Vec<(u16, Calls)>,
+}
+
+/// Calls at one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// All that have not ended.
+    pub open: u32,
+    /// Those of them that wait for their first event.
+    pub waiting: u32,
 }
 
 /// What all other entries said last.
@@ -58,11 +67,13 @@
 
     /// Calls of all others at each server.
     #[must_use]
-    pub fn open(&self) -> HashMap<u16, u32> {
-        let mut all = HashMap::new();
+    pub fn calls(&self) -> HashMap<u16, Calls> {
+        let mut all: HashMap<u16, Calls> = HashMap::new();
         for (_, said) in self.entries.values() {
-            for (server, count) in &said.open {
-                *all.entry(*server).or_default() += u32::from(*count);
+            for (server, calls) in &said.calls {
+                let sum = all.entry(*server).or_default();
+                sum.open += calls.open;
+                sum.waiting += calls.waiting;
             }
         }
         all
--- /dev/null
+++ b/crates/policy/src/waits.rs
@@ -0,0 +1,115 @@
+//! How long a call would wait for its first event, and whether it should.
+//!
+//! Load pattern: prompts come faster than the engines read them, for as long
+//! as a burst lasts. Sent on all the same, they queue inside the engines;
+//! three quarters come late or are worked on until their callers give up, and
+//! the engines spend the burst on answers that nobody takes. Refused at once,
+//! the excess costs nothing, and the rest is on time. See
+//! docs/DECISIONS/0602-admission.md.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::estimate::fit::Fit;
+
+/// Times the target that a call of the lowest tiers may be expected to take:
+/// the estimate is a mean, and half of the calls are faster.
+const LOWER: f64 = 1.2;
+
+/// Part of the timeout that a call of the tiers above may be expected to
+/// take. They go first inside the engine, so that the estimate, which counts
+/// all that waits, is too high for them; and no lower call gains by it.
+const UPPER: f64 = 0.6;
+
+/// The first of the lowest tiers.
+const LOWER_TIER: u8 = 2;
+
+/// A caller that was turned away once gets so many times what others may
+/// wait: turned away again it would have waited for nothing.
+const RETURNED: f64 = 1.8;
+
+/// The soonest return: a refused caller must not be back within the same
+/// moment of the burst.
+const RETURN_LEAST: Duration = Duration::from_millis(200);
+
+/// Returns are spread over so many times the wait that was expected, or all
+/// who were refused together would come back together.
+const RETURN_SPREAD: f64 = 1.0;
+
+/// What is known about waiting at the engines of each service.
+#[derive(Debug, Default)]
+pub struct Waits {
+    /// Time to the first event by the calls that waited before it.
+    seen: HashMap<Rc<str>, Fit>,
+}
+
+/// What decides how long a call may wait.
+#[derive(Debug, Clone, Copy)]
+pub struct Claim {
+    /// Its route's tier; 0 is the highest.
+    pub tier: u8,
+    /// When its first event should be there.
+    pub target: Duration,
+    /// When it is given up.
+    pub timeout: Duration,
+    /// Whether the caller was turned away before.
+    pub returned: bool,
+}
+
+/// Whether a call should be sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is expected in time.
+    Send,
+    /// It would be late; the caller may come back after this time.
+    Refuse {
+        /// When to come back.
+        after: Duration,
+        /// How long the first event would have taken.
+        expected: Duration,
+    },
+}
+
+impl Waits {
+    /// Notes that the first event of a call came after `took`, with `ahead`
+    /// calls waiting at the server when it was sent.
+    pub fn saw(&mut self, service: &Rc<str>, ahead: u32, took: Duration) {
+        let us = took.as_secs_f64() * 1e6;
+        if let Some(fit) = self.seen.get_mut(service) {
+            fit.add(ahead, us);
+            return;
+        }
+        let mut fit = Fit::default();
+        fit.add(ahead, us);
+        self.seen.insert(Rc::clone(service), fit);
+    }
+
+    /// How long the first event of a call would take with `ahead` calls
+    /// waiting before it; zero before anything was seen.
+    #[must_use]
+    pub fn expected(&self, service: &str, ahead: u32) -> Duration {
+        let us = self.seen.get(service).and_then(|f| f.at(ahead));
+        Duration::from_secs_f64(us.unwrap_or(0.0) * 1e-6)
+    }
+
+    /// Judges a call with `ahead` calls waiting before it. `drawn` is a number
+    /// drawn evenly from 0 to 1.
+    #[must_use]
+    pub fn judge(&self, service: &str, claim: Claim, ahead: u32, drawn: f64) -> Verdict {
+        let expected = self.expected(service, ahead);
+        let mut allowed = match claim.tier {
+            LOWER_TIER.. => claim.target.mul_f64(LOWER),
+            _ => claim.target.max(claim.timeout.mul_f64(UPPER)),
+        };
+        if claim.returned {
+            allowed = allowed.mul_f64(RETURNED);
+        }
+        if expected <= allowed {
+            return Verdict::Send;
+        }
+        let excess = expected - allowed;
+        let after = RETURN_LEAST + excess + expected.mul_f64(RETURN_SPREAD * drawn);
+        Verdict::Refuse { after, expected }
+    }
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -23,8 +23,9 @@
     pub every_ms: u32,
     /// What it has for each service.
     pub services: Vec<Service>,
-    /// Servers by short number, with the entry's calls at each.
-    pub open: Vec<(u16, u16)>,
+    /// Servers by short number, with the entry's open calls at each and those
+    /// of them that wait for their first event.
+    pub calls: Vec<(u16, u16, u16)>,
 }
 
 /// One entry's calls for one service.
@@ -63,11 +64,11 @@
 pub fn encode(mut saying: Saying) -> Vec<u8> {
     loop {
         let bytes = postcard::to_allocvec(&(VERSION, &saying)).unwrap_or_default();
-        if bytes.len() <= LARGEST || saying.open.is_empty() {
+        if bytes.len() <= LARGEST || saying.calls.is_empty() {
             return bytes;
         }
-        let kept = saying.open.len() * 3 / 4;
-        saying.open.truncate(kept);
+        let kept = saying.calls.len() * 3 / 4;
+        saying.calls.truncate(kept);
     }
 }
 
