Count calls without a first event as waits; ask the store less often with many entries

Change: a call that got no first event in its time counts with that time. With eight entries or more each reads the servers every 1.5 s; the catalog is waited for 3 s at a time.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -285,6 +285,9 @@
                 ahead,
                 ..answer
             });
+            if sent.as_ref().is_err_and(|e| *e == Failure::Late) {
+                self.note_late(now, ahead);
+            }
             match sent {
                 Err(Failure::NeverSent(e)) => {
                     warn!("server unreachable", kv: {
@@ -429,7 +432,8 @@
             ));
         }
         if success && self.route.kind.streams() {
-            let first = self.within(answer.body.next()).await?;
+            let first = self.within(answer.body.next()).await;
+            let first = first.inspect_err(|_| self.note_late(answer.sent, answer.ahead))?;
             let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
             self.note_first(&answer);
             let relay = Relay::new(Rc::clone(self), answer.body, first, Open::new(&self.state));
@@ -458,6 +462,16 @@
         }
     }
 
+    /// Notes that no first event came in all the time that the call had. Left
+    /// out, only those that were served would say how long calls wait.
+    fn note_late(&self, sent: Instant, ahead: u32) {
+        if self.work == Some(Work::Reading) {
+            let took = self.state.clock.now().saturating_duration_since(sent);
+            let mut waits = self.state.waits.borrow_mut();
+            waits.saw(&self.service, ahead, took);
+        }
+    }
+
     /// Reads an answer to its end, so that a broken one can be told from a
     /// whole one before the caller sees anything of it.
     async fn whole(&self, body: &mut Body) -> Result<Bytes, Failure> {
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -18,7 +18,7 @@
 /// How long the store may hold a question for which there is no new catalog.
 /// A question that got lost with its link costs so long, which must stay well
 /// within the time in which a catalog has to be in force.
-const CATALOG_WAIT: Duration = Duration::from_millis(1500);
+const CATALOG_WAIT: Duration = Duration::from_secs(3);
 
 /// The same for servers. They report all the time, so that an answer comes at
 /// once; a lost question should be given up soon.
@@ -32,6 +32,12 @@
 /// together, and a leaving server is still known far sooner than it must be.
 const GATHER: Duration = Duration::from_millis(800);
 
+/// The same pause with many entries, which share what the store can take.
+const GATHER_MANY: Duration = Duration::from_millis(1500);
+
+/// Entries heard from which there are many.
+const MANY: usize = 8;
+
 /// Servers whose entries lapsed while the store was away write them anew
 /// within two seconds of its return. Those still missing then are gone.
 const RETURN: Duration = Duration::from_secs(2);
@@ -103,7 +109,8 @@
             info!("server forgotten", kv: { server = &*id });
         }
         state.listed.set(true);
-        tokio::time::sleep(GATHER).await;
+        let many = state.others.borrow().count() >= MANY;
+        tokio::time::sleep(if many { GATHER_MANY } else { GATHER }).await;
     }
 }
 
