Let callers who come back wait, and move the cut only when it is clearly off

Change: a caller with less time than its route gives has been elsewhere, and is sent on while the expected first event leaves it two fifths of that time. The cut moves when it is off by 4% of the engines, 8% towards prompts.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -355,14 +355,13 @@
             return Ok(ahead);
         }
         let waits = self.state.waits.borrow();
-        let Route {
-            target, timeout, ..
-        } = *self.route;
+        let target = self.route.target;
+        let now = self.state.clock.now();
         let claim = Claim {
             tier: self.route.tier.0,
             rank: self.rank(),
             target,
-            timeout,
+            left: self.until.saturating_duration_since(now),
             returned: self.returned(),
         };
         match waits.judge(&self.service, claim, ahead, rand::rng().random()) {
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -42,6 +42,12 @@
 /// are all cached would make any engine look endlessly fast.
 const READ_LEAST: f64 = 2e-6;
 
+/// The cut stays where it is while it is off by no more than this part of the
+/// engines, and twice that before engines go back to prompts. Each move sends
+/// prompts to engines that have not read their shared parts, and entries that
+/// move at different moments mix streams and prompts in between.
+const CUT_SLACK: f64 = 0.04;
+
 /// One engine in so many is left to calls that read, whatever the load.
 const READERS_LEAST: usize = 4;
 
@@ -90,6 +96,8 @@
     first: Fit,
     /// What other entries say of their own calls.
     others: Told,
+    /// Engines that were left to calls that write.
+    cut: usize,
 }
 
 /// What one entry, or several together, have for a service.
@@ -188,6 +196,7 @@
         };
         let reading = (own.reading + others.reading) * pace / READ_SHARE;
         if engines < 2 || writing <= 0.0 || reading <= 0.0 {
+            self.demand(now, service).cut = 0;
             return 0;
         }
         // What is left over when both have what they need is shared in the
@@ -195,9 +204,17 @@
         // first: a prompt that waits is late at the worst, a stream among too
         // many makes all of them late.
         let share = engines as f64 * writing / (writing + reading);
-        let count = share.max(writing).round() as usize;
+        let wanted = share.max(writing);
         let readers = (engines / READERS_LEAST).max(1);
-        count.clamp(1, engines - readers)
+        let most = engines - readers;
+        let held = &mut self.demand(now, service).cut;
+        let off = wanted - *held as f64;
+        let slack = CUT_SLACK * engines as f64;
+        if *held == 0 || off > slack.max(0.5) || -off > 2.0 * slack.max(0.5) {
+            *held = wanted.round() as usize;
+        }
+        *held = (*held).clamp(1, most);
+        *held
     }
 
     fn shape(&mut self, route: &str, prompt: f64, answer: f64) -> Work {
@@ -229,6 +246,7 @@
                 writing: 0.0,
                 first: Fit::default(),
                 others: Told::default(),
+                cut: 0,
             };
             self.services.insert(Rc::clone(service), none);
         }
--- a/crates/policy/src/waits.rs
+++ b/crates/policy/src/waits.rs
@@ -17,18 +17,16 @@
 /// the estimate is a mean, and half of the calls are faster.
 const LOWER: f64 = 1.2;
 
-/// Part of the timeout that a call of the tiers above may be expected to
+/// Part of its time left that a call of the tiers above may be expected to
 /// take. They go first inside the engine, so that the estimate, which counts
-/// all that waits, is too high for them; and no lower call gains by it.
+/// all that waits, is too high for them; and no lower call gains by it. The
+/// same holds for a caller that was turned away before: turned away again it
+/// would have come back for nothing.
 const UPPER: f64 = 0.6;
 
 /// The first of the lowest tiers.
 const LOWER_TIER: u8 = 2;
 
-/// A caller that was turned away once gets so many times what others may
-/// wait: turned away again it would have waited for nothing.
-const RETURNED: f64 = 1.8;
-
 /// The soonest return: a refused caller must not be back within the same
 /// moment of the burst.
 const RETURN_LEAST: Duration = Duration::from_millis(200);
@@ -55,8 +53,8 @@
     pub rank: u8,
     /// When its first event should be there.
     pub target: Duration,
-    /// When it is given up.
-    pub timeout: Duration,
+    /// How long until it is given up.
+    pub left: Duration,
     /// Whether the caller was turned away before.
     pub returned: bool,
 }
@@ -98,13 +96,11 @@
     #[must_use]
     pub fn judge(&self, service: &Rc<str>, claim: Claim, ahead: u32, drawn: f64) -> Verdict {
         let expected = self.expected(service, claim.rank, ahead);
-        let mut allowed = match claim.tier {
-            LOWER_TIER.. => claim.target.mul_f64(LOWER),
-            _ => claim.target.max(claim.timeout.mul_f64(UPPER)),
+        let patient = claim.tier < LOWER_TIER || claim.returned;
+        let allowed = match patient {
+            true => claim.target.max(claim.left.mul_f64(UPPER)),
+            false => claim.target.mul_f64(LOWER),
         };
-        if claim.returned {
-            allowed = allowed.mul_f64(RETURNED);
-        }
         if expected <= allowed {
             return Verdict::Send;
         }
