Ask for the catalog anew when the store is back; bound the logs; explain

Found by the replay test for admission: at 1.2 times the target 58 of 273 calls of a burst were in time, since the queue stands at what is allowed.

Ruled out: a slow store (it answered the other table in milliseconds).

Change: a table that is answered again has the others ask anew; the catalog is waited for 2 s at a time. Admission allows 0.8 of the target. Logs go to standard output through a buffer that is never waited for and counts what it leaves out; `explain` tells a request's story from logs; counters and histograms are served at an address of their own.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`reason`]: the closed sets of refusal and retry reasons.
 //! - [`settings`]: JSON settings with errors that name the place.
 //! - [`logging`]: one line of key=value pairs for each event.
+//! - [`story`]: the story of one request, from the logs.
 //! - [`telemetry`]: the metrics recorder of one daemon.
 //! - [`mod@listen`]: listening on an address from the settings.
 //! - [`operators`]: health, status and metrics of one daemon.
@@ -21,5 +22,6 @@
 pub mod reason;
 pub mod settings;
 pub mod stop;
+pub mod story;
 pub mod telemetry;
 pub use listen::listen;
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,15 +1,21 @@
 //! Logs: one line of key=value pairs for each event.
 //!
+//! - [`bounded`]: output that is bounded and never waited for.
+//!
 //! Every call site uses spdlog-rs with its `kv` part, as in
 //! `info!("bundle accepted", kv: { sequence = 7, operator = "awa" })`.
 
+pub mod bounded;
+
 use std::fmt::Write as _;
+use std::io;
 use std::sync::Arc;
 use std::time::UNIX_EPOCH;
 
+use bounded::Bounded;
 use serde::{Deserialize, Serialize};
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{Sink, StdStreamSink, WriteSink};
 use spdlog::{LevelFilter, Record, StringBuf};
 
 /// How much is logged.
@@ -41,18 +47,50 @@
     }
 }
 
-/// Sends logs of this process to standard error at the given level.
+/// Sends logs of a command to standard error at the given level.
 pub fn init(level: Level) {
     let sink = StdStreamSink::builder()
         .stderr()
         .formatter(KeyValue)
         .build();
-    let Ok(sink) = sink else { return };
+    if let Ok(sink) = sink {
+        install(
+            level,
+            Arc::new(sink),
+            LevelFilter::MoreSevereEqual(spdlog::Level::Info),
+        );
+    }
+}
+
+/// Sends logs of a daemon to standard output at the given level, bounded and
+/// without waiting for whoever reads them.
+///
+/// # Errors
+///
+/// Returns the error when the thread that writes them cannot be started.
+pub fn init_daemon(level: Level) -> io::Result<()> {
+    let out = Bounded::start(io::stdout())?;
+    let sink = WriteSink::builder().formatter(KeyValue).target(out).build();
+    let sink = sink.map_err(io::Error::other)?;
+    install(level, Arc::new(sink), LevelFilter::Off);
+    Ok(())
+}
+
+/// Changes the level of the logs.
+pub fn set_level(level: Level) {
+    spdlog::default_logger().set_level_filter(level.filter());
+}
+
+/// Writes out what was logged; for the end of a process.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
 
+fn install(level: Level, sink: Arc<dyn Sink>, flush: LevelFilter) {
     let logger = spdlog::Logger::builder()
-        .sink(Arc::new(sink))
+        .sink(sink)
         .level_filter(level.filter())
-        .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
+        .flush_level_filter(flush)
         .build();
     if let Ok(logger) = logger {
         spdlog::set_default_logger(Arc::new(logger));
--- a/crates/base/src/telemetry.rs
+++ b/crates/base/src/telemetry.rs
@@ -18,6 +18,12 @@
 /// Name of the counter of retries, by reason.
 const RETRIES: &str = "pimentocart_retries_total";
 
+/// Bounds of the latency histograms in seconds, each about twice the one
+/// before: from the cost of a decision to the longest streams.
+const BOUNDS: [f64; 14] = [
+    0.000_1, 0.000_5, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0, 15.0,
+];
+
 thread_local! {
     /// Renders what this thread's recorder counted.
     static HANDLE: RefCell<Option<PrometheusHandle>> = const { RefCell::new(None) };
@@ -26,7 +32,11 @@
 /// Runs `body` with a fresh recorder as the thread's own. Every reason starts
 /// at zero, so that a scrape shows those that have not happened too.
 pub fn with_recorder<T>(body: impl FnOnce() -> T) -> T {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    // Without bounds the library keeps quantiles, at ten times the cost; the
+    // bounds are not empty, which is the only fault that it finds in them.
+    let builder = PrometheusBuilder::new();
+    let builder = builder.set_buckets(&BOUNDS).unwrap_or_default();
+    let recorder = builder.build_recorder();
     HANDLE.set(Some(recorder.handle()));
     metrics::with_local_recorder(&recorder, || {
         for reason in Refusal::ALL {
@@ -49,6 +59,16 @@
     })
 }
 
+/// Tidies the histograms up. Samples are kept one by one until then, and
+/// would fill the memory of a daemon that nobody scrapes.
+pub fn upkeep() {
+    HANDLE.with_borrow(|handle| {
+        if let Some(handle) = handle {
+            handle.run_upkeep();
+        }
+    });
+}
+
 /// Counts one refusal.
 pub fn count_refusal(reason: Refusal, ran: Ran) {
     counter!(REFUSALS, "reason" => reason.as_str(), "ran" => ran.as_str()).increment(1);
--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -30,7 +30,7 @@
     pub(crate) fn run(self) -> Outcome {
         let settings: entry::Settings = settings::load(&self.settings)?;
         let bundle = self.bundle.as_deref().map(settings::load).transpose()?;
-        logging::init(settings.log_level);
+        logging::init_daemon(settings.log_level)?;
         daemon::run(|stop| entry::run(settings, bundle, stop))
     }
 }
@@ -47,7 +47,7 @@
 impl Sidecar {
     pub(crate) fn run(self) -> Outcome {
         let settings: sidecar::Settings = settings::load(&self.settings)?;
-        logging::init(settings.log_level);
+        logging::init_daemon(settings.log_level)?;
         daemon::run(|stop| sidecar::run(settings, stop))
     }
 }
@@ -65,7 +65,7 @@
     pub(crate) fn run(self) -> Outcome {
         let settings: forward::Settings = settings::load(&self.settings)?;
         settings.check()?;
-        logging::init(settings.log_level);
+        logging::init_daemon(settings.log_level)?;
         daemon::run(async |stop| {
             let store = settings.store;
             let catalogs = Reader::<Operators>::new(store);
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod compare;
 pub(crate) mod daemons;
 pub(crate) mod demo;
+pub(crate) mod explain;
 pub(crate) mod keys;
 pub(crate) mod load;
 pub(crate) mod standin;
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -14,13 +14,15 @@
     F: FnOnce(Stop) -> Fut,
     Fut: Future<Output = io::Result<()>>,
 {
-    base::telemetry::with_recorder(|| {
+    let ended = base::telemetry::with_recorder(|| {
         actix_rt::System::new().block_on(async {
             let stop = Stop::new();
             actix_rt::spawn(signals(stop.clone()));
             body(stop).await
         })
-    })?;
+    });
+    base::logging::flush();
+    ended?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -32,6 +32,7 @@
     Compare(#[bpaf(external(commands::compare::compare))] commands::compare::Compare),
     Load(#[bpaf(external(commands::load::load))] commands::load::Load),
     Demo(#[bpaf(external(commands::demo::demo))] commands::demo::Demo),
+    Explain(#[bpaf(external(commands::explain::explain))] commands::explain::Explain),
     Status(#[bpaf(external(commands::status::status))] commands::status::Status),
     Standin(#[bpaf(external(commands::standin::standin))] commands::standin::Standin),
 }
@@ -52,6 +53,7 @@
         Command::Load(c) => c.run(),
         Command::Demo(c) => c.run(),
         Command::Standin(c) => c.run(),
+        Command::Explain(c) => c.run(),
         Command::Status(c) => c.run(),
     };
     outcome.unwrap_or_else(|e| {
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -207,6 +207,8 @@
                 },
                 Err(failure) => failure,
             };
+            metrics::counter!("pimentocart_sends_failed_total", "cause" => failure.word())
+                .increment(1);
             info!("send failed", kv: {
                 id = self.name(),
                 route = self.route.name.as_str(),
@@ -257,6 +259,8 @@
     fn repeat(&self) -> bool {
         let now = self.state.clock.now();
         let left = self.state.budget.borrow_mut().repeat(now, &self.service);
+        let outcome = if left { "taken" } else { "none_left" };
+        metrics::counter!("pimentocart_repeats_total", "outcome" => outcome).increment(1);
         if !left {
             info!("no repeat left", kv: { id = self.name(), service = &*self.service });
         }
@@ -279,6 +283,8 @@
             let ahead = self.admit(&server)?;
             let request = self.request(now, &server, last);
             let id = self.ask.id.as_deref();
+            let decided = self.state.clock.now().saturating_duration_since(now);
+            metrics::histogram!("pimentocart_decision_seconds").record(decided);
             let sent = exchange::send(&self.state, &server, request, id, self.until).await;
             let sent = sent.map(|answer| Answer {
                 sent: now,
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -12,13 +12,13 @@
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
-use crate::edge::{Source, SourceError};
+use crate::edge::{Changes, Source, SourceError};
 use crate::state::State;
 
 /// How long the store may hold a question for which there is no new catalog.
 /// A question that got lost with its link costs so long, which must stay well
 /// within the time in which a catalog has to be in force.
-const CATALOG_WAIT: Duration = Duration::from_secs(3);
+const CATALOG_WAIT: Duration = Duration::from_secs(2);
 
 /// The same for servers. They report all the time, so that an answer comes at
 /// once; a lost question should be given up soon.
@@ -172,9 +172,12 @@
 
     async fn next(&mut self, state: &State) -> Option<News<S::Item>> {
         let whole = self.from.is_none();
-        let read = match self.from {
-            None => self.source.newest().await,
-            Some(from) => self.source.changes(from, self.wait).await,
+        // A question that was lost while the store was away would be waited
+        // for on and on; that another table is answered again shows that the
+        // store is back, and asking anew costs one question.
+        let read = tokio::select! {
+            read = self.read() => read,
+            () = state.regained.notified() => self.read().await,
         };
         match read {
             Ok(changes) => {
@@ -183,6 +186,7 @@
                     // Whatever lapsed meanwhile shows only in a whole table.
                     self.failures = 0;
                     self.regained = Some(state.clock.now());
+                    state.regained.notify_waiters();
                     self.from = None;
                     if !whole {
                         return Some(self.news(changes.records, false));
@@ -198,6 +202,13 @@
         }
     }
 
+    async fn read(&self) -> Result<Changes<S::Item>, SourceError> {
+        match self.from {
+            None => self.source.newest().await,
+            Some(from) => self.source.changes(from, self.wait).await,
+        }
+    }
+
     fn news(&self, records: Vec<(String, Option<S::Item>)>, whole: bool) -> News<S::Item> {
         News { records, whole }
     }
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -54,10 +54,17 @@
 }
 
 async fn answer(state: &Rc<State>, incoming: Incoming) -> Reply {
+    let id = state.dialect.ask(&incoming.headers).id;
+    let version = state.catalog.borrow().as_ref().map_or(0, |c| c.version);
     let call = match Call::read(state, incoming) {
         Ok(call) => Rc::new(call),
         Err(own) => {
-            info!("call denied", kv: { status = own.status, reason = own.reason.as_str() });
+            info!("call denied", kv: {
+                id = id.as_deref().unwrap_or("-"),
+                status = own.status,
+                reason = own.reason.as_str(),
+                version
+            });
             return Reply::Own(own);
         }
     };
@@ -71,6 +78,11 @@
         Reply::Own(own) => own.reason.as_str(),
         _ => "-",
     };
+    metrics::counter!("pimentocart_calls_total", "status" => status.to_string()).increment(1);
+    if matches!(reply, Reply::Whole { .. }) {
+        let age = state.clock.now().saturating_duration_since(call.came);
+        metrics::histogram!("pimentocart_answer_seconds", "kind" => "whole").record(age);
+    }
     info!("call answered", kv: {
         id = call.name(),
         route = call.route.name.as_str(),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -68,6 +68,10 @@
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let listener = listen("listen", settings.listen).await?;
     let ready = listen("ready", settings.ready).await?;
+    let metrics = match settings.metrics {
+        Some(addr) => Some(listen("metrics", addr).await?),
+        None => None,
+    };
     let addr = settings.gossip;
     let socket = UdpSocket::bind(addr).await?;
     let state = State::new(settings, dialect, clock);
@@ -83,7 +87,9 @@
         end.clone(),
     ));
     actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
-    actix_rt::spawn(http::operators(ready, Rc::clone(&state), end.clone()));
+    for listener in [Some(ready), metrics].into_iter().flatten() {
+        actix_rt::spawn(http::operators(listener, Rc::clone(&state), end.clone()));
+    }
     info!("entry started", kv: {
         name = state.settings.name.as_str(),
         zone = state.settings.zone.as_str(),
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -154,9 +154,12 @@
     fn time(&mut self) {
         let now = self.call.state.clock.now();
         let passed = now.saturating_duration_since(self.newest);
-        match self.first_after.is_zero() {
-            true => self.first_after = passed,
-            false => self.pause = self.pause.max(passed),
+        if self.first_after.is_zero() {
+            self.first_after = passed;
+            metrics::histogram!("pimentocart_first_event_seconds").record(passed);
+        } else {
+            self.pause = self.pause.max(passed);
+            metrics::histogram!("pimentocart_pause_seconds").record(passed);
         }
         self.newest = now;
     }
@@ -201,6 +204,8 @@
     }
 
     fn log(&self, outcome: &str) {
+        let age = self.newest.saturating_duration_since(self.call.came);
+        metrics::histogram!("pimentocart_answer_seconds", "kind" => "stream").record(age);
         info!("stream ended", kv: {
             id = self.call.name(),
             route = self.call.route.name.as_str(),
--- a/crates/forward/src/reload.rs
+++ b/crates/forward/src/reload.rs
@@ -50,7 +50,7 @@
     fn take(&mut self, new: Settings) {
         let same = new == self.held;
         if new.log_level != self.held.log_level {
-            logging::init(new.log_level);
+            logging::set_level(new.log_level);
         }
         let level = new.log_level;
         let apart = Settings {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -26,6 +26,9 @@
     pub ready: SocketAddr,
     /// The path that the balancer asks for.
     pub ready_path: String,
+    /// Where metrics are scraped, if anywhere.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Where other entries tell this one what they have in progress.
     pub gossip: SocketAddr,
     /// The platform's store.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -15,6 +15,8 @@
 use policy::routes::Catalog;
 use policy::waits::Waits;
 
+use tokio::sync::Notify;
+
 use crate::edge::Dialect;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -49,6 +51,8 @@
     pub budget: RefCell<Budget>,
     /// Connections to servers.
     pub pool: Pool,
+    /// Wakes those who wait for the store when it answers again.
+    pub regained: Notify,
     /// Whether the servers are known.
     pub listed: Cell<bool>,
     /// Set when the entry is about to stop.
@@ -83,6 +87,7 @@
             clock,
             catalog: RefCell::default(),
             pool: Pool::default(),
+            regained: Notify::new(),
             listed: Cell::new(false),
             stopping: Stop::new(),
             open: Cell::new(0),
@@ -115,10 +120,11 @@
     }
 }
 
-/// Closes connections whose time is over until `end`.
+/// Closes connections whose time is over, and tidies up, until `end`.
 pub async fn sweep(state: Rc<State>, end: Stop) {
     while !end.asked() {
         tokio::time::sleep(SWEEP).await;
         state.pool.sweep(state.clock.now());
+        base::telemetry::upkeep();
     }
 }
--- a/crates/policy/src/waits.rs
+++ b/crates/policy/src/waits.rs
@@ -13,9 +13,11 @@
 
 use crate::estimate::fit::Fit;
 
-/// Times the target that a call of the lowest tiers may be expected to take:
-/// the estimate is a mean, and half of the calls are faster.
-const LOWER: f64 = 1.2;
+/// Part of its target that a call of the lowest tiers may be expected to take.
+/// In a burst the queue stands at whatever is allowed; allowed more than the
+/// target, every call that is sent would be late (replayed: 58 of 273 in time
+/// at 1.2).
+const LOWER: f64 = 0.8;
 
 /// Part of its time left that a call of the tiers above may be expected to
 /// take. They go first inside the engine, so that the estimate, which counts
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::{Balance, Listed, Part, Want};
+use policy::balance::{Balance, By, Listed, Part, Want};
+use policy::others::Calls;
 
 const AWAY: Duration = Duration::from_secs(2);
 
@@ -33,6 +34,11 @@
         prefix,
         tried: &[],
         part: Part::All,
+        by: if prefix.is_some() {
+            By::Prefix
+        } else {
+            By::Own
+        },
     }
 }
 
@@ -73,14 +79,51 @@
 #[test]
 fn calls_of_others_count() {
     let (now, mut balance) = (Instant::now(), balance(2));
-    let idle = chosen(&mut balance, now, &want(None)).expect("a server");
-    balance.sent(&idle);
-    let busy = balance.told();
-    balance.ended(&idle);
-    balance.hear(|server| if server == busy[0].0 { 9 } else { 0 });
+    let by_open = Want {
+        by: By::Open,
+        ..want(None)
+    };
+    let busy = chosen(&mut balance, now, &by_open).expect("a server");
+    balance.sent(&busy);
+    let told = balance.told();
+    balance.begun(&busy);
+    balance.ended(&busy);
+    balance.hear(|server| match server == told[0].0 {
+        true => Calls {
+            open: 9,
+            waiting: 4,
+        },
+        false => Calls::default(),
+    });
     for _ in 0..8 {
-        assert_ne!(chosen(&mut balance, now, &want(None)), Some(idle.clone()));
+        assert_ne!(chosen(&mut balance, now, &by_open), Some(busy.clone()));
+    }
+    assert_eq!(balance.waiting(&busy), 4);
+}
+
+/// Twenty entries hear the same counts, some tenths of a second old. If each
+/// took the least loaded engine, all twenty streams would go to it.
+#[test]
+fn stale_counts_do_not_gather_calls() {
+    let now = Instant::now();
+    let by_open = Want {
+        by: By::Open,
+        ..want(None)
+    };
+    let mut used = HashSet::new();
+    for entry in 0..20 {
+        let mut balance = balance(12);
+        balance.hear(|server| Calls {
+            open: u32::from(server % 7),
+            waiting: 0,
+        });
+        // Entries are at different places in their streams of calls.
+        for _ in 0..entry {
+            balance.choose(now, &by_open);
+        }
+        used.insert(chosen(&mut balance, now, &by_open));
     }
+    assert!(used.len() >= 5, "all went to {} engines", used.len());
 }
 
 /// A host stops answering. The first call finds out; those after it must not
--- a/crates/policy/tests/pools.rs
+++ b/crates/policy/tests/pools.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::others::{Others, Saying};
+use policy::others::{Calls, Others, Saying};
 use policy::pools::{Pools, Told, Work};
 
 const ENGINES: usize = 18;
@@ -89,6 +89,19 @@
     assert!(burst <= calm, "prompts got no further engines");
 }
 
+/// The demand swings by a little around a cut. If the cut moved each time,
+/// prompts would lose their cached parts and streams would meet prompts.
+#[test]
+fn small_swings_do_not_move_the_cut() {
+    let mut load = Load::new();
+    load.run(5, 100, 20);
+    let cut = load.writers();
+    for prompts in [110, 90, 110, 90] {
+        load.run(2, prompts, 20);
+        assert_eq!(load.writers(), cut);
+    }
+}
+
 /// Twice the streams come within a second. A split that follows slowly lets
 /// them wait for slots while the readers' engines are half idle.
 #[test]
@@ -132,13 +145,13 @@
     assert!(a.abs_diff(b) <= 1, "{a} and {b}");
 }
 
-fn saying(life: u64, seq: u32, calls: u16) -> Saying {
+fn saying(life: u64, seq: u32, open: u32) -> Saying {
     Saying {
         life,
         seq,
         every: Duration::from_millis(100),
         services: Vec::new(),
-        open: vec![(1, calls)],
+        calls: vec![(1, Calls { open, waiting: 1 })],
     }
 }
 
@@ -149,11 +162,11 @@
     let (now, mut others) = (Instant::now(), Others::default());
     others.hear(now, saying(1, 1, 5));
     others.hear(now, saying(2, 1, 3));
-    assert_eq!(others.open()[&1], 8);
+    assert_eq!(others.calls()[&1].open, 8);
     let later = now + Duration::from_millis(300);
     others.hear(later, saying(2, 2, 4));
     others.forget(now + Duration::from_millis(500));
-    assert_eq!(others.open()[&1], 4);
+    assert_eq!(others.calls()[&1].open, 4);
     assert_eq!(others.count(), 1);
 }
 
@@ -163,5 +176,5 @@
     let (now, mut others) = (Instant::now(), Others::default());
     others.hear(now, saying(1, 2, 5));
     others.hear(now, saying(1, 1, 9));
-    assert_eq!(others.open()[&1], 5);
+    assert_eq!(others.calls()[&1].open, 5);
 }
