Read servers often after an outage; run the entry as a process under a soak

Lines of several daemons in one pipe were torn where a write was longer than a pipe takes at once.

A call that could not be sent at all is not tried a second round. Logs are written in pieces of whole lines of at most 4,096 bytes. The entry runs as a process before stand-ins: hangup, stop, start without a store, and a soak by seeds that stops, freezes, kills and restarts processes, takes the store away, replaces servers and configurations, and checks each answer.

--- a/crates/base/src/logging/bounded.rs
+++ b/crates/base/src/logging/bounded.rs
@@ -18,6 +18,9 @@
 /// is a system call and a wake-up, which cost more than the lines.
 const GATHER: Duration = Duration::from_millis(250);
 
+/// Bytes that a pipe takes in one piece, by POSIX.
+const PIECE: usize = 4096;
+
 /// The writing side, for a log sink.
 #[derive(Debug, Clone)]
 pub struct Bounded(Arc<Shared>);
@@ -102,17 +105,30 @@
                 (lines, std::mem::take(&mut state.left_out))
             };
             // Nobody could be told of a failure to write logs.
-            let _ = out.write_all(&lines);
+            let _ = write(&mut out, &lines);
             if left_out > 0 {
-                let _ = out.write_all(note(left_out).as_bytes());
+                let _ = write(&mut out, note(left_out).as_bytes());
             }
-            let _ = out.flush();
             self.lock().writing = false;
             self.wake.notify_all();
         }
     }
 }
 
+/// Writes whole lines, at most as many at once as a pipe takes in one piece.
+/// Several daemons may share one pipe, and longer writes would be torn.
+fn write(out: &mut impl Write, mut lines: &[u8]) -> io::Result<()> {
+    while !lines.is_empty() {
+        let most = lines.len().min(PIECE);
+        let end = lines[..most].iter().rposition(|b| *b == b'\n');
+        let (piece, rest) = lines.split_at(end.map_or(most, |at| at + 1));
+        out.write_all(piece)?;
+        out.flush()?;
+        lines = rest;
+    }
+    Ok(())
+}
+
 fn note(left_out: u64) -> String {
     let ms = SystemTime::now().duration_since(UNIX_EPOCH);
     let ms = ms.map_or(0, |d| d.as_millis());
--- a/crates/base/src/story.rs
+++ b/crates/base/src/story.rs
@@ -71,6 +71,9 @@
     let daemons: BTreeSet<&str> = own.iter().map(|l| l.daemon.as_str()).collect();
 
     let matters = |l: &&Line| {
+        if l.get("id") == Some(id) {
+            return true;
+        }
         let event = l.get("event").unwrap_or("");
         let about = l.get("server").is_some_and(|s| servers.contains(s));
         let belief = BELIEFS.contains(&event) || about && event.starts_with("server ");
@@ -78,8 +81,8 @@
         belief && near && l.get("id").is_none() && daemons.contains(l.daemon.as_str())
     };
     let mut story: Vec<Line> = lines.iter().filter(matters).cloned().collect();
-    story.extend(own.into_iter().cloned());
-    story.sort();
+    // Lines of one daemon stay in its order within a millisecond.
+    story.sort_by_key(|l| l.time);
     story
 }
 
--- a/crates/base/tests/logging.rs
+++ b/crates/base/tests/logging.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use base::logging::bounded::Bounded;
 use base::story::{Line, story};
@@ -39,13 +40,43 @@
     }
     assert!(log.left_out() > 0, "nothing was left out of a full buffer");
     drop(go);
-    let all: Vec<u8> = written.iter().take(2).flatten().collect();
-    let text = String::from_utf8_lossy(&all);
-    assert!(
-        text.contains("event=\"log lines left out\" count="),
-        "{}",
-        text.len()
-    );
+    let mut text = String::new();
+    while !text.contains("event=\"log lines left out\" count=") {
+        let piece = written.recv_timeout(Duration::from_secs(20));
+        text += &String::from_utf8_lossy(&piece.expect("the count is told"));
+    }
+}
+
+/// Collects what is written, one piece for each write.
+struct Pieces(Sender<Vec<u8>>);
+
+impl Write for Pieces {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Several daemons write into one pipe. A write that is longer than a pipe
+/// takes at once is torn, and lines of one daemon end up inside another's.
+#[test]
+fn lines_are_not_torn() {
+    let (out, written) = channel();
+    let mut log = Bounded::start(Pieces(out)).expect("a thread");
+    for i in 0..500 {
+        let line = format!("time={i} event=\"{}\"\n", "x".repeat(i % 90));
+        log.write_all(line.as_bytes()).expect("never fails");
+    }
+    log.flush().expect("written");
+    let pieces: Vec<Vec<u8>> = written.try_iter().collect();
+    assert!(pieces.len() > 1);
+    assert!(pieces.iter().all(|p| p.len() <= 4096 && p.ends_with(b"\n")));
+    let lines = pieces.concat().iter().filter(|b| **b == b'\n').count();
+    assert_eq!(lines, 500);
 }
 
 fn lines() -> Vec<Line> {
--- /dev/null
+++ b/crates/cli/tests/forward/main.rs
@@ -0,0 +1,7 @@
+//! The entry for routed calls as a process of its own, before a stand-in for
+//! the platform's store and for backend servers: told to read its settings
+//! again, to stop, killed and frozen, and a soak of all of that by seeds.
+
+mod platform;
+mod signals;
+mod soak;
--- /dev/null
+++ b/crates/cli/tests/forward/platform.rs
@@ -0,0 +1,428 @@
+//! Stand-ins for the platform's store and for backend servers, and the
+//! process before them. Everything listens on loopback.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use serde_json::json;
+
+/// How often a condition is looked at, and the pause between.
+const TRIES: u32 = 1500;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A caller gives an answer up after this.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Events of a stream.
+pub(crate) const EVENTS: u32 = 6;
+
+/// The store's keyed topics: records by topic, in order.
+type Topics = HashMap<String, Vec<(String, String)>>;
+
+/// Waits until a condition holds.
+pub(crate) fn until(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if done() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("never: {what}");
+}
+
+/// The platform: its store, and what its servers saw.
+#[derive(Default)]
+pub(crate) struct Platform {
+    topics: Mutex<Topics>,
+    /// Whether the store refuses all calls.
+    pub(crate) down: AtomicBool,
+    /// How often each call ran, by its identity.
+    pub(crate) runs: Mutex<BTreeMap<String, u32>>,
+    version: AtomicU32,
+    servers: AtomicU32,
+}
+
+impl Platform {
+    /// Starts a store; returns it and its address.
+    pub(crate) fn start() -> (Arc<Self>, SocketAddr) {
+        let platform = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let own = Arc::clone(&platform);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let own = Arc::clone(&own);
+                thread::spawn(move || own.serve(stream));
+            }
+        });
+        platform.declare();
+        (platform, addr)
+    }
+
+    /// Writes a new version of the configuration.
+    pub(crate) fn declare(&self) {
+        let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
+        let route = |name: &str, kind: &str, attempts: u32| {
+            json!({"name": name, "hostname": "h.example", "path_prefix": format!("/{name}/"),
+                "route_type": kind, "timeout_ms": 6000, "service": "app",
+                "max_attempts": attempts})
+        };
+        let config = json!({"version": version, "services": [{"name": "app"}],
+            "routes": [route("once", "unsafe", 1), route("safe", "safe", 2),
+                route("stream", "streaming", 1)]});
+        self.write("keyed.op", "config", &config.to_string());
+    }
+
+    /// Writes a record; an empty value drops the key.
+    fn write(&self, topic: &str, key: &str, value: &str) {
+        let mut topics = self.topics.lock().expect("not poisoned");
+        let records = topics.entry(topic.to_owned()).or_default();
+        records.push((key.to_owned(), value.to_owned()));
+    }
+
+    /// Starts a backend server and lists it.
+    pub(crate) fn server(self: &Arc<Self>) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let number = self.servers.fetch_add(1, Ordering::SeqCst);
+        let server = Server {
+            platform: Arc::clone(self),
+            id: format!("i-{number}"),
+            addr,
+            gone: Arc::default(),
+        };
+        server.list("ready");
+        let (own, id, gone) = (
+            Arc::clone(self),
+            server.id.clone(),
+            Arc::clone(&server.gone),
+        );
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if gone.load(Ordering::SeqCst) {
+                    return;
+                }
+                let (own, id, gone) = (Arc::clone(&own), id.clone(), Arc::clone(&gone));
+                thread::spawn(move || own.run(&stream, &id, &gone));
+            }
+        });
+        server
+    }
+
+    /// Answers the store's calls on one connection.
+    fn serve(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        while let Some((head, body)) = read(&mut reader) {
+            if self.down.load(Ordering::SeqCst) {
+                answer(&mut stream, "503 Down", b"");
+                continue;
+            }
+            let line = head.lines().next().unwrap_or("").to_owned();
+            let query = |key: &str| {
+                let (_, after) = line.split_once(&format!("{key}="))?;
+                after.split(['&', ' ']).next().map(str::to_owned)
+            };
+            let topic = query("topic").unwrap_or_default();
+            if line.contains("log-newest") {
+                answer(&mut stream, "200 OK", self.newest(&topic).as_bytes());
+            } else if line.contains("log-read") {
+                let from = query("from").and_then(|f| f.parse().ok()).unwrap_or(0);
+                answer(&mut stream, "200 OK", &self.after(&topic, from));
+            } else {
+                let key = usize::from(body[4]);
+                let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+                self.write(&topic, &text(&body[5..5 + key]), &text(&body[5 + key..]));
+                answer(&mut stream, "200 OK", b"{\"offset\":0,\"end\":1}");
+            }
+        }
+    }
+
+    fn newest(&self, topic: &str) -> String {
+        let topics = self.topics.lock().expect("not poisoned");
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let newest: BTreeMap<_, _> = records.iter().map(|(k, v)| (k, v)).collect();
+        let live = newest.into_iter().filter(|(_, v)| !v.is_empty());
+        let item = |(k, v): (&String, &String)| json!({"key": k, "value": STANDARD.encode(v)});
+        let items: Vec<_> = live.map(item).collect();
+        json!({"items": items, "more": false, "end": records.len()}).to_string()
+    }
+
+    fn after(&self, topic: &str, from: usize) -> Vec<u8> {
+        // Stands for the long poll, so that nobody asks in a loop.
+        thread::sleep(PAUSE);
+        let topics = self.topics.lock().expect("not poisoned");
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let mut all = vec![0; 16];
+        for (key, value) in records.iter().skip(from) {
+            let length = u32::try_from(1 + key.len() + value.len()).expect("short");
+            all.extend_from_slice(&length.to_be_bytes());
+            all.push(u8::try_from(key.len()).expect("short"));
+            all.extend_from_slice(key.as_bytes());
+            all.extend_from_slice(value.as_bytes());
+        }
+        all
+    }
+
+    /// Runs the calls that come to a backend server on one connection.
+    fn run(&self, stream: &TcpStream, own: &str, gone: &AtomicBool) {
+        let mut out = stream.try_clone().expect("a clone");
+        let mut reader = BufReader::new(stream);
+        while let Some((head, _)) = read(&mut reader) {
+            let id = header(&head, "x-request-id").unwrap_or_default();
+            if gone.load(Ordering::SeqCst) {
+                return;
+            }
+            if header(&head, "x-expect-instance").as_deref() != Some(own) {
+                answer(&mut out, "421 Other", b"");
+                continue;
+            }
+            *self
+                .runs
+                .lock()
+                .expect("not poisoned")
+                .entry(id.clone())
+                .or_default() += 1;
+            let marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
+            if !head.starts_with("POST /stream/") {
+                let body = format!("answer to {id}");
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{marks}Content-Length: {}\r\n\r\n",
+                    body.len()
+                );
+                thread::sleep(Duration::from_millis(3));
+                let _ = out.write_all((head + &body).as_bytes());
+                continue;
+            }
+            let head = format!("HTTP/1.1 200 OK\r\n{marks}Transfer-Encoding: chunked\r\n\r\n");
+            let _ = out.write_all(head.as_bytes());
+            for number in 1..=EVENTS {
+                thread::sleep(Duration::from_millis(15));
+                if gone.load(Ordering::SeqCst) {
+                    return;
+                }
+                let event = format!("id: {number}\ndata: {id}\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                let _ = out.write_all(chunk.as_bytes());
+            }
+            let _ = out.write_all(b"0\r\n\r\n");
+        }
+    }
+}
+
+/// One life of a backend server.
+pub(crate) struct Server {
+    platform: Arc<Platform>,
+    id: String,
+    addr: SocketAddr,
+    gone: Arc<AtomicBool>,
+}
+
+impl Server {
+    fn list(&self, state: &str) {
+        let entry = json!({"service": "app", "address": self.addr, "zone": "a", "slots": 8,
+            "state": state, "seq": 1});
+        self.platform
+            .write("keyed.servers", &self.id, &entry.to_string());
+    }
+
+    /// Announces that it leaves, goes on serving for a while, and ends.
+    pub(crate) fn leave(self) {
+        self.list("draining");
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(2500));
+            self.platform.write("keyed.servers", &self.id, "");
+            self.crash();
+        });
+    }
+
+    /// Ends at once: connections in use are closed, new ones refused.
+    pub(crate) fn crash(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.addr);
+    }
+
+    /// Ends at once; the platform notices seconds later.
+    pub(crate) fn die(self) {
+        self.crash();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(2));
+            self.platform.write("keyed.servers", &self.id, "");
+        });
+    }
+}
+
+/// The entry as a process.
+pub(crate) struct Entry {
+    child: Option<Child>,
+    settings: PathBuf,
+    listen: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Entry {
+    /// Starts an entry and waits until it is ready.
+    pub(crate) fn start(name: &str, store: SocketAddr) -> Self {
+        let ports: Vec<TcpListener> = (0..2)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+            .collect();
+        let gossip = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let addr = |l: &TcpListener| l.local_addr().expect("an address");
+        let (listen, ready) = (addr(&ports[0]), addr(&ports[1]));
+        let settings = json!({"name": name, "zone": "a", "listen": listen, "ready": ready,
+            "ready_path": "/ready", "gossip": gossip.local_addr().expect("an address"),
+            "store": store, "grace_s": 6.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
+            "ask_every": "100ms"});
+        let dir = std::env::temp_dir().join(format!("pimentocart-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join("entry.json");
+        std::fs::write(&path, settings.to_string()).expect("settings");
+        drop((ports, gossip));
+        let mut entry = Self {
+            child: None,
+            settings: path,
+            listen,
+            ready,
+        };
+        entry.restart();
+        entry
+    }
+
+    /// Starts the process again; the one before has ended.
+    pub(crate) fn restart(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pimentocart"));
+        let command = command.args(["forward", "--settings"]).arg(&self.settings);
+        let command = command.stdout(Stdio::null()).stderr(Stdio::null());
+        self.child = Some(command.spawn().expect("the program starts"));
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("it runs");
+        let id = i32::try_from(child.id()).expect("a process id");
+        signal::kill(Pid::from_raw(id), signal).expect("the process is there");
+    }
+
+    /// Waits until the process has ended; returns its exit code.
+    pub(crate) fn wait(&mut self) -> Option<i32> {
+        let mut child = self.child.take().expect("it runs");
+        let mut status = None;
+        until("the process ends", || {
+            status = child.try_wait().expect("the process is ours");
+            status.is_some()
+        });
+        status.and_then(|s| s.code())
+    }
+
+    pub(crate) fn running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// Whether it says that it is ready.
+    pub(crate) fn ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.ready) else {
+            return false;
+        };
+        let _ = stream.set_read_timeout(Some(PATIENCE));
+        let _ = stream.write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        answer.starts_with("HTTP/1.1 200")
+    }
+
+    pub(crate) fn at(&self) -> SocketAddr {
+        self.listen
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// What a caller saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Seen {
+    /// A whole answer with this status and body.
+    Whole(u16, String),
+    /// An answer that broke off.
+    Cut,
+    /// No answer.
+    Nothing,
+}
+
+/// Makes one call on a connection of its own.
+pub(crate) fn call(at: SocketAddr, path: &str, id: &str) -> Seen {
+    let Ok(mut stream) = TcpStream::connect(at) else {
+        return Seen::Nothing;
+    };
+    let _ = stream.set_read_timeout(Some(PATIENCE));
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\n\
+         Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    if stream.write_all(request.as_bytes()).is_err() {
+        return Seen::Nothing;
+    }
+    let mut all = Vec::new();
+    let _ = stream.read_to_end(&mut all);
+    let all = String::from_utf8_lossy(&all).into_owned();
+    let Some((head, body)) = all.split_once("\r\n\r\n") else {
+        return Seen::Nothing;
+    };
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    let whole = match header(head, "content-length").and_then(|l| l.parse::<usize>().ok()) {
+        Some(length) => body.len() == length,
+        None => body.ends_with("0\r\n\r\n"),
+    };
+    match whole {
+        true => Seen::Whole(status, body.to_owned()),
+        false => Seen::Cut,
+    }
+}
+
+/// Reads one message with its body; none at the end of the connection.
+fn read(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = header(&head, "content-length").and_then(|l| l.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn answer(stream: &mut TcpStream, status: &str, body: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let _ = stream.write_all(&[head.as_bytes(), body].concat());
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|l| l.split_once(": "));
+    let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.map(|(_, v)| v.to_owned())
+}
--- /dev/null
+++ b/crates/cli/tests/forward/soak.rs
@@ -0,0 +1,206 @@
+//! Faults by seeds: processes stopped, frozen, killed and restarted, servers
+//! leaving and dying, the store down and back, configurations in series, in
+//! any order and overlapping, while callers check what they were promised.
+//!
+//! `SOAK_SEEDS=100-149` plays those seeds in place of the few of every run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::platform::{EVENTS, Entry, Platform, Seen, Server, call, until};
+
+const CALLERS: usize = 6;
+const STEPS: u32 = 14;
+
+/// What one seed came to.
+#[derive(Debug, Default)]
+struct Tally {
+    answers: u32,
+    refused: Vec<String>,
+    faults: Vec<String>,
+}
+
+#[test]
+fn seeds() {
+    let range = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-2".to_owned());
+    let (first, last) = range.split_once('-').expect("FIRST-LAST");
+    let number = |text: &str| text.parse::<u64>().expect("a number");
+    let mut broken = Vec::new();
+    for seed in number(first)..=number(last) {
+        let tally = play(seed);
+        println!(
+            "seed={seed} answers={} refused={}",
+            tally.answers,
+            tally.refused.len()
+        );
+        assert!(tally.answers > 0, "seed {seed}: nobody was served");
+        broken.extend(
+            tally
+                .faults
+                .into_iter()
+                .map(|f| format!("seed {seed}: {f}")),
+        );
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Plays one seed and checks every promise.
+fn play(seed: u64) -> Tally {
+    let (platform, store) = Platform::start();
+    let mut servers: Vec<Server> = (0..3).map(|_| platform.server()).collect();
+    let mut entries: Vec<Entry> = (0..2)
+        .map(|i| Entry::start(&format!("soak-{seed}-{i}"), store))
+        .collect();
+    until("ready", || entries.iter().all(Entry::ready));
+
+    let end = Arc::new(AtomicBool::new(false));
+    let at: Vec<SocketAddr> = entries.iter().map(Entry::at).collect();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|i| {
+            let (end, at) = (Arc::clone(&end), at.clone());
+            thread::spawn(move || calls(seed, i, &at, &end))
+        })
+        .collect();
+
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+    for _ in 0..STEPS {
+        step(&mut rng, &platform, &mut servers, &mut entries);
+        thread::sleep(Duration::from_millis(rng.random_range(20..250)));
+    }
+    platform.down.store(false, Ordering::SeqCst);
+    for entry in &mut entries {
+        if !entry.running() {
+            entry.wait();
+            entry.restart();
+        }
+    }
+    until("all are ready again", || entries.iter().all(Entry::ready));
+    end.store(true, Ordering::SeqCst);
+
+    let mut tally = Tally::default();
+    for caller in callers {
+        let part = caller.join().expect("a caller");
+        tally.answers += part.answers;
+        tally.refused.extend(part.refused);
+        tally.faults.extend(part.faults);
+    }
+    let last = call(entries[0].at(), "/safe/x", &format!("{seed}-last"));
+    if !matches!(last, Seen::Whole(200, _)) {
+        tally
+            .faults
+            .push(format!("not served after all faults ended: {last:?}"));
+    }
+    let runs = platform.runs.lock().expect("not poisoned").clone();
+    judge(&runs, &mut tally);
+    tally
+}
+
+/// One fault, or the end of one.
+fn step(
+    rng: &mut Pcg64Mcg,
+    platform: &Arc<Platform>,
+    servers: &mut Vec<Server>,
+    entries: &mut [Entry],
+) {
+    let which = rng.random_range(0..entries.len());
+    let entry = &mut entries[which];
+    if !entry.running() {
+        entry.wait();
+        entry.restart();
+        return;
+    }
+    match rng.random_range(0..8) {
+        0 => entry.signal(Signal::SIGKILL),
+        1 => entry.signal(Signal::SIGTERM),
+        2 => entry.signal(Signal::SIGHUP),
+        3 => {
+            entry.signal(Signal::SIGSTOP);
+            thread::sleep(Duration::from_millis(rng.random_range(50..400)));
+            entry.signal(Signal::SIGCONT);
+        }
+        4 => {
+            let down = platform.down.load(Ordering::SeqCst);
+            platform.down.store(!down, Ordering::SeqCst);
+        }
+        5 => platform.declare(),
+        6 => {
+            servers.push(platform.server());
+            servers.remove(0).leave();
+        }
+        _ => {
+            servers.push(platform.server());
+            let dead = rng.random_range(0..servers.len() - 1);
+            servers.remove(dead).die();
+        }
+    }
+}
+
+/// Calls one after the other until `end`, and checks each answer.
+fn calls(seed: u64, caller: usize, at: &[SocketAddr], end: &AtomicBool) -> Tally {
+    let mut tally = Tally::default();
+    for i in 0.. {
+        if end.load(Ordering::SeqCst) {
+            break;
+        }
+        let kind = ["once", "safe", "stream"][(i + caller) % 3];
+        let id = format!("{kind}-{seed}-{caller}-{i}");
+        match call(at[i % at.len()], &format!("/{kind}/x"), &id) {
+            Seen::Whole(200, body) => {
+                tally.answers += 1;
+                check(kind, &id, &body, &mut tally);
+            }
+            Seen::Whole(429 | 503, _) => {
+                tally.refused.push(id);
+                thread::sleep(Duration::from_millis(5));
+            }
+            Seen::Whole(502 | 504, _) | Seen::Cut => {}
+            Seen::Whole(status, _) => tally.faults.push(format!("{id}: status {status}")),
+            Seen::Nothing => thread::sleep(Duration::from_millis(5)),
+        }
+    }
+    tally
+}
+
+/// A whole success holds the caller's own answer, and all of it.
+fn check(kind: &str, id: &str, body: &str, tally: &mut Tally) {
+    let own = match kind {
+        "stream" => {
+            let numbers: Vec<String> = (1..=EVENTS).map(|n| format!("id: {n}")).collect();
+            let seen = body.lines().filter(|l| l.starts_with("id: "));
+            let data = body.lines().filter(|l| l.starts_with("data: "));
+            seen.eq(numbers.iter().map(String::as_str))
+                && data.count() == EVENTS as usize
+                && body.matches(id).count() == EVENTS as usize
+        }
+        _ => body == format!("answer to {id}"),
+    };
+    if !own {
+        tally.faults.push(format!("{id}: got {body:?}"));
+    }
+}
+
+/// What must not be repeated ran once at most, and what was refused as not
+/// run never ran.
+fn judge(runs: &BTreeMap<String, u32>, tally: &mut Tally) {
+    for (id, count) in runs {
+        if *count > 1 && !id.starts_with("safe") {
+            tally.faults.push(format!("{id}: ran {count} times"));
+        }
+    }
+    for id in &tally.refused {
+        let ran = !id.starts_with("safe") && runs.contains_key(id);
+        if ran {
+            tally
+                .faults
+                .push(format!("{id}: refused as not run, and ran"));
+        }
+    }
+}
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -219,7 +219,8 @@
                 ms = self.age_ms()
             });
             let again = failure.not_run() || self.route.kind.repeatable();
-            let over = matches!(failure, Failure::Late | Failure::TooLate(_));
+            // Where it could not be sent at all, other servers were tried.
+            let over = !matches!(failure, Failure::NotRun(_) | Failure::Unknown(_));
             last = Some(failure);
             if !again || over {
                 break;
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -35,6 +35,10 @@
 /// The same pause with many entries, which share what the store can take.
 const GATHER_MANY: Duration = Duration::from_millis(1500);
 
+/// The same pause while servers may be writing their entries anew. A fresh
+/// entry has none to call until it has read them.
+const GATHER_BACK: Duration = Duration::from_millis(150);
+
 /// Entries heard from which there are many.
 const MANY: usize = 8;
 
@@ -109,8 +113,19 @@
             info!("server forgotten", kv: { server = &*id });
         }
         state.listed.set(true);
-        let many = state.others.borrow().count() >= MANY;
-        tokio::time::sleep(if many { GATHER_MANY } else { GATHER }).await;
+        let entries = state.others.borrow().count();
+        tokio::time::sleep(pause(away, entries)).await;
+    }
+}
+
+/// How long to wait before servers are read again: `away` says whether the
+/// store was away a moment ago, `entries` how many other entries read it too.
+#[must_use]
+pub fn pause(away: bool, entries: usize) -> Duration {
+    match (away, entries >= MANY) {
+        (true, _) => GATHER_BACK,
+        (false, true) => GATHER_MANY,
+        (false, false) => GATHER,
     }
 }
 
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -179,3 +179,16 @@
     actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
     until("ready", || state.ready()).await;
 }
+
+/// The store is back, but the servers' entries lapsed while it was away, and
+/// each is written anew at another moment within two seconds. A fresh entry
+/// refuses every call until it has read them, so it must ask several times in
+/// each of these seconds; on a calm day that would only cost calls.
+#[test]
+fn servers_read_often_after_an_outage() {
+    for entries in [0, 3, 100] {
+        assert!(follow::pause(true, entries) * 5 <= Duration::from_secs(1));
+        assert!(follow::pause(false, entries) * 2 >= Duration::from_secs(1));
+    }
+    assert!(follow::pause(false, 100) > follow::pause(false, 3));
+}
