--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -20,6 +20,10 @@
 const CALLERS: usize = 6;
 const STEPS: u32 = 14;
 
+/// Seeds that failed once. 16: a process that was told to stop ended after the
+/// last step, and the harness did not start it again as the platform does.
+const KEPT: [u64; 1] = [16];
+
 /// What one seed came to.
 #[derive(Debug, Default)]
 struct Tally {
@@ -34,13 +38,10 @@
     let (first, last) = range.split_once('-').expect("FIRST-LAST");
     let number = |text: &str| text.parse::<u64>().expect("a number");
     let mut broken = Vec::new();
-    for seed in number(first)..=number(last) {
+    for seed in (number(first)..=number(last)).chain(KEPT) {
         let tally = play(seed);
-        println!(
-            "seed={seed} answers={} refused={}",
-            tally.answers,
-            tally.refused.len()
-        );
+        let refused = tally.refused.len();
+        println!("seed={seed} answers={} refused={refused}", tally.answers);
         assert!(tally.answers > 0, "seed {seed}: nobody was served");
         broken.extend(
             tally
@@ -76,13 +77,17 @@
         thread::sleep(Duration::from_millis(rng.random_range(20..250)));
     }
     platform.down.store(false, Ordering::SeqCst);
-    for entry in &mut entries {
-        if !entry.running() {
-            entry.wait();
-            entry.restart();
+    // The platform starts again whatever has ended, also a process that was
+    // told to stop a moment ago and ends only now.
+    until("all are ready again", || {
+        for entry in &mut entries {
+            if !entry.running() {
+                entry.wait();
+                entry.restart();
+            }
         }
-    }
-    until("all are ready again", || entries.iter().all(Entry::ready));
+        entries.iter().all(Entry::ready)
+    });
     end.store(true, Ordering::SeqCst);
 
     let mut tally = Tally::default();
@@ -113,11 +118,13 @@
     let which = rng.random_range(0..entries.len());
     let entry = &mut entries[which];
     if !entry.running() {
-        entry.wait();
+        println!("  entry={which} ended code={:?}", entry.wait());
         entry.restart();
         return;
     }
-    match rng.random_range(0..8) {
+    let fault = rng.random_range(0..8);
+    println!("  entry={which} fault={fault}");
+    match fault {
         0 => entry.signal(Signal::SIGKILL),
         1 => entry.signal(Signal::SIGTERM),
         2 => entry.signal(Signal::SIGHUP),
