Pass over servers that have calls and send nothing

Cause: a host that goes dark keeps its connections open; calls sent there get neither answer nor error until the transport gives up after 2 s or the list drops the server after 3.6 s.

Ruled out: counting failures (the first comes after 2 s).

Change: a server with own calls from which no byte came for three targets of the route, 0.3 to 1.2 s, is passed over until something comes.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -22,6 +22,16 @@
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
 
+/// A server that sends nothing for so many times the route's target is taken
+/// to be dark; other calls find it well again as soon as anything comes.
+const SILENCE: u32 = 3;
+
+/// The least of that time: a plain service's slowest answers take as long.
+const SILENCE_LEAST: Duration = Duration::from_millis(300);
+
+/// The most of it: an engine with a full queue still sends something.
+const SILENCE_MOST: Duration = Duration::from_millis(1200);
+
 /// Part of the route's timeout below which a caller's time shows that it has
 /// spent some elsewhere, as those do who were turned away.
 const RETURNED: f64 = 0.97;
@@ -345,6 +355,7 @@
             prefix,
             tried: &avoid,
             part,
+            silence: (self.route.target * SILENCE).clamp(SILENCE_LEAST, SILENCE_MOST),
         };
         self.state.balance.borrow_mut().choose(now, &want)
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -105,6 +105,7 @@
                         && !data.is_empty()
                     {
                         self.begun();
+                        self.heard();
                         return Ok(Some(data));
                     }
                 }
@@ -123,6 +124,12 @@
         }
     }
 
+    /// Notes that the server is alive.
+    fn heard(&self) {
+        let now = self.state.clock.now();
+        self.state.balance.borrow_mut().heard(now, &self.server.id);
+    }
+
     /// Gives the connection back for the next call.
     fn end(&mut self) {
         let Some(conn) = self.conn.take() else { return };
@@ -160,6 +167,8 @@
         Err(_) => return Err(Failure::Late),
     };
     let status = response.status().as_u16();
+    let now = state.clock.now();
+    state.balance.borrow_mut().heard(now, &server.id);
     let signs = state.dialect.signs(status, response.headers());
 
     // A server may send a second answer to an earlier call late, just where
@@ -193,7 +202,7 @@
         status,
         headers: parts.headers,
         signs,
-        sent: state.clock.now(),
+        sent: now,
         ahead: 0,
         body,
     })
@@ -208,7 +217,8 @@
 
 impl<'a> Out<'a> {
     fn new(state: &'a State, id: &'a str) -> Self {
-        state.balance.borrow_mut().sent(id);
+        let now = state.clock.now();
+        state.balance.borrow_mut().sent(now, id);
         Self {
             state,
             id,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -69,6 +69,8 @@
     pub part: Part,
     /// What decides among them.
     pub by: By,
+    /// A server with open calls that sent nothing for so long is passed over.
+    pub silence: Duration,
 }
 
 /// What decides among servers.
@@ -123,6 +125,8 @@
     failed: u32,
     /// Left alone until then.
     rest: Option<Instant>,
+    /// When a byte last came from it, or the first of the open calls went out.
+    heard: Option<Instant>,
     /// Since when the list has not shown it, and until when it may yet be
     /// called.
     missing: Option<(Instant, Instant)>,
@@ -134,6 +138,15 @@
         self.own.open + self.others.open
     }
 
+    /// Whether it has calls and sends nothing. A host that went dark keeps its
+    /// connections open: calls sent on them would wait for seconds, until the
+    /// transport gives up or the list drops it, and one after the other would
+    /// be lost.
+    fn silent(&self, now: Instant, silence: Duration) -> bool {
+        let heard = self.heard.filter(|_| self.own.open > 0);
+        heard.is_some_and(|at| now >= at + silence)
+    }
+
     /// Calls that wait for their first event there, of all entries.
     fn waiting(&self) -> u32 {
         self.own.waiting + self.others.waiting
@@ -169,6 +182,7 @@
                     refused: 0,
                     failed: 0,
                     rest: None,
+                    heard: None,
                     missing: None,
                     listed,
                 };
@@ -241,8 +255,11 @@
             false => fit.retain(|s| s.missing.is_some_and(|(_, until)| now < until)),
         }
         fit.retain(|s| !want.tried.contains(&s.listed.id));
-        let well = |s: &&Server| s.rest.is_none_or(|until| until <= now);
-        // With none well, one that rests is better than none at all.
+        let well = |s: &&Server| {
+            let rested = s.rest.is_none_or(|until| until <= now);
+            rested && !s.silent(now, want.silence)
+        };
+        // With none well, one that is not is better than none at all.
         if fit.iter().any(well) {
             fit.retain(well);
         }
@@ -314,9 +331,19 @@
         self.servers.get(id).map_or(0, Server::waiting)
     }
 
+    /// Notes that a byte came from a server.
+    pub fn heard(&mut self, now: Instant, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.heard = Some(now);
+        }
+    }
+
     /// Notes that a call goes out to a server.
-    pub fn sent(&mut self, id: &str) {
+    pub fn sent(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
+            if server.own.open == 0 {
+                server.heard = Some(now);
+            }
             server.own.open += 1;
             server.own.waiting += 1;
         }
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -7,6 +7,9 @@
 use policy::balance::{Balance, By, Listed, Part, Want};
 use policy::others::Calls;
 
+/// A server that is silent for so long counts as dark.
+const SILENCE: Duration = Duration::from_millis(300);
+
 const AWAY: Duration = Duration::from_secs(2);
 
 fn listed(id: &str, zone: &str) -> Listed {
@@ -39,6 +42,7 @@
         } else {
             By::Own
         },
+        silence: SILENCE,
     }
 }
 
@@ -68,7 +72,7 @@
     let mut used = HashSet::new();
     for _ in 0..48 {
         let server = balance.choose(now, &want).expect("a server");
-        balance.sent(&server.id);
+        balance.sent(now, &server.id);
         used.insert(server.id);
     }
     assert!(used.len() > 3, "only {} servers were used", used.len());
@@ -84,7 +88,7 @@
         ..want(None)
     };
     let busy = chosen(&mut balance, now, &by_open).expect("a server");
-    balance.sent(&busy);
+    balance.sent(now, &busy);
     let told = balance.told();
     balance.begun(&busy);
     balance.ended(&busy);
@@ -141,6 +145,40 @@
     assert_eq!(chosen(&mut balance, later, &want(Some(3))), Some(home));
 }
 
+/// A host goes dark with its connections open. Calls sent there get no answer
+/// and no error for seconds; once it has been silent for too long, others are
+/// asked, and with its first byte it is back.
+#[test]
+fn silent_server_is_passed_over() {
+    let (now, mut balance) = (Instant::now(), balance(3));
+    let home = chosen(&mut balance, now, &want(Some(3))).expect("a server");
+    balance.sent(now, &home);
+    let later = now + SILENCE;
+    assert_ne!(
+        chosen(&mut balance, later, &want(Some(3))),
+        Some(home.clone())
+    );
+    balance.heard(later, &home);
+    assert_eq!(chosen(&mut balance, later, &want(Some(3))), Some(home));
+}
+
+/// A server that has nothing to do sends nothing, and is well.
+#[test]
+fn idle_server_is_not_silent() {
+    let (now, mut balance) = (Instant::now(), balance(1));
+    balance.sent(now, "s0");
+    balance.begun("s0");
+    balance.ended("s0");
+    let later = now + SILENCE * 10;
+    balance.sent(later, "s0");
+    balance.list(listed("s1", "b"));
+    assert!(chosen(&mut balance, later, &want(Some(1))).is_some());
+    let used: HashSet<_> = (0..50)
+        .filter_map(|p| chosen(&mut balance, later, &want(Some(p))))
+        .collect();
+    assert!(used.contains("s0"));
+}
+
 #[test]
 fn resting_is_better_than_none() {
     let (now, mut balance) = (Instant::now(), balance(1));
