Split a call's file; a resume that cannot be sent costs one repeat

Cause: found by reading the split. A stream that broke with no other server in reach asked for one again and again until all repeats of the service were used up, and a resumed call could be refused by admission, though its caller had a part of its stream.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -1,4 +1,10 @@
 //! One call, and getting it to run.
+//!
+//! - `attempt`: choosing a server and sending the call there.
+//! - `answer`: taking what comes back.
+
+mod answer;
+mod attempt;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -6,49 +12,23 @@
 use base::ids::Tier;
 use base::reason::Refusal;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri};
-use http_body_util::Full;
-use policy::balance::{By, Listed, Part, Want};
+use http::{HeaderMap, Method, Uri};
 use policy::pools::Work;
-use policy::rendezvous;
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
-use policy::waits::{Claim, Verdict};
 use rand::RngExt;
-use spdlog::{info, warn};
+use spdlog::info;
+
+use answer::good;
 
-use crate::edge::{self, Ask, Order};
-use crate::exchange::{self, Answer, Body, Failure};
-use crate::relay::{Relay, millis};
+use crate::edge::Ask;
+use crate::exchange::{Body, Failure};
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
 
-/// A server that sends nothing for so many times the route's target is taken
-/// to be dark; other calls find it well again as soon as anything comes.
-const SILENCE: u32 = 3;
-
-/// The least of that time: a plain service's slowest answers take as long.
-const SILENCE_LEAST: Duration = Duration::from_millis(300);
-
-/// The most of it: an engine with a full queue still sends something.
-const SILENCE_MOST: Duration = Duration::from_millis(1200);
-
-/// Part of the route's timeout below which a caller's time shows that it has
-/// spent some elsewhere, as those do who were turned away.
-const RETURNED: f64 = 0.97;
-
 /// Ranks of routes within one tier of workspaces: engines know ten ranks,
 /// and three tiers of each fit.
 const RANKS: u8 = 3;
 
-/// Connections that are tried before a call is given up that could not be
-/// sent anywhere: a region that lost some hosts has others.
-const DIALS: usize = 4;
-
-/// Largest answer that is held until it is whole. Larger ones of calls that
-/// are no streams are a fault of the server: plain services answer with a
-/// few kilobytes, and an entry has about a hundred megabytes in all.
-const WHOLE_LIMIT: usize = 8 << 20;
-
 /// When to come back if no server takes the call: servers that were replaced
 /// are known about so long after.
 const AFTER_NO_SERVER: Duration = Duration::from_millis(400);
@@ -94,6 +74,15 @@
     }
 }
 
+/// Where a server begins with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Begin {
+    /// At its start.
+    Fresh,
+    /// After the last event that the caller has of its stream, if any.
+    After(Option<u64>),
+}
+
 /// A call as it came.
 #[derive(Debug)]
 pub struct Incoming {
@@ -205,7 +194,7 @@
             if attempt > 1 && !self.repeat() {
                 break;
             }
-            let answer = self.send(&mut tried, None).await;
+            let answer = self.send(&mut tried, Begin::Fresh).await;
             let failure = match answer {
                 Ok(answer) => match self.accept(answer).await {
                     Ok(reply) if self.better(&reply, &tried) => {
@@ -229,8 +218,7 @@
                 ms = self.age_ms()
             });
             let again = failure.not_run() || self.route.kind.repeatable();
-            // Where it could not be sent at all, other servers were tried.
-            let over = !matches!(failure, Failure::NotRun(_) | Failure::Unknown(_));
+            let over = failure.final_here();
             last = Some(failure);
             if !again || over {
                 break;
@@ -256,10 +244,10 @@
             if !self.repeat() {
                 return None;
             }
-            match self.send(tried, last).await {
+            match self.send(tried, Begin::After(last)).await {
                 Ok(answer) if good(&answer) => return Some(answer.body),
                 Ok(_) => {}
-                Err(Failure::Late) => return None,
+                Err(failure) if failure.final_here() => return None,
                 Err(_) => {}
             }
         }
@@ -278,236 +266,6 @@
         left
     }
 
-    /// Sends the call to one server. Servers that cannot be reached count as
-    /// no send.
-    async fn send(&self, tried: &mut Vec<Rc<str>>, last: Option<u64>) -> Result<Answer, Failure> {
-        let mut failure = Failure::NeverSent("no server".to_owned());
-        let mut unreachable = Vec::new();
-        for _ in 0..DIALS {
-            let now = self.state.clock.now();
-            if now >= self.until {
-                return Err(Failure::Late);
-            }
-            let Some(server) = self.choose(now, tried, &unreachable) else {
-                break;
-            };
-            let ahead = self.admit(&server)?;
-            let request = self.request(now, &server, last);
-            let id = self.ask.id.as_deref();
-            let decided = self.state.clock.now().saturating_duration_since(now);
-            metrics::histogram!("pimentocart_decision_seconds").record(decided);
-            let sent = exchange::send(&self.state, &server, request, id, self.until).await;
-            let sent = sent.map(|answer| Answer {
-                sent: now,
-                ahead,
-                ..answer
-            });
-            if sent.as_ref().is_err_and(|e| *e == Failure::Late) {
-                self.note_late(now, ahead);
-            }
-            match sent {
-                Err(Failure::NeverSent(e)) => {
-                    warn!("server unreachable", kv: {
-                        id = self.name(), server = &*server.id, cause = e.as_str()
-                    });
-                    unreachable.push(Rc::clone(&server.id));
-                    failure = Failure::NeverSent(e);
-                }
-                Err(Failure::Elsewhere) => {
-                    self.gone(now, &server);
-                    unreachable.push(Rc::clone(&server.id));
-                    failure = Failure::Elsewhere;
-                }
-                sent => {
-                    self.note(&server, &sent);
-                    tried.push(Rc::clone(&server.id));
-                    return sent;
-                }
-            }
-        }
-        Err(failure)
-    }
-
-    /// Notes that another server has the address of `server` by now. The list
-    /// shows the old one for seconds, in which every call to it would be
-    /// refused; it counts as missing from here on.
-    fn gone(&self, now: Instant, server: &Listed) {
-        info!("server replaced", kv: {
-            id = self.name(), server = &*server.id, addr = server.addr.to_string().as_str()
-        });
-        self.state.balance.borrow_mut().miss(now, &server.id, now);
-    }
-
-    fn choose(&self, now: Instant, tried: &[Rc<str>], out: &[Rc<str>]) -> Option<Listed> {
-        let avoid: Vec<Rc<str>> = tried.iter().chain(out).cloned().collect();
-        let part = self.part(now);
-        let prefix = prefix(&self.ask.parts);
-        let want = Want {
-            service: &self.service,
-            by: match (self.work, part) {
-                (None, _) => By::Own,
-                // What little these calls share is read faster than a crowded
-                // server writes.
-                (Some(Work::Writing), _) => By::Open,
-                (Some(Work::Reading), _) if prefix.is_none() => By::Open,
-                (Some(Work::Reading), _) => By::Prefix,
-            },
-            prefix,
-            tried: &avoid,
-            part,
-            silence: (self.route.target * SILENCE).clamp(SILENCE_LEAST, SILENCE_MOST),
-        };
-        self.state.balance.borrow_mut().choose(now, &want)
-    }
-
-    /// Whether the caller has spent a part of its time elsewhere before.
-    fn returned(&self) -> bool {
-        let usual = self.route.timeout.mul_f64(RETURNED);
-        self.ask.patience.is_some_and(|p| p < usual)
-    }
-
-    /// Whether the call may go to a server, or would come too late there.
-    fn admit(&self, server: &Listed) -> Result<u32, Failure> {
-        let ahead = self.state.balance.borrow().waiting(&server.id);
-        if self.work != Some(Work::Reading) {
-            return Ok(ahead);
-        }
-        let waits = self.state.waits.borrow();
-        let target = self.route.target;
-        let now = self.state.clock.now();
-        let claim = Claim {
-            tier: self.route.tier.0,
-            rank: self.rank(),
-            target,
-            left: self.until.saturating_duration_since(now),
-            returned: self.returned(),
-        };
-        match waits.judge(&self.service, claim, ahead, rand::rng().random()) {
-            Verdict::Send => Ok(ahead),
-            Verdict::Refuse { after, expected } => {
-                info!("call refused", kv: {
-                    id = self.name(),
-                    route = self.route.name.as_str(),
-                    server = &*server.id,
-                    ahead,
-                    expected_ms = millis(expected),
-                    target_ms = millis(target),
-                    after_ms = millis(after)
-                });
-                Err(Failure::TooLate(after))
-            }
-        }
-    }
-
-    /// The part of the engines that the call should go to.
-    fn part(&self, now: Instant) -> Part {
-        let Some(work) = self.work else {
-            return Part::All;
-        };
-        let (engines, slots) = self.state.balance.borrow().size(&self.service);
-        let mut pools = self.state.pools.borrow_mut();
-        let writers = pools.writers(now, &self.service, engines, slots);
-        match (writers, work) {
-            (0, _) => Part::All,
-            (count, Work::Writing) => Part::First(count),
-            (count, Work::Reading) => Part::Rest(count),
-        }
-    }
-
-    fn request(&self, now: Instant, server: &Listed, last: Option<u64>) -> Request<Full<Bytes>> {
-        let order = Order {
-            left: self.until.saturating_duration_since(now),
-            server: &server.id,
-            workspace: self.workspace.as_ref().map(|w| w.name.as_str()),
-            rank: Some(self.rank()),
-            last_event: last,
-        };
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.state.dialect.outgoing(&self.headers, &order);
-        request
-    }
-
-    /// Notes what a send tells about the server.
-    fn note(&self, server: &Listed, sent: &Result<Answer, Failure>) {
-        let now = self.state.clock.now();
-        let mut balance = self.state.balance.borrow_mut();
-        match sent {
-            Ok(answer) if answer.status < 500 => balance.good(&server.id),
-            Ok(_) => balance.failed(now, &server.id),
-            Err(Failure::Unknown(_)) => balance.failed(now, &server.id),
-            Err(_) => {}
-        }
-    }
-
-    /// Takes an answer whose head has come.
-    async fn accept(self: &Rc<Self>, mut answer: Answer) -> Result<Reply, Failure> {
-        let success = (200..300).contains(&answer.status);
-        if success && !good(&answer) {
-            return Err(Failure::Unknown(
-                "an answer that nobody vouches for".to_owned(),
-            ));
-        }
-        if success && self.route.kind.streams() {
-            let first = self.within(answer.body.next()).await;
-            let first = first.inspect_err(|_| self.note_late(answer.sent, answer.ahead))?;
-            let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
-            self.note_first(&answer);
-            let relay = Relay::new(Rc::clone(self), answer.body, first, Open::new(&self.state));
-            return Ok(Reply::Stream {
-                headers: answer.headers,
-                relay: Box::new(relay),
-            });
-        }
-        let body = self.whole(&mut answer.body).await?;
-        Ok(Reply::Whole {
-            status: answer.status,
-            headers: answer.headers,
-            body,
-        })
-    }
-
-    /// Notes how long the first event took.
-    fn note_first(&self, answer: &Answer) {
-        if self.work == Some(Work::Reading) {
-            let now = self.state.clock.now();
-            let took = now.saturating_duration_since(answer.sent);
-            let mut pools = self.state.pools.borrow_mut();
-            pools.first(now, &self.service, fresh(&self.ask), took);
-            let mut waits = self.state.waits.borrow_mut();
-            waits.saw(&self.service, self.rank(), answer.ahead, took);
-        }
-    }
-
-    /// Notes that no first event came in all the time that the call had. Left
-    /// out, only those that were served would say how long calls wait.
-    fn note_late(&self, sent: Instant, ahead: u32) {
-        if self.work == Some(Work::Reading) {
-            let took = self.state.clock.now().saturating_duration_since(sent);
-            let mut waits = self.state.waits.borrow_mut();
-            waits.saw(&self.service, self.rank(), ahead, took);
-        }
-    }
-
-    /// Reads an answer to its end, so that a broken one can be told from a
-    /// whole one before the caller sees anything of it.
-    async fn whole(&self, body: &mut Body) -> Result<Bytes, Failure> {
-        let mut all = Vec::new();
-        while let Some(bytes) = self.within(body.next()).await?.map_err(Failure::Unknown)? {
-            if all.len() + bytes.len() > WHOLE_LIMIT {
-                return Err(Failure::Unknown("an answer beyond all bounds".to_owned()));
-            }
-            all.extend_from_slice(&bytes);
-        }
-        Ok(all.into())
-    }
-
-    async fn within<T>(&self, step: impl Future<Output = T>) -> Result<T, Failure> {
-        let done = tokio::time::timeout_at(self.until.into(), step).await;
-        done.map_err(|_| Failure::Late)
-    }
-
     /// The answer when no server has served the call.
     fn given_up(&self, last: Option<&Failure>) -> Own {
         match last {
@@ -522,12 +280,6 @@
     }
 }
 
-/// Whether a success may be passed on.
-fn good(answer: &Answer) -> bool {
-    let signs = &answer.signs;
-    (200..300).contains(&answer.status) && signs.sealed && signs.id.is_some() && !signs.encoded
-}
-
 fn find(catalog: &Catalog, incoming: &Incoming) -> Result<Rc<Route>, Own> {
     let host = incoming.headers.get(http::header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or("");
@@ -539,11 +291,3 @@
 fn fresh(ask: &Ask) -> u32 {
     ask.parts.last().map_or(ask.prompt, |own| own.tokens)
 }
-
-/// The shared parts of a prompt as one number: all but the last one, which
-/// belongs to the call itself.
-fn prefix(parts: &[edge::Part]) -> Option<u64> {
-    let (_, shared) = parts.split_last()?;
-    let last = shared.last().or(parts.last())?;
-    Some(rendezvous::weight(last.id, u64::from(last.tokens)))
-}
--- /dev/null
+++ b/crates/forward/src/call/answer.rs
@@ -0,0 +1,92 @@
+//! Taking what a server answers to a call.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use policy::pools::Work;
+
+use super::{Call, fresh};
+use crate::exchange::{Answer, Body, Failure};
+use crate::relay::Relay;
+use crate::reply::Reply;
+use crate::state::Open;
+
+/// Largest answer that is held until it is whole. Larger ones of calls that
+/// are no streams are a fault of the server: plain services answer with a
+/// few kilobytes, and an entry has about a hundred megabytes in all.
+const WHOLE_LIMIT: usize = 8 << 20;
+impl Call {
+    /// Takes an answer whose head has come.
+    pub(super) async fn accept(self: &Rc<Self>, mut answer: Answer) -> Result<Reply, Failure> {
+        let success = (200..300).contains(&answer.status);
+        if success && !good(&answer) {
+            return Err(Failure::Unknown(
+                "an answer that nobody vouches for".to_owned(),
+            ));
+        }
+        if success && self.route.kind.streams() {
+            let first = self.within(answer.body.next()).await;
+            let first = first.inspect_err(|_| self.note_late(answer.sent, answer.ahead))?;
+            let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
+            self.note_first(&answer);
+            let relay = Relay::new(Rc::clone(self), answer.body, first, Open::new(&self.state));
+            return Ok(Reply::Stream {
+                headers: answer.headers,
+                relay: Box::new(relay),
+            });
+        }
+        let body = self.whole(&mut answer.body).await?;
+        Ok(Reply::Whole {
+            status: answer.status,
+            headers: answer.headers,
+            body,
+        })
+    }
+
+    /// Notes how long the first event took.
+    fn note_first(&self, answer: &Answer) {
+        if self.work == Some(Work::Reading) {
+            let now = self.state.clock.now();
+            let took = now.saturating_duration_since(answer.sent);
+            let mut pools = self.state.pools.borrow_mut();
+            pools.first(now, &self.service, fresh(&self.ask), took);
+            let mut waits = self.state.waits.borrow_mut();
+            waits.saw(&self.service, self.rank(), answer.ahead, took);
+        }
+    }
+
+    /// Notes that no first event came in all the time that the call had. Left
+    /// out, only those that were served would say how long calls wait.
+    pub(super) fn note_late(&self, sent: Instant, ahead: u32) {
+        if self.work == Some(Work::Reading) {
+            let took = self.state.clock.now().saturating_duration_since(sent);
+            let mut waits = self.state.waits.borrow_mut();
+            waits.saw(&self.service, self.rank(), ahead, took);
+        }
+    }
+
+    /// Reads an answer to its end, so that a broken one can be told from a
+    /// whole one before the caller sees anything of it.
+    async fn whole(&self, body: &mut Body) -> Result<Bytes, Failure> {
+        let mut all = Vec::new();
+        while let Some(bytes) = self.within(body.next()).await?.map_err(Failure::Unknown)? {
+            if all.len() + bytes.len() > WHOLE_LIMIT {
+                return Err(Failure::Unknown("an answer beyond all bounds".to_owned()));
+            }
+            all.extend_from_slice(&bytes);
+        }
+        Ok(all.into())
+    }
+
+    async fn within<T>(&self, step: impl Future<Output = T>) -> Result<T, Failure> {
+        let done = tokio::time::timeout_at(self.until.into(), step).await;
+        done.map_err(|_| Failure::Late)
+    }
+}
+
+/// Whether a success may be passed on.
+pub(super) fn good(answer: &Answer) -> bool {
+    let signs = &answer.signs;
+    (200..300).contains(&answer.status) && signs.sealed && signs.id.is_some() && !signs.encoded
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -41,6 +41,13 @@
         )
     }
 
+    /// Whether sending the call to yet another server makes no sense: its time
+    /// is over, or all servers that could be reached were tried.
+    #[must_use]
+    pub fn final_here(&self) -> bool {
+        !matches!(self, Self::NotRun(_) | Self::Unknown(_))
+    }
+
     /// One word for logs and labels.
     #[must_use]
     pub fn word(&self) -> &'static str {
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -299,6 +299,22 @@
         }
     }
 
+    /// Moves one of the servers to an address where nothing listens.
+    pub(crate) fn lose_a_server(&self) {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = closed.local_addr().expect("an address");
+        self.state.balance.borrow_mut().list(listed("s2", addr));
+    }
+
+    /// Takes all repeats that are left and returns how many.
+    pub(crate) fn repeats_left(&self) -> usize {
+        let (now, service) = (self.state.clock.now(), Rc::from("app"));
+        let mut budget = self.state.budget.borrow_mut();
+        (0..1000)
+            .take_while(|_| budget.repeat(now, &service))
+            .count()
+    }
+
     pub(crate) async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.addr).await.expect("a connection")
     }
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -59,6 +59,19 @@
     assert_ne!(field(&requests[0], "server"), field(&requests[1], "server"));
 }
 
+/// A stream breaks and the only other server cannot be reached. It is tried
+/// once; asked again and again, it would use up the repeats that all other
+/// calls of the service share.
+#[actix_rt::test]
+async fn resume_that_cannot_be_sent_costs_one_repeat() {
+    let acts = [Act::SendReset(HALF)];
+    let entry = Entry::start(Plan::new(Kind::Resumable, 2, &acts)).await;
+    entry.lose_a_server();
+    let answer = entry.call(ID).await;
+    assert_eq!(events(&answer), (vec!["a"], false));
+    assert_eq!(entry.repeats_left(), 19);
+}
+
 /// The second server goes on at another event than it was asked for. Joined,
 /// the stream would miss one and look whole; it is cut instead.
 #[actix_rt::test]
