Let all entries weigh alike in how fast engines read

Cause: each entry took the mean of its own reading pace and that of all others together, so that a few odd samples of its own moved its cut alone.

Change: the mean goes over all entries that know a pace.

--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -145,6 +145,7 @@
             reading: f64::from(s.reading),
             writing: f64::from(s.writing),
             pace: f64::from(s.pace),
+            paced: u32::from(s.pace > 0.0),
         };
         (s.number, told)
     };
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -83,15 +83,14 @@
     #[must_use]
     pub fn told(&self, service: u32) -> Told {
         let mut sum = Told::default();
-        let mut paces = 0;
         let said = self.entries.values().flat_map(|(_, s)| &s.services);
         for (_, told) in said.filter(|(s, _)| *s == service) {
             sum.reading += told.reading;
             sum.writing += told.writing;
             sum.pace += told.pace;
-            paces += u32::from(told.pace > 0.0);
+            sum.paced += u32::from(told.pace > 0.0);
         }
-        sum.pace /= f64::from(paces.max(1));
+        sum.pace /= f64::from(sum.paced.max(1));
         sum
     }
 }
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -107,8 +107,11 @@
     pub reading: f64,
     /// Calls in progress that write.
     pub writing: f64,
-    /// Seconds that an engine takes to read a token; 0 when unknown.
+    /// Seconds that an engine takes to read a token, on the mean of those who
+    /// know; 0 when nobody does.
     pub pace: f64,
+    /// How many entries know the pace.
+    pub paced: u32,
 }
 
 impl Demand {
@@ -119,11 +122,11 @@
             reading: self.reading,
             writing: self.writing.max(f64::from(self.open)),
             // More load makes it longer, and more engines are left to read.
-            pace: if slope > 0.0 {
-                slope.max(READ_LEAST)
-            } else {
-                0.0
+            pace: match slope > 0.0 {
+                true => slope.max(READ_LEAST),
+                false => 0.0,
             },
+            paced: u32::from(slope > 0.0),
         }
     }
 }
@@ -189,10 +192,13 @@
         let (own, others) = (demand.told(), demand.others);
         let writing = own.writing + others.writing;
         let writing = writing / (f64::from(slots.max(1)) * SLOT_SHARE).min(STREAMS);
-        let pace = match (own.pace, others.pace) {
-            (0.0, 0.0) => READ_GUESS,
-            (own, others) if own == 0.0 || others == 0.0 => own + others,
-            (own, others) => f64::midpoint(own, others),
+        // All entries weigh alike, or each would cut by its own few samples
+        // and streams of one would meet prompts of another.
+        let paced = own.paced + others.paced;
+        let sum = own.pace * f64::from(own.paced) + others.pace * f64::from(others.paced);
+        let pace = match paced {
+            0 => READ_GUESS,
+            _ => sum / f64::from(paced),
         };
         let reading = (own.reading + others.reading) * pace / READ_SHARE;
         if engines < 2 || writing <= 0.0 || reading <= 0.0 {
