Never refuse as not run what may have run before

Cause: found by reading. An idempotent call that may have run at a first server and was refused by a second one got 503, which promises that it has not run.

Change: once a call may have run, later failures do not change the answer.

Measured: may_have_run_is_no_refusal had 503 before and has 502 now.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -219,7 +219,11 @@
             });
             let again = failure.not_run() || self.route.kind.repeatable();
             let over = failure.final_here();
-            last = Some(failure);
+            // Once the call may have run somewhere, no later failure changes
+            // that, and no refusal would be true.
+            if last.as_ref().is_none_or(Failure::not_run) {
+                last = Some(failure);
+            }
             if !again || over {
                 break;
             }
--- a/crates/forward/tests/calls/repeats.rs
+++ b/crates/forward/tests/calls/repeats.rs
@@ -115,6 +115,15 @@
     assert!(after > 0.0);
 }
 
+/// The first server may have run the call, the second one did not. A refusal
+/// would say that it has not run; the caller is told that nobody knows.
+#[actix_rt::test]
+async fn may_have_run_is_no_refusal() {
+    let acts = [Act::SendReset(""), Act::Send(NOT_RUN)];
+    let entry = Entry::start(Plan::new(Kind::Idempotent, 2, &acts)).await;
+    assert_eq!(status(&entry.call(ID).await), "502");
+}
+
 /// A call may be sent to so many servers as its route allows, no more.
 #[actix_rt::test]
 async fn attempts_bounded() {
