--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -185,6 +185,7 @@
 /// Writes this entry's address into the directory and finds the others there.
 pub async fn find<D: Directory>(state: Rc<State>, directory: D, addr: SocketAddr, end: Stop) {
     let mut announced = false;
+    let mut lost = false;
     while !end.asked() {
         if !announced {
             let name = &state.settings.name;
@@ -196,6 +197,13 @@
         } else {
             RETRY
         };
+        // The first of a row is logged; peers that were found stay known.
+        if let Err(e) = &found
+            && !lost
+        {
+            warn!("directory lost", kv: { cause = e.to_string().as_str() });
+        }
+        lost = found.is_err();
         let now = state.clock.now();
         for peer in found.unwrap_or_default() {
             let known = state.peers.borrow().contains_key(&peer);
