Count a call that met another server as a repeat

Ruled out: resumes and failures, which take theirs.

Change: going on after such an answer takes one repeat; with none left the caller is told that the call has not run. The test sees two arrivals at servers without the change, one with it.

--- a/crates/forward/src/call/answer.rs
+++ b/crates/forward/src/call/answer.rs
@@ -16,6 +16,7 @@
 /// are no streams are a fault of the server: plain services answer with a
 /// few kilobytes, and an entry has about a hundred megabytes in all.
 const WHOLE_LIMIT: usize = 8 << 20;
+
 impl Call {
     /// Takes an answer whose head has come.
     pub(super) async fn accept(
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -17,6 +17,7 @@
 /// Connections that are tried before a call is given up that could not be
 /// sent anywhere: a region that lost some hosts has others.
 const DIALS: usize = 4;
+
 impl Call {
     /// Sends the call to one server. Servers that cannot be reached count as
     /// no send.
@@ -70,6 +71,12 @@
                     self.gone(now, &server);
                     unreachable.push(Rc::clone(&server.id));
                     failure = Failure::Elsewhere;
+                    // It reached a server all the same. When many servers are
+                    // replaced at once, calls that go from one to the next
+                    // would double the load of those that are left.
+                    if !self.repeat() {
+                        break;
+                    }
                 }
                 sent => {
                     self.note(&server, &sent);
--- a/crates/forward/tests/calls/repeats.rs
+++ b/crates/forward/tests/calls/repeats.rs
@@ -102,6 +102,19 @@
     );
 }
 
+/// Many servers were replaced at once, and the service has no repeats left. A
+/// call whose server turns out to be another one has reached a server: sent on
+/// all the same, it would be a repeat that nobody counts. The caller is told,
+/// truly, that it has not run.
+#[actix_rt::test]
+async fn replaced_server_costs_a_repeat() {
+    let acts = [Act::Send(ELSEWHERE), Act::Send(ELSEWHERE)];
+    let entry = Entry::start(Plan::new(Kind::Once, 1, &acts)).await;
+    entry.repeats_left();
+    assert_eq!(status(&entry.call(ID).await), "503");
+    assert_eq!(entry.servers.requests().len(), 1);
+}
+
 /// All servers say so: the refusal is true, and says when to come back.
 #[actix_rt::test]
 async fn refused_with_time_to_return() {
