--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::Listed;
+use policy::balance::{Change, Listed};
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
@@ -144,17 +144,20 @@
 fn list(state: &State, listed: Listed) {
     let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
     let (addr, zone) = (listed.addr, Rc::clone(&listed.zone));
-    if !state.balance.borrow_mut().list(listed) {
+    let change = state.balance.borrow_mut().list(listed);
+    if change == Change::None {
         return;
     }
-    if leaving {
+    // Connections to its earlier life lead nowhere any more.
+    if leaving || change == Change::Restarted {
         state.pool.forget(&id);
     }
     info!("server listed", kv: {
         server = &*id,
         addr = addr.to_string().as_str(),
         zone = &*zone,
-        leaving
+        leaving,
+        restarted = change == Change::Restarted
     });
 }
 
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -328,6 +328,7 @@
         let addr = "127.0.0.1:1".parse().expect("an address");
         let leaving = Listed {
             leaving: true,
+            born: None,
             ..listed(id, addr)
         };
         self.state.balance.borrow_mut().list(leaving);
@@ -391,6 +392,7 @@
         zone: Rc::from("a"),
         slots: 4,
         leaving: false,
+        born: None,
     }
 }
 
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -117,6 +117,7 @@
         zone: Rc::from("a"),
         slots: 1,
         leaving: false,
+        born: None,
     };
     Answer::Records(vec![(id.to_owned(), Some(listed))])
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -43,7 +43,7 @@
 /// A backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listed {
-    /// The name of this life of the server; a restart makes a new one.
+    /// Its name. A restart makes a new one, or keeps it with another `born`.
     pub id: Rc<str>,
     /// What it serves.
     pub service: Rc<str>,
@@ -55,6 +55,19 @@
     pub slots: u32,
     /// Whether it takes no new calls.
     pub leaving: bool,
+    /// Unix millisecond at which this life of the server began, if it says.
+    pub born: Option<u64>,
+}
+
+/// What the platform's list says that was not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// A server that was not known, or another state of one.
+    Changed,
+    /// The server has started again under its name.
+    Restarted,
 }
 
 /// What is asked for.
@@ -165,15 +178,31 @@
         }
     }
 
-    /// Adds a server or takes its new state over; returns whether anything
-    /// changed.
-    pub fn list(&mut self, listed: Listed) -> bool {
+    /// Adds a server or takes its new state over.
+    ///
+    /// A server that has started again under its name is as a new one: left
+    /// alone for the failures of its earlier life, it would stand idle for
+    /// seconds. What that life wrote may come late, and would have calls kept
+    /// from a server that is well.
+    pub fn list(&mut self, listed: Listed) -> Change {
         match self.servers.get_mut(&listed.id) {
+            Some(server) if listed.born < server.listed.born => Change::None,
             Some(server) => {
+                let restarted = server.listed.born < listed.born;
                 let back = server.missing.take().is_some();
                 let same = server.listed == listed;
                 server.listed = listed;
-                back || !same
+                if restarted {
+                    server.refused = 0;
+                    server.failed = 0;
+                    server.rest = None;
+                    server.heard = None;
+                    return Change::Restarted;
+                }
+                match back || !same {
+                    true => Change::Changed,
+                    false => Change::None,
+                }
             }
             None => {
                 let server = Server {
@@ -188,7 +217,7 @@
                     listed,
                 };
                 self.servers.insert(Rc::clone(&server.listed.id), server);
-                true
+                Change::Changed
             }
         }
     }
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -121,6 +121,8 @@
     parts: Parts,
     /// The engine's last report.
     report: Option<(Instant, Report)>,
+    /// When the engine's life began, as far as it says.
+    born: Option<u64>,
     /// Calls that the engine runs at once.
     slots: u32,
     /// Part of a stream's longest pause that reading may take.
@@ -165,6 +167,7 @@
             window: WINDOW,
             parts: Parts::default(),
             report: None,
+            born: None,
             slots: 0,
             gap_share: GAP_SHARE,
             lately: VecDeque::new(),
@@ -281,8 +284,16 @@
         self.gap_share = (self.gap_share * step).clamp(GAP_LEAST, GAP_MOST);
     }
 
-    /// Takes over what the engine says.
+    /// Takes over what the engine says. One that has started again under its
+    /// name has read nothing and runs nothing: by the books of its earlier
+    /// life it would look full, and its prompts read.
     pub fn report(&mut self, now: Instant, report: Report) {
+        if self.born.is_some_and(|born| report.born > Some(born)) {
+            self.forget();
+            self.flights.clear();
+            self.running.clear();
+        }
+        self.born = self.born.max(report.born);
         self.parts.limit(report.total.saturating_sub(report.used));
         if !self.waiting.is_empty() {
             let step = match report.unread {
--- a/crates/policy/src/grants/call.rs
+++ b/crates/policy/src/grants/call.rs
@@ -57,6 +57,8 @@
     pub used: u64,
     /// Tokens of memory in all.
     pub total: u64,
+    /// Unix millisecond at which this life of the engine began, if it says.
+    pub born: Option<u64>,
 }
 
 /// What an engine is believed to be like.
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::{Balance, By, Listed, Part, Want};
+use policy::balance::{Balance, By, Listed, Change, Part, Want};
 use policy::others::Calls;
 
 /// A server that is silent for so long counts as dark.
@@ -20,6 +20,7 @@
         zone: Rc::from(zone),
         slots: 16,
         leaving: false,
+        born: None,
     }
 }
 
@@ -191,6 +192,7 @@
     let (now, mut balance) = (Instant::now(), balance(1));
     balance.list(Listed {
         leaving: true,
+        born: None,
         ..listed("s0", "a")
     });
     assert!(balance.choose(now, &want(None)).is_none());
@@ -251,3 +253,43 @@
     assert_eq!(seen.each_ref().map(HashSet::len), [4, 8]);
     assert!(seen[0].is_disjoint(&seen[1]));
 }
+
+/// A server failed to connect again and again, then starts anew under its old
+/// name. Judged by its earlier life it would be left alone for seconds, though
+/// it is well and empty.
+#[test]
+fn restart_under_its_name_clears_failures() {
+    let now = Instant::now();
+    let mut balance = balance(2);
+    let first = Listed {
+        born: Some(1_000),
+        ..listed("s0", "a")
+    };
+    balance.list(first.clone());
+    for _ in 0..5 {
+        balance.unreachable(now, "s0");
+    }
+    assert_eq!(chosen(&mut balance, now, &want(None)), Some("s1".into()));
+    let second = Listed {
+        born: Some(2_000),
+        ..first.clone()
+    };
+    assert_eq!(balance.list(second.clone()), Change::Restarted);
+    assert_eq!(chosen(&mut balance, now, &want(None)), Some("s0".into()));
+    assert_eq!(balance.list(second), Change::None);
+}
+
+/// What the earlier life said last, that it leaves, arrives after the entry of
+/// the new life. Believed, it would keep all calls from a server that is well.
+#[test]
+fn late_word_of_an_earlier_life_ignored() {
+    let mut balance = balance(0);
+    let life = |born, leaving| Listed {
+        born: Some(born),
+        leaving,
+        ..listed("s0", "a")
+    };
+    balance.list(life(2_000, false));
+    assert_eq!(balance.list(life(1_000, true)), Change::None);
+    assert!(balance.open("s0"));
+}
--- a/crates/policy/tests/grants.rs
+++ b/crates/policy/tests/grants.rs
@@ -310,6 +310,7 @@
             unread: 0,
             used: 440_000,
             total: 500_000,
+            born: None,
         },
     );
     assert!(refused(grants.ask(now, prompt(1, 20_000))));
@@ -332,6 +333,7 @@
         unread: 0,
         used: 0,
         total: 500_000,
+        born: None,
     };
     grants.report(now, report);
     assert!(refused(grants.ask(now, stream(1, 150))));
@@ -349,6 +351,7 @@
         unread: 0,
         used: 0,
         total: 50_000,
+        born: None,
     };
     grants.report(now, report);
     let huge = Ask {
@@ -359,3 +362,33 @@
     grants.ended(now, id(1), Duration::ZERO);
     assert!(granted(grants.ask(now, prompt(2, 3_000))));
 }
+
+/// An engine full of streams crashes and starts again under its name. Its
+/// callers' entries notice at different moments; until then the books of the
+/// earlier life would say that it has no slot, and that it holds prompts which
+/// it would have to read.
+#[test]
+fn restart_empties_the_books() {
+    let now = Instant::now();
+    let mut grants = Grants::default();
+    let report = |born| Report {
+        running: 0,
+        unread: 0,
+        used: 0,
+        total: 500_000,
+        born: Some(born),
+    };
+    grants.report(now, report(1_000));
+    for number in 0..32 {
+        assert!(granted(grants.ask(now, stream(number, 150))));
+    }
+    assert!(refused(grants.ask(now, stream(32, 150))));
+    assert_eq!(grants.missing(&stream(1, 150).parts), 0);
+    grants.report(now, report(2_000));
+    assert_eq!(grants.counts(), (0, 0, 0));
+    assert_eq!(grants.missing(&stream(1, 150).parts), 500);
+    // A late report of the earlier life changes nothing.
+    assert!(granted(grants.ask(now, stream(33, 150))));
+    grants.report(now, report(1_000));
+    assert_eq!(grants.counts(), (0, 1, 0));
+}
