--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -38,6 +38,8 @@
     server: String,
     /// Who asked for each waiting call, and the call's name.
     askers: HashMap<CallId, (SocketAddr, String)>,
+    /// Whether the engine does not answer; nothing can be fetched from it.
+    dark: bool,
 }
 
 impl Desk {
@@ -92,16 +94,24 @@
     /// Takes over what the engine says.
     pub fn report(&self, report: Report) {
         let now = self.clock.now();
-        self.inner.borrow_mut().grants.report(now, report);
+        let mut inner = self.inner.borrow_mut();
+        inner.grants.report(now, report);
+        inner.dark = false;
+        drop(inner);
         self.let_in();
     }
 
+    /// Notes that the engine did not answer.
+    pub fn lost(&self) {
+        self.inner.borrow_mut().dark = true;
+    }
+
     /// Lets all waiting calls go to the engine, since nobody will order them
     /// any more; returns how many there were.
     pub async fn release(&self) -> usize {
         let askers = std::mem::take(&mut self.inner.borrow_mut().askers);
         for (id, (to, _)) in &askers {
-            self.answer(*to, *id, grants::Verdict::Granted);
+            self.send(*to, *id, grants::Verdict::Granted, 0, false);
         }
         askers.len()
     }
@@ -123,6 +133,8 @@
         };
         match ask.what {
             What::Want(want) => self.want(id, want, from),
+            What::Look(look) => self.look(id, &look, from),
+            What::Fetches(source) => self.inner.borrow_mut().grants.fetches(id, source),
             What::Begun => self.inner.borrow_mut().grants.begun(now, id),
             What::Ended { pause_ms } => {
                 let mut inner = self.inner.borrow_mut();
@@ -137,6 +149,15 @@
     fn want(&self, id: CallId, want: grants::Want, from: SocketAddr) {
         let now = self.clock.now();
         let mut inner = self.inner.borrow_mut();
+        if !inner.grants.life(want.born) {
+            // An entry whose list is old means the engine that this one
+            // replaces. Taken for the newest, it would have the books cleared
+            // with each of its calls.
+            drop(inner);
+            let verdict = grants::Verdict::Refused(want.left_ms);
+            self.send(from, id, verdict, 0, false);
+            return;
+        }
         if inner.server != want.server {
             info!("engine known", kv: { server = want.server.as_str(), before = inner.server.as_str() });
             // Another life of the engine has read nothing yet.
@@ -154,8 +175,12 @@
             rank: want.rank,
             home: want.home,
             must: want.must,
+            source: want.source,
+            copy: want.copy_ns.map(|ns| Duration::from_nanos(u64::from(ns))),
         };
         let tokens = inner.grants.missing(&ask.parts);
+        let held = inner.held(&ask.parts);
+        let fetch = inner.grants.fetch_pays();
         let verdict = inner.grants.ask(now, ask);
         let (waiting, flying, running) = inner.grants.counts();
         let beliefs = inner.grants.beliefs();
@@ -172,8 +197,9 @@
             id = want.name.as_str(),
             verdict = word,
             expected_ms = millis(expected),
-            allowed_ms = want.allowed_ms, tokens,
-            waiting, flying, running, pace_ns = beliefs.pace_ns, base_us = beliefs.base_us, window = beliefs.window, gap_percent = beliefs.gap_percent
+            allowed_ms = want.allowed_ms, home = want.home, tokens, held, source = want.source,
+            waiting, flying, running, pace_ns = beliefs.pace_ns, fetch_ns = beliefs.fetch_ns,
+            base_us = beliefs.base_us, window = beliefs.window, gap_percent = beliefs.gap_percent
             });
         }
         if word == "queued" {
@@ -185,29 +211,56 @@
             Verdict::Queued(expected) => grants::Verdict::Queued(millis(expected)),
             Verdict::Refused(expected) => grants::Verdict::Refused(millis(expected)),
         };
-        self.answer(from, id, verdict);
+        self.send(from, id, verdict, held, fetch);
+    }
+
+    /// Says how much of a prompt the engine holds.
+    fn look(&self, id: CallId, look: &grants::Look, from: SocketAddr) {
+        let inner = self.inner.borrow();
+        let held = match inner.server == look.server {
+            true => inner.held(&look.parts),
+            false => 0,
+        };
+        self.send(from, id, grants::Verdict::Told, held, false);
     }
 
     /// Tells the entries of calls that are let in by now.
     fn let_in(&self) {
         let now = self.clock.now();
         let mut inner = self.inner.borrow_mut();
-        for id in inner.grants.granted(now) {
-            if let Some((to, name)) = inner.askers.remove(&id) {
-                info!("call let in", kv: { id = name.as_str() });
-                self.answer(to, id, grants::Verdict::Granted);
-            }
+        let fetch = inner.grants.fetch_pays();
+        for (id, held) in inner.grants.granted(now) {
+            let Some((to, name)) = inner.askers.remove(&id) else {
+                continue;
+            };
+            info!("call let in", kv: { id = name.as_str(), held });
+            self.send(to, id, grants::Verdict::Granted, held, fetch);
         }
     }
 
-    fn answer(&self, to: SocketAddr, id: CallId, verdict: grants::Verdict) {
-        let number = id.number;
-        let bytes = grants::encode(&grants::Answer { number, verdict });
+    fn send(&self, to: SocketAddr, id: CallId, verdict: grants::Verdict, held: u32, fetch: bool) {
+        let bytes = grants::encode(&grants::Answer {
+            number: id.number,
+            verdict,
+            held,
+            fetch,
+        });
         // One that cannot be sent is like one that is lost: it is asked again.
         let _ = self.socket.try_send_to(&bytes, to);
     }
 }
 
+impl Inner {
+    /// Tokens from the prompt's start that others may fetch here.
+    fn held(&self, parts: &[(u64, u32)]) -> u32 {
+        if self.dark {
+            0
+        } else {
+            self.grants.held(parts)
+        }
+    }
+}
+
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/admission/src/watch.rs
+++ b/crates/admission/src/watch.rs
@@ -32,6 +32,7 @@
                     warn!("engine lost", kv: { cause = e.to_string().as_str() });
                 }
                 lost = true;
+                desk.lost();
             }
         }
     }
--- a/crates/admission/tests/desk.rs
+++ b/crates/admission/tests/desk.rs
@@ -29,9 +29,15 @@
     }
 
     async fn want(&self, number: u32, tokens: u32) -> Verdict {
+        self.want_of(number, tokens, 1_790_000_000_123).await
+    }
+
+    /// The same of an engine that started at `born`.
+    async fn want_of(&self, number: u32, tokens: u32, born: u64) -> Verdict {
         let want = Want {
             name: number.to_string(),
             server: "s".to_owned(),
+            born: Some(born),
             parts: vec![(u64::from(number), tokens)],
             allowed_ms: 2_000,
             left_ms: 4_000,
@@ -40,6 +46,8 @@
             rank: 5,
             home: true,
             must: false,
+            source: 0,
+            copy_ns: None,
         };
         self.tell(number, What::Want(want)).await;
         self.next().await.verdict
@@ -75,6 +83,21 @@
     assert_eq!((answer.number, answer.verdict), (2, Verdict::Granted));
 }
 
+/// An engine is replaced beside its sidecar, and one entry's list is old: it
+/// asks on for the engine that leaves. Each such call must go elsewhere, and
+/// not clear the books of the new engine, which would then be let in too much.
+#[actix_rt::test]
+async fn replaced_engine_refused() {
+    let (_desk, entry) = start().await;
+    let (old, new) = (1_790_000_000_000, 1_790_000_009_000);
+    assert_eq!(entry.want_of(1, 3_000, old).await, Verdict::Granted);
+    assert_eq!(entry.want_of(2, 30_000, new).await, Verdict::Granted);
+    let refused = entry.want_of(3, 3_000, old).await;
+    assert!(matches!(refused, Verdict::Refused(_)));
+    let queued = entry.want_of(4, 3_000, new).await;
+    assert!(matches!(queued, Verdict::Queued(_)));
+}
+
 /// The sidecar is told to stop while a call waits: the call goes on at once,
 /// since nobody will order it any more.
 #[actix_rt::test]
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -1,5 +1,6 @@
 //! Choosing a server for a call and sending it there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -46,9 +47,10 @@
                 server,
                 ahead,
                 grant,
+                fetch,
             } = place;
             let now = self.state.clock.now();
-            let request = self.request(now, &server, begin);
+            let request = self.request(now, &server, begin, fetch);
             let id = self.ask.id.as_deref();
             let sent = exchange::send(&self.state, &server, request, id, self.until, grant).await;
             let sent = sent.map(|answer| Answer {
@@ -98,7 +100,13 @@
         self.state.balance.borrow_mut().miss(now, &server.id, now);
     }
 
-    fn request(&self, now: Instant, server: &Listed, begin: Begin) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        now: Instant,
+        server: &Listed,
+        begin: Begin,
+        fetch: Option<SocketAddr>,
+    ) -> Request<Full<Bytes>> {
         let order = Order {
             left: self.until.saturating_duration_since(now),
             server: &server.id,
@@ -108,6 +116,7 @@
                 Begin::Fresh => None,
                 Begin::After(last) => last,
             },
+            fetch,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -1,9 +1,11 @@
 //! Choosing a server for a call, and when it may go there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use policy::balance::{By, Listed, Part, Want};
+use policy::grants::fetch;
 use policy::pools::Work;
 use policy::rendezvous;
 use policy::waits::{self, Claim, Verdict};
@@ -14,7 +16,7 @@
 use super::{Begin, Call};
 use crate::edge;
 use crate::exchange::Failure;
-use crate::grants::{Decided, Grant, Sidecars};
+use crate::grants::{Decided, Grant, Held, Sidecars};
 use crate::relay::millis;
 
 /// A server that sends nothing for so many times the route's target is taken
@@ -63,6 +65,26 @@
     Must,
 }
 
+/// An engine that holds a part of the prompt.
+#[derive(Debug, Default)]
+struct Holder {
+    /// Tokens from the prompt's start.
+    tokens: u32,
+    server: Option<Listed>,
+}
+
+impl Holder {
+    /// Notes that `server` holds `tokens`.
+    fn note(&mut self, tokens: u32, server: &Listed) {
+        if tokens > self.tokens {
+            *self = Self {
+                tokens,
+                server: Some(server.clone()),
+            };
+        }
+    }
+}
+
 /// Where a call goes.
 #[derive(Debug)]
 pub(super) struct Place {
@@ -72,6 +94,8 @@
     pub(super) ahead: u32,
     /// The sidecar's leave, if there is one.
     pub(super) grant: Option<Grant>,
+    /// An engine that holds parts of the prompt which this one lacks.
+    pub(super) fetch: Option<SocketAddr>,
 }
 
 impl Call {
@@ -112,6 +136,7 @@
             server,
             ahead,
             grant: None,
+            fetch: None,
         }))
     }
 
@@ -126,14 +151,22 @@
         begin: Begin,
     ) -> Result<Option<Place>, Failure> {
         let mut least: Option<(Duration, Listed)> = None;
-        for (n, server) in self.candidates(now, work, avoid).into_iter().enumerate() {
+        let mut holder = Holder::default();
+        let candidates = self.candidates(now, work, avoid);
+        for (n, server) in candidates.iter().enumerate() {
             let terms = if n == 0 { Terms::Home } else { Terms::Spill };
-            match self.ask_one(sidecars, &server, begin, terms).await {
-                Decided::Granted(grant) => return Ok(self.granted(server, grant)),
+            let asked = self.ask_one(sidecars, server, begin, terms, &holder);
+            match asked.await {
+                Decided::Granted(grant, held) => {
+                    let asked = &candidates[..=n];
+                    let fetch = self.source(sidecars, &grant, held, holder, asked).await;
+                    return Ok(self.granted(server, grant, fetch));
+                }
                 Decided::Silent => return Ok(None),
-                Decided::Refused(expected) => {
+                Decided::Refused(expected, held) => {
+                    holder.note(held.tokens, server);
                     if least.as_ref().is_none_or(|(e, _)| expected < *e) {
-                        least = Some((expected, server));
+                        least = Some((expected, server.clone()));
                     }
                 }
             }
@@ -148,11 +181,78 @@
         if !patient {
             return Err(self.too_late(&server, expected));
         }
-        match self.ask_one(sidecars, &server, begin, Terms::Must).await {
-            Decided::Granted(grant) => Ok(self.granted(server, grant)),
+        let asked = self.ask_one(sidecars, &server, begin, Terms::Must, &holder);
+        match asked.await {
+            Decided::Granted(grant, held) => {
+                let fetch = self.source(sidecars, &grant, held, holder, &candidates);
+                let fetch = fetch.await;
+                Ok(self.granted(&server, grant, fetch))
+            }
             Decided::Silent => Ok(None),
-            Decided::Refused(expected) => Err(self.too_late(&server, expected)),
+            Decided::Refused(expected, _) => Err(self.too_late(&server, expected)),
+        }
+    }
+
+    /// From where the engine of `grant`, which holds `held` of the prompt,
+    /// should fetch more of it: from an engine that has said so, or from one
+    /// of the homes of the shared parts. Not knowing costs one read.
+    async fn source(
+        &self,
+        sidecars: &Rc<Sidecars>,
+        grant: &Grant,
+        held: Held,
+        holder: Holder,
+        asked: &[Listed],
+    ) -> Option<SocketAddr> {
+        let wanted = held.tokens.saturating_add(fetch::LEAST);
+        let shared = self.ask.parts.split_last().map_or(&[][..], |(_, s)| s);
+        let shared = shared
+            .iter()
+            .fold(0, |sum: u32, p| sum.saturating_add(p.tokens));
+        if !held.fetch || shared < wanted {
+            return None;
+        }
+        let known = holder.tokens >= wanted;
+        let holder = match known {
+            true => holder,
+            false => self.find_holder(sidecars, asked).await,
+        };
+        let found = holder.tokens >= wanted;
+        if found && !known {
+            grant.fetches(holder.tokens);
         }
+        let outcome = match (known, found) {
+            (true, _) => "refusal",
+            (false, true) => "look",
+            (false, false) => "none",
+        };
+        metrics::counter!("pimentocart_fetches_total", "by" => outcome).increment(1);
+        holder.server.filter(|_| found).map(|s| s.addr)
+    }
+
+    /// Asks the homes of the prompt's shared parts, but those in `asked`, what
+    /// they hold.
+    async fn find_holder(&self, sidecars: &Rc<Sidecars>, asked: &[Listed]) -> Holder {
+        let now = self.state.clock.now();
+        let holders = {
+            let balance = self.state.balance.borrow();
+            balance.holders(now, &self.want(Part::All, &[]))
+        };
+        let fresh = |s: &Listed| asked.iter().all(|a| a.id != s.id);
+        let mut fresh = holders.into_iter().filter(fresh);
+        let mut holder = Holder::default();
+        let (one, two) = (fresh.next(), fresh.next());
+        let look = async |server: &Option<Listed>| match server {
+            Some(server) => sidecars.look(server, self.parts()).await,
+            None => 0,
+        };
+        let held = futures_util::future::join(look(&one), look(&two)).await;
+        for (tokens, server) in [(held.0, one), (held.1, two)] {
+            if let Some(server) = server {
+                holder.note(tokens, &server);
+            }
+        }
+        holder
     }
 
     /// The engines to ask, the best first.
@@ -190,6 +290,7 @@
         server: &Listed,
         begin: Begin,
         terms: Terms,
+        holder: &Holder,
     ) -> Decided {
         let now = self.state.clock.now();
         let age = now.saturating_duration_since(self.came);
@@ -206,14 +307,11 @@
         };
         let allowed = allowed.min(left);
         let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-        let parts = match self.ask.parts.is_empty() {
-            true => vec![(rand::rng().random(), self.ask.prompt)],
-            false => self.ask.parts.iter().map(|p| (p.id, p.tokens)).collect(),
-        };
         let want = grants::Want {
             name: self.name().to_owned(),
             server: server.id.to_string(),
-            parts: parts.into_iter().take(grants::PARTS).collect(),
+            born: server.born,
+            parts: self.parts(),
             allowed_ms: ms(allowed),
             left_ms: ms(left),
             gap_ms: self
@@ -225,18 +323,38 @@
             rank: self.rank(),
             home: terms == Terms::Home,
             must: terms == Terms::Must,
+            source: holder.tokens,
+            copy_ns: self.copy_ns(),
         };
         sidecars.ask(now, server, want).await
     }
 
+    /// The parts of the prompt, as sidecars are told.
+    fn parts(&self) -> Vec<(u64, u32)> {
+        if self.ask.parts.is_empty() {
+            return vec![(rand::rng().random(), self.ask.prompt)];
+        }
+        let parts = self.ask.parts.iter().map(|p| (p.id, p.tokens));
+        parts.take(grants::PARTS).collect()
+    }
+
+    /// Nanoseconds for copying a token between engines, as declared.
+    fn copy_ns(&self) -> Option<u32> {
+        let catalog = self.state.catalog.borrow();
+        let service = catalog.as_ref()?.service(&self.service)?;
+        let copy = service.engine.as_ref()?.copy?;
+        u32::try_from(copy.as_nanos()).ok()
+    }
+
     /// A place that was granted, unless the server has left meanwhile.
-    fn granted(&self, server: Listed, grant: Grant) -> Option<Place> {
+    fn granted(&self, server: &Listed, grant: Grant, fetch: Option<SocketAddr>) -> Option<Place> {
         let balance = self.state.balance.borrow();
         let ahead = balance.waiting(&server.id);
-        balance.open(&server.id).then_some(Place {
-            server,
+        balance.open(&server.id).then(|| Place {
+            server: server.clone(),
             ahead,
             grant: Some(grant),
+            fetch,
         })
     }
 
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -65,6 +65,9 @@
     pub rank: Option<u8>,
     /// The last event that the caller has of a stream that goes on.
     pub last_event: Option<u64>,
+    /// Another server that holds parts of the prompt, from which they may be
+    /// copied instead of being read again.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What a backend server's headers say about its answer.
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -143,7 +143,7 @@
 
 fn list(state: &State, listed: Listed) {
     let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
-    let (addr, zone) = (listed.addr, Rc::clone(&listed.zone));
+    let (addr, zone, born) = (listed.addr, Rc::clone(&listed.zone), listed.born);
     let change = state.balance.borrow_mut().list(listed);
     if change == Change::None {
         return;
@@ -157,6 +157,7 @@
         addr = addr.to_string().as_str(),
         zone = &*zone,
         leaving,
+        born = born.unwrap_or(0),
         restarted = change == Change::Restarted
     });
 }
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -15,7 +15,7 @@
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use wire::grants::{self, Answer, Verdict, Want, What};
+use wire::grants::{self, Answer, Look, Verdict, Want, What};
 
 /// How long an answer is waited for before the question is sent again. It
 /// takes a millisecond or two each way and some of a thin host's processor.
@@ -24,6 +24,10 @@
 /// The same once the sidecar has the call in its queue.
 const QUEUED: Duration = Duration::from_millis(100);
 
+/// How long an answer to a look is waited for, once: reading a prompt costs
+/// little more.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// Questions without any answer after which a sidecar counts as silent.
 const TRIES: u32 = 3;
 
@@ -46,7 +50,7 @@
     life: u64,
     next: Cell<u32>,
     /// Calls that wait for an answer, by their numbers.
-    asked: RefCell<HashMap<u32, UnboundedSender<Verdict>>>,
+    asked: RefCell<HashMap<u32, UnboundedSender<Answer>>>,
     /// Sidecars that said nothing, by their hosts.
     silent: RefCell<HashMap<IpAddr, Silence>>,
 }
@@ -61,13 +65,22 @@
 #[derive(Debug)]
 pub enum Decided {
     /// The call may be sent.
-    Granted(Grant),
+    Granted(Grant, Held),
     /// Its first event would take this long.
-    Refused(Duration),
+    Refused(Duration, Held),
     /// The sidecar says nothing.
     Silent,
 }
 
+/// What an engine holds of a call's prompt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Tokens from the prompt's start.
+    pub tokens: u32,
+    /// Whether the engine should rather fetch the others than read them.
+    pub fetch: bool,
+}
+
 /// The right to send one call to one engine. Dropping it tells the sidecar
 /// that the call has ended or will not come.
 #[derive(Debug)]
@@ -85,6 +98,13 @@
         self.sidecars.tell(self.to, self.number, What::Begun);
     }
 
+    /// Tells the sidecar that the call fetches what another engine holds of
+    /// the first `source` tokens of its prompt.
+    pub fn fetches(&self, source: u32) {
+        self.sidecars
+            .tell(self.to, self.number, What::Fetches(source));
+    }
+
     /// Notes a pause between two events of its stream.
     pub fn paused(&self, pause: Duration) {
         self.pause.set(self.pause.get().max(pause));
@@ -131,10 +151,7 @@
         {
             return Decided::Silent;
         }
-        let number = self.next.get();
-        self.next.set(number.wrapping_add(1));
-        let (sender, mut answers) = unbounded_channel();
-        self.asked.borrow_mut().insert(number, sender);
+        let (number, mut answers) = self.asking();
         // Also tells the sidecar when the caller leaves while it waits.
         let grant = Grant {
             sidecars: Rc::clone(self),
@@ -142,29 +159,55 @@
             number,
             pause: Cell::default(),
         };
-        match self.decide(&grant, &want, &mut answers).await {
-            Some(Verdict::Granted) => {
-                self.silent.borrow_mut().remove(&host);
-                Decided::Granted(grant)
-            }
-            Some(Verdict::Refused(ms) | Verdict::Queued(ms)) => {
-                self.silent.borrow_mut().remove(&host);
-                Decided::Refused(Duration::from_millis(u64::from(ms)))
-            }
-            None => {
-                self.note_silent(now, host);
-                Decided::Silent
+        let Some(answer) = self.decide(&grant, &want, &mut answers).await else {
+            self.note_silent(now, host);
+            return Decided::Silent;
+        };
+        self.silent.borrow_mut().remove(&host);
+        let held = Held {
+            tokens: answer.held,
+            fetch: answer.fetch,
+        };
+        match answer.verdict {
+            Verdict::Granted => Decided::Granted(grant, held),
+            Verdict::Refused(ms) | Verdict::Queued(ms) => {
+                Decided::Refused(Duration::from_millis(u64::from(ms)), held)
             }
+            Verdict::Told => Decided::Silent,
         }
     }
 
+    /// How many tokens from the start of a prompt the engine beside a sidecar
+    /// holds; none when the sidecar does not say so at once.
+    pub async fn look(&self, server: &Listed, parts: Vec<(u64, u32)>) -> u32 {
+        let (number, mut answers) = self.asking();
+        let look = Look {
+            server: server.id.to_string(),
+            parts,
+        };
+        let to = SocketAddr::new(server.addr.ip(), self.port);
+        self.tell(to, number, What::Look(look));
+        let answer = tokio::time::timeout(LOOK, answers.recv()).await;
+        self.asked.borrow_mut().remove(&number);
+        answer.ok().flatten().map_or(0, |a| a.held)
+    }
+
+    /// The number of a new question, and where its answers come.
+    fn asking(&self) -> (u32, UnboundedReceiver<Answer>) {
+        let number = self.next.get();
+        self.next.set(number.wrapping_add(1));
+        let (sender, answers) = unbounded_channel();
+        self.asked.borrow_mut().insert(number, sender);
+        (number, answers)
+    }
+
     /// The sidecar's last word; none when it says nothing.
     async fn decide(
         &self,
         grant: &Grant,
         want: &Want,
-        answers: &mut UnboundedReceiver<Verdict>,
-    ) -> Option<Verdict> {
+        answers: &mut UnboundedReceiver<Answer>,
+    ) -> Option<Answer> {
         let mut wait = ANSWER;
         let mut tries = 0;
         while tries < TRIES {
@@ -172,13 +215,14 @@
             tries += 1;
             match tokio::time::timeout(wait, answers.recv()).await {
                 Err(_) => {}
-                Ok(Some(Verdict::Queued(_))) => {
+                Ok(Some(answer)) if queued(&answer) => {
                     wait = QUEUED;
                     tries = 0;
                     // What follows is the end of the wait, or nothing until
                     // it is time to ask again.
                     match tokio::time::timeout(wait, answers.recv()).await {
-                        Ok(Some(Verdict::Queued(_))) | Err(_) => {}
+                        Err(_) => {}
+                        Ok(Some(answer)) if queued(&answer) => {}
                         Ok(last) => return last,
                     }
                 }
@@ -229,10 +273,10 @@
                 }
             };
             match grants::decode::<Answer>(&buffer[..length]) {
-                Ok(Answer { number, verdict }) => {
-                    if let Some(asker) = self.asked.borrow().get(&number) {
+                Ok(answer) => {
+                    if let Some(asker) = self.asked.borrow().get(&answer.number) {
                         // A call that is answered already waits no more.
-                        let _ = asker.send(verdict);
+                        let _ = asker.send(answer);
                     }
                 }
                 Err(e) => warn!("message not understood", kv: {
@@ -242,3 +286,7 @@
         }
     }
 }
+
+fn queued(answer: &Answer) -> bool {
+    matches!(answer.verdict, Verdict::Queued(_))
+}
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -9,7 +9,7 @@
 use base::clock::SystemClock;
 use base::ids::Tier;
 use base::stop::Stop;
-use forward::edge::{Ask, Dialect, Order, Signs};
+use forward::edge::{Ask, Dialect, Order, Part, Signs};
 use forward::settings::Settings;
 use forward::state::State;
 use http::{HeaderMap, HeaderValue};
@@ -40,6 +40,7 @@
                 .map(Duration::from_millis),
             prompt: number(headers, "prompt"),
             output: number(headers, "output"),
+            parts: parts(headers),
             ..Ask::default()
         }
     }
@@ -57,6 +58,9 @@
         if let Some(workspace) = order.workspace {
             set("workspace", workspace.to_owned());
         }
+        if let Some(holder) = order.fetch {
+            set("fetch", holder.to_string());
+        }
         if let Some(last) = order.last_event {
             set("last-event", last.to_string());
         }
@@ -80,6 +84,19 @@
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
 
+/// Prompt parts, as in `1:800,2:410`.
+fn parts(headers: &HeaderMap) -> Vec<Part> {
+    let text = text(headers, "parts").unwrap_or_default();
+    let part = |part: &str| {
+        let (id, tokens) = part.split_once(':')?;
+        Some(Part {
+            id: id.parse().ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').map_while(part).collect()
+}
+
 fn number(headers: &HeaderMap, name: &str) -> u32 {
     let text = text(headers, name);
     text.and_then(|t| t.parse().ok()).unwrap_or_default()
@@ -417,6 +434,7 @@
             slots: 4,
             memory: 100_000,
             stride: 8,
+            copy: None,
         }),
     };
     let workspace = Workspace {
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -10,11 +10,23 @@
 use tokio::net::UdpSocket;
 use wire::grants::{Answer, Ask, LARGEST, Verdict, What, decode, encode};
 
-use crate::common::{ENGINES, Entry, Plan, request, status};
+use rstest::rstest;
+
+use crate::common::{ENGINES, Entry, Plan, field, request, status};
 
 /// A call whose time goes into reading its prompt.
 const READS: &str = "call-id: 1\r\nprompt: 3000\r\noutput: 50\r\n";
 
+/// An answer of a sidecar whose engine holds nothing.
+fn answer(number: u32, verdict: Verdict) -> Answer {
+    Answer {
+        number,
+        verdict,
+        held: 0,
+        fetch: false,
+    }
+}
+
 /// A sidecar that answers as its test says.
 struct Sidecar(UdpSocket);
 
@@ -39,13 +51,32 @@
         (decode(&buffer[..length]).expect("understood"), from)
     }
 
+    /// Answers the next wish or look, of which it returns the server.
+    async fn say(&self, verdict: Verdict, held: u32) -> (What, String) {
+        loop {
+            let (ask, from) = self.next().await;
+            let server = match &ask.what {
+                What::Want(want) => want.server.clone(),
+                What::Look(look) => look.server.clone(),
+                _ => continue,
+            };
+            let said = Answer {
+                held,
+                fetch: true,
+                ..answer(ask.number, verdict)
+            };
+            self.0.send_to(&encode(&said), from).await.expect("sent");
+            return (ask.what, server);
+        }
+    }
+
     /// Answers the next wish and passes over anything else.
     async fn answer(&self, verdict: Verdict) -> u32 {
         loop {
             let (ask, from) = self.next().await;
             if matches!(ask.what, What::Want(_)) {
                 let number = ask.number;
-                let bytes = encode(&Answer { number, verdict });
+                let bytes = encode(&answer(number, verdict));
                 self.0.send_to(&bytes, from).await.expect("sent");
                 return number;
             }
@@ -82,7 +113,7 @@
         match ask.what {
             What::Begun => begun = true,
             What::Ended { .. } => break,
-            What::Want(_) => {}
+            What::Want(_) | What::Look(_) | What::Fetches(_) => {}
         }
     }
     assert!(begun);
@@ -159,10 +190,7 @@
         panic!("not a wish: {ask:?}");
     };
     entry.leave(&want.server);
-    let granted = Answer {
-        number: ask.number,
-        verdict: Verdict::Granted,
-    };
+    let granted = answer(ask.number, Verdict::Granted);
     sidecar
         .0
         .send_to(&encode(&granted), from)
@@ -173,3 +201,70 @@
     assert_eq!(requests.len(), 1);
     assert!(!requests[0].contains(&format!("server: {}", want.server)));
 }
+
+/// A prompt of which 13,300 tokens are shared.
+const SHARES: &str = "call-id: 1\r\nprompt: 17000\r\noutput: 50\r\nparts: 7:13300,8:3700\r\n";
+
+/// The first engine holds the shared parts and is too busy; the second has
+/// room and would read them all again. It is told to fetch them, and its
+/// sidecar has counted on that.
+#[actix_rt::test]
+async fn fetched_from_who_refused() {
+    let (sidecar, entry) = Sidecar::start().await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(SHARES).await });
+    let (_, first) = sidecar.say(Verdict::Refused(4_000), 13_300).await;
+    let (what, second) = sidecar.say(Verdict::Granted, 0).await;
+    assert!(matches!(what, What::Want(want) if want.source == 13_300));
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+    let requests = entry.servers.requests();
+    assert_eq!(field(&requests[0], "server"), Some(second));
+    let holder = entry.state.balance.borrow().addr(&first);
+    let holder = holder.map(|a| a.to_string());
+    assert_eq!(field(&requests[0], "fetch"), holder);
+}
+
+/// The first engine has room and holds nothing, as after its restart. The
+/// next one, where bursts spill, is asked what it holds; what it has is
+/// fetched, and the first one's sidecar learns that less is to be read.
+#[rstest]
+#[case::held(13_300, true)]
+#[case::not_held(0, false)]
+#[actix_rt::test]
+async fn fetched_from_who_holds(#[case] held: u32, #[case] fetched: bool) {
+    let (sidecar, entry) = Sidecar::start().await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(SHARES).await });
+    let (_, first) = sidecar.say(Verdict::Granted, 0).await;
+    let (what, second) = sidecar.say(Verdict::Told, held).await;
+    assert!(matches!(what, What::Look(_)));
+    assert_ne!(first, second);
+    let told = loop {
+        match sidecar.next().await.0.what {
+            What::Fetches(source) => break Some(source),
+            What::Ended { .. } => break None,
+            _ => {}
+        }
+    };
+    assert_eq!(told, fetched.then_some(held));
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+    assert_eq!(
+        field(&entry.servers.requests()[0], "fetch").is_some(),
+        fetched
+    );
+}
+
+/// The holder's sidecar says nothing to a look. Not knowing costs one read,
+/// never a wait.
+#[actix_rt::test]
+async fn silent_look_costs_a_read() {
+    let (sidecar, entry) = Sidecar::start().await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(SHARES).await });
+    sidecar.say(Verdict::Granted, 0).await;
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+    assert_eq!(field(&entry.servers.requests()[0], "fetch"), None);
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -161,6 +161,12 @@
         heard.is_some_and(|at| now >= at + silence)
     }
 
+    /// Whether it is neither left alone nor silent.
+    fn well(&self, now: Instant, silence: Duration) -> bool {
+        let rested = self.rest.is_none_or(|until| until <= now);
+        rested && !self.silent(now, silence)
+    }
+
     /// Calls that wait for their first event there, of all entries.
     fn waiting(&self) -> u32 {
         self.own.waiting + self.others.waiting
@@ -255,6 +261,12 @@
         self.servers.keys().cloned().collect()
     }
 
+    /// Where a known server listens.
+    #[must_use]
+    pub fn addr(&self, id: &str) -> Option<SocketAddr> {
+        self.servers.get(id).map(|s| s.listed.addr)
+    }
+
     /// Whether a server is known and takes new calls.
     #[must_use]
     pub fn open(&self, id: &str) -> bool {
@@ -275,6 +287,24 @@
         self.ranked(now, want).into_iter().next()
     }
 
+    /// Servers that are likely to hold a prompt's shared parts, the likeliest
+    /// first: its home among all of them, then the next one, whichever of them
+    /// may take the call now. A home that is crowded, or was left to other
+    /// calls a moment ago, still holds what it has read.
+    #[must_use]
+    pub fn holders(&self, now: Instant, want: &Want<'_>) -> Vec<Listed> {
+        let Some(prefix) = want.prefix else {
+            return Vec::new();
+        };
+        let fit = |s: &&Server| {
+            let here = &*s.listed.service == want.service && s.missing.is_none();
+            here && s.well(now, want.silence)
+        };
+        let mut fit: Vec<&Server> = self.servers.values().filter(fit).collect();
+        fit.sort_by_key(|s| Reverse(weight(prefix, s.key)));
+        fit.into_iter().map(|s| s.listed.clone()).collect()
+    }
+
     /// The servers for a call, the best first.
     pub fn ranked(&mut self, now: Instant, want: &Want<'_>) -> Vec<Listed> {
         self.turn = self.turn.wrapping_add(1);
@@ -285,10 +315,7 @@
             false => fit.retain(|s| s.missing.is_some_and(|(_, until)| now < until)),
         }
         fit.retain(|s| !want.tried.contains(&s.listed.id));
-        let well = |s: &&Server| {
-            let rested = s.rest.is_none_or(|until| until <= now);
-            rested && !s.silent(now, want.silence)
-        };
+        let well = |s: &&Server| s.well(now, want.silence);
         // With none well, one that is not is better than none at all.
         if fit.iter().any(well) {
             fit.retain(well);
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -12,9 +12,11 @@
 //!
 //! - [`call`]: what is asked and answered.
 //! - [`parts`]: which prompt parts the engine should hold.
+//! - [`fetch`]: what copying them from another engine takes.
 //! - `pace`: how fast it reads.
 
 pub mod call;
+pub mod fetch;
 mod pace;
 pub mod parts;
 
@@ -23,6 +25,7 @@
 
 use crate::estimate::fit::Mean;
 pub use call::{Ask, Beliefs, CallId, Report, Verdict};
+use fetch::Fetch;
 use pace::{Pace, READ_GUESS};
 use parts::Parts;
 
@@ -111,6 +114,8 @@
     running: HashMap<CallId, Run>,
     /// How fast the engine reads while it has something to read.
     pace: Pace,
+    /// What fetching a token from another engine takes.
+    fetch: Fetch,
     /// Time from being let in to the first event beyond reading, in seconds.
     base: Mean,
     /// How long calls hold a slot after their first event, in seconds.
@@ -137,12 +142,23 @@
     ask: Ask,
 }
 
+/// What a prompt costs its engine before its first event.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    /// Tokens that it reads, and the time of those that it fetches in tokens
+    /// read.
+    tokens: u32,
+    /// Tokens that it fetches.
+    fetched: u32,
+    /// Tokens that its memory does not hold yet.
+    missing: u32,
+}
+
 #[derive(Debug)]
 struct Flight {
     since: Instant,
-    /// Tokens that it reads.
-    tokens: u32,
-    /// The same with those that were to be read before it.
+    load: Load,
+    /// The tokens of its load with those that were to be read before it.
     ahead: u32,
     ask: Ask,
 }
@@ -162,6 +178,7 @@
             flights: HashMap::new(),
             running: HashMap::new(),
             pace: Pace::default(),
+            fetch: Fetch::default(),
             base: Mean::default(),
             hold: Mean::default(),
             window: WINDOW,
@@ -188,56 +205,83 @@
             return Verdict::Queued(due.saturating_duration_since(now));
         }
 
-        let tokens = self.parts.missing(&ask.parts);
+        self.fetch.declare(ask.copy);
+        let load = self.load(&ask);
         let due = now + ask.allowed;
-        let expected = self.expected(now, due, tokens, &ask);
+        let expected = self.expected(now, due, load.tokens, &ask);
         if ask.gap.is_some() {
-            return match ask.must || self.room(now, tokens) {
+            return match ask.must || self.room(now, load) {
                 true => {
-                    self.let_in(now, tokens, ask);
+                    self.let_in(now, load, ask);
                     Verdict::Granted
                 }
                 false => Verdict::Refused(expected),
             };
         }
-        let fits = self.memory(now, tokens) && (ask.home || !self.too_long(tokens));
+        let fits = self.memory(now, load) && (ask.home || !self.too_long(load.tokens));
         // Before an engine that has nothing to read, no other one is better.
         let idle = self.waiting.is_empty() && self.unread() == 0;
-        let late = expected > ask.allowed && !(idle && self.open(now, tokens));
+        let late = expected > ask.allowed && !(idle && self.open(now, load));
         if !ask.must && (late || !fits) {
             return Verdict::Refused(expected.max(ask.allowed));
         }
-        let free = self.waiting.is_empty() && self.open(now, tokens);
-        if free || self.never_fits(tokens) {
-            self.let_in(now, tokens, ask);
+        let free = self.waiting.is_empty() && self.open(now, load);
+        if free || self.never_fits(load) {
+            self.let_in(now, load, ask);
             return Verdict::Granted;
         }
         self.due.insert(ask.id, due);
+        let tokens = load.tokens;
         self.waiting.insert((due, ask.id), Waiting { tokens, ask });
         Verdict::Queued(expected)
     }
 
-    /// The waiting calls that are let in by now.
-    pub fn granted(&mut self, now: Instant) -> Vec<CallId> {
+    /// The waiting calls that are let in by now, each with the tokens from its
+    /// prompt's start that the engine holds.
+    pub fn granted(&mut self, now: Instant) -> Vec<(CallId, u32)> {
         self.expire(now);
         let mut granted = Vec::new();
-        while let Some(first) = self.waiting.first_entry() {
-            let tokens = first.get().tokens;
-            if !self.open(now, tokens) {
+        while let Some((_, first)) = self.waiting.first_key_value() {
+            // What it shares may have been read since it came.
+            let load = self.load(&first.ask);
+            if !self.open(now, load) {
                 break;
             }
             let Some(((_, id), Waiting { ask, .. })) = self.waiting.pop_first() else {
                 break;
             };
             self.due.remove(&id);
-            // What it shares may have been read since it came.
-            let tokens = self.parts.missing(&ask.parts);
-            self.let_in(now, tokens, ask);
-            granted.push(id);
+            granted.push((id, ask.tokens().saturating_sub(load.missing)));
+            self.let_in(now, load, ask);
         }
         granted
     }
 
+    /// Notes that a call which was let in fetches what another engine holds of
+    /// the first `source` tokens of its prompt.
+    pub fn fetches(&mut self, id: CallId, source: u32) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        // By now the prompt counts as held; what was missing is known.
+        let held = flight.ask.tokens() - flight.load.missing.min(flight.ask.tokens());
+        let load = self.load_of(flight.load.missing, held, source);
+        if load.fetched == 0 {
+            return;
+        }
+        self.fetch.passed(true);
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.ahead = flight.ahead.saturating_sub(flight.load.tokens) + load.tokens;
+            flight.load = load;
+        }
+    }
+
+    /// Whether a prompt should rather be fetched than read.
+    #[must_use]
+    pub fn fetch_pays(&self) -> bool {
+        self.fetch.pays(self.pace.get())
+    }
+
     /// Notes that a call has its first event.
     pub fn begun(&mut self, now: Instant, id: CallId) {
         let Some(flight) = self.flights.remove(&id) else {
@@ -246,10 +290,18 @@
         let took = now.saturating_duration_since(flight.since);
         let took = took.as_secs_f64();
         self.pace.at_most(took / f64::from(flight.ahead.max(1)));
-        let more = took - f64::from(flight.ahead) * self.pace.get();
-        self.base.add(more.clamp(0.0, BASE_MOST));
+        let pace = self.pace.get();
+        let more = took - f64::from(flight.ahead) * pace;
+        match flight.load.fetched {
+            0 => self.base.add(more.clamp(0.0, BASE_MOST)),
+            fetched => {
+                let base = self.base.get().unwrap_or(0.0);
+                let counted = f64::from(fetched) * self.fetch.get().min(pace);
+                self.fetch.took(fetched, more - base + counted);
+            }
+        }
         let busy = !self.flights.is_empty() || !self.waiting.is_empty();
-        self.pace.read(now, flight.tokens, busy);
+        self.pace.read(now, flight.load.tokens, busy);
         let run = Run {
             since: now,
             until: flight.since + flight.ask.left,
@@ -284,16 +336,28 @@
         self.gap_share = (self.gap_share * step).clamp(GAP_LEAST, GAP_MOST);
     }
 
-    /// Takes over what the engine says. One that has started again under its
-    /// name has read nothing and runs nothing: by the books of its earlier
-    /// life it would look full, and its prompts read.
-    pub fn report(&mut self, now: Instant, report: Report) {
-        if self.born.is_some_and(|born| report.born > Some(born)) {
+    /// Notes when a life of the engine began that somebody speaks of; returns
+    /// whether it is the newest one known. A newer one has read nothing and
+    /// runs nothing: by the books of the one before it would look full, and
+    /// its prompts read. Calls that wait have not been sent, and stay.
+    pub fn life(&mut self, born: Option<u64>) -> bool {
+        if born < self.born {
+            return born.is_none();
+        }
+        if born > self.born && self.born.is_some() {
             self.forget();
             self.flights.clear();
             self.running.clear();
         }
-        self.born = self.born.max(report.born);
+        self.born = born;
+        true
+    }
+
+    /// Takes over what the engine says.
+    pub fn report(&mut self, now: Instant, report: Report) {
+        if !self.life(report.born) {
+            return;
+        }
         self.parts.limit(report.total.saturating_sub(report.used));
         if !self.waiting.is_empty() {
             let step = match report.unread {
@@ -317,6 +381,7 @@
     pub fn beliefs(&self) -> Beliefs {
         Beliefs {
             pace_ns: (self.pace.get() * 1e9) as u64,
+            fetch_ns: (self.fetch.get() * 1e9) as u64,
             base_us: (self.base.get().unwrap_or(0.0) * 1e6) as u64,
             window: self.window as u64,
             gap_percent: self.gap().map_or(0, |_| (self.gap_share * 100.0) as u64),
@@ -329,6 +394,12 @@
         self.parts.missing(parts)
     }
 
+    /// Tokens from a prompt's start that the engine holds.
+    #[must_use]
+    pub fn held(&self, parts: &[(u64, u32)]) -> u32 {
+        self.parts.held(parts)
+    }
+
     /// Calls that wait, that were let in, and that run.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
@@ -361,17 +432,41 @@
         f64::from(over) * hold / f64::from(self.slots.max(1))
     }
 
+    /// What a call costs the engine.
+    fn load(&self, ask: &Ask) -> Load {
+        let missing = self.parts.missing(&ask.parts);
+        let held = ask.tokens().saturating_sub(missing);
+        self.load_of(missing, held, ask.source)
+    }
+
+    /// The same for a prompt of which the engine misses `missing` tokens after
+    /// the `held` first, and another holds the first `source`.
+    fn load_of(&self, missing: u32, held: u32, source: u32) -> Load {
+        let most = source.saturating_sub(held).min(missing);
+        let fetched = match most >= fetch::LEAST && self.fetch_pays() {
+            true => most,
+            false => 0,
+        };
+        let ratio = (self.fetch.get() / self.pace.get()).min(1.0);
+        let tokens = missing - fetched + (f64::from(fetched) * ratio) as u32;
+        Load {
+            tokens,
+            fetched,
+            missing,
+        }
+    }
+
     /// Tokens of calls that were let in and have no first event.
     fn unread(&self) -> u32 {
-        self.flights.values().map(|f| f.tokens).sum()
+        self.flights.values().map(|f| f.load.tokens).sum()
     }
 
     /// The same as far as the engine reads it before a call of `rank`. It takes
     /// the most urgent first, but what it has begun to read it goes on with.
     fn unread_before(&self, rank: u8) -> f64 {
         let share = |f: &Flight| match f.ask.rank <= rank {
-            true => f64::from(f.tokens),
-            false => f64::from(f.tokens) * BEGUN_SHARE,
+            true => f64::from(f.load.tokens),
+            false => f64::from(f.load.tokens) * BEGUN_SHARE,
         };
         self.flights.values().map(share).sum()
     }
@@ -391,42 +486,42 @@
             .is_some_and(|gap| time > gap.as_secs_f64() * self.gap_share)
     }
 
-    /// Whether a call that has to read `tokens` may be let in now.
-    fn open(&self, now: Instant, tokens: u32) -> bool {
+    /// Whether a call of that load may be let in now.
+    fn open(&self, now: Instant, load: Load) -> bool {
         if f64::from(self.unread()) >= self.window || self.taken(now) >= self.reading_slots() {
             return false;
         }
         let Some(gap) = self.gap() else {
-            return self.memory(now, tokens);
+            return self.memory(now, load);
         };
         let most = gap.as_secs_f64() * self.gap_share;
         let lately = self.lately.iter().filter(|(at, _)| now < *at + gap);
         let lately: f64 = lately.map(|(_, s)| s).sum();
-        let own = f64::from(tokens) * READ_GUESS;
-        (lately <= 0.0 || lately + own <= most) && self.memory(now, tokens)
+        let own = f64::from(load.tokens) * READ_GUESS;
+        (lately <= 0.0 || lately + own <= most) && self.memory(now, load)
     }
 
     /// Whether a stream finds a slot and memory.
-    fn room(&self, now: Instant, tokens: u32) -> bool {
-        self.taken(now) < self.slots && self.memory(now, tokens)
+    fn room(&self, now: Instant, load: Load) -> bool {
+        self.taken(now) < self.slots && self.memory(now, load)
     }
 
-    /// Whether the engine's memory holds `tokens` more.
-    fn memory(&self, now: Instant, tokens: u32) -> bool {
+    /// Whether the engine's memory holds what a call misses.
+    fn memory(&self, now: Instant, load: Load) -> bool {
         let Some(report) = self.fresh(now) else {
             return true;
         };
-        let unread = u64::from(self.unread()) + u64::from(tokens);
-        let used = (report.used + unread) as f64;
-        report.total == 0 || used <= report.total as f64 * MEMORY_SHARE
+        let coming: u32 = self.flights.values().map(|f| f.load.missing).sum();
+        let used = report.used + u64::from(coming) + u64::from(load.missing);
+        report.total == 0 || used as f64 <= report.total as f64 * MEMORY_SHARE
     }
 
-    /// Whether the engine could not hold `tokens` even if it were empty. It
+    /// Whether the engine could not hold a call even if it were empty. It
     /// refuses such a call itself; kept waiting here, the call would hold up
     /// all that are due after it until its caller gives up.
-    fn never_fits(&self, tokens: u32) -> bool {
+    fn never_fits(&self, load: Load) -> bool {
         let total = self.report.map_or(0, |(_, report)| report.total);
-        total > 0 && f64::from(tokens) > total as f64 * MEMORY_SHARE
+        total > 0 && f64::from(load.missing) > total as f64 * MEMORY_SHARE
     }
 
     /// Slots that calls which only read may take.
@@ -448,13 +543,17 @@
         fresh.map(|(_, report)| report)
     }
 
-    fn let_in(&mut self, now: Instant, tokens: u32, ask: Ask) {
+    fn let_in(&mut self, now: Instant, load: Load, ask: Ask) {
+        if ask.source >= fetch::LEAST {
+            self.fetch.passed(load.fetched > 0);
+        }
         self.parts.read(&ask.parts);
-        let ahead = self.unread() + tokens;
-        self.lately.push_back((now, f64::from(tokens) * READ_GUESS));
+        let ahead = self.unread() + load.tokens;
+        self.lately
+            .push_back((now, f64::from(load.tokens) * READ_GUESS));
         let flight = Flight {
             since: now,
-            tokens,
+            load,
             ahead,
             ask,
         };
--- a/crates/policy/src/grants/call.rs
+++ b/crates/policy/src/grants/call.rs
@@ -33,6 +33,20 @@
     pub home: bool,
     /// Whether it must be let in: its entry has found no better engine.
     pub must: bool,
+    /// Tokens from the start of its prompt that another engine holds, from
+    /// which they can be fetched.
+    pub source: u32,
+    /// Time to fetch a token, as the operators declare it.
+    pub copy: Option<Duration>,
+}
+
+impl Ask {
+    /// Tokens of its prompt.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        let tokens = self.parts.iter().map(|(_, tokens)| *tokens);
+        tokens.fold(0, u32::saturating_add)
+    }
 }
 
 /// What is decided about a call.
@@ -68,6 +82,8 @@
     pub pace_ns: u64,
     /// The fixed part of a first event, in microseconds.
     pub base_us: u64,
+    /// Nanoseconds for fetching a token.
+    pub fetch_ns: u64,
     /// Tokens that it may have to read at once.
     pub window: u64,
     /// Percentage of a pause that reading may take; 0 when no stream runs.
--- a/crates/policy/src/grants/parts.rs
+++ b/crates/policy/src/grants/parts.rs
@@ -28,11 +28,19 @@
     /// when all parts before it are held too.
     #[must_use]
     pub fn missing(&self, parts: &[(u64, u32)]) -> u32 {
-        let held = parts
-            .iter()
-            .take_while(|(id, _)| self.held.contains_key(id));
-        let skip = held.count();
-        parts[skip..].iter().map(|(_, tokens)| tokens).sum()
+        sum(&parts[self.count(parts)..])
+    }
+
+    /// The other tokens of the prompt.
+    #[must_use]
+    pub fn held(&self, parts: &[(u64, u32)]) -> u32 {
+        sum(&parts[..self.count(parts)])
+    }
+
+    /// Parts from the prompt's start that are held.
+    fn count(&self, parts: &[(u64, u32)]) -> usize {
+        let held = |(id, _): &&(u64, u32)| self.held.contains_key(id);
+        parts.iter().take_while(held).count()
     }
 
     /// Notes that the engine reads a prompt.
@@ -70,3 +78,8 @@
         }
     }
 }
+
+fn sum(parts: &[(u64, u32)]) -> u32 {
+    let tokens = parts.iter().map(|(_, tokens)| *tokens);
+    tokens.fold(0, u32::saturating_add)
+}
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -97,6 +97,9 @@
     pub memory: u64,
     /// Tokens in one event of a stream.
     pub stride: u32,
+    /// Time to copy a token of memory from one engine to another; none where
+    /// nothing is declared.
+    pub copy: Option<Duration>,
 }
 
 /// A workspace, as far as it decides how its calls are served.
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -8,7 +8,7 @@
 use crate::gossip::Error;
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
@@ -32,6 +32,11 @@
 pub enum What {
     /// It wants to be sent.
     Want(Want),
+    /// It asks nothing but how much of its prompt the engine holds.
+    Look(Look),
+    /// It was let in, and fetches what another engine holds of the first so
+    /// many tokens of its prompt.
+    Fetches(u32),
     /// It has its first event.
     Begun,
     /// It has ended, or will not be sent.
@@ -46,8 +51,10 @@
 pub struct Want {
     /// The caller's identity of the call, for logs.
     pub name: String,
-    /// The server's life that is meant.
+    /// The server that is meant.
     pub server: String,
+    /// Unix millisecond at which its life began, if it says.
+    pub born: Option<u64>,
     /// The prompt's parts with their tokens.
     pub parts: Vec<(u64, u32)>,
     /// How long the first event may take, in milliseconds.
@@ -65,6 +72,19 @@
     pub home: bool,
     /// Whether the call must be let in.
     pub must: bool,
+    /// Tokens from the prompt's start that another engine is known to hold.
+    pub source: u32,
+    /// Nanoseconds for copying a token between engines, as declared.
+    pub copy_ns: Option<u32>,
+}
+
+/// A question about a prompt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Look {
+    /// The server that is meant.
+    pub server: String,
+    /// The prompt's parts with their tokens.
+    pub parts: Vec<(u64, u32)>,
 }
 
 /// What a sidecar answers about a call.
@@ -74,6 +94,10 @@
     pub number: u32,
     /// What is decided.
     pub verdict: Verdict,
+    /// Tokens from the prompt's start that the engine holds.
+    pub held: u32,
+    /// Whether the engine should rather fetch a prompt than read it.
+    pub fetch: bool,
 }
 
 /// What is decided about a call.
@@ -86,6 +110,8 @@
     Queued(u32),
     /// Its first event would take so many milliseconds.
     Refused(u32),
+    /// Nothing was to be decided.
+    Told,
 }
 
 /// Writes a datagram.
--- a/crates/wire/tests/grants.rs
+++ b/crates/wire/tests/grants.rs
@@ -1,12 +1,13 @@
 //! Datagrams between entries and sidecars.
 
 use rstest::rstest;
-use wire::grants::{Answer, Ask, LARGEST, PARTS, Verdict, Want, What, decode, encode};
+use wire::grants::{Answer, Ask, LARGEST, Look, PARTS, Verdict, Want, What, decode, encode};
 
 fn want() -> Want {
     Want {
         name: "9c41d07be2a35f68".to_owned(),
         server: "i-7f3a91c2".to_owned(),
+        born: Some(1_790_000_000_123),
         parts: vec![(u64::MAX, u32::MAX); PARTS],
         allowed_ms: 400,
         left_ms: 4_000,
@@ -15,11 +16,15 @@
         rank: 5,
         home: true,
         must: false,
+        source: 13_300,
+        copy_ns: Some(2_383),
     }
 }
 
 #[rstest]
 #[case::want(What::Want(want()))]
+#[case::look(What::Look(Look { server: "i-1".to_owned(), parts: want().parts }))]
+#[case::fetches(What::Fetches(13_300))]
 #[case::begun(What::Begun)]
 #[case::ended(What::Ended { pause_ms: 70 })]
 fn ask_read_as_written(#[case] what: What) {
@@ -37,8 +42,14 @@
 #[case::granted(Verdict::Granted)]
 #[case::queued(Verdict::Queued(250))]
 #[case::refused(Verdict::Refused(900))]
+#[case::told(Verdict::Told)]
 fn answer_read_as_written(#[case] verdict: Verdict) {
-    let answer = Answer { number: 7, verdict };
+    let answer = Answer {
+        number: 7,
+        verdict,
+        held: 13_300,
+        fetch: true,
+    };
     assert_eq!(
         decode::<Answer>(&encode(&answer)).expect("understood"),
         answer
@@ -49,7 +60,7 @@
 #[rstest]
 #[case::empty(&[])]
 #[case::version(&[9, 1, 2, 3])]
-#[case::short(&[1, 7])]
+#[case::short(&[2, 7])]
 fn odd_bytes_refused(#[case] bytes: &[u8]) {
     assert!(decode::<Ask>(bytes).is_err());
 }
