Let spilled prompts take as long as those at home

Cause: an engine that is not the home of a prompt was asked with 0.3 of the time allowed at home, since it had to read all shared parts. It fetches them now, and what is fetched or read is counted in the expected first event; a second factor on the same cost refuses calls that would be in time.

Change: the factor goes.

--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -37,10 +37,6 @@
 /// shared parts: their home and the next one.
 const HOMES: usize = 2;
 
-/// Part of that at engines that are not the home of the prompt's shared parts,
-/// which have to read these too.
-const SPILL: f64 = 0.3;
-
 /// Part of what is left of its target within which a call's first event must
 /// be expected.
 const IN_TIME: f64 = 0.5;
@@ -301,10 +297,6 @@
             true => target.mul_f64(IN_TIME),
             false => self.route.target.mul_f64(LATE),
         };
-        let allowed = match terms {
-            Terms::Spill if fresh => allowed.mul_f64(SPILL),
-            _ => allowed,
-        };
         let allowed = allowed.min(left);
         let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
         let want = grants::Want {
