Bound reading beside streams by the measured pace

Cause: what may be read beside streams, and whether a prompt is too long for it, was reckoned with the guess of 1e-5 s a token also where the measured pace said 18 ms for a thousand; the guess stood twice.

Change: the measured pace decides, the guess is one prior in policy::estimate. The test has an engine of a third of the speed and failed without the change (a prompt of 6,000 tokens was let in beside a stream that bears 250 ms).

--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -17,6 +17,10 @@
 use aged::Aged;
 use fit::{Fit, Mean};
 
+/// Seconds that a model engine takes to read a token, before any was seen to be
+/// read: engines in use read 60 to 160 tokens in a millisecond.
+pub(crate) const READ_GUESS: f64 = 1e-5;
+
 /// Values older than two of these are forgotten.
 const PERIOD: Duration = Duration::from_secs(20);
 
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -26,7 +26,7 @@
 use crate::estimate::fit::Mean;
 pub use call::{Ask, Beliefs, CallId, Report, Verdict};
 use fetch::Fetch;
-use pace::{Pace, READ_GUESS};
+use pace::Pace;
 use parts::Parts;
 
 /// Tokens of calls without a first event up to which more are let in: at
@@ -49,7 +49,7 @@
 const UNREAD_MANY: u32 = 4;
 
 /// Part of the longest pause that callers of streams bear which reading
-/// others' prompts may take by the guess below: at first, at the least and at
+/// others' prompts may take at the measured pace: at first, at the least and at
 /// the most. The rest is the steps' own time and what the network adds.
 const GAP_SHARE: f64 = 0.55;
 const GAP_LEAST: f64 = 0.2;
@@ -481,7 +481,7 @@
     /// Whether a prompt is too long to be read beside the running streams:
     /// read in one go, it stretches a pause of each of them.
     fn too_long(&self, tokens: u32) -> bool {
-        let time = f64::from(tokens) * READ_GUESS;
+        let time = f64::from(tokens) * self.pace.get();
         self.gap()
             .is_some_and(|gap| time > gap.as_secs_f64() * self.gap_share)
     }
@@ -497,7 +497,7 @@
         let most = gap.as_secs_f64() * self.gap_share;
         let lately = self.lately.iter().filter(|(at, _)| now < *at + gap);
         let lately: f64 = lately.map(|(_, s)| s).sum();
-        let own = f64::from(load.tokens) * READ_GUESS;
+        let own = f64::from(load.tokens) * self.pace.get();
         (lately <= 0.0 || lately + own <= most) && self.memory(now, load)
     }
 
@@ -550,7 +550,7 @@
         self.parts.read(&ask.parts);
         let ahead = self.unread() + load.tokens;
         self.lately
-            .push_back((now, f64::from(load.tokens) * READ_GUESS));
+            .push_back((now, f64::from(load.tokens) * self.pace.get()));
         let flight = Flight {
             since: now,
             load,
--- a/crates/policy/src/grants/pace.rs
+++ b/crates/policy/src/grants/pace.rs
@@ -2,9 +2,7 @@
 
 use std::time::Instant;
 
-/// Seconds that an engine takes to read a token before any was seen to be
-/// read: engines in use read 80 to 160 tokens in a millisecond.
-pub(super) const READ_GUESS: f64 = 1e-5;
+use crate::estimate::READ_GUESS;
 
 /// Seconds for which the guess counts in the measured mean.
 const GUESS_WEIGHT: f64 = 0.2;
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::estimate::READ_GUESS;
 use crate::estimate::fit::Fit;
 use crate::pauses::Pauses;
 
@@ -51,10 +52,6 @@
 /// rest takes up bursts and writes the readers' own answers.
 const READ_SHARE: f64 = 0.5;
 
-/// Seconds that an engine takes to read a token before any was seen to be
-/// read: engines in use read 80 to 160 tokens in a millisecond.
-const READ_GUESS: f64 = 1e-5;
-
 /// The fastest reading that is believed, in seconds for a token. Prompts that
 /// are all cached would make any engine look endlessly fast.
 const READ_LEAST: f64 = 2e-6;
--- a/crates/policy/tests/grants.rs
+++ b/crates/policy/tests/grants.rs
@@ -471,3 +471,23 @@
     }
     assert!((9..=16).contains(&tried), "{tried} of 60 fetched");
 }
+
+/// What an engine reads beside streams is bounded in time. An engine that
+/// turns out to read at a third of the usual pace must be let in fewer tokens,
+/// or each event of its streams comes later than their readers bear.
+#[rstest]
+#[case::usual(100.0, 20, true)]
+#[case::slow(33.0, 60, false)]
+fn reading_beside_streams_by_pace(#[case] rate: f64, #[case] every: u64, #[case] fits: bool) {
+    let start = Instant::now();
+    let mut grants = Grants::default();
+    burst(start, &mut grants, rate, every, TARGET / 2);
+    let now = start + ms(20_000);
+    assert!(granted(grants.ask(now, stream(20_001, 250))));
+    let spilled = Ask {
+        home: false,
+        allowed: ms(2_000),
+        ..prompt(20_002, 6_000)
+    };
+    assert_eq!(!refused(grants.ask(now, spilled)), fits);
+}
