--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// Forgets a look once it is answered or its call has gone; callers that leave
+/// meanwhile would otherwise each leave an entry behind.
+struct Looking<'a> {
+    sidecars: &'a Sidecars,
+    number: u32,
+}
+
+impl Drop for Looking<'_> {
+    fn drop(&mut self) {
+        self.sidecars.asked.borrow_mut().remove(&self.number);
+    }
+}
+
 impl Sidecars {
     /// Binds to `addr`, on whose port the sidecars listen too.
     ///
@@ -178,9 +191,13 @@
     }
 
     /// How many tokens from the start of a prompt the engine beside a sidecar
-    /// holds; none when the sidecar does not say so at once.
+    /// holds; 0 when the sidecar does not say so at once.
     pub async fn look(&self, server: &Listed, parts: Vec<(u64, u32)>) -> u32 {
         let (number, mut answers) = self.asking();
+        let _open = Looking {
+            sidecars: self,
+            number,
+        };
         let look = Look {
             server: server.id.to_string(),
             parts,
@@ -188,7 +205,6 @@
         let to = SocketAddr::new(server.addr.ip(), self.port);
         self.tell(to, number, What::Look(look));
         let answer = tokio::time::timeout(LOOK, answers.recv()).await;
-        self.asked.borrow_mut().remove(&number);
         answer.ok().flatten().map_or(0, |a| a.held)
     }
 
