--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -1,25 +1,31 @@
-//! Keeping level with the platform's tables.
+//! Reading the platform's tables from the store.
 //!
 //! A reader takes a whole table once and then its changes. When the store is
 //! away, what was read last stays in force: a catalog never goes back, and a
-//! server that is only missing from view may well live.
+//! server that is only missing from view may well live. An entry that has a
+//! neighbour to ask (`neighbours`) reads only what has become too old.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::{Change, Listed};
+use policy::balance::Listed;
+use policy::replica::{Scope, Telling};
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
 use crate::edge::{Changes, Source, SourceError};
 use crate::state::State;
+use crate::tables::{use_catalogs, use_servers};
 
 /// How long the store may hold a question for which there is no new catalog.
 /// A question that got lost with its link costs so long, which must stay well
 /// within the time in which a catalog has to be in force.
 const CATALOG_WAIT: Duration = Duration::from_secs(2);
 
+/// The same where neighbours are told: they cannot know that the copy still
+/// holds before the store answers, and would soon read by themselves.
+const CATALOG_WAIT_SHARED: Duration = Duration::from_secs(1);
+
 /// The same for servers. They report all the time, so that an answer comes at
 /// once; a lost question should be given up soon.
 const SERVER_WAIT: Duration = Duration::from_millis(300);
@@ -32,6 +38,14 @@
 /// known stays in force meanwhile.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
+/// The pause after a failed question where a neighbour is asked too, which
+/// tells when it reaches the store again. A store that is away would else be
+/// asked by every entry several times a second.
+const RETRY_ASIDE: Duration = Duration::from_secs(2);
+
+/// How often is looked whether a table has become too old.
+const LOOK: Duration = Duration::from_millis(200);
+
 /// Servers report every second or so, each at another moment. Asking again
 /// at once would cost a call for each report; in this pause several come
 /// together, and a leaving server is still known far sooner than it must be.
@@ -47,82 +61,72 @@
 /// Entries heard from which there are many.
 const MANY: usize = 8;
 
-/// Servers whose entries lapsed while the store was away write them anew
-/// within two seconds of its return. Those still missing then are gone.
-const RETURN: Duration = Duration::from_secs(2);
-
-/// A server that goes missing while the store answers has left, and may take
-/// its last calls for about two seconds.
-const LEAVE: Duration = Duration::from_millis(1200);
-
-/// Entries that lapsed while the store was away may show as dropped up to so
-/// long after it has come back.
-const SETTLE: Duration = Duration::from_secs(3);
-
 /// Follows what the operators declare.
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("catalog", source, CATALOG_WAIT);
+    let mut reader = Reader::new("catalog", source);
     loop {
-        let Some(news) = reader.next(&state).await else {
-            tokio::time::sleep(retry(reader.failures)).await;
-            continue;
+        let (asked, age) = {
+            let replica = state.tables.catalog.borrow();
+            (replica.next(), replica.age(state.clock.now()))
         };
-        for (_, catalog) in news.records {
-            if let Some(catalog) = catalog {
-                put(&state, catalog);
-            }
+        if let Some(spare) = spare(&state, age) {
+            tokio::time::sleep(spare).await;
+            continue;
         }
+        let wait = if state.shares() {
+            CATALOG_WAIT_SHARED
+        } else {
+            CATALOG_WAIT
+        };
+        let Some(told) = reader.next(&state, asked, wait).await else {
+            tokio::time::sleep(after(&state, reader.failures)).await;
+            continue;
+        };
+        let told = told.map(Rc::new);
+        let news = state.tables.catalog.borrow_mut().read(told, asked);
+        use_catalogs(&state, news);
     }
 }
 
-/// Puts a catalog in force unless a newer one is.
-fn put(state: &State, catalog: Catalog) {
-    let held = state.catalog.borrow().as_ref().map(|c| c.version);
-    if held.is_some_and(|v| v >= catalog.version) {
-        return;
-    }
-    info!("catalog in force", kv: {
-        version = catalog.version,
-        before = held.unwrap_or(0),
-        routes = catalog.routes()
-    });
-    metrics::gauge!("pimentocart_catalog_version").set(catalog.version as f64);
-    *state.catalog.borrow_mut() = Some(Rc::new(catalog));
-}
-
 /// Follows the backend servers.
 pub async fn servers<S: Source<Item = Listed>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("servers", source, SERVER_WAIT);
+    let mut reader = Reader::new("servers", source);
     loop {
-        let Some(news) = reader.next(&state).await else {
-            tokio::time::sleep(retry(reader.failures)).await;
+        let (asked, age) = {
+            let replica = state.tables.servers.borrow();
+            (replica.next(), replica.age(state.clock.now()))
+        };
+        if let Some(spare) = spare(&state, age) {
+            tokio::time::sleep(spare).await;
+            continue;
+        }
+        let Some(told) = reader.next(&state, asked, SERVER_WAIT).await else {
+            tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
         let now = state.clock.now();
-        let away = reader.regained.is_some_and(|at| now < at + SETTLE);
-        let until = now + if away { RETURN } else { LEAVE };
-        if news.whole {
-            let shown: HashSet<&str> = news.records.iter().map(|(k, _)| k.as_str()).collect();
-            let known: Vec<Rc<str>> = state.balance.borrow().ids();
-            let unseen = known.iter().filter(|id| !shown.contains(&***id));
-            unseen.for_each(|id| miss(&state, now, id, until));
-        }
-        for (id, listed) in news.records {
-            match listed {
-                Some(listed) => list(&state, listed),
-                None => miss(&state, now, &id, until),
-            }
-        }
-        for id in state.balance.borrow_mut().forget(now, RETURN) {
-            state.pool.forget(&id);
-            info!("server forgotten", kv: { server = &*id });
-        }
-        state.listed.set(true);
-        let entries = state.others.borrow().count();
-        tokio::time::sleep(pause(away, entries)).await;
+        let news = state.tables.servers.borrow_mut().read(told, asked);
+        use_servers(&state, now, news);
+        let away = !state.tables.settling(now).is_zero();
+        tokio::time::sleep(pause(away, state.rivals())).await;
     }
 }
 
+/// How long a table need not be read yet, at most until it is looked at again;
+/// none when it is to be read now.
+fn spare(state: &State, age: Option<Duration>) -> Option<Duration> {
+    let mut readers = state.readers.borrow_mut();
+    readers.ask(state.clock.now())?;
+    let spare = readers.patience().checked_sub(age?)?;
+    Some(spare.clamp(Duration::from_millis(1), LOOK))
+}
+
+/// How long to wait after so many failures in a row.
+fn after(state: &State, failures: u32) -> Duration {
+    let asks = state.readers.borrow_mut().ask(state.clock.now()).is_some();
+    if asks { RETRY_ASIDE } else { retry(failures) }
+}
+
 /// How long to wait after so many failures in a row.
 #[must_use]
 pub fn retry(failures: u32) -> Duration {
@@ -141,90 +145,51 @@
     }
 }
 
-fn list(state: &State, listed: Listed) {
-    let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
-    let (addr, zone, born) = (listed.addr, Rc::clone(&listed.zone), listed.born);
-    let change = state.balance.borrow_mut().list(listed);
-    if change == Change::None {
-        return;
-    }
-    // Connections to its earlier life lead nowhere any more.
-    if leaving || change == Change::Restarted {
-        state.pool.forget(&id);
-    }
-    info!("server listed", kv: {
-        server = &*id,
-        addr = addr.to_string().as_str(),
-        zone = &*zone,
-        leaving,
-        born = born.unwrap_or(0),
-        restarted = change == Change::Restarted
-    });
-}
-
-fn miss(state: &State, now: Instant, id: &str, until: Instant) {
-    if state.balance.borrow_mut().miss(now, id, until) {
-        info!("server missing", kv: { server = id });
-    }
-}
-
 /// Reads a table, then its changes, and starts over when it fell behind.
 struct Reader<S> {
     name: &'static str,
     source: S,
-    /// How long the store may hold a question.
-    wait: Duration,
-    /// The position from which to go on; none before a whole table was read.
-    from: Option<u64>,
+    /// Whether the whole table has to be read.
+    whole: bool,
     /// Failures since the last answer.
     failures: u32,
-    /// When the store last came back.
-    regained: Option<Instant>,
-}
-
-/// What a read brought.
-struct News<T> {
-    records: Vec<(String, Option<T>)>,
-    /// Whether this is the whole table.
-    whole: bool,
 }
 
 impl<S: Source> Reader<S> {
-    fn new(name: &'static str, source: S, wait: Duration) -> Self {
+    fn new(name: &'static str, source: S) -> Self {
         Self {
             name,
             source,
-            wait,
-            from: None,
+            whole: true,
             failures: 0,
-            regained: None,
         }
     }
 
-    async fn next(&mut self, state: &State) -> Option<News<S::Item>> {
-        let whole = self.from.is_none();
+    /// What the store says of a table that is held up to `from`; it may keep
+    /// the question for `wait`.
+    async fn next(
+        &mut self,
+        state: &State,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> Option<Telling<S::Item>> {
+        let from = from.filter(|_| !self.whole);
+        let sent = state.clock.now();
         // A question that was lost while the store was away would be waited
         // for on and on; that another table is answered again shows that the
         // store is back, and asking anew costs one question.
         let read = tokio::select! {
-            read = self.read() => read,
-            () = state.regained.notified() => self.read().await,
+            read = self.read(from, wait) => read,
+            () = state.regained.notified() => self.read(from, wait).await,
         };
         match read {
             Ok(changes) => {
-                if self.failures > 0 {
-                    info!("store regained", kv: { table = self.name, failures = self.failures });
-                    // Whatever lapsed meanwhile shows only in a whole table.
-                    self.failures = 0;
-                    self.regained = Some(state.clock.now());
-                    state.regained.notify_waiters();
-                    self.from = None;
-                    if !whole {
-                        return Some(self.news(changes.records, false));
-                    }
-                }
-                self.from = Some(changes.next);
-                Some(self.news(changes.records, whole))
+                self.answered(state, from.is_none());
+                Some(telling(
+                    changes,
+                    from,
+                    complete_at(sent, wait, state.clock.now()),
+                ))
             }
             Err(e) => {
                 self.failed(state, &e);
@@ -233,21 +198,35 @@
         }
     }
 
-    async fn read(&self) -> Result<Changes<S::Item>, SourceError> {
-        match self.from {
+    async fn read(
+        &self,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> Result<Changes<S::Item>, SourceError> {
+        match from {
             None => self.source.newest().await,
-            Some(from) => self.source.changes(from, self.wait).await,
+            Some(from) => self.source.changes(from, wait).await,
         }
     }
 
-    fn news(&self, records: Vec<(String, Option<S::Item>)>, whole: bool) -> News<S::Item> {
-        News { records, whole }
+    fn answered(&mut self, state: &State, whole: bool) {
+        state.readers.borrow_mut().store_answered(state.clock.now());
+        self.whole = false;
+        if self.failures == 0 {
+            return;
+        }
+        info!("store regained", kv: { table = self.name, failures = self.failures });
+        self.failures = 0;
+        // Whatever lapsed meanwhile shows only in a whole table.
+        self.whole = !whole;
+        state.tables.regained(state.clock.now());
+        state.regained.notify_waiters();
     }
 
     fn failed(&mut self, state: &State, e: &SourceError) {
         metrics::counter!("pimentocart_store_failures_total", "table" => self.name).increment(1);
         if matches!(e, SourceError::Expired { .. }) {
-            self.from = None;
+            self.whole = true;
         }
         self.failures = self.failures.saturating_add(1);
         // The first of a row is logged; the rest are counted.
@@ -257,3 +236,20 @@
         }
     }
 }
+
+fn telling<T>(changes: Changes<T>, from: Option<u64>, at: Instant) -> Telling<T> {
+    let record = |(key, value): (String, Option<T>)| (Rc::from(key), value);
+    Telling {
+        records: changes.records.into_iter().map(record).collect(),
+        scope: from.map_or(Scope::Whole, |_| Scope::Changes),
+        next: changes.next,
+        at,
+    }
+}
+
+/// The moment up to which an answer is known to be complete: that of the
+/// question, or the end of the time for which the store has kept it.
+fn complete_at(sent: Instant, wait: Duration, answered: Instant) -> Instant {
+    let held = answered.saturating_duration_since(sent) >= wait;
+    if held { sent + wait } else { sent }
+}
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -12,15 +12,16 @@
 
 use base::ids::Incarnation;
 use base::stop::Stop;
-use policy::others::{Calls, Saying};
+use policy::others::{BELIEVED, Calls, Saying};
 use policy::pools::Told;
+use policy::readers::Rank;
 use policy::rendezvous;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 use wire::gossip;
 
 use crate::edge::Directory;
-use crate::state::State;
+use crate::state::{State, link_mbps, zone_number};
 
 /// The shortest interval: what is told is as old as that, and a call takes
 /// about ten of it.
@@ -39,8 +40,13 @@
 /// A peer that was not heard for so long gets no datagrams.
 const SILENT: Duration = Duration::from_secs(30);
 
-/// How often the directory is read, to find entries that this one has missed.
-const LOOK: Duration = Duration::from_secs(15);
+/// How often the directory is read, to find entries that this one has missed:
+/// for each entry that is heard, and at the least. Whoever starts announces
+/// itself before it reads, so that of two at least one finds the other; what
+/// is left are entries that were cut off from each other for long. So all
+/// entries together read it about once a second, however many they are.
+const LOOK_EACH: Duration = Duration::from_secs(1);
+const LOOK_LEAST: Duration = Duration::from_secs(15);
 
 /// The pause after the directory could not be reached.
 const RETRY: Duration = Duration::from_millis(400);
@@ -98,6 +104,8 @@
         life,
         seq,
         every_ms: u32::try_from(every.as_millis()).unwrap_or(u32::MAX),
+        zone: zone_number(&state.settings.zone),
+        link_mbps: link_mbps(&state.settings),
         services: services.into_iter().map(service).collect(),
         calls: calls.collect(),
     }
@@ -136,10 +144,22 @@
         if state.peers.borrow_mut().insert(from, now).is_none() {
             info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
         }
+        note_neighbour(&state, now, from, &said);
         state.others.borrow_mut().hear(now, read(&said));
     }
 }
 
+/// Notes an entry of the own zone, which may be asked for the store's tables.
+fn note_neighbour(state: &State, now: Instant, from: SocketAddr, said: &gossip::Saying) {
+    if said.zone != zone_number(&state.settings.zone) {
+        return;
+    }
+    let rank = Rank::new(said.zone, from, said.link_mbps);
+    let every = Duration::from_millis(u64::from(said.every_ms));
+    let until = now + every * BELIEVED;
+    state.readers.borrow_mut().hear(from, rank, until);
+}
+
 fn read(said: &gossip::Saying) -> Saying {
     let told = |s: &gossip::Service| {
         let told = Told {
@@ -195,7 +215,8 @@
         }
         let found = directory.entries().await;
         let wait = if found.is_ok() && announced {
-            LOOK
+            let heard = u32::try_from(state.others.borrow().count()).unwrap_or(u32::MAX);
+            LOOK_EACH.saturating_mul(heard).max(LOOK_LEAST)
         } else {
             RETRY
         };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! - [`settings`]: what the operators set.
 //! - [`edge`]: what a platform has to translate for this package.
-//! - [`follow`]: keeping level with the platform's tables.
+//! - [`follow`]: reading the platform's tables from the store.
+//! - [`neighbours`]: asking a neighbour for them, and answering neighbours.
+//! - [`tables`]: what they say, put to use.
 //! - [`state`]: the catalog in force, the known servers, what is open.
 //! - [`grants`]: asking the sidecars beside engines.
 //! - [`gossip`]: what entries tell each other.
@@ -26,12 +28,14 @@
 pub mod gossip;
 pub mod grants;
 pub mod http;
+pub mod neighbours;
 pub mod pool;
 pub mod relay;
 pub mod reload;
 pub mod reply;
 pub mod settings;
 pub mod state;
+pub mod tables;
 
 use std::io;
 use std::rc::Rc;
@@ -82,7 +86,10 @@
         *state.sidecars.borrow_mut() = Some(sidecars);
     }
 
+    let tables = neighbours::listen(&state).await?;
     let end = Stop::new();
+    actix_rt::spawn(neighbours::answer(tables, Rc::clone(&state), end.clone()));
+    actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
     actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
     actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
     actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
--- /dev/null
+++ b/crates/forward/src/neighbours.rs
@@ -0,0 +1,198 @@
+//! Keeping level with the store's tables by asking a neighbour that reads
+//! them, and answering neighbours that ask. `policy::readers` says whom.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::stop::Stop;
+use policy::replica::{Records, Replica, Scope, Telling};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use spdlog::{info, warn};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use wire::tables::{self, Error, Follow, Followed, Neighbour, Part};
+
+use crate::state::State;
+use crate::tables::{forget, use_catalogs, use_servers};
+
+/// How long a neighbour may hold a question. What it tells is as old as its
+/// own last read, so a longer time would cost freshness without a change.
+const HOLD: Duration = Duration::from_millis(250);
+
+/// The longest time that a question is held, whatever its asker says.
+const HOLD_MOST: Duration = Duration::from_secs(1);
+
+/// Time allowed for an answer beyond that. A thin host may not run for some
+/// tenths of a second; a neighbour that died silently costs this much.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Time allowed for connecting to a neighbour.
+const DIAL: Duration = Duration::from_millis(300);
+
+/// The pause between two questions, in which several changes come together.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// How often is looked whether there is a neighbour to ask.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Asks neighbours until `end`.
+pub async fn follow(state: Rc<State>, end: Stop) {
+    let mut link: Option<Neighbour> = None;
+    while !end.asked() {
+        let addr = state.readers.borrow_mut().ask(state.clock.now());
+        let Some(addr) = addr else {
+            // Without a neighbour the store is read (`follow`).
+            link = None;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        link = link.filter(|l| l.addr() == addr);
+        let asked = async {
+            let neighbour = match link.take() {
+                Some(neighbour) => neighbour,
+                None => Neighbour::dial(addr, DIAL).await?,
+            };
+            let told = neighbour.follow(question(&state), MARGIN).await?;
+            let age = take(&state, &neighbour, told)?;
+            Ok::<_, Error>((neighbour, age))
+        };
+        let asked = asked.await;
+        let now = state.clock.now();
+        match asked {
+            Ok((neighbour, age)) => {
+                state.readers.borrow_mut().answered(now, addr, age);
+                link = Some(neighbour);
+            }
+            Err(e) => {
+                metrics::counter!("pimentocart_neighbour_failures_total").increment(1);
+                info!("neighbour lost", kv: {
+                    peer = addr.to_string().as_str(), cause = e.to_string().as_str()
+                });
+                state.readers.borrow_mut().failed(now, addr);
+            }
+        }
+        forget(&state, now);
+        tokio::time::sleep(GATHER).await;
+    }
+}
+
+fn question(state: &State) -> Follow {
+    Follow {
+        version: tables::VERSION,
+        catalog: state.tables.catalog.borrow().next(),
+        servers: state.tables.servers.borrow().next(),
+        wait_ms: millis(HOLD),
+    }
+}
+
+/// Puts what a neighbour told to use; returns how old its older copy is, or
+/// none when it lacks one.
+fn take(state: &State, from: &Neighbour, told: Followed) -> Result<Option<Duration>, Error> {
+    let now = state.clock.now();
+    let settling = Duration::from_millis(u64::from(told.settling_ms));
+    state.tables.settle(now, settling);
+    let ages = told.catalog.as_ref().zip(told.servers.as_ref());
+    let age = ages.map(|(c, s)| Duration::from_millis(u64::from(c.age_ms.max(s.age_ms))));
+    if let Some(part) = told.catalog {
+        let news = merge(&mut state.tables.catalog.borrow_mut(), now, from, &part)?;
+        use_catalogs(state, news);
+    }
+    if let Some(part) = told.servers {
+        let news = merge(&mut state.tables.servers.borrow_mut(), now, from, &part)?;
+        use_servers(state, now, news);
+    }
+    Ok(age)
+}
+
+fn merge<T>(
+    replica: &mut Replica<T>,
+    now: Instant,
+    from: &Neighbour,
+    part: &Part,
+) -> Result<Records<T>, Error>
+where
+    T: Clone + PartialEq + DeserializeOwned,
+{
+    let age = Duration::from_millis(u64::from(part.age_ms));
+    Ok(replica.take(Telling {
+        records: tables::read(from.addr(), &part.records)?,
+        scope: if part.whole {
+            Scope::Whole
+        } else {
+            Scope::Changes
+        },
+        next: part.next,
+        at: now.checked_sub(age).unwrap_or(now),
+    }))
+}
+
+/// Answers neighbours.
+#[derive(Clone)]
+struct Desk(Rc<State>);
+
+/// Answers neighbours on `listener` until `end`.
+pub async fn answer(listener: TcpListener, state: Rc<State>, end: Stop) {
+    tables::answer(listener, Desk(state), end).await;
+}
+
+impl tables::Tables for Desk {
+    async fn follow(self, _: Context, ask: Follow) -> Followed {
+        let Self(state) = self;
+        if ask.version != tables::VERSION {
+            warn!("neighbour of another version", kv: { found = ask.version });
+            return nothing();
+        }
+        let hold = Duration::from_millis(u64::from(ask.wait_ms)).min(HOLD_MOST);
+        let news = async {
+            while !state.tables.newer(&ask) {
+                state.tables.changed.notified().await;
+            }
+        };
+        // Without news the answer still says how old the copies are.
+        let _ = tokio::time::timeout(hold, news).await;
+        let now = state.clock.now();
+        let tables = &state.tables;
+        Followed {
+            catalog: part(&tables.catalog.borrow(), now, ask.catalog),
+            servers: part(&tables.servers.borrow(), now, ask.servers),
+            settling_ms: millis(tables.settling(now)),
+        }
+    }
+}
+
+fn nothing() -> Followed {
+    Followed {
+        catalog: None,
+        servers: None,
+        settling_ms: 0,
+    }
+}
+
+/// What one that is complete up to `from` has to be told of a table.
+fn part<T>(replica: &Replica<T>, now: Instant, from: Option<u64>) -> Option<Part>
+where
+    T: Clone + PartialEq + Serialize,
+{
+    let (scope, records) = replica.since(from)?;
+    Some(Part {
+        whole: scope == Scope::Whole,
+        next: replica.next()?,
+        age_ms: millis(replica.age(now)?),
+        records: tables::write(&records),
+    })
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Opens the port at which neighbours ask, which is that of their datagrams.
+///
+/// # Errors
+///
+/// Returns the error when it is taken.
+pub(crate) async fn listen(state: &State) -> io::Result<TcpListener> {
+    base::listen("tables", state.settings.gossip).await
+}
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -13,6 +13,8 @@
 use policy::link::Link;
 use policy::others::Others;
 use policy::pools::Pools;
+use policy::readers::{Rank, Readers};
+use policy::rendezvous;
 use policy::routes::Catalog;
 use policy::waits::Waits;
 
@@ -22,6 +24,7 @@
 use crate::grants::Sidecars;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::tables::Tables;
 
 /// How often idle connections are looked through. Nothing waits for it: a
 /// connection whose time is over is not used either way.
@@ -43,6 +46,10 @@
     pub pools: RefCell<Pools>,
     /// How long calls wait at engines.
     pub waits: RefCell<Waits>,
+    /// Copies of the store's tables.
+    pub tables: Tables,
+    /// Who reads the store in this availability zone.
+    pub readers: RefCell<Readers>,
     /// What other entries have in progress.
     pub others: RefCell<Others>,
     /// Other entries, with when they were last heard.
@@ -84,6 +91,8 @@
             balance: RefCell::new(Balance::new(&settings.zone)),
             pools: RefCell::default(),
             waits: RefCell::default(),
+            tables: Tables::default(),
+            readers: RefCell::new(Readers::new(own_rank(&settings))),
             others: RefCell::default(),
             peers: RefCell::default(),
             every: Cell::new(Duration::from_secs(1)),
@@ -109,6 +118,22 @@
         known && !self.stopping.asked() && !self.crowded()
     }
 
+    /// Whether the entries of this availability zone read the store for each
+    /// other.
+    #[must_use]
+    pub fn shares(&self) -> bool {
+        self.readers.borrow().shared()
+    }
+
+    /// Other entries that read the store as often as this one.
+    #[must_use]
+    pub fn rivals(&self) -> usize {
+        match self.shares() {
+            true => 0,
+            false => self.others.borrow().count(),
+        }
+    }
+
     /// Whether callers should rather open their next connection elsewhere.
     #[must_use]
     pub fn crowded(&self) -> bool {
@@ -118,6 +143,22 @@
     }
 }
 
+/// Where this entry stands among those of its zone.
+fn own_rank(settings: &Settings) -> Rank {
+    let zone = zone_number(&settings.zone);
+    Rank::new(zone, settings.gossip, link_mbps(settings))
+}
+
+/// An availability zone's number between entries.
+pub(crate) fn zone_number(zone: &str) -> u32 {
+    rendezvous::number(zone) as u32
+}
+
+/// What the host's link carries, in million bits a second, as others are told.
+pub(crate) fn link_mbps(settings: &Settings) -> u32 {
+    settings.link_mbps.map_or(u32::MAX, |mbps| mbps as u32)
+}
+
 /// Counts one open call for as long as it lives.
 #[derive(Debug)]
 pub struct Open(Rc<State>);
--- /dev/null
+++ b/crates/forward/src/tables.rs
@@ -0,0 +1,144 @@
+//! The store's tables as this entry knows them: what changed is put to use,
+//! and handed on to neighbours that ask.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::balance::{Change, Listed};
+use policy::replica::{Records, Replica};
+use policy::routes::Catalog;
+use spdlog::info;
+use tokio::sync::Notify;
+use wire::tables::Follow;
+
+use crate::state::State;
+
+/// Servers whose entries lapsed while the store was away write them anew
+/// within two seconds of its return. Those still missing then are gone.
+pub(crate) const RETURN: Duration = Duration::from_secs(2);
+
+/// A server that goes missing while the store answers has left, and may take
+/// its last calls for about two seconds.
+const LEAVE: Duration = Duration::from_millis(1200);
+
+/// Entries that lapsed while the store was away may show as dropped up to so
+/// long after it has come back.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Copies of the tables.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// What the operators declare.
+    pub catalog: RefCell<Replica<Rc<Catalog>>>,
+    /// The backend servers.
+    pub servers: RefCell<Replica<Listed>>,
+    /// Wakes those who wait for a change of either.
+    pub changed: Notify,
+    /// Until when servers may be missing though they live.
+    settling: Cell<Option<Instant>>,
+}
+
+impl Tables {
+    /// Notes that the store has come back.
+    pub fn regained(&self, now: Instant) {
+        self.settle(now, SETTLE);
+    }
+
+    /// Notes that it came back a while ago and `left` remains of the time in
+    /// which servers may be missing.
+    pub(crate) fn settle(&self, now: Instant, left: Duration) {
+        let until = Some(now + left);
+        self.settling.set(self.settling.get().max(until));
+    }
+
+    /// Whether there is news for one who asks.
+    pub(crate) fn newer(&self, ask: &Follow) -> bool {
+        let catalog = self.catalog.borrow().newer(ask.catalog);
+        catalog || self.servers.borrow().newer(ask.servers)
+    }
+
+    /// For how much longer servers may be missing though they live.
+    #[must_use]
+    pub fn settling(&self, now: Instant) -> Duration {
+        let until = self.settling.get();
+        until.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+}
+
+/// Puts news of the catalog to use.
+pub(crate) fn use_catalogs(state: &State, news: Records<Rc<Catalog>>) {
+    if !news.is_empty() {
+        state.tables.changed.notify_waiters();
+    }
+    for catalog in news.into_iter().filter_map(|(_, catalog)| catalog) {
+        put(state, catalog);
+    }
+}
+
+/// Puts a catalog in force unless a newer one is.
+fn put(state: &State, catalog: Rc<Catalog>) {
+    let held = state.catalog.borrow().as_ref().map(|c| c.version);
+    if held.is_some_and(|v| v >= catalog.version) {
+        return;
+    }
+    info!("catalog in force", kv: {
+        version = catalog.version,
+        before = held.unwrap_or(0),
+        routes = catalog.routes()
+    });
+    metrics::gauge!("pimentocart_catalog_version").set(catalog.version as f64);
+    *state.catalog.borrow_mut() = Some(catalog);
+}
+
+/// Puts news of the servers to use.
+pub(crate) fn use_servers(state: &State, now: Instant, news: Records<Listed>) {
+    if !news.is_empty() {
+        state.tables.changed.notify_waiters();
+    }
+    let away = !state.tables.settling(now).is_zero();
+    let until = now + if away { RETURN } else { LEAVE };
+    for (id, listed) in news {
+        match listed {
+            Some(listed) => list(state, listed),
+            None => miss(state, now, &id, until),
+        }
+    }
+    forget(state, now);
+    state.listed.set(true);
+}
+
+/// Forgets the servers that have been missing for long.
+pub(crate) fn forget(state: &State, now: Instant) {
+    for id in state.balance.borrow_mut().forget(now, RETURN) {
+        state.pool.forget(&id);
+        info!("server forgotten", kv: { server = &*id });
+    }
+}
+
+fn list(state: &State, listed: Listed) {
+    let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
+    let (addr, zone, born) = (listed.addr, Rc::clone(&listed.zone), listed.born);
+    let change = state.balance.borrow_mut().list(listed);
+    if change == Change::None {
+        return;
+    }
+    // Connections to its earlier life lead nowhere any more.
+    if leaving || change == Change::Restarted {
+        state.pool.forget(&id);
+    }
+    info!("server listed", kv: {
+        server = &*id,
+        addr = addr.to_string().as_str(),
+        zone = &*zone,
+        leaving,
+        born = born.unwrap_or(0),
+        restarted = change == Change::Restarted
+    });
+}
+
+fn miss(state: &State, now: Instant, id: &str, until: Instant) {
+    if state.balance.borrow_mut().miss(now, id, until) {
+        info!("server missing", kv: { server = id });
+    }
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,6 +13,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::others::Calls;
 use crate::rendezvous::{number, weight};
 
@@ -41,7 +43,7 @@
 const RUN_LIMIT: u32 = 3;
 
 /// A backend server as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     /// Its name. A restart makes a new one, or keeps it with another `born`.
     pub id: Rc<str>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,8 @@
 //! - [`waits`]: whether it would come too late.
 //! - [`link`]: whether it should get new connections.
 //! - [`others`]: what other entries have in progress.
+//! - [`replica`]: its copies of the store's tables.
+//! - [`readers`]: whether it reads them itself or asks a neighbour.
 //! - [`budget`]: whether it may be sent to a second one.
 //! - [`rendezvous`]: one order of servers for every process.
 //!
@@ -49,7 +51,9 @@
 pub mod placement;
 pub mod pools;
 pub mod queue;
+pub mod readers;
 pub mod rendezvous;
+pub mod replica;
 pub mod retry;
 pub mod routes;
 pub mod subset;
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -11,7 +11,7 @@
 use crate::pools::Told;
 
 /// What an entry said is believed for so many of its own intervals.
-const BELIEVED: u32 = 4;
+pub const BELIEVED: u32 = 4;
 
 /// What one entry says.
 #[derive(Debug, Clone, Default, PartialEq)]
--- /dev/null
+++ b/crates/policy/src/replica.rs
@@ -0,0 +1,236 @@
+//! An entry's copy of one of the store's tables, whoever it was told by.
+//!
+//! Load pattern: dozens of entries need the same few tables, fresh to a second
+//! or two. Each reading them by itself costs the store calls in proportion to
+//! the entries. Here a few read, and hand on what changed to the others, which
+//! may hear it from several, late, or from one that has lost the store. What
+//! decides between two tellings is the store's own position: one that is
+//! behind what is held says nothing new, so a departed server is not brought
+//! back and a catalog does not go back. See docs/DECISIONS/0605-zone-readers.md.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a dropped key is remembered, so that neighbours that were silent
+/// meanwhile are told of it. One that was silent for longer is told the whole
+/// table.
+const DROPPED_KEPT: Duration = Duration::from_secs(60);
+
+/// Keys with their values; none for a key that was dropped.
+pub type Records<T> = Vec<(Rc<str>, Option<T>)>;
+
+/// What a telling of a table holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All changes since the position from which was asked.
+    Changes,
+    /// The whole table: what it does not show is gone.
+    Whole,
+}
+
+/// What the store or a neighbour says of a table.
+#[derive(Debug, Clone)]
+pub struct Telling<T> {
+    /// What it says.
+    pub records: Records<T>,
+    /// What the records are.
+    pub scope: Scope,
+    /// The store's position up to which they tell.
+    pub next: u64,
+    /// A moment at which they were all that there was.
+    pub at: Instant,
+}
+
+impl<T> Telling<T> {
+    /// The same with other values.
+    #[must_use]
+    pub fn map<U>(self, value: impl Fn(T) -> U) -> Telling<U> {
+        let record = |(key, old): (Rc<str>, Option<T>)| (key, old.map(&value));
+        Telling {
+            records: self.records.into_iter().map(record).collect(),
+            scope: self.scope,
+            next: self.next,
+            at: self.at,
+        }
+    }
+}
+
+/// A copy of a table.
+#[derive(Debug)]
+pub struct Replica<T> {
+    records: HashMap<Rc<str>, Record<T>>,
+    /// The store's position up to which the copy is complete.
+    next: Option<u64>,
+    /// The last moment at which it was known to be.
+    fresh: Option<Instant>,
+    /// What was dropped up to this position is not known: those who are behind
+    /// it are told the whole table.
+    forgotten: u64,
+}
+
+#[derive(Debug)]
+struct Record<T> {
+    /// None once the key was dropped.
+    value: Option<T>,
+    /// Those whose position is below this have not been told.
+    changed: u64,
+    /// When the value was taken over.
+    at: Instant,
+}
+
+impl<T> Default for Replica<T> {
+    fn default() -> Self {
+        Self {
+            records: HashMap::new(),
+            next: None,
+            fresh: None,
+            forgotten: 0,
+        }
+    }
+}
+
+impl<T: Clone + PartialEq> Replica<T> {
+    /// Takes over what the store said itself, and returns what is new.
+    ///
+    /// The store has the last word: if its positions went back, as after it was
+    /// set up anew, a whole table replaces what was held under the old ones.
+    pub fn read(&mut self, told: Telling<T>, asked: Option<u64>) -> Records<T> {
+        let restarted = told.scope == Scope::Whole && asked.is_some_and(|a| told.next < a);
+        if restarted {
+            self.next = None;
+            self.forgotten = 0;
+        }
+        self.merge(told, false)
+    }
+
+    /// Takes over what a neighbour said, and returns what is new: nothing, if
+    /// it is behind what is held.
+    pub fn take(&mut self, told: Telling<T>) -> Records<T> {
+        self.merge(told, true)
+    }
+
+    /// Takes a telling over. One of a neighbour (`collapsed`) holds the last
+    /// value of each key only: a key that is as it was before may have been
+    /// another meanwhile, and those who saw that have to be told again.
+    fn merge(&mut self, told: Telling<T>, collapsed: bool) -> Records<T> {
+        if self.next.is_some_and(|next| told.next < next) {
+            return Vec::new();
+        }
+        let mut news = Vec::new();
+        if told.scope == Scope::Whole {
+            news.extend(self.drop_unseen(&told));
+            self.forgotten = self.forgotten.max(told.next);
+        }
+        for (key, value) in told.records {
+            if self.put(&key, value.clone(), told.next, told.at, collapsed) {
+                news.push((key, value));
+            }
+        }
+        self.next = Some(told.next);
+        self.fresh = self.fresh.max(Some(told.at));
+        self.forget(told.at);
+        news
+    }
+
+    /// Drops the keys that a whole table does not show; returns them. Entries
+    /// that lapse leave no record behind, so those who are complete up to the
+    /// same position have to be told as well.
+    fn drop_unseen(&mut self, told: &Telling<T>) -> Records<T> {
+        let shown: HashSet<&str> = told.records.iter().map(|(key, _)| &**key).collect();
+        let mut dropped = Vec::new();
+        for (key, record) in &mut self.records {
+            if record.value.is_some() && !shown.contains(&**key) {
+                *record = Record {
+                    value: None,
+                    changed: told.next + 1,
+                    at: told.at,
+                };
+                dropped.push((Rc::clone(key), None));
+            }
+        }
+        dropped
+    }
+
+    /// Writes one record; returns whether its value is another than before.
+    fn put(
+        &mut self,
+        key: &Rc<str>,
+        value: Option<T>,
+        changed: u64,
+        at: Instant,
+        again: bool,
+    ) -> bool {
+        match self.records.get_mut(key) {
+            Some(record) if record.value == value => {
+                if again {
+                    record.changed = changed;
+                }
+                false
+            }
+            _ => {
+                let record = Record { value, changed, at };
+                self.records.insert(Rc::clone(key), record);
+                true
+            }
+        }
+    }
+
+    /// Forgets keys that were dropped long ago.
+    fn forget(&mut self, now: Instant) {
+        let forgotten = &mut self.forgotten;
+        self.records.retain(|_, record| {
+            let keep = record.value.is_some() || now < record.at + DROPPED_KEPT;
+            if !keep {
+                *forgotten = (*forgotten).max(record.changed);
+            }
+            keep
+        });
+    }
+
+    /// What one that is complete up to `from` has to be told; none while the
+    /// copy itself is not known to be complete.
+    #[must_use]
+    pub fn since(&self, from: Option<u64>) -> Option<(Scope, Records<T>)> {
+        self.next?;
+        let from = from.filter(|from| *from >= self.forgotten);
+        let scope = from.map_or(Scope::Whole, |_| Scope::Changes);
+        let wanted = |r: &Record<T>| match from {
+            Some(from) => r.changed > from,
+            None => r.value.is_some(),
+        };
+        let records = self.records.iter().filter(|(_, r)| wanted(r));
+        let records = records.map(|(key, r)| (Rc::clone(key), r.value.clone()));
+        Some((scope, records.collect()))
+    }
+
+    /// Whether one that is complete up to `from` has anything to be told.
+    #[must_use]
+    pub fn newer(&self, from: Option<u64>) -> bool {
+        match (self.next, from) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(_), Some(from)) => {
+                from < self.forgotten || self.records.values().any(|r| r.changed > from)
+            }
+        }
+    }
+
+    /// The store's position up to which the copy is complete.
+    #[must_use]
+    pub fn next(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// The last moment at which the copy was known to be complete.
+    #[must_use]
+    pub fn fresh(&self) -> Option<Instant> {
+        self.fresh
+    }
+
+    /// How old the copy may be by now; none while there is none.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.fresh.map(|at| now.saturating_duration_since(at))
+    }
+}
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use base::ids::Tier;
+use serde::{Deserialize, Serialize};
 
 /// One version of what the operators declared, ready for lookups.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
     /// Grows with each version, in uneven steps.
     pub version: u64,
@@ -23,7 +24,7 @@
 }
 
 /// A route and all that decides how its calls are served.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -51,7 +52,7 @@
 }
 
 /// How often a call may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// As often as need be.
     Idempotent,
@@ -78,7 +79,7 @@
 }
 
 /// A set of equal backend servers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: Rc<str>,
@@ -89,7 +90,7 @@
 }
 
 /// What is declared about the model engines of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that one engine runs at once.
     pub slots: u32,
@@ -103,7 +104,7 @@
 }
 
 /// A workspace, as far as it decides how its calls are served.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Its name, which backend servers are told.
     pub name: String,
@@ -112,7 +113,7 @@
 }
 
 /// What a caller may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest body, in bytes.
     pub body: usize,
--- /dev/null
+++ b/crates/policy/tests/readers.rs
@@ -0,0 +1,159 @@
+//! Who reads the store for an availability zone, replayed by the losses that
+//! the order has to bear.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use policy::readers::{OLDEST, Rank, Readers, SHARED_FROM};
+use rstest::rstest;
+
+const ZONE: u32 = 7;
+
+/// A neighbour that is never heard again counts for so long.
+const HEARD: Duration = Duration::from_secs(3600);
+
+fn addr(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 7340))
+}
+
+/// A thin host, but the first two have wide links.
+fn rank(n: u8) -> Rank {
+    Rank::new(ZONE, addr(n), if n < 2 { 200 } else { 20 })
+}
+
+/// The view of entry `own` among `count` entries that all hear each other.
+fn view(now: Instant, own: u8, count: u8) -> Readers {
+    let mut readers = Readers::new(rank(own));
+    for n in (0..count).filter(|n| *n != own) {
+        readers.hear(addr(n), rank(n), now + HEARD);
+    }
+    readers
+}
+
+/// Entries 0 and 1 in the order of their zone.
+fn wide(now: Instant) -> (u8, u8) {
+    match view(now, 0, 12).ask(now) {
+        None => (0, 1),
+        Some(_) => (1, 0),
+    }
+}
+
+/// A dozen entries hear each other. One of those with a wide link reads the
+/// store, and all others ask it, each by what it knows alone.
+#[test]
+fn all_agree_on_one() {
+    let now = Instant::now();
+    let (first, _) = wide(now);
+    for own in 0..12 {
+        let asked = view(now, own, 12).ask(now);
+        assert_eq!(asked, (own != first).then(|| addr(first)));
+    }
+}
+
+/// A few entries gain next to nothing from asking each other.
+#[test]
+fn few_read_by_themselves() {
+    let now = Instant::now();
+    let few = u8::try_from(SHARED_FROM).expect("a few") - 1;
+    for own in 0..few {
+        assert_eq!(view(now, own, few).ask(now), None);
+    }
+    assert!((0..=few).any(|own| view(now, own, few + 1).ask(now).is_some()));
+}
+
+/// The reader is killed without a word. Its neighbours' questions fail, and
+/// the next in the order has to stand in with the first of them, not when the
+/// dead one is heard no more, seconds later. When that one is gone as well, an
+/// entry asks nobody: each further question would make its copy older.
+#[test]
+fn next_one_stands_in() {
+    let now = Instant::now();
+    let (first, second) = wide(now);
+    let mut stand_in = view(now, second, 12);
+    stand_in.failed(now, addr(first));
+    assert_eq!(stand_in.ask(now), None);
+    let mut other = view(now, 9, 12);
+    other.failed(now, addr(first));
+    assert_eq!(other.ask(now), Some(addr(second)));
+    other.failed(now, addr(second));
+    assert_eq!(other.ask(now), None);
+}
+
+/// The reader comes back. It is asked again within seconds, however often it
+/// has failed.
+#[rstest]
+#[case::once(1, 1)]
+#[case::often(20, 8)]
+fn back_after_a_rest(#[case] failures: u32, #[case] seconds: u64) {
+    let now = Instant::now();
+    let (first, _) = wide(now);
+    let mut other = view(now, 9, 12);
+    for _ in 0..failures {
+        other.failed(now, addr(first));
+    }
+    let back = now + Duration::from_secs(seconds);
+    assert_ne!(
+        other.ask(back - Duration::from_millis(1)),
+        Some(addr(first))
+    );
+    assert_eq!(other.ask(back), Some(addr(first)));
+}
+
+/// The reader alone is cut off from the store. It answers, but with ever older
+/// news, and once the store has answered this entry it is known that it could
+/// know better.
+#[test]
+fn one_that_lost_the_store_is_passed_over() {
+    let now = Instant::now();
+    let (first, second) = wide(now);
+    let mut other = view(now, 9, 12);
+    other.answered(now, addr(first), Some(OLDEST * 2));
+    assert_eq!(other.ask(now), Some(addr(first)));
+    other.store_answered(now);
+    assert_eq!(other.ask(now), Some(addr(second)));
+}
+
+/// The store is down for all. Passing over one neighbour after the other would
+/// have every entry ask the store by itself, several times a second.
+#[test]
+fn nobody_is_passed_over_while_the_store_is_down() {
+    let now = Instant::now();
+    let (first, _) = wide(now);
+    let mut other = view(now, 9, 12);
+    for _ in 0..40 {
+        other.answered(now, addr(first), Some(OLDEST * 10));
+        assert_eq!(other.ask(now), Some(addr(first)));
+    }
+}
+
+/// A neighbour that has just started knows nothing. Asking it again and again
+/// would leave the asker as ignorant as it is.
+#[test]
+fn one_that_knows_nothing_is_passed_over() {
+    let now = Instant::now();
+    let (first, second) = wide(now);
+    let mut other = view(now, 9, 12);
+    other.answered(now, addr(first), None);
+    assert_eq!(other.ask(now), Some(addr(second)));
+}
+
+/// A neighbour that is heard no more is not asked, and when too few are left
+/// nobody is.
+#[test]
+fn silent_ones_are_forgotten() {
+    let now = Instant::now();
+    let mut other = view(now, 9, 12);
+    assert!(other.ask(now).is_some());
+    assert_eq!(other.ask(now + HEARD), None);
+}
+
+/// Whatever its neighbours say, an entry reads a copy that has become too old
+/// by itself, and not all of a zone in the same moment.
+#[test]
+fn patience_is_bounded_and_spread() {
+    let now = Instant::now();
+    let spans: Vec<Duration> = (0..12).map(|n| view(now, n, 12).patience()).collect();
+    assert!(spans.iter().all(|s| *s <= OLDEST && *s * 2 > OLDEST));
+    let (least, most) = (spans.iter().min(), spans.iter().max());
+    assert!(least < most);
+}
--- /dev/null
+++ b/crates/policy/tests/replica.rs
@@ -0,0 +1,188 @@
+//! Copies of a table that are read from the store and from each other.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::replica::{Replica, Scope, Telling};
+use proptest::prelude::*;
+
+type Records = policy::replica::Records<u8>;
+
+fn record(key: &str, value: impl Into<Option<u8>>) -> (Rc<str>, Option<u8>) {
+    (Rc::from(key), value.into())
+}
+
+fn telling(scope: Scope, next: u64, records: Records) -> Telling<u8> {
+    Telling {
+        records,
+        scope,
+        next,
+        at: Instant::now(),
+    }
+}
+
+fn whole(next: u64, records: Records) -> Telling<u8> {
+    telling(Scope::Whole, next, records)
+}
+
+fn changes(next: u64, records: Records) -> Telling<u8> {
+    telling(Scope::Changes, next, records)
+}
+
+/// An entry has read from the store that a server left. The neighbour that it
+/// asks next has been cut off from the store and still shows the server. Sent
+/// there, a call would meet a server that is gone: what is behind says nothing.
+#[test]
+fn neighbour_behind_brings_nothing_back() {
+    let mut held = Replica::default();
+    held.read(whole(10, vec![record("s1", 1)]), None);
+    held.read(changes(12, vec![record("s1", None)]), Some(10));
+    assert!(held.take(changes(11, vec![record("s1", 1)])).is_empty());
+    assert!(held.take(whole(11, vec![record("s1", 1)])).is_empty());
+    assert_eq!(held.next(), Some(12));
+}
+
+/// What a whole table does not show has gone, and neighbours have to be told,
+/// though the store has no record of it: entries that lapse during an outage
+/// leave none.
+#[test]
+fn lapsed_key_is_told() {
+    let mut held = Replica::default();
+    held.read(whole(10, vec![record("s1", 1), record("s2", 2)]), None);
+    let news = held.read(whole(10, vec![record("s2", 2)]), Some(10));
+    assert_eq!(news, [record("s1", None)]);
+    let (scope, told) = held.since(Some(10)).expect("a copy");
+    assert_eq!(scope, Scope::Changes);
+    assert!(told.contains(&record("s1", None)));
+}
+
+/// A neighbour was silent for so long that dropped keys are not remembered any
+/// more. Told only what changed, it would keep them for ever.
+#[test]
+fn one_that_was_long_silent_is_told_the_whole() {
+    let start = Instant::now();
+    let mut held = Replica::default();
+    let at = |mut told: Telling<u8>, s| {
+        told.at = start + Duration::from_secs(s);
+        told
+    };
+    held.read(at(whole(10, vec![record("s1", 1)]), 0), None);
+    held.read(at(changes(12, vec![record("s1", None)]), 1), Some(10));
+    let (scope, _) = held.since(Some(10)).expect("a copy");
+    assert_eq!(scope, Scope::Changes);
+    held.read(at(changes(900, vec![record("s2", 2)]), 100), Some(12));
+    let (scope, told) = held.since(Some(10)).expect("a copy");
+    assert_eq!(scope, Scope::Whole);
+    assert_eq!(told, [record("s2", 2)]);
+}
+
+/// The store was set up anew and counts from the start again. Its word
+/// replaces what was held under the old positions.
+#[test]
+fn store_that_counts_anew_is_followed() {
+    let mut held = Replica::default();
+    held.read(whole(900, vec![record("s1", 1)]), None);
+    let news = held.read(whole(3, vec![record("s2", 2)]), Some(900));
+    assert_eq!(news, [record("s1", None), record("s2", 2)]);
+    assert_eq!(held.next(), Some(3));
+}
+
+/// The store as a plain log, to compare with.
+#[derive(Default)]
+struct Log(Vec<(u8, Option<u8>)>);
+
+impl Log {
+    /// The table as it stood after the first `next` records.
+    fn table(&self, next: usize) -> BTreeMap<u8, u8> {
+        let mut table = BTreeMap::new();
+        for (key, value) in &self.0[..next] {
+            match value {
+                Some(value) => table.insert(*key, *value),
+                None => table.remove(key),
+            };
+        }
+        table
+    }
+}
+
+fn name(key: u8) -> Rc<str> {
+    Rc::from(key.to_string())
+}
+
+fn told(log: &Log, from: Option<u64>) -> Telling<u8> {
+    let next = log.0.len();
+    let records = match from {
+        Some(from) => log.0[from as usize..]
+            .iter()
+            .map(|(k, v)| (name(*k), *v))
+            .collect(),
+        None => log
+            .table(next)
+            .iter()
+            .map(|(k, v)| (name(*k), Some(*v)))
+            .collect(),
+    };
+    let scope = from.map_or(Scope::Whole, |_| Scope::Changes);
+    telling(scope, next as u64, records)
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, Option<u8>),
+    ReadWhole(usize),
+    ReadChanges(usize),
+    Ask(usize, usize),
+}
+
+const ENTRIES: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    let entry = 0..ENTRIES;
+    prop_oneof![
+        4 => (0..3u8, proptest::option::of(0..2u8)).prop_map(|(k, v)| Step::Write(k, v)),
+        1 => entry.clone().prop_map(Step::ReadWhole),
+        2 => entry.clone().prop_map(Step::ReadChanges),
+        4 => (entry.clone(), entry).prop_map(|(a, b)| Step::Ask(a, b)),
+    ]
+}
+
+proptest! {
+    /// Whoever told an entry, in whatever order: its copy is the table as it
+    /// stood at the position that the copy names, and that never goes back.
+    #[test]
+    fn copies_are_the_table_of_their_position(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut log = Log::default();
+        let mut copies: Vec<Replica<u8>> = (0..ENTRIES).map(|_| Replica::default()).collect();
+        for step in steps {
+            let before: Vec<_> = copies.iter().map(Replica::next).collect();
+            match step {
+                Step::Write(key, value) => log.0.push((key, value)),
+                Step::ReadWhole(i) => {
+                    let asked = copies[i].next();
+                    copies[i].read(told(&log, None), asked);
+                }
+                Step::ReadChanges(i) => {
+                    let asked = copies[i].next();
+                    copies[i].read(told(&log, asked), asked);
+                }
+                Step::Ask(i, j) => {
+                    if let Some((scope, records)) = copies[j].since(copies[i].next()) {
+                        let next = copies[j].next().expect("a copy");
+                        copies[i].take(telling(scope, next, records));
+                    }
+                }
+            }
+            for (copy, before) in copies.iter().zip(before) {
+                prop_assert!(copy.next() >= before);
+                let Some(next) = copy.next() else { continue };
+                let (_, records) = copy.since(None).expect("a copy");
+                let held: BTreeMap<Rc<str>, Option<u8>> = records.into_iter().collect();
+                let table = log.table(next as usize);
+                let table: BTreeMap<_, _> =
+                    table.into_iter().map(|(k, v)| (name(k), Some(v))).collect();
+                prop_assert_eq!(held, table);
+            }
+        }
+    }
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -7,7 +7,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
@@ -21,6 +21,10 @@
     pub seq: u32,
     /// How often the entry speaks, in milliseconds.
     pub every_ms: u32,
+    /// The availability zone that it stands in, by number.
+    pub zone: u32,
+    /// What its link carries, in million bits a second.
+    pub link_mbps: u32,
     /// What it has for each service.
     pub services: Vec<Service>,
     /// Servers by short number, with the entry's open calls at each and those
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`peer`]: a connection that finds out when it has gone silent.
 //! - [`serve`]: answering the calls.
 //! - [`gossip`]: what entries tell each other about their own calls.
+//! - [`tables`]: what an entry asks a neighbour that reads the store.
 
 pub mod gossip;
 pub mod grants;
 pub mod message;
 pub mod peer;
 pub mod serve;
+pub mod tables;
 
 pub use message::*;
 pub use peer::{Peer, Timing};
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -1,13 +1,14 @@
 //! Answering the calls of the inner protocol.
 
 use futures_util::StreamExt;
-use tarpc::server::{BaseChannel, Channel};
+use serde::{Serialize, de::DeserializeOwned};
+use tarpc::server::{BaseChannel, Channel, Serve};
 use tokio::net::TcpListener;
 
 use base::stop::Stop;
 
+use crate::Sidecar;
 use crate::peer::codec;
-use crate::{Sidecar, SidecarRequest, SidecarResponse};
 
 /// How long accepting pauses after it failed.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -22,6 +23,16 @@
 pub async fn serve<S>(listener: TcpListener, service: S, stop: Stop)
 where
     S: Sidecar + Clone + 'static,
+{
+    accept(listener, service.serve(), stop).await;
+}
+
+/// The same for any set of calls.
+pub(crate) async fn accept<S>(listener: TcpListener, serve: S, stop: Stop)
+where
+    S: Serve + Clone + 'static,
+    S::Req: DeserializeOwned + 'static,
+    S::Resp: Serialize + 'static,
 {
     loop {
         let accepted = tokio::select! {
@@ -33,22 +44,23 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        actix_rt::spawn(connection(stream, service.clone()));
+        actix_rt::spawn(connection(stream, serve.clone()));
     }
 }
 
 /// Answers the calls of one connection until it closes.
-async fn connection<S>(stream: tokio::net::TcpStream, service: S)
+async fn connection<S>(stream: tokio::net::TcpStream, serve: S)
 where
-    S: Sidecar + Clone + 'static,
+    S: Serve + Clone + 'static,
+    S::Req: DeserializeOwned + 'static,
+    S::Resp: Serialize + 'static,
 {
-    let transport =
-        codec::<tarpc::ClientMessage<SidecarRequest>, tarpc::Response<SidecarResponse>>(stream);
+    let transport = codec::<tarpc::ClientMessage<S::Req>, tarpc::Response<S::Resp>>(stream);
     let config = tarpc::server::Config {
         pending_response_buffer: PENDING_LIMIT,
     };
     let channel = BaseChannel::new(config, transport);
-    let mut calls = std::pin::pin!(channel.execute(service.serve()));
+    let mut calls = std::pin::pin!(channel.execute(serve));
     while let Some(call) = calls.next().await {
         actix_rt::spawn(call);
     }
