Reserve a test entry's port for datagrams and connections alike

Entries now listen for neighbours by TCP on the number of their datagram port, which the harness had reserved for datagrams only.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -305,7 +305,8 @@
     pub(crate) fn restart(&mut self) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_pimentocart"));
         let command = command.args([self.verb, "--settings"]).arg(&self.settings);
-        let command = command.stdout(Stdio::null()).stderr(Stdio::null());
+        // What ends a process early is said there and nowhere else.
+        let command = command.stdout(Stdio::null()).stderr(Stdio::inherit());
         self.child = Some(command.spawn().expect("the program starts"));
     }
 
@@ -379,14 +380,14 @@
         let ports: Vec<TcpListener> = (0..2)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
             .collect();
-        let gossip = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let (gossip, tables) = both_ports();
         let addr = |l: &TcpListener| l.local_addr().expect("an address");
         let (listen, ready) = (addr(&ports[0]), addr(&ports[1]));
         let settings = json!({"name": name, "zone": "a", "listen": listen, "ready": ready,
             "ready_path": "/ready", "gossip": gossip.local_addr().expect("an address"),
             "grants": grants, "store": store, "grace_s": 6.0, "repeat_ratio": 0.2,
             "repeat_window_s": 10.0, "ask_every": "100ms"});
-        drop((ports, gossip));
+        drop((ports, gossip, tables));
         Self {
             process: Process::start("forward", name, &settings),
             listen,
@@ -411,6 +412,18 @@
     }
 }
 
+/// A port that is free for datagrams and for connections: entries use one
+/// number for both.
+fn both_ports() -> (UdpSocket, TcpListener) {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let addr = socket.local_addr().expect("an address");
+        if let Ok(listener) = TcpListener::bind(addr) {
+            return (socket, listener);
+        }
+    }
+}
+
 /// What a caller saw.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Seen {
