Keep slots for streams only where streams come

Ruled out: a smaller share (it rounds up); none at all (no answer where streams hold half of an engine).

Change: policy::grants::reserve keeps what comes before a slot falls free by itself: streams a second x hold / slots, rounded.

--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -14,11 +14,13 @@
 //! - [`parts`]: which prompt parts the engine should hold.
 //! - [`fetch`]: what copying them from another engine takes.
 //! - `pace`: how fast it reads.
+//! - `reserve`: slots that are kept for streams.
 
 pub mod call;
 pub mod fetch;
 mod pace;
 pub mod parts;
+mod reserve;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -28,6 +30,7 @@
 use fetch::Fetch;
 use pace::Pace;
 use parts::Parts;
+use reserve::Reserve;
 
 /// Tokens of calls without a first event up to which more are let in: at
 /// first, at the least and at the most. A first event comes some 40 ms after
@@ -75,10 +78,6 @@
 /// on the terms of a usual one, or in a burst long ones would never be served.
 const OWN_MOST: u32 = 12_000;
 
-/// Part of the slots that calls which only read leave to streams, whose
-/// callers are of the highest tier and are never kept waiting.
-const SLOTS_LEFT: f64 = 0.1;
-
 /// Part of the engine's memory that may be taken by running calls. Beyond,
 /// the engine preempts some of them in the middle of their streams.
 const MEMORY_SHARE: f64 = 0.9;
@@ -136,6 +135,8 @@
     born: Option<u64>,
     /// Calls that the engine runs at once.
     slots: u32,
+    /// Streams that come here.
+    reserve: Reserve,
     /// Part of a stream's longest pause that reading may take.
     gap_share: f64,
     /// Reading that was let in lately, in seconds.
@@ -193,6 +194,7 @@
             report: None,
             born: None,
             slots: 0,
+            reserve: Reserve::default(),
             gap_share: GAP_SHARE,
             lately: VecDeque::new(),
         }
@@ -217,6 +219,7 @@
         let turn = now + self.turn(&ask, load);
         let expected = self.expected(now, turn, load.tokens, &ask);
         if ask.gap.is_some() {
+            self.reserve.came(now);
             return match ask.must || self.room(now, load) {
                 true => {
                     self.let_in(now, load, ask);
@@ -444,7 +447,7 @@
     /// How long it takes until a slot is free behind `calls` others.
     fn slot_wait(&self, now: Instant, calls: u32) -> f64 {
         let taken = self.taken(now) + calls + 1;
-        let over = taken.saturating_sub(self.reading_slots());
+        let over = taken.saturating_sub(self.reading_slots(now));
         let hold = self.hold.get().unwrap_or(HOLD_GUESS);
         f64::from(over) * hold / f64::from(self.slots.max(1))
     }
@@ -505,7 +508,7 @@
 
     /// Whether a call of that load may be let in now.
     fn open(&self, now: Instant, load: Load) -> bool {
-        if f64::from(self.unread()) >= self.window || self.taken(now) >= self.reading_slots() {
+        if f64::from(self.unread()) >= self.window || self.taken(now) >= self.reading_slots(now) {
             return false;
         }
         let Some(gap) = self.gap() else {
@@ -542,9 +545,10 @@
     }
 
     /// Slots that calls which only read may take.
-    fn reading_slots(&self) -> u32 {
-        let left = (f64::from(self.slots) * SLOTS_LEFT).ceil() as u32;
-        self.slots.saturating_sub(left).max(1)
+    fn reading_slots(&self, now: Instant) -> u32 {
+        let hold = self.hold.get().unwrap_or(HOLD_GUESS);
+        let kept = self.reserve.slots(now, hold, self.slots);
+        self.slots.saturating_sub(kept).max(1)
     }
 
     /// Slots that are taken.
