Take callers as late only once their target must have passed

Cause: a caller whose patience was under 0.97 of the route's timeout counted as one that had been refused before, and was judged by 0.3 of its target in place of 0.5.

Change: a caller counts as late when its time is shorter than that of the least patient ones by more than its target. Refusals are logged with the patience.

--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -29,9 +29,10 @@
 /// The most of it: an engine with a full queue still sends something.
 const SILENCE_MOST: Duration = Duration::from_millis(1200);
 
-/// Part of the route's timeout below which a caller's time shows that it has
-/// spent some elsewhere, as those do who were turned away.
-const RETURNED: f64 = 0.97;
+/// Part of the route's timeout that the least patient of callers bring. One
+/// whose time is shorter than that by more than its target has spent the target
+/// elsewhere, as those do who were turned away.
+const PATIENCE_LEAST: f64 = 0.85;
 
 /// Engines of the call's own part that are asked for a place by its prompt's
 /// shared parts: their home and the next one.
@@ -360,6 +361,9 @@
             by = "sidecar",
             expected_ms = millis(expected),
             target_ms = millis(target),
+            patience_ms = self.ask.patience.map_or(0, millis),
+            timeout_ms = millis(self.route.timeout),
+            returned = self.returned(),
             after_ms = millis(after)
         });
         Failure::TooLate(after)
@@ -385,10 +389,11 @@
         }
     }
 
-    /// Whether the caller has spent a part of its time elsewhere before.
+    /// Whether the caller has spent its target elsewhere before.
     fn returned(&self) -> bool {
-        let usual = self.route.timeout.mul_f64(RETURNED);
-        self.ask.patience.is_some_and(|p| p < usual)
+        let least = self.route.timeout.mul_f64(PATIENCE_LEAST);
+        let patience = self.ask.patience;
+        patience.is_some_and(|p| p + self.route.target < least)
     }
 
     /// Whether the call may go to a server, or would come too late there.
