Take the newest name at an address for the server that has it

Cause: after a power cut the store lists each engine twice for up to 3.6 s, under its old and its new name at one address.

Ruled out: the last report wins (late reports of the dead one would take the address back); looking across services (a record that names none of ours could take a server's address).

Change: of the servers of one service at one address only the one that began last is called, by its own word or by when it was first told; copies of the table keep the order of writing, and whole tables are read in the order of their records.

Tests, with the code: four cases in policy/tests/balance.rs (power cut, late report, newer one dropped, foreign entry); the first three fail without find_replaced. The servers of that file's fixture shared one address, which no two can; each has its own now.

--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -100,7 +100,7 @@
     let until = now + if away { RETURN } else { LEAVE };
     for (id, listed) in news {
         match listed {
-            Some(listed) => list(state, listed),
+            Some(listed) => list(state, now, listed),
             None => miss(state, now, &id, until),
         }
     }
@@ -116,10 +116,10 @@
     }
 }
 
-fn list(state: &State, listed: Listed) {
+fn list(state: &State, now: Instant, listed: Listed) {
     let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
     let (addr, zone, born) = (listed.addr, Rc::clone(&listed.zone), listed.born);
-    let change = state.balance.borrow_mut().list(listed);
+    let change = state.balance.borrow_mut().list(now, listed);
     if change == Change::None {
         return;
     }
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::clock::SystemClock;
 use base::ids::Tier;
@@ -312,7 +312,10 @@
         for id in ["s1", "s2"] {
             let host = if plan.engine { ENGINES } else { "127.0.0.1" };
             let addr = servers.listen(host).await;
-            state.balance.borrow_mut().list(listed(id, addr));
+            state
+                .balance
+                .borrow_mut()
+                .list(Instant::now(), listed(id, addr));
         }
         // Earlier calls that earned repeats.
         let service = Rc::from("app");
@@ -337,7 +340,10 @@
     /// that was free a moment ago may belong to another test's server.
     pub(crate) fn lose_a_server(&self) {
         let addr = "127.0.0.1:1".parse().expect("an address");
-        self.state.balance.borrow_mut().list(listed("s2", addr));
+        self.state
+            .balance
+            .borrow_mut()
+            .list(Instant::now(), listed("s2", addr));
     }
 
     /// Has a server say that it takes no new calls.
@@ -348,7 +354,10 @@
             born: None,
             ..listed(id, addr)
         };
-        self.state.balance.borrow_mut().list(leaving);
+        self.state
+            .balance
+            .borrow_mut()
+            .list(Instant::now(), leaving);
     }
 
     /// Puts the route into the lowest tier.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -38,6 +38,11 @@
 /// The key by which all entries order servers before they cut the order.
 const CUT: u64 = 0x706f_6f6c;
 
+/// How long the name of a server that is gone is remembered. What it wrote
+/// last may be told late, and it must not count as newer than the one that has
+/// its address by then.
+const NAME_KEPT: Duration = Duration::from_secs(60);
+
 /// Failed runs in a row after which a server is left alone: single failures
 /// belong to the calls.
 const RUN_LIMIT: u32 = 3;
@@ -122,6 +127,11 @@
     /// The entry's availability zone.
     zone: Rc<str>,
     servers: HashMap<Rc<str>, Server>,
+    /// Names with their places in the order in which they were first told, and
+    /// when they were told last.
+    names: HashMap<Rc<str>, (u64, Instant)>,
+    /// Names told so far.
+    named: u64,
     /// Makes ties fall differently from call to call.
     turn: u64,
 }
@@ -129,6 +139,10 @@
 #[derive(Debug)]
 struct Server {
     listed: Listed,
+    /// Its place in the order in which names were first told.
+    first: u64,
+    /// Whether a newer one has its address.
+    replaced: bool,
     /// Hash of its name, equal at every entry.
     key: u64,
     /// Own calls.
@@ -148,7 +162,14 @@
     missing: Option<(Instant, Instant)>,
 }
 
+/// When a server began: by its own word, then by when it was first told.
+type Age = (Option<u64>, u64);
+
 impl Server {
+    fn age(&self) -> Age {
+        (self.listed.born, self.first)
+    }
+
     /// Open calls at the server, of all entries.
     fn open(&self) -> u32 {
         self.own.open + self.others.open
@@ -182,6 +203,8 @@
         Self {
             zone: Rc::from(zone),
             servers: HashMap::new(),
+            names: HashMap::new(),
+            named: 0,
             turn: 0,
         }
     }
@@ -192,7 +215,22 @@
     /// alone for the failures of its earlier life, it would stand idle for
     /// seconds. What that life wrote may come late, and would have calls kept
     /// from a server that is well.
-    pub fn list(&mut self, listed: Listed) -> Change {
+    pub fn list(&mut self, now: Instant, listed: Listed) -> Change {
+        let first = self.name(now, &listed.id);
+        let addr = listed.addr;
+        let before = self.addr(&listed.id);
+        let change = self.put(listed, first);
+        if change != Change::None {
+            self.find_replaced(addr);
+            before
+                .filter(|b| *b != addr)
+                .into_iter()
+                .for_each(|b| self.find_replaced(b));
+        }
+        change
+    }
+
+    fn put(&mut self, listed: Listed, first: u64) -> Change {
         match self.servers.get_mut(&listed.id) {
             Some(server) if listed.born < server.listed.born => Change::None,
             Some(server) => {
@@ -214,6 +252,8 @@
             }
             None => {
                 let server = Server {
+                    first,
+                    replaced: false,
                     key: number(&listed.id),
                     own: Calls::default(),
                     others: Calls::default(),
@@ -230,6 +270,41 @@
         }
     }
 
+    /// The place of a name in the order in which names were first told.
+    fn name(&mut self, now: Instant, id: &Rc<str>) -> u64 {
+        self.named += 1;
+        let name = self.names.entry(Rc::clone(id));
+        let name = name.or_insert((self.named, now));
+        name.1 = now;
+        name.0
+    }
+
+    /// Finds out which of the servers at an address has it now: the one that
+    /// began last, or was told last where they do not say so.
+    ///
+    /// After a power cut the list shows engines twice for seconds, under the
+    /// names of their earlier lives too. Each call to one of those is refused
+    /// by the new life and costs a repeat, and a third of all calls were turned
+    /// away when none was left.
+    fn find_replaced(&mut self, addr: SocketAddr) {
+        let mut newest: HashMap<Rc<str>, Age> = HashMap::new();
+        let here = |s: &&mut Server| s.listed.addr == addr;
+        for server in self.servers.values_mut().filter(here) {
+            server.replaced = false;
+            if server.missing.is_none() {
+                let held = newest.entry(Rc::clone(&server.listed.service));
+                let held = held.or_insert(server.age());
+                *held = (*held).max(server.age());
+            }
+        }
+        // Services are looked at apart: a record that names none of ours must
+        // not take a server's address from it.
+        for server in self.servers.values_mut().filter(here) {
+            let newest = newest.get(&server.listed.service);
+            server.replaced = newest.is_some_and(|newest| *newest > server.age());
+        }
+    }
+
     /// Notes that the list does not show a server any more; returns whether
     /// it did before.
     ///
@@ -240,6 +315,8 @@
         match self.servers.get_mut(id) {
             Some(server) if server.missing.is_none() => {
                 server.missing = Some((now, until));
+                let addr = server.listed.addr;
+                self.find_replaced(addr);
                 true
             }
             _ => false,
@@ -254,6 +331,9 @@
         for id in &gone {
             self.servers.remove(id);
         }
+        let servers = &self.servers;
+        self.names
+            .retain(|id, (_, at)| servers.contains_key(id) || now < *at + NAME_KEPT);
         gone
     }
 
@@ -272,14 +352,17 @@
     /// Whether a server is known and takes new calls.
     #[must_use]
     pub fn open(&self, id: &str) -> bool {
-        self.servers.get(id).is_some_and(|s| !s.listed.leaving)
+        let open = |s: &Server| !s.listed.leaving && !s.replaced;
+        self.servers.get(id).is_some_and(open)
     }
 
     /// How many servers of `service` take new calls, and the slots of each.
     #[must_use]
     pub fn size(&self, service: &str) -> (usize, u32) {
-        let open =
-            |s: &&Server| &*s.listed.service == service && !s.listed.leaving && s.missing.is_none();
+        let open = |s: &&Server| {
+            let there = !s.listed.leaving && !s.replaced && s.missing.is_none();
+            there && &*s.listed.service == service
+        };
         let open = self.servers.values().filter(open);
         open.fold((0, 0), |(n, slots), s| (n + 1, slots.max(s.listed.slots)))
     }
@@ -299,7 +382,8 @@
             return Vec::new();
         };
         let fit = |s: &&Server| {
-            let here = &*s.listed.service == want.service && s.missing.is_none();
+            let here = &*s.listed.service == want.service;
+            let here = here && !s.replaced && s.missing.is_none();
             here && s.well(now, want.silence)
         };
         let mut fit: Vec<&Server> = self.servers.values().filter(fit).collect();
@@ -310,7 +394,8 @@
     /// The servers for a call, the best first.
     pub fn ranked(&mut self, now: Instant, want: &Want<'_>) -> Vec<Listed> {
         self.turn = self.turn.wrapping_add(1);
-        let serves = |s: &&Server| &*s.listed.service == want.service && !s.listed.leaving;
+        let serves =
+            |s: &&Server| &*s.listed.service == want.service && !s.listed.leaving && !s.replaced;
         let mut fit: Vec<&Server> = self.servers.values().filter(serves).collect();
         match fit.iter().any(|s| s.missing.is_none()) {
             true => fit.retain(|s| s.missing.is_none()),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -17,7 +17,8 @@
 /// table.
 const DROPPED_KEPT: Duration = Duration::from_secs(60);
 
-/// Keys with their values; none for a key that was dropped.
+/// Keys with their values, in the order in which they were written as far as
+/// that is known; none for a key that was dropped.
 pub type Records<T> = Vec<(Rc<str>, Option<T>)>;
 
 /// What a telling of a table holds.
@@ -64,6 +65,8 @@
     next: Option<u64>,
     /// The last moment at which it was known to be.
     fresh: Option<Instant>,
+    /// Values taken over so far.
+    count: u64,
     /// What was dropped up to this position is not known: those who are behind
     /// it are told the whole table.
     forgotten: u64,
@@ -75,6 +78,8 @@
     value: Option<T>,
     /// Those whose position is below this have not been told.
     changed: u64,
+    /// Its place in the order in which values were taken over.
+    order: u64,
     /// When the value was taken over.
     at: Instant,
 }
@@ -85,6 +90,7 @@
             records: HashMap::new(),
             next: None,
             fresh: None,
+            count: 0,
             forgotten: 0,
         }
     }
@@ -144,6 +150,7 @@
                 *record = Record {
                     value: None,
                     changed: told.next + 1,
+                    order: record.order,
                     at: told.at,
                 };
                 dropped.push((Rc::clone(key), None));
@@ -169,7 +176,13 @@
                 false
             }
             _ => {
-                let record = Record { value, changed, at };
+                self.count += 1;
+                let record = Record {
+                    value,
+                    changed,
+                    order: self.count,
+                    at,
+                };
                 self.records.insert(Rc::clone(key), record);
                 true
             }
@@ -200,6 +213,9 @@
             None => r.value.is_some(),
         };
         let records = self.records.iter().filter(|(_, r)| wanted(r));
+        let mut records: Vec<_> = records.collect();
+        records.sort_by_key(|(_, r)| r.order);
+        let records = records.into_iter();
         let records = records.map(|(key, r)| (Rc::clone(key), r.value.clone()));
         Some((scope, records.collect()))
     }
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -1,22 +1,30 @@
 //! Which server gets a call that an entry sends by itself.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use policy::balance::{Balance, By, Change, Listed, Part, Want};
 use policy::others::Calls;
+use policy::rendezvous;
 
 /// A server that is silent for so long counts as dark.
 const SILENCE: Duration = Duration::from_millis(300);
 
 const AWAY: Duration = Duration::from_secs(2);
 
+/// An address of the server's own.
+fn addr(id: &str) -> SocketAddr {
+    let number = rendezvous::number(id).to_le_bytes();
+    SocketAddr::from(([127, number[0], number[1], number[2]], 1))
+}
+
 fn listed(id: &str, zone: &str) -> Listed {
     Listed {
         id: Rc::from(id),
         service: Rc::from("llm"),
-        addr: "127.0.0.1:1".parse().expect("an address"),
+        addr: addr(id),
         zone: Rc::from(zone),
         slots: 16,
         leaving: false,
@@ -27,7 +35,7 @@
 fn balance(count: usize) -> Balance {
     let mut balance = Balance::new("a");
     for i in 0..count {
-        balance.list(listed(&format!("s{i}"), ["a", "b"][i % 2]));
+        balance.list(Instant::now(), listed(&format!("s{i}"), ["a", "b"][i % 2]));
     }
     balance
 }
@@ -56,7 +64,7 @@
     let now = Instant::now();
     let (mut one, mut two) = (balance(12), Balance::new("b"));
     for i in (0..12).rev() {
-        two.list(listed(&format!("s{i}"), "c"));
+        two.list(Instant::now(), listed(&format!("s{i}"), "c"));
     }
     for prefix in 0..100 {
         let want = want(Some(prefix));
@@ -172,7 +180,7 @@
     balance.ended("s0");
     let later = now + SILENCE * 10;
     balance.sent(later, "s0");
-    balance.list(listed("s1", "b"));
+    balance.list(Instant::now(), listed("s1", "b"));
     assert!(chosen(&mut balance, later, &want(Some(1))).is_some());
     let used: HashSet<_> = (0..50)
         .filter_map(|p| chosen(&mut balance, later, &want(Some(p))))
@@ -190,11 +198,14 @@
 #[test]
 fn leaving_gets_nothing() {
     let (now, mut balance) = (Instant::now(), balance(1));
-    balance.list(Listed {
-        leaving: true,
-        born: None,
-        ..listed("s0", "a")
-    });
+    balance.list(
+        Instant::now(),
+        Listed {
+            leaving: true,
+            born: None,
+            ..listed("s0", "a")
+        },
+    );
     assert!(balance.choose(now, &want(None)).is_none());
 }
 
@@ -229,7 +240,7 @@
     }
     assert!(balance.choose(now, &want(None)).is_some());
     assert!(balance.choose(now + AWAY, &want(None)).is_none());
-    balance.list(listed("s1", "b"));
+    balance.list(Instant::now(), listed("s1", "b"));
     assert_eq!(
         chosen(&mut balance, now + AWAY, &want(None)).as_deref(),
         Some("s1")
@@ -265,7 +276,7 @@
         born: Some(1_000),
         ..listed("s0", "a")
     };
-    balance.list(first.clone());
+    balance.list(Instant::now(), first.clone());
     for _ in 0..5 {
         balance.unreachable(now, "s0");
     }
@@ -274,9 +285,12 @@
         born: Some(2_000),
         ..first.clone()
     };
-    assert_eq!(balance.list(second.clone()), Change::Restarted);
+    assert_eq!(
+        balance.list(Instant::now(), second.clone()),
+        Change::Restarted
+    );
     assert_eq!(chosen(&mut balance, now, &want(None)), Some("s0".into()));
-    assert_eq!(balance.list(second), Change::None);
+    assert_eq!(balance.list(Instant::now(), second), Change::None);
 }
 
 /// What the earlier life said last, that it leaves, arrives after the entry of
@@ -289,7 +303,84 @@
         leaving,
         ..listed("s0", "a")
     };
-    balance.list(life(2_000, false));
-    assert_eq!(balance.list(life(1_000, true)), Change::None);
+    balance.list(Instant::now(), life(2_000, false));
+    assert_eq!(
+        balance.list(Instant::now(), life(1_000, true)),
+        Change::None
+    );
     assert!(balance.open("s0"));
 }
+
+/// A server under the name `id` at the address of `s0`.
+fn at_s0(id: &str) -> Listed {
+    Listed {
+        addr: addr("s0"),
+        ..listed(id, "a")
+    }
+}
+
+fn called(balance: &mut Balance, now: Instant) -> HashSet<String> {
+    let ranked = balance.ranked(now, &want(None));
+    ranked.iter().map(|s| s.id.to_string()).collect()
+}
+
+/// All engines lose power and come back under new names, and the list shows
+/// both names of each for seconds. A call to the old one would be refused by
+/// the new one and cost a repeat.
+#[test]
+fn older_name_at_an_address_is_not_called() {
+    let now = Instant::now();
+    let mut balance = Balance::new("a");
+    balance.list(now, at_s0("old"));
+    balance.list(now, at_s0("new"));
+    assert_eq!(called(&mut balance, now), HashSet::from(["new".to_owned()]));
+    assert!(!balance.open("old"));
+    assert_eq!(balance.size("llm").0, 1);
+}
+
+/// The last report of an engine that is gone comes late, after its entry was
+/// dropped and its address taken. The one that has the address must not lose
+/// its calls to it.
+#[test]
+fn late_word_of_the_older_takes_nothing_back() {
+    let now = Instant::now();
+    let mut balance = Balance::new("a");
+    balance.list(now, at_s0("old"));
+    balance.list(now, at_s0("new"));
+    balance.miss(now, "old", now);
+    balance.forget(now + AWAY, AWAY);
+    balance.list(now + AWAY, at_s0("old"));
+    assert_eq!(
+        called(&mut balance, now + AWAY),
+        HashSet::from(["new".to_owned()])
+    );
+}
+
+/// The newer name leaves the list and the older one stays: it is called again.
+#[test]
+fn older_name_is_called_when_the_newer_is_dropped() {
+    let now = Instant::now();
+    let mut balance = Balance::new("a");
+    balance.list(now, at_s0("old"));
+    balance.list(now, at_s0("new"));
+    balance.miss(now, "new", now);
+    assert_eq!(called(&mut balance, now), HashSet::from(["old".to_owned()]));
+}
+
+/// Somebody else writes an entry of a service that is not ours with the address
+/// of an engine. It names no server, and the engine keeps its calls.
+#[test]
+fn entry_of_another_service_takes_no_address() {
+    let now = Instant::now();
+    let mut balance = Balance::new("a");
+    balance.list(now, at_s0("ours"));
+    let foreign = Listed {
+        service: Rc::from("none"),
+        ..at_s0("foreign")
+    };
+    balance.list(now, foreign);
+    assert_eq!(
+        called(&mut balance, now),
+        HashSet::from(["ours".to_owned()])
+    );
+}
