Tell sidecars of lives that their engines have refused

Only the engine's own refusal proves that a life has ended.

Change: an entry whose call was refused as meant for another life tells the sidecar; policy::grants::lives remembers it, calls that wait for that life are let go, and entries that ask for it are told at once, pass it over and take no repeat. A later life under the same name (born) is another one.

Tests: refusal_of_another_life_is_told, ended_life_costs_no_repeat, ended_life_is_told, waiting_for_an_ended_life, same_name_later_life; written with the code.

--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -8,6 +8,7 @@
 
 use base::clock::Clock;
 use base::stop::Stop;
+use policy::grants::lives::{Lives, Meant};
 use policy::grants::{Ask, CallId, Grants, Report, Verdict};
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
@@ -35,13 +36,23 @@
 struct Inner {
     grants: Grants,
     /// The life of the engine that the grants are for.
-    server: String,
-    /// Who asked for each waiting call, and the call's name.
-    askers: HashMap<CallId, (SocketAddr, String)>,
+    lives: Lives,
+    /// Who asked for each waiting call.
+    askers: HashMap<CallId, Asker>,
     /// Whether the engine does not answer; nothing can be fetched from it.
     dark: bool,
 }
 
+/// Who asked for a waiting call.
+#[derive(Debug)]
+struct Asker {
+    addr: SocketAddr,
+    /// The caller's identity of the call, for logs.
+    name: String,
+    /// The engine's life that is meant.
+    server: String,
+}
+
 impl Desk {
     /// Makes a desk that answers on `socket`.
     #[must_use]
@@ -110,8 +121,8 @@
     /// any more; returns how many there were.
     pub async fn release(&self) -> usize {
         let askers = std::mem::take(&mut self.inner.borrow_mut().askers);
-        for (id, (to, _)) in &askers {
-            self.send(*to, *id, grants::Verdict::Granted, 0, false);
+        for (id, asker) in &askers {
+            self.send(asker.addr, *id, grants::Verdict::Granted, 0, false);
         }
         askers.len()
     }
@@ -135,6 +146,7 @@
             What::Want(want) => self.want(id, want, from),
             What::Look(look) => self.look(id, &look, from),
             What::Fetches(source) => self.inner.borrow_mut().grants.fetches(id, source),
+            What::Gone { server, born } => self.gone(&server, born),
             What::Begun => self.inner.borrow_mut().grants.begun(now, id),
             What::Ended { pause_ms } => {
                 let mut inner = self.inner.borrow_mut();
@@ -149,6 +161,13 @@
     fn want(&self, id: CallId, want: grants::Want, from: SocketAddr) {
         let now = self.clock.now();
         let mut inner = self.inner.borrow_mut();
+        let meant = inner.lives.asked(&want.server, want.born);
+        if meant == Meant::Gone {
+            drop(inner);
+            metrics::counter!("pimentocart_grants_total", "verdict" => "gone").increment(1);
+            self.send(from, id, grants::Verdict::Gone, 0, false);
+            return;
+        }
         if !inner.grants.life(want.born) {
             // An entry whose list is old means the engine that this one
             // replaces. Taken for the newest, it would have the books cleared
@@ -158,10 +177,9 @@
             self.send(from, id, verdict, 0, false);
             return;
         }
-        if inner.server != want.server {
-            info!("engine known", kv: { server = want.server.as_str(), before = inner.server.as_str() });
+        if meant == Meant::New {
+            info!("engine known", kv: { server = want.server.as_str() });
             // Another life of the engine has read nothing yet.
-            inner.server.clone_from(&want.server);
             inner.grants.forget();
         }
         let ms = |ms: u32| Duration::from_millis(u64::from(ms));
@@ -203,7 +221,12 @@
             });
         }
         if word == "queued" {
-            inner.askers.insert(id, (from, want.name));
+            let asker = Asker {
+                addr: from,
+                name: want.name,
+                server: want.server,
+            };
+            inner.askers.insert(id, asker);
         }
         drop(inner);
         let verdict = match verdict {
@@ -214,10 +237,32 @@
         self.send(from, id, verdict, held, fetch);
     }
 
+    /// Notes that a life of the engine has ended.
+    fn gone(&self, server: &str, born: Option<u64>) {
+        let mut inner = self.inner.borrow_mut();
+        if inner.lives.refused(server, born) {
+            info!("engine gone", kv: { server });
+            inner.grants.ended_all();
+        }
+        let now = self.clock.now();
+        let meant: Vec<CallId> = {
+            let askers = inner.askers.iter();
+            let meant = askers.filter(|(_, asker)| asker.server == server);
+            meant.map(|(id, _)| *id).collect()
+        };
+        // Let in one after the other, each would be refused by the engine.
+        for id in meant {
+            inner.grants.ended(now, id, Duration::ZERO);
+            if let Some(asker) = inner.askers.remove(&id) {
+                self.send(asker.addr, id, grants::Verdict::Gone, 0, false);
+            }
+        }
+    }
+
     /// Says how much of a prompt the engine holds.
     fn look(&self, id: CallId, look: &grants::Look, from: SocketAddr) {
         let inner = self.inner.borrow();
-        let held = match inner.server == look.server {
+        let held = match inner.lives.is(&look.server) {
             true => inner.held(&look.parts),
             false => 0,
         };
@@ -230,11 +275,11 @@
         let mut inner = self.inner.borrow_mut();
         let fetch = inner.grants.fetch_pays();
         for (id, held) in inner.grants.granted(now) {
-            let Some((to, name)) = inner.askers.remove(&id) else {
+            let Some(asker) = inner.askers.remove(&id) else {
                 continue;
             };
-            info!("call let in", kv: { id = name.as_str(), held });
-            self.send(to, id, grants::Verdict::Granted, held, fetch);
+            info!("call let in", kv: { id = asker.name.as_str(), held });
+            self.send(asker.addr, id, grants::Verdict::Granted, held, fetch);
         }
     }
 
--- a/crates/admission/tests/desk.rs
+++ b/crates/admission/tests/desk.rs
@@ -34,10 +34,15 @@
 
     /// The same of an engine that started at `born`.
     async fn want_of(&self, number: u32, tokens: u32, born: u64) -> Verdict {
+        self.want_at("s", number, tokens, Some(born)).await
+    }
+
+    /// The same of the engine's life `server`.
+    async fn want_at(&self, server: &str, number: u32, tokens: u32, born: Option<u64>) -> Verdict {
         let want = Want {
             name: number.to_string(),
-            server: "s".to_owned(),
-            born: Some(born),
+            server: server.to_owned(),
+            born,
             parts: vec![(u64::from(number), tokens)],
             allowed_ms: 2_000,
             left_ms: 4_000,
@@ -133,3 +138,53 @@
         Duration::from_millis(if fine { 50 } else { 0 })
     );
 }
+
+fn gone(server: &str, born: Option<u64>) -> What {
+    let server = server.to_owned();
+    What::Gone { server, born }
+}
+
+/// All engines start again under new names while the store lists both. One
+/// entry's call was refused by the engine itself as meant for the old one. All
+/// other entries that ask for it are told at once, and the books of the new one
+/// stay: cleared with each such question, it would be let in too much.
+#[actix_rt::test]
+async fn ended_life_is_told() {
+    let (desk, entry) = start().await;
+    assert_eq!(entry.want_at("old", 1, 3_000, None).await, Verdict::Granted);
+    entry.tell(1, gone("old", None)).await;
+    let granted = entry.want_at("new", 2, 30_000, None).await;
+    assert_eq!(granted, Verdict::Granted);
+    assert_eq!(entry.want_at("old", 3, 3_000, None).await, Verdict::Gone);
+    let queued = entry.want_at("new", 4, 3_000, None).await;
+    assert!(matches!(queued, Verdict::Queued(_)));
+    assert!(!desk.idle());
+}
+
+/// A call waits for a life of the engine that has ended. Let in when its turn
+/// comes, it would only be refused by the next one.
+#[actix_rt::test]
+async fn waiting_for_an_ended_life() {
+    let (_desk, entry) = start().await;
+    entry.want_at("old", 1, 30_000, None).await;
+    let queued = entry.want_at("old", 2, 3_000, None).await;
+    assert!(matches!(queued, Verdict::Queued(_)));
+    entry.tell(1, gone("old", None)).await;
+    let answer = entry.next().await;
+    assert_eq!((answer.number, answer.verdict), (2, Verdict::Gone));
+}
+
+/// An engine starts again under the name that it had. What was said of its
+/// earlier life must not keep calls from the new one.
+#[actix_rt::test]
+async fn same_name_later_life() {
+    let (_desk, entry) = start().await;
+    entry.want_at("s", 1, 3_000, Some(1_000)).await;
+    entry.tell(1, gone("s", Some(1_000))).await;
+    assert_eq!(
+        entry.want_at("s", 2, 3_000, Some(1_000)).await,
+        Verdict::Gone
+    );
+    let granted = entry.want_at("s", 3, 3_000, Some(2_000)).await;
+    assert_eq!(granted, Verdict::Granted);
+}
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -93,7 +93,7 @@
     /// Notes that another server has the address of `server` by now. The list
     /// shows the old one for seconds, in which every call to it would be
     /// refused; it counts as missing from here on.
-    fn gone(&self, now: Instant, server: &Listed) {
+    pub(super) fn gone(&self, now: Instant, server: &Listed) {
         info!("server replaced", kv: {
             id = self.name(), server = &*server.id, addr = server.addr.to_string().as_str()
         });
--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -160,6 +160,7 @@
                     return Ok(self.granted(server, grant, fetch));
                 }
                 Decided::Silent => return Ok(None),
+                Decided::Gone => self.gone(now, server),
                 Decided::Refused(expected, held) => {
                     holder.note(held.tokens, server);
                     if least.as_ref().is_none_or(|(e, _)| expected < *e) {
@@ -186,6 +187,10 @@
                 Ok(self.granted(&server, grant, fetch))
             }
             Decided::Silent => Ok(None),
+            Decided::Gone => {
+                self.gone(now, &server);
+                Ok(None)
+            }
             Decided::Refused(expected, _) => Err(self.too_late(&server, expected)),
         }
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -213,10 +213,13 @@
     if signs.not_run {
         // Its body has no use, but its connection has.
         drain(state, server, response, conn).await;
-        return Err(match signs.elsewhere {
-            true => Failure::Elsewhere,
-            false => Failure::NotRun(status),
-        });
+        if !signs.elsewhere {
+            return Err(Failure::NotRun(status));
+        }
+        if let Some(grant) = &grant {
+            grant.gone(server);
+        }
+        return Err(Failure::Elsewhere);
     }
     if let Some(keep) = signs.keep {
         conn.keep_for(keep);
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -68,6 +68,8 @@
     Granted(Grant, Held),
     /// Its first event would take this long.
     Refused(Duration, Held),
+    /// The life of the engine that was meant has ended.
+    Gone,
     /// The sidecar says nothing.
     Silent,
 }
@@ -105,6 +107,16 @@
             .tell(self.to, self.number, What::Fetches(source));
     }
 
+    /// Tells the sidecar that the engine has refused the call as meant for
+    /// another life than `server`.
+    pub fn gone(&self, server: &Listed) {
+        let gone = What::Gone {
+            server: server.id.to_string(),
+            born: server.born,
+        };
+        self.sidecars.tell(self.to, self.number, gone);
+    }
+
     /// Notes a pause between two events of its stream.
     pub fn paused(&self, pause: Duration) {
         self.pause.set(self.pause.get().max(pause));
@@ -186,6 +198,7 @@
             Verdict::Refused(ms) | Verdict::Queued(ms) => {
                 Decided::Refused(Duration::from_millis(u64::from(ms)), held)
             }
+            Verdict::Gone => Decided::Gone,
             Verdict::Told => Decided::Silent,
         }
     }
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -12,7 +12,7 @@
 
 use rstest::rstest;
 
-use crate::common::{ENGINES, Entry, Plan, field, request, status};
+use crate::common::{Act, ELSEWHERE, ENGINES, Entry, OK, Plan, field, request, status};
 
 /// A call whose time goes into reading its prompt.
 const READS: &str = "call-id: 1\r\nprompt: 3000\r\noutput: 50\r\n";
@@ -33,9 +33,14 @@
 impl Sidecar {
     /// Starts an entry before two engines with this one sidecar.
     async fn start() -> (Self, Entry) {
+        Self::start_with(&[]).await
+    }
+
+    /// The same where the engines do as they are told first.
+    async fn start_with(acts: &[Act]) -> (Self, Entry) {
         let socket = UdpSocket::bind((ENGINES, 0)).await.expect("a port");
         let port = socket.local_addr().expect("an address").port();
-        let mut plan = Plan::new(Kind::Once, 1, &[]);
+        let mut plan = Plan::new(Kind::Once, 1, acts);
         plan.engine = true;
         let entry = Entry::start(plan).await;
         let own = SocketAddr::from(([127, 0, 0, 1], port));
@@ -113,7 +118,7 @@
         match ask.what {
             What::Begun => begun = true,
             What::Ended { .. } => break,
-            What::Want(_) | What::Look(_) | What::Fetches(_) => {}
+            What::Want(_) | What::Look(_) | What::Fetches(_) | What::Gone { .. } => {}
         }
     }
     assert!(begun);
@@ -268,3 +273,48 @@
     assert_eq!(status(&call.await.expect("an answer")), "200");
     assert_eq!(field(&entry.servers.requests()[0], "fetch"), None);
 }
+
+/// The engine has started again under another name and refuses the call as
+/// meant for its earlier life. The sidecar is told before the call goes on, so
+/// that the calls of all other entries need not find out by themselves.
+#[actix_rt::test]
+async fn refusal_of_another_life_is_told() {
+    let acts = [Act::Send(ELSEWHERE), Act::Send(OK)];
+    let (sidecar, entry) = Sidecar::start_with(&acts).await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(READS).await });
+    let mut meant = None;
+    let gone = loop {
+        let (ask, from) = sidecar.next().await;
+        match ask.what {
+            What::Want(want) => {
+                meant = meant.or(Some(want.server));
+                let bytes = encode(&answer(ask.number, Verdict::Granted));
+                sidecar.0.send_to(&bytes, from).await.expect("sent");
+            }
+            What::Gone { server, .. } => break server,
+            _ => {}
+        }
+    };
+    assert_eq!(Some(gone), meant);
+    sidecar.answer(Verdict::Granted).await;
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+}
+
+/// The sidecar knows that the life which the entry's list shows has ended. The
+/// call goes to another engine without a trip to this one, and takes no repeat
+/// from the budget, which one for each entry and engine would use up.
+#[actix_rt::test]
+async fn ended_life_costs_no_repeat() {
+    let (sidecar, entry) = Sidecar::start_with(&[Act::Send(OK)]).await;
+    let entry = Rc::new(entry);
+    // Takes them all, so that none is left for the call.
+    entry.repeats_left();
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(READS).await });
+    sidecar.answer(Verdict::Gone).await;
+    sidecar.answer(Verdict::Granted).await;
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+    assert_eq!(entry.servers.requests().len(), 1);
+}
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -13,6 +13,7 @@
 //! - [`call`]: what is asked and answered.
 //! - [`parts`]: which prompt parts the engine should hold.
 //! - [`fetch`]: what copying them from another engine takes.
+//! - [`lives`]: which life of the engine the sidecar stands beside.
 //! - `pace`: how fast it reads.
 //! - `queue`: the calls that wait, in their order.
 //! - `mix`: how much of what comes is more urgent than a call.
@@ -20,6 +21,7 @@
 
 pub mod call;
 pub mod fetch;
+pub mod lives;
 mod mix;
 mod pace;
 pub mod parts;
@@ -356,9 +358,7 @@
             return born.is_none();
         }
         if born > self.born && self.born.is_some() {
-            self.forget();
-            self.flights.clear();
-            self.running.clear();
+            self.ended_all();
         }
         self.born = born;
         true
@@ -387,6 +387,13 @@
         self.report = None;
     }
 
+    /// Forgets the engine's calls as well: it has ended, and they with it.
+    pub fn ended_all(&mut self) {
+        self.forget();
+        self.flights.clear();
+        self.running.clear();
+    }
+
     /// What the engine is believed to be like, for logs.
     #[must_use]
     pub fn beliefs(&self) -> Beliefs {
--- /dev/null
+++ b/crates/policy/src/grants/lives.rs
@@ -0,0 +1,70 @@
+//! Which life of the engine a sidecar stands beside.
+//!
+//! Load pattern: all engines lose power and come back under new names, while
+//! the store goes on listing the old ones for seconds. Entries ask for either,
+//! and only the engine itself knows which one it is: it refuses a call that is
+//! meant for another life. The first such refusal is told to the sidecar, which
+//! spares all other entries theirs.
+
+use std::collections::VecDeque;
+
+/// Names that are remembered as gone. An engine's host sees a few restarts an
+/// hour at most.
+const GONE_KEPT: usize = 32;
+
+/// What a name that is asked for stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Meant {
+    /// The life that is known.
+    Known,
+    /// One that was not known: it has read nothing, and runs nothing.
+    New,
+    /// One that is gone.
+    Gone,
+}
+
+/// The lives of one engine.
+#[derive(Debug, Default)]
+pub struct Lives {
+    /// The name of the life that is known; none before any was asked for.
+    known: Option<String>,
+    /// Names that the engine has refused, with when those lives had begun, if
+    /// they say so.
+    gone: VecDeque<(String, Option<u64>)>,
+}
+
+impl Lives {
+    /// Notes that an entry means the life `name`, which began at `born`.
+    pub fn asked(&mut self, name: &str, born: Option<u64>) -> Meant {
+        // A life that began later under the same name is another one.
+        let gone = |(n, b): &(String, Option<u64>)| n == name && born <= *b;
+        if self.gone.iter().any(gone) {
+            return Meant::Gone;
+        }
+        if self.known.as_deref() == Some(name) {
+            return Meant::Known;
+        }
+        self.known = Some(name.to_owned());
+        Meant::New
+    }
+
+    /// Notes that the engine has refused a call as meant for another life;
+    /// returns whether that life was the one known.
+    pub fn refused(&mut self, name: &str, born: Option<u64>) -> bool {
+        if self.gone.len() == GONE_KEPT {
+            self.gone.pop_front();
+        }
+        self.gone.push_back((name.to_owned(), born));
+        let known = self.known.as_deref() == Some(name);
+        if known {
+            self.known = None;
+        }
+        known
+    }
+
+    /// Whether `name` is the life that is known.
+    #[must_use]
+    pub fn is(&self, name: &str) -> bool {
+        self.known.as_deref() == Some(name)
+    }
+}
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -8,7 +8,7 @@
 use crate::gossip::Error;
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
@@ -39,6 +39,13 @@
     Fetches(u32),
     /// It has its first event.
     Begun,
+    /// The engine has refused it as meant for another life.
+    Gone {
+        /// The life that was meant.
+        server: String,
+        /// Unix millisecond at which that life began, if it says.
+        born: Option<u64>,
+    },
     /// It has ended, or will not be sent.
     Ended {
         /// The longest pause between two of its events, in milliseconds.
@@ -110,6 +117,8 @@
     Queued(u32),
     /// Its first event would take so many milliseconds.
     Refused(u32),
+    /// The engine's life that is meant has ended.
+    Gone,
     /// Nothing was to be decided.
     Told,
 }
--- a/crates/wire/tests/grants.rs
+++ b/crates/wire/tests/grants.rs
@@ -42,6 +42,7 @@
 #[case::granted(Verdict::Granted)]
 #[case::queued(Verdict::Queued(250))]
 #[case::refused(Verdict::Refused(900))]
+#[case::gone(Verdict::Gone)]
 #[case::told(Verdict::Told)]
 fn answer_read_as_written(#[case] verdict: Verdict) {
     let answer = Answer {
