Bound the sum of tokens that headers claim

Cause: two prompts in flight that claim 4,000 million tokens each wrapped the sum of unread tokens in policy::grants (a panic in debug builds), so that a full engine looked idle.

Change: sums of tokens saturate. Test: claimed_tokens_do_not_wrap panics before.

--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -286,7 +286,8 @@
         }
         self.fetch.passed(true);
         if let Some(flight) = self.flights.get_mut(&id) {
-            flight.ahead = flight.ahead.saturating_sub(flight.load.tokens) + load.tokens;
+            let others = flight.ahead.saturating_sub(flight.load.tokens);
+            flight.ahead = others.saturating_add(load.tokens);
             flight.load = load;
         }
     }
@@ -481,7 +482,7 @@
 
     /// Tokens of calls that were let in and have no first event.
     fn unread(&self) -> u32 {
-        self.flights.values().map(|f| f.load.tokens).sum()
+        sum(self.flights.values().map(|f| f.load.tokens))
     }
 
     /// The same as far as the engine reads it before a call of `rank`. It takes
@@ -534,7 +535,7 @@
         let Some(report) = self.fresh(now) else {
             return true;
         };
-        let coming: u32 = self.flights.values().map(|f| f.load.missing).sum();
+        let coming = sum(self.flights.values().map(|f| f.load.missing));
         let used = report.used + u64::from(coming) + u64::from(load.missing);
         report.total == 0 || used as f64 <= report.total as f64 * MEMORY_SHARE
     }
@@ -574,7 +575,7 @@
         self.parts.read(&ask.parts);
         self.mix
             .add(now, ask.rank, f64::from(load.tokens) + SLOT_TOKENS);
-        let ahead = self.unread() + load.tokens;
+        let ahead = self.unread().saturating_add(load.tokens);
         self.lately
             .push_back((now, f64::from(load.tokens) * self.pace.get()));
         let flight = Flight {
@@ -612,3 +613,10 @@
         self.waiting.expire(now);
     }
 }
+
+/// A sum of tokens. Callers say how long their prompts are, and a header may
+/// claim parts of four thousand million tokens; wrapped, their sum would look
+/// like an engine with nothing to read.
+fn sum(tokens: impl Iterator<Item = u32>) -> u32 {
+    tokens.fold(0, u32::saturating_add)
+}
--- a/crates/policy/tests/grants.rs
+++ b/crates/policy/tests/grants.rs
@@ -730,3 +730,22 @@
     let all = served + outcomes[1].in_time + outcomes[1].late;
     assert!(f64::from(all) >= most * 0.9, "{outcomes:?} of {most}");
 }
+
+/// Headers claim prompts of four thousand million tokens, several at once. The
+/// engine never holds such a prompt and refuses it itself; the sum of those in
+/// flight must not wrap around to next to nothing, or all that comes after
+/// them would be let in at once.
+#[test]
+fn claimed_tokens_do_not_wrap() {
+    let now = Instant::now();
+    let mut grants = Grants::default();
+    for n in 1..4 {
+        let claimed = Ask {
+            must: true,
+            parts: vec![(u64::from(n), u32::MAX - 7), (u64::from(n) + 10, 8)],
+            ..stream(n, 500)
+        };
+        assert!(granted(grants.ask(now, claimed)));
+    }
+    assert!(refused(grants.ask(now, prompt(9, 3_000))));
+}
