Tell other zones more rarely where entries are many

Change: policy::others::Intervals keeps a second towards the own zone and stretches the interval towards the other zones, to 4 s at most. Up to some two dozen entries nothing changes.

--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -12,7 +12,7 @@
 
 use base::ids::Incarnation;
 use base::stop::Stop;
-use policy::others::{BELIEVED, Calls, Saying};
+use policy::others::{BELIEVED, Calls, Intervals, Saying};
 use policy::pools::Told;
 use policy::readers::Rank;
 use policy::rendezvous;
@@ -21,18 +21,7 @@
 use wire::gossip;
 
 use crate::edge::Directory;
-use crate::state::{State, link_mbps, zone_number};
-
-/// The shortest interval: what is told is as old as that, and a call takes
-/// about ten of it.
-const EVERY_LEAST: Duration = Duration::from_millis(100);
-
-/// The longest interval; told more rarely, it would say nothing.
-const EVERY_MOST: Duration = Duration::from_secs(1);
-
-/// Bytes a second that one entry may send, from the size that the system is
-/// designed for (docs/CAPACITY.md).
-const RATE: f64 = 8192.0;
+use crate::state::{Peer, State, link_mbps, zone_number};
 
 /// Bytes around the contents of a datagram.
 const FRAME: usize = 28;
@@ -57,36 +46,46 @@
     actix_rt::spawn(hear(Rc::clone(&state), Rc::clone(&socket)));
     let life = Incarnation::random().0;
     let mut seq = 0;
+    let mut far_due = state.clock.now();
     while !end.asked() {
         let now = state.clock.now();
+        let (near, far) = peers(&state, now);
         seq += 1;
-        let every = tell(&state, &socket, now, life, seq).await;
-        tokio::time::sleep(every).await;
+        let said = saying(&state, now, life, seq);
+        let bytes = gossip::encode(said.clone()).len() + FRAME;
+        let every = Intervals::new(bytes * near.len(), bytes * far.len());
+        send(&socket, &near, said.clone(), every.near);
+        if now >= far_due {
+            send(&socket, &far, said, every.far);
+            // Rounds come each `near`; the one closest to the time is taken.
+            far_due = now + every.far.saturating_sub(every.near / 2);
+        }
+        tokio::time::sleep(every.near).await;
         take_over(&state, state.clock.now());
     }
 }
 
-/// Sends what this entry has to all peers; returns when to do so again.
-async fn tell(state: &State, socket: &UdpSocket, now: Instant, life: u64, seq: u32) -> Duration {
-    let peers: Vec<SocketAddr> = {
-        let mut peers = state.peers.borrow_mut();
-        peers.retain(|_, heard| now < *heard + SILENT);
-        peers.keys().copied().collect()
-    };
-    let every = state.every.get();
-    let bytes = gossip::encode(saying(state, now, life, seq, every));
-    for peer in &peers {
+/// The entries of the own zone, and the others.
+fn peers(state: &State, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let mut peers = state.peers.borrow_mut();
+    peers.retain(|_, peer| now < peer.heard + SILENT);
+    let (near, far): (Vec<_>, Vec<_>) = peers.iter().partition(|(_, peer)| peer.near);
+    let addrs = |peers: Vec<(&SocketAddr, &Peer)>| peers.into_iter().map(|(a, _)| *a).collect();
+    (addrs(near), addrs(far))
+}
+
+/// Sends what this entry has to some peers, who will hear it again after
+/// `every`.
+fn send(socket: &UdpSocket, peers: &[SocketAddr], mut saying: gossip::Saying, every: Duration) {
+    saying.every_ms = u32::try_from(every.as_millis()).unwrap_or(u32::MAX);
+    let bytes = gossip::encode(saying);
+    for peer in peers {
         // A datagram that cannot be sent is like one that is lost.
         let _ = socket.try_send_to(&bytes, *peer);
     }
-    let sent = (bytes.len() + FRAME) * peers.len();
-    let every = Duration::from_secs_f64(sent as f64 / RATE);
-    let every = every.clamp(EVERY_LEAST, EVERY_MOST);
-    state.every.set(every);
-    every
 }
 
-fn saying(state: &State, now: Instant, life: u64, seq: u32, every: Duration) -> gossip::Saying {
+fn saying(state: &State, now: Instant, life: u64, seq: u32) -> gossip::Saying {
     let services = state.pools.borrow_mut().told(now);
     let mut calls = state.balance.borrow().told();
     calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
@@ -103,7 +102,7 @@
     gossip::Saying {
         life,
         seq,
-        every_ms: u32::try_from(every.as_millis()).unwrap_or(u32::MAX),
+        every_ms: 0,
         zone: zone_number(&state.settings.zone),
         link_mbps: link_mbps(&state.settings),
         services: services.into_iter().map(service).collect(),
@@ -141,19 +140,20 @@
             }
         };
         let now = state.clock.now();
-        if state.peers.borrow_mut().insert(from, now).is_none() {
+        let near = said.zone == zone_number(&state.settings.zone);
+        let peer = Peer { heard: now, near };
+        if state.peers.borrow_mut().insert(from, peer).is_none() {
             info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
         }
-        note_neighbour(&state, now, from, &said);
+        if near {
+            note_neighbour(&state, now, from, &said);
+        }
         state.others.borrow_mut().hear(now, read(&said));
     }
 }
 
 /// Notes an entry of the own zone, which may be asked for the store's tables.
 fn note_neighbour(state: &State, now: Instant, from: SocketAddr, said: &gossip::Saying) {
-    if said.zone != zone_number(&state.settings.zone) {
-        return;
-    }
     let rank = Rank::new(said.zone, from, said.link_mbps);
     let every = Duration::from_millis(u64::from(said.every_ms));
     let until = now + every * BELIEVED;
@@ -232,7 +232,12 @@
             let known = state.peers.borrow().contains_key(&peer);
             if peer != addr && !known {
                 info!("entry found", kv: { peer = peer.to_string().as_str(), by = "directory" });
-                state.peers.borrow_mut().insert(peer, now);
+                // Until it is heard it may stand in this zone.
+                let found = Peer {
+                    heard: now,
+                    near: true,
+                };
+                state.peers.borrow_mut().insert(peer, found);
             }
         }
         tokio::time::sleep(wait).await;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -52,10 +52,8 @@
     pub readers: RefCell<Readers>,
     /// What other entries have in progress.
     pub others: RefCell<Others>,
-    /// Other entries, with when they were last heard.
-    pub peers: RefCell<HashMap<SocketAddr, Instant>>,
-    /// How often this entry tells the others what it has.
-    pub every: Cell<Duration>,
+    /// Other entries.
+    pub peers: RefCell<HashMap<SocketAddr, Peer>>,
     /// Repeats that are left.
     pub budget: RefCell<Budget>,
     /// The sidecars beside engines, if there are any.
@@ -74,6 +72,15 @@
     pub open: Cell<usize>,
 }
 
+/// Another entry.
+#[derive(Debug, Clone, Copy)]
+pub struct Peer {
+    /// When it was last heard, or found in the directory.
+    pub heard: Instant,
+    /// Whether it stands in the same availability zone.
+    pub near: bool,
+}
+
 impl std::fmt::Debug for State {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("State")
@@ -95,7 +102,6 @@
             readers: RefCell::new(Readers::new(own_rank(&settings))),
             others: RefCell::default(),
             peers: RefCell::default(),
-            every: Cell::new(Duration::from_secs(1)),
             budget: RefCell::new(Budget::new(settings.repeats())),
             dialect,
             clock,
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -13,6 +13,58 @@
 /// What an entry said is believed for so many of its own intervals.
 pub const BELIEVED: u32 = 4;
 
+/// The shortest interval: what is told is as old as that, and a call takes
+/// about ten of it.
+const EVERY_LEAST: Duration = Duration::from_millis(100);
+
+/// The longest interval towards entries of the own availability zone; told
+/// more rarely, it would say nothing of calls.
+const EVERY_MOST: Duration = Duration::from_secs(1);
+
+/// The longest interval towards the other zones. With more entries than can be
+/// told each second, they still hear what a service's engines are loaded with,
+/// which changes more slowly; of single calls the engines' sidecars know.
+const FAR_MOST: Duration = Duration::from_secs(4);
+
+/// Bytes a second that one entry may send, from the size that the system is
+/// designed for (docs/CAPACITY.md).
+const RATE: f64 = 8192.0;
+
+/// How often an entry speaks.
+///
+/// Load pattern: each of some dozen entries tells all others what it has. At
+/// one datagram a second to each of 67, an entry sent 23 kB a second, four
+/// fifths of it between zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Intervals {
+    /// To entries of its own zone.
+    pub near: Duration,
+    /// To the others.
+    pub far: Duration,
+}
+
+impl Intervals {
+    /// The intervals of an entry for which telling all of its zone takes `near`
+    /// bytes, and telling all others `far`.
+    #[must_use]
+    pub fn new(near: usize, far: usize) -> Self {
+        let every = Duration::from_secs_f64((near + far) as f64 / RATE);
+        if every <= EVERY_MOST {
+            let every = every.max(EVERY_LEAST);
+            return Self {
+                near: every,
+                far: every,
+            };
+        }
+        let left = (RATE - near as f64 / EVERY_MOST.as_secs_f64()).max(1.0);
+        let every = Duration::try_from_secs_f64(far as f64 / left).unwrap_or(FAR_MOST);
+        Self {
+            near: EVERY_MOST,
+            far: every.clamp(EVERY_MOST, FAR_MOST),
+        }
+    }
+}
+
 /// What one entry says.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Saying {
