--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -2,6 +2,7 @@
 //! them, and answering neighbours that ask. `policy::readers` says whom.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,8 +41,13 @@
 /// Asks neighbours until `end`.
 pub async fn follow(state: Rc<State>, end: Stop) {
     let mut link: Option<Neighbour> = None;
+    let mut before = None;
     while !end.asked() {
         let addr = state.readers.borrow_mut().ask(state.clock.now());
+        if before != Some(addr) {
+            note_source(addr);
+            before = Some(addr);
+        }
         let Some(addr) = addr else {
             // Without a neighbour the store is read (`follow`).
             link = None;
@@ -78,6 +84,13 @@
     }
 }
 
+/// Notes who the tables come from: a neighbour, or the store.
+fn note_source(neighbour: Option<SocketAddr>) {
+    let source = neighbour.map_or_else(|| "store".to_owned(), |addr| addr.to_string());
+    info!("tables followed", kv: { source = source.as_str() });
+    metrics::gauge!("pimentocart_reads_store").set(if neighbour.is_none() { 1.0 } else { 0.0 });
+}
+
 fn question(state: &State) -> Follow {
     Follow {
         version: tables::VERSION,
