--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -6,33 +6,15 @@
 use std::time::Duration;
 
 use base::clock::SystemClock;
-use forward::edge::{Ask, Changes, Dialect, Order, Signs, Source, SourceError};
+use forward::edge::{Changes, Source, SourceError};
 use forward::follow;
 use forward::settings::Settings;
 use forward::state::State;
-use http::HeaderMap;
 use policy::balance::Listed;
 use policy::routes::{Catalog, Limits};
 use rstest::rstest;
 
-/// Long enough for any step here, so that a test that hangs fails instead.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-struct Mute;
-
-impl Dialect for Mute {
-    fn ask(&self, _headers: &HeaderMap) -> Ask {
-        Ask::default()
-    }
-
-    fn outgoing(&self, _headers: &HeaderMap, _order: &Order<'_>) -> HeaderMap {
-        HeaderMap::new()
-    }
-
-    fn signs(&self, _status: u16, _headers: &HeaderMap) -> Signs {
-        Signs::default()
-    }
-}
+use crate::common::{Mute, until};
 
 /// What a table answers to one question.
 enum Answer<T> {
@@ -122,16 +104,6 @@
     Answer::Records(vec![(id.to_owned(), Some(listed))])
 }
 
-async fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let wait = async {
-        while !done() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, wait).await;
-    assert!(waited.is_ok(), "never: {what}");
-}
-
 fn version(state: &State) -> u64 {
     state.catalog.borrow().as_ref().map_or(0, |c| c.version)
 }
--- /dev/null
+++ b/crates/forward/tests/tables/main.rs
@@ -0,0 +1,6 @@
+//! Keeping level with the store's tables, through its outages and those of
+//! neighbours.
+
+mod common;
+mod follow;
+mod neighbours;
--- a/crates/forward/tests/neighbours.rs
+++ b/crates/forward/tests/tables/neighbours.rs
@@ -7,34 +7,16 @@
 
 use base::clock::{Clock, ManualClock, SystemClock};
 use base::stop::Stop;
-use forward::edge::{Ask, Changes, Dialect, Order, Signs, Source, SourceError};
+use forward::edge::{Changes, Source, SourceError};
 use forward::settings::Settings;
 use forward::state::State;
 use forward::{follow, neighbours};
-use http::HeaderMap;
 use policy::balance::Listed;
 use policy::readers::{Rank, SHARED_FROM};
 use policy::routes::{Catalog, Limits};
 use tokio::net::TcpListener;
 
-/// Long enough for any step here, so that a test that hangs fails instead.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-struct Mute;
-
-impl Dialect for Mute {
-    fn ask(&self, _headers: &HeaderMap) -> Ask {
-        Ask::default()
-    }
-
-    fn outgoing(&self, _headers: &HeaderMap, _order: &Order<'_>) -> HeaderMap {
-        HeaderMap::new()
-    }
-
-    fn signs(&self, _status: u16, _headers: &HeaderMap) -> Signs {
-        Signs::default()
-    }
-}
+use crate::common::{Mute, PATIENCE, until};
 
 /// A table of one record in a store that all entries share.
 #[derive(Clone)]
@@ -224,16 +206,6 @@
     }
 }
 
-async fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let wait = async {
-        while !done() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, wait).await;
-    assert!(waited.is_ok(), "never: {what}");
-}
-
 fn tables() -> (Table<Version>, Table<Listed>) {
     (Table::new(Version(1)), Table::new(server(false)))
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -7,6 +7,8 @@
 //! exchange, until that engine is clearly busier than the others by what all
 //! entries have told. See docs/DECISIONS/0601-on-the-platform.md.
 
+mod names;
+
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -17,6 +19,7 @@
 
 use crate::others::Calls;
 use crate::rendezvous::{number, weight};
+use names::Names;
 
 /// How long a server that failed once is left alone; it doubles with each
 /// further failure. Long enough for a restart to be seen, short enough that
@@ -38,11 +41,6 @@
 /// The key by which all entries order servers before they cut the order.
 const CUT: u64 = 0x706f_6f6c;
 
-/// How long the name of a server that is gone is remembered. What it wrote
-/// last may be told late, and it must not count as newer than the one that has
-/// its address by then.
-const NAME_KEPT: Duration = Duration::from_secs(60);
-
 /// Failed runs in a row after which a server is left alone: single failures
 /// belong to the calls.
 const RUN_LIMIT: u32 = 3;
@@ -127,11 +125,8 @@
     /// The entry's availability zone.
     zone: Rc<str>,
     servers: HashMap<Rc<str>, Server>,
-    /// Names with their places in the order in which they were first told, and
-    /// when they were told last.
-    names: HashMap<Rc<str>, (u64, Instant)>,
-    /// Names told so far.
-    named: u64,
+    /// Names in the order in which they were first told.
+    names: Names,
     /// Makes ties fall differently from call to call.
     turn: u64,
 }
@@ -203,8 +198,7 @@
         Self {
             zone: Rc::from(zone),
             servers: HashMap::new(),
-            names: HashMap::new(),
-            named: 0,
+            names: Names::default(),
             turn: 0,
         }
     }
@@ -216,7 +210,7 @@
     /// seconds. What that life wrote may come late, and would have calls kept
     /// from a server that is well.
     pub fn list(&mut self, now: Instant, listed: Listed) -> Change {
-        let first = self.name(now, &listed.id);
+        let first = self.names.place(now, &listed.id);
         let addr = listed.addr;
         let before = self.addr(&listed.id);
         let change = self.put(listed, first);
@@ -270,15 +264,6 @@
         }
     }
 
-    /// The place of a name in the order in which names were first told.
-    fn name(&mut self, now: Instant, id: &Rc<str>) -> u64 {
-        self.named += 1;
-        let name = self.names.entry(Rc::clone(id));
-        let name = name.or_insert((self.named, now));
-        name.1 = now;
-        name.0
-    }
-
     /// Finds out which of the servers at an address has it now: the one that
     /// began last, or was told last where they do not say so.
     ///
@@ -332,8 +317,7 @@
             self.servers.remove(id);
         }
         let servers = &self.servers;
-        self.names
-            .retain(|id, (_, at)| servers.contains_key(id) || now < *at + NAME_KEPT);
+        self.names.forget(now, |id| servers.contains_key(id));
         gone
     }
 
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -18,6 +18,7 @@
 //! - `queue`: the calls that wait, in their order.
 //! - `mix`: how much of what comes is more urgent than a call.
 //! - `reserve`: slots that are kept for streams.
+//! - `room`: whether the engine has slots, memory and time for a call.
 
 pub mod call;
 pub mod fetch;
@@ -27,6 +28,7 @@
 pub mod parts;
 mod queue;
 mod reserve;
+mod room;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -86,17 +88,10 @@
 /// on the terms of a usual one, or in a burst long ones would never be served.
 const OWN_MOST: u32 = 12_000;
 
-/// Part of the engine's memory that may be taken by running calls. Beyond,
-/// the engine preempts some of them in the middle of their streams.
-const MEMORY_SHARE: f64 = 0.9;
-
 /// How long a call that was let in may be without a first event before it is
 /// taken to have one: its entry may have ended, or its message got lost.
 const FLIGHT_LIMIT: Duration = Duration::from_millis(1500);
 
-/// A report of the engine is believed for so long.
-const REPORT_LIMIT: Duration = Duration::from_millis(500);
-
 /// Tokens that a slot counts for when what was let in is compared: a call that
 /// reads nothing takes one all the same.
 const SLOT_TOKENS: f64 = 1_000.0;
@@ -170,6 +165,17 @@
     ask: Ask,
 }
 
+impl Flight {
+    /// The call once it has its first event.
+    fn run(&self, now: Instant) -> Run {
+        Run {
+            since: now,
+            until: self.since + self.ask.left,
+            gap: self.ask.gap,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Run {
     since: Instant,
@@ -318,12 +324,7 @@
         }
         let busy = !self.flights.is_empty() || !self.waiting.is_empty();
         self.pace.read(now, flight.load.tokens, busy);
-        let run = Run {
-            since: now,
-            until: flight.since + flight.ask.left,
-            gap: flight.ask.gap,
-        };
-        self.running.insert(id, run);
+        self.running.insert(id, flight.run(now));
     }
 
     /// Notes that a call has ended or will not come; `pause` is the longest
@@ -495,79 +496,6 @@
         self.flights.values().map(share).sum()
     }
 
-    /// The shortest pause that a running stream bears.
-    fn gap(&self) -> Option<Duration> {
-        let runs = self.running.values().filter_map(|r| r.gap);
-        let flights = self.flights.values().filter_map(|f| f.ask.gap);
-        runs.chain(flights).min()
-    }
-
-    /// Whether a prompt is too long to be read beside the running streams:
-    /// read in one go, it stretches a pause of each of them.
-    fn too_long(&self, tokens: u32) -> bool {
-        let time = f64::from(tokens) * self.pace.get();
-        self.gap()
-            .is_some_and(|gap| time > gap.as_secs_f64() * self.gap_share)
-    }
-
-    /// Whether a call of that load may be let in now.
-    fn open(&self, now: Instant, load: Load) -> bool {
-        if f64::from(self.unread()) >= self.window || self.taken(now) >= self.reading_slots(now) {
-            return false;
-        }
-        let Some(gap) = self.gap() else {
-            return self.memory(now, load);
-        };
-        let most = gap.as_secs_f64() * self.gap_share;
-        let lately = self.lately.iter().filter(|(at, _)| now < *at + gap);
-        let lately: f64 = lately.map(|(_, s)| s).sum();
-        let own = f64::from(load.tokens) * self.pace.get();
-        (lately <= 0.0 || lately + own <= most) && self.memory(now, load)
-    }
-
-    /// Whether a stream finds a slot and memory.
-    fn room(&self, now: Instant, load: Load) -> bool {
-        self.taken(now) < self.slots && self.memory(now, load)
-    }
-
-    /// Whether the engine's memory holds what a call misses.
-    fn memory(&self, now: Instant, load: Load) -> bool {
-        let Some(report) = self.fresh(now) else {
-            return true;
-        };
-        let coming = sum(self.flights.values().map(|f| f.load.missing));
-        let used = report.used + u64::from(coming) + u64::from(load.missing);
-        report.total == 0 || used as f64 <= report.total as f64 * MEMORY_SHARE
-    }
-
-    /// Whether the engine could not hold a call even if it were empty. It
-    /// refuses such a call itself; kept waiting here, the call would hold up
-    /// all that are due after it until its caller gives up.
-    fn never_fits(&self, load: Load) -> bool {
-        let total = self.report.map_or(0, |(_, report)| report.total);
-        total > 0 && f64::from(load.missing) > total as f64 * MEMORY_SHARE
-    }
-
-    /// Slots that calls which only read may take.
-    fn reading_slots(&self, now: Instant) -> u32 {
-        let hold = self.hold.get().unwrap_or(HOLD_GUESS);
-        let kept = self.reserve.slots(now, hold, self.slots);
-        self.slots.saturating_sub(kept).max(1)
-    }
-
-    /// Slots that are taken.
-    fn taken(&self, now: Instant) -> u32 {
-        let own = self.running.len() + self.flights.len();
-        let own = u32::try_from(own).unwrap_or(u32::MAX);
-        let told = self.fresh(now).map_or(0, |r| r.running);
-        own.max(told)
-    }
-
-    fn fresh(&self, now: Instant) -> Option<Report> {
-        let fresh = self.report.filter(|(at, _)| now < *at + REPORT_LIMIT);
-        fresh.map(|(_, report)| report)
-    }
-
     fn let_in(&mut self, now: Instant, load: Load, ask: Ask) {
         if ask.source >= fetch::LEAST {
             self.fetch.passed(load.fetched > 0);
@@ -601,12 +529,7 @@
         let stale: Vec<CallId> = stale.collect();
         for id in stale {
             if let Some(flight) = self.flights.remove(&id) {
-                let run = Run {
-                    since: now,
-                    until: flight.since + flight.ask.left,
-                    gap: flight.ask.gap,
-                };
-                self.running.insert(id, run);
+                self.running.insert(id, flight.run(now));
             }
         }
         self.running.retain(|_, run| now < run.until);
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -17,12 +17,13 @@
 /// about ten of it.
 const EVERY_LEAST: Duration = Duration::from_millis(100);
 
-/// The longest interval towards entries of the own availability zone; told
-/// more rarely, it would say nothing of calls.
+/// The interval up to which all entries are told alike. Beyond it the own
+/// availability zone goes first: told more rarely, it would learn nothing of
+/// calls.
 const EVERY_MOST: Duration = Duration::from_secs(1);
 
-/// The longest interval towards the other zones. With more entries than can be
-/// told each second, they still hear what a service's engines are loaded with,
+/// The longest interval. With more entries than can be told each second, the
+/// other zones still hear what a service's engines are loaded with,
 /// which changes more slowly; of single calls the engines' sidecars know.
 const FAR_MOST: Duration = Duration::from_secs(4);
 
@@ -56,11 +57,15 @@
                 far: every,
             };
         }
-        let left = (RATE - near as f64 / EVERY_MOST.as_secs_f64()).max(1.0);
-        let every = Duration::try_from_secs_f64(far as f64 / left).unwrap_or(FAR_MOST);
+        let span = |bytes: usize, rate: f64| {
+            let span = Duration::try_from_secs_f64(bytes as f64 / rate);
+            span.unwrap_or(FAR_MOST).clamp(EVERY_MOST, FAR_MOST)
+        };
+        let near_every = span(near, RATE);
+        let left = RATE - near as f64 / near_every.as_secs_f64();
         Self {
-            near: EVERY_MOST,
-            far: every.clamp(EVERY_MOST, FAR_MOST),
+            near: near_every,
+            far: span(far, left.max(1.0)),
         }
     }
 }
--- a/crates/policy/tests/others.rs
+++ b/crates/policy/tests/others.rs
@@ -18,6 +18,7 @@
 #[case::two_dozen(8, 15, 982, 982)]
 #[case::hundreds(13, 54, 1_000, 4_000)]
 #[case::forty(9, 30, 1_000, 2_082)]
+#[case::large_zone(59, 1_440, 2_520, 4_000)]
 #[case::alone(0, 0, 100, 100)]
 fn intervals_follow_the_number(
     #[case] near: usize,
