--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use policy::balance::Listed;
-use policy::replica::{Scope, Telling};
+use policy::replica::{Scope, Update};
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
@@ -78,12 +78,12 @@
         } else {
             CATALOG_WAIT
         };
-        let Some(told) = reader.next(&state, asked, wait).await else {
+        let Some(update) = reader.next(&state, asked, wait).await else {
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
-        let told = told.map(Rc::new);
-        let news = state.tables.catalog.borrow_mut().read(told, asked);
+        let update = update.map(Rc::new);
+        let news = state.tables.catalog.borrow_mut().read(update, asked);
         use_catalogs(&state, news);
     }
 }
@@ -100,12 +100,12 @@
             tokio::time::sleep(spare).await;
             continue;
         }
-        let Some(told) = reader.next(&state, asked, SERVER_WAIT).await else {
+        let Some(update) = reader.next(&state, asked, SERVER_WAIT).await else {
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
         let now = state.clock.now();
-        let news = state.tables.servers.borrow_mut().read(told, asked);
+        let news = state.tables.servers.borrow_mut().read(update, asked);
         use_servers(&state, now, news);
         let away = !state.tables.settling(now).is_zero();
         tokio::time::sleep(pause(away, state.rivals())).await;
@@ -172,7 +172,7 @@
         state: &State,
         from: Option<u64>,
         wait: Duration,
-    ) -> Option<Telling<S::Item>> {
+    ) -> Option<Update<S::Item>> {
         let from = from.filter(|_| !self.whole);
         let sent = state.clock.now();
         // A question that was lost while the store was away would be waited
@@ -185,7 +185,7 @@
         match read {
             Ok(changes) => {
                 self.answered(state, from.is_none());
-                Some(telling(
+                Some(update(
                     changes,
                     from,
                     complete_at(sent, wait, state.clock.now()),
@@ -237,9 +237,9 @@
     }
 }
 
-fn telling<T>(changes: Changes<T>, from: Option<u64>, at: Instant) -> Telling<T> {
+fn update<T>(changes: Changes<T>, from: Option<u64>, at: Instant) -> Update<T> {
     let record = |(key, value): (String, Option<T>)| (Rc::from(key), value);
-    Telling {
+    Update {
         records: changes.records.into_iter().map(record).collect(),
         scope: from.map_or(Scope::Whole, |_| Scope::Changes),
         next: changes.next,
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Telling the other entries what this one has in progress, and hearing what
+//! Update the other entries what this one has in progress, and hearing what
 //! they have.
 //!
 //! Entries find each other through the platform's store, where each writes
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use base::stop::Stop;
-use policy::replica::{Records, Replica, Scope, Telling};
+use policy::replica::{Records, Replica, Scope, Update};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use spdlog::{info, warn};
@@ -129,7 +129,7 @@
     T: Clone + PartialEq + DeserializeOwned,
 {
     let age = Duration::from_millis(u64::from(part.age_ms));
-    Ok(replica.take(Telling {
+    Ok(replica.take(Update {
         records: tables::read(from.addr(), &part.records)?,
         scope: if part.whole {
             Scope::Whole
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -4,7 +4,7 @@
 //! or two. Each reading them by itself costs the store calls in proportion to
 //! the entries. Here a few read, and hand on what changed to the others, which
 //! may hear it from several, late, or from one that has lost the store. What
-//! decides between two tellings is the store's own position: one that is
+//! decides between two updates is the store's own position: one that is
 //! behind what is held says nothing new, so a departed server is not brought
 //! back and a catalog does not go back. See docs/DECISIONS/0605-zone-readers.md.
 
@@ -21,7 +21,7 @@
 /// that is known; none for a key that was dropped.
 pub type Records<T> = Vec<(Rc<str>, Option<T>)>;
 
-/// What a telling of a table holds.
+/// What an update of a table holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
     /// All changes since the position from which was asked.
@@ -32,23 +32,23 @@
 
 /// What the store or a neighbour says of a table.
 #[derive(Debug, Clone)]
-pub struct Telling<T> {
+pub struct Update<T> {
     /// What it says.
     pub records: Records<T>,
     /// What the records are.
     pub scope: Scope,
-    /// The store's position up to which they tell.
+    /// The store's position up to which they are complete.
     pub next: u64,
     /// A moment at which they were all that there was.
     pub at: Instant,
 }
 
-impl<T> Telling<T> {
+impl<T> Update<T> {
     /// The same with other values.
     #[must_use]
-    pub fn map<U>(self, value: impl Fn(T) -> U) -> Telling<U> {
+    pub fn map<U>(self, value: impl Fn(T) -> U) -> Update<U> {
         let record = |(key, old): (Rc<str>, Option<T>)| (key, old.map(&value));
-        Telling {
+        Update {
             records: self.records.into_iter().map(record).collect(),
             scope: self.scope,
             next: self.next,
@@ -76,7 +76,7 @@
 struct Record<T> {
     /// None once the key was dropped.
     value: Option<T>,
-    /// Those whose position is below this have not been told.
+    /// Those whose position is below this have not been update.
     changed: u64,
     /// Its place in the order in which values were taken over.
     order: u64,
@@ -101,57 +101,57 @@
     ///
     /// The store has the last word: if its positions went back, as after it was
     /// set up anew, a whole table replaces what was held under the old ones.
-    pub fn read(&mut self, told: Telling<T>, asked: Option<u64>) -> Records<T> {
-        let restarted = told.scope == Scope::Whole && asked.is_some_and(|a| told.next < a);
+    pub fn read(&mut self, update: Update<T>, asked: Option<u64>) -> Records<T> {
+        let restarted = update.scope == Scope::Whole && asked.is_some_and(|a| update.next < a);
         if restarted {
             self.next = None;
             self.forgotten = 0;
         }
-        self.merge(told, false)
+        self.merge(update, false)
     }
 
     /// Takes over what a neighbour said, and returns what is new: nothing, if
     /// it is behind what is held.
-    pub fn take(&mut self, told: Telling<T>) -> Records<T> {
-        self.merge(told, true)
+    pub fn take(&mut self, update: Update<T>) -> Records<T> {
+        self.merge(update, true)
     }
 
-    /// Takes a telling over. One of a neighbour (`collapsed`) holds the last
+    /// Takes an update over. One of a neighbour (`collapsed`) holds the last
     /// value of each key only: a key that is as it was before may have been
     /// another meanwhile, and those who saw that have to be told again.
-    fn merge(&mut self, told: Telling<T>, collapsed: bool) -> Records<T> {
-        if self.next.is_some_and(|next| told.next < next) {
+    fn merge(&mut self, update: Update<T>, collapsed: bool) -> Records<T> {
+        if self.next.is_some_and(|next| update.next < next) {
             return Vec::new();
         }
         let mut news = Vec::new();
-        if told.scope == Scope::Whole {
-            news.extend(self.drop_unseen(&told));
-            self.forgotten = self.forgotten.max(told.next);
+        if update.scope == Scope::Whole {
+            news.extend(self.drop_unseen(&update));
+            self.forgotten = self.forgotten.max(update.next);
         }
-        for (key, value) in told.records {
-            if self.put(&key, value.clone(), told.next, told.at, collapsed) {
+        for (key, value) in update.records {
+            if self.put(&key, value.clone(), update.next, update.at, collapsed) {
                 news.push((key, value));
             }
         }
-        self.next = Some(told.next);
-        self.fresh = self.fresh.max(Some(told.at));
-        self.forget(told.at);
+        self.next = Some(update.next);
+        self.fresh = self.fresh.max(Some(update.at));
+        self.forget(update.at);
         news
     }
 
     /// Drops the keys that a whole table does not show; returns them. Entries
     /// that lapse leave no record behind, so those who are complete up to the
     /// same position have to be told as well.
-    fn drop_unseen(&mut self, told: &Telling<T>) -> Records<T> {
-        let shown: HashSet<&str> = told.records.iter().map(|(key, _)| &**key).collect();
+    fn drop_unseen(&mut self, update: &Update<T>) -> Records<T> {
+        let shown: HashSet<&str> = update.records.iter().map(|(key, _)| &**key).collect();
         let mut dropped = Vec::new();
         for (key, record) in &mut self.records {
             if record.value.is_some() && !shown.contains(&**key) {
                 *record = Record {
                     value: None,
-                    changed: told.next + 1,
+                    changed: update.next + 1,
                     order: record.order,
-                    at: told.at,
+                    at: update.at,
                 };
                 dropped.push((Rc::clone(key), None));
             }
@@ -220,7 +220,7 @@
         Some((scope, records.collect()))
     }
 
-    /// Whether one that is complete up to `from` has anything to be told.
+    /// Whether one that is complete up to `from` has anything to be update.
     #[must_use]
     pub fn newer(&self, from: Option<u64>) -> bool {
         match (self.next, from) {
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::replica::{Replica, Scope, Telling};
+use policy::replica::{Replica, Scope, Update};
 use proptest::prelude::*;
 
 type Records = policy::replica::Records<u8>;
@@ -13,8 +13,8 @@
     (Rc::from(key), value.into())
 }
 
-fn telling(scope: Scope, next: u64, records: Records) -> Telling<u8> {
-    Telling {
+fn update(scope: Scope, next: u64, records: Records) -> Update<u8> {
+    Update {
         records,
         scope,
         next,
@@ -22,12 +22,12 @@
     }
 }
 
-fn whole(next: u64, records: Records) -> Telling<u8> {
-    telling(Scope::Whole, next, records)
+fn whole(next: u64, records: Records) -> Update<u8> {
+    update(Scope::Whole, next, records)
 }
 
-fn changes(next: u64, records: Records) -> Telling<u8> {
-    telling(Scope::Changes, next, records)
+fn changes(next: u64, records: Records) -> Update<u8> {
+    update(Scope::Changes, next, records)
 }
 
 /// An entry has read from the store that a server left. The neighbour that it
@@ -63,7 +63,7 @@
 fn one_that_was_long_silent_is_told_the_whole() {
     let start = Instant::now();
     let mut held = Replica::default();
-    let at = |mut told: Telling<u8>, s| {
+    let at = |mut told: Update<u8>, s| {
         told.at = start + Duration::from_secs(s);
         told
     };
@@ -110,7 +110,7 @@
     Rc::from(key.to_string())
 }
 
-fn told(log: &Log, from: Option<u64>) -> Telling<u8> {
+fn told(log: &Log, from: Option<u64>) -> Update<u8> {
     let next = log.0.len();
     let records = match from {
         Some(from) => log.0[from as usize..]
@@ -124,7 +124,7 @@
             .collect(),
     };
     let scope = from.map_or(Scope::Whole, |_| Scope::Changes);
-    telling(scope, next as u64, records)
+    update(scope, next as u64, records)
 }
 
 #[derive(Debug, Clone)]
@@ -169,7 +169,7 @@
                 Step::Ask(i, j) => {
                     if let Some((scope, records)) = copies[j].since(copies[i].next()) {
                         let next = copies[j].next().expect("a copy");
-                        copies[i].take(telling(scope, next, records));
+                        copies[i].take(update(scope, next, records));
                     }
                 }
             }
