--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -40,7 +40,7 @@
 
 /// Asks neighbours until `end`.
 pub async fn follow(state: Rc<State>, end: Stop) {
-    let mut link: Option<Neighbour> = None;
+    let mut link = None;
     let mut before = None;
     while !end.asked() {
         let addr = state.readers.borrow_mut().ask(state.clock.now());
@@ -48,42 +48,59 @@
             note_source(addr);
             before = Some(addr);
         }
-        let Some(addr) = addr else {
-            // Without a neighbour the store is read (`follow`).
-            link = None;
-            tokio::time::sleep(LOOK).await;
-            continue;
-        };
-        link = link.filter(|l| l.addr() == addr);
-        let asked = async {
-            let neighbour = match link.take() {
-                Some(neighbour) => neighbour,
-                None => Neighbour::dial(addr, DIAL).await?,
-            };
-            let told = neighbour.follow(question(&state), MARGIN).await?;
-            let age = take(&state, &neighbour, told)?;
-            Ok::<_, Error>((neighbour, age))
-        };
-        let asked = asked.await;
-        let now = state.clock.now();
-        match asked {
-            Ok((neighbour, age)) => {
-                state.readers.borrow_mut().answered(now, addr, age);
-                link = Some(neighbour);
+        let pause = match addr {
+            Some(addr) => {
+                link = ask(&state, addr, link).await;
+                GATHER
             }
-            Err(e) => {
-                metrics::counter!("pimentocart_neighbour_failures_total").increment(1);
-                info!("neighbour lost", kv: {
-                    peer = addr.to_string().as_str(), cause = e.to_string().as_str()
-                });
-                state.readers.borrow_mut().failed(now, addr);
+            // Without a neighbour the store is read (`follow`).
+            None => {
+                link = None;
+                LOOK
             }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Asks the neighbour at `addr`, over the connection of before if that leads
+/// there; returns the connection unless it failed.
+async fn ask(state: &State, addr: SocketAddr, link: Option<Neighbour>) -> Option<Neighbour> {
+    let asked = exchange(state, addr, link).await;
+    let now = state.clock.now();
+    forget(state, now);
+    match asked {
+        Ok((link, age)) => {
+            state.readers.borrow_mut().answered(now, addr, age);
+            Some(link)
+        }
+        Err(e) => {
+            metrics::counter!("pimentocart_neighbour_failures_total").increment(1);
+            info!("neighbour lost", kv: {
+                peer = addr.to_string().as_str(), cause = e.to_string().as_str()
+            });
+            state.readers.borrow_mut().failed(now, addr);
+            None
         }
-        forget(&state, now);
-        tokio::time::sleep(GATHER).await;
     }
 }
 
+/// One question and its answer, put to use; returns how old the neighbour's
+/// copies are.
+async fn exchange(
+    state: &State,
+    addr: SocketAddr,
+    link: Option<Neighbour>,
+) -> Result<(Neighbour, Option<Duration>), Error> {
+    let link = match link.filter(|l| l.addr() == addr) {
+        Some(link) => link,
+        None => Neighbour::dial(addr, DIAL).await?,
+    };
+    let told = link.follow(question(state), MARGIN).await?;
+    let age = take(state, &link, told)?;
+    Ok((link, age))
+}
+
 /// Notes who the tables come from: a neighbour, or the store.
 fn note_source(neighbour: Option<SocketAddr>) {
     let source = neighbour.map_or_else(|| "store".to_owned(), |addr| addr.to_string());
