--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -29,8 +29,9 @@
 /// The most of it: an engine with a full queue still sends something.
 const SILENCE_MOST: Duration = Duration::from_millis(1200);
 
-/// Part of the route's timeout that the least patient of callers bring. One
-/// whose time is shorter than that by more than its target has spent the target
+/// Part of the route's timeout that the least patient of callers bring: what
+/// one waits is its own choice, and fresh calls come with less than the whole.
+/// One whose time is shorter than that by more than its target has spent the target
 /// elsewhere, as those do who were turned away.
 const PATIENCE_LEAST: f64 = 0.85;
 
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -38,9 +38,13 @@
 
     /// The same where the engines do as they are told first.
     async fn start_with(acts: &[Act]) -> (Self, Entry) {
+        Self::start_by(Plan::new(Kind::Once, 1, acts)).await
+    }
+
+    /// The same by any plan.
+    async fn start_by(mut plan: Plan) -> (Self, Entry) {
         let socket = UdpSocket::bind((ENGINES, 0)).await.expect("a port");
         let port = socket.local_addr().expect("an address").port();
-        let mut plan = Plan::new(Kind::Once, 1, acts);
         plan.engine = true;
         let entry = Entry::start(plan).await;
         let own = SocketAddr::from(([127, 0, 0, 1], port));
@@ -318,3 +322,37 @@
     assert_eq!(status(&call.await.expect("an answer")), "200");
     assert_eq!(entry.servers.requests().len(), 1);
 }
+
+/// What callers of the next test's route want.
+const TARGET: Duration = Duration::from_secs(2);
+
+/// Callers bring unlike patience of their own. One with nine tenths of the
+/// route's timeout has just come, and its first event may take half of the
+/// target. Taken for one that was turned away before, it would be refused where
+/// an engine could still serve it in time. Only one whose missing time is more
+/// than the target has certainly spent it.
+#[rstest]
+#[case::patient(5_000, true)]
+#[case::less_patient(4_500, true)]
+#[case::came_back(2_000, false)]
+#[actix_rt::test]
+async fn own_patience_is_no_return(#[case] patience_ms: u64, #[case] fresh: bool) {
+    let mut plan = Plan::new(Kind::Once, 1, &[]);
+    // So long that no stall of the machine takes a part of it that matters.
+    plan.target = TARGET;
+    let (sidecar, entry) = Sidecar::start_by(plan).await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let headers = format!("{READS}patience-ms: {patience_ms}\r\n");
+    let call = actix_rt::spawn(async move { caller.call(&headers).await });
+    let (ask, from) = sidecar.next().await;
+    let What::Want(want) = ask.what else {
+        panic!("not a wish: {ask:?}");
+    };
+    // Half of the target less the call's age, or three tenths of the target.
+    let late_ms = u32::try_from((TARGET * 3 / 10).as_millis()).expect("small");
+    assert_eq!(want.allowed_ms > late_ms, fresh, "{}", want.allowed_ms);
+    let bytes = encode(&answer(ask.number, Verdict::Granted));
+    sidecar.0.send_to(&bytes, from).await.expect("sent");
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+}
