Serve callers though the port for neighbours is taken

Its process ended each time with 'listen key=tables: found 127.0.0.1:46516: Address already in use': the harness takes ports from the range of outgoing connections, and while the killed entry was down another process had got the number of its port for neighbours.

Ruled out: load; the message names the port. Another port range in the harness alone: callers do not need that port, and an entry that ends for it serves nobody.

Change: an entry that cannot open the port for neighbours says so once, serves its callers, and tries again each second; its neighbours pass it over.

Test: port_for_neighbours_is_taken (never ready before).

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -377,17 +377,34 @@
 impl Entry {
     /// Starts an entry; `grants` is where sidecars answer it, if there are any.
     pub(crate) fn start(name: &str, store: SocketAddr, grants: Option<SocketAddr>) -> Self {
+        let (gossip, tables) = both_ports();
+        drop(tables);
+        Self::start_at(name, store, grants, gossip)
+    }
+
+    /// Starts an entry while somebody else, for whom the listener stands, has
+    /// the port at which its neighbours would ask.
+    pub(crate) fn start_without_port(name: &str, store: SocketAddr) -> (Self, TcpListener) {
+        let (gossip, tables) = both_ports();
+        (Self::start_at(name, store, None, gossip), tables)
+    }
+
+    fn start_at(
+        name: &str,
+        store: SocketAddr,
+        grants: Option<SocketAddr>,
+        gossip: UdpSocket,
+    ) -> Self {
         let ports: Vec<TcpListener> = (0..2)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
             .collect();
-        let (gossip, tables) = both_ports();
         let addr = |l: &TcpListener| l.local_addr().expect("an address");
         let (listen, ready) = (addr(&ports[0]), addr(&ports[1]));
         let settings = json!({"name": name, "zone": "a", "listen": listen, "ready": ready,
             "ready_path": "/ready", "gossip": gossip.local_addr().expect("an address"),
             "grants": grants, "store": store, "grace_s": 6.0, "repeat_ratio": 0.2,
             "repeat_window_s": 10.0, "ask_every": "100ms"});
-        drop((ports, gossip, tables));
+        drop((ports, gossip));
         Self {
             process: Process::start("forward", name, &settings),
             listen,
--- a/crates/cli/tests/forward/signals.rs
+++ b/crates/cli/tests/forward/signals.rs
@@ -81,3 +81,16 @@
         Seen::Whole(200, _)
     ));
 }
+
+/// Another process has the port at which an entry's neighbours would ask it,
+/// as after a restart on a crowded host. Callers do not need that port: the
+/// entry serves them all the same, and its neighbours ask the next one.
+#[test]
+fn port_for_neighbours_is_taken() {
+    let (platform, store) = Platform::start();
+    let _server = platform.server();
+    let (mut entry, _other) = Entry::start_without_port("taken", store);
+    until("ready", || entry.ready());
+    assert_eq!(events(&call(entry.at(), "/stream/x", "1")), EVENTS as usize);
+    assert!(entry.running());
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -86,9 +86,8 @@
         *state.sidecars.borrow_mut() = Some(sidecars);
     }
 
-    let tables = neighbours::listen(&state).await?;
     let end = Stop::new();
-    actix_rt::spawn(neighbours::answer(tables, Rc::clone(&state), end.clone()));
+    actix_rt::spawn(neighbours::serve(Rc::clone(&state), end.clone()));
     actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
     actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
     actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -1,7 +1,6 @@
 //! Keeping level with the store's tables by asking a neighbour that reads
 //! them, and answering neighbours that ask. `policy::readers` says whom.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +34,9 @@
 /// The pause between two questions, in which several changes come together.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// The pause before the port for neighbours is tried again.
+const LISTEN_AGAIN: Duration = Duration::from_secs(1);
+
 /// How often is looked whether there is a neighbour to ask.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -167,6 +169,27 @@
     tables::answer(listener, Desk(state), end).await;
 }
 
+/// Opens the port at which neighbours ask, which is that of their datagrams,
+/// and answers them until `end`.
+///
+/// Another process may have the port. An entry that ended for it would serve
+/// no caller for as long; without it, it serves them all, and its neighbours
+/// pass it over and ask the next one.
+pub(crate) async fn serve(state: Rc<State>, end: Stop) {
+    let mut warned = false;
+    while !end.asked() {
+        match base::listen("tables", state.settings.gossip).await {
+            Ok(listener) => return answer(listener, state, end).await,
+            Err(e) if !warned => {
+                warn!("neighbours not answered", kv: { cause = e.to_string().as_str() });
+                warned = true;
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(LISTEN_AGAIN).await;
+    }
+}
+
 impl tables::Tables for Desk {
     async fn follow(self, _: Context, ask: Follow) -> Followed {
         let Self(state) = self;
@@ -217,12 +240,3 @@
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
-
-/// Opens the port at which neighbours ask, which is that of their datagrams.
-///
-/// # Errors
-///
-/// Returns the error when it is taken.
-pub(crate) async fn listen(state: &State) -> io::Result<TcpListener> {
-    base::listen("tables", state.settings.gossip).await
-}
