Keep the bundle tests' log on the port that was chosen for it

Cause: the harness asked the system for a port, gave it back and had the stand-in bind it again from another thread. Between the two another test could take it; the operator's command then spoke to whoever listened there, or to nobody.

Ruled out: a slow stand-in (the log of the failed run showed it listening; the operators' tool waits for seconds).

Change: the listener stays bound from the moment its port is chosen and is handed to the stand-in.

--- a/crates/cli/tests/processes/bundles.rs
+++ b/crates/cli/tests/processes/bundles.rs
@@ -1,7 +1,7 @@
 //! The operators' commands, against a log stand-in.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -28,16 +28,12 @@
 
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let addr = listener.local_addr().expect("it has an address");
-        drop(listener);
         let faults = Control::new(Faults::default());
         let desk = Self {
             dir,
-            log: start_log(addr, &faults),
+            log: start_log(listener, &faults),
             faults,
         };
-        crate::fleet::until("the log listens", || {
-            std::net::TcpStream::connect(addr).is_ok()
-        });
 
         let mut trust = serde_json::Map::new();
         for operator in ["awa", "luz"] {
@@ -116,17 +112,33 @@
     }
 }
 
-fn start_log(listen: SocketAddr, faults: &Control<Faults>) -> Host {
-    let settings = log::Settings {
-        listen,
-        faults: Faults::default(),
-    };
+/// Starts a log on a listener that stays bound from the moment its port was
+/// chosen: a port that is given back in between may be taken by another test.
+fn start_log(listener: TcpListener, faults: &Control<Faults>) -> Host {
     let faults = faults.clone();
     Host::start("log", move |stop: Stop| {
-        log::run(settings.clone(), faults.clone(), stop)
+        let listener = listener.try_clone();
+        let faults = faults.clone();
+        async move {
+            let listener = listener?;
+            listener.set_nonblocking(true)?;
+            log::serve(tokio::net::TcpListener::from_std(listener)?, faults, stop).await
+        }
     })
 }
 
+#[test]
+fn port_is_kept() {
+    // Another test that asks the system for a port of its own must not get
+    // the one that the operators' settings name: the operator would hear
+    // "no connection" from whoever listens there, or from nobody.
+    let desk = Desk::new("port");
+    let settings = desk.read("log.json");
+    let addr = settings["log"].as_str().expect("an address");
+    assert!(TcpListener::bind(addr).is_err(), "somebody else may listen");
+    assert!(std::net::TcpStream::connect(addr).is_ok());
+}
+
 #[test]
 fn bundle_rollout() {
     // An operator writes a bundle, is told what is wrong with it, signs it
