--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A source of time. Decisions never read the time themselves; the caller
@@ -10,6 +11,11 @@
     /// Monotonic time, for every timeout, lease and estimate.
     fn now(&self) -> Instant;
 
+    /// Monotonic time that goes on while the host is suspended. A lease that
+    /// was counted by [`Clock::now`] would seem to hold after a suspension in
+    /// which it has lapsed. Not to be compared with [`Clock::now`].
+    fn lasting(&self) -> Instant;
+
     /// Wall-clock time, for records that leave the process.
     fn wall(&self) -> SystemTime;
 
@@ -29,11 +35,28 @@
         Instant::now()
     }
 
+    fn lasting(&self) -> Instant {
+        static START: OnceLock<(Instant, Duration)> = OnceLock::new();
+        let Some(booted) = since_boot() else {
+            return Instant::now();
+        };
+        let (instant, then) = *START.get_or_init(|| (Instant::now(), booted));
+        instant + booted.saturating_sub(then)
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
 }
 
+/// Time since the host was started, suspensions included; none on systems
+/// without such a clock.
+fn since_boot() -> Option<Duration> {
+    use nix::time::{ClockId, clock_gettime};
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    Some(Duration::from(time))
+}
+
 /// A clock that moves only when told to, for tests and scenarios.
 #[derive(Debug, Clone)]
 pub struct ManualClock {
@@ -41,6 +64,8 @@
     start: Instant,
     /// Time passed since the start, shared by all clones.
     passed: Rc<Cell<Duration>>,
+    /// Time for which the host was suspended, which is not in `passed`.
+    suspended: Rc<Cell<Duration>>,
 }
 
 impl ManualClock {
@@ -50,9 +75,15 @@
         Self {
             start: Instant::now(),
             passed: Rc::default(),
+            suspended: Rc::default(),
         }
     }
 
+    /// Suspends the host for `span`.
+    pub fn suspend(&self, span: Duration) {
+        self.suspended.set(self.suspended.get() + span);
+    }
+
     /// Moves the clock forward by `step`.
     pub fn advance(&self, step: Duration) {
         self.passed.set(self.passed.get() + step);
@@ -76,7 +107,11 @@
         self.start + self.passed.get()
     }
 
+    fn lasting(&self) -> Instant {
+        self.now() + self.suspended.get()
+    }
+
     fn wall(&self) -> SystemTime {
-        UNIX_EPOCH + self.passed.get()
+        UNIX_EPOCH + self.passed.get() + self.suspended.get()
     }
 }
--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -7,11 +7,8 @@
 use bpaf::Bpaf;
 use forward::reload::Reload;
 use platform::dialect::Headers;
-use platform::entries::Entries;
-use platform::operators::Operators;
 use platform::reports::Reports;
-use platform::servers::Servers;
-use platform::store::Reader;
+use platform::site::Site;
 
 use crate::{Outcome, daemon};
 
@@ -68,21 +65,12 @@
         settings.check()?;
         logging::init_daemon(settings.log_level)?;
         daemon::run(async |stop| {
-            let store = settings.store;
-            let catalogs = Reader::<Operators>::new(store);
-            let servers = Reader::<Servers>::new(store);
-            let directory = Entries::new(store);
+            let site = Site {
+                store: settings.store,
+            };
             let reload = Reload::new(self.settings, &settings);
             actix_rt::spawn(reload.watch(stop.clone()));
-            forward::run(
-                settings,
-                Rc::new(Headers),
-                catalogs,
-                servers,
-                directory,
-                stop,
-            )
-            .await
+            forward::run(settings, Rc::new(Headers), site, stop).await
         })
     }
 }
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod place;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -61,6 +62,8 @@
     pub until: Instant,
     /// What its time goes into, if an engine serves it.
     work: Option<Work>,
+    /// Whether a backend server has begun with it.
+    begin: Cell<Begun>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -73,9 +76,24 @@
             let now = self.state.clock.now();
             self.state.pools.borrow_mut().ended(now, &self.service);
         }
+        if self.begin.get() == Begun::Perhaps {
+            self.count();
+        }
     }
 }
 
+/// Whether a backend server has begun with a call, which is what its workspace
+/// pays for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Begun {
+    /// No server has.
+    No,
+    /// It was sent to a plain service, which begins soon and does not say so.
+    Perhaps,
+    /// A server has, and it was counted.
+    Counted,
+}
+
 /// Where a server begins with a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Begin {
@@ -137,6 +155,7 @@
             state: Rc::clone(state),
             until: incoming.came + route.timeout.min(patience),
             work,
+            begin: Cell::new(Begun::No),
             route,
             service,
             ask,
@@ -269,6 +288,31 @@
         }
     }
 
+    /// Counts the call as used by its workspace, once.
+    fn count(&self) {
+        if self.begin.replace(Begun::Counted) == Begun::Counted {
+            return;
+        }
+        let duties = self.state.duties.borrow();
+        if let (Some(duties), Some(workspace)) = (&*duties, &self.workspace) {
+            duties.began(&workspace.name);
+        }
+    }
+
+    /// Notes that the call goes out to a server.
+    fn going(&self) {
+        if self.work.is_none() && self.begin.get() == Begun::No {
+            self.begin.set(Begun::Perhaps);
+        }
+    }
+
+    /// Notes what a send has shown of the call having begun.
+    fn gone_out(&self, failure: &Failure) {
+        if self.begin.get() == Begun::Perhaps && failure.not_run() {
+            self.begin.set(Begun::No);
+        }
+    }
+
     /// Takes one repeat from the budget.
     fn repeat(&self) -> bool {
         let now = self.state.clock.now();
--- a/crates/forward/src/call/answer.rs
+++ b/crates/forward/src/call/answer.rs
@@ -35,6 +35,7 @@
             let first = first.inspect_err(|_| self.note_late(answer.sent, answer.ahead))?;
             let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
             self.note_first(&answer);
+            self.count();
             let relay = Relay::new(
                 Rc::clone(self),
                 answer.body,
@@ -47,6 +48,7 @@
                 relay: Box::new(relay),
             });
         }
+        self.count();
         let body = self.whole(&mut answer.body).await?;
         Ok(Reply::Whole {
             status: answer.status,
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -52,6 +52,7 @@
             let now = self.state.clock.now();
             let request = self.request(now, &server, begin, fetch);
             let id = self.ask.id.as_deref();
+            self.going();
             let sent = exchange::send(&self.state, &server, request, id, self.until, grant).await;
             let sent = sent.map(|answer| Answer {
                 sent: now,
@@ -61,6 +62,9 @@
             if sent.as_ref().is_err_and(|e| *e == Failure::Late) {
                 self.note_late(now, ahead);
             }
+            if let Err(failure) = &sent {
+                self.gone_out(failure);
+            }
             match sent {
                 Err(Failure::NeverSent(e)) => {
                     warn!("server unreachable", kv: {
--- /dev/null
+++ b/crates/forward/src/duties.rs
@@ -0,0 +1,216 @@
+//! Duties that one entry performs for all of them. See
+//! docs/DECISIONS/0701-duties.md.
+//!
+//! - [`hold`]: holding the duties through the store.
+//! - [`report`]: reporting the usage while they are held.
+//! - [`tell`]: what entries tell each other for it.
+
+pub mod hold;
+pub mod report;
+pub mod tell;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::clock::Clock;
+use base::ids::Incarnation;
+use policy::duty::Candidate;
+use policy::fleet_time::FleetTime;
+use policy::readers::Rank;
+use policy::usage::{Account, Books, Counts, Life, Windows};
+use tokio::net::UdpSocket;
+
+use crate::settings::{self, Settings};
+use crate::state::own_rank;
+
+/// How often an entry looks what its duties ask of it.
+const TICK: Duration = Duration::from_millis(100);
+
+/// All that an entry knows of its duties.
+pub struct Duties {
+    /// What the operators set.
+    settings: settings::Duties,
+    /// The daemon's name, for the platform.
+    name: String,
+    clock: Rc<dyn Clock>,
+    /// Where other entries tell this one.
+    addr: SocketAddr,
+    socket: UdpSocket,
+    candidate: RefCell<Candidate>,
+    books: RefCell<Books>,
+    time: RefCell<FleetTime>,
+    /// What is reported, while this entry holds the duties.
+    account: RefCell<Account>,
+    /// Windows that the store keeps as they are reported.
+    recorded: RefCell<BTreeMap<u64, Counts>>,
+    /// Since when this entry has held the duties.
+    since: Cell<Option<Instant>>,
+    /// Whether the platform's interface does not answer here.
+    unheard: Cell<bool>,
+    /// Who said last that it holds the duties.
+    holder: Cell<Option<SocketAddr>>,
+    /// The first window whose counts are still wanted.
+    next: Cell<u64>,
+    own: Rank,
+    /// The other entries, by their place in the order of all.
+    peers: RefCell<HashMap<SocketAddr, Peer>>,
+}
+
+/// Another entry.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    rank: Rank,
+    /// Until when it counts as there unless it is heard again.
+    until: Instant,
+}
+
+impl std::fmt::Debug for Duties {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Duties")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Duties {
+    /// Gets ready for the duties that the settings name, if there are any.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error when the port for them cannot be bound.
+    pub async fn bind(own: &Settings, clock: Rc<dyn Clock>) -> io::Result<Option<Rc<Self>>> {
+        let Some(settings) = own.duties.clone().filter(settings::Duties::report) else {
+            return Ok(None);
+        };
+        let addr = own.duty_addr();
+        let socket = UdpSocket::bind(addr).await?;
+        let now = clock.lasting();
+        let life = Incarnation::random();
+        let host = addr.ip().to_string();
+        let away = Duration::from_millis(settings.lease_ms);
+        let windows = Windows {
+            span: Duration::from_secs_f64(settings.window_s),
+            due: Duration::from_secs_f64(settings.due_s),
+        };
+        Ok(Some(Rc::new(Self {
+            name: own.name.clone(),
+            addr,
+            socket,
+            candidate: RefCell::new(Candidate::new(now, &life.to_string(), &host, away)),
+            books: RefCell::new(Books::new(life.0, windows)),
+            time: RefCell::new(FleetTime::new(now)),
+            account: RefCell::default(),
+            recorded: RefCell::default(),
+            since: Cell::new(None),
+            unheard: Cell::new(false),
+            holder: Cell::new(None),
+            next: Cell::new(0),
+            own: own_rank(own),
+            peers: RefCell::default(),
+            settings,
+            clock,
+        })))
+    }
+
+    /// Where the platform's interface for duties answers.
+    #[must_use]
+    pub fn platform(&self) -> SocketAddr {
+        self.settings.platform
+    }
+
+    /// Counts a request of a workspace that a backend server has begun.
+    pub fn began(&self, workspace: &str) {
+        let time = self.time();
+        let now = self.clock.lasting();
+        self.books.borrow_mut().began(now, time, workspace);
+    }
+
+    /// Notes another entry, which will be heard again before `until` of the
+    /// clock that stands still while the host is suspended, and what its host
+    /// takes for the time of day.
+    pub fn hear(&self, from: SocketAddr, rank: Rank, every: Duration, wall_ms: u64) {
+        let now = self.clock.lasting();
+        let addr = SocketAddr::new(from.ip(), self.addr.port());
+        let until = now + every;
+        self.peers.borrow_mut().insert(addr, Peer { rank, until });
+        let wall = Duration::from_millis(wall_ms);
+        let peer = policy::rendezvous::number(&addr.to_string());
+        self.time.borrow_mut().hear(now, peer, wall);
+    }
+
+    /// The fencing token while this entry holds the duties.
+    #[must_use]
+    pub fn token(&self) -> Option<u64> {
+        self.candidate.borrow().token(self.clock.lasting())
+    }
+
+    /// This life's number among the counts.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        self.books.borrow().own()
+    }
+
+    /// Requests that a life has told this entry of, of windows that are not
+    /// settled.
+    #[must_use]
+    pub fn heard(&self, life: Life) -> u64 {
+        self.books.borrow().heard(life)
+    }
+
+    /// What the duties look like from here.
+    #[must_use]
+    pub fn view(&self) -> View {
+        let account = self.account.borrow();
+        View {
+            token: self.token(),
+            holder: match self.token() {
+                Some(_) => Some(self.addr),
+                None => self.holder.get(),
+            },
+            next: self.next.get().max(account.next),
+            unreported: account.fixed.keys().copied().collect(),
+        }
+    }
+
+    /// The time of day that the hosts agree on, from the Unix epoch.
+    fn time(&self) -> Duration {
+        let wall = Duration::from_millis(self.clock.wall_ms());
+        self.time.borrow_mut().now(self.clock.lasting(), wall)
+    }
+
+    /// The other entries that are there, in the order of all.
+    fn peers(&self) -> Vec<(Rank, SocketAddr)> {
+        let now = self.clock.lasting();
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|_, peer| now < peer.until);
+        let mut peers: Vec<_> = peers.iter().map(|(a, p)| (p.rank, *a)).collect();
+        peers.sort_unstable();
+        peers
+    }
+
+    /// Entries that go before this one in the order of all.
+    fn place(&self) -> usize {
+        self.peers()
+            .iter()
+            .filter(|(rank, _)| *rank < self.own)
+            .count()
+    }
+}
+
+/// What an entry says of the duties to those who ask.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct View {
+    /// The fencing token, if this entry holds them.
+    pub token: Option<u64>,
+    /// Where the holder is heard, as far as this entry knows.
+    pub holder: Option<SocketAddr>,
+    /// The first window of usage whose counts are still open.
+    pub next: u64,
+    /// Windows whose counts are fixed and not yet accepted by the platform, if
+    /// this entry holds the duties.
+    pub unreported: Vec<u64>,
+}
--- /dev/null
+++ b/crates/forward/src/duties/hold.rs
@@ -0,0 +1,171 @@
+//! Holding the duties through the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::stop::Stop;
+use policy::duty::{Step, Term, Written};
+use policy::usage::Account;
+use spdlog::{info, warn};
+
+use super::{Duties, TICK};
+use crate::edge::{Kept, Records};
+use crate::state::State;
+
+/// Ticks after which the holder says again that it is there.
+const REPEAT: u32 = 4;
+
+/// How long an entry stays away whom the platform's interface does not
+/// answer. Others may well reach it.
+const AWAY: Duration = Duration::from_secs(10);
+
+/// Holds the duties while it is this entry's turn, until `end`.
+pub async fn run<R: Records>(state: Rc<State>, duties: Rc<Duties>, records: R, end: Stop) {
+    let mut leaving = false;
+    for tick in 0u32.. {
+        tokio::time::sleep(TICK).await;
+        if end.asked() {
+            return;
+        }
+        if state.stopping.asked() && !leaving {
+            leaving = true;
+            duties.give_up(&records, None).await;
+        } else if duties.unheard.take() {
+            duties.give_up(&records, Some(AWAY)).await;
+        }
+        duties.round(&records).await;
+        if let Some(token) = duties.token()
+            && tick.is_multiple_of(REPEAT)
+        {
+            duties.tell_held(token, false);
+        }
+    }
+}
+
+impl Duties {
+    /// One look at what is due.
+    async fn round<R: Records>(&self, records: &R) {
+        let now = self.clock.lasting();
+        let step = self.candidate.borrow().next(now, self.place());
+        let step = match step {
+            Step::Read => self.read(records).await,
+            step => step,
+        };
+        match step {
+            Step::Write(term) | Step::Claim(term) => self.write(records, term).await,
+            _ if self.fix() => {
+                let term = self.candidate.borrow().term().cloned();
+                if let Some(term) = term {
+                    self.write(records, term).await;
+                }
+            }
+            _ => {}
+        }
+        self.note_lost();
+        let next = self.next.get();
+        self.books.borrow_mut().forget(now, next);
+    }
+
+    /// Reads the record and takes over what it keeps if the duties are to be
+    /// taken.
+    async fn read<R: Records>(&self, records: &R) -> Step {
+        let read = records.read().await;
+        let now = self.clock.lasting();
+        let mut candidate = self.candidate.borrow_mut();
+        let (kept, end) = match read {
+            Ok(read) => read,
+            Err(e) => {
+                candidate.unread(now);
+                warn!("duties not read", kv: { cause = e.to_string().as_str() });
+                return Step::Rest;
+            }
+        };
+        let step = candidate.read(now, kept.as_ref().map(|k| &k.term), end);
+        if let Some(kept) = &kept {
+            self.next.set(self.next.get().max(kept.usage.next));
+        }
+        if matches!(step, Step::Claim(_)) {
+            let window = self.books.borrow().windows().at(self.time());
+            let usage = kept.map_or_else(|| Account::begin(window), |k| k.usage);
+            *self.account.borrow_mut() = usage;
+            self.recorded.borrow_mut().clear();
+        }
+        step
+    }
+
+    /// Writes the record, and notes what the store keeps since.
+    async fn write<R: Records>(&self, records: &R, term: Term) {
+        let time = self.time();
+        let usage = {
+            let account = self.account.borrow();
+            self.books.borrow().kept(time, &account)
+        };
+        let fixed = usage.fixed.clone();
+        let kept = Kept {
+            term: term.clone(),
+            usage,
+        };
+        let (at, sent) = (self.candidate.borrow().end(), self.clock.lasting());
+        let written = records.write(at, &kept).await;
+        let now = self.clock.lasting();
+        let (token, released) = (term.token, term.released);
+        self.candidate.borrow_mut().wrote(now, sent, term, written);
+        if !matches!(written, Written::At(_)) || released {
+            return;
+        }
+        if self.since.get().is_none() {
+            self.since.set(Some(now));
+            self.holder.set(None);
+            info!("duties taken", kv: { token = token, place = self.place(), at = at });
+        }
+        metrics::gauge!("pimentocart_duties_held").set(1.0);
+        let account = self.account.borrow();
+        let open = |(window, _): &(u64, _)| account.fixed.contains_key(window);
+        *self.recorded.borrow_mut() = fixed.into_iter().filter(open).collect();
+        self.next.set(self.next.get().max(account.next));
+        drop(account);
+        self.tell_held(token, false);
+    }
+
+    /// Fixes the counts of windows that are over; whether there were any.
+    fn fix(&self) -> bool {
+        let now = self.clock.lasting();
+        let (Some(since), Some(token)) = (self.since.get(), self.token()) else {
+            return false;
+        };
+        let time = self.time();
+        let expected = self.peers().len();
+        let held = now.saturating_duration_since(since);
+        let books = self.books.borrow();
+        let mut account = self.account.borrow_mut();
+        let before = account.fixed.len();
+        let missed = books.fix(time, held, expected, &mut account);
+        for window in missed {
+            warn!("usage window missed", kv: { window = window, token = token });
+            metrics::counter!("pimentocart_usage_reports_total", "outcome" => "missed")
+                .increment(1);
+        }
+        account.fixed.len() > before
+    }
+
+    /// Gives the duties up, so that another entry takes them at once.
+    async fn give_up<R: Records>(&self, records: &R, pause: Option<Duration>) {
+        let now = self.clock.lasting();
+        let term = self.candidate.borrow_mut().resign(now, pause);
+        let Some(term) = term else { return };
+        let token = term.token;
+        info!("duties given up", kv: { token = token, for_good = pause.is_none() });
+        self.write(records, term).await;
+        self.tell_held(token, true);
+    }
+
+    /// Notes that the duties are not held any more.
+    fn note_lost(&self) {
+        let held = self.candidate.borrow().term().is_some();
+        if !held && self.since.take().is_some() {
+            info!("duties lost", kv: { end = self.candidate.borrow().end() });
+            metrics::gauge!("pimentocart_duties_held").set(0.0);
+            self.recorded.borrow_mut().clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/duties/report.rs
@@ -0,0 +1,106 @@
+//! Reporting the usage while the duties are held.
+//!
+//! Only what the store keeps is reported, so that whoever follows reports the
+//! same. A call that is not answered is made again as it was, until it is
+//! accepted.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::stop::Stop;
+use policy::usage::Counts;
+use spdlog::{info, warn};
+
+use super::{Duties, TICK};
+use crate::edge::{Bureau, Outcome};
+
+/// The pause after a call that was not carried out; it doubles up to
+/// [`RETRY_MOST`].
+const RETRY: Duration = Duration::from_millis(150);
+
+/// The longest pause after a call that was not carried out. Reports are due
+/// seconds after their window's end.
+const RETRY_MOST: Duration = Duration::from_secs(1);
+
+/// Calls in a row without an answer after which another entry should try.
+const UNHEARD: u32 = 3;
+
+/// Reports what is recorded until `end`.
+pub async fn run<B: Bureau>(duties: Rc<Duties>, bureau: B, end: Stop) {
+    let mut failures = 0;
+    while !end.asked() {
+        tokio::time::sleep(duties.pause(failures)).await;
+        let Some((window, counts)) = duties.due() else {
+            continue;
+        };
+        let token = || duties.token();
+        let outcome = bureau.report(&duties.name, window, &counts, token).await;
+        failures = match duties.note(window, &counts, &outcome) {
+            true => 0,
+            false => failures + 1,
+        };
+        if failures >= UNHEARD && !duties.peers().is_empty() {
+            duties.unheard.set(true);
+            failures = 0;
+        }
+    }
+}
+
+impl Duties {
+    /// The pause before the next call, after so many that failed in a row.
+    fn pause(&self, failures: u32) -> Duration {
+        let rate = Duration::from_secs_f64(1.0 / self.settings.rate);
+        let retry = match failures {
+            0 => TICK,
+            n => RETRY * 2u32.saturating_pow(n - 1),
+        };
+        retry.min(RETRY_MOST).max(rate)
+    }
+
+    /// The first window to report, while the duties are held.
+    fn due(&self) -> Option<(u64, Counts)> {
+        self.token()?;
+        let recorded = self.recorded.borrow();
+        let (window, counts) = recorded.first_key_value()?;
+        Some((*window, counts.clone()))
+    }
+
+    /// Notes what became of a report; whether the interface has answered.
+    fn note(&self, window: u64, counts: &Counts, outcome: &Outcome) -> bool {
+        let time = self.time();
+        let end = self.books.borrow().windows().end(window);
+        let late_ms = time.saturating_sub(end).as_millis() as u64;
+        let word = match outcome {
+            Outcome::Accepted => "accepted",
+            Outcome::Fenced(_) => "fenced",
+            Outcome::Refused(_) => "refused",
+            Outcome::Lost(_) => "lost",
+            Outcome::NotHeld => "not_held",
+        };
+        metrics::counter!("pimentocart_usage_reports_total", "outcome" => word).increment(1);
+        let requests: u64 = counts.values().sum();
+        if *outcome != Outcome::Accepted {
+            warn!("usage not reported", kv: {
+                window = window, outcome = word, after_ms = late_ms,
+                detail = format!("{outcome:?}").as_str()
+            });
+        }
+        match outcome {
+            Outcome::Accepted => {
+                info!("usage reported", kv: {
+                    window = window, requests = requests, workspaces = counts.len(),
+                    missing = self.books.borrow().missing(self.clock.lasting(), window),
+                    after_ms = late_ms
+                });
+                self.recorded.borrow_mut().remove(&window);
+                self.account.borrow_mut().fixed.remove(&window);
+            }
+            Outcome::Fenced(token) => {
+                let now = self.clock.lasting();
+                self.candidate.borrow_mut().refused(now, *token);
+            }
+            Outcome::Refused(_) | Outcome::Lost(_) | Outcome::NotHeld => {}
+        }
+        !matches!(outcome, Outcome::Lost(_) | Outcome::Refused(_))
+    }
+}
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -5,8 +5,42 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use policy::balance::Listed;
+use policy::duty::{Term, Written};
+use policy::routes::Catalog;
+use policy::usage::{Account, Counts};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+/// Everything outside that an entry reads from and writes to.
+pub trait Platform {
+    /// What the operators declare.
+    type Catalogs: Source<Item = Catalog> + 'static;
+    /// The backend servers.
+    type Servers: Source<Item = Listed> + 'static;
+    /// Where entries find each other.
+    type Directory: Directory + 'static;
+    /// Where the duties' record is kept.
+    type Records: Records + 'static;
+    /// Where duties go to.
+    type Bureau: Bureau + 'static;
+
+    /// The operators' declarations.
+    fn catalogs(&self) -> Self::Catalogs;
+
+    /// The table of backend servers.
+    fn servers(&self) -> Self::Servers;
+
+    /// The directory of entries.
+    fn directory(&self) -> Self::Directory;
+
+    /// The duties' record.
+    fn records(&self) -> Self::Records;
+
+    /// The interface for duties at `addr`.
+    fn bureau(&self, addr: SocketAddr) -> Self::Bureau;
+}
+
 /// How callers and backend servers are spoken to.
 pub trait Dialect {
     /// What a caller's headers say.
@@ -120,6 +154,52 @@
     fn entries(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
 
+/// What the store keeps of the duties of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Who holds them.
+    pub term: Term,
+    /// What was used, and is to be reported.
+    pub usage: Account,
+}
+
+/// Where the duties' record is kept.
+pub trait Records {
+    /// The record, and where its log ends.
+    fn read(&self) -> impl Future<Output = Result<(Option<Kept>, u64), SourceError>>;
+
+    /// Writes the record if its log still ends at `at`.
+    fn write(&self, at: u64, kept: &Kept) -> impl Future<Output = Written>;
+}
+
+/// The platform's interface that duties go to.
+pub trait Bureau {
+    /// Reports what each workspace has used in a window. `token` is asked for
+    /// the fencing token right before the call is sent.
+    fn report(
+        &self,
+        holder: &str,
+        window: u64,
+        counts: &Counts,
+        token: impl FnOnce() -> Option<u64>,
+    ) -> impl Future<Output = Outcome>;
+}
+
+/// What became of a call of a duty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was carried out, or had been before.
+    Accepted,
+    /// A higher token than this one was seen; it was not carried out.
+    Fenced(u64),
+    /// It was refused with this status, and not carried out.
+    Refused(u16),
+    /// It was not answered; it may be carried out at any time.
+    Lost(String),
+    /// The duty was not held any more, and nothing was sent.
+    NotHeld,
+}
+
 /// Records of a table.
 #[derive(Debug, Clone)]
 pub struct Changes<T> {
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -103,6 +103,7 @@
         life,
         seq,
         every_ms: 0,
+        wall_ms: state.clock.wall_ms(),
         zone: zone_number(&state.settings.zone),
         link_mbps: link_mbps(&state.settings),
         services: services.into_iter().map(service).collect(),
@@ -145,21 +146,18 @@
         if state.peers.borrow_mut().insert(from, peer).is_none() {
             info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
         }
+        let rank = Rank::new(said.zone, from, said.link_mbps);
+        let until = now + Duration::from_millis(u64::from(said.every_ms)) * BELIEVED;
         if near {
-            note_neighbour(&state, now, from, &said);
+            state.readers.borrow_mut().hear(from, rank, until);
+        }
+        if let Some(duties) = &*state.duties.borrow() {
+            duties.hear(from, rank, until - now, said.wall_ms);
         }
         state.others.borrow_mut().hear(now, read(&said));
     }
 }
 
-/// Notes an entry of the own zone, which may be asked for the store's tables.
-fn note_neighbour(state: &State, now: Instant, from: SocketAddr, said: &gossip::Saying) {
-    let rank = Rank::new(said.zone, from, said.link_mbps);
-    let every = Duration::from_millis(u64::from(said.every_ms));
-    let until = now + every * BELIEVED;
-    state.readers.borrow_mut().hear(from, rank, until);
-}
-
 fn read(said: &gossip::Saying) -> Saying {
     let told = |s: &gossip::Service| {
         let told = Told {
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -19,6 +19,7 @@
 use crate::call::{Call, Incoming};
 use crate::reply::{Own, Reply};
 use crate::state::State;
+use crate::status::Status;
 
 /// The application that callers reach.
 pub fn app(
@@ -146,6 +147,7 @@
     let app = App::new()
         .app_data(Data::new(state))
         .route(&path, web::get().to(ready))
+        .route("/status", web::get().to(status))
         .route("/metrics", web::get().to(base::operators::metrics));
     base::http::serve(listener, app, end).await
 }
@@ -156,3 +158,7 @@
         false => HttpResponse::ServiceUnavailable().finish(),
     }
 }
+
+async fn status(state: Data<Rc<State>>) -> HttpResponse {
+    HttpResponse::Ok().json(Status::of(&state))
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,10 +17,13 @@
 //! - [`events`]: where the events of a stream end, and their numbers.
 //! - [`reply`]: answers to callers.
 //! - [`reload`]: reading the settings again.
+//! - [`duties`]: what one entry does for all.
+//! - [`status`]: what the entry believes, for operators.
 //! - [`drain`]: stopping without cutting anything off.
 
 pub mod call;
 pub mod drain;
+pub mod duties;
 pub mod edge;
 pub mod events;
 pub mod exchange;
@@ -35,6 +38,7 @@
 pub mod reply;
 pub mod settings;
 pub mod state;
+pub mod status;
 pub mod tables;
 
 use std::io;
@@ -43,9 +47,8 @@
 use base::clock::{Clock, SystemClock};
 use base::listen;
 use base::stop::Stop;
-use edge::{Dialect, Directory, Source};
-use policy::balance::Listed;
-use policy::routes::Catalog;
+use duties::Duties;
+use edge::{Dialect, Platform};
 use spdlog::info;
 use tokio::net::UdpSocket;
 
@@ -58,19 +61,12 @@
 /// # Errors
 ///
 /// Returns the error when the entry cannot listen.
-pub async fn run<C, S, D>(
+pub async fn run<P: Platform>(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
-    catalogs: C,
-    servers: S,
-    directory: D,
+    platform: P,
     stop: Stop,
-) -> io::Result<()>
-where
-    C: Source<Item = Catalog> + 'static,
-    S: Source<Item = Listed> + 'static,
-    D: Directory + 'static,
-{
+) -> io::Result<()> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let listener = listen("listen", settings.listen).await?;
     let ready = listen("ready", settings.ready).await?;
@@ -80,6 +76,7 @@
     };
     let addr = settings.gossip;
     let socket = UdpSocket::bind(addr).await?;
+    let duties = Duties::bind(&settings, Rc::clone(&clock)).await?;
     let state = State::new(settings, dialect, clock);
     if let Some(addr) = state.settings.grants {
         let sidecars = grants::Sidecars::bind(addr).await?;
@@ -87,14 +84,17 @@
     }
 
     let end = Stop::new();
+    if let Some(duties) = duties {
+        start_duties(&state, duties, &platform, &end);
+    }
     actix_rt::spawn(neighbours::serve(Rc::clone(&state), end.clone()));
     actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
-    actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
-    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    actix_rt::spawn(follow::catalogs(Rc::clone(&state), platform.catalogs()));
+    actix_rt::spawn(follow::servers(Rc::clone(&state), platform.servers()));
     actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
     actix_rt::spawn(gossip::find(
         Rc::clone(&state),
-        directory,
+        platform.directory(),
         addr,
         end.clone(),
     ));
@@ -117,3 +117,18 @@
     end.ask();
     Ok(())
 }
+
+/// Starts what counts, holds and performs the duties, until `end`.
+fn start_duties<P: Platform>(state: &Rc<State>, duties: Rc<Duties>, platform: &P, end: &Stop) {
+    *state.duties.borrow_mut() = Some(Rc::clone(&duties));
+    let (records, bureau) = (platform.records(), platform.bureau(duties.platform()));
+    actix_rt::spawn(duties::tell::hear(Rc::clone(&duties)));
+    actix_rt::spawn(duties::tell::counts(Rc::clone(&duties), end.clone()));
+    actix_rt::spawn(duties::report::run(Rc::clone(&duties), bureau, end.clone()));
+    actix_rt::spawn(duties::hold::run(
+        Rc::clone(state),
+        duties,
+        records,
+        end.clone(),
+    ));
+}
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -29,7 +29,8 @@
     /// Where metrics are scraped, if anywhere.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
-    /// Where other entries tell this one what they have in progress.
+    /// Where other entries tell this one what they have in progress. Where
+    /// there are duties, the port after it is used for these.
     pub gossip: SocketAddr,
     /// Where the sidecars beside engines answer, and on whose port they
     /// listen; without it the entry decides by itself.
@@ -50,11 +51,82 @@
     /// How often the balancer asks; two answers in a row decide.
     #[serde(default = "ask_every")]
     pub ask_every: Span,
+    /// Duties that one entry performs for all, where the platform has any.
+    #[serde(default)]
+    pub duties: Option<Duties>,
     /// How much is logged.
     #[serde(default)]
     pub log_level: Level,
 }
 
+/// Settings of the duties that one entry performs for all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// The platform's interface for duties.
+    pub platform: SocketAddr,
+    /// Which duties there are.
+    pub kinds: Vec<DutyKind>,
+    /// Calls a second that the interface takes from all daemons.
+    #[serde(default = "call_rate")]
+    pub rate: f64,
+    /// How long a window of usage is, in seconds.
+    #[serde(default = "report_window")]
+    pub window_s: f64,
+    /// How long after its window's end a report is due, in seconds.
+    #[serde(default = "report_due")]
+    pub due_s: f64,
+    /// How long a host stays away from a duty that went to another one, in
+    /// milliseconds.
+    #[serde(default = "lease")]
+    pub lease_ms: u64,
+}
+
+/// A duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DutyKind {
+    /// Reporting what each workspace has used.
+    UsageReport,
+    /// Ordering the number of backend servers. Not performed yet.
+    Autoscale,
+}
+
+impl Duties {
+    /// Whether usage is to be reported.
+    #[must_use]
+    pub fn report(&self) -> bool {
+        self.kinds.contains(&DutyKind::UsageReport)
+    }
+
+    fn check(&self) -> Result<(), base::settings::Error> {
+        use base::settings::check;
+        let above = |n: f64| n.is_finite() && n > 0.0;
+        let hint = "seconds above zero";
+        let window = self.window_s;
+        check("duties.window_s", window, above(window), hint)?;
+        check("duties.due_s", self.due_s, above(self.due_s), hint)?;
+        let hint = "calls a second above zero";
+        check("duties.rate", self.rate, above(self.rate), hint)
+    }
+}
+
+fn call_rate() -> f64 {
+    1.0
+}
+
+fn report_window() -> f64 {
+    5.0
+}
+
+fn report_due() -> f64 {
+    10.0
+}
+
+fn lease() -> u64 {
+    3000
+}
+
 fn ask_every() -> Span {
     Span::secs(1)
 }
@@ -80,6 +152,7 @@
                 "a rate above zero",
             )?;
         }
+        self.duties.as_ref().map_or(Ok(()), Duties::check)?;
         let ratio = self.repeat_ratio;
         let fine = (0.0..=1.0).contains(&ratio);
         check("repeat_ratio", ratio, fine, "a share from 0 to 1")?;
@@ -87,6 +160,13 @@
         check("ready_path", &self.ready_path, fine, "a path from its /")
     }
 
+    /// Where other entries tell this one what its duties need.
+    #[must_use]
+    pub fn duty_addr(&self) -> SocketAddr {
+        let gossip = self.gossip;
+        SocketAddr::new(gossip.ip(), gossip.port().wrapping_add(1))
+    }
+
     /// The share of calls that may be repeated.
     #[must_use]
     pub fn repeats(&self) -> budget::Share {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -20,6 +20,7 @@
 
 use tokio::sync::Notify;
 
+use crate::duties::Duties;
 use crate::edge::Dialect;
 use crate::grants::Sidecars;
 use crate::pool::Pool;
@@ -58,6 +59,8 @@
     pub budget: RefCell<Budget>,
     /// The sidecars beside engines, if there are any.
     pub sidecars: RefCell<Option<Rc<Sidecars>>>,
+    /// What one entry does for all, if there is anything.
+    pub duties: RefCell<Option<Rc<Duties>>>,
     /// Connections to servers.
     pub pool: Pool,
     /// Wakes those who wait for the store when it answers again.
@@ -107,6 +110,7 @@
             clock,
             catalog: RefCell::default(),
             sidecars: RefCell::default(),
+            duties: RefCell::default(),
             pool: Pool::default(),
             regained: Notify::new(),
             link: RefCell::new(settings.link_mbps.map(Link::new)),
@@ -150,7 +154,7 @@
 }
 
 /// Where this entry stands among those of its zone.
-fn own_rank(settings: &Settings) -> Rank {
+pub(crate) fn own_rank(settings: &Settings) -> Rank {
     let zone = zone_number(&settings.zone);
     Rank::new(zone, settings.gossip, link_mbps(settings))
 }
--- /dev/null
+++ b/crates/forward/src/status.rs
@@ -0,0 +1,41 @@
+//! What the entry believes, for operators.
+
+use serde::Serialize;
+
+use crate::duties::View;
+use crate::state::State;
+
+/// What an entry believes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// The daemon's name.
+    pub name: String,
+    /// The availability zone that it stands in.
+    pub zone: String,
+    /// Whether new connections should be sent here.
+    pub ready: bool,
+    /// The version of the catalog in force.
+    pub catalog: Option<u64>,
+    /// Other entries that are heard.
+    pub entries: usize,
+    /// Calls whose answers have not left whole.
+    pub open: usize,
+    /// The duties of one entry for all, where there are any.
+    pub duties: Option<View>,
+}
+
+impl Status {
+    /// What `state` holds.
+    #[must_use]
+    pub fn of(state: &State) -> Self {
+        Self {
+            name: state.settings.name.clone(),
+            zone: state.settings.zone.clone(),
+            ready: state.ready(),
+            catalog: state.catalog.borrow().as_ref().map(|c| c.version),
+            entries: state.others.borrow().count(),
+            open: state.open.get(),
+            duties: state.duties.borrow().as_ref().map(|d| d.view()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/duties/common.rs
@@ -0,0 +1,310 @@
+//! A store and a platform in memory, and entries before them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use base::clock::{Clock, SystemClock};
+use base::stop::Stop;
+use forward::duties::{Duties, hold, report, tell};
+use forward::edge::{Ask, Dialect, Order, Signs};
+use forward::edge::{Bureau, Kept, Outcome, Records, SourceError};
+use forward::settings::Settings;
+use forward::state::State;
+use http::HeaderMap;
+use policy::duty::Written;
+use policy::readers::Rank;
+use policy::usage::Counts;
+
+/// Long enough for any step here, so that a test that hangs fails instead.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How long a peer that was heard counts as there.
+const HEARD: Duration = Duration::from_secs(1);
+
+/// The port for other entries' calls; duties use the next one.
+const PORT: u16 = 7440;
+
+/// Numbers the fleets of this process, for addresses of their own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// The duties' record.
+#[derive(Default)]
+pub(crate) struct Store {
+    kept: RefCell<Option<Kept>>,
+    end: Cell<u64>,
+    pub(crate) away: Cell<bool>,
+}
+
+impl Store {
+    pub(crate) fn kept(&self) -> Kept {
+        self.kept.borrow().clone().expect("a record")
+    }
+}
+
+struct Log(Rc<Store>);
+
+impl Records for Log {
+    async fn read(&self) -> Result<(Option<Kept>, u64), SourceError> {
+        match self.0.away.get() {
+            true => Err(SourceError::Unavailable {
+                step: "read",
+                peer: "store".to_owned(),
+                cause: "away".to_owned(),
+            }),
+            false => Ok((self.0.kept.borrow().clone(), self.0.end.get())),
+        }
+    }
+
+    async fn write(&self, at: u64, kept: &Kept) -> Written {
+        if self.0.away.get() {
+            return Written::Refused;
+        }
+        if at != self.0.end.get() {
+            return Written::Behind;
+        }
+        *self.0.kept.borrow_mut() = Some(kept.clone());
+        self.0.end.set(at + 1);
+        Written::At(at)
+    }
+}
+
+/// What the platform has accepted.
+#[derive(Default)]
+pub(crate) struct Platform {
+    windows: RefCell<BTreeMap<u64, Counts>>,
+    tokens: RefCell<BTreeSet<u64>>,
+    calls: Cell<usize>,
+    losing: Cell<u32>,
+}
+
+impl Platform {
+    /// Carries the next `count` calls out without an answer.
+    pub(crate) fn lose(&self, count: u32) {
+        self.losing.set(count);
+    }
+
+    /// Answers that are still to be lost.
+    pub(crate) fn left(&self) -> u32 {
+        self.losing.get()
+    }
+
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.get()
+    }
+
+    /// Requests that were reported for a workspace.
+    pub(crate) fn of(&self, workspace: &str) -> u64 {
+        let windows = self.windows.borrow();
+        windows.values().filter_map(|c| c.get(workspace)).sum()
+    }
+
+    pub(crate) fn holders(&self) -> usize {
+        self.tokens.borrow().len()
+    }
+}
+
+struct Office(Rc<Platform>);
+
+impl Bureau for Office {
+    async fn report(
+        &self,
+        _holder: &str,
+        window: u64,
+        counts: &Counts,
+        token: impl FnOnce() -> Option<u64>,
+    ) -> Outcome {
+        let Some(token) = token() else {
+            return Outcome::NotHeld;
+        };
+        let platform = &self.0;
+        platform.calls.set(platform.calls.get() + 1);
+        let highest = platform.tokens.borrow().last().copied();
+        if highest.is_some_and(|highest| token < highest) {
+            return Outcome::Fenced(token);
+        }
+        platform.tokens.borrow_mut().insert(token);
+        let mut windows = platform.windows.borrow_mut();
+        let told = windows.entry(window).or_insert_with(|| counts.clone());
+        assert_eq!(told, counts, "two reports of window {window}");
+        let losing = platform.losing.get();
+        platform.losing.set(losing.saturating_sub(1));
+        match losing {
+            0 => Outcome::Accepted,
+            _ => Outcome::Lost("no answer".to_owned()),
+        }
+    }
+}
+
+/// Entries in one process.
+pub(crate) struct Fleet {
+    pub(crate) net: u8,
+    pub(crate) store: Rc<Store>,
+    pub(crate) platform: Rc<Platform>,
+    entries: Vec<Entry>,
+}
+
+struct Entry {
+    state: Rc<State>,
+    duties: Rc<Duties>,
+    /// Ends all that the entry does, without a word.
+    end: Stop,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// Starts entries that hear each other.
+    pub(crate) async fn start(count: u8) -> Self {
+        let net = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let (store, platform) = (Rc::<Store>::default(), Rc::<Platform>::default());
+        let mut entries = Vec::new();
+        for number in 0..count {
+            entries.push(entry(net, number, &store, &platform).await);
+        }
+        let fleet = Self {
+            net,
+            store,
+            platform,
+            entries,
+        };
+        for (n, entry) in fleet.entries.iter().enumerate() {
+            let others = (0..count).filter(|other| usize::from(*other) != n);
+            let others: Vec<_> = others.map(|other| settings(net, other)).collect();
+            let (duties, end) = (Rc::clone(&entry.duties), entry.end.clone());
+            let lives: Vec<Stop> = fleet.entries.iter().map(|e| e.end.clone()).collect();
+            actix_rt::spawn(async move {
+                while !end.asked() {
+                    for settings in &others {
+                        let number = usize::from(last(settings) - 1);
+                        if !lives[number].asked() {
+                            let rank = Rank::new(1, settings.gossip, u32::from(last(settings)));
+                            duties.hear(settings.gossip, rank, HEARD, SystemClock.wall_ms());
+                        }
+                    }
+                    tokio::time::sleep(HEARD / 5).await;
+                }
+            });
+        }
+        fleet
+    }
+
+    /// The entry that holds the duty, with its token.
+    pub(crate) fn holder(&self) -> Option<(usize, u64)> {
+        let entries = self.entries.iter().enumerate();
+        let live = entries.filter(|(_, e)| !e.end.asked());
+        let mut held = live.filter_map(|(n, e)| Some((n, e.duties.token()?)));
+        held.next()
+    }
+
+    /// Counts requests at an entry.
+    pub(crate) fn count(&self, entry: usize, workspace: &str, count: u32) {
+        for _ in 0..count {
+            self.entries[entry].duties.began(workspace);
+        }
+    }
+
+    /// All requests that were reported.
+    pub(crate) fn reported(&self) -> u64 {
+        let windows = self.platform.windows.borrow();
+        windows.values().flat_map(|c| c.values()).sum()
+    }
+
+    /// Other entries that have heard of the duty's holder and of its counts.
+    pub(crate) fn told(&self, entry: usize) -> usize {
+        let others = self.entries.iter().enumerate().filter(|(n, _)| *n != entry);
+        let life = self.entries[entry].duties.life();
+        others.filter(|(_, e)| e.duties.heard(life) > 0).count()
+    }
+
+    /// Ends an entry without a word.
+    pub(crate) fn kill(&self, entry: usize) {
+        let entry = &self.entries[entry];
+        entry.end.ask();
+        for task in &entry.tasks {
+            task.abort();
+        }
+    }
+
+    /// Asks an entry to stop.
+    pub(crate) fn stop(&self, entry: usize) {
+        self.entries[entry].state.stopping.ask();
+    }
+}
+
+fn last(settings: &Settings) -> u8 {
+    match settings.gossip.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[3],
+        std::net::IpAddr::V6(_) => unreachable!("all hosts have short addresses"),
+    }
+}
+
+async fn entry(net: u8, number: u8, store: &Rc<Store>, platform: &Rc<Platform>) -> Entry {
+    let settings = settings(net, number);
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let duties = Duties::bind(&settings, Rc::clone(&clock)).await;
+    let duties = duties.expect("the port is free").expect("a duty");
+    let state = State::new(settings, Rc::new(Mute), clock);
+    let end = Stop::new();
+    let (log, office) = (Log(Rc::clone(store)), Office(Rc::clone(platform)));
+    let tasks = vec![
+        actix_rt::spawn(tell::hear(Rc::clone(&duties))),
+        actix_rt::spawn(tell::counts(Rc::clone(&duties), end.clone())),
+        actix_rt::spawn(report::run(Rc::clone(&duties), office, end.clone())),
+        actix_rt::spawn(hold::run(
+            Rc::clone(&state),
+            Rc::clone(&duties),
+            log,
+            end.clone(),
+        )),
+    ];
+    Entry {
+        state,
+        duties,
+        end,
+        tasks,
+    }
+}
+
+/// Settings of entry `number` of a fleet.
+pub(crate) fn settings(net: u8, number: u8) -> Settings {
+    let host = number + 1;
+    let any = "127.0.0.1:1";
+    let text = serde_json::json!({
+        "name": format!("entry-{host}"), "zone": "a", "listen": any, "ready": any,
+        "ready_path": "/ready", "gossip": format!("127.41.{net}.{host}:{PORT}"),
+        "store": any, "grace_s": 8.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
+        "link_mbps": f64::from(host),
+        "duties": {"platform": any, "kinds": ["usage_report"], "rate": 50.0,
+            "window_s": 1.0, "due_s": 10.0, "lease_ms": 1000},
+    });
+    serde_json::from_value(text).expect("settings")
+}
+
+struct Mute;
+
+impl Dialect for Mute {
+    fn ask(&self, _headers: &HeaderMap) -> Ask {
+        Ask::default()
+    }
+
+    fn outgoing(&self, _headers: &HeaderMap, _order: &Order<'_>) -> HeaderMap {
+        HeaderMap::new()
+    }
+
+    fn signs(&self, _status: u16, _headers: &HeaderMap) -> Signs {
+        Signs::default()
+    }
+}
+
+/// Waits until something is so.
+pub(crate) async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let wait = async {
+        while !done() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, wait).await;
+    assert!(waited.is_ok(), "never: {what}");
+}
--- /dev/null
+++ b/crates/forward/tests/duties/main.rs
@@ -0,0 +1,96 @@
+//! Entries that share a duty, against a store and a platform in memory.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{Fleet, until};
+
+#[actix_rt::test]
+async fn usage_reported() {
+    // Three entries take calls. One of them reports all that they counted,
+    // each window once.
+    let fleet = Fleet::start(3).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    fleet.count(0, "mairie", 5);
+    fleet.count(1, "mairie", 7);
+    fleet.count(2, "ecole", 11);
+    until("all is reported", || fleet.reported() == 23).await;
+    assert_eq!(fleet.platform.of("mairie"), 12);
+    assert_eq!(fleet.platform.holders(), 1);
+}
+
+#[actix_rt::test]
+async fn holder_killed() {
+    // The holder is killed with counts that it has told nobody but those who
+    // may follow it. Another entry takes the duty with a higher token and
+    // reports them; the platform never gets two counts of one window.
+    let fleet = Fleet::start(3).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    let (first, token) = fleet.holder().expect("a holder");
+    fleet.count(first, "mairie", 5);
+    fleet.count((first + 1) % 3, "ecole", 11);
+    until("the others know", || fleet.told(first) >= 2).await;
+    fleet.kill(first);
+    until("another one holds it", || fleet.holder().is_some()).await;
+    let (second, next) = fleet.holder().expect("a holder");
+    assert!(second != first && next > token);
+    until("all is reported", || fleet.reported() == 16).await;
+}
+
+#[actix_rt::test]
+async fn holder_leaves() {
+    // The holder is asked to stop. It gives the duty up in the store and says
+    // so, and the next one has it at once.
+    let fleet = Fleet::start(3).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    let (first, token) = fleet.holder().expect("a holder");
+    fleet.stop(first);
+    until("another one holds it", || {
+        fleet.holder().is_some_and(|(n, t)| n != first && t > token)
+    })
+    .await;
+    let kept = fleet.store.kept();
+    let host = format!("127.41.{}.{}", fleet.net, first + 1);
+    assert_eq!(kept.term.before, Some(host));
+}
+
+#[actix_rt::test]
+async fn answer_lost() {
+    // The platform carries a report out and its answer is lost, three times.
+    // Another entry may have to go on; whoever does sends the same counts.
+    let fleet = Fleet::start(2).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    fleet.platform.lose(3);
+    fleet.count(0, "mairie", 5);
+    fleet.count(1, "mairie", 6);
+    until("all is reported", || fleet.reported() == 11).await;
+    until("no call is left", || fleet.platform.left() == 0).await;
+}
+
+#[actix_rt::test]
+async fn store_away() {
+    // The store is away while a window ends. Nothing is reported that it does
+    // not keep; when it is back the window is reported, before it is due.
+    let fleet = Fleet::start(2).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    fleet.store.away.set(true);
+    fleet.count(0, "mairie", 5);
+    let before = fleet.platform.calls();
+    until("the lease has lapsed", || fleet.holder().is_none()).await;
+    let lapsed = fleet.platform.calls();
+    assert!(lapsed <= before + 1, "at most a window that it kept");
+    fleet.store.away.set(false);
+    until("all is reported", || fleet.reported() == 5).await;
+}
+
+#[actix_rt::test]
+async fn no_duty() {
+    // The platform names no duty that this program performs: no port is
+    // bound, nothing is read or written.
+    let clock = Rc::new(base::clock::SystemClock);
+    let mut settings = common::settings(1, 0);
+    settings.duties = None;
+    let bound = forward::duties::Duties::bind(&settings, clock).await;
+    assert!(bound.expect("no port is needed").is_none());
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,11 @@
 //! - [`budget`]: whether it may be sent to a second one.
 //! - [`rendezvous`]: one order of servers for every process.
 //!
+//! What one daemon does for all of them:
+//! - [`duty`]: who performs a duty.
+//! - [`usage`]: what each workspace has used, and when it is reported.
+//! - [`fleet_time`]: the time of day that the hosts agree on.
+//!
 //! What an entry decides about the chat interface:
 //! - [`membership`]: which hosts there are.
 //! - [`subset`]: which backend servers one entry keeps connections to.
@@ -36,7 +41,9 @@
 pub mod balance;
 pub mod budget;
 pub mod caches;
+pub mod duty;
 pub mod estimate;
+pub mod fleet_time;
 pub mod grants;
 pub mod lease;
 pub mod lengths;
@@ -57,6 +64,7 @@
 pub mod retry;
 pub mod routes;
 pub mod subset;
+pub mod usage;
 pub mod waits;
 pub mod wish;
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -7,7 +7,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
@@ -21,6 +21,8 @@
     pub seq: u32,
     /// How often the entry speaks, in milliseconds.
     pub every_ms: u32,
+    /// Its host's time of day, in milliseconds from the Unix epoch.
+    pub wall_ms: u64,
     /// The availability zone that it stands in, by number.
     pub zone: u32,
     /// What its link carries, in million bits a second.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,9 +8,11 @@
 //! - [`message`]: what the calls carry.
 //! - [`peer`]: a connection that finds out when it has gone silent.
 //! - [`serve`]: answering the calls.
+//! - [`duties`]: what entries tell those who hold a duty, and what these say.
 //! - [`gossip`]: what entries tell each other about their own calls.
 //! - [`tables`]: what an entry asks a neighbour that reads the store.
 
+pub mod duties;
 pub mod gossip;
 pub mod grants;
 pub mod message;
