--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -247,6 +247,35 @@
     assert_eq!(time.now(later, own), expected);
 }
 
+#[test]
+fn clock_step_of_all() {
+    // The time of day steps on all hosts at once, and back after some seconds.
+    // The hosts' time goes on evenly. A step that stays is followed in the
+    // end, as it may have mended clocks that were wrong.
+    let start = Instant::now();
+    let mut time = FleetTime::new(start);
+    let true_time = |seconds: u64| Duration::from_secs(10_000 + seconds);
+    let step = Duration::from_secs(4);
+    for seconds in 0..100 {
+        let now = start + Duration::from_secs(seconds);
+        let stepped = (10..16).contains(&seconds) || seconds >= 20;
+        let wall = match stepped {
+            true => true_time(seconds) - step,
+            false => true_time(seconds),
+        };
+        for peer in 0..4 {
+            time.hear(now, peer, wall);
+        }
+        let agreed = time.now(now, wall);
+        if seconds < 50 {
+            assert_eq!(agreed, true_time(seconds), "after {seconds} s");
+        }
+        if seconds >= 60 {
+            assert_eq!(agreed, wall, "after {seconds} s");
+        }
+    }
+}
+
 #[test]
 fn clock_alone() {
     // An entry that hears nobody goes by its own clock, and by that of hosts
