Fit reading and the fixed part of a first event together

Cause: the pace was measured between first events while anything was let in. On engines that read fast, few prompts are inside and most of that time is the fixed part of a first event (26 ms on the shifted deployment); the pace was believed to be 19,700 ns a token where the engine reads one in 6,400, so little was let in and the next measurement looked the same.

Ruled out: faster forgetting (the bias stays), a pace as a setting (engines of one zone are 1.3 times slower).

--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -14,7 +14,7 @@
 //! - [`parts`]: which prompt parts the engine should hold.
 //! - [`fetch`]: what copying them from another engine takes.
 //! - [`lives`]: which life of the engine the sidecar stands beside.
-//! - `pace`: how fast it reads.
+//! - `timing`: how fast it reads, and what a first event takes besides.
 //! - `queue`: the calls that wait, in their order.
 //! - `mix`: how much of what comes is more urgent than a call.
 //! - `reserve`: slots that are kept for streams.
@@ -24,11 +24,11 @@
 pub mod fetch;
 pub mod lives;
 mod mix;
-mod pace;
 pub mod parts;
 mod queue;
 mod reserve;
 mod room;
+mod timing;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -37,10 +37,10 @@
 pub use call::{Ask, Beliefs, CallId, Report, Verdict};
 use fetch::Fetch;
 use mix::Mix;
-use pace::Pace;
 use parts::Parts;
 use queue::{Queue, Turn, Waiting};
 use reserve::Reserve;
+use timing::Timing;
 
 /// Tokens of calls without a first event up to which more are let in: at
 /// first, at the least and at the most. A first event comes some 40 ms after
@@ -99,10 +99,6 @@
 /// How long a call holds its slot before any was seen to end, in seconds.
 const HOLD_GUESS: f64 = 0.5;
 
-/// The most that the fixed part of a first event is believed to take, in
-/// seconds: a call that waited for a slot says little about it.
-const BASE_MOST: f64 = 0.3;
-
 /// How long reading that was let in is remembered; no stream's longest pause
 /// is longer.
 const LATELY: Duration = Duration::from_secs(2);
@@ -116,12 +112,10 @@
     flights: HashMap<CallId, Flight>,
     /// Calls that have their first event, with when they must have ended.
     running: HashMap<CallId, Run>,
-    /// How fast the engine reads while it has something to read.
-    pace: Pace,
+    /// What first events take.
+    timing: Timing,
     /// What fetching a token from another engine takes.
     fetch: Fetch,
-    /// Time from being let in to the first event beyond reading, in seconds.
-    base: Mean,
     /// How long calls hold a slot after their first event, in seconds.
     hold: Mean,
     /// Tokens of calls without a first event up to which more are let in.
@@ -189,9 +183,8 @@
             waiting: Queue::default(),
             flights: HashMap::new(),
             running: HashMap::new(),
-            pace: Pace::default(),
+            timing: Timing::default(),
             fetch: Fetch::default(),
-            base: Mean::default(),
             hold: Mean::default(),
             window: WINDOW,
             parts: Parts::default(),
@@ -301,7 +294,7 @@
     /// Whether a prompt should rather be fetched than read.
     #[must_use]
     pub fn fetch_pays(&self) -> bool {
-        self.fetch.pays(self.pace.get())
+        self.fetch.pays(self.timing.pace())
     }
 
     /// Notes that a call has its first event.
@@ -309,24 +302,23 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
-        let took = now.saturating_duration_since(flight.since);
-        let took = took.as_secs_f64();
-        self.pace.at_most(took / f64::from(flight.ahead.max(1)));
-        let pace = self.pace.get();
-        let more = took - f64::from(flight.ahead) * pace;
         match flight.load.fetched {
-            0 => self.base.add(more.clamp(0.0, BASE_MOST)),
-            fetched => {
-                let base = self.base.get().unwrap_or(0.0);
-                let counted = f64::from(fetched) * self.fetch.get().min(pace);
-                self.fetch.took(fetched, more - base + counted);
-            }
+            0 => self.timing.begun(now, flight.since, flight.load.tokens),
+            fetched => self.fetched(now, &flight, fetched),
         }
-        let busy = !self.flights.is_empty() || !self.waiting.is_empty();
-        self.pace.read(now, flight.load.tokens, busy);
         self.running.insert(id, flight.run(now));
     }
 
+    /// Learns from a first event what fetching a part of its prompt took.
+    fn fetched(&mut self, now: Instant, flight: &Flight, fetched: u32) {
+        let took = now.saturating_duration_since(flight.since).as_secs_f64();
+        let (base, pace) = (self.timing.base(), self.timing.pace());
+        let more = took - f64::from(flight.ahead) * pace - base;
+        let counted = f64::from(fetched) * self.fetch.get().min(pace);
+        self.fetch.took(fetched, more + counted);
+        self.timing.skip(now);
+    }
+
     /// Notes that a call has ended or will not come; `pause` is the longest
     /// between two of its events.
     pub fn ended(&mut self, now: Instant, id: CallId, pause: Duration) {
@@ -400,9 +392,9 @@
     #[must_use]
     pub fn beliefs(&self) -> Beliefs {
         Beliefs {
-            pace_ns: (self.pace.get() * 1e9) as u64,
+            pace_ns: (self.timing.pace() * 1e9) as u64,
             fetch_ns: (self.fetch.get() * 1e9) as u64,
-            base_us: (self.base.get().unwrap_or(0.0) * 1e6) as u64,
+            base_us: (self.timing.base() * 1e6) as u64,
             window: self.window as u64,
             gap_percent: self.gap().map_or(0, |_| (self.gap_share * 100.0) as u64),
         }
@@ -428,7 +420,7 @@
 
     /// How long a call may be overtaken by others of its rank.
     fn stretch(&self, ask: &Ask, load: Load) -> Duration {
-        let own = f64::from(load.tokens) * self.pace.get();
+        let own = f64::from(load.tokens) * self.timing.pace();
         Duration::from_secs_f64(own * STRETCH).min(ask.allowed)
     }
 
@@ -441,8 +433,8 @@
         };
         let ahead = waiting + u64::from(tokens.min(OWN_MOST));
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let base = self.base.get().unwrap_or(0.0);
-        let reading = (self.unread_before(ask.rank) + f64::from(ahead)) * self.pace.get();
+        let base = self.timing.base();
+        let reading = (self.unread_before(ask.rank) + f64::from(ahead)) * self.timing.pace();
         let slots = self.slot_wait(now, calls);
         // More urgent calls that have yet to come go first as well.
         let left = 1.0 - self.mix.before(ask.rank);
@@ -472,7 +464,7 @@
             true => most,
             false => 0,
         };
-        let ratio = (self.fetch.get() / self.pace.get()).min(1.0);
+        let ratio = (self.fetch.get() / self.timing.pace()).min(1.0);
         let tokens = missing - fetched + (f64::from(fetched) * ratio) as u32;
         Load {
             tokens,
@@ -505,7 +497,7 @@
             .add(now, ask.rank, f64::from(load.tokens) + SLOT_TOKENS);
         let ahead = self.unread().saturating_add(load.tokens);
         self.lately
-            .push_back((now, f64::from(load.tokens) * self.pace.get()));
+            .push_back((now, f64::from(load.tokens) * self.timing.pace()));
         let flight = Flight {
             since: now,
             load,
--- a/crates/policy/src/grants/room.rs
+++ b/crates/policy/src/grants/room.rs
@@ -23,7 +23,7 @@
     /// Whether a prompt is too long to be read beside the running streams:
     /// read in one go, it stretches a pause of each of them.
     pub(super) fn too_long(&self, tokens: u32) -> bool {
-        let time = f64::from(tokens) * self.pace.get();
+        let time = f64::from(tokens) * self.timing.pace();
         self.gap()
             .is_some_and(|gap| time > gap.as_secs_f64() * self.gap_share)
     }
@@ -39,7 +39,7 @@
         let most = gap.as_secs_f64() * self.gap_share;
         let lately = self.lately.iter().filter(|(at, _)| now < *at + gap);
         let lately: f64 = lately.map(|(_, s)| s).sum();
-        let own = f64::from(load.tokens) * self.pace.get();
+        let own = f64::from(load.tokens) * self.timing.pace();
         (lately <= 0.0 || lately + own <= most) && self.memory(now, load)
     }
 
