Fix windows only when all entries have told; announce only what the store keeps

A new holder counted the lives in its books, dead ones among them, against the entries that are there, and fixed the window before one of them had told it anything. And a test whose store was away found a worse one: the holder announced windows that it had fixed but not written; the others forgot their counts, and its successor reported none.

Change: every entry that is heard must have told its counts since the duty was taken; six in place of four hear all counts; what is announced as settled is what the store keeps; reads and writes of a store that is away pause up to 2 s and are logged once; an entry whose duty port is taken serves callers without. Prompts that fetched a part count in the fit of the pace where others were read before them.

--- a/crates/forward/src/duties.rs
+++ b/crates/forward/src/duties.rs
@@ -22,6 +22,7 @@
 use policy::fleet_time::FleetTime;
 use policy::readers::Rank;
 use policy::usage::{Account, Books, Counts, Life, Windows};
+use spdlog::warn;
 use tokio::net::UdpSocket;
 
 use crate::settings::{self, Settings};
@@ -53,7 +54,8 @@
     unheard: Cell<bool>,
     /// Who said last that it holds the duties.
     holder: Cell<Option<SocketAddr>>,
-    /// The first window whose counts are still wanted.
+    /// The first window whose counts are still wanted: the store does not keep
+    /// them as fixed.
     next: Cell<u64>,
     own: Rank,
     /// The other entries, by their place in the order of all.
@@ -66,6 +68,8 @@
     rank: Rank,
     /// Until when it counts as there unless it is heard again.
     until: Instant,
+    /// When it last told its counts.
+    told: Option<Instant>,
 }
 
 impl std::fmt::Debug for Duties {
@@ -86,6 +90,9 @@
         let Some(settings) = own.duties.clone().filter(settings::Duties::report) else {
             return Ok(None);
         };
+        if settings.kinds.contains(&settings::DutyKind::Autoscale) {
+            warn!("duty not performed", kv: { kind = "autoscale" });
+        }
         let addr = own.duty_addr();
         let socket = UdpSocket::bind(addr).await?;
         let now = clock.lasting();
@@ -136,7 +143,10 @@
         let now = self.clock.lasting();
         let addr = SocketAddr::new(from.ip(), self.addr.port());
         let until = now + every;
-        self.peers.borrow_mut().insert(addr, Peer { rank, until });
+        let mut peers = self.peers.borrow_mut();
+        let told = peers.get(&addr).and_then(|peer| peer.told);
+        peers.insert(addr, Peer { rank, until, told });
+        drop(peers);
         let wall = Duration::from_millis(wall_ms);
         let peer = policy::rendezvous::number(&addr.to_string());
         self.time.borrow_mut().hear(now, peer, wall);
@@ -171,7 +181,7 @@
                 Some(_) => Some(self.addr),
                 None => self.holder.get(),
             },
-            next: self.next.get().max(account.next),
+            next: self.next.get(),
             unreported: account.fixed.keys().copied().collect(),
         }
     }
@@ -192,6 +202,16 @@
         peers
     }
 
+    /// Whether all entries that are there have told their counts since `then`.
+    /// Lives that have ended stay in the books, so that their number says
+    /// nothing of those that have yet to speak.
+    fn gathered(&self, then: Instant) -> bool {
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .all(|p| p.told.is_some_and(|told| told >= then))
+    }
+
     /// Entries that go before this one in the order of all.
     fn place(&self) -> usize {
         self.peers()
--- a/crates/forward/src/duties/hold.rs
+++ b/crates/forward/src/duties/hold.rs
@@ -76,7 +76,10 @@
             Ok(read) => read,
             Err(e) => {
                 candidate.unread(now);
-                warn!("duties not read", kv: { cause = e.to_string().as_str() });
+                // The first of a row is logged.
+                if candidate.has_failed() {
+                    warn!("duties not read", kv: { cause = e.to_string().as_str() });
+                }
                 return Step::Rest;
             }
         };
@@ -100,7 +103,7 @@
             let account = self.account.borrow();
             self.books.borrow().kept(time, &account)
         };
-        let fixed = usage.fixed.clone();
+        let (fixed, next) = (usage.fixed.clone(), usage.next);
         let kept = Kept {
             term: term.clone(),
             usage,
@@ -122,8 +125,8 @@
         let account = self.account.borrow();
         let open = |(window, _): &(u64, _)| account.fixed.contains_key(window);
         *self.recorded.borrow_mut() = fixed.into_iter().filter(open).collect();
-        self.next.set(self.next.get().max(account.next));
         drop(account);
+        self.next.set(self.next.get().max(next));
         self.tell_held(token, false);
     }
 
@@ -134,12 +137,12 @@
             return false;
         };
         let time = self.time();
-        let expected = self.peers().len();
+        let gathered = self.gathered(since);
         let held = now.saturating_duration_since(since);
         let books = self.books.borrow();
         let mut account = self.account.borrow_mut();
         let before = account.fixed.len();
-        let missed = books.fix(time, held, expected, &mut account);
+        let missed = books.fix(time, held, gathered, &mut account);
         for window in missed {
             warn!("usage window missed", kv: { window = window, token = token });
             metrics::counter!("pimentocart_usage_reports_total", "outcome" => "missed")
--- a/crates/forward/src/duties/tell.rs
+++ b/crates/forward/src/duties/tell.rs
@@ -22,7 +22,7 @@
 
 /// Entries that are told counts beside the holder. Any one of them may follow
 /// it without losing what entries counted that have ended.
-const TOLD: usize = 4;
+const TOLD: usize = 6;
 
 /// The pause after hearing failed.
 const RETRY: Duration = Duration::from_millis(100);
@@ -52,7 +52,7 @@
             }
         };
         match duties::decode(&buffer[..length]) {
-            Ok(Message::Counts(counts)) => duties.take_counts(counts),
+            Ok(Message::Counts(counts)) => duties.take_counts(from, counts),
             Ok(Message::Held(held)) => duties.take_held(from, held),
             Err(e) => warn!("duties not understood", kv: {
                 peer = from.to_string().as_str(), cause = e.to_string().as_str()
@@ -78,7 +78,9 @@
         let held = Held {
             token,
             end: self.candidate.borrow().end(),
-            next: self.account.borrow().next,
+            // What the store does not keep yet may be fixed anew by a
+            // successor, who needs the counts of all for it.
+            next: self.next.get(),
             released,
         };
         let peers: Vec<SocketAddr> = self.peers().into_iter().map(|p| p.1).collect();
@@ -94,7 +96,11 @@
         }
     }
 
-    fn take_counts(&self, counts: Counts) {
+    fn take_counts(&self, from: SocketAddr, counts: Counts) {
+        let now = self.clock.lasting();
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&from) {
+            peer.told = Some(now);
+        }
         let told = Told {
             life: counts.life,
             closed: counts.closed,
@@ -102,7 +108,7 @@
             total: counts.total,
             counts: counts.counts.into_iter().collect(),
         };
-        self.books.borrow_mut().hear(self.clock.lasting(), told);
+        self.books.borrow_mut().hear(now, told);
     }
 
     fn take_held(&self, from: SocketAddr, held: Held) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -49,7 +49,7 @@
 use base::stop::Stop;
 use duties::Duties;
 use edge::{Dialect, Platform};
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 
 pub use settings::Settings;
@@ -76,7 +76,17 @@
     };
     let addr = settings.gossip;
     let socket = UdpSocket::bind(addr).await?;
-    let duties = Duties::bind(&settings, Rc::clone(&clock)).await?;
+    let duties = match Duties::bind(&settings, Rc::clone(&clock)).await {
+        Ok(duties) => duties,
+        // Others perform the duties; callers are served all the same.
+        Err(e) => {
+            let addr = settings.duty_addr().to_string();
+            warn!("duties left to others", kv: {
+                step = "bind", addr = addr.as_str(), cause = e.to_string().as_str()
+            });
+            None
+        }
+    };
     let state = State::new(settings, dialect, clock);
     if let Some(addr) = state.settings.grants {
         let sidecars = grants::Sidecars::bind(addr).await?;
--- a/crates/policy/src/duty.rs
+++ b/crates/policy/src/duty.rs
@@ -30,9 +30,14 @@
 /// it hears of the holder, or of who goes before it in the order.
 const SETTLE: Duration = Duration::from_millis(900);
 
-/// The pause after a call that the store has not answered or has refused.
+/// The pause after a call that the store has not answered or has refused. It
+/// doubles with each further one, as a store that is away would else be asked
+/// by every candidate several times a second.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// How often that pause doubles at the most.
+const DOUBLINGS: u32 = 3;
+
 /// Who holds the duty, as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -96,6 +101,8 @@
     unsure: bool,
     /// Nothing is asked of the store before.
     look: Instant,
+    /// Calls in a row that the store has not answered or has refused.
+    failures: u32,
     /// Whether it has given the duty up for good.
     resigned: bool,
 }
@@ -123,6 +130,7 @@
             barred: 0,
             unsure: false,
             look: now + SETTLE,
+            failures: 0,
             resigned: false,
         }
     }
@@ -188,6 +196,7 @@
         let seen = before.unwrap_or(Seen { end, at: now });
         self.seen = Some(seen);
         self.unsure = false;
+        self.failures = 0;
         if self.resigned {
             return Step::Rest;
         }
@@ -253,6 +262,7 @@
                     at: now,
                 });
                 self.unsure = false;
+                self.failures = 0;
                 self.lease = Some(Lease::new(Offset(term.token), sent, TTL));
                 if term.released {
                     self.drop_term();
@@ -265,19 +275,26 @@
             Written::Behind => self.unsure = true,
             Written::Unknown => {
                 self.unsure = true;
-                self.look = now + RETRY;
+                self.failed(now);
             }
-            Written::Refused => self.look = now + RETRY,
-        }
-        if self.term.is_none() && written != Written::Refused {
-            // A claim that may come true later has to be looked for.
-            self.look = now + RETRY;
+            Written::Refused => self.failed(now),
         }
     }
 
     /// Notes that the store could not be read.
     pub fn unread(&mut self, now: Instant) {
-        self.look = now + RETRY;
+        self.failed(now);
+    }
+
+    /// Whether the last call was the first in a row that failed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.failures == 1
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.look = now + RETRY * 2u32.pow(self.failures.min(DOUBLINGS));
+        self.failures += 1;
     }
 
     /// Notes that a call with `token` was refused since a higher one was seen.
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -302,10 +302,13 @@
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
-        match flight.load.fetched {
-            0 => self.timing.begun(now, flight.since, flight.load.tokens),
-            fetched => self.fetched(now, &flight, fetched),
+        let Load {
+            tokens, fetched, ..
+        } = flight.load;
+        if fetched > 0 {
+            self.fetched(now, &flight, fetched);
         }
+        self.timing.begun(now, flight.since, tokens, fetched > 0);
         self.running.insert(id, flight.run(now));
     }
 
@@ -316,7 +319,6 @@
         let more = took - f64::from(flight.ahead) * pace - base;
         let counted = f64::from(fetched) * self.fetch.get().min(pace);
         self.fetch.took(fetched, more + counted);
-        self.timing.skip(now);
     }
 
     /// Notes that a call has ended or will not come; `pause` is the longest
--- a/crates/policy/src/grants/timing.rs
+++ b/crates/policy/src/grants/timing.rs
@@ -70,6 +70,8 @@
     took: f64,
     /// Seconds since the first event before it; none for the very first.
     after: Option<f64>,
+    /// Whether a part of the tokens stands for what was fetched.
+    fetched: bool,
 }
 
 /// Sums of a least-squares fit.
@@ -95,8 +97,9 @@
 
 impl Timing {
     /// Notes that a call which was let in at `since` to read `tokens` has its
-    /// first event.
-    pub(super) fn begun(&mut self, now: Instant, since: Instant, tokens: u32) {
+    /// first event; `fetched` says whether a part of them stands for what it
+    /// fetched.
+    pub(super) fn begun(&mut self, now: Instant, since: Instant, tokens: u32, fetched: bool) {
         let seconds = |then: Instant| now.saturating_duration_since(then).as_secs_f64();
         let last = self.last.replace(now);
         if self.seen.len() == RECENT {
@@ -107,17 +110,13 @@
             tokens: f64::from(tokens),
             took: seconds(since),
             after: last.map(seconds),
+            fetched,
         });
         for _ in 0..ROUNDS {
             self.fit(now);
         }
     }
 
-    /// Notes that a first event came which says nothing of reading.
-    pub(super) fn skip(&mut self, now: Instant) {
-        self.last = Some(now);
-    }
-
     /// Seconds for a token.
     pub(super) fn pace(&self) -> f64 {
         self.pace
@@ -139,6 +138,10 @@
             // The engine began with it when it had read the one before, which
             // was the fixed part before that one's first event.
             let busy = seen.after.filter(|after| after + self.base <= seen.took);
+            if busy.is_none() && seen.fetched {
+                // What it waited for besides is not the usual fixed part.
+                continue;
+            }
             let alone = if busy.is_some() { 0.0 } else { 1.0 };
             let expected = alone * self.base + seen.tokens * self.pace;
             let took = busy.unwrap_or(seen.took);
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -300,17 +300,18 @@
 
     /// Fixes the counts of all windows that can be reported at `time`, and
     /// returns those that nobody can report in time any more. The duty has
-    /// been held for `held`, and `expected` lives are known to be there.
+    /// been held for `held`; `gathered` says whether all entries that are there
+    /// have told their counts since.
     pub fn fix(
         &self,
         time: Duration,
         held: Duration,
-        expected: usize,
+        gathered: bool,
         account: &mut Account,
     ) -> Vec<u64> {
         let mut missed = Vec::new();
         let closed = self.windows.closed(time);
-        let gathered = held >= GATHER && self.lives.len() >= expected;
+        let gathered = held >= GATHER && gathered;
         while account.next < closed {
             let window = account.next;
             let late = time.saturating_sub(self.windows.end(window));
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -67,9 +67,9 @@
     tell(now, 5.2, &mut other, &mut holder);
     tell(now, 5.2, &mut other, &mut holder);
     holder.told(now, after(5.2), FIRST);
-    assert!(holder.fix(after(5.1), HELD, 2, &mut account).is_empty());
+    assert!(holder.fix(after(5.1), HELD, true, &mut account).is_empty());
     assert!(account.fixed.is_empty(), "clocks are apart a little");
-    holder.fix(after(5.2), HELD, 2, &mut account);
+    holder.fix(after(5.2), HELD, true, &mut account);
     assert_eq!(account.fixed[&FIRST], counts(&[("mairie", 7)]));
     assert_eq!(account.next, FIRST + 1);
 }
@@ -89,10 +89,10 @@
         counts: counts(&[(name, if name == "mairie" { 3 } else { 2 })]),
     };
     holder.hear(now, part("mairie"));
-    holder.fix(after(6.0), HELD, 1, &mut account);
+    holder.fix(after(6.0), HELD, true, &mut account);
     assert!(account.fixed.is_empty());
     holder.hear(now, part("ecole"));
-    holder.fix(after(6.0), HELD, 1, &mut account);
+    holder.fix(after(6.0), HELD, true, &mut account);
     assert_eq!(
         account.fixed[&FIRST],
         counts(&[("ecole", 2), ("mairie", 3)])
@@ -110,10 +110,10 @@
     tell(now, 3.1, &mut other, &mut holder);
     let late = |seconds| now + Duration::from_secs_f64(seconds);
     holder.told(late(6.0), after(6.0), FIRST);
-    holder.fix(after(6.0), HELD, 1, &mut account);
+    holder.fix(after(6.0), HELD, true, &mut account);
     assert!(account.fixed.is_empty(), "its host may only be cut off");
     holder.told(late(10.0), after(10.0), FIRST);
-    holder.fix(after(10.0), HELD, 1, &mut account);
+    holder.fix(after(10.0), HELD, true, &mut account);
     assert_eq!(account.fixed[&FIRST], counts(&[("mairie", 4)]));
 }
 
@@ -128,10 +128,10 @@
     count(&mut other, now, 3.0, "mairie", 4);
     tell(now, 5.3, &mut other, &mut holder);
     holder.told(now, after(5.3), FIRST);
-    holder.fix(after(5.3), HELD, 3, &mut account);
-    holder.fix(after(9.9), Duration::from_millis(100), 1, &mut account);
+    holder.fix(after(5.3), HELD, false, &mut account);
+    holder.fix(after(9.9), Duration::from_millis(100), true, &mut account);
     assert!(account.fixed.is_empty());
-    holder.fix(after(5.3), HELD, 2, &mut account);
+    holder.fix(after(5.3), HELD, true, &mut account);
     assert_eq!(account.fixed[&FIRST], counts(&[("mairie", 4)]));
 }
 
@@ -150,7 +150,7 @@
     let mut account = kept;
     count(&mut next, now, 4.0, "mairie", 5);
     next.told(now, after(5.3), FIRST);
-    next.fix(after(5.3), HELD, 1, &mut account);
+    next.fix(after(5.3), HELD, true, &mut account);
     assert_eq!(
         account.fixed[&FIRST],
         counts(&[("ecole", 20), ("mairie", 15)])
@@ -171,7 +171,7 @@
     count(&mut b, now, 3.0, "mairie", 2);
     tell(now, 5.3, &mut b, &mut c);
     c.told(now, after(5.3), FIRST);
-    c.fix(after(5.3), HELD, 1, &mut account);
+    c.fix(after(5.3), HELD, true, &mut account);
     assert_eq!(account.fixed[&FIRST], counts(&[("mairie", 32)]));
 }
 
@@ -185,7 +185,7 @@
     count(&mut holder, now, 1.0, "mairie", 1);
     count(&mut holder, now, 12.0, "mairie", 2);
     holder.told(now, after(16.0), FIRST);
-    let missed = holder.fix(after(16.0), HELD, 1, &mut account);
+    let missed = holder.fix(after(16.0), HELD, true, &mut account);
     assert_eq!(missed, [FIRST]);
     let fixed: Vec<u64> = account.fixed.keys().copied().collect();
     assert_eq!(fixed, [FIRST + 1, FIRST + 2]);
