--- a/crates/forward/src/duties.rs
+++ b/crates/forward/src/duties.rs
@@ -136,13 +136,12 @@
         self.books.borrow_mut().began(now, time, workspace);
     }
 
-    /// Notes another entry, which will be heard again before `until` of the
-    /// clock that stands still while the host is suspended, and what its host
-    /// takes for the time of day.
-    pub fn hear(&self, from: SocketAddr, rank: Rank, every: Duration, wall_ms: u64) {
+    /// Notes another entry, which speaks again `within` that time, and what its
+    /// host takes for the time of day.
+    pub fn hear(&self, from: SocketAddr, rank: Rank, within: Duration, wall_ms: u64) {
         let now = self.clock.lasting();
         let addr = SocketAddr::new(from.ip(), self.addr.port());
-        let until = now + every;
+        let until = now + within;
         let mut peers = self.peers.borrow_mut();
         let told = peers.get(&addr).and_then(|peer| peer.told);
         peers.insert(addr, Peer { rank, until, told });
