Weigh first events by what they take

Change: each first event counts by the inverse of what it was expected to take, so that with a queue the pace is all the time by all the tokens, as it was before; events are cut at six times. Guesses weigh less.

--- a/crates/policy/src/grants/timing.rs
+++ b/crates/policy/src/grants/timing.rs
@@ -27,21 +27,25 @@
 const OLD_LEAST: f64 = 0.02;
 
 /// First events that the guess of no fixed part counts for.
-const BASE_WEIGHT: f64 = 0.02;
+const BASE_WEIGHT: f64 = 0.001;
 
 /// First events that the guess of the pace counts for.
-const GUESS_WEIGHT: f64 = 0.25;
+const GUESS_WEIGHT: f64 = 0.03;
 
 /// Tokens of those first events.
 const GUESS_TOKENS: f64 = 300.0;
 
 /// Times of what was expected that one first event may count for. An engine
 /// that stood still, or a path that lost packets, says nothing about reading.
-const OUTLIER: f64 = 3.0;
+const OUTLIER: f64 = 6.0;
 
 /// The same in seconds, below which nothing is cut off.
 const OUTLIER_LEAST: f64 = 0.25;
 
+/// The least time by which first events are weighed, in seconds: steps of the
+/// engine and the network add as much to any.
+const VARIES_LEAST: f64 = 0.01;
+
 /// Rounds of a fit: which first events had others read before them follows
 /// from the fixed part, and the other way round.
 const ROUNDS: usize = 3;
@@ -130,8 +134,9 @@
     /// Fits both to what was seen.
     fn fit(&mut self, now: Instant) {
         let mut sums = Sums::default();
-        sums.add(BASE_WEIGHT, 1.0, 0.0, 0.0);
-        sums.add(GUESS_WEIGHT, 0.0, GUESS_TOKENS, GUESS_TOKENS * READ_GUESS);
+        let guess = GUESS_TOKENS * READ_GUESS;
+        sums.add(BASE_WEIGHT / guess, 1.0, 0.0, 0.0);
+        sums.add(GUESS_WEIGHT / guess, 0.0, GUESS_TOKENS, guess);
         for seen in &self.seen {
             let age = now.saturating_duration_since(seen.at).as_secs_f64();
             let weight = 0.5_f64.powf(age / HALF.as_secs_f64()).max(OLD_LEAST);
@@ -146,6 +151,9 @@
             let expected = alone * self.base + seen.tokens * self.pace;
             let took = busy.unwrap_or(seen.took);
             let took = took.min((expected * OUTLIER).max(OUTLIER_LEAST));
+            // What takes longer varies more. Weighed so, the pace of an engine
+            // with a long queue is all its time by all its tokens.
+            let weight = weight / expected.max(VARIES_LEAST);
             sums.add(weight, alone, seen.tokens, took);
         }
         (self.base, self.pace) = sums.solve();
