--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -300,14 +300,14 @@
     }
 
     /// Notes that the call goes out to a server.
-    fn going(&self) {
+    fn note_sent(&self) {
         if self.work.is_none() && self.begin.get() == Begun::No {
             self.begin.set(Begun::Perhaps);
         }
     }
 
     /// Notes what a send has shown of the call having begun.
-    fn gone_out(&self, failure: &Failure) {
+    fn note_failed(&self, failure: &Failure) {
         if self.begin.get() == Begun::Perhaps && failure.not_run() {
             self.begin.set(Begun::No);
         }
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -52,7 +52,7 @@
             let now = self.state.clock.now();
             let request = self.request(now, &server, begin, fetch);
             let id = self.ask.id.as_deref();
-            self.going();
+            self.note_sent();
             let sent = exchange::send(&self.state, &server, request, id, self.until, grant).await;
             let sent = sent.map(|answer| Answer {
                 sent: now,
@@ -63,7 +63,7 @@
                 self.note_late(now, ahead);
             }
             if let Err(failure) = &sent {
-                self.gone_out(failure);
+                self.note_failed(failure);
             }
             match sent {
                 Err(Failure::NeverSent(e)) => {
--- a/crates/forward/src/duties/report.rs
+++ b/crates/forward/src/duties/report.rs
@@ -12,7 +12,7 @@
 use spdlog::{info, warn};
 
 use super::{Duties, TICK};
-use crate::edge::{Bureau, Outcome};
+use crate::edge::{DutyApi, Outcome};
 
 /// The pause after a call that was not carried out; it doubles up to
 /// [`RETRY_MOST`].
@@ -26,7 +26,7 @@
 const UNHEARD: u32 = 3;
 
 /// Reports what is recorded until `end`.
-pub async fn run<B: Bureau>(duties: Rc<Duties>, bureau: B, end: Stop) {
+pub async fn run<B: DutyApi>(duties: Rc<Duties>, duty_api: B, end: Stop) {
     let mut failures = 0;
     while !end.asked() {
         tokio::time::sleep(duties.pause(failures)).await;
@@ -34,7 +34,7 @@
             continue;
         };
         let token = || duties.token();
-        let outcome = bureau.report(&duties.name, window, &counts, token).await;
+        let outcome = duty_api.report(&duties.name, window, &counts, token).await;
         failures = match duties.note(window, &counts, &outcome) {
             true => 0,
             false => failures + 1,
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -23,7 +23,7 @@
     /// Where the duties' record is kept.
     type Records: Records + 'static;
     /// Where duties go to.
-    type Bureau: Bureau + 'static;
+    type DutyApi: DutyApi + 'static;
 
     /// The operators' declarations.
     fn catalogs(&self) -> Self::Catalogs;
@@ -38,7 +38,7 @@
     fn records(&self) -> Self::Records;
 
     /// The interface for duties at `addr`.
-    fn bureau(&self, addr: SocketAddr) -> Self::Bureau;
+    fn duty_api(&self, addr: SocketAddr) -> Self::DutyApi;
 }
 
 /// How callers and backend servers are spoken to.
@@ -173,7 +173,7 @@
 }
 
 /// The platform's interface that duties go to.
-pub trait Bureau {
+pub trait DutyApi {
     /// Reports what each workspace has used in a window. `token` is asked for
     /// the fencing token right before the call is sent.
     fn report(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -131,10 +131,14 @@
 /// Starts what counts, holds and performs the duties, until `end`.
 fn start_duties<P: Platform>(state: &Rc<State>, duties: Rc<Duties>, platform: &P, end: &Stop) {
     *state.duties.borrow_mut() = Some(Rc::clone(&duties));
-    let (records, bureau) = (platform.records(), platform.bureau(duties.platform()));
+    let (records, duty_api) = (platform.records(), platform.duty_api(duties.platform()));
     actix_rt::spawn(duties::tell::hear(Rc::clone(&duties)));
     actix_rt::spawn(duties::tell::counts(Rc::clone(&duties), end.clone()));
-    actix_rt::spawn(duties::report::run(Rc::clone(&duties), bureau, end.clone()));
+    actix_rt::spawn(duties::report::run(
+        Rc::clone(&duties),
+        duty_api,
+        end.clone(),
+    ));
     actix_rt::spawn(duties::hold::run(
         Rc::clone(state),
         duties,
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -10,7 +10,7 @@
 use base::stop::Stop;
 use forward::duties::{Duties, hold, report, tell};
 use forward::edge::{Ask, Dialect, Order, Signs};
-use forward::edge::{Bureau, Kept, Outcome, Records, SourceError};
+use forward::edge::{DutyApi, Kept, Outcome, Records, SourceError};
 use forward::settings::Settings;
 use forward::state::State;
 use http::HeaderMap;
@@ -108,7 +108,7 @@
 
 struct Office(Rc<Platform>);
 
-impl Bureau for Office {
+impl DutyApi for Office {
     async fn report(
         &self,
         _holder: &str,
