Hold engines back until all of their slots are taken

The eight more are one engine's slots: its answers, a second long, had ended before the other engine began, so their callers sent a second request each before the test saw all slots taken. Change: the engines' steps take 60 times as long until all slots are taken, so no answer ends before; the answers are checked before they are counted, so that a refusal shows as one.

--- a/crates/demo/tests/failures/drain.rs
+++ b/crates/demo/tests/failures/drain.rs
@@ -13,6 +13,11 @@
 /// Tokens of an answer that takes about a second.
 const LONG: u32 = 400;
 
+/// How many times longer a step takes of engines that are held back. None of
+/// their long answers ends within [`PATIENCE`](crate::fleet::PATIENCE), and the
+/// pause between tokens stays below what a sidecar takes for silence.
+const HELD: f64 = 60.0;
+
 /// Callers that send one request after the other through a balancer, which
 /// turns to the next entry when one takes no connection or is draining.
 struct Callers {
@@ -143,10 +148,11 @@
     })
     .await;
     callers.on.set(false);
+    fleet.pace(1.0);
     fleet.stop("sidecar-0").await;
     let answers = callers.stop().await;
-    assert_eq!(answers.len(), 32);
     check(&fleet, &answers, LONG);
+    assert_eq!(answers.len(), 32);
 }
 
 // A sidecar is stopped while the list is frozen and shows it as live for ever.
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -91,6 +91,13 @@
         });
     }
 
+    /// Makes the steps of all engines take so many times their usual time.
+    pub(crate) fn pace(&self, pace: f64) {
+        for faults in self.engines.values() {
+            faults.change(|f| f.pace = pace);
+        }
+    }
+
     /// Starts a sidecar beside an engine, without listing it.
     pub(crate) fn sidecar(&mut self, i: u16) {
         let settings = json!({
