Order the number of backend servers by the duties' holder

Cause: where operators declare scaling for a service, nobody ordered servers; the duty was named in the settings and logged as not performed. Ruled out: a record of what was ordered in the store (an order is a number, so a successor orders by what it sees); reports asked of the engines (priced as probes, and old); refusals as a sign of load (a call asks up to three sidecars, and engines with streams refuse prompts that others take). Change: policy::scaling decides, up at once, down a quarter at a time after a minute of calm, with the loss of a zone in reserve; sidecars say how busy their engine is; the holder looks each second and orders with its token. Sites without scaling: nothing runs but a look at the configuration.

--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -145,6 +145,7 @@
         match ask.what {
             What::Want(want) => self.want(id, want, from),
             What::Look(look) => self.look(id, &look, from),
+            What::Busy => self.busy(id, from),
             What::Fetches(source) => self.inner.borrow_mut().grants.fetches(id, source),
             What::Gone { server, born } => self.gone(&server, born),
             What::Begun => self.inner.borrow_mut().grants.begun(now, id),
@@ -269,6 +270,13 @@
         self.send(from, id, grants::Verdict::Told, held, false);
     }
 
+    /// Says how busy the engine is.
+    fn busy(&self, id: CallId, from: SocketAddr) {
+        let busy = self.inner.borrow().grants.busy(self.clock.now());
+        let verdict = grants::Verdict::Busy((busy * 1e3) as u32);
+        self.send(from, id, verdict, 0, false);
+    }
+
     /// Tells the entries of calls that are let in by now.
     fn let_in(&self) {
         let now = self.clock.now();
--- a/crates/admission/tests/desk.rs
+++ b/crates/admission/tests/desk.rs
@@ -58,6 +58,15 @@
         self.next().await.verdict
     }
 
+    /// How busy the sidecar says that its engine is, in thousandths.
+    async fn busy(&self, number: u32) -> u32 {
+        self.tell(number, What::Busy).await;
+        match self.next().await.verdict {
+            Verdict::Busy(thousandths) => thousandths,
+            other => panic!("expected how busy it is: {other:?}"),
+        }
+    }
+
     async fn next(&self) -> Answer {
         let mut buffer = [0; LARGEST];
         let (length, _) = self.socket.recv_from(&mut buffer).await.expect("an answer");
@@ -103,6 +112,19 @@
     assert!(matches!(queued, Verdict::Queued(_)));
 }
 
+/// Whoever orders engines asks how busy this one is. Calls that wait count
+/// beyond what it can do, so that more are ordered before callers are refused.
+#[actix_rt::test]
+async fn busy_told() {
+    let (_desk, entry) = start().await;
+    assert_eq!(entry.busy(1).await, 0);
+    assert_eq!(entry.want(2, 30_000).await, Verdict::Granted);
+    let one = entry.busy(3).await;
+    assert!(matches!(entry.want(4, 30_000).await, Verdict::Queued(_)));
+    let two = entry.busy(5).await;
+    assert!(0 < one && one < two, "{one} {two}");
+}
+
 /// The sidecar is told to stop while a call waits: the call goes on at once,
 /// since nobody will order it any more.
 #[actix_rt::test]
--- a/crates/forward/src/duties.rs
+++ b/crates/forward/src/duties.rs
@@ -3,10 +3,12 @@
 //!
 //! - [`hold`]: holding the duties through the store.
 //! - [`report`]: reporting the usage while they are held.
+//! - [`scale`]: ordering the number of backend servers meanwhile.
 //! - [`tell`]: what entries tell each other for it.
 
 pub mod hold;
 pub mod report;
+pub mod scale;
 pub mod tell;
 
 use std::cell::{Cell, RefCell};
@@ -22,7 +24,6 @@
 use policy::fleet_time::FleetTime;
 use policy::readers::Rank;
 use policy::usage::{Account, Books, Counts, Life, Windows};
-use spdlog::warn;
 use tokio::net::UdpSocket;
 
 use crate::settings::{self, Settings};
@@ -52,6 +53,8 @@
     since: Cell<Option<Instant>>,
     /// Whether the platform's interface does not answer here.
     unheard: Cell<bool>,
+    /// Servers that were ordered, by service and availability zone.
+    ordered: RefCell<BTreeMap<String, u32>>,
     /// Who said last that it holds the duties.
     holder: Cell<Option<SocketAddr>>,
     /// The first window whose counts are still wanted: the store does not keep
@@ -87,12 +90,10 @@
     ///
     /// Returns the error when the port for them cannot be bound.
     pub async fn bind(own: &Settings, clock: Rc<dyn Clock>) -> io::Result<Option<Rc<Self>>> {
-        let Some(settings) = own.duties.clone().filter(settings::Duties::report) else {
+        let any = |d: &settings::Duties| d.report() || d.scale();
+        let Some(settings) = own.duties.clone().filter(any) else {
             return Ok(None);
         };
-        if settings.kinds.contains(&settings::DutyKind::Autoscale) {
-            warn!("duty not performed", kv: { kind = "autoscale" });
-        }
         let addr = own.duty_addr();
         let socket = UdpSocket::bind(addr).await?;
         let now = clock.lasting();
@@ -114,6 +115,7 @@
             recorded: RefCell::default(),
             since: Cell::new(None),
             unheard: Cell::new(false),
+            ordered: RefCell::default(),
             holder: Cell::new(None),
             next: Cell::new(0),
             own: own_rank(own),
@@ -182,6 +184,7 @@
             },
             next: self.next.get(),
             unreported: account.fixed.keys().copied().collect(),
+            ordered: self.ordered.borrow().clone(),
         }
     }
 
@@ -232,4 +235,7 @@
     /// Windows whose counts are fixed and not yet accepted by the platform, if
     /// this entry holds the duties.
     pub unreported: Vec<u64>,
+    /// Servers that this entry has ordered, by service and availability zone,
+    /// while it holds the duties.
+    pub ordered: BTreeMap<String, u32>,
 }
--- a/crates/forward/src/duties/hold.rs
+++ b/crates/forward/src/duties/hold.rs
@@ -132,6 +132,9 @@
 
     /// Fixes the counts of windows that are over; whether there were any.
     fn fix(&self) -> bool {
+        if !self.settings.report() {
+            return false;
+        }
         let now = self.clock.lasting();
         let (Some(since), Some(token)) = (self.since.get(), self.token()) else {
             return false;
--- a/crates/forward/src/duties/report.rs
+++ b/crates/forward/src/duties/report.rs
@@ -23,10 +23,13 @@
 const RETRY_MOST: Duration = Duration::from_secs(1);
 
 /// Calls in a row without an answer after which another entry should try.
-const UNHEARD: u32 = 3;
+pub(super) const UNHEARD: u32 = 3;
 
 /// Reports what is recorded until `end`.
 pub async fn run<B: DutyApi>(duties: Rc<Duties>, duty_api: B, end: Stop) {
+    if !duties.settings.report() {
+        return;
+    }
     let mut failures = 0;
     while !end.asked() {
         tokio::time::sleep(duties.pause(failures)).await;
@@ -47,9 +50,16 @@
 }
 
 impl Duties {
+    /// The least time between two calls of one duty, so that all duties
+    /// together keep to what the interface takes.
+    pub(super) fn spacing(&self) -> Duration {
+        let duties = self.settings.kinds.len().max(1) as f64;
+        Duration::from_secs_f64(duties / self.settings.rate)
+    }
+
     /// The pause before the next call, after so many that failed in a row.
     fn pause(&self, failures: u32) -> Duration {
-        let rate = Duration::from_secs_f64(1.0 / self.settings.rate);
+        let rate = self.spacing();
         let retry = match failures {
             0 => TICK,
             n => RETRY * 2u32.saturating_pow(n - 1),
@@ -70,13 +80,7 @@
         let time = self.time();
         let end = self.books.borrow().windows().end(window);
         let late_ms = time.saturating_sub(end).as_millis() as u64;
-        let word = match outcome {
-            Outcome::Accepted => "accepted",
-            Outcome::Fenced(_) => "fenced",
-            Outcome::Refused(_) => "refused",
-            Outcome::Lost(_) => "lost",
-            Outcome::NotHeld => "not_held",
-        };
+        let word = outcome.word();
         metrics::counter!("pimentocart_usage_reports_total", "outcome" => word).increment(1);
         let requests: u64 = counts.values().sum();
         if *outcome != Outcome::Accepted {
@@ -101,6 +105,6 @@
             }
             Outcome::Refused(_) | Outcome::Lost(_) | Outcome::NotHeld => {}
         }
-        !matches!(outcome, Outcome::Lost(_) | Outcome::Refused(_))
+        outcome.heard()
     }
 }
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -8,6 +8,7 @@
 use policy::balance::Listed;
 use policy::duty::{Term, Written};
 use policy::routes::Catalog;
+use policy::scaling;
 use policy::usage::{Account, Counts};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -183,6 +184,16 @@
         counts: &Counts,
         token: impl FnOnce() -> Option<u64>,
     ) -> impl Future<Output = Outcome>;
+
+    /// Orders how many servers `service` should have in an availability zone;
+    /// `token` as in [`DutyApi::report`].
+    fn order(
+        &self,
+        holder: &str,
+        service: &str,
+        order: &scaling::Order,
+        token: impl FnOnce() -> Option<u64>,
+    ) -> impl Future<Output = Outcome>;
 }
 
 /// What became of a call of a duty.
@@ -200,6 +211,26 @@
     NotHeld,
 }
 
+impl Outcome {
+    /// It in one word, for logs and metrics.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Fenced(_) => "fenced",
+            Self::Refused(_) => "refused",
+            Self::Lost(_) => "lost",
+            Self::NotHeld => "not_held",
+        }
+    }
+
+    /// Whether the interface was heard, or need not have been.
+    #[must_use]
+    pub fn heard(&self) -> bool {
+        !matches!(self, Self::Lost(_) | Self::Refused(_))
+    }
+}
+
 /// Records of a table.
 #[derive(Debug, Clone)]
 pub struct Changes<T> {
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -28,6 +28,10 @@
 /// little more.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long an answer is waited for that says how busy an engine is. Nobody
+/// waits for it.
+const BUSY: Duration = Duration::from_millis(200);
+
 /// Questions without any answer after which a sidecar counts as silent.
 const TRIES: u32 = 3;
 
@@ -199,7 +203,7 @@
                 Decided::Refused(Duration::from_millis(u64::from(ms)), held)
             }
             Verdict::Gone => Decided::Gone,
-            Verdict::Told => Decided::Silent,
+            Verdict::Told | Verdict::Busy(_) => Decided::Silent,
         }
     }
 
@@ -221,6 +225,22 @@
         answer.ok().flatten().map_or(0, |a| a.held)
     }
 
+    /// The part of its time, slots or memory that calls take of the engine
+    /// beside the sidecar on `host`; none when the sidecar does not say.
+    pub async fn busy(&self, host: IpAddr) -> Option<f64> {
+        let (number, mut answers) = self.asking();
+        let _open = Looking {
+            sidecars: self,
+            number,
+        };
+        self.tell(SocketAddr::new(host, self.port), number, What::Busy);
+        let answer = tokio::time::timeout(BUSY, answers.recv()).await;
+        match answer.ok().flatten()?.verdict {
+            Verdict::Busy(thousandths) => Some(f64::from(thousandths) / 1e3),
+            _ => None,
+        }
+    }
+
     /// The number of a new question, and where its answers come.
     fn asking(&self) -> (u32, UnboundedReceiver<Answer>) {
         let number = self.next.get();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -132,6 +132,12 @@
 fn start_duties<P: Platform>(state: &Rc<State>, duties: Rc<Duties>, platform: &P, end: &Stop) {
     *state.duties.borrow_mut() = Some(Rc::clone(&duties));
     let (records, duty_api) = (platform.records(), platform.duty_api(duties.platform()));
+    actix_rt::spawn(duties::scale::run(
+        Rc::clone(state),
+        Rc::clone(&duties),
+        platform.duty_api(duties.platform()),
+        end.clone(),
+    ));
     actix_rt::spawn(duties::tell::hear(Rc::clone(&duties)));
     actix_rt::spawn(duties::tell::counts(Rc::clone(&duties), end.clone()));
     actix_rt::spawn(duties::report::run(
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -88,7 +88,7 @@
 pub enum DutyKind {
     /// Reporting what each workspace has used.
     UsageReport,
-    /// Ordering the number of backend servers. Not performed yet.
+    /// Ordering the number of backend servers.
     Autoscale,
 }
 
@@ -99,6 +99,12 @@
         self.kinds.contains(&DutyKind::UsageReport)
     }
 
+    /// Whether the number of backend servers is to be ordered.
+    #[must_use]
+    pub fn scale(&self) -> bool {
+        self.kinds.contains(&DutyKind::Autoscale)
+    }
+
     fn check(&self) -> Result<(), base::settings::Error> {
         use base::settings::check;
         let above = |n: f64| n.is_finite() && n > 0.0;
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -447,6 +447,7 @@
             stride: 8,
             copy: None,
         }),
+        scaling: None,
     };
     let workspace = Workspace {
         name: "w".to_owned(),
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -8,14 +8,17 @@
 
 use base::clock::{Clock, SystemClock};
 use base::stop::Stop;
-use forward::duties::{Duties, hold, report, tell};
-use forward::edge::{Ask, Dialect, Order, Signs};
+use forward::duties::{Duties, hold, report, scale, tell};
+use forward::edge::{Ask, Dialect, Signs};
 use forward::edge::{DutyApi, Kept, Outcome, Records, SourceError};
 use forward::settings::Settings;
 use forward::state::State;
 use http::HeaderMap;
+use policy::balance::Listed;
 use policy::duty::Written;
 use policy::readers::Rank;
+use policy::routes::{Catalog, Limits, Service};
+use policy::scaling::{self, Order};
 use policy::usage::Counts;
 
 /// Long enough for any step here, so that a test that hangs fails instead.
@@ -78,6 +81,15 @@
     tokens: RefCell<BTreeSet<u64>>,
     calls: Cell<usize>,
     losing: Cell<u32>,
+    orders: RefCell<Vec<Ordered>>,
+}
+
+/// An order that was carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Ordered {
+    pub(crate) token: u64,
+    pub(crate) zone: String,
+    pub(crate) count: u32,
 }
 
 impl Platform {
@@ -104,6 +116,28 @@
     pub(crate) fn holders(&self) -> usize {
         self.tokens.borrow().len()
     }
+
+    /// All orders that were carried out, in their order.
+    pub(crate) fn orders(&self) -> Vec<Ordered> {
+        self.orders.borrow().clone()
+    }
+
+    /// Takes a call with the holder's token; whether it is fenced, and if not,
+    /// what its caller is answered.
+    fn call(&self, token: u64) -> Option<Outcome> {
+        self.calls.set(self.calls.get() + 1);
+        let highest = self.tokens.borrow().last().copied();
+        if highest.is_some_and(|highest| token < highest) {
+            return None;
+        }
+        self.tokens.borrow_mut().insert(token);
+        let losing = self.losing.get();
+        self.losing.set(losing.saturating_sub(1));
+        Some(match losing {
+            0 => Outcome::Accepted,
+            _ => Outcome::Lost("no answer".to_owned()),
+        })
+    }
 }
 
 struct Office(Rc<Platform>);
@@ -119,22 +153,34 @@
         let Some(token) = token() else {
             return Outcome::NotHeld;
         };
-        let platform = &self.0;
-        platform.calls.set(platform.calls.get() + 1);
-        let highest = platform.tokens.borrow().last().copied();
-        if highest.is_some_and(|highest| token < highest) {
+        let Some(outcome) = self.0.call(token) else {
             return Outcome::Fenced(token);
-        }
-        platform.tokens.borrow_mut().insert(token);
-        let mut windows = platform.windows.borrow_mut();
+        };
+        let mut windows = self.0.windows.borrow_mut();
         let told = windows.entry(window).or_insert_with(|| counts.clone());
         assert_eq!(told, counts, "two reports of window {window}");
-        let losing = platform.losing.get();
-        platform.losing.set(losing.saturating_sub(1));
-        match losing {
-            0 => Outcome::Accepted,
-            _ => Outcome::Lost("no answer".to_owned()),
-        }
+        outcome
+    }
+
+    async fn order(
+        &self,
+        _holder: &str,
+        _service: &str,
+        order: &Order,
+        token: impl FnOnce() -> Option<u64>,
+    ) -> Outcome {
+        let Some(token) = token() else {
+            return Outcome::NotHeld;
+        };
+        let Some(outcome) = self.0.call(token) else {
+            return Outcome::Fenced(token);
+        };
+        self.0.orders.borrow_mut().push(Ordered {
+            token,
+            zone: order.zone.to_string(),
+            count: order.count,
+        });
+        outcome
     }
 }
 
@@ -205,6 +251,22 @@
         }
     }
 
+    /// Has an entry know a service with a server of four slots in each of two
+    /// availability zones, up to eight of which may be ordered, and so many
+    /// calls open at each.
+    pub(crate) fn serve(&self, entry: usize, calls: u32) {
+        let state = &self.entries[entry].state;
+        *state.catalog.borrow_mut() = Some(Rc::new(catalog()));
+        let now = state.clock.now();
+        let mut balance = state.balance.borrow_mut();
+        for zone in ["a", "b"] {
+            balance.list(now, server(zone));
+            for _ in 0..calls {
+                balance.sent(now, zone);
+            }
+        }
+    }
+
     /// All requests that were reported.
     pub(crate) fn reported(&self) -> u64 {
         let windows = self.platform.windows.borrow();
@@ -252,6 +314,12 @@
         actix_rt::spawn(tell::hear(Rc::clone(&duties))),
         actix_rt::spawn(tell::counts(Rc::clone(&duties), end.clone())),
         actix_rt::spawn(report::run(Rc::clone(&duties), office, end.clone())),
+        actix_rt::spawn(scale::run(
+            Rc::clone(&state),
+            Rc::clone(&duties),
+            Office(Rc::clone(platform)),
+            end.clone(),
+        )),
         actix_rt::spawn(hold::run(
             Rc::clone(&state),
             Rc::clone(&duties),
@@ -276,12 +344,43 @@
         "ready_path": "/ready", "gossip": format!("127.41.{net}.{host}:{PORT}"),
         "store": any, "grace_s": 8.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
         "link_mbps": f64::from(host),
-        "duties": {"platform": any, "kinds": ["usage_report"], "rate": 50.0,
+        "duties": {"platform": any, "kinds": ["usage_report", "autoscale"], "rate": 50.0,
             "window_s": 1.0, "due_s": 10.0, "lease_ms": 1000},
     });
     serde_json::from_value(text).expect("settings")
 }
 
+/// A service whose number of servers may be ordered.
+fn catalog() -> Catalog {
+    let service = Service {
+        name: Rc::from("app"),
+        connections: 10,
+        engine: None,
+        scaling: Some(scaling::Limits {
+            least: 1,
+            most: 8,
+            boot: Duration::from_secs(2),
+        }),
+    };
+    Catalog::new(1, Vec::new(), vec![service], None, Limits::default())
+}
+
+/// The server in an availability zone, named like it.
+fn server(zone: &str) -> Listed {
+    let host = u8::from(zone == "b") + 1;
+    Listed {
+        id: Rc::from(zone),
+        service: Rc::from("app"),
+        addr: format!("127.42.0.{host}:{PORT}")
+            .parse()
+            .expect("an address"),
+        zone: Rc::from(zone),
+        slots: 4,
+        leaving: false,
+        born: None,
+    }
+}
+
 struct Mute;
 
 impl Dialect for Mute {
@@ -289,7 +388,7 @@
         Ask::default()
     }
 
-    fn outgoing(&self, _headers: &HeaderMap, _order: &Order<'_>) -> HeaderMap {
+    fn outgoing(&self, _headers: &HeaderMap, _order: &forward::edge::Order<'_>) -> HeaderMap {
         HeaderMap::new()
     }
 
--- a/crates/forward/tests/duties/main.rs
+++ b/crates/forward/tests/duties/main.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use common::{Fleet, until};
+use common::{Fleet, Ordered, until};
 
 #[actix_rt::test]
 async fn usage_reported() {
@@ -84,6 +84,83 @@
     until("all is reported", || fleet.reported() == 5).await;
 }
 
+#[actix_rt::test]
+async fn servers_ordered() {
+    // Both servers of a service have all their slots taken. Whoever holds the
+    // duties orders more in each zone, and nobody else orders anything.
+    let fleet = Fleet::start(3).await;
+    (0..3).for_each(|entry| fleet.serve(entry, 4));
+    until("more are ordered in both zones", || {
+        fleet.platform.orders().len() >= 2
+    })
+    .await;
+    let orders = fleet.platform.orders();
+    // Two servers' worth of calls, of which one zone has to carry 9 in 10.
+    assert!(orders.iter().all(|o| o.count == 3), "{orders:?}");
+    assert_eq!(zones(&orders), ["a", "b"]);
+    assert_eq!(fleet.platform.holders(), 1);
+}
+
+#[actix_rt::test]
+async fn idle_unordered() {
+    // No caller has come yet. Nobody touches the servers that operators have
+    // set up, while usage is reported as ever.
+    let fleet = Fleet::start(2).await;
+    (0..2).for_each(|entry| fleet.serve(entry, 0));
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    fleet.count(0, "mairie", 5);
+    until("all is reported", || fleet.reported() == 5).await;
+    assert_eq!(fleet.platform.orders(), []);
+}
+
+#[actix_rt::test]
+async fn order_lost() {
+    // The platform carries orders out and their answers are lost. Whoever
+    // holds the duties orders again, with the same token or a higher one, until
+    // it is answered for both zones.
+    let fleet = Fleet::start(2).await;
+    fleet.platform.lose(2);
+    (0..2).for_each(|entry| fleet.serve(entry, 4));
+    until("both zones are answered", || {
+        let answered = fleet
+            .platform
+            .orders()
+            .split_off(2.min(fleet.platform.orders().len()));
+        zones(&answered).len() == 2
+    })
+    .await;
+    let tokens: Vec<u64> = fleet.platform.orders().iter().map(|o| o.token).collect();
+    assert!(tokens.is_sorted(), "{tokens:?}");
+}
+
+#[actix_rt::test]
+async fn orderer_killed() {
+    // The holder has ordered servers and is killed. Its successor knows nothing
+    // of that; it sees the load and orders with a higher token.
+    let fleet = Fleet::start(2).await;
+    (0..2).for_each(|entry| fleet.serve(entry, 4));
+    until("servers are ordered", || {
+        !fleet.platform.orders().is_empty()
+    })
+    .await;
+    let (first, token) = fleet.holder().expect("a holder");
+    fleet.kill(first);
+    until("another one orders", || {
+        fleet.platform.orders().iter().any(|o| o.token > token)
+    })
+    .await;
+    let tokens: Vec<u64> = fleet.platform.orders().iter().map(|o| o.token).collect();
+    assert!(tokens.is_sorted(), "{tokens:?}");
+}
+
+/// The availability zones of some orders, each once.
+fn zones(orders: &[Ordered]) -> Vec<&str> {
+    let mut zones: Vec<_> = orders.iter().map(|o| &*o.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
 #[actix_rt::test]
 async fn no_duty() {
     // The platform names no duty that this program performs: no port is
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -165,6 +165,12 @@
         (self.listed.born, self.first)
     }
 
+    /// Whether it is there and takes new calls of `service`.
+    fn serves(&self, service: &str) -> bool {
+        let there = !self.listed.leaving && !self.replaced && self.missing.is_none();
+        there && &*self.listed.service == service
+    }
+
     /// Open calls at the server, of all entries.
     fn open(&self) -> u32 {
         self.own.open + self.others.open
@@ -343,14 +349,18 @@
     /// How many servers of `service` take new calls, and the slots of each.
     #[must_use]
     pub fn size(&self, service: &str) -> (usize, u32) {
-        let open = |s: &&Server| {
-            let there = !s.listed.leaving && !s.replaced && s.missing.is_none();
-            there && &*s.listed.service == service
-        };
-        let open = self.servers.values().filter(open);
+        let open = self.servers.values().filter(|s| s.serves(service));
         open.fold((0, 0), |(n, slots), s| (n + 1, slots.max(s.listed.slots)))
     }
 
+    /// The servers of `service` that take new calls, each with the calls that
+    /// all entries have open there.
+    #[must_use]
+    pub fn serving(&self, service: &str) -> Vec<(Listed, u32)> {
+        let serving = self.servers.values().filter(|s| s.serves(service));
+        serving.map(|s| (s.listed.clone(), s.open())).collect()
+    }
+
     /// The server for a call, or none when no server may take it.
     pub fn choose(&mut self, now: Instant, want: &Want<'_>) -> Option<Listed> {
         self.ranked(now, want).into_iter().next()
--- a/crates/policy/src/grants/queue.rs
+++ b/crates/policy/src/grants/queue.rs
@@ -86,6 +86,11 @@
         })
     }
 
+    /// The tokens that all of them have to read.
+    pub(super) fn tokens(&self) -> u64 {
+        self.calls.values().map(|w| u64::from(w.tokens)).sum()
+    }
+
     /// Forgets the calls whose callers have gone.
     pub(super) fn expire(&mut self, now: Instant) {
         let gone = |w: &&Waiting| now >= w.since + w.ask.left;
--- a/crates/policy/src/grants/room.rs
+++ b/crates/policy/src/grants/room.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::call::Report;
-use super::{Grants, HOLD_GUESS, Load, sum};
+use super::{Grants, HOLD_GUESS, LATELY, Load, sum};
 
 /// Part of the engine's memory that may be taken by running calls. Beyond,
 /// the engine preempts some of them in the middle of their streams.
@@ -81,6 +81,22 @@
         own.max(told)
     }
 
+    /// Part of the engine's time, slots or memory that calls take, whichever
+    /// is most; what waits for reading counts as well.
+    #[must_use]
+    pub fn busy(&self, now: Instant) -> f64 {
+        let lately = self.lately.iter().filter(|(at, _)| now < *at + LATELY);
+        let read: f64 = lately.map(|(_, s)| s).sum();
+        let waiting = self.waiting.tokens() as f64 * self.timing.pace();
+        let reading = (read + waiting) / LATELY.as_secs_f64();
+        let slots = f64::from(self.taken(now)) / f64::from(self.slots.max(1));
+        let memory = match self.fresh(now) {
+            Some(report) if report.total > 0 => report.used as f64 / report.total as f64,
+            _ => 0.0,
+        };
+        reading.max(slots).max(memory)
+    }
+
     pub(super) fn fresh(&self, now: Instant) -> Option<Report> {
         let fresh = self.report.filter(|(at, _)| now < *at + REPORT_LIMIT);
         fresh.map(|(_, report)| report)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`duty`]: who performs a duty.
 //! - [`usage`]: what each workspace has used, and when it is reported.
 //! - [`fleet_time`]: the time of day that the hosts agree on.
+//! - [`scaling`]: how many backend servers a service has.
 //!
 //! What an entry decides about the chat interface:
 //! - [`membership`]: which hosts there are.
@@ -63,6 +64,7 @@
 pub mod replica;
 pub mod retry;
 pub mod routes;
+pub mod scaling;
 pub mod subset;
 pub mod usage;
 pub mod waits;
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -8,6 +8,8 @@
 use base::ids::Tier;
 use serde::{Deserialize, Serialize};
 
+use crate::scaling;
+
 /// One version of what the operators declared, ready for lookups.
 #[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -87,6 +89,8 @@
     pub connections: u32,
     /// Set for model engines.
     pub engine: Option<Engine>,
+    /// Set where the number of its servers may be ordered.
+    pub scaling: Option<scaling::Limits>,
 }
 
 /// What is declared about the model engines of a service.
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -51,6 +51,8 @@
         /// The longest pause between two of its events, in milliseconds.
         pause_ms: u32,
     },
+    /// Nothing of a call: how busy the engine is.
+    Busy,
 }
 
 /// A call that wants to be sent.
@@ -121,6 +123,8 @@
     Gone,
     /// Nothing was to be decided.
     Told,
+    /// Calls take so many thousandths of the engine's time, slots or memory.
+    Busy(u32),
 }
 
 /// Writes a datagram.
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -21,7 +21,7 @@
 
 /// How records are written. Entries of another one are not asked again before
 /// they have been passed over for a while, and their neighbours read the store.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// The calls that an entry answers its neighbours.
 #[tarpc::service]
