--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -122,7 +122,7 @@
         match ask.what {
             What::Begun => begun = true,
             What::Ended { .. } => break,
-            What::Want(_) | What::Look(_) | What::Fetches(_) | What::Gone { .. } => {}
+            What::Want(_) | What::Look(_) | What::Fetches(_) | What::Gone { .. } | What::Busy => {}
         }
     }
     assert!(begun);
