--- a/crates/demo/tests/failures/drain.rs
+++ b/crates/demo/tests/failures/drain.rs
@@ -130,7 +130,9 @@
 
 // A sidecar stops while it runs requests and others wait behind them. Callers
 // see nothing: those that run end whole, and those that wait are refused at
-// once by the sidecar and find a slot at the other.
+// once by the sidecar and find a slot at the other. The engines are held back
+// until then: an answer that ended sooner would have its caller send a second
+// request, and one engine could be through before the other began.
 #[actix_rt::test]
 async fn stop_sidecar_with_queue() {
     let mut fleet = Fleet::new();
@@ -139,6 +141,7 @@
     fleet.entry(0);
     fleet.ready(0).await;
     fleet.all_usable(0).await;
+    fleet.pace(HELD);
 
     // Twice as many as there are slots, so that half of them wait.
     let callers = Callers::start(32, &[fleet.entry_addr(0)], LONG);
