Move the terms on which calls ask for a place into policy

Cause: forward::call::place decided who counts as returned, how long a first event may take and who must be served, among sockets and timers, with no test of its own. Change: policy::terms, with a test for each decision. Left there: which engines are asked, in which order.

--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -8,6 +8,7 @@
 use policy::grants::fetch;
 use policy::pools::Work;
 use policy::rendezvous;
+use policy::terms::Caller;
 use policy::waits::{self, Claim, Verdict};
 use rand::RngExt;
 use spdlog::info;
@@ -29,29 +30,10 @@
 /// The most of it: an engine with a full queue still sends something.
 const SILENCE_MOST: Duration = Duration::from_millis(1200);
 
-/// Part of the route's timeout that the least patient of callers bring: what
-/// one waits is its own choice, and fresh calls come with less than the whole.
-/// One whose time is shorter than that by more than its target has spent the target
-/// elsewhere, as those do who were turned away.
-const PATIENCE_LEAST: f64 = 0.85;
-
 /// Engines of the call's own part that are asked for a place by its prompt's
 /// shared parts: their home and the next one.
 const HOMES: usize = 2;
 
-/// Part of what is left of its target within which a call's first event must
-/// be expected.
-const IN_TIME: f64 = 0.5;
-
-/// The same part of its whole target for a call whose target has passed. It
-/// should be served while there is room, and not take the place of one that
-/// can yet be in time: where calls are turned away, queues stand above this.
-const LATE: f64 = 0.3;
-
-/// The same for the tiers above the lowest, which are not turned away for
-/// being late.
-const PATIENT: f64 = 0.6;
-
 /// On what terms an engine is asked for a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Terms {
@@ -174,10 +156,8 @@
             return Ok(None);
         };
         let left = self.until.saturating_duration_since(self.state.clock.now());
-        let patient = work == Work::Writing
-            || begin != Begin::Fresh
-            || self.route.tier.0 < waits::LOWER_TIER && expected <= left.mul_f64(PATIENT);
-        if !patient {
+        let must = work == Work::Writing || self.caller(begin).must(expected, left);
+        if !must {
             return Err(self.too_late(&server, expected));
         }
         let asked = self.ask_one(sidecars, &server, begin, Terms::Must, &holder);
@@ -298,13 +278,7 @@
         let now = self.state.clock.now();
         let age = now.saturating_duration_since(self.came);
         let left = self.until.saturating_duration_since(now);
-        let target = self.route.target.saturating_sub(age);
-        let fresh = begin == Begin::Fresh && !self.returned() && !target.is_zero();
-        let allowed = match fresh {
-            true => target.mul_f64(IN_TIME),
-            false => self.route.target.mul_f64(LATE),
-        };
-        let allowed = allowed.min(left);
+        let allowed = self.caller(begin).allowed(age, left);
         let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
         let want = grants::Want {
             name: self.name().to_owned(),
@@ -395,11 +369,20 @@
         }
     }
 
+    /// What its terms depend on.
+    fn caller(&self, begin: Begin) -> Caller {
+        Caller {
+            tier: self.route.tier.0,
+            target: self.route.target,
+            timeout: self.route.timeout,
+            patience: self.ask.patience,
+            fresh: begin == Begin::Fresh,
+        }
+    }
+
     /// Whether the caller has spent its target elsewhere before.
     fn returned(&self) -> bool {
-        let least = self.route.timeout.mul_f64(PATIENCE_LEAST);
-        let patience = self.ask.patience;
-        patience.is_some_and(|p| p + self.route.target < least)
+        self.caller(Begin::Fresh).returned()
     }
 
     /// Whether the call may go to a server, or would come too late there.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`balance`]: which backend server gets it.
 //! - [`pools`]: which engines read prompts and which write answers.
 //! - [`pauses`]: how long reading keeps streams beside it waiting.
+//! - [`terms`]: on what terms a call asks for a place at an engine.
 //! - [`waits`]: whether it would come too late.
 //! - [`link`]: whether it should get new connections.
 //! - [`others`]: what other entries have in progress.
@@ -66,6 +67,7 @@
 pub mod routes;
 pub mod scaling;
 pub mod subset;
+pub mod terms;
 pub mod usage;
 pub mod waits;
 pub mod wish;
