Start the small fleets of failure tests in one place

Change: Fleet::with starts servers and an entry and waits for that in all of them; the duties' stand-in takes a call in one place. No check changed.

--- a/crates/demo/tests/failures/drain.rs
+++ b/crates/demo/tests/failures/drain.rs
@@ -135,12 +135,7 @@
 // request, and one engine could be through before the other began.
 #[actix_rt::test]
 async fn stop_sidecar_with_queue() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.server(1);
-    fleet.entry(0);
-    fleet.ready(0).await;
-    fleet.all_usable(0).await;
+    let mut fleet = Fleet::with(2).await;
     fleet.pace(HELD);
 
     // Twice as many as there are slots, so that half of them wait.
@@ -162,12 +157,7 @@
 // Callers see nothing, before and after it is gone.
 #[actix_rt::test]
 async fn stop_sidecar_while_list_frozen() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.server(1);
-    fleet.entry(0);
-    fleet.ready(0).await;
-    fleet.all_usable(0).await;
+    let mut fleet = Fleet::with(2).await;
 
     let frozen = Faults {
         frozen: true,
@@ -250,12 +240,7 @@
 // no answer is mixed from two runs.
 #[actix_rt::test]
 async fn crash_during_drain() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.server(1);
-    fleet.entry(0);
-    fleet.ready(0).await;
-    fleet.all_usable(0).await;
+    let mut fleet = Fleet::with(2).await;
     let lag = Faults {
         lag: Span::secs(30),
         ..Faults::default()
--- a/crates/demo/tests/failures/fleet.rs
+++ b/crates/demo/tests/failures/fleet.rs
@@ -70,6 +70,17 @@
         fleet
     }
 
+    /// A fleet with so many servers and one entry, which gives work to each of
+    /// them: none still counts as failed from before it listened.
+    pub(crate) async fn with(servers: u16) -> Self {
+        let mut fleet = Self::new();
+        (0..servers).for_each(|i| fleet.server(i));
+        fleet.entry(0);
+        fleet.ready(0).await;
+        fleet.all_usable(0).await;
+        fleet
+    }
+
     /// Starts a daemon of any kind.
     pub(crate) fn start<F, Fut>(&mut self, name: &str, run: F)
     where
--- a/crates/demo/tests/failures/membership.rs
+++ b/crates/demo/tests/failures/membership.rs
@@ -26,12 +26,7 @@
 // after that the connection fails; every request is answered by the other.
 #[actix_rt::test]
 async fn leave_while_list_lags() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.server(1);
-    fleet.entry(0);
-    fleet.ready(0).await;
-    fleet.all_usable(0).await;
+    let mut fleet = Fleet::with(2).await;
 
     let lag = Span::secs(30);
     fleet.registry.control.change(|f| {
@@ -49,10 +44,7 @@
 // readings of the list, without any entry being restarted.
 #[actix_rt::test]
 async fn join_while_running() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let mut fleet = Fleet::with(1).await;
 
     fleet.server(1);
     fleet.stop("sidecar-0").await;
@@ -64,10 +56,7 @@
 // outage changes nothing that is known.
 #[actix_rt::test]
 async fn list_gone_while_running() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let fleet = Fleet::with(1).await;
 
     for faults in [
         Faults {
@@ -108,10 +97,7 @@
 // the list never says so.
 #[actix_rt::test]
 async fn restart_while_list_frozen() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let mut fleet = Fleet::with(1).await;
 
     fleet.registry.leave("sidecar-0");
     let began = Instant::now();
--- a/crates/demo/tests/failures/silence.rs
+++ b/crates/demo/tests/failures/silence.rs
@@ -18,10 +18,7 @@
 // answer, each token once: the sidecar resumes at the token that it lacks.
 #[actix_rt::test]
 async fn engine_stream_silent_twice() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let fleet = Fleet::with(1).await;
 
     let answer = begun(&fleet, "muted").await;
     fleet.engines[&0].change(|f| f.muted += 1);
@@ -43,10 +40,7 @@
 // engine again by the sidecar's probes.
 #[actix_rt::test]
 async fn engine_crash_and_return() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let fleet = Fleet::with(1).await;
 
     let answer = begun(&fleet, "crashed").await;
     fleet.engines[&0].change(|f| f.crashed = true);
@@ -68,13 +62,7 @@
 // sidecar says that it takes nothing, so no request goes there in vain.
 #[actix_rt::test]
 async fn engine_down_draws_nothing() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.server(1);
-    fleet.entry(0);
-    fleet.ready(0).await;
-    // The other one must not still count as failed from before it listened.
-    fleet.all_usable(0).await;
+    let fleet = Fleet::with(2).await;
     fleet.engines[&0].change(|f| f.crashed = true);
 
     for i in 0..40 {
@@ -89,10 +77,7 @@
 // with a reset and its request ends; the answer itself stays whole.
 #[actix_rt::test]
 async fn caller_stream_comments() {
-    let mut fleet = Fleet::new();
-    fleet.server(0);
-    fleet.entry(0);
-    fleet.ready(0).await;
+    let fleet = Fleet::with(1).await;
     fleet.engines[&0].change(|f| f.pace = 100.0);
 
     let body = stream(fleet.entry_addr(0), "slow", 2).await;
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -122,21 +122,23 @@
         self.orders.borrow().clone()
     }
 
-    /// Takes a call with the holder's token; whether it is fenced, and if not,
-    /// what its caller is answered.
-    fn call(&self, token: u64) -> Option<Outcome> {
+    /// Takes a call with the holder's token; returns that with what the caller
+    /// is answered once it is carried out, or why it is not.
+    fn call(&self, token: impl FnOnce() -> Option<u64>) -> Result<(u64, Outcome), Outcome> {
+        let token = token().ok_or(Outcome::NotHeld)?;
         self.calls.set(self.calls.get() + 1);
         let highest = self.tokens.borrow().last().copied();
         if highest.is_some_and(|highest| token < highest) {
-            return None;
+            return Err(Outcome::Fenced(token));
         }
         self.tokens.borrow_mut().insert(token);
         let losing = self.losing.get();
         self.losing.set(losing.saturating_sub(1));
-        Some(match losing {
+        let outcome = match losing {
             0 => Outcome::Accepted,
             _ => Outcome::Lost("no answer".to_owned()),
-        })
+        };
+        Ok((token, outcome))
     }
 }
 
@@ -150,11 +152,9 @@
         counts: &Counts,
         token: impl FnOnce() -> Option<u64>,
     ) -> Outcome {
-        let Some(token) = token() else {
-            return Outcome::NotHeld;
-        };
-        let Some(outcome) = self.0.call(token) else {
-            return Outcome::Fenced(token);
+        let outcome = match self.0.call(token) {
+            Ok((_, outcome)) => outcome,
+            Err(outcome) => return outcome,
         };
         let mut windows = self.0.windows.borrow_mut();
         let told = windows.entry(window).or_insert_with(|| counts.clone());
@@ -169,11 +169,9 @@
         order: &Order,
         token: impl FnOnce() -> Option<u64>,
     ) -> Outcome {
-        let Some(token) = token() else {
-            return Outcome::NotHeld;
-        };
-        let Some(outcome) = self.0.call(token) else {
-            return Outcome::Fenced(token);
+        let (token, outcome) = match self.0.call(token) {
+            Ok(done) => done,
+            Err(outcome) => return outcome,
         };
         self.0.orders.borrow_mut().push(Ordered {
             token,
