Keep servers for the loss of the largest zone where zones are unlike

The need was reckoned as if zones were even, and a zone below that number kept its own when servers were given up. Change: servers are given up only where that leaves fewer in all, and evenly; more are ordered where the loss of the largest zone would leave too few.

--- a/crates/policy/src/scaling.rs
+++ b/crates/policy/src/scaling.rs
@@ -91,8 +91,8 @@
 #[derive(Debug)]
 struct Seen {
     at: Instant,
-    /// Servers that its load needs.
-    need: f64,
+    /// The servers that its calls keep busy.
+    busy: f64,
     /// Servers in each zone.
     serving: BTreeMap<Rc<str>, u32>,
 }
@@ -115,29 +115,26 @@
         if !self.used || now < first + WATCH {
             return;
         }
-        let need = self.seen.iter().map(|s| s.need).fold(0.0, f64::max);
+        let busy = self.seen.iter().map(|s| s.busy).fold(0.0, f64::max);
         let most = self.most();
+        let need = needed(busy, most.len());
         let serving: u32 = zones.values().map(|z| z.serving).sum();
         let had: u32 = most.values().sum();
-        let rises = need > f64::from(serving);
-        let target = match rises {
-            true => need,
-            false if now >= since + calm => need.max(f64::from(had) * KEPT),
-            false => return self.keep_within(limits, zones),
+        let each = |servers: f64| {
+            let each = (servers / most.len().max(1) as f64).ceil() as u32;
+            each.clamp(limits.least, limits.most.max(limits.least))
         };
-        let each = (target / most.len().max(1) as f64).ceil() as u32;
-        let each = each.clamp(limits.least, limits.most.max(limits.least));
-        let mut falls = false;
-        for (zone, had) in most {
-            let wanted = match rises {
-                true => each.max(had),
-                false => each.min(had),
-            };
-            falls |= wanted < had;
-            self.wanted.insert(zone, wanted);
-        }
-        if falls {
+        let kept = each(need.max(f64::from(had) * KEPT));
+        if need > f64::from(serving) || lacks_reserve(busy, &most) {
+            let each = each(need);
+            let more = most.into_iter().map(|(zone, had)| (zone, each.max(had)));
+            self.wanted.extend(more);
+        } else if now >= since + calm && kept * (most.len() as u32) < had {
+            self.wanted
+                .extend(most.into_keys().map(|zone| (zone, kept)));
             self.since = Some(now);
+        } else {
+            self.keep_within(limits, zones);
         }
     }
 
@@ -148,7 +145,7 @@
         let serving = zones.iter().map(|(z, seen)| (Rc::clone(z), seen.serving));
         self.seen.push_back(Seen {
             at: now,
-            need: needed(busy, zones.len()),
+            busy,
             serving: serving.collect(),
         });
         while self.seen.front().is_some_and(|seen| now >= seen.at + calm) {
@@ -199,6 +196,14 @@
     }
 }
 
+/// Whether the loss of the largest zone would leave too few servers for a load
+/// that keeps `busy` of them busy all the time.
+fn lacks_reserve(busy: f64, zones: &BTreeMap<Rc<str>, u32>) -> bool {
+    let largest = zones.values().copied().max().unwrap_or(0);
+    let left = zones.values().sum::<u32>() - largest;
+    zones.len() > 1 && busy / BUSY_LEFT > f64::from(left)
+}
+
 /// Servers that a load needs which keeps `busy` of them busy all the time.
 fn needed(busy: f64, zones: usize) -> f64 {
     let left = match zones {
--- a/crates/policy/tests/scaling.rs
+++ b/crates/policy/tests/scaling.rs
@@ -147,6 +147,15 @@
     assert_eq!(service.serving(), [8, 8, 7]);
 }
 
+#[test]
+fn uneven_reserve() {
+    // Most servers stand in one zone, and all are half busy. Lost, that zone
+    // would leave too few; the other gets more, though there are enough in all.
+    let mut service = Service::watched(&[10, 3]);
+    service.second(2.9);
+    assert_eq!(service.serving(), [10, 7]);
+}
+
 #[test]
 fn zone_below_limit() {
     // A zone has fewer servers than operators allow, with no load to speak of.
