Count no usage where nobody reports it

Cause, found by reading: with autoscale as the only duty requests were counted by window and workspace, and never forgotten, as no window was ever settled: memory that grows for as long as the process lives. Change: nothing is counted there. Comments of the new question to sidecars say what is meant. Test: orders_alone, 5 counted before, 0 after. Deployments that report usage are served by the same program as before.

--- a/crates/forward/src/duties.rs
+++ b/crates/forward/src/duties.rs
@@ -131,8 +131,12 @@
         self.settings.platform
     }
 
-    /// Counts a request of a workspace that a backend server has begun.
+    /// Counts a request of a workspace that a backend server has begun. Where
+    /// nobody reports, nothing would ever be forgotten, and nothing is counted.
     pub fn began(&self, workspace: &str) {
+        if !self.settings.report() {
+            return;
+        }
         let time = self.time();
         let now = self.clock.lasting();
         self.books.borrow_mut().began(now, time, workspace);
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -28,7 +28,7 @@
 /// little more.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// How long an answer is waited for that says how busy an engine is. Nobody
+/// How long an answer is waited for that says how busy an engine is. No caller
 /// waits for it.
 const BUSY: Duration = Duration::from_millis(200);
 
@@ -137,8 +137,8 @@
     }
 }
 
-/// Forgets a look once it is answered or its call has gone; callers that leave
-/// meanwhile would otherwise each leave an entry behind.
+/// Forgets a question once it is answered or nobody waits for it any more;
+/// callers that leave meanwhile would otherwise each leave an entry behind.
 struct Looking<'a> {
     sidecars: &'a Sidecars,
     number: u32,
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -122,6 +122,11 @@
         self.tokens.borrow().len()
     }
 
+    /// Windows that were reported.
+    pub(crate) fn windows(&self) -> usize {
+        self.windows.borrow().len()
+    }
+
     /// All orders that were carried out, in their order.
     pub(crate) fn orders(&self) -> Vec<Ordered> {
         self.orders.borrow().clone()
@@ -205,13 +210,18 @@
 }
 
 impl Fleet {
-    /// Starts entries that hear each other.
+    /// Starts entries that hear each other and perform all duties.
     pub(crate) async fn start(count: u8) -> Self {
+        Self::with(count, &["usage_report", "autoscale"]).await
+    }
+
+    /// The same with only some of the duties.
+    pub(crate) async fn with(count: u8, kinds: &[&str]) -> Self {
         let net = FLEETS.fetch_add(1, Ordering::Relaxed);
         let (store, platform) = (Rc::<Store>::default(), Rc::<Platform>::default());
         let mut entries = Vec::new();
         for number in 0..count {
-            entries.push(entry(net, number, &store, &platform).await);
+            entries.push(entry(settings(net, number, kinds), &store, &platform).await);
         }
         let fleet = Self {
             net,
@@ -221,7 +231,7 @@
         };
         for (n, entry) in fleet.entries.iter().enumerate() {
             let others = (0..count).filter(|other| usize::from(*other) != n);
-            let others: Vec<_> = others.map(|other| settings(net, other)).collect();
+            let others: Vec<_> = others.map(|other| settings(net, other, kinds)).collect();
             let (duties, end) = (Rc::clone(&entry.duties), entry.end.clone());
             let lives: Vec<Stop> = fleet.entries.iter().map(|e| e.end.clone()).collect();
             actix_rt::spawn(async move {
@@ -284,6 +294,12 @@
         others.filter(|(_, e)| e.duties.heard(life) > 0).count()
     }
 
+    /// Requests that an entry has counted and not forgotten.
+    pub(crate) fn counted(&self, entry: usize) -> u64 {
+        let duties = &self.entries[entry].duties;
+        duties.heard(duties.life())
+    }
+
     /// Ends an entry without a word.
     pub(crate) fn kill(&self, entry: usize) {
         let entry = &self.entries[entry];
@@ -307,8 +323,7 @@
     }
 }
 
-async fn entry(net: u8, number: u8, store: &Rc<Store>, platform: &Rc<Platform>) -> Entry {
-    let settings = settings(net, number);
+async fn entry(settings: Settings, store: &Rc<Store>, platform: &Rc<Platform>) -> Entry {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let duties = Duties::bind(&settings, Rc::clone(&clock)).await;
     let duties = duties.expect("the port is free").expect("a duty");
@@ -348,7 +363,7 @@
 }
 
 /// Settings of entry `number` of a fleet.
-pub(crate) fn settings(net: u8, number: u8) -> Settings {
+pub(crate) fn settings(net: u8, number: u8, kinds: &[&str]) -> Settings {
     let host = number + 1;
     let any = "127.0.0.1:1";
     let text = serde_json::json!({
@@ -356,7 +371,7 @@
         "ready_path": "/ready", "gossip": format!("{}:{PORT}", ip(net, number)),
         "store": any, "grace_s": 8.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
         "link_mbps": f64::from(host),
-        "duties": {"platform": any, "kinds": ["usage_report", "autoscale"], "rate": 50.0,
+        "duties": {"platform": any, "kinds": kinds, "rate": 50.0,
             "window_s": 1.0, "due_s": 10.0, "lease_ms": 1000},
     });
     serde_json::from_value(text).expect("settings")
--- a/crates/forward/tests/duties/main.rs
+++ b/crates/forward/tests/duties/main.rs
@@ -151,6 +151,22 @@
     assert!(orders.iter().map(|o| o.token).is_sorted(), "{orders:?}");
 }
 
+#[actix_rt::test]
+async fn orders_alone() {
+    // The platform names no duty but ordering servers. Nothing is counted,
+    // which nobody would ever report and so nobody would ever forget, and
+    // nothing is reported.
+    let fleet = Fleet::with(2, &["autoscale"]).await;
+    (0..2).for_each(|entry| fleet.serve(entry, 4));
+    until("servers are ordered", || {
+        !fleet.platform.orders().is_empty()
+    })
+    .await;
+    fleet.count(0, "mairie", 5);
+    assert_eq!(fleet.counted(0), 0);
+    assert_eq!(fleet.platform.windows(), 0);
+}
+
 /// The availability zones of some orders, each once.
 fn zones(orders: &[Ordered]) -> Vec<&str> {
     let mut zones: Vec<_> = orders.iter().map(|o| &*o.zone).collect();
@@ -164,7 +180,7 @@
     // The platform names no duty that this program performs: no port is
     // bound, nothing is read or written.
     let clock = Rc::new(base::clock::SystemClock);
-    let mut settings = common::settings(1, 0);
+    let mut settings = common::settings(1, 0, &[]);
     settings.duties = None;
     let bound = forward::duties::Duties::bind(&settings, clock).await;
     assert!(bound.expect("no port is needed").is_none());
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -27,7 +27,7 @@
     pub what: What,
 }
 
-/// What may be said about a call.
+/// What an entry may say or ask.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum What {
     /// It wants to be sent.
@@ -51,7 +51,7 @@
         /// The longest pause between two of its events, in milliseconds.
         pause_ms: u32,
     },
-    /// Nothing of a call: how busy the engine is.
+    /// Nothing about a call: the sender asks how busy the engine is.
     Busy,
 }
 
