Log under which requests backend servers end

The logs could not tell a request that ends servers from engines that end by themselves: no line said that a server has ended, or which calls were there, and a request had no name that two entries share.

Change: when a connection breaks before an answer is whole, the entry connects to the server once more. A refused connection means that the server has ended. Nothing is decided by it yet.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -8,7 +8,7 @@
 mod attempt;
 mod place;
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,14 +16,17 @@
 use base::reason::Refusal;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use policy::balance::Listed;
 use policy::pools::{Coming, Work};
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
+use policy::suspects::Print;
 use rand::RngExt;
 use spdlog::info;
 
 use answer::good;
 
 use crate::edge::Ask;
+use crate::ends;
 use crate::exchange::{Body, Failure};
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
@@ -64,6 +67,8 @@
     work: Option<Work>,
     /// Whether a backend server has begun with it.
     begin: Cell<Begun>,
+    /// Its print, once it is needed.
+    print: OnceCell<Print>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -156,6 +161,7 @@
             until: incoming.came + route.timeout.min(patience),
             work,
             begin: Cell::new(Begun::No),
+            print: OnceCell::new(),
             route,
             service,
             ask,
@@ -174,6 +180,29 @@
         self.ask.id.as_deref().unwrap_or("-")
     }
 
+    /// Names what the caller sent, the same for each of its tries.
+    #[must_use]
+    pub fn print(&self) -> Print {
+        *self.print.get_or_init(|| {
+            let host = self.headers.get(http::header::HOST);
+            let path = self.uri.path_and_query().map_or("", |p| p.as_str());
+            let workspace = self.workspace.as_ref().map_or("", |w| w.name.as_str());
+            Print::of(&[
+                self.method.as_str().as_bytes(),
+                host.map_or(&[], |h| h.as_bytes()),
+                path.as_bytes(),
+                workspace.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
+    /// Notes that its connection to `server` broke before the answer was
+    /// whole.
+    pub(crate) fn broke(&self, server: &Listed) {
+        ends::broke(&self.state, server, self.print());
+    }
+
     /// Milliseconds since it came.
     #[must_use]
     pub fn age_ms(&self) -> u64 {
--- a/crates/forward/src/call/answer.rs
+++ b/crates/forward/src/call/answer.rs
@@ -33,7 +33,8 @@
         if success && self.route.kind.streams() {
             let first = self.within(answer.body.next()).await;
             let first = first.inspect_err(|_| self.note_late(answer.sent, answer.ahead))?;
-            let first = first.map_err(Failure::Unknown)?.unwrap_or_default();
+            let first = first.map_err(|e| self.cut(&answer.body, e))?;
+            let first = first.unwrap_or_default();
             self.note_first(&answer);
             self.count();
             let relay = Relay::new(
@@ -83,7 +84,11 @@
     /// whole one before the caller sees anything of it.
     async fn whole(&self, body: &mut Body) -> Result<Bytes, Failure> {
         let mut all = Vec::new();
-        while let Some(bytes) = self.within(body.next()).await?.map_err(Failure::Unknown)? {
+        loop {
+            let next = self.within(body.next()).await?;
+            let Some(bytes) = next.map_err(|e| self.cut(body, e))? else {
+                break;
+            };
             if all.len() + bytes.len() > WHOLE_LIMIT {
                 return Err(Failure::Unknown("an answer beyond all bounds".to_owned()));
             }
@@ -92,6 +97,12 @@
         Ok(all.into())
     }
 
+    /// Notes that an answer broke off.
+    fn cut(&self, body: &Body, cause: String) -> Failure {
+        self.broke(&body.server);
+        Failure::Unknown(cause)
+    }
+
     async fn within<T>(&self, step: impl Future<Output = T>) -> Result<T, Failure> {
         let done = tokio::time::timeout_at(self.until.into(), step).await;
         done.map_err(|_| Failure::Late)
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -139,5 +139,9 @@
             Err(Failure::Unknown(_)) => balance.failed(now, &server.id),
             Err(_) => {}
         }
+        drop(balance);
+        if matches!(sent, Err(Failure::Unknown(_))) {
+            self.broke(server);
+        }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`gossip`]: what entries tell each other.
 //! - [`http`]: the callers' side.
 //! - [`call`]: one call, and getting it to run.
+//! - [`ends`]: whether a server has ended, and under which calls.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: sending a call once, and what is known when it fails.
 //! - [`relay`]: passing a stream on, and going on with it elsewhere.
@@ -25,6 +26,7 @@
 pub mod drain;
 pub mod duties;
 pub mod edge;
+pub mod ends;
 pub mod events;
 pub mod exchange;
 pub mod follow;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -199,6 +199,7 @@
             cause: cause.to_owned(),
         };
         let from = self.server();
+        self.call.broke(&self.body.server);
         self.call
             .state
             .balance
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -22,6 +22,7 @@
 
 use crate::duties::Duties;
 use crate::edge::Dialect;
+use crate::ends::Ends;
 use crate::grants::Sidecars;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -61,6 +62,8 @@
     pub sidecars: RefCell<Option<Rc<Sidecars>>>,
     /// What one entry does for all, if there is anything.
     pub duties: RefCell<Option<Rc<Duties>>>,
+    /// Calls whose connections broke.
+    pub ends: Ends,
     /// Connections to servers.
     pub pool: Pool,
     /// Wakes those who wait for the store when it answers again.
@@ -111,6 +114,7 @@
             catalog: RefCell::default(),
             sidecars: RefCell::default(),
             duties: RefCell::default(),
+            ends: Ends::default(),
             pool: Pool::default(),
             regained: Notify::new(),
             link: RefCell::new(settings.link_mbps.map(Link::new)),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`replica`]: its copies of the store's tables.
 //! - [`readers`]: whether it reads them itself or asks a neighbour.
 //! - [`budget`]: whether it may be sent to a second one.
+//! - [`suspects`]: under which requests servers end.
 //! - [`rendezvous`]: one order of servers for every process.
 //!
 //! What one daemon does for all of them:
@@ -67,6 +68,7 @@
 pub mod routes;
 pub mod scaling;
 pub mod subset;
+pub mod suspects;
 pub mod terms;
 pub mod usage;
 pub mod waits;
