Refuse requests under which three servers have ended

One request ended 56 engines in 46 s, and 49 later; each took dozens of streams of other callers with it.

Cause: each try of a request has an identity of its own, comes to any entry, and what its failure taught was kept by server only. Nobody knew the request again, so each try went on to as many servers as its route allows, for ever. The class of the fault: a count that each entry keeps for one try while the harm adds up over all tries at all entries.

Evidence: of the recorded cases each identity ended two engines, the route's attempts; they came at three entries. Ruled out: one entry sending one try on without bound.

Change: a request has a print (hash of method, host, path, workspace, body). When a server ends under it (broken connection, then a refused one) that is recorded in the store, one record for each print and life of a server, and all entries follow that table as they do the others. At three lives the request is refused as not run, on every path: first sends, repeats, resumed streams, hops to replaced servers, after waiting at a sidecar. One that is served is cleared; one that was served lately is not suspected.

No call to the store for a call; one write by each entry for a server that ends.

Why it works: the sum is kept where all entries see it, by keys that do not depend on who saw an end first, and the decision is made before each send.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -73,6 +73,8 @@
     OutcomeUnknown,
     /// The answer broke off after its first piece.
     BrokenOff,
+    /// Backend servers end when they run the request.
+    EndsServers,
     /// The platform's log is needed and cannot be reached.
     LogDown,
     /// The idempotency key is in use by another entry.
@@ -85,7 +87,7 @@
 
 impl Refusal {
     /// Every reason, for setting up counters.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -103,6 +105,7 @@
         Self::BackendFailed,
         Self::OutcomeUnknown,
         Self::BrokenOff,
+        Self::EndsServers,
         Self::LogDown,
         Self::KeyTaken,
         Self::KeyReused,
@@ -130,6 +133,7 @@
             Self::BackendFailed => "backend_failed",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::BrokenOff => "broken_off",
+            Self::EndsServers => "ends_servers",
             Self::LogDown => "log_down",
             Self::KeyTaken => "key_taken",
             Self::KeyReused => "key_reused",
@@ -153,6 +157,7 @@
             | Self::NoServer
             | Self::RetryBudget
             | Self::Draining
+            | Self::EndsServers
             | Self::LogDown => 503,
             Self::Expired | Self::OutcomeUnknown => 504,
             Self::CallerGone => 499,
--- a/crates/cli/tests/forward/fatal.rs
+++ b/crates/cli/tests/forward/fatal.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use nix::sys::signal::Signal;
 use rstest::rstest;
 
 use crate::platform::{Entry, Platform, Seen, Server, call, until};
@@ -89,3 +90,36 @@
     let ended = fleet.ended();
     assert!(ended <= ENDS, "{ended} servers ended");
 }
+
+/// Guards against a request being known by one entry alone, or only for as long
+/// as that entry lives: entries that start again learn of it from the store.
+#[test]
+fn fatal_request_known_after_a_restart() {
+    let mut fleet = Fleet::start("restart");
+    fleet.send("/safe/fatal", SENDS);
+    for entry in &mut fleet.entries {
+        entry.signal(Signal::SIGKILL);
+        entry.wait();
+        entry.restart();
+    }
+    until("all know", || fleet.entries.iter().all(|e| e.ends() >= 3));
+    fleet.replace();
+    let before = fleet.ended();
+    fleet.send("/safe/fatal", 4);
+    assert_eq!(fleet.ended(), before);
+}
+
+/// Guards against a request being passed on again while the store is away.
+#[test]
+fn fatal_request_refused_while_the_store_is_away() {
+    let mut fleet = Fleet::start("away");
+    fleet.send("/safe/fatal", SENDS);
+    until("all know", || fleet.entries.iter().all(|e| e.ends() >= 3));
+    fleet.platform.down.store(true, Ordering::SeqCst);
+    let before = fleet.ended();
+    for (n, entry) in fleet.entries.iter().enumerate() {
+        let seen = call(entry.at(), "/safe/fatal", &format!("away-{n}"));
+        assert!(matches!(seen, Seen::Whole(503, _)), "{seen:?}");
+    }
+    assert_eq!(fleet.ended(), before);
+}
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -443,14 +443,27 @@
 
     /// Whether it says that it is ready.
     pub(crate) fn ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.ready) else {
-            return false;
-        };
-        let _ = stream.set_read_timeout(Some(PATIENCE));
-        let _ = stream.write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        self.operators("/ready").starts_with("HTTP/1.1 200")
+    }
+
+    /// Ends of servers that it holds against calls.
+    pub(crate) fn ends(&self) -> u64 {
+        let answer = self.operators("/status");
+        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        let status: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+        status["ends"].as_u64().unwrap_or(0)
+    }
+
+    /// What it answers operators; nothing while it does not.
+    fn operators(&self, path: &str) -> String {
         let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer);
-        answer.starts_with("HTTP/1.1 200")
+        if let Ok(mut stream) = TcpStream::connect(self.ready) {
+            let _ = stream.set_read_timeout(Some(PATIENCE));
+            let head = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.read_to_string(&mut answer);
+        }
+        answer
     }
 
     pub(crate) fn at(&self) -> SocketAddr {
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -197,6 +197,22 @@
         })
     }
 
+    /// For how long it is not to be sent to any server, as servers end under
+    /// it; none if it may be.
+    fn ends_servers(&self) -> Option<Duration> {
+        let ends = &self.state.ends;
+        // Few calls need a print.
+        if ends.is_empty() {
+            return None;
+        }
+        ends.refused(self.state.clock.now(), self.print())
+    }
+
+    /// Notes that a server has run it whole.
+    pub(crate) fn served(&self) {
+        self.state.ends.served(self.print());
+    }
+
     /// Notes that its connection to `server` broke before the answer was
     /// whole.
     pub(crate) fn broke(&self, server: &Listed) {
@@ -360,6 +376,7 @@
             Some(Failure::Late) => Own::failed(504, Refusal::Expired),
             Some(Failure::Waited) => Own::refused(Refusal::TargetUnreachable, AFTER_FULL),
             Some(Failure::Unknown(_)) => Own::failed(502, Refusal::OutcomeUnknown),
+            Some(Failure::EndsServers(after)) => Own::refused(Refusal::EndsServers, *after),
             Some(Failure::TooLate(after)) => Own::refused(Refusal::TargetUnreachable, *after),
             Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, AFTER_FULL),
             Some(Failure::NeverSent(_) | Failure::Elsewhere) | None => {
--- a/crates/forward/src/call/answer.rs
+++ b/crates/forward/src/call/answer.rs
@@ -51,6 +51,9 @@
         }
         self.count();
         let body = self.whole(&mut answer.body).await?;
+        if answer.status < 500 && answer.body.framed {
+            self.served();
+        }
         Ok(Reply::Whole {
             status: answer.status,
             headers: answer.headers,
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -34,6 +34,7 @@
             if now >= self.until {
                 return Err(Failure::Late);
             }
+            self.check_ends()?;
             let avoid: Vec<Rc<str>> = tried.iter().chain(&unreachable).cloned().collect();
             // A call that waits for its turn past its time was never sent.
             let place = self.place(now, &avoid, begin);
@@ -43,6 +44,8 @@
             let Some(place) = place.unwrap_or(Err(Failure::Waited))? else {
                 break;
             };
+            // Servers may have ended under another try while this one waited.
+            self.check_ends()?;
             let Place {
                 server,
                 ahead,
@@ -94,6 +97,12 @@
         Err(failure)
     }
 
+    /// Fails if servers end under the call.
+    fn check_ends(&self) -> Result<(), Failure> {
+        self.ends_servers()
+            .map_or(Ok(()), |left| Err(Failure::EndsServers(left)))
+    }
+
     /// Notes that another server has the address of `server` by now. The list
     /// shows the old one for seconds, in which every call to it would be
     /// refused; it counts as missing from here on.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -32,6 +32,9 @@
     /// The call was not sent, since it would have come too late; the caller
     /// may come back after this time.
     TooLate(Duration),
+    /// The call was not sent, since servers end under it; it will not be for
+    /// this long.
+    EndsServers(Duration),
 }
 
 impl Failure {
@@ -45,6 +48,7 @@
                 | Self::Elsewhere
                 | Self::Waited
                 | Self::TooLate(_)
+                | Self::EndsServers(_)
         )
     }
 
@@ -66,6 +70,7 @@
             Self::Late => "late",
             Self::Waited => "waited",
             Self::TooLate(_) => "too_late",
+            Self::EndsServers(_) => "ends_servers",
         }
     }
 }
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -14,6 +14,7 @@
 use spdlog::{info, warn};
 
 use crate::edge::{Changes, Source, SourceError};
+use crate::ends;
 use crate::state::State;
 use crate::tables::{use_catalogs, use_servers};
 
@@ -58,6 +59,10 @@
 /// entry has none to call until it has read them.
 const GATHER_BACK: Duration = Duration::from_millis(150);
 
+/// The pause after servers were told to have ended: several entries have calls
+/// at each, and tell of it in the same moment.
+const GATHER_ENDS: Duration = Duration::from_millis(50);
+
 /// Entries heard from which there are many.
 const MANY: usize = 8;
 
@@ -112,6 +117,33 @@
     }
 }
 
+/// Follows the servers that have ended under calls.
+pub async fn ends<S: Source<Item = u64>>(state: Rc<State>, source: S) {
+    let mut reader = Reader::new("ends", source);
+    loop {
+        // A neighbour tells at once, and how old its copy is shows in the
+        // other tables.
+        if state.readers.borrow_mut().ask(state.clock.now()).is_some() {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        let asked = state.tables.ends.borrow().next();
+        let Some(update) = reader.next(&state, asked, CATALOG_WAIT).await else {
+            tokio::time::sleep(after(&state, reader.failures)).await;
+            continue;
+        };
+        let whole = update.scope == Scope::Whole;
+        let news = state.tables.ends.borrow_mut().read(update, asked);
+        let pause = if news.is_empty() {
+            Duration::ZERO
+        } else {
+            GATHER_ENDS
+        };
+        ends::take(&state, state.clock.now(), news, whole);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// How long a table need not be read yet, at most until it is looked at again;
 /// none when it is to be read now.
 fn spare(state: &State, age: Option<Duration>) -> Option<Duration> {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`gossip`]: what entries tell each other.
 //! - [`http`]: the callers' side.
 //! - [`call`]: one call, and getting it to run.
-//! - [`ends`]: whether a server has ended, and under which calls.
+//! - [`ends`]: servers that end, and the calls under which they do.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: sending a call once, and what is known when it fails.
 //! - [`relay`]: passing a stream on, and going on with it elsewhere.
@@ -103,6 +103,8 @@
     actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
     actix_rt::spawn(follow::catalogs(Rc::clone(&state), platform.catalogs()));
     actix_rt::spawn(follow::servers(Rc::clone(&state), platform.servers()));
+    actix_rt::spawn(follow::ends(Rc::clone(&state), platform.ends()));
+    actix_rt::spawn(ends::write(Rc::clone(&state), platform.ends(), end.clone()));
     actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
     actix_rt::spawn(gossip::find(
         Rc::clone(&state),
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use wire::tables::{self, Error, Follow, Followed, Neighbour, Part};
 
+use crate::ends;
 use crate::state::State;
 use crate::tables::{forget, use_catalogs, use_servers};
 
@@ -115,6 +116,7 @@
         version: tables::VERSION,
         catalog: state.tables.catalog.borrow().next(),
         servers: state.tables.servers.borrow().next(),
+        ends: state.tables.ends.borrow().next(),
         wait_ms: millis(HOLD),
     }
 }
@@ -135,6 +137,10 @@
         let news = merge(&mut state.tables.servers.borrow_mut(), now, from, &part)?;
         use_servers(state, now, news);
     }
+    if let Some(part) = told.ends {
+        let news = merge(&mut state.tables.ends.borrow_mut(), now, from, &part)?;
+        ends::take(state, now, news, part.whole);
+    }
     Ok(age)
 }
 
@@ -210,6 +216,7 @@
         Followed {
             catalog: part(&tables.catalog.borrow(), now, ask.catalog),
             servers: part(&tables.servers.borrow(), now, ask.servers),
+            ends: part(&tables.ends.borrow(), now, ask.ends),
             settling_ms: millis(tables.settling(now)),
         }
     }
@@ -219,6 +226,7 @@
     Followed {
         catalog: None,
         servers: None,
+        ends: None,
         settling_ms: 0,
     }
 }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -99,6 +99,9 @@
                     if relay.count > 1 && !relay.resumed {
                         relay.call.paused(relay.pause);
                     }
+                    if relay.body.framed {
+                        relay.call.served();
+                    }
                     relay.log("whole");
                     None
                 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -22,7 +22,7 @@
 
 use crate::duties::Duties;
 use crate::edge::Dialect;
-use crate::ends::Ends;
+use crate::ends::{self, Ends};
 use crate::grants::Sidecars;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -62,7 +62,7 @@
     pub sidecars: RefCell<Option<Rc<Sidecars>>>,
     /// What one entry does for all, if there is anything.
     pub duties: RefCell<Option<Rc<Duties>>>,
-    /// Calls whose connections broke.
+    /// Servers that have ended under calls.
     pub ends: Ends,
     /// Connections to servers.
     pub pool: Pool,
@@ -197,6 +197,7 @@
     while !end.asked() {
         tokio::time::sleep(SWEEP).await;
         state.pool.sweep(state.clock.now());
+        ends::expire(&state, state.clock.now());
         base::telemetry::upkeep();
     }
 }
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -33,7 +33,9 @@
     pub catalog: RefCell<Replica<Rc<Catalog>>>,
     /// The backend servers.
     pub servers: RefCell<Replica<Listed>>,
-    /// Wakes those who wait for a change of either.
+    /// Servers that have ended under calls, each with the Unix millisecond.
+    pub ends: RefCell<Replica<u64>>,
+    /// Wakes those who wait for a change of any.
     pub changed: Notify,
     /// Until when servers may be missing though they live.
     settling: Cell<Option<Instant>>,
@@ -55,7 +57,8 @@
     /// Whether there is news for one who asks.
     pub(crate) fn newer(&self, ask: &Follow) -> bool {
         let catalog = self.catalog.borrow().newer(ask.catalog);
-        catalog || self.servers.borrow().newer(ask.servers)
+        let servers = self.servers.borrow().newer(ask.servers);
+        catalog || servers || self.ends.borrow().newer(ask.ends)
     }
 
     /// For how much longer servers may be missing though they live.
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -21,12 +21,12 @@
 
 /// How records are written. Entries of another one are not asked again before
 /// they have been passed over for a while, and their neighbours read the store.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// The calls that an entry answers its neighbours.
 #[tarpc::service]
 pub trait Tables {
-    /// Asks what changed in both tables; held for `wait_ms` at most.
+    /// Asks what changed in the tables; held for `wait_ms` at most.
     async fn follow(ask: Follow) -> Followed;
 }
 
@@ -39,6 +39,9 @@
     pub catalog: Option<u64>,
     /// Its position in the servers' table; none for the whole.
     pub servers: Option<u64>,
+    /// Its position in the table of servers that have ended under calls; none
+    /// for the whole.
+    pub ends: Option<u64>,
     /// How long it waits for the first change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -50,6 +53,8 @@
     pub catalog: Option<Part>,
     /// The same of the servers' table.
     pub servers: Option<Part>,
+    /// The same of the servers that have ended under calls.
+    pub ends: Option<Part>,
     /// For how much longer servers may be missing from the table though they
     /// live, as the store has just come back; in milliseconds.
     pub settling_ms: u32,
