--- a/crates/forward/src/ends.rs
+++ b/crates/forward/src/ends.rs
@@ -81,7 +81,7 @@
     }
 
     /// Notes that a server has run a call whole.
-    pub(crate) fn served(&self, print: Print) {
+    pub fn served(&self, print: Print) {
         let cleared = self.suspects.borrow_mut().served(print);
         for end in cleared {
             self.tell(end, None);
--- a/crates/forward/tests/tables/main.rs
+++ b/crates/forward/tests/tables/main.rs
@@ -2,5 +2,6 @@
 //! neighbours.
 
 mod common;
+mod ends;
 mod follow;
 mod neighbours;
