Test that a server's named limit is kept; known to fail

Two entries as processes, two servers of a service; one names a limit of one request in 1,000 s once both entries have been served by it.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,7 @@
 //! servers, and a soak of all of that by seeds.
 
 mod fatal;
+mod limits;
 mod platform;
 mod signals;
 mod soak;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -56,6 +56,10 @@
     pub(crate) down: AtomicBool,
     /// How often each call ran, by its identity.
     pub(crate) runs: Mutex<BTreeMap<String, u32>>,
+    /// Calls that came to each server.
+    pub(crate) arrived: Mutex<BTreeMap<String, u32>>,
+    /// What servers name as the requests a second that they take.
+    limits: Mutex<BTreeMap<String, &'static str>>,
     /// How many servers have ended under a fatal call.
     pub(crate) ended: AtomicU32,
     version: AtomicU32,
@@ -209,6 +213,9 @@
                 answer(&mut out, "421 Other", b"");
                 continue;
             }
+            let mut arrived = self.arrived.lock().expect("not poisoned");
+            *arrived.entry(own.to_owned()).or_default() += 1;
+            drop(arrived);
             *self
                 .runs
                 .lock()
@@ -222,7 +229,10 @@
                 let _ = stream.local_addr().map(TcpStream::connect);
                 return;
             }
-            let marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
+            let mut marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
+            if let Some(limit) = self.limits.lock().expect("not poisoned").get(own) {
+                marks += &format!("Server-Limit: {limit}\r\n");
+            }
             if !head.starts_with("POST /stream/") && !head.starts_with("POST /engine/") {
                 let body = format!("answer to {id}");
                 let head = format!(
@@ -277,6 +287,18 @@
         });
     }
 
+    /// Has it name a limit in its answers from now on.
+    pub(crate) fn limit(&self, limit: &'static str) {
+        let mut limits = self.platform.limits.lock().expect("not poisoned");
+        limits.insert(self.id.clone(), limit);
+    }
+
+    /// Calls that have come to it.
+    pub(crate) fn arrived(&self) -> u32 {
+        let arrived = self.platform.arrived.lock().expect("not poisoned");
+        arrived.get(&self.id).copied().unwrap_or(0)
+    }
+
     /// Whether it has ended.
     pub(crate) fn ended(&self) -> bool {
         self.gone.load(Ordering::SeqCst)
