Keep to the requests a second that a server names

Two engines that had named 2.2 and 2 requests a second got 24 and 31 in four seconds, 18 and 17 allowed.

Cause: no part of the system read the header; the rate at the limited engines did not change at all when they named it.

Change: an answer's limit is noted by server. On an axis of time that all share, the moments at which a limit allows a call are dealt out to the entries in turn; a turn is valid for a second. A server without a turn is passed over on every path, the turn is taken right before the send, and if only such servers are left the caller is refused as not run and told when the next turn comes. Entries that were heard in the last ten minutes count, so that those that lose each other do not take more. The limit ends with an answer without it to a call sent after it was named, or with the server's next life.

Why it works: the sum over all entries follows from the turns and needs no exchange before a call; who is late, restarts or is cut off uses fewer turns, never more.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -42,6 +42,7 @@
             metrics::histogram!("pimentocart_place_seconds")
                 .record(self.state.clock.now().saturating_duration_since(now));
             let Some(place) = place.unwrap_or(Err(Failure::Waited))? else {
+                failure = self.limited(now).unwrap_or(failure);
                 break;
             };
             // Servers may have ended under another try while this one waited.
@@ -53,6 +54,12 @@
                 fetch,
             } = place;
             let now = self.state.clock.now();
+            if !self.state.balance.borrow_mut().take_turn(now, &server.id) {
+                // Another call took the turn while this one was placed.
+                unreachable.push(Rc::clone(&server.id));
+                failure = self.limited(now).unwrap_or(failure);
+                continue;
+            }
             let request = self.request(now, &server, begin, fetch);
             let id = self.ask.id.as_deref();
             self.note_sent();
@@ -103,6 +110,13 @@
             .map_or(Ok(()), |left| Err(Failure::EndsServers(left)))
     }
 
+    /// The failure of a call for which only servers are left that name a limit,
+    /// if there are any.
+    fn limited(&self, now: Instant) -> Option<Failure> {
+        let balance = self.state.balance.borrow();
+        balance.next_turn(now, &self.service).map(Failure::TooLate)
+    }
+
     /// Notes that another server has the address of `server` by now. The list
     /// shows the old one for seconds, in which every call to it would be
     /// refused; it counts as missing from here on.
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -112,7 +112,7 @@
 }
 
 /// What a backend server's headers say about its answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Signs {
     /// The call that the answer belongs to.
     pub id: Option<String>,
@@ -128,6 +128,9 @@
     pub keep: Option<Duration>,
     /// Whether the server closes the connection after this answer.
     pub close: bool,
+    /// The calls a second that the server takes from all entries together, if
+    /// it names any.
+    pub limit: Option<f64>,
 }
 
 /// A table in the platform's store: the newest record of each key, and what
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use policy::balance::Listed;
+use spdlog::info;
 
 use crate::edge::Signs;
 use crate::grants::Grant;
@@ -199,6 +200,7 @@
     grant: Option<Grant>,
 ) -> Result<Answer, Failure> {
     let out = Out::new(state, &server.id);
+    let begun = state.clock.now();
     let sent = tokio::time::timeout_at(until.into(), deliver(state, server, request)).await;
     let (response, mut conn) = match sent {
         Ok(sent) => sent?,
@@ -206,8 +208,12 @@
     };
     let status = response.status().as_u16();
     let now = state.clock.now();
-    state.balance.borrow_mut().heard(now, &server.id);
     let signs = state.dialect.signs(status, response.headers());
+    state.balance.borrow_mut().heard(now, &server.id);
+    // Another server at the address speaks for itself only.
+    if !signs.elsewhere {
+        note_limit(state, server, begun, signs.limit);
+    }
 
     // A server may send a second answer to an earlier call late, just where
     // the answer to this one is expected. Its identity tells; the connection
@@ -253,6 +259,20 @@
     })
 }
 
+/// Notes the limit that a server names in its answer to a call that was sent at
+/// `sent`.
+fn note_limit(state: &State, server: &Listed, sent: Instant, limit: Option<f64>) {
+    let now = state.clock.now();
+    let mut balance = state.balance.borrow_mut();
+    if balance.named(now, &server.id, sent, limit) {
+        info!("server limit changed", kv: {
+            server = &*server.id,
+            named = limit.is_some(),
+            rate = limit.unwrap_or(0.0)
+        });
+    }
+}
+
 /// Counts a call at a server until its answer's body takes over.
 struct Out<'a> {
     state: &'a State,
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -12,6 +12,7 @@
 
 use base::ids::Incarnation;
 use base::stop::Stop;
+use policy::balance::Turns;
 use policy::others::{BELIEVED, Calls, Intervals, Saying};
 use policy::pools::Told;
 use policy::readers::Rank;
@@ -142,7 +143,11 @@
         };
         let now = state.clock.now();
         let near = said.zone == zone_number(&state.settings.zone);
-        let peer = Peer { heard: now, near };
+        let peer = Peer {
+            heard: now,
+            near,
+            spoke: true,
+        };
         if state.peers.borrow_mut().insert(from, peer).is_none() {
             info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
         }
@@ -193,6 +198,7 @@
     let calls = others.calls();
     let calls = |server: u16| calls.get(&server).copied().unwrap_or_default();
     state.balance.borrow_mut().hear(calls);
+    share(state, now);
     let Some(catalog) = state.catalog.borrow().clone() else {
         return;
     };
@@ -202,6 +208,23 @@
     }
 }
 
+/// Finds out with how many entries this one shares the limits that servers
+/// name.
+fn share(state: &State, now: Instant) {
+    let own = state.settings.gossip;
+    let peers = state.peers.borrow();
+    let spoke = peers.iter().filter(|(_, peer)| peer.spoke);
+    let before = spoke.clone().filter(|(addr, _)| **addr < own).count();
+    let entries = state.crowd.borrow_mut().note(now, spoke.count() + 1);
+    let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    state.balance.borrow_mut().share(Turns {
+        entries: number(entries),
+        place: number(before),
+        at: now,
+        wall: Duration::from_millis(state.clock.wall_ms()),
+    });
+}
+
 /// Writes this entry's address into the directory and finds the others there.
 pub async fn find<D: Directory>(state: Rc<State>, directory: D, addr: SocketAddr, end: Stop) {
     let mut announced = false;
@@ -234,6 +257,7 @@
                 let found = Peer {
                     heard: now,
                     near: true,
+                    spoke: false,
                 };
                 state.peers.borrow_mut().insert(peer, found);
             }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -11,7 +11,7 @@
 use policy::balance::Balance;
 use policy::budget::Budget;
 use policy::link::Link;
-use policy::others::Others;
+use policy::others::{Crowd, Others};
 use policy::pools::Pools;
 use policy::readers::{Rank, Readers};
 use policy::rendezvous;
@@ -56,6 +56,8 @@
     pub others: RefCell<Others>,
     /// Other entries.
     pub peers: RefCell<HashMap<SocketAddr, Peer>>,
+    /// How many entries there are.
+    pub crowd: RefCell<Crowd>,
     /// Repeats that are left.
     pub budget: RefCell<Budget>,
     /// The sidecars beside engines, if there are any.
@@ -85,6 +87,8 @@
     pub heard: Instant,
     /// Whether it stands in the same availability zone.
     pub near: bool,
+    /// Whether it was heard itself.
+    pub spoke: bool,
 }
 
 impl std::fmt::Debug for State {
@@ -108,6 +112,7 @@
             readers: RefCell::new(Readers::new(own_rank(&settings))),
             others: RefCell::default(),
             peers: RefCell::default(),
+            crowd: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.repeats())),
             dialect,
             clock,
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -76,6 +76,7 @@
             encoded: headers.contains_key("content-encoding"),
             keep: None,
             close: text(headers, "connection").is_some_and(|c| c == "close"),
+            limit: text(headers, "limit").and_then(|l| l.parse().ok()),
         }
     }
 }
--- a/crates/forward/tests/calls/repeats.rs
+++ b/crates/forward/tests/calls/repeats.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use policy::balance::Turns;
 use policy::routes::Kind;
 use rstest::rstest;
 
@@ -273,3 +274,28 @@
         );
     }
 }
+
+/// Guards against a server in need getting a call because its service has no
+/// other one: the caller is told, truly, that it has not run, and when to come
+/// back.
+#[actix_rt::test]
+async fn limited_servers_refused_with_time_to_return() {
+    let limited = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nlimit: 0.01\r\n\
+                   Content-Length: 5\r\n\r\nhello";
+    let acts = [Act::Send(limited), Act::Send(limited), Act::Send(limited)];
+    let entry = Entry::start(Plan::new(Kind::Idempotent, 2, &acts)).await;
+    entry.state.balance.borrow_mut().share(Turns {
+        entries: 1,
+        place: 0,
+        at: entry.state.clock.now(),
+        wall: Duration::from_secs(50),
+    });
+    assert_eq!(status(&entry.call(ID).await), "200");
+    assert_eq!(status(&entry.call(ID).await), "200");
+    let (answer, before) = (entry.call(ID).await, entry.servers.requests().len());
+    assert_eq!((status(&answer), before), ("503", 2));
+    let after: f64 = field(&answer, "retry-after")
+        .and_then(|a| a.parse().ok())
+        .expect("a time");
+    assert!(after > 0.0 && after <= 100.0, "{after} s");
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -7,6 +7,7 @@
 //! exchange, until that engine is clearly busier than the others by what all
 //! entries have told. See docs/DECISIONS/0601-on-the-platform.md.
 
+mod limit;
 mod names;
 
 use std::cmp::Reverse;
@@ -19,8 +20,11 @@
 
 use crate::others::Calls;
 use crate::rendezvous::{number, weight};
+use limit::Limit;
 use names::Names;
 
+pub use limit::Turns;
+
 /// How long a server that failed once is left alone; it doubles with each
 /// further failure. Long enough for a restart to be seen, short enough that
 /// one lost connection costs little.
@@ -127,6 +131,9 @@
     servers: HashMap<Rc<str>, Server>,
     /// Names in the order in which they were first told.
     names: Names,
+    /// Where the entry stands among those that share the servers' limits; none
+    /// while it has not counted them, and no server that names one is called.
+    turns: Option<Turns>,
     /// Makes ties fall differently from call to call.
     turn: u64,
 }
@@ -155,6 +162,8 @@
     /// Since when the list has not shown it, and until when it may yet be
     /// called.
     missing: Option<(Instant, Instant)>,
+    /// The calls a second that it takes from all entries, if it says so.
+    limit: Option<Limit>,
 }
 
 /// When a server began: by its own word, then by when it was first told.
@@ -176,6 +185,12 @@
         self.own.open + self.others.open
     }
 
+    /// Whether it takes a call from this entry now, by the limit that it names.
+    fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
+        let open = |limit: Limit| turns.is_some_and(|turns| limit.open(now, turns));
+        self.limit.is_none_or(open)
+    }
+
     /// Whether it has calls and sends nothing. A host that went dark keeps its
     /// connections open: calls sent on them would wait for seconds, until the
     /// transport gives up or the list drops it, and one after the other would
@@ -205,6 +220,7 @@
             zone: Rc::from(zone),
             servers: HashMap::new(),
             names: Names::default(),
+            turns: None,
             turn: 0,
         }
     }
@@ -243,6 +259,7 @@
                     server.failed = 0;
                     server.rest = None;
                     server.heard = None;
+                    server.limit = None;
                     return Change::Restarted;
                 }
                 match back || !same {
@@ -262,6 +279,7 @@
                     rest: None,
                     heard: None,
                     missing: None,
+                    limit: None,
                     listed,
                 };
                 self.servers.insert(Rc::clone(&server.listed.id), server);
@@ -395,7 +413,8 @@
             true => fit.retain(|s| s.missing.is_none()),
             false => fit.retain(|s| s.missing.is_some_and(|(_, until)| now < until)),
         }
-        fit.retain(|s| !want.tried.contains(&s.listed.id));
+        let turns = self.turns.as_ref();
+        fit.retain(|s| !want.tried.contains(&s.listed.id) && s.takes(now, turns));
         let well = |s: &&Server| s.well(now, want.silence);
         // With none well, one that is not is better than none at all.
         if fit.iter().any(well) {
@@ -449,6 +468,53 @@
         }
     }
 
+    /// Notes where the entry stands among those that share the limits which
+    /// servers name.
+    pub fn share(&mut self, turns: Turns) {
+        self.turns = Some(turns);
+    }
+
+    /// Notes what a server's answer to a call that was sent at `sent` says of
+    /// the calls a second that it takes from all entries. Returns whether it has
+    /// begun or ceased to name any.
+    pub fn named(&mut self, now: Instant, id: &str, sent: Instant, rate: Option<f64>) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        let before = server.limit.is_some();
+        match (&mut server.limit, rate) {
+            (Some(limit), Some(rate)) => limit.name(now, rate),
+            (Some(limit), None) if limit.lifted(sent) => server.limit = None,
+            (None, Some(rate)) => server.limit = Some(Limit::new(now, rate)),
+            _ => {}
+        }
+        server.limit.is_some() != before
+    }
+
+    /// Takes the entry's turn for a call that is about to be sent to a server;
+    /// returns whether it may be.
+    pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
+        let limit = self.servers.get_mut(id).and_then(|s| s.limit.as_mut());
+        match (limit, &self.turns) {
+            (None, _) => true,
+            (Some(limit), Some(turns)) if limit.open(now, turns) => {
+                limit.take(now, turns);
+                true
+            }
+            (Some(_), _) => false,
+        }
+    }
+
+    /// How long it is until some server of `service` takes a call, if all that
+    /// are there wait for a turn.
+    #[must_use]
+    pub fn next_turn(&self, now: Instant, service: &str) -> Option<Duration> {
+        let turns = self.turns.as_ref()?;
+        let limits = self.servers.values().filter(|s| s.serves(service));
+        let waits = limits.filter_map(|s| s.limit?.wait(now, turns));
+        waits.min()
+    }
+
     /// Own calls, by the server's short number.
     #[must_use]
     pub fn told(&self) -> Vec<(u16, Calls)> {
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -5,7 +5,7 @@
 //! an engine is. Each entry tells the others what it has, several times a
 //! second; what was told last counts until it is too old to be believed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::pools::Told;
@@ -94,6 +94,36 @@
     pub waiting: u32,
 }
 
+/// How long an entry that is not heard any more still counts among those that
+/// share a limit. Entries that lost each other all go on, and would each take a
+/// larger share while the sum is held against all of them.
+const COUNTED: Duration = Duration::from_secs(600);
+
+/// How many entries there are at the most, as far as one of them has heard.
+#[derive(Debug, Default)]
+pub struct Crowd {
+    /// Counts, each larger than the later ones, with when they were last seen.
+    counts: VecDeque<(Instant, usize)>,
+}
+
+impl Crowd {
+    /// Notes how many entries are heard now; returns the most of late.
+    pub fn note(&mut self, now: Instant, count: usize) -> usize {
+        while self.counts.back().is_some_and(|(_, c)| *c <= count) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, count));
+        while self
+            .counts
+            .front()
+            .is_some_and(|(at, _)| now >= *at + COUNTED)
+        {
+            self.counts.pop_front();
+        }
+        self.counts.front().map_or(count, |(_, most)| *most)
+    }
+}
+
 /// What all other entries said last.
 #[derive(Debug, Default)]
 pub struct Others {
