Tell other entries of ended servers while the store is away

What callers would see: while the store is away each entry counts by itself, so a request ends three servers at each entry. The new test had both entries wait for what the other knew and failed on the code before (never: all know).

Change: ends that the store has not taken go with the datagrams that entries send each other anyway, sixteen in turn; a host that does not answer is connected to three times before it counts as cut off.

--- a/crates/cli/tests/forward/fatal.rs
+++ b/crates/cli/tests/forward/fatal.rs
@@ -102,7 +102,9 @@
         entry.wait();
         entry.restart();
     }
-    until("all know", || fleet.entries.iter().all(|e| e.ends() >= 3));
+    until("all know", || {
+        fleet.entries.iter().all(|e| e.status("ends") >= 3)
+    });
     fleet.replace();
     let before = fleet.ended();
     fleet.send("/safe/fatal", 4);
@@ -114,7 +116,9 @@
 fn fatal_request_refused_while_the_store_is_away() {
     let mut fleet = Fleet::start("away");
     fleet.send("/safe/fatal", SENDS);
-    until("all know", || fleet.entries.iter().all(|e| e.ends() >= 3));
+    until("all know", || {
+        fleet.entries.iter().all(|e| e.status("ends") >= 3)
+    });
     fleet.platform.down.store(true, Ordering::SeqCst);
     let before = fleet.ended();
     for (n, entry) in fleet.entries.iter().enumerate() {
@@ -123,3 +127,28 @@
     }
     assert_eq!(fleet.ended(), before);
 }
+
+/// Guards against each entry counting for itself while the store is away: they
+/// tell each other what the store has not taken.
+#[test]
+fn fatal_request_is_stopped_while_the_store_is_away() {
+    let mut fleet = Fleet::start("told");
+    for _ in 0..SENDS {
+        fleet.servers.push(fleet.platform.server());
+    }
+    let listed = fleet.servers.len() as u64;
+    until("all know each other and the servers", || {
+        let known = |e: &Entry| e.status("entries") == 1 && e.status("servers") == listed;
+        fleet.entries.iter().all(known)
+    });
+    fleet.platform.down.store(true, Ordering::SeqCst);
+    for n in 0..SENDS {
+        let entry = &fleet.entries[n % fleet.entries.len()];
+        call(entry.at(), "/once/fatal", &format!("away-{n}"));
+        let held = u64::from(fleet.ended());
+        until("all know", || {
+            fleet.entries.iter().all(|e| e.status("ends") >= held)
+        });
+    }
+    assert_eq!(fleet.ended(), 3);
+}
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -468,12 +468,12 @@
         self.operators("/ready").starts_with("HTTP/1.1 200")
     }
 
-    /// Ends of servers that it holds against calls.
-    pub(crate) fn ends(&self) -> u64 {
+    /// A number of what it believes.
+    pub(crate) fn status(&self, name: &str) -> u64 {
         let answer = self.operators("/status");
         let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
         let status: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
-        status["ends"].as_u64().unwrap_or(0)
+        status[name].as_u64().unwrap_or(0)
     }
 
     /// What it answers operators; nothing while it does not.
--- a/crates/forward/src/ends.rs
+++ b/crates/forward/src/ends.rs
@@ -6,7 +6,7 @@
 //! more: `policy::suspects` decides when. See
 //! docs/DECISIONS/0607-crashing-requests.md.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::rc::Rc;
@@ -19,12 +19,16 @@
 use policy::suspects::{End, HELD, Print, Suspects};
 use spdlog::{info, warn};
 use tokio::sync::Notify;
+use wire::gossip;
 
 use crate::edge;
 use crate::follow::retry;
-use crate::pool::Pool;
+use crate::pool::{Conn, Pool};
 use crate::state::State;
 
+/// Connections that are tried to find out whether a server has ended.
+const DIALS: usize = 3;
+
 /// Records that wait to be written at most. While the store is away for long,
 /// further ones are held by this entry alone.
 const UNWRITTEN: usize = 1 << 10;
@@ -32,6 +36,9 @@
 /// Records that are written in one call.
 const BATCH: usize = 256;
 
+/// Ends that another entry is told of in one datagram, in turn.
+const TOLD: usize = 16;
+
 /// The pause between two writes, for each entry that is heard: when a whole
 /// zone's servers end, all entries have something to write at once.
 const WRITE_EACH: Duration = Duration::from_millis(20);
@@ -57,6 +64,8 @@
     /// What the store is to be told: when an end was seen in Unix
     /// milliseconds, or none when it is not held any more.
     unwritten: RefCell<BTreeMap<End, Option<u64>>>,
+    /// Where the next datagram to other entries goes on among them.
+    told: Cell<usize>,
     /// Wakes the writer.
     wake: Notify,
 }
@@ -100,6 +109,25 @@
         self.wake.notify_one();
     }
 
+    /// What the other entries are told, as the store has not taken it.
+    pub(crate) fn untold(&self, wall_ms: u64) -> Vec<gossip::End> {
+        let unwritten = self.unwritten.borrow();
+        let held = unwritten.iter().filter_map(|(end, at)| Some((end, (*at)?)));
+        let count = held.clone().count();
+        if count == 0 {
+            return Vec::new();
+        }
+        let from = self.told.get() % count;
+        self.told.set(from + TOLD);
+        let told = held.cycle().skip(from).take(count.min(TOLD));
+        let told = told.map(|(end, at)| gossip::End {
+            print: end.print.0,
+            life: end.life,
+            age_ms: u32::try_from(wall_ms.saturating_sub(at)).unwrap_or(u32::MAX),
+        });
+        told.collect()
+    }
+
     /// What is to be written next.
     fn batch(&self) -> Vec<(End, Option<u64>)> {
         let unwritten = self.unwritten.borrow();
@@ -133,7 +161,7 @@
 /// Looks whether `server` has ended.
 async fn look(state: Rc<State>, server: Listed) {
     let now = state.clock.now();
-    let dialled = Pool::dial(now, server.addr).await;
+    let dialled = dial(now, &server).await;
     let prints = state.ends.broken.borrow_mut().remove(&server.id);
     let prints = prints.unwrap_or_default();
     let outcome = match dialled {
@@ -159,6 +187,20 @@
     }
 }
 
+/// Connects to `server`, again where nothing comes back: on a link that loses
+/// packets a server that has ended would else count as cut off.
+async fn dial(now: Instant, server: &Listed) -> io::Result<Conn> {
+    let mut dialled = Pool::dial(now, server.addr).await;
+    for _ in 1..DIALS {
+        match &dialled {
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => {}
+            _ => break,
+        }
+        dialled = Pool::dial(now, server.addr).await;
+    }
+    dialled
+}
+
 /// Holds it against `prints` that `server` has ended.
 fn ended(state: &State, server: &Listed, prints: &[Print]) {
     let (now, at) = (state.clock.now(), state.clock.wall_ms());
@@ -198,6 +240,20 @@
     metrics::gauge!("pimentocart_ends_held").set(state.ends.count() as f64);
 }
 
+/// Holds ends that another entry tells of.
+pub(crate) fn hear(state: &State, now: Instant, ends: &[gossip::End]) {
+    for said in ends {
+        let end = End {
+            print: Print(said.print),
+            life: said.life,
+        };
+        let age = Duration::from_millis(u64::from(said.age_ms));
+        if state.ends.suspects.borrow_mut().hold(now, end, age) {
+            note_refused(state, now, end.print);
+        }
+    }
+}
+
 /// Holds an end that the store tells of and that was seen at `at`.
 fn hold(state: &State, now: Instant, end: End, at: u64) {
     let age = Duration::from_millis(state.clock.wall_ms().saturating_sub(at));
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -22,6 +22,7 @@
 use wire::gossip;
 
 use crate::edge::Directory;
+use crate::ends;
 use crate::state::{Peer, State, link_mbps, zone_number};
 
 /// Bytes around the contents of a datagram.
@@ -109,6 +110,7 @@
         link_mbps: link_mbps(&state.settings),
         services: services.into_iter().map(service).collect(),
         calls: calls.collect(),
+        ends: state.ends.untold(state.clock.wall_ms()),
     }
 }
 
@@ -159,6 +161,7 @@
         if let Some(duties) = &*state.duties.borrow() {
             duties.hear(from, rank, until - now, said.wall_ms);
         }
+        ends::hear(&state, now, &said.ends);
         state.others.borrow_mut().hear(now, read(&said));
     }
 }
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -18,6 +18,8 @@
     pub catalog: Option<u64>,
     /// Other entries that are heard.
     pub entries: usize,
+    /// Backend servers that are known.
+    pub servers: usize,
     /// Ends of servers that are held against calls.
     pub ends: usize,
     /// Calls whose answers have not left whole.
@@ -36,6 +38,7 @@
             ready: state.ready(),
             catalog: state.catalog.borrow().as_ref().map(|c| c.version),
             entries: state.others.borrow().count(),
+            servers: state.balance.borrow().ids().len(),
             ends: state.ends.count(),
             open: state.open.get(),
             duties: state.duties.borrow().as_ref().map(|d| d.view()),
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -40,7 +40,7 @@
 /// however often. It cannot be chosen, so that no caller has the requests of
 /// another one taken for its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Print([u8; 16]);
+pub struct Print(pub [u8; 16]);
 
 impl Print {
     /// The print of a request with these parts: its method, host, path,
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -7,7 +7,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
@@ -32,6 +32,19 @@
     /// Servers by short number, with the entry's open calls at each and those
     /// of them that wait for their first event.
     pub calls: Vec<(u16, u16, u16)>,
+    /// Ends of servers under calls that the store has not taken yet.
+    pub ends: Vec<End>,
+}
+
+/// A server that has ended under a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The call's print.
+    pub print: [u8; 16],
+    /// The server's life, by number.
+    pub life: u64,
+    /// How long ago it was seen, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// One entry's calls for one service.
