Tell the eras of the store apart

What callers would see after a drill in which the store comes back from an old copy: calls to servers that have left or leave, as the copy still shows them; changes that nobody reads, as offsets are given out again and an entry that asks from its old one is told of others' records, or of none until the end has grown beyond it; duties held under a token that was given out before.

Cause: a position was an offset, and offsets were taken to grow.

An answer of another era than the position is thrown away and the whole table read. Of such a table, what was known to be dropped waits until it is written again, and what was known to leave goes on leaving.

Checked that the tests can fail: with either of the two guards for servers taken out, leaving_server_leaves_after_a_rewind shows the server that left, or the one that leaves; its first version could not, since its servers shared an address.

--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -252,7 +252,8 @@
 pub struct Changes<T> {
     /// Keys with what they say now; none for a key that was dropped.
     pub records: Vec<(String, Option<T>)>,
-    /// The position from which to go on.
+    /// The position from which to go on. Positions only grow, also when the
+    /// store comes back from an old copy.
     pub next: u64,
 }
 
@@ -268,6 +269,15 @@
         /// The store.
         peer: String,
     },
+    /// The store has come back from an old copy: what it took last is gone, and
+    /// positions of before lead nowhere.
+    #[snafu(display("step={step} peer={peer}: the store came back from an old copy"))]
+    Rewound {
+        /// The call.
+        step: &'static str,
+        /// The store.
+        peer: String,
+    },
     /// The store could not be reached, refused or answered nonsense.
     #[snafu(display("step={step} peer={peer}: {cause}"))]
     Unavailable {
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use policy::balance::Listed;
-use policy::replica::{Scope, Update};
+use policy::replica::{Records, Scope, Update};
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
@@ -105,10 +105,13 @@
             tokio::time::sleep(spare).await;
             continue;
         }
-        let Some(update) = reader.next(&state, asked, SERVER_WAIT).await else {
+        let Some(mut update) = reader.next(&state, asked, SERVER_WAIT).await else {
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
+        if update.scope == Scope::Copy {
+            keep_leaving(&state, &mut update.records);
+        }
         let now = state.clock.now();
         let news = state.tables.servers.borrow_mut().read(update, asked);
         use_servers(&state, now, news);
@@ -132,7 +135,7 @@
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
-        let whole = update.scope == Scope::Whole;
+        let whole = update.scope != Scope::Changes;
         let news = state.tables.ends.borrow_mut().read(update, asked);
         let pause = if news.is_empty() {
             Duration::ZERO
@@ -144,6 +147,15 @@
     }
 }
 
+/// Keeps servers leaving that were known to leave before the store came back
+/// from a copy in which they still stay.
+fn keep_leaving(state: &State, records: &mut Records<Listed>) {
+    let balance = state.balance.borrow();
+    for listed in records.iter_mut().filter_map(|(_, listed)| listed.as_mut()) {
+        listed.leaving |= balance.leaves(listed);
+    }
+}
+
 /// How long a table need not be read yet, at most until it is looked at again;
 /// none when it is to be read now.
 fn spare(state: &State, age: Option<Duration>) -> Option<Duration> {
@@ -183,6 +195,8 @@
     source: S,
     /// Whether the whole table has to be read.
     whole: bool,
+    /// Whether the store has come back from an old copy since it was.
+    rewound: bool,
     /// Failures since the last answer.
     failures: u32,
 }
@@ -193,6 +207,7 @@
             name,
             source,
             whole: true,
+            rewound: false,
             failures: 0,
         }
     }
@@ -216,10 +231,15 @@
         };
         match read {
             Ok(changes) => {
+                let scope = match from {
+                    Some(_) => Scope::Changes,
+                    None if std::mem::take(&mut self.rewound) => Scope::Copy,
+                    None => Scope::Whole,
+                };
                 self.answered(state, from.is_none());
                 Some(update(
                     changes,
-                    from,
+                    scope,
                     complete_at(sent, wait, state.clock.now()),
                 ))
             }
@@ -257,9 +277,12 @@
 
     fn failed(&mut self, state: &State, e: &SourceError) {
         metrics::counter!("pimentocart_store_failures_total", "table" => self.name).increment(1);
-        if matches!(e, SourceError::Expired { .. }) {
-            self.whole = true;
+        let rewound = matches!(e, SourceError::Rewound { .. });
+        self.rewound |= rewound;
+        if rewound {
+            state.tables.rewinds.set(state.tables.rewinds.get() + 1);
         }
+        self.whole |= rewound || matches!(e, SourceError::Expired { .. });
         self.failures = self.failures.saturating_add(1);
         // The first of a row is logged; the rest are counted.
         if self.failures == 1 {
@@ -269,11 +292,11 @@
     }
 }
 
-fn update<T>(changes: Changes<T>, from: Option<u64>, at: Instant) -> Update<T> {
+fn update<T>(changes: Changes<T>, scope: Scope, at: Instant) -> Update<T> {
     let record = |(key, value): (String, Option<T>)| (Rc::from(key), value);
     Update {
         records: changes.records.into_iter().map(record).collect(),
-        scope: from.map_or(Scope::Whole, |_| Scope::Changes),
+        scope,
         next: changes.next,
         at,
     }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -231,8 +231,12 @@
 /// Writes this entry's address into the directory and finds the others there.
 pub async fn find<D: Directory>(state: Rc<State>, directory: D, addr: SocketAddr, end: Stop) {
     let mut announced = false;
+    let mut rewinds = 0;
     let mut lost = false;
     while !end.asked() {
+        // A store that came back from an old copy may lack the announcement.
+        let seen = state.tables.rewinds.get();
+        announced &= std::mem::replace(&mut rewinds, seen) == seen;
         if !announced {
             let name = &state.settings.name;
             announced = directory.announce(name, addr).await.is_ok();
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -37,6 +37,8 @@
     pub ends: RefCell<Replica<u64>>,
     /// Wakes those who wait for a change of any.
     pub changed: Notify,
+    /// How often the store was seen to have come back from an old copy.
+    pub(crate) rewinds: Cell<u32>,
     /// Until when servers may be missing though they live.
     settling: Cell<Option<Instant>>,
 }
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -21,6 +21,8 @@
     Records(Vec<(String, Option<T>)>),
     Away,
     Expired,
+    /// The store came back from an old copy.
+    Rewound,
     /// The question is lost with its connection: no answer ever comes.
     Lost,
 }
@@ -51,6 +53,7 @@
                 cause: "down".to_owned(),
             }),
             Some(Answer::Expired) => Err(SourceError::Expired { step, peer }),
+            Some(Answer::Rewound) => Err(SourceError::Rewound { step, peer }),
             Some(Answer::Lost) => std::future::pending().await,
             None => {
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -92,16 +95,22 @@
 }
 
 fn server(id: &str) -> Answer<Listed> {
-    let listed = Listed {
+    Answer::Records(vec![(id.to_owned(), Some(listed(id, false)))])
+}
+
+fn listed(id: &str, leaving: bool) -> Listed {
+    Listed {
         id: Rc::from(id),
         service: Rc::from("app"),
-        addr: "127.0.0.1:1".parse().expect("an address"),
+        // No two servers stand at one address.
+        addr: format!("127.0.0.1:{}", id.len())
+            .parse()
+            .expect("an address"),
         zone: Rc::from("a"),
         slots: 1,
-        leaving: false,
+        leaving,
         born: None,
-    };
-    Answer::Records(vec![(id.to_owned(), Some(listed))])
+    }
 }
 
 fn version(state: &State) -> u64 {
@@ -139,6 +148,39 @@
     assert!(seen.borrow().is_sorted());
 }
 
+/// Guards against calls to a server that leaves, or has left, because the store
+/// came back from a copy in which it stays.
+#[actix_rt::test]
+async fn leaving_server_leaves_after_a_rewind() {
+    let state = state();
+    let table = |records: &[(&str, Option<bool>)]| {
+        let record = |(id, leaving): &(&str, Option<bool>)| {
+            (id.to_string(), leaving.map(|leaving| listed(id, leaving)))
+        };
+        Answer::Records(records.iter().map(record).collect())
+    };
+    let servers = Table::new(vec![
+        table(&[
+            ("leaves", Some(false)),
+            ("left", Some(false)),
+            ("stays", Some(false)),
+        ]),
+        table(&[("leaves", Some(true)), ("left", None)]),
+        Answer::Rewound,
+        table(&[
+            ("leaves", Some(false)),
+            ("left", Some(false)),
+            ("stays", Some(false)),
+        ]),
+    ]);
+    let asked = Rc::clone(&servers.asked);
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    until("all is read", || asked.get() > 5).await;
+    let serving = state.balance.borrow().serving("app");
+    let names: Vec<&str> = serving.iter().map(|(s, _)| &*s.id).collect();
+    assert_eq!(names, ["stays"]);
+}
+
 /// The store is away from the start. The entry is not ready, and asks on
 /// until it has both tables.
 #[actix_rt::test]
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -351,6 +351,13 @@
         self.servers.keys().cloned().collect()
     }
 
+    /// Whether this life of a server is known to leave.
+    #[must_use]
+    pub fn leaves(&self, listed: &Listed) -> bool {
+        let server = self.servers.get(&listed.id);
+        server.is_some_and(|s| s.listed.leaving && s.listed.born == listed.born)
+    }
+
     /// Where a known server listens.
     #[must_use]
     pub fn addr(&self, id: &str) -> Option<SocketAddr> {
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -28,6 +28,10 @@
     Changes,
     /// The whole table: what it does not show is gone.
     Whole,
+    /// The whole table of a store that has come back from an old copy. What it
+    /// shows and is not held was dropped since the copy was made, and waits
+    /// until it is written again.
+    Copy,
 }
 
 /// What the store or a neighbour says of a table.
@@ -124,11 +128,15 @@
             return Vec::new();
         }
         let mut news = Vec::new();
-        if update.scope == Scope::Whole {
+        if update.scope != Scope::Changes {
             news.extend(self.drop_unseen(&update));
             self.forgotten = self.forgotten.max(update.next);
         }
+        let copy = update.scope == Scope::Copy;
         for (key, value) in update.records {
+            if copy && !self.holds(&key) {
+                continue;
+            }
             if self.put(&key, value.clone(), update.next, update.at, collapsed) {
                 news.push((key, value));
             }
@@ -159,6 +167,11 @@
         dropped
     }
 
+    /// Whether a key has a value.
+    fn holds(&self, key: &str) -> bool {
+        self.records.get(key).is_some_and(|r| r.value.is_some())
+    }
+
     /// Writes one record; returns whether its value is another than before.
     fn put(
         &mut self,
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -43,6 +43,29 @@
     assert_eq!(held.next(), Some(12));
 }
 
+/// Guards against a server that has left being called again because the store
+/// came back from a copy that still shows it.
+#[test]
+fn dropped_key_waits_after_a_rewind() {
+    let mut held = Replica::default();
+    held.read(whole(10, vec![record("left", 1), record("stays", 2)]), None);
+    held.read(
+        changes(12, vec![record("left", None), record("new", 3)]),
+        Some(10),
+    );
+    let copy = update(
+        Scope::Copy,
+        1000,
+        vec![record("left", 1), record("stays", 2)],
+    );
+    assert_eq!(held.read(copy, Some(12)), [record("new", None)]);
+    let (scope, told) = held.since(Some(12)).expect("a copy");
+    assert_eq!((scope, told), (Scope::Whole, vec![record("stays", 2)]));
+    // One that lives writes its record again.
+    let news = held.read(changes(1001, vec![record("left", 1)]), Some(1000));
+    assert_eq!(news, [record("left", 1)]);
+}
+
 /// What a whole table does not show has gone, and neighbours have to be told,
 /// though the store has no record of it: entries that lapse during an outage
 /// leave none.
