Give each entry of the process tests an address of its own; rewind the store in the soak

A run of these tests hung for ten minutes (fatal_request_is_stopped_while_the_store_is_away): one of its entries had ended at its start, as another test had taken the port that the harness had released for it, and the test went on asking whoever held that port, eight seconds a question. Each entry stands on a loopback address of its own now, as the duties' tests do, so that no port has to be released.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -3,11 +3,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, ToSocketAddrs, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, ToSocketAddrs, UdpSocket};
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -28,6 +28,11 @@
 /// The host of the engines and of the sidecar beside them.
 const ENGINES: &str = "127.0.0.2";
 
+/// The ports of an entry, on its own address.
+const LISTEN: u16 = 7101;
+const READY: u16 = 7102;
+const GOSSIP: u16 = 7103;
+
 /// A path that holds this ends each server that begins a call to it.
 pub(crate) const FATAL: &str = "fatal";
 
@@ -64,6 +69,8 @@
     pub(crate) ended: AtomicU32,
     version: AtomicU32,
     servers: AtomicU32,
+    /// How often the store has come back from an old copy.
+    era: AtomicU32,
 }
 
 impl Platform {
@@ -106,6 +113,29 @@
         records.push((key.to_owned(), value.to_owned()));
     }
 
+    /// Has the store come back from a copy that lacks the newest `count` records
+    /// of each topic. What the operators and the servers wrote is written again
+    /// after `pause`.
+    pub(crate) fn rewind(self: &Arc<Self>, count: usize, pause: Duration) {
+        let mut lost = Vec::new();
+        let mut topics = self.topics.lock().expect("not poisoned");
+        for (topic, records) in topics.iter_mut() {
+            let tail = records.split_off(records.len().saturating_sub(count));
+            if ["keyed.op", "keyed.servers"].contains(&topic.as_str()) {
+                lost.extend(tail.into_iter().map(|(k, v)| (topic.clone(), k, v)));
+            }
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        drop(topics);
+        let own = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(pause);
+            for (topic, key, value) in lost {
+                own.write(&topic, &key, &value);
+            }
+        });
+    }
+
     /// Starts a plain backend server and lists it.
     pub(crate) fn server(self: &Arc<Self>) -> Server {
         self.start_server("app", "127.0.0.1")
@@ -161,43 +191,77 @@
             };
             let topic = query("topic").unwrap_or_default();
             if line.contains("log-newest") {
-                answer(&mut stream, "200 OK", self.newest(&topic).as_bytes());
+                let (era, page) = self.newest(&topic);
+                answer(&mut stream, &in_era("200 OK", era), page.as_bytes());
             } else if line.contains("log-read") {
                 let from = query("from").and_then(|f| f.parse().ok()).unwrap_or(0);
-                answer(&mut stream, "200 OK", &self.after(&topic, from));
+                let (era, records) = self.after(&topic, from);
+                let status = if records.is_some() {
+                    "200 OK"
+                } else {
+                    "410 Gone"
+                };
+                answer(
+                    &mut stream,
+                    &in_era(status, era),
+                    &records.unwrap_or_default(),
+                );
             } else {
-                let key = usize::from(body[4]);
-                let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
-                self.write(&topic, &text(&body[5..5 + key]), &text(&body[5 + key..]));
-                answer(&mut stream, "200 OK", b"{\"offset\":0,\"end\":1}");
+                self.append(&topic, &body);
+                let era = self.era.load(Ordering::SeqCst);
+                answer(
+                    &mut stream,
+                    &in_era("200 OK", era),
+                    b"{\"offset\":0,\"end\":1}",
+                );
             }
         }
     }
 
-    fn newest(&self, topic: &str) -> String {
+    /// Takes the records of one call.
+    fn append(&self, topic: &str, mut body: &[u8]) {
+        while let Some((length, rest)) = body.split_first_chunk::<4>() {
+            let (record, rest) = rest.split_at(u32::from_be_bytes(*length) as usize);
+            let (key, value) = record[1..].split_at(usize::from(record[0]));
+            let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+            self.write(topic, &text(key), &text(value));
+            body = rest;
+        }
+    }
+
+    /// The newest records of a topic, and the era that they are of.
+    fn newest(&self, topic: &str) -> (u32, String) {
         let topics = self.topics.lock().expect("not poisoned");
+        let era = self.era.load(Ordering::SeqCst);
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
         let newest: BTreeMap<_, _> = records.iter().map(|(k, v)| (k, v)).collect();
         let live = newest.into_iter().filter(|(_, v)| !v.is_empty());
         let item = |(k, v): (&String, &String)| json!({"key": k, "value": STANDARD.encode(v)});
         let items: Vec<_> = live.map(item).collect();
-        json!({"items": items, "more": false, "end": records.len()}).to_string()
+        let page = json!({"items": items, "more": false, "end": records.len()});
+        (era, page.to_string())
     }
 
-    fn after(&self, topic: &str, from: usize) -> Vec<u8> {
+    /// The records of a topic from an offset on, if there is such an offset, and
+    /// the era that they are of.
+    fn after(&self, topic: &str, from: usize) -> (u32, Option<Vec<u8>>) {
         // Stands for the long poll, so that nobody asks in a loop.
         thread::sleep(PAUSE);
         let topics = self.topics.lock().expect("not poisoned");
+        let era = self.era.load(Ordering::SeqCst);
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let Some(records) = records.get(from..) else {
+            return (era, None);
+        };
         let mut all = vec![0; 16];
-        for (key, value) in records.iter().skip(from) {
+        for (key, value) in records {
             let length = u32::try_from(1 + key.len() + value.len()).expect("short");
             all.extend_from_slice(&length.to_be_bytes());
             all.push(u8::try_from(key.len()).expect("short"));
             all.extend_from_slice(key.as_bytes());
             all.extend_from_slice(value.as_bytes());
         }
-        all
+        (era, Some(all))
     }
 
     /// Runs the calls that come to a backend server on one connection.
@@ -426,36 +490,26 @@
 }
 
 impl Entry {
-    /// Starts an entry; `grants` is where sidecars answer it, if there are any.
-    pub(crate) fn start(name: &str, store: SocketAddr, grants: Option<SocketAddr>) -> Self {
-        let (gossip, tables) = both_ports();
-        drop(tables);
-        Self::start_at(name, store, grants, gossip)
+    /// Starts an entry; `grants` is the sidecars' port, if there are any.
+    pub(crate) fn start(name: &str, store: SocketAddr, grants: Option<u16>) -> Self {
+        Self::start_at(own_ip(), name, store, grants)
     }
 
     /// Starts an entry while somebody else, for whom the listener stands, has
     /// the port at which its neighbours would ask.
     pub(crate) fn start_without_port(name: &str, store: SocketAddr) -> (Self, TcpListener) {
-        let (gossip, tables) = both_ports();
-        (Self::start_at(name, store, None, gossip), tables)
-    }
-
-    fn start_at(
-        name: &str,
-        store: SocketAddr,
-        grants: Option<SocketAddr>,
-        gossip: UdpSocket,
-    ) -> Self {
-        let ports: Vec<TcpListener> = (0..2)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
-            .collect();
-        let addr = |l: &TcpListener| l.local_addr().expect("an address");
-        let (listen, ready) = (addr(&ports[0]), addr(&ports[1]));
+        let ip = own_ip();
+        let tables = TcpListener::bind((ip, GOSSIP)).expect("a port");
+        (Self::start_at(ip, name, store, None), tables)
+    }
+
+    fn start_at(ip: Ipv4Addr, name: &str, store: SocketAddr, grants: Option<u16>) -> Self {
+        let addr = |port| SocketAddr::from((ip, port));
+        let (listen, ready) = (addr(LISTEN), addr(READY));
         let settings = json!({"name": name, "zone": "a", "listen": listen, "ready": ready,
-            "ready_path": "/ready", "gossip": gossip.local_addr().expect("an address"),
-            "grants": grants, "store": store, "grace_s": 6.0, "repeat_ratio": 0.2,
-            "repeat_window_s": 10.0, "ask_every": "100ms"});
-        drop((ports, gossip));
+            "ready_path": "/ready", "gossip": addr(GOSSIP), "grants": grants.map(addr),
+            "store": store, "grace_s": 6.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
+            "ask_every": "100ms"});
         Self {
             process: Process::start("forward", name, &settings),
             listen,
@@ -493,16 +547,13 @@
     }
 }
 
-/// A port that is free for datagrams and for connections: entries use one
-/// number for both.
-fn both_ports() -> (UdpSocket, TcpListener) {
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
-        let addr = socket.local_addr().expect("an address");
-        if let Ok(listener) = TcpListener::bind(addr) {
-            return (socket, listener);
-        }
-    }
+/// A loopback address of one entry's own, where no port is taken. A port that
+/// was free a moment ago may belong to another test by the time it is used.
+fn own_ip() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(0);
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let number = COUNT.fetch_add(1, Ordering::SeqCst) % 250 + 1;
+    Ipv4Addr::new(127, a.max(1), b, number)
 }
 
 /// What a caller saw.
@@ -572,6 +623,11 @@
     let _ = stream.write_all(&[head.as_bytes(), body].concat());
 }
 
+/// A status with the header that names an era.
+fn in_era(status: &str, era: u32) -> String {
+    format!("{status}\r\nStore-Era: {era}")
+}
+
 fn header(head: &str, name: &str) -> Option<String> {
     let mut lines = head.lines().filter_map(|l| l.split_once(": "));
     let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -1,6 +1,7 @@
 //! Faults by seeds: processes stopped, frozen, killed and restarted, servers
-//! leaving and dying, the store down and back, configurations in series, in
-//! any order and overlapping, while callers check what they were promised.
+//! leaving and dying, the store down and back, also from an old copy, servers
+//! that name limits, configurations in series, in any order and overlapping,
+//! while callers check what they were promised.
 //!
 //! `SOAK_SEEDS=100-149` plays those seeds in place of the few of every run.
 
@@ -62,11 +63,7 @@
     let engines: Vec<Server> = (0..2).map(|_| platform.engine()).collect();
     let (mut sidecar, port) = sidecar(&format!("soak-{seed}-sidecar"));
     let mut entries: Vec<Entry> = (0..2)
-        .map(|i| {
-            let host = [127, 0, 0, 1 + 2 * i];
-            let grants = Some(SocketAddr::from((host, port)));
-            Entry::start(&format!("soak-{seed}-{i}"), store, grants)
-        })
+        .map(|i| Entry::start(&format!("soak-{seed}-{i}"), store, Some(port)))
         .collect();
     until("ready", || entries.iter().all(Entry::ready));
 
@@ -82,9 +79,11 @@
     let mut rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
     // Draws of its own, so that the other faults of a seed stay as they are.
     let mut aside = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 70 | 1);
+    let mut drills = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 71 | 1);
     for _ in 0..STEPS {
         step(&mut rng, &platform, &mut servers, &mut entries);
         step_aside(&mut aside, &mut sidecar);
+        drill(&mut drills, &platform, &servers);
         thread::sleep(Duration::from_millis(rng.random_range(20..250)));
     }
     platform.down.store(false, Ordering::SeqCst);
@@ -180,6 +179,19 @@
     }
 }
 
+/// Now and then the store comes back from an old copy, or a server names how
+/// much it takes.
+fn drill(rng: &mut Pcg64Mcg, platform: &Arc<Platform>, servers: &[Server]) {
+    let fault = rng.random_range(0..8);
+    let (count, ms) = (rng.random_range(0..6), rng.random_range(0..800));
+    println!("  drill={fault}");
+    match fault {
+        0 => platform.rewind(count, Duration::from_millis(ms)),
+        1 => servers[count % servers.len()].limit("20"),
+        _ => {}
+    }
+}
+
 /// Calls one after the other until `end`, and checks each answer.
 fn calls(seed: u64, caller: usize, at: &[SocketAddr], end: &AtomicBool) -> Tally {
     let mut tally = Tally::default();
