Take what was not known from a store that came back from an old copy

Reproduced with the entries' logs: an entry had started while the store lacked the configuration, saw the store come back, and passed over the configuration that the copy showed, since it did not hold it. It would never have been ready.

Cause: of a copy's table only keys that were held were taken. What has to wait are keys that were known to be dropped; one that was never known says nothing against itself.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -24,8 +24,10 @@
 const STEPS: u32 = 14;
 
 /// Seeds that failed once. 16: a process that was told to stop ended after the
-/// last step, and the harness did not start it again as the platform does.
-const KEPT: [u64; 1] = [16];
+/// last step, and the harness did not start it again as the platform does. 508: an
+/// entry started while the store lacked the configuration, and did not take it
+/// from the copy.
+const KEPT: [u64; 2] = [16, 508];
 
 /// What one seed came to.
 #[derive(Debug, Default)]
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -29,8 +29,8 @@
     /// The whole table: what it does not show is gone.
     Whole,
     /// The whole table of a store that has come back from an old copy. What it
-    /// shows and is not held was dropped since the copy was made, and waits
-    /// until it is written again.
+    /// shows and was dropped since the copy was made waits until it is written
+    /// again.
     Copy,
 }
 
@@ -134,7 +134,7 @@
         }
         let copy = update.scope == Scope::Copy;
         for (key, value) in update.records {
-            if copy && !self.holds(&key) {
+            if copy && self.dropped(&key) {
                 continue;
             }
             if self.put(&key, value.clone(), update.next, update.at, collapsed) {
@@ -167,9 +167,9 @@
         dropped
     }
 
-    /// Whether a key has a value.
-    fn holds(&self, key: &str) -> bool {
-        self.records.get(key).is_some_and(|r| r.value.is_some())
+    /// Whether a key was dropped a while ago.
+    fn dropped(&self, key: &str) -> bool {
+        self.records.get(key).is_some_and(|r| r.value.is_none())
     }
 
     /// Writes one record; returns whether its value is another than before.
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -66,6 +66,16 @@
     assert_eq!(news, [record("left", 1)]);
 }
 
+/// Guards against an entry that never learns of a key, as it has started while
+/// the store lacked it.
+#[test]
+fn unknown_key_is_taken_after_a_rewind() {
+    let mut held = Replica::default();
+    held.read(whole(0, Vec::new()), None);
+    let copy = update(Scope::Copy, 1000, vec![record("config", 1)]);
+    assert_eq!(held.read(copy, Some(0)), [record("config", 1)]);
+}
+
 /// What a whole table does not show has gone, and neighbours have to be told,
 /// though the store has no record of it: entries that lapse during an outage
 /// leave none.
