Fix no usage window twice after the store has lost that it was fixed

What the platform would see: two reports of one window with different counts, after the store came back from an old copy and the holder ended in the same seconds. store_rewound showed it on the code before: {ecole: 11, mairie: 5} and then {}.

Cause: the successor took the account of the copy, in which the window was open, while the entries had dropped its counts, as they had been told that it was fixed.

Change: entries know the first window that is not fixed (the holder tells it with each message); an account that is read is brought level with that before the duties are taken. Windows that this entry had fixed itself keep their counts, others are not fixed again, and a line names them.

--- a/crates/forward/src/duties/hold.rs
+++ b/crates/forward/src/duties/hold.rs
@@ -89,7 +89,10 @@
         }
         if matches!(step, Step::Claim(_)) {
             let window = self.books.borrow().windows().at(self.time());
-            let usage = kept.map_or_else(|| Account::begin(window), |k| k.usage);
+            let mut usage = kept.map_or_else(|| Account::begin(window), |k| k.usage);
+            for window in usage.catch_up(self.next.get(), &self.account.borrow()) {
+                warn!("usage window not in the store", kv: { window = window });
+            }
             *self.account.borrow_mut() = usage;
             self.recorded.borrow_mut().clear();
         }
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -48,6 +48,13 @@
     pub(crate) fn kept(&self) -> Kept {
         self.kept.borrow().clone().expect("a record")
     }
+
+    /// Has the store come back from a copy that holds `kept`. Positions grow all
+    /// the same.
+    pub(crate) fn rewind(&self, kept: Kept) {
+        *self.kept.borrow_mut() = Some(kept);
+        self.end.set(self.end.get() + (1 << 40));
+    }
 }
 
 struct Log(Rc<Store>);
--- a/crates/forward/tests/duties/main.rs
+++ b/crates/forward/tests/duties/main.rs
@@ -68,6 +68,30 @@
     until("no call is left", || fleet.platform.left() == 0).await;
 }
 
+/// Guards against a window being reported with other counts because the store
+/// came back from a copy in which it is not fixed yet, and the holder has ended.
+#[actix_rt::test]
+async fn store_rewound() {
+    let fleet = Fleet::start(3).await;
+    until("one holds the duty", || fleet.holder().is_some()).await;
+    let copy = fleet.store.kept();
+    let (first, token) = fleet.holder().expect("a holder");
+    fleet.count(first, "mairie", 5);
+    fleet.count((first + 1) % 3, "ecole", 11);
+    until("all is reported", || fleet.reported() == 16).await;
+    until("the store knows", || {
+        fleet.store.kept().usage.fixed.is_empty()
+    })
+    .await;
+    fleet.kill(first);
+    fleet.store.rewind(copy);
+    until("another one holds it", || fleet.holder().is_some()).await;
+    let (second, next) = fleet.holder().expect("a holder");
+    assert!(second != first && next > token);
+    fleet.count(second, "mairie", 7);
+    until("all is reported", || fleet.reported() == 23).await;
+}
+
 #[actix_rt::test]
 async fn store_away() {
     // The store is away while a window ends. Nothing is reported that it does
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -106,6 +106,24 @@
             ..Self::default()
         }
     }
+
+    /// Brings an account that was read level with what is known: all windows
+    /// before `next` were fixed, `own` of them by this entry. A store that came
+    /// back from an old copy shows them as open, but they may have been
+    /// reported, and would be fixed again with other counts. Returns those whose
+    /// counts nobody has any more.
+    pub fn catch_up(&mut self, next: u64, own: &Self) -> Vec<u64> {
+        let mut lost = Vec::new();
+        for window in self.next..next {
+            self.open.remove(&window);
+            match own.fixed.get(&window) {
+                Some(counts) => drop(self.fixed.insert(window, counts.clone())),
+                None => lost.push(window),
+            }
+        }
+        self.next = self.next.max(next);
+        lost
+    }
 }
 
 /// What several lives have counted in one window.
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -289,3 +289,21 @@
     let own = Duration::from_secs(2000);
     assert_eq!(time.now(later, own), own);
 }
+
+/// Guards against a window being fixed a second time, with other counts, because
+/// the store lost that it was fixed.
+#[test]
+fn lost_windows_are_not_fixed_again() {
+    let mut own = Account::begin(FIRST + 3);
+    own.fixed.insert(FIRST + 1, counts(&[("mairie", 4)]));
+    own.fixed.insert(FIRST + 2, counts(&[("mairie", 5)]));
+    let mut read = account();
+    read.fixed.insert(FIRST - 1, counts(&[("ecole", 1)]));
+    assert_eq!(read.catch_up(FIRST + 2, &own), [FIRST]);
+    assert_eq!(read.next, FIRST + 2);
+    let fixed: Vec<u64> = read.fixed.keys().copied().collect();
+    assert_eq!(fixed, [FIRST - 1, FIRST + 1]);
+    // What the store knows better stays.
+    assert!(read.catch_up(FIRST, &Account::default()).is_empty());
+    assert_eq!(read.next, FIRST + 2);
+}
