Wait for a limited server's next turn where it comes soon

Callers come back once or twice, so a refusal costs them more than the wait.

Change: a call for which only limited servers are left waits for the next turn while its age and the wait are within half of its target, else it is refused as before.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
@@ -19,6 +19,9 @@
 /// sent anywhere: a region that lost some hosts has others.
 const DIALS: usize = 4;
 
+/// The part of its target that a call may wait for a server's limit.
+const TURN_SHARE: f64 = 0.5;
+
 impl Call {
     /// Sends the call to one server. Servers that cannot be reached count as
     /// no send.
@@ -42,8 +45,15 @@
             metrics::histogram!("pimentocart_place_seconds")
                 .record(self.state.clock.now().saturating_duration_since(now));
             let Some(place) = place.unwrap_or(Err(Failure::Waited))? else {
-                failure = self.limited(now).unwrap_or(failure);
-                break;
+                let Some(wait) = self.next_turn(now) else {
+                    break;
+                };
+                if !self.waits(now, wait) {
+                    failure = Failure::TooLate(wait);
+                    break;
+                }
+                tokio::time::sleep(wait).await;
+                continue;
             };
             // Servers may have ended under another try while this one waited.
             self.check_ends()?;
@@ -56,8 +66,7 @@
             let now = self.state.clock.now();
             if !self.state.balance.borrow_mut().take_turn(now, &server.id) {
                 // Another call took the turn while this one was placed.
-                unreachable.push(Rc::clone(&server.id));
-                failure = self.limited(now).unwrap_or(failure);
+                failure = self.next_turn(now).map_or(failure, Failure::TooLate);
                 continue;
             }
             let request = self.request(now, &server, begin, fetch);
@@ -110,11 +119,17 @@
             .map_or(Ok(()), |left| Err(Failure::EndsServers(left)))
     }
 
-    /// The failure of a call for which only servers are left that name a limit,
-    /// if there are any.
-    fn limited(&self, now: Instant) -> Option<Failure> {
-        let balance = self.state.balance.borrow();
-        balance.next_turn(now, &self.service).map(Failure::TooLate)
+    /// How long it is until a server that names a limit takes a call, if there is
+    /// any.
+    fn next_turn(&self, now: Instant) -> Option<Duration> {
+        self.state.balance.borrow().next_turn(now, &self.service)
+    }
+
+    /// Whether the call may wait that long for a turn. Callers come back once or
+    /// twice, so a short wait serves more of them than a refusal.
+    fn waits(&self, now: Instant, wait: Duration) -> bool {
+        let age = now.saturating_duration_since(self.came);
+        age + wait <= self.route.target.mul_f64(TURN_SHARE)
     }
 
     /// Notes that another server has the address of `server` by now. The list
--- a/crates/forward/tests/calls/repeats.rs
+++ b/crates/forward/tests/calls/repeats.rs
@@ -284,12 +284,7 @@
                    Content-Length: 5\r\n\r\nhello";
     let acts = [Act::Send(limited), Act::Send(limited), Act::Send(limited)];
     let entry = Entry::start(Plan::new(Kind::Idempotent, 2, &acts)).await;
-    entry.state.balance.borrow_mut().share(Turns {
-        entries: 1,
-        place: 0,
-        at: entry.state.clock.now(),
-        wall: Duration::from_secs(50),
-    });
+    share(&entry);
     assert_eq!(status(&entry.call(ID).await), "200");
     assert_eq!(status(&entry.call(ID).await), "200");
     let (answer, before) = (entry.call(ID).await, entry.servers.requests().len());
@@ -299,3 +294,28 @@
         .expect("a time");
     assert!(after > 0.0 && after <= 100.0, "{after} s");
 }
+
+/// Guards against a caller being refused when a limited server takes its call
+/// in a moment.
+#[actix_rt::test]
+async fn next_turn_is_waited_for() {
+    let limited = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nlimit: 20\r\n\
+                   Content-Length: 5\r\n\r\nhello";
+    let mut plan = Plan::new(Kind::Idempotent, 2, &vec![Act::Send(limited); 10]);
+    plan.target = Duration::from_secs(4);
+    let entry = Entry::start(plan).await;
+    share(&entry);
+    for _ in 0..10 {
+        assert_eq!(status(&entry.call(ID).await), "200");
+    }
+}
+
+/// Has the entry know that there is no other one.
+fn share(entry: &Entry) {
+    entry.state.balance.borrow_mut().share(Turns {
+        entries: 1,
+        place: 0,
+        at: entry.state.clock.now(),
+        wall: Duration::from_secs(50),
+    });
+}
