--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -73,8 +73,8 @@
     OutcomeUnknown,
     /// The answer broke off after its first piece.
     BrokenOff,
-    /// Backend servers end when they run the request.
-    EndsServers,
+    /// Backend servers crash when they run the request.
+    CrashesServers,
     /// The platform's log is needed and cannot be reached.
     LogDown,
     /// The idempotency key is in use by another entry.
@@ -105,7 +105,7 @@
         Self::BackendFailed,
         Self::OutcomeUnknown,
         Self::BrokenOff,
-        Self::EndsServers,
+        Self::CrashesServers,
         Self::LogDown,
         Self::KeyTaken,
         Self::KeyReused,
@@ -133,7 +133,7 @@
             Self::BackendFailed => "backend_failed",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::BrokenOff => "broken_off",
-            Self::EndsServers => "ends_servers",
+            Self::CrashesServers => "crashes_servers",
             Self::LogDown => "log_down",
             Self::KeyTaken => "key_taken",
             Self::KeyReused => "key_reused",
@@ -157,7 +157,7 @@
             | Self::NoServer
             | Self::RetryBudget
             | Self::Draining
-            | Self::EndsServers
+            | Self::CrashesServers
             | Self::LogDown => 503,
             Self::Expired | Self::OutcomeUnknown => 504,
             Self::CallerGone => 499,
--- a/crates/cli/tests/forward/fatal.rs
+++ b/crates/cli/tests/forward/fatal.rs
@@ -103,7 +103,7 @@
         entry.restart();
     }
     until("all know", || {
-        fleet.entries.iter().all(|e| e.status("ends") >= 3)
+        fleet.entries.iter().all(|e| e.status("crashes") >= 3)
     });
     fleet.replace();
     let before = fleet.ended();
@@ -117,7 +117,7 @@
     let mut fleet = Fleet::start("away");
     fleet.send("/safe/fatal", SENDS);
     until("all know", || {
-        fleet.entries.iter().all(|e| e.status("ends") >= 3)
+        fleet.entries.iter().all(|e| e.status("crashes") >= 3)
     });
     fleet.platform.down.store(true, Ordering::SeqCst);
     let before = fleet.ended();
@@ -147,7 +147,7 @@
         call(entry.at(), "/once/fatal", &format!("away-{n}"));
         let held = u64::from(fleet.ended());
         until("all know", || {
-            fleet.entries.iter().all(|e| e.status("ends") >= held)
+            fleet.entries.iter().all(|e| e.status("crashes") >= held)
         });
     }
     assert_eq!(fleet.ended(), 3);
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -19,14 +19,14 @@
 use policy::balance::Listed;
 use policy::pools::{Coming, Work};
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
-use policy::suspects::Print;
+use policy::suspects::Fingerprint;
 use rand::RngExt;
 use spdlog::info;
 
 use answer::good;
 
+use crate::crashes;
 use crate::edge::Ask;
-use crate::ends;
 use crate::exchange::{Body, Failure};
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
@@ -67,8 +67,8 @@
     work: Option<Work>,
     /// Whether a backend server has begun with it.
     begin: Cell<Begun>,
-    /// Its print, once it is needed.
-    print: OnceCell<Print>,
+    /// Its fingerprint, once it is needed.
+    fingerprint: OnceCell<Fingerprint>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -161,7 +161,7 @@
             until: incoming.came + route.timeout.min(patience),
             work,
             begin: Cell::new(Begun::No),
-            print: OnceCell::new(),
+            fingerprint: OnceCell::new(),
             route,
             service,
             ask,
@@ -182,12 +182,12 @@
 
     /// Names what the caller sent, the same for each of its tries.
     #[must_use]
-    pub fn print(&self) -> Print {
-        *self.print.get_or_init(|| {
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
             let host = self.headers.get(http::header::HOST);
             let path = self.uri.path_and_query().map_or("", |p| p.as_str());
             let workspace = self.workspace.as_ref().map_or("", |w| w.name.as_str());
-            Print::of(&[
+            Fingerprint::of(&[
                 self.method.as_str().as_bytes(),
                 host.map_or(&[], |h| h.as_bytes()),
                 path.as_bytes(),
@@ -197,26 +197,26 @@
         })
     }
 
-    /// For how long it is not to be sent to any server, as servers end under
+    /// For how long it is not to be sent to any server, as servers crash under
     /// it; none if it may be.
-    fn ends_servers(&self) -> Option<Duration> {
-        let ends = &self.state.ends;
-        // Few calls need a print.
-        if ends.is_empty() {
+    fn crashes_servers(&self) -> Option<Duration> {
+        let crashes = &self.state.crashes;
+        // Few calls need a fingerprint.
+        if crashes.is_empty() {
             return None;
         }
-        ends.refused(self.state.clock.now(), self.print())
+        crashes.refused(self.state.clock.now(), self.fingerprint())
     }
 
     /// Notes that a server has run it whole.
     pub(crate) fn served(&self) {
-        self.state.ends.served(self.print());
+        self.state.crashes.served(self.fingerprint());
     }
 
     /// Notes that its connection to `server` broke before the answer was
     /// whole.
     pub(crate) fn broke(&self, server: &Listed) {
-        ends::broke(&self.state, server, self.print());
+        crashes::broke(&self.state, server, self.fingerprint());
     }
 
     /// Milliseconds since it came.
@@ -376,7 +376,7 @@
             Some(Failure::Late) => Own::failed(504, Refusal::Expired),
             Some(Failure::Waited) => Own::refused(Refusal::TargetUnreachable, AFTER_FULL),
             Some(Failure::Unknown(_)) => Own::failed(502, Refusal::OutcomeUnknown),
-            Some(Failure::EndsServers(after)) => Own::refused(Refusal::EndsServers, *after),
+            Some(Failure::CrashesServers(after)) => Own::refused(Refusal::CrashesServers, *after),
             Some(Failure::TooLate(after)) => Own::refused(Refusal::TargetUnreachable, *after),
             Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, AFTER_FULL),
             Some(Failure::NeverSent(_) | Failure::Elsewhere) | None => {
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -37,7 +37,7 @@
             if now >= self.until {
                 return Err(Failure::Late);
             }
-            self.check_ends()?;
+            self.check_crashes()?;
             let avoid: Vec<Rc<str>> = tried.iter().chain(&unreachable).cloned().collect();
             // A call that waits for its turn past its time was never sent.
             let place = self.place(now, &avoid, begin);
@@ -55,8 +55,8 @@
                 tokio::time::sleep(wait).await;
                 continue;
             };
-            // Servers may have ended under another try while this one waited.
-            self.check_ends()?;
+            // Servers may have crashed under another try while this one waited.
+            self.check_crashes()?;
             let Place {
                 server,
                 ahead,
@@ -113,10 +113,10 @@
         Err(failure)
     }
 
-    /// Fails if servers end under the call.
-    fn check_ends(&self) -> Result<(), Failure> {
-        self.ends_servers()
-            .map_or(Ok(()), |left| Err(Failure::EndsServers(left)))
+    /// Fails if servers crash under the call.
+    fn check_crashes(&self) -> Result<(), Failure> {
+        self.crashes_servers()
+            .map_or(Ok(()), |left| Err(Failure::CrashesServers(left)))
     }
 
     /// How long it is until a server that names a limit takes a call, if there is
--- a/crates/forward/src/ends.rs
+++ b/crates/forward/src/crashes.rs
@@ -1,8 +1,8 @@
-//! Backend servers that end, and the calls under which they do.
+//! Backend servers that crash, and the calls under which they do.
 //!
-//! A server whose connection breaks is connected to once more. If it has ended,
+//! A server whose connection breaks is connected to once more. If it has crashed,
 //! that is held against each call it had, told to the other entries by way of
-//! the store, and a call under which several have ended is sent to no server any
+//! the store, and a call under which several have crashed is sent to no server any
 //! more: `policy::suspects` decides when. See
 //! docs/DECISIONS/0607-crashing-requests.md.
 
@@ -16,7 +16,7 @@
 use policy::balance::Listed;
 use policy::rendezvous;
 use policy::replica::Records;
-use policy::suspects::{End, HELD, Print, Suspects};
+use policy::suspects::{Crash, Fingerprint, HELD, Suspects};
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 use wire::gossip;
@@ -26,7 +26,7 @@
 use crate::pool::{Conn, Pool};
 use crate::state::State;
 
-/// Connections that are tried to find out whether a server has ended.
+/// Connections that are tried to find out whether a server has crashed.
 const DIALS: usize = 3;
 
 /// Records that wait to be written at most. While the store is away for long,
@@ -36,11 +36,11 @@
 /// Records that are written in one call.
 const BATCH: usize = 256;
 
-/// Ends that another entry is told of in one datagram, in turn.
+/// Crashes that another entry is told of in one datagram, in turn.
 const TOLD: usize = 16;
 
 /// The pause between two writes, for each entry that is heard: when a whole
-/// zone's servers end, all entries have something to write at once.
+/// zone's servers crash, all entries have something to write at once.
 const WRITE_EACH: Duration = Duration::from_millis(20);
 
 /// How often is looked whether the entry stops while nothing is to be written.
@@ -51,33 +51,33 @@
 /// written again; what is older was dropped by somebody.
 const LOST: Duration = Duration::from_secs(60);
 
-/// Records of ends that were seen so long ago were left behind by an entry that
+/// Records of crashes that were seen so long ago were left behind by an entry that
 /// has ended. The margin is for hosts whose clocks differ.
 const FORGOTTEN: Duration = HELD.saturating_mul(2);
 
-/// What an entry knows of servers that have ended under calls.
+/// What an entry knows of servers that have crashed under calls.
 #[derive(Debug, Default)]
-pub struct Ends {
+pub struct Crashes {
     suspects: RefCell<Suspects>,
     /// Calls whose connections broke, by server, until it is known why.
-    broken: RefCell<HashMap<Rc<str>, Vec<Print>>>,
-    /// What the store is to be told: when an end was seen in Unix
+    broken: RefCell<HashMap<Rc<str>, Vec<Fingerprint>>>,
+    /// What the store is to be told: when a crash was seen in Unix
     /// milliseconds, or none when it is not held any more.
-    unwritten: RefCell<BTreeMap<End, Option<u64>>>,
+    unwritten: RefCell<BTreeMap<Crash, Option<u64>>>,
     /// Where the next datagram to other entries goes on among them.
     told: Cell<usize>,
     /// Wakes the writer.
     wake: Notify,
 }
 
-impl Ends {
+impl Crashes {
     /// Whether anything is held against any call.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.suspects.borrow().is_empty()
     }
 
-    /// Ends that are held against calls.
+    /// Crashes that are held against calls.
     #[must_use]
     pub fn count(&self) -> usize {
         self.suspects.borrow().count()
@@ -85,34 +85,36 @@
 
     /// For how long a call is not to be sent to any server; none if it may be.
     #[must_use]
-    pub fn refused(&self, now: Instant, print: Print) -> Option<Duration> {
-        self.suspects.borrow().refused(now, print)
+    pub fn refused(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
+        self.suspects.borrow().refused(now, fingerprint)
     }
 
     /// Notes that a server has run a call whole.
-    pub fn served(&self, print: Print) {
-        let cleared = self.suspects.borrow_mut().served(print);
-        for end in cleared {
-            self.tell(end, None);
+    pub fn served(&self, fingerprint: Fingerprint) {
+        let cleared = self.suspects.borrow_mut().served(fingerprint);
+        for crash in cleared {
+            self.tell(crash, None);
         }
     }
 
-    /// Has the store told of an end.
-    fn tell(&self, end: End, at: Option<u64>) {
+    /// Has the store told of a crash.
+    fn tell(&self, crash: Crash, at: Option<u64>) {
         let mut unwritten = self.unwritten.borrow_mut();
-        if unwritten.len() >= UNWRITTEN && !unwritten.contains_key(&end) {
-            metrics::counter!("pimentocart_ends_not_told_total").increment(1);
+        if unwritten.len() >= UNWRITTEN && !unwritten.contains_key(&crash) {
+            metrics::counter!("pimentocart_crashes_not_told_total").increment(1);
             return;
         }
-        unwritten.insert(end, at);
+        unwritten.insert(crash, at);
         drop(unwritten);
         self.wake.notify_one();
     }
 
     /// What the other entries are told, as the store has not taken it.
-    pub(crate) fn untold(&self, wall_ms: u64) -> Vec<gossip::End> {
+    pub(crate) fn untold(&self, wall_ms: u64) -> Vec<gossip::Crash> {
         let unwritten = self.unwritten.borrow();
-        let held = unwritten.iter().filter_map(|(end, at)| Some((end, (*at)?)));
+        let held = unwritten
+            .iter()
+            .filter_map(|(crash, at)| Some((crash, (*at)?)));
         let count = held.clone().count();
         if count == 0 {
             return Vec::new();
@@ -120,75 +122,75 @@
         let from = self.told.get() % count;
         self.told.set(from + TOLD);
         let told = held.cycle().skip(from).take(count.min(TOLD));
-        let told = told.map(|(end, at)| gossip::End {
-            print: end.print.0,
-            life: end.life,
+        let told = told.map(|(crash, at)| gossip::Crash {
+            fingerprint: crash.fingerprint.0,
+            life: crash.life,
             age_ms: u32::try_from(wall_ms.saturating_sub(at)).unwrap_or(u32::MAX),
         });
         told.collect()
     }
 
     /// What is to be written next.
-    fn batch(&self) -> Vec<(End, Option<u64>)> {
+    fn batch(&self) -> Vec<(Crash, Option<u64>)> {
         let unwritten = self.unwritten.borrow();
         let batch = unwritten.iter().take(BATCH);
-        batch.map(|(end, at)| (*end, *at)).collect()
+        batch.map(|(crash, at)| (*crash, *at)).collect()
     }
 
     /// Notes that a batch was written.
-    fn written(&self, batch: &[(End, Option<u64>)]) {
+    fn written(&self, batch: &[(Crash, Option<u64>)]) {
         let mut unwritten = self.unwritten.borrow_mut();
-        for (end, at) in batch {
-            if unwritten.get(end) == Some(at) {
-                unwritten.remove(end);
+        for (crash, at) in batch {
+            if unwritten.get(crash) == Some(at) {
+                unwritten.remove(crash);
             }
         }
     }
 }
 
-/// Notes that the connection of call `print` to `server` broke before its
+/// Notes that the connection of call `fingerprint` to `server` broke before its
 /// answer was whole. A lost connection alone says nothing of the call.
-pub(crate) fn broke(state: &Rc<State>, server: &Listed, print: Print) {
-    let mut broken = state.ends.broken.borrow_mut();
-    let prints = broken.entry(Rc::clone(&server.id)).or_default();
-    let first = prints.is_empty();
-    prints.push(print);
+pub(crate) fn broke(state: &Rc<State>, server: &Listed, fingerprint: Fingerprint) {
+    let mut broken = state.crashes.broken.borrow_mut();
+    let fingerprints = broken.entry(Rc::clone(&server.id)).or_default();
+    let first = fingerprints.is_empty();
+    fingerprints.push(fingerprint);
     if first {
         actix_rt::spawn(look(Rc::clone(state), server.clone()));
     }
 }
 
-/// Looks whether `server` has ended.
+/// Looks whether `server` has crashed.
 async fn look(state: Rc<State>, server: Listed) {
     let now = state.clock.now();
     let dialled = dial(now, &server).await;
-    let prints = state.ends.broken.borrow_mut().remove(&server.id);
-    let prints = prints.unwrap_or_default();
+    let fingerprints = state.crashes.broken.borrow_mut().remove(&server.id);
+    let fingerprints = fingerprints.unwrap_or_default();
     let outcome = match dialled {
         Ok(conn) => {
             state.pool.put(now, &server.id, conn);
             "alive"
         }
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => "ended",
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => "crashed",
         // A host that does not answer may be cut off, with its server well.
         Err(_) => "unknown",
     };
     metrics::counter!("pimentocart_connections_broken_total", "server" => outcome)
-        .increment(prints.len() as u64);
-    for print in &prints {
+        .increment(fingerprints.len() as u64);
+    for fingerprint in &fingerprints {
         info!("connection broken", kv: {
             server = &*server.id,
             outcome,
-            print = print.to_string().as_str()
+            fingerprint = fingerprint.to_string().as_str()
         });
     }
-    if outcome == "ended" {
-        ended(&state, &server, &prints);
+    if outcome == "crashed" {
+        crashed(&state, &server, &fingerprints);
     }
 }
 
 /// Connects to `server`, again where nothing comes back: on a link that loses
-/// packets a server that has ended would else count as cut off.
+/// packets a server that has crashed would else count as cut off.
 async fn dial(now: Instant, server: &Listed) -> io::Result<Conn> {
     let mut dialled = Pool::dial(now, server.addr).await;
     for _ in 1..DIALS {
@@ -201,21 +203,25 @@
     dialled
 }
 
-/// Holds it against `prints` that `server` has ended.
-fn ended(state: &State, server: &Listed, prints: &[Print]) {
+/// Holds it against `fingerprints` that `server` has crashed.
+fn crashed(state: &State, server: &Listed, fingerprints: &[Fingerprint]) {
     let (now, at) = (state.clock.now(), state.clock.wall_ms());
     let life = rendezvous::weight(rendezvous::number(&server.id), server.born.unwrap_or(0));
-    let ends = state.ends.suspects.borrow_mut().ended(now, life, prints);
-    for end in ends {
-        state.ends.tell(end, Some(at));
-        note_refused(state, now, end.print);
+    let crashes = state
+        .crashes
+        .suspects
+        .borrow_mut()
+        .crashed(now, life, fingerprints);
+    for crash in crashes {
+        state.crashes.tell(crash, Some(at));
+        note_refused(state, now, crash.fingerprint);
     }
 }
 
 /// Logs a call that is refused from now on.
-fn note_refused(state: &State, now: Instant, print: Print) {
-    if state.ends.refused(now, print).is_some() {
-        warn!("call ends servers", kv: { print = print.to_string().as_str() });
+fn note_refused(state: &State, now: Instant, fingerprint: Fingerprint) {
+    if state.crashes.refused(now, fingerprint).is_some() {
+        warn!("call crashes servers", kv: { fingerprint = fingerprint.to_string().as_str() });
     }
 }
 
@@ -225,68 +231,68 @@
         state.tables.changed.notify_waiters();
     }
     for (key, at) in news {
-        let end = match key.parse::<End>() {
-            Ok(end) => end,
+        let crash = match key.parse::<Crash>() {
+            Ok(crash) => crash,
             Err(cause) => {
                 warn!("record not understood", kv: { key = &*key, cause = cause.as_str() });
                 continue;
             }
         };
         match at {
-            Some(at) => hold(state, now, end, at),
-            None => dropped(state, now, end, whole),
+            Some(at) => hold(state, now, crash, at),
+            None => dropped(state, now, crash, whole),
         }
     }
-    metrics::gauge!("pimentocart_ends_held").set(state.ends.count() as f64);
+    metrics::gauge!("pimentocart_crashes_held").set(state.crashes.count() as f64);
 }
 
-/// Holds ends that another entry tells of.
-pub(crate) fn hear(state: &State, now: Instant, ends: &[gossip::End]) {
-    for said in ends {
-        let end = End {
-            print: Print(said.print),
+/// Holds crashes that another entry tells of.
+pub(crate) fn hear(state: &State, now: Instant, crashes: &[gossip::Crash]) {
+    for said in crashes {
+        let crash = Crash {
+            fingerprint: Fingerprint(said.fingerprint),
             life: said.life,
         };
         let age = Duration::from_millis(u64::from(said.age_ms));
-        if state.ends.suspects.borrow_mut().hold(now, end, age) {
-            note_refused(state, now, end.print);
+        if state.crashes.suspects.borrow_mut().hold(now, crash, age) {
+            note_refused(state, now, crash.fingerprint);
         }
     }
 }
 
-/// Holds an end that the store tells of and that was seen at `at`.
-fn hold(state: &State, now: Instant, end: End, at: u64) {
+/// Holds a crash that the store tells of and that was seen at `at`.
+fn hold(state: &State, now: Instant, crash: Crash, at: u64) {
     let age = Duration::from_millis(state.clock.wall_ms().saturating_sub(at));
-    if state.ends.suspects.borrow_mut().hold(now, end, age) {
-        note_refused(state, now, end.print);
+    if state.crashes.suspects.borrow_mut().hold(now, crash, age) {
+        note_refused(state, now, crash.fingerprint);
     } else if age > FORGOTTEN && reads(state, now) {
-        state.ends.tell(end, None);
+        state.crashes.tell(crash, None);
     }
 }
 
-/// Notes that the store does not hold an end any more.
-fn dropped(state: &State, now: Instant, end: End, whole: bool) {
-    let age = state.ends.suspects.borrow().age(now, end);
+/// Notes that the store does not hold a crash any more.
+fn dropped(state: &State, now: Instant, crash: Crash, whole: bool) {
+    let age = state.crashes.suspects.borrow().age(now, crash);
     match age {
         Some(age) if whole && age < LOST => {
             let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             let at = state.clock.wall_ms().saturating_sub(age);
-            info!("end written again", kv: { end = end.to_string().as_str() });
-            state.ends.tell(end, Some(at));
+            info!("crash written again", kv: { crash = crash.to_string().as_str() });
+            state.crashes.tell(crash, Some(at));
         }
-        _ => state.ends.suspects.borrow_mut().clear(end),
+        _ => state.crashes.suspects.borrow_mut().clear(crash),
     }
 }
 
 /// Lets go of what was held long enough, here and, by those who read it, in
 /// the store.
 pub(crate) fn expire(state: &State, now: Instant) {
-    let expired = state.ends.suspects.borrow_mut().expire(now);
+    let expired = state.crashes.suspects.borrow_mut().expire(now);
     if expired.is_empty() || !reads(state, now) {
         return;
     }
-    for end in expired {
-        state.ends.tell(end, None);
+    for crash in expired {
+        state.crashes.tell(crash, None);
     }
 }
 
@@ -296,26 +302,26 @@
 }
 
 /// Tells the store until `end`.
-pub async fn write<E: edge::Ends>(state: Rc<State>, table: E, end: Stop) {
+pub async fn write<E: edge::Crashes>(state: Rc<State>, table: E, end: Stop) {
     let mut failures = 0;
     while !end.asked() {
-        let batch = state.ends.batch();
+        let batch = state.crashes.batch();
         if batch.is_empty() {
             // Either way it is looked again.
-            let _ = tokio::time::timeout(LOOK, state.ends.wake.notified()).await;
+            let _ = tokio::time::timeout(LOOK, state.crashes.wake.notified()).await;
             continue;
         }
         let mut pause = WRITE_EACH * u32::try_from(state.others.borrow().count() + 1).unwrap_or(1);
         match table.write(&batch).await {
             Ok(()) => {
-                state.ends.written(&batch);
+                state.crashes.written(&batch);
                 failures = 0;
             }
             Err(e) => {
                 failures += 1;
                 pause = pause.max(retry(failures));
                 if failures == 1 {
-                    warn!("ends not written", kv: {
+                    warn!("crashes not written", kv: {
                         count = batch.len(), cause = e.to_string().as_str()
                     });
                 }
--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -9,7 +9,7 @@
 use policy::duty::{Term, Written};
 use policy::routes::Catalog;
 use policy::scaling;
-use policy::suspects::End;
+use policy::suspects::Crash;
 use policy::usage::{Account, Counts};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -22,8 +22,8 @@
     type Servers: Source<Item = Listed> + 'static;
     /// Where entries find each other.
     type Directory: Directory + 'static;
-    /// Servers that have ended under calls.
-    type Ends: Ends + 'static;
+    /// Servers that have crashed under calls.
+    type Crashes: Crashes + 'static;
     /// Where the duties' record is kept.
     type Records: Records + 'static;
     /// Where duties go to.
@@ -38,8 +38,8 @@
     /// The directory of entries.
     fn directory(&self) -> Self::Directory;
 
-    /// The table of servers that have ended under calls.
-    fn ends(&self) -> Self::Ends;
+    /// The table of servers that have crashed under calls.
+    fn crashes(&self) -> Self::Crashes;
 
     /// The duties' record.
     fn records(&self) -> Self::Records;
@@ -164,11 +164,14 @@
     fn entries(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
 
-/// The store's table of servers that have ended under calls, each with the Unix
+/// The store's table of servers that have crashed under calls, each with the Unix
 /// millisecond at which it was seen.
-pub trait Ends: Source<Item = u64> {
+pub trait Crashes: Source<Item = u64> {
     /// Writes some of them, all or none; those without a time are dropped.
-    fn write(&self, ends: &[(End, Option<u64>)]) -> impl Future<Output = Result<(), SourceError>>;
+    fn write(
+        &self,
+        crashes: &[(Crash, Option<u64>)],
+    ) -> impl Future<Output = Result<(), SourceError>>;
 }
 
 /// What the store keeps of the duties of one daemon.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -33,9 +33,9 @@
     /// The call was not sent, since it would have come too late; the caller
     /// may come back after this time.
     TooLate(Duration),
-    /// The call was not sent, since servers end under it; it will not be for
+    /// The call was not sent, since servers crash under it; it will not be for
     /// this long.
-    EndsServers(Duration),
+    CrashesServers(Duration),
 }
 
 impl Failure {
@@ -49,7 +49,7 @@
                 | Self::Elsewhere
                 | Self::Waited
                 | Self::TooLate(_)
-                | Self::EndsServers(_)
+                | Self::CrashesServers(_)
         )
     }
 
@@ -71,7 +71,7 @@
             Self::Late => "late",
             Self::Waited => "waited",
             Self::TooLate(_) => "too_late",
-            Self::EndsServers(_) => "ends_servers",
+            Self::CrashesServers(_) => "crashes_servers",
         }
     }
 }
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -13,8 +13,8 @@
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
+use crate::crashes;
 use crate::edge::{Changes, Source, SourceError};
-use crate::ends;
 use crate::state::State;
 use crate::tables::{use_catalogs, use_servers};
 
@@ -59,9 +59,9 @@
 /// entry has none to call until it has read them.
 const GATHER_BACK: Duration = Duration::from_millis(150);
 
-/// The pause after servers were told to have ended: several entries have calls
+/// The pause after servers were told to have crashed: several entries have calls
 /// at each, and tell of it in the same moment.
-const GATHER_ENDS: Duration = Duration::from_millis(50);
+const GATHER_CRASHES: Duration = Duration::from_millis(50);
 
 /// Entries heard from which there are many.
 const MANY: usize = 8;
@@ -120,9 +120,9 @@
     }
 }
 
-/// Follows the servers that have ended under calls.
-pub async fn ends<S: Source<Item = u64>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("ends", source);
+/// Follows the servers that have crashed under calls.
+pub async fn crashes<S: Source<Item = u64>>(state: Rc<State>, source: S) {
+    let mut reader = Reader::new("crashes", source);
     loop {
         // A neighbour tells at once, and how old its copy is shows in the
         // other tables.
@@ -130,19 +130,19 @@
             tokio::time::sleep(LOOK).await;
             continue;
         }
-        let asked = state.tables.ends.borrow().next();
+        let asked = state.tables.crashes.borrow().next();
         let Some(update) = reader.next(&state, asked, CATALOG_WAIT).await else {
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
         let whole = update.scope != Scope::Changes;
-        let news = state.tables.ends.borrow_mut().read(update, asked);
+        let news = state.tables.crashes.borrow_mut().read(update, asked);
         let pause = if news.is_empty() {
             Duration::ZERO
         } else {
-            GATHER_ENDS
+            GATHER_CRASHES
         };
-        ends::take(&state, state.clock.now(), news, whole);
+        crashes::take(&state, state.clock.now(), news, whole);
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -21,8 +21,8 @@
 use tokio::net::UdpSocket;
 use wire::gossip;
 
+use crate::crashes;
 use crate::edge::Directory;
-use crate::ends;
 use crate::state::{Peer, State, link_mbps, zone_number};
 
 /// Bytes around the contents of a datagram.
@@ -110,7 +110,7 @@
         link_mbps: link_mbps(&state.settings),
         services: services.into_iter().map(service).collect(),
         calls: calls.collect(),
-        ends: state.ends.untold(state.clock.wall_ms()),
+        crashes: state.crashes.untold(state.clock.wall_ms()),
     }
 }
 
@@ -161,7 +161,7 @@
         if let Some(duties) = &*state.duties.borrow() {
             duties.hear(from, rank, until - now, said.wall_ms);
         }
-        ends::hear(&state, now, &said.ends);
+        crashes::hear(&state, now, &said.crashes);
         state.others.borrow_mut().hear(now, read(&said));
     }
 }
@@ -218,7 +218,7 @@
     let peers = state.peers.borrow();
     let spoke = peers.iter().filter(|(_, peer)| peer.spoke);
     let before = spoke.clone().filter(|(addr, _)| **addr < own).count();
-    let entries = state.crowd.borrow_mut().note(now, spoke.count() + 1);
+    let entries = state.entry_count.borrow_mut().note(now, spoke.count() + 1);
     let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
     state.balance.borrow_mut().share(Turns {
         entries: number(entries),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`gossip`]: what entries tell each other.
 //! - [`http`]: the callers' side.
 //! - [`call`]: one call, and getting it to run.
-//! - [`ends`]: servers that end, and the calls under which they do.
+//! - [`crashes`]: servers that crash, and the calls under which they do.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: sending a call once, and what is known when it fails.
 //! - [`relay`]: passing a stream on, and going on with it elsewhere.
@@ -23,10 +23,10 @@
 //! - [`drain`]: stopping without cutting anything off.
 
 pub mod call;
+pub mod crashes;
 pub mod drain;
 pub mod duties;
 pub mod edge;
-pub mod ends;
 pub mod events;
 pub mod exchange;
 pub mod follow;
@@ -103,8 +103,12 @@
     actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
     actix_rt::spawn(follow::catalogs(Rc::clone(&state), platform.catalogs()));
     actix_rt::spawn(follow::servers(Rc::clone(&state), platform.servers()));
-    actix_rt::spawn(follow::ends(Rc::clone(&state), platform.ends()));
-    actix_rt::spawn(ends::write(Rc::clone(&state), platform.ends(), end.clone()));
+    actix_rt::spawn(follow::crashes(Rc::clone(&state), platform.crashes()));
+    actix_rt::spawn(crashes::write(
+        Rc::clone(&state),
+        platform.crashes(),
+        end.clone(),
+    ));
     actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
     actix_rt::spawn(gossip::find(
         Rc::clone(&state),
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use wire::tables::{self, Error, Follow, Followed, Neighbour, Part};
 
-use crate::ends;
+use crate::crashes;
 use crate::state::State;
 use crate::tables::{forget, use_catalogs, use_servers};
 
@@ -116,7 +116,7 @@
         version: tables::VERSION,
         catalog: state.tables.catalog.borrow().next(),
         servers: state.tables.servers.borrow().next(),
-        ends: state.tables.ends.borrow().next(),
+        crashes: state.tables.crashes.borrow().next(),
         wait_ms: millis(HOLD),
     }
 }
@@ -137,9 +137,9 @@
         let news = merge(&mut state.tables.servers.borrow_mut(), now, from, &part)?;
         use_servers(state, now, news);
     }
-    if let Some(part) = told.ends {
-        let news = merge(&mut state.tables.ends.borrow_mut(), now, from, &part)?;
-        ends::take(state, now, news, part.whole);
+    if let Some(part) = told.crashes {
+        let news = merge(&mut state.tables.crashes.borrow_mut(), now, from, &part)?;
+        crashes::take(state, now, news, part.whole);
     }
     Ok(age)
 }
@@ -216,7 +216,7 @@
         Followed {
             catalog: part(&tables.catalog.borrow(), now, ask.catalog),
             servers: part(&tables.servers.borrow(), now, ask.servers),
-            ends: part(&tables.ends.borrow(), now, ask.ends),
+            crashes: part(&tables.crashes.borrow(), now, ask.crashes),
             settling_ms: millis(tables.settling(now)),
         }
     }
@@ -226,7 +226,7 @@
     Followed {
         catalog: None,
         servers: None,
-        ends: None,
+        crashes: None,
         settling_ms: 0,
     }
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -11,7 +11,7 @@
 use policy::balance::Balance;
 use policy::budget::Budget;
 use policy::link::Link;
-use policy::others::{Crowd, Others};
+use policy::others::{EntryCount, Others};
 use policy::pools::Pools;
 use policy::readers::{Rank, Readers};
 use policy::rendezvous;
@@ -20,9 +20,9 @@
 
 use tokio::sync::Notify;
 
+use crate::crashes::{self, Crashes};
 use crate::duties::Duties;
 use crate::edge::Dialect;
-use crate::ends::{self, Ends};
 use crate::grants::Sidecars;
 use crate::pool::Pool;
 use crate::settings::Settings;
@@ -57,15 +57,15 @@
     /// Other entries.
     pub peers: RefCell<HashMap<SocketAddr, Peer>>,
     /// How many entries there are.
-    pub crowd: RefCell<Crowd>,
+    pub entry_count: RefCell<EntryCount>,
     /// Repeats that are left.
     pub budget: RefCell<Budget>,
     /// The sidecars beside engines, if there are any.
     pub sidecars: RefCell<Option<Rc<Sidecars>>>,
     /// What one entry does for all, if there is anything.
     pub duties: RefCell<Option<Rc<Duties>>>,
-    /// Servers that have ended under calls.
-    pub ends: Ends,
+    /// Servers that have crashed under calls.
+    pub crashes: Crashes,
     /// Connections to servers.
     pub pool: Pool,
     /// Wakes those who wait for the store when it answers again.
@@ -112,14 +112,14 @@
             readers: RefCell::new(Readers::new(own_rank(&settings))),
             others: RefCell::default(),
             peers: RefCell::default(),
-            crowd: RefCell::default(),
+            entry_count: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.repeats())),
             dialect,
             clock,
             catalog: RefCell::default(),
             sidecars: RefCell::default(),
             duties: RefCell::default(),
-            ends: Ends::default(),
+            crashes: Crashes::default(),
             pool: Pool::default(),
             regained: Notify::new(),
             link: RefCell::new(settings.link_mbps.map(Link::new)),
@@ -202,7 +202,7 @@
     while !end.asked() {
         tokio::time::sleep(SWEEP).await;
         state.pool.sweep(state.clock.now());
-        ends::expire(&state, state.clock.now());
+        crashes::expire(&state, state.clock.now());
         base::telemetry::upkeep();
     }
 }
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -22,8 +22,8 @@
     pub servers: usize,
     /// Those of them that name how many calls they take.
     pub limited: usize,
-    /// Ends of servers that are held against calls.
-    pub ends: usize,
+    /// Crashes of servers that are held against calls.
+    pub crashes: usize,
     /// Calls whose answers have not left whole.
     pub open: usize,
     /// The duties of one entry for all, where there are any.
@@ -42,7 +42,7 @@
             entries: state.others.borrow().count(),
             servers: state.balance.borrow().ids().len(),
             limited: state.balance.borrow().limited(),
-            ends: state.ends.count(),
+            crashes: state.crashes.count(),
             open: state.open.get(),
             duties: state.duties.borrow().as_ref().map(|d| d.view()),
         }
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -33,8 +33,8 @@
     pub catalog: RefCell<Replica<Rc<Catalog>>>,
     /// The backend servers.
     pub servers: RefCell<Replica<Listed>>,
-    /// Servers that have ended under calls, each with the Unix millisecond.
-    pub ends: RefCell<Replica<u64>>,
+    /// Servers that have crashed under calls, each with the Unix millisecond.
+    pub crashes: RefCell<Replica<u64>>,
     /// Wakes those who wait for a change of any.
     pub changed: Notify,
     /// How often the store was seen to have come back from an old copy.
@@ -60,7 +60,7 @@
     pub(crate) fn newer(&self, ask: &Follow) -> bool {
         let catalog = self.catalog.borrow().newer(ask.catalog);
         let servers = self.servers.borrow().newer(ask.servers);
-        catalog || servers || self.ends.borrow().newer(ask.ends)
+        catalog || servers || self.crashes.borrow().newer(ask.crashes)
     }
 
     /// For how much longer servers may be missing though they live.
--- a/crates/forward/tests/tables/ends.rs
+++ b/crates/forward/tests/tables/crashes.rs
@@ -1,4 +1,4 @@
-//! Following the servers that end under calls, through losses of the store.
+//! Following the servers that crash under calls, through losses of the store.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,9 +10,9 @@
 use forward::edge::{self, Changes, Source, SourceError};
 use forward::settings::Settings;
 use forward::state::State;
-use forward::{ends, follow, neighbours};
+use forward::{crashes, follow, neighbours};
 use policy::readers::{Rank, SHARED_FROM};
-use policy::suspects::{End, Print};
+use policy::suspects::{Crash, Fingerprint};
 use tokio::net::TcpListener;
 
 use crate::common::{Mute, PATIENCE, until};
@@ -81,32 +81,34 @@
     }
 }
 
-impl edge::Ends for Table {
-    async fn write(&self, ends: &[(End, Option<u64>)]) -> Result<(), SourceError> {
+impl edge::Crashes for Table {
+    async fn write(&self, crashes: &[(Crash, Option<u64>)]) -> Result<(), SourceError> {
         self.check()?;
-        let records = ends.iter().map(|(end, at)| (end.to_string(), *at));
+        let records = crashes.iter().map(|(crash, at)| (crash.to_string(), *at));
         self.0.log.borrow_mut().extend(records);
         Ok(())
     }
 }
 
-fn fatal() -> Print {
-    Print::of(&[b"fatal"])
+fn fatal() -> Fingerprint {
+    Fingerprint::of(&[b"fatal"])
 }
 
-/// Has an entry with a store of its own see servers end.
+/// Has an entry with a store of its own see servers crash.
 async fn see(table: &Table, lives: std::ops::Range<u64>) {
-    let ends = lives.map(|life| {
+    let crashes = lives.map(|life| {
         (
-            End {
-                print: fatal(),
+            Crash {
+                fingerprint: fatal(),
                 life,
             },
             Some(SystemClock.wall_ms()),
         )
     });
-    let ends: Vec<_> = ends.collect();
-    edge::Ends::write(table, &ends).await.expect("written");
+    let crashes: Vec<_> = crashes.collect();
+    edge::Crashes::write(table, &crashes)
+        .await
+        .expect("written");
 }
 
 /// Starts an entry on `table`.
@@ -122,8 +124,8 @@
     let settings: Settings = serde_json::from_value(text).expect("settings");
     let state = State::new(settings, Rc::new(Mute), Rc::new(SystemClock));
     let (follows, writes) = (Rc::clone(&state), Rc::clone(&state));
-    actix_rt::spawn(follow::ends(follows, table.clone()));
-    actix_rt::spawn(ends::write(writes, table.clone(), Stop::new()));
+    actix_rt::spawn(follow::crashes(follows, table.clone()));
+    actix_rt::spawn(crashes::write(writes, table.clone(), Stop::new()));
     actix_rt::spawn(neighbours::answer(listener, Rc::clone(&state), Stop::new()));
     actix_rt::spawn(neighbours::follow(Rc::clone(&state), Stop::new()));
     state
@@ -142,17 +144,17 @@
 }
 
 fn refused(state: &State) -> bool {
-    state.ends.refused(state.clock.now(), fatal()).is_some()
+    state.crashes.refused(state.clock.now(), fatal()).is_some()
 }
 
 /// Guards against a request being passed on by an entry that no server has
-/// ended for.
+/// crashed for.
 #[actix_rt::test]
 async fn ends_seen_elsewhere_are_held() {
     let table = Table::default();
     let state = entry(&table).await;
     see(&table, 0..2).await;
-    until("two are known", || state.ends.count() == 2).await;
+    until("two are known", || state.crashes.count() == 2).await;
     assert!(!refused(&state));
     see(&table, 2..3).await;
     until("refused", || refused(&state)).await;
@@ -199,7 +201,7 @@
     assert!(refused(&state));
 }
 
-/// Guards against an end being held for ever that another entry has cleared.
+/// Guards against a crash being held for ever that another entry has cleared.
 #[actix_rt::test]
 async fn cleared_elsewhere_is_let_go() {
     let table = Table::default();
@@ -208,7 +210,7 @@
     until("refused", || refused(&state)).await;
     let other = entry(&table).await;
     until("refused there too", || refused(&other)).await;
-    other.ends.served(fatal());
+    other.crashes.served(fatal());
     until("gone from the store", || table.records().is_empty()).await;
     until("let go", || !refused(&state)).await;
 }
--- a/crates/forward/tests/tables/main.rs
+++ b/crates/forward/tests/tables/main.rs
@@ -2,6 +2,6 @@
 //! neighbours.
 
 mod common;
-mod ends;
+mod crashes;
 mod follow;
 mod neighbours;
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -101,12 +101,12 @@
 
 /// How many entries there are at the most, as far as one of them has heard.
 #[derive(Debug, Default)]
-pub struct Crowd {
+pub struct EntryCount {
     /// Counts, each larger than the later ones, with when they were last seen.
     counts: VecDeque<(Instant, usize)>,
 }
 
-impl Crowd {
+impl EntryCount {
     /// Notes how many entries are heard now; returns the most of late.
     pub fn note(&mut self, now: Instant, count: usize) -> usize {
         while self.counts.back().is_some_and(|(_, c)| *c <= count) {
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -1,14 +1,14 @@
-//! Requests under which backend servers end.
+//! Requests under which backend servers crash.
 //!
 //! Load pattern: a request makes each server that begins it crash, and its
 //! caller sends it again and again, under a new identity and to any entry. Each
 //! try costs a server with all its other calls, and no entry sees enough of them
 //! to know the request by itself. Entries tell each other, by way of the store,
-//! which servers have ended while they ran it; at [`ENDS`] it is refused.
+//! which servers have crashed while they ran it; at [`CRASHES`] it is refused.
 //!
-//! A server that ends has dozens of calls, all but one of them innocent. They
+//! A server that crashes has dozens of calls, all but one of them innocent. They
 //! are told apart by what else they did: an innocent one is served sooner or
-//! later, which clears it, and few are sent three times to servers that end. See
+//! later, which clears it, and few are sent three times to servers that crash. See
 //! docs/DECISIONS/0607-crashing-requests.md.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -19,31 +19,31 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-/// Lives of servers that end under a request before it is refused. One or two
+/// Lives of servers that crash under a request before it is refused. One or two
 /// happen to calls that are only near: a caller that comes back once may meet
-/// a second server that ends.
-pub const ENDS: usize = 3;
+/// a second server that crashes.
+pub const CRASHES: usize = 3;
 
-/// How long an end is held against a request: longer than callers go on
+/// How long a crash is held against a request: longer than callers go on
 /// repeating what fails, and short enough for a server that was mended.
 pub const HELD: Duration = Duration::from_secs(30 * 60);
 
-/// Ends that are known at most, some 100 bytes each. Beyond it those of the
+/// Crashes that are known at most, some 100 bytes each. Beyond it those of the
 /// requests that were suspected longest ago go.
 pub const MOST: usize = 1 << 14;
 
 /// Requests that are remembered as served, so that one that is sent all the
-/// time is not suspected when a whole rack of servers ends under its copies.
+/// time is not suspected when a whole rack of servers crashes under its copies.
 const SERVED: usize = 1 << 12;
 
 /// Names a request by what its caller sends, whichever entry gets it and
 /// however often. It cannot be chosen, so that no caller has the requests of
 /// another one taken for its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Print(pub [u8; 16]);
+pub struct Fingerprint(pub [u8; 16]);
 
-impl Print {
-    /// The print of a request with these parts: its method, host, path,
+impl Fingerprint {
+    /// The fingerprint of a request with these parts: its method, host, path,
     /// workspace and body.
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
@@ -52,58 +52,58 @@
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         }
-        let mut print = [0; 16];
-        print.copy_from_slice(&hash.finalize()[..16]);
-        Self(print)
+        let mut fingerprint = [0; 16];
+        fingerprint.copy_from_slice(&hash.finalize()[..16]);
+        Self(fingerprint)
     }
 }
 
-impl Display for Print {
+impl Display for Fingerprint {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", u128::from_be_bytes(self.0))
     }
 }
 
-/// A life of a server that ended while it ran a request. Its text, as in
-/// `PRINT-LIFE`, is its key in the store: whoever saw it writes the same record.
+/// A life of a server that crashed while it ran a request. Its text, as in
+/// `FINGERPRINT-LIFE`, is its key in the store: whoever saw it writes the same record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct End {
+pub struct Crash {
     /// The request.
-    pub print: Print,
+    pub fingerprint: Fingerprint,
     /// The life of the server, by number.
     pub life: u64,
 }
 
-impl Display for End {
+impl Display for Crash {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}-{:016x}", self.print, self.life)
+        write!(f, "{}-{:016x}", self.fingerprint, self.life)
     }
 }
 
-impl FromStr for End {
+impl FromStr for Crash {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let bad = || format!("no end of a server: {text:?}");
-        let (print, life) = text.split_once('-').ok_or_else(bad)?;
-        let print = u128::from_str_radix(print, 16).map_err(|_| bad())?;
+        let bad = || format!("no crash of a server: {text:?}");
+        let (fingerprint, life) = text.split_once('-').ok_or_else(bad)?;
+        let fingerprint = u128::from_str_radix(fingerprint, 16).map_err(|_| bad())?;
         Ok(Self {
-            print: Print(print.to_be_bytes()),
+            fingerprint: Fingerprint(fingerprint.to_be_bytes()),
             life: u64::from_str_radix(life, 16).map_err(|_| bad())?,
         })
     }
 }
 
-/// What the entries know of requests under which servers have ended.
+/// What the entries know of requests under which servers have crashed.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    requests: HashMap<Print, Vec<Seen>>,
-    /// Ends in all of them.
+    requests: HashMap<Fingerprint, Vec<Seen>>,
+    /// Crashes in all of them.
     count: usize,
     served: Served,
 }
 
-/// An end as it is held against a request.
+/// A crash as it is held against a request.
 #[derive(Debug, Clone, Copy)]
 struct Seen {
     life: u64,
@@ -112,94 +112,96 @@
 }
 
 impl Suspects {
-    /// Holds an end against its request that was seen `age` ago; returns whether
+    /// Holds a crash against its request that was seen `age` ago; returns whether
     /// it was not known.
-    pub fn hold(&mut self, now: Instant, end: End, age: Duration) -> bool {
+    pub fn hold(&mut self, now: Instant, crash: Crash, age: Duration) -> bool {
         let left = HELD.saturating_sub(age);
-        let seen = self.requests.entry(end.print).or_default();
-        if left.is_zero() || seen.iter().any(|s| s.life == end.life) {
+        let seen = self.requests.entry(crash.fingerprint).or_default();
+        if left.is_zero() || seen.iter().any(|s| s.life == crash.life) {
             if seen.is_empty() {
-                self.requests.remove(&end.print);
+                self.requests.remove(&crash.fingerprint);
             }
             return false;
         }
         seen.push(Seen {
-            life: end.life,
+            life: crash.life,
             until: now + left,
         });
         self.count += 1;
         if self.count > MOST {
-            self.make_room(end.print);
+            self.make_room(crash.fingerprint);
         }
         true
     }
 
     /// Holds it against each of the requests at a server that its life has
-    /// ended, but those that were served lately. Returns the ends that were not
+    /// crashed, but those that were served lately. Returns the crashes that were not
     /// known.
-    pub fn ended(&mut self, now: Instant, life: u64, prints: &[Print]) -> Vec<End> {
-        let ends = prints.iter().map(|print| End {
-            print: *print,
+    pub fn crashed(&mut self, now: Instant, life: u64, fingerprints: &[Fingerprint]) -> Vec<Crash> {
+        let crashes = fingerprints.iter().map(|fingerprint| Crash {
+            fingerprint: *fingerprint,
             life,
         });
-        let ends: Vec<End> = ends.filter(|e| !self.served.has(e.print)).collect();
-        let hold = |e: &End| self.hold(now, *e, Duration::ZERO);
-        ends.into_iter().filter(hold).collect()
+        let crashes: Vec<Crash> = crashes
+            .filter(|e| !self.served.has(e.fingerprint))
+            .collect();
+        let hold = |e: &Crash| self.hold(now, *e, Duration::ZERO);
+        crashes.into_iter().filter(hold).collect()
     }
 
-    /// Notes that a server ran a request whole, and returns the ends that are
+    /// Notes that a server ran a request whole, and returns the crashes that are
     /// no longer held against it.
-    pub fn served(&mut self, print: Print) -> Vec<End> {
-        self.served.add(print);
-        let seen = self.requests.remove(&print).unwrap_or_default();
+    pub fn served(&mut self, fingerprint: Fingerprint) -> Vec<Crash> {
+        self.served.add(fingerprint);
+        let seen = self.requests.remove(&fingerprint).unwrap_or_default();
         self.count -= seen.len();
-        let end = |s: Seen| End {
-            print,
+        let crash = |s: Seen| Crash {
+            fingerprint,
             life: s.life,
         };
-        seen.into_iter().map(end).collect()
+        seen.into_iter().map(crash).collect()
     }
 
-    /// Stops holding an end against its request.
-    pub fn clear(&mut self, end: End) {
-        let Some(seen) = self.requests.get_mut(&end.print) else {
+    /// Stops holding a crash against its request.
+    pub fn clear(&mut self, crash: Crash) {
+        let Some(seen) = self.requests.get_mut(&crash.fingerprint) else {
             return;
         };
         let before = seen.len();
-        seen.retain(|s| s.life != end.life);
+        seen.retain(|s| s.life != crash.life);
         self.count -= before - seen.len();
         if seen.is_empty() {
-            self.requests.remove(&end.print);
+            self.requests.remove(&crash.fingerprint);
         }
     }
 
-    /// How long ago an end was seen; none when it is not held.
+    /// How long ago a crash was seen; none when it is not held.
     #[must_use]
-    pub fn age(&self, now: Instant, end: End) -> Option<Duration> {
-        let seen = self.requests.get(&end.print)?;
-        let seen = seen.iter().find(|s| s.life == end.life)?;
+    pub fn age(&self, now: Instant, crash: Crash) -> Option<Duration> {
+        let seen = self.requests.get(&crash.fingerprint)?;
+        let seen = seen.iter().find(|s| s.life == crash.life)?;
         Some(HELD.saturating_sub(seen.until.saturating_duration_since(now)))
     }
 
     /// For how long a request is to be refused; none if it may be sent.
     #[must_use]
-    pub fn refused(&self, now: Instant, print: Print) -> Option<Duration> {
-        let seen = self.requests.get(&print)?;
+    pub fn refused(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
+        let seen = self.requests.get(&fingerprint)?;
         let mut left: Vec<Instant> = seen.iter().map(|s| s.until).collect();
         left.sort_by(|a, b| b.cmp(a));
-        let until = left.get(ENDS - 1)?;
+        let until = left.get(CRASHES - 1)?;
         until.checked_duration_since(now).filter(|l| !l.is_zero())
     }
 
-    /// Lets go of the ends that were held long enough; returns them.
-    pub fn expire(&mut self, now: Instant) -> Vec<End> {
+    /// Lets go of the crashes that were held long enough; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<Crash> {
         let mut expired = Vec::new();
-        self.requests.retain(|print, seen| {
+        self.requests.retain(|fingerprint, seen| {
             seen.retain(|s| {
                 let keep = now < s.until;
                 if !keep {
-                    expired.push(End {
-                        print: *print,
+                    expired.push(Crash {
+                        fingerprint: *fingerprint,
                         life: s.life,
                     });
                 }
@@ -211,7 +213,7 @@
         expired
     }
 
-    /// Ends that are known.
+    /// Crashes that are known.
     #[must_use]
     pub fn count(&self) -> usize {
         self.count
@@ -225,12 +227,15 @@
 
     /// Forgets the request that was suspected longest ago, but `kept`; those
     /// that are refused go last.
-    fn make_room(&mut self, kept: Print) {
+    fn make_room(&mut self, kept: Fingerprint) {
         let newest = |seen: &[Seen]| seen.iter().map(|s| s.until).max();
-        let others = self.requests.iter().filter(|(print, _)| **print != kept);
-        let oldest = others.min_by_key(|(_, seen)| (seen.len() >= ENDS, newest(seen)));
-        if let Some(print) = oldest.map(|(print, _)| *print) {
-            let seen = self.requests.remove(&print).unwrap_or_default();
+        let others = self
+            .requests
+            .iter()
+            .filter(|(fingerprint, _)| **fingerprint != kept);
+        let oldest = others.min_by_key(|(_, seen)| (seen.len() >= CRASHES, newest(seen)));
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            let seen = self.requests.remove(&fingerprint).unwrap_or_default();
             self.count -= seen.len();
         }
     }
@@ -239,24 +244,24 @@
 /// The requests that were served last.
 #[derive(Debug, Default)]
 struct Served {
-    order: VecDeque<Print>,
-    prints: HashSet<Print>,
+    order: VecDeque<Fingerprint>,
+    fingerprints: HashSet<Fingerprint>,
 }
 
 impl Served {
-    fn has(&self, print: Print) -> bool {
-        self.prints.contains(&print)
+    fn has(&self, fingerprint: Fingerprint) -> bool {
+        self.fingerprints.contains(&fingerprint)
     }
 
-    fn add(&mut self, print: Print) {
-        if !self.prints.insert(print) {
+    fn add(&mut self, fingerprint: Fingerprint) {
+        if !self.fingerprints.insert(fingerprint) {
             return;
         }
-        self.order.push_back(print);
+        self.order.push_back(fingerprint);
         if self.order.len() > SERVED
             && let Some(oldest) = self.order.pop_front()
         {
-            self.prints.remove(&oldest);
+            self.fingerprints.remove(&oldest);
         }
     }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -32,15 +32,15 @@
     /// Servers by short number, with the entry's open calls at each and those
     /// of them that wait for their first event.
     pub calls: Vec<(u16, u16, u16)>,
-    /// Ends of servers under calls that the store has not taken yet.
-    pub ends: Vec<End>,
+    /// Crashes of servers under calls that the store has not taken yet.
+    pub crashes: Vec<Crash>,
 }
 
-/// A server that has ended under a call.
+/// A server that has crashed under a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct End {
-    /// The call's print.
-    pub print: [u8; 16],
+pub struct Crash {
+    /// The call's fingerprint.
+    pub fingerprint: [u8; 16],
     /// The server's life, by number.
     pub life: u64,
     /// How long ago it was seen, in milliseconds.
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -39,9 +39,9 @@
     pub catalog: Option<u64>,
     /// Its position in the servers' table; none for the whole.
     pub servers: Option<u64>,
-    /// Its position in the table of servers that have ended under calls; none
+    /// Its position in the table of servers that have crashed under calls; none
     /// for the whole.
-    pub ends: Option<u64>,
+    pub crashes: Option<u64>,
     /// How long it waits for the first change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -53,8 +53,8 @@
     pub catalog: Option<Part>,
     /// The same of the servers' table.
     pub servers: Option<Part>,
-    /// The same of the servers that have ended under calls.
-    pub ends: Option<Part>,
+    /// The same of the servers that have crashed under calls.
+    pub crashes: Option<Part>,
     /// For how much longer servers may be missing from the table though they
     /// live, as the store has just come back; in milliseconds.
     pub settling_ms: u32,
