--- a/crates/cli/tests/forward/fatal.rs
+++ b/crates/cli/tests/forward/fatal.rs
@@ -6,7 +6,9 @@
 use nix::sys::signal::Signal;
 use rstest::rstest;
 
-use crate::platform::{Entry, Platform, Seen, Server, call, until};
+use crate::caller::{Seen, call};
+use crate::platform::{Platform, Server, until};
+use crate::process::Entry;
 
 /// Sends of the request. Each would end a server.
 const SENDS: usize = 10;
--- a/crates/cli/tests/forward/limits.rs
+++ b/crates/cli/tests/forward/limits.rs
@@ -2,7 +2,9 @@
 
 use rstest::rstest;
 
-use crate::platform::{Entry, Platform, Seen, call, until};
+use crate::caller::{Seen, call};
+use crate::platform::{Platform, until};
+use crate::process::Entry;
 
 /// A limit that allows each of two entries one request in half an hour.
 const HARDLY_ANY: &str = "0.001";
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -3,8 +3,10 @@
 //! again, to stop, killed and frozen, calls that end
 //! servers, and a soak of all of that by seeds.
 
+mod caller;
 mod fatal;
 mod limits;
 mod platform;
+mod process;
 mod signals;
 mod soak;
--- a/crates/cli/tests/forward/signals.rs
+++ b/crates/cli/tests/forward/signals.rs
@@ -4,7 +4,9 @@
 
 use nix::sys::signal::Signal;
 
-use crate::platform::{EVENTS, Entry, Platform, Seen, call, until};
+use crate::caller::{Seen, call};
+use crate::platform::{EVENTS, Platform, until};
+use crate::process::Entry;
 
 fn events(seen: &Seen) -> usize {
     match seen {
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -16,7 +16,9 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::platform::{EVENTS, Entry, Platform, Process, Seen, Server, call, sidecar, until};
+use crate::caller::{Seen, call};
+use crate::platform::{EVENTS, Platform, Server, until};
+use crate::process::{Entry, Process, sidecar};
 
 const CALLERS: usize = 6;
 /// Further callers, whose calls go to the engines beside the sidecar.
