Share the slack of repeats among all entries

Cause: each entry keeps its repeats within a fifth of its own first sends of ten seconds. At 467 entries a plain service sees under half a call a second an entry, and a fifth of four sends rounds to no repeat: a floor that each entry has for itself, which grows with the number of entries. Ruled out: the route's attempts (two are allowed) and the budget of the sheet (1,040 beyond a fifth, of which under 400 were used).

Change: of what the sheet allows beyond the ratio each entry has an equal part, two fifths of it in all. While the number of entries is not known there is none. The sum holds for any number of entries: a test from 4 to 2,000, which fails without it.

--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -32,6 +32,14 @@
     /// Where other entries tell this one what they have in progress. Where
     /// there are duties, the port after it is used for these.
     pub gossip: SocketAddr,
+    /// Hosts where other entries may run, which an entry that starts asks who
+    /// there is, on its own port for other entries. Without any, entries find
+    /// each other in the store alone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether all hosts start for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Where the sidecars beside engines answer, and on whose port they
     /// listen; without it the entry decides by itself.
     #[serde(default)]
@@ -48,6 +56,10 @@
     pub repeat_ratio: f64,
     /// The span over which repeats are counted, in seconds.
     pub repeat_window_s: f64,
+    /// Repeats that all entries together may make beyond that for a service in
+    /// such a span.
+    #[serde(default)]
+    pub repeat_slack: f64,
     /// How often the balancer asks; two answers in a row decide.
     #[serde(default = "ask_every")]
     pub ask_every: Span,
@@ -162,6 +174,9 @@
         let ratio = self.repeat_ratio;
         let fine = (0.0..=1.0).contains(&ratio);
         check("repeat_ratio", ratio, fine, "a share from 0 to 1")?;
+        let slack = self.repeat_slack;
+        let fine = slack.is_finite() && slack >= 0.0;
+        check("repeat_slack", slack, fine, "a number from 0")?;
         let fine = self.ready_path.starts_with('/');
         check("ready_path", &self.ready_path, fine, "a path from its /")
     }
@@ -173,12 +188,22 @@
         SocketAddr::new(gossip.ip(), gossip.port().wrapping_add(1))
     }
 
+    /// Where the entries on the hosts of [`Settings::seeds`] hear others; all
+    /// entries use the same port for it.
+    #[must_use]
+    pub fn seed_addrs(&self) -> Vec<SocketAddr> {
+        let port = self.gossip.port();
+        let seeds = self.seeds.iter().map(|s| SocketAddr::new(s.ip(), port));
+        seeds.filter(|addr| *addr != self.gossip).collect()
+    }
+
     /// The share of calls that may be repeated.
     #[must_use]
     pub fn repeats(&self) -> budget::Share {
         budget::Share {
             ratio: self.repeat_ratio,
             window: Duration::from_secs_f64(self.repeat_window_s),
+            slack: self.repeat_slack,
         }
     }
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -3,7 +3,9 @@
 //! The budget is one for all entries together, and they do not talk about it.
 //! Each keeps its own repeats within the allowed share of its own first
 //! sends, so that the sum keeps to the share as well, however many entries
-//! there are.
+//! there are. Where each sees less than one call a second, that share alone
+//! rounds to no repeat at all: of what all entries together may repeat beyond
+//! the share, each has an equal part.
 
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -19,12 +21,20 @@
     pub ratio: f64,
     /// The span over which both are counted.
     pub window: Duration,
+    /// Repeats that all entries together may make beyond that in the span.
+    pub slack: f64,
 }
 
+/// The part of the slack that is used. Entries that start again count anew, and
+/// counts are off by a slice.
+const SLACK_SHARE: f64 = 0.4;
+
 /// Counts sends and repeats by service.
 #[derive(Debug)]
 pub struct Budget {
     share: Share,
+    /// Entries among which the slack is shared; 0 while that is not known.
+    entries: usize,
     services: HashMap<Rc<str>, VecDeque<Slice>>,
 }
 
@@ -42,10 +52,16 @@
     pub fn new(share: Share) -> Self {
         Self {
             share,
+            entries: 0,
             services: HashMap::new(),
         }
     }
 
+    /// Notes among how many entries the slack is shared.
+    pub fn shared(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
     /// Notes the first send of a call.
     pub fn sent(&mut self, now: Instant, service: &Rc<str>) {
         self.slice(now, service).first += 1;
@@ -54,13 +70,17 @@
     /// Takes one repeat, if the share has one left.
     pub fn repeat(&mut self, now: Instant, service: &Rc<str>) -> bool {
         let ratio = self.share.ratio;
+        let slack = match self.entries {
+            0 => 0.0,
+            entries => self.share.slack * SLACK_SHARE / entries as f64,
+        };
         self.slice(now, service);
         let Some(slices) = self.services.get(service) else {
             return false;
         };
         let first: u32 = slices.iter().map(|s| s.first).sum();
         let repeats: u32 = slices.iter().map(|s| s.repeats).sum();
-        if f64::from(repeats + 1) > f64::from(first) * ratio {
+        if f64::from(repeats + 1) > f64::from(first) * ratio + slack {
             return false;
         }
         self.slice(now, service).repeats += 1;
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -5,6 +5,7 @@
 
 use policy::budget::{Budget, Share};
 use proptest::prelude::*;
+use rstest::rstest;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -12,9 +13,56 @@
     Budget::new(Share {
         ratio: 0.2,
         window: WINDOW,
+        slack: 0.0,
     })
 }
 
+/// Guards against entries that see less than one call a second having no repeat
+/// at all, while all of them together may make hundreds: whatever number they
+/// are, together they keep to the share and the slack, and use some of it.
+#[rstest]
+#[case::few(4, 60.0)]
+#[case::hundreds(467, 1000.0)]
+#[case::thousands(2000, 1000.0)]
+fn slack_is_shared(#[case] entries: usize, #[case] slack: f64) {
+    let (now, service) = (Instant::now(), Rc::from("app"));
+    let share = Share {
+        ratio: 0.2,
+        window: WINDOW,
+        slack,
+    };
+    let mut repeats = 0;
+    for _ in 0..entries {
+        let mut budget = Budget::new(share);
+        budget.shared(entries);
+        for _ in 0..4 {
+            budget.sent(now, &service);
+        }
+        while budget.repeat(now, &service) {
+            repeats += 1;
+        }
+    }
+    let allowed = entries as f64 * 4.0 * 0.2 + slack;
+    assert!(f64::from(repeats) <= allowed, "{repeats} of {allowed}");
+    assert!(
+        f64::from(repeats) >= allowed * 0.3,
+        "{repeats} of {allowed}"
+    );
+}
+
+/// Guards against an entry that has counted no others taking all of the slack.
+#[test]
+fn slack_waits_for_the_count() {
+    let (now, service) = (Instant::now(), Rc::from("app"));
+    let mut budget = Budget::new(Share {
+        ratio: 0.2,
+        window: WINDOW,
+        slack: 100.0,
+    });
+    budget.sent(now, &service);
+    assert!(!budget.repeat(now, &service));
+}
+
 #[test]
 fn repeats_stop_at_the_share() {
     let (mut budget, now, service) = (budget(), Instant::now(), Rc::from("app"));
