--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -311,7 +311,7 @@
             let _ = tokio::time::timeout(LOOK, state.crashes.wake.notified()).await;
             continue;
         }
-        let mut pause = WRITE_EACH * u32::try_from(state.others.borrow().count() + 1).unwrap_or(1);
+        let mut pause = WRITE_EACH * u32::try_from(state.roster.borrow().count().all).unwrap_or(1);
         match table.write(&batch).await {
             Ok(()) => {
                 state.crashes.written(&batch);
--- /dev/null
+++ b/crates/forward/src/finding.rs
@@ -0,0 +1,67 @@
+//! Finding the other entries, as `policy::finding` says.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::stop::Stop;
+use policy::finding::Step;
+use spdlog::warn;
+
+use crate::edge::Directory;
+use crate::gossip::Voice;
+use crate::state::State;
+
+/// An entry that was asked takes this one to speak again within that time.
+const WITHIN: Duration = Duration::from_secs(1);
+
+/// Finds other entries until `end`.
+pub async fn run<D: Directory>(state: Rc<State>, voice: Rc<Voice>, directory: D, end: Stop) {
+    let addr = state.settings.gossip;
+    let mut rewinds = 0;
+    let mut lost = false;
+    while !end.asked() {
+        let now = state.clock.now();
+        // A store that came back from an old copy may lack the address.
+        let seen = state.tables.rewinds.get();
+        if std::mem::replace(&mut rewinds, seen) != seen {
+            state.finder.borrow_mut().forgotten();
+        }
+        let (first, relayed) = {
+            let roster = state.roster.borrow();
+            (roster.relays(), roster.relayed())
+        };
+        let step = state.finder.borrow_mut().next(now, first, relayed);
+        let failed = match step {
+            Step::Ask(addr) => {
+                voice.ask(addr, WITHIN);
+                continue;
+            }
+            Step::Wait(pause) => {
+                tokio::time::sleep(pause).await;
+                continue;
+            }
+            Step::Announce => {
+                let announced = directory.announce(&state.settings.name, addr).await;
+                let now = state.clock.now();
+                state.finder.borrow_mut().announced(now, announced.is_ok());
+                announced.err()
+            }
+            Step::Look => {
+                let found = directory.entries().await;
+                let (found, error) = match found {
+                    Ok(found) => (Some(found), None),
+                    Err(e) => (None, Some(e)),
+                };
+                let others = found.map(|f| f.into_iter().filter(|a| *a != addr).collect());
+                let now = state.clock.now();
+                state.finder.borrow_mut().looked(now, others);
+                error
+            }
+        };
+        // The first of a row is logged; entries that were found stay known.
+        if let Some(e) = failed.as_ref().filter(|_| !lost) {
+            warn!("directory lost", kv: { cause = e.to_string().as_str() });
+        }
+        lost = failed.is_some();
+    }
+}
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -23,6 +23,10 @@
 /// within the time in which a catalog has to be in force.
 const CATALOG_WAIT: Duration = Duration::from_secs(2);
 
+/// The same for crashes, of which there are few. Entries that see one tell the
+/// others by themselves until the store has it.
+const CRASHES_WAIT: Duration = Duration::from_secs(8);
+
 /// The same where neighbours are told: they cannot know that the copy still
 /// holds before the store answers, and would soon read by themselves.
 const CATALOG_WAIT_SHARED: Duration = Duration::from_secs(1);
@@ -39,14 +43,19 @@
 /// known stays in force meanwhile.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
-/// The pause after a failed question where a neighbour is asked too, which
-/// tells when it reaches the store again. A store that is away would else be
-/// asked by every entry several times a second.
-const RETRY_ASIDE: Duration = Duration::from_secs(2);
+/// Neighbours that are asked have told what has changed after so long.
+const TOLD: Duration = Duration::from_millis(400);
+
+/// How often is looked whether the store answers questions about servers, while
+/// the other tables are not asked for.
+const LOST: Duration = Duration::from_millis(200);
 
 /// How often is looked whether a table has become too old.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// The same while there is no copy of it.
+const LOOK_FIRST: Duration = Duration::from_millis(20);
+
 /// Servers report every second or so, each at another moment. Asking again
 /// at once would cost a call for each report; in this pause several come
 /// together, and a leaving server is still known far sooner than it must be.
@@ -63,6 +72,9 @@
 /// at each, and tell of it in the same moment.
 const GATHER_CRASHES: Duration = Duration::from_millis(50);
 
+/// The name of the table of servers.
+const SERVERS: &str = "servers";
+
 /// Entries heard from which there are many.
 const MANY: usize = 8;
 
@@ -70,6 +82,7 @@
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
     let mut reader = Reader::new("catalog", source);
     loop {
+        wait_for_store(&state).await;
         let (asked, age) = {
             let replica = state.tables.catalog.borrow();
             (replica.next(), replica.age(state.clock.now()))
@@ -95,7 +108,7 @@
 
 /// Follows the backend servers.
 pub async fn servers<S: Source<Item = Listed>>(state: Rc<State>, source: S) {
-    let mut reader = Reader::new("servers", source);
+    let mut reader = Reader::new(SERVERS, source);
     loop {
         let (asked, age) = {
             let replica = state.tables.servers.borrow();
@@ -124,14 +137,17 @@
 pub async fn crashes<S: Source<Item = u64>>(state: Rc<State>, source: S) {
     let mut reader = Reader::new("crashes", source);
     loop {
+        wait_for_store(&state).await;
         // A neighbour tells at once, and how old its copy is shows in the
         // other tables.
-        if state.readers.borrow_mut().ask(state.clock.now()).is_some() {
+        let now = state.clock.now();
+        let told = state.readers.borrow_mut().ask(now).is_some();
+        if told || !state.finder.borrow().settled(now) {
             tokio::time::sleep(LOOK).await;
             continue;
         }
         let asked = state.tables.crashes.borrow().next();
-        let Some(update) = reader.next(&state, asked, CATALOG_WAIT).await else {
+        let Some(update) = reader.next(&state, asked, CRASHES_WAIT).await else {
             tokio::time::sleep(after(&state, reader.failures)).await;
             continue;
         };
@@ -156,19 +172,45 @@
     }
 }
 
+/// Waits while the store is known not to answer, and then for neighbours, if
+/// there are any, to tell what has changed meanwhile.
+async fn wait_for_store(state: &State) {
+    let lost = state.lost.get();
+    while state.lost.get() {
+        // Either way it is looked again.
+        let _ = tokio::time::timeout(LOST, state.regained.notified()).await;
+    }
+    let now = state.clock.now();
+    if lost && state.readers.borrow_mut().aside(now).is_some() {
+        tokio::time::sleep(TOLD).await;
+    }
+}
+
 /// How long a table need not be read yet, at most until it is looked at again;
 /// none when it is to be read now.
 fn spare(state: &State, age: Option<Duration>) -> Option<Duration> {
+    let now = state.clock.now();
+    let finder = state.finder.borrow();
     let mut readers = state.readers.borrow_mut();
-    readers.ask(state.clock.now())?;
-    let spare = readers.patience().checked_sub(age?)?;
+    let spare = match (readers.ask(now), age) {
+        (None, None) if !finder.settled(now) => LOOK_FIRST,
+        // Some neighbour tells it what there is sooner than the store would.
+        (asked, None) if asked.is_some() || readers.copied(now, true) => {
+            let spare = readers.patience_first().checked_sub(finder.since(now))?;
+            spare.min(LOOK_FIRST)
+        }
+        (None, Some(age)) if readers.copied(now, false) => readers.patience().checked_sub(age)?,
+        (None, _) | (Some(_), None) => return None,
+        (Some(_), Some(age)) => readers.patience().checked_sub(age)?,
+    };
     Some(spare.clamp(Duration::from_millis(1), LOOK))
 }
 
-/// How long to wait after so many failures in a row.
+/// How long to wait after so many failures in a row. Where neighbours are asked
+/// too, they tell when they reach the store again.
 fn after(state: &State, failures: u32) -> Duration {
-    let asks = state.readers.borrow_mut().ask(state.clock.now()).is_some();
-    if asks { RETRY_ASIDE } else { retry(failures) }
+    let aside = state.readers.borrow_mut().aside(state.clock.now());
+    aside.unwrap_or_else(|| retry(failures))
 }
 
 /// How long to wait after so many failures in a row.
@@ -206,7 +248,7 @@
         Self {
             name,
             source,
-            whole: true,
+            whole: false,
             rewound: false,
             failures: 0,
         }
@@ -262,7 +304,13 @@
     }
 
     fn answered(&mut self, state: &State, whole: bool) {
-        state.readers.borrow_mut().store_answered(state.clock.now());
+        if state.readers.borrow_mut().ask(state.clock.now()).is_some() {
+            // Those before this entry have lost the store and may ask it.
+            state.speak.notify_one();
+        }
+        if self.name == SERVERS {
+            state.lost.set(false);
+        }
         self.whole = false;
         if self.failures == 0 {
             return;
@@ -284,6 +332,11 @@
         }
         self.whole |= rewound || matches!(e, SourceError::Expired { .. });
         self.failures = self.failures.saturating_add(1);
+        // Servers report all the time, so that this table shows first that the
+        // store is back.
+        if self.name == SERVERS && matches!(e, SourceError::Unavailable { .. }) {
+            state.lost.set(true);
+        }
         // The first of a row is logged; the rest are counted.
         if self.failures == 1 {
             let version = state.catalog.borrow().as_ref().map_or(0, |c| c.version);
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -1,10 +1,9 @@
-//! Update the other entries what this one has in progress, and hearing what
-//! they have.
+//! Telling the other entries what this one has in progress, and hearing what
+//! they have. `policy::roster` says whom it tells.
 //!
-//! Entries find each other through the platform's store, where each writes
-//! its address once, and by what they hear. Without any peer an entry goes by
-//! its own calls.
+//! Without any other entry it goes by its own calls.
 
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,166 +12,419 @@
 use base::ids::Incarnation;
 use base::stop::Stop;
 use policy::balance::Turns;
-use policy::others::{BELIEVED, Calls, Intervals, Saying};
+use policy::others::{self, BELIEVED, Calls, Intervals};
 use policy::pools::Told;
-use policy::readers::Rank;
 use policy::rendezvous;
+use policy::roster::{Count, Named, Seat, Targets};
+use policy::suspects::{Crash, Fingerprint};
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
-use wire::gossip;
+use wire::gossip::{self, Answer, Asks, Message, Saying, Scope};
 
 use crate::crashes;
-use crate::edge::Directory;
-use crate::state::{Peer, State, link_mbps, zone_number};
+use crate::state::{State, link_mbps, zone_number};
 
 /// Bytes around the contents of a datagram.
 const FRAME: usize = 28;
 
-/// A peer that was not heard for so long gets no datagrams.
+/// An entry that was heard counts as there for so long at the least. Those who
+/// tell all others go on telling one that was cut off for a while.
 const SILENT: Duration = Duration::from_secs(30);
 
-/// How often the directory is read, to find entries that this one has missed:
-/// for each entry that is heard, and at the least. Whoever starts announces
-/// itself before it reads, so that of two at least one finds the other; what
-/// is left are entries that were cut off from each other for long. So all
-/// entries together read it about once a second, however many they are.
-const LOOK_EACH: Duration = Duration::from_secs(1);
-const LOOK_LEAST: Duration = Duration::from_secs(15);
+/// The same where relays pass on what is told: one that has ended is replaced.
+const SILENT_RELAYED: Duration = Duration::from_secs(8);
 
-/// The pause after the directory could not be reached.
+/// Entries that are named in one datagram.
+const NAMED: usize = 64;
+
+/// For how long a relay answers with the same sums.
+const SUMS_KEPT: Duration = Duration::from_millis(250);
+
+/// The pause after hearing failed.
 const RETRY: Duration = Duration::from_millis(400);
 
-/// Tells and hears until `end`.
-pub async fn run(state: Rc<State>, socket: UdpSocket, end: Stop) {
-    let socket = Rc::new(socket);
-    actix_rt::spawn(hear(Rc::clone(&state), Rc::clone(&socket)));
-    let life = Incarnation::random().0;
-    let mut seq = 0;
-    let mut far_due = state.clock.now();
-    while !end.asked() {
-        let now = state.clock.now();
-        let (near, far) = peers(&state, now);
-        seq += 1;
-        let said = saying(&state, now, life, seq);
-        let bytes = gossip::encode(said.clone()).len() + FRAME;
+/// How an entry speaks to others.
+pub struct Voice {
+    state: Rc<State>,
+    socket: UdpSocket,
+    life: u64,
+    seq: Cell<u32>,
+    /// What all entries have, as it was worked out last.
+    sums: RefCell<Option<(Instant, Saying)>>,
+}
+
+impl std::fmt::Debug for Voice {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Voice")
+            .field("life", &self.life)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Voice {
+    /// Makes the voice of an entry that hears others on `socket`.
+    #[must_use]
+    pub fn new(state: Rc<State>, socket: UdpSocket) -> Rc<Self> {
+        Rc::new(Self {
+            state,
+            socket,
+            life: Incarnation::random().0,
+            seq: Cell::new(0),
+            sums: RefCell::default(),
+        })
+    }
+
+    /// Tells and hears until `end`.
+    pub async fn run(self: Rc<Self>, end: Stop) {
+        actix_rt::spawn(Rc::clone(&self).hear());
+        let mut far_due = self.state.clock.now();
+        while !end.asked() {
+            let now = self.state.clock.now();
+            self.state.roster.borrow_mut().forget(now);
+            let targets = self.state.roster.borrow_mut().targets();
+            let every = match targets {
+                Targets::All { near, far } => self.tell_all(now, &near, &far, &mut far_due),
+                Targets::Relays { near, far, members } => {
+                    self.tell_relays(now, &near, &far, members)
+                }
+            };
+            // Either way it is time to speak.
+            let _ = tokio::time::timeout(every, self.state.speak.notified()).await;
+            self.take_over(self.state.clock.now());
+        }
+    }
+
+    /// Asks the entry at `addr` which others there are; it hears by that that
+    /// this one is there, which asks again `within` that time.
+    pub fn ask(&self, addr: SocketAddr, within: Duration) {
+        let saying = Saying {
+            every_ms: millis(within),
+            asks: Asks::Entries,
+            ..self.saying(self.state.clock.now())
+        };
+        self.send(&[addr], Message::Saying(saying));
+    }
+
+    /// Tells all others; returns when to speak again.
+    fn tell_all(
+        &self,
+        now: Instant,
+        near: &[SocketAddr],
+        far: &[SocketAddr],
+        far_due: &mut Instant,
+    ) -> Duration {
+        let said = self.saying(now);
+        let bytes = gossip::encode(Message::Saying(said.clone())).len() + FRAME;
         let every = Intervals::new(bytes * near.len(), bytes * far.len());
-        send(&socket, &near, said.clone(), every.near);
-        if now >= far_due {
-            send(&socket, &far, said, every.far);
+        let tell = |targets: &[SocketAddr], every: Duration| {
+            let every_ms = millis(every);
+            let said = said.clone();
+            self.send(targets, Message::Saying(Saying { every_ms, ..said }));
+        };
+        tell(near, every.near);
+        if now >= *far_due {
+            tell(far, every.far);
             // Rounds come each `near`; the one closest to the time is taken.
-            far_due = now + every.far.saturating_sub(every.near / 2);
+            *far_due = now + every.far.saturating_sub(every.near / 2);
         }
-        tokio::time::sleep(every.near).await;
-        take_over(&state, state.clock.now());
+        every.near
     }
-}
-
-/// The entries of the own zone, and the others.
-fn peers(state: &State, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-    let mut peers = state.peers.borrow_mut();
-    peers.retain(|_, peer| now < peer.heard + SILENT);
-    let (near, far): (Vec<_>, Vec<_>) = peers.iter().partition(|(_, peer)| peer.near);
-    let addrs = |peers: Vec<(&SocketAddr, &Peer)>| peers.into_iter().map(|(a, _)| *a).collect();
-    (addrs(near), addrs(far))
-}
 
-/// Sends what this entry has to some peers, who will hear it again after
-/// `every`.
-fn send(socket: &UdpSocket, peers: &[SocketAddr], mut saying: gossip::Saying, every: Duration) {
-    saying.every_ms = u32::try_from(every.as_millis()).unwrap_or(u32::MAX);
-    let bytes = gossip::encode(saying);
-    for peer in peers {
-        // A datagram that cannot be sent is like one that is lost.
-        let _ = socket.try_send_to(&bytes, *peer);
+    /// Tells the relays, and as one of them those of the other zones; returns
+    /// when to speak again.
+    fn tell_relays(
+        &self,
+        now: Instant,
+        near: &[SocketAddr],
+        far: &[SocketAddr],
+        members: usize,
+    ) -> Duration {
+        let every = Intervals::relayed(members).near;
+        let said = Saying {
+            every_ms: millis(every),
+            asks: Asks::Sums,
+            ..self.saying(now)
+        };
+        if !far.is_empty() {
+            let own = read(&said);
+            let sum = self.state.others.borrow().sum_zone(now, &own);
+            self.send(far, Message::Saying(write(&said, sum)));
+        }
+        self.send(near, Message::Saying(said));
+        every
     }
-}
 
-fn saying(state: &State, now: Instant, life: u64, seq: u32) -> gossip::Saying {
-    let services = state.pools.borrow_mut().told(now);
-    let mut calls = state.balance.borrow().told();
-    calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
-    let small = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
-    let calls = calls.into_iter();
-    let calls = calls.map(|(s, c)| (s, small(c.open), small(c.waiting)));
-    let service = |(name, told): (Rc<str>, Told)| gossip::Service {
-        number: number(&name),
-        reading: told.reading as f32,
-        writing: told.writing as f32,
-        pace: told.pace as f32,
-        pause: told.pause as f32,
-    };
-    gossip::Saying {
-        life,
-        seq,
-        every_ms: 0,
-        wall_ms: state.clock.wall_ms(),
-        zone: zone_number(&state.settings.zone),
-        link_mbps: link_mbps(&state.settings),
-        services: services.into_iter().map(service).collect(),
-        calls: calls.collect(),
-        crashes: state.crashes.untold(state.clock.wall_ms()),
+    fn send(&self, targets: &[SocketAddr], message: Message) {
+        let bytes = gossip::encode(message);
+        for target in targets {
+            // A datagram that cannot be sent is like one that is lost.
+            let _ = self.socket.try_send_to(&bytes, *target);
+        }
     }
-}
 
-/// A service's number between entries.
-fn number(service: &str) -> u32 {
-    rendezvous::number(service) as u32
-}
+    /// What this entry has in progress.
+    fn saying(&self, now: Instant) -> Saying {
+        let state = &self.state;
+        self.seq.set(self.seq.get() + 1);
+        let services = state.pools.borrow_mut().told(now);
+        let mut calls = state.balance.borrow().told();
+        calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
+        let service = |(name, told): &(Rc<str>, Told)| service(number(name), told);
+        Saying {
+            life: self.life,
+            seq: self.seq.get(),
+            every_ms: 0,
+            wall_ms: state.clock.wall_ms(),
+            zone: zone_number(&state.settings.zone),
+            link_mbps: link_mbps(&state.settings),
+            age_ms: state.tables.age(now).map(millis),
+            asks: Asks::Nothing,
+            scope: Scope::Own,
+            entries: 1,
+            services: services.iter().map(service).collect(),
+            calls: calls.into_iter().map(calls_at).collect(),
+            crashes: state.crashes.untold(state.clock.wall_ms()),
+        }
+    }
 
-async fn hear(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; gossip::LARGEST];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(got) => got,
-            Err(e) => {
-                // An unreachable peer's refusal shows up here; it says
-                // nothing about the others.
-                metrics::counter!("pimentocart_gossip_errors_total").increment(1);
-                if e.kind() != io::ErrorKind::ConnectionRefused {
-                    tokio::time::sleep(RETRY).await;
+    async fn hear(self: Rc<Self>) {
+        let mut buffer = vec![0; gossip::LARGEST];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(got) => got,
+                Err(e) => {
+                    // An unreachable peer's refusal shows up here; it says
+                    // nothing about the others.
+                    metrics::counter!("pimentocart_gossip_errors_total").increment(1);
+                    if e.kind() != io::ErrorKind::ConnectionRefused {
+                        tokio::time::sleep(RETRY).await;
+                    }
+                    continue;
                 }
-                continue;
+            };
+            match gossip::decode(&buffer[..length]) {
+                Ok(Message::Saying(said)) => self.take_saying(from, &said),
+                Ok(Message::Answer(answer)) => self.take_answer(from, &answer),
+                Err(e) => warn!("gossip not understood", kv: {
+                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
+                }),
             }
+        }
+    }
+
+    fn take_saying(&self, from: SocketAddr, said: &Saying) {
+        let state = &self.state;
+        let now = state.clock.now();
+        let seat = Seat {
+            addr: from,
+            zone: said.zone,
+            link_mbps: said.link_mbps,
         };
-        let said = match gossip::decode(&buffer[..length]) {
-            Ok(said) => said,
-            Err(e) => {
-                warn!("gossip not understood", kv: {
-                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
-                });
-                continue;
+        let within = Duration::from_millis(u64::from(said.every_ms)) * BELIEVED;
+        let silent = match state.roster.borrow().relayed() {
+            true => SILENT_RELAYED,
+            false => SILENT,
+        };
+        self.note(now, seat, within.max(silent), within, "gossip");
+        state.roster.borrow_mut().heard(from);
+        self.note_age(now, from, said.age_ms);
+        if let Some(duties) = &*state.duties.borrow() {
+            duties.hear(from, seat.rank(), within, said.wall_ms);
+        }
+        crashes::hear(state, now, &said.crashes);
+        state.others.borrow_mut().hear(now, read(said));
+        match said.asks {
+            Asks::Nothing => {}
+            Asks::Entries => self.answer(now, &seat, None),
+            Asks::Sums => self.answer(now, &seat, Some(self.sums(now))),
+        }
+    }
+
+    /// Tells `asker` what this entry knows of others.
+    fn answer(&self, now: Instant, asker: &Seat, sums: Option<Saying>) {
+        let roster = self.state.roster.borrow();
+        let zones = self.state.others.borrow().zones();
+        let count = roster.count_for(asker, &zones);
+        let named = roster.named(now, asker, self.state.tables.age(now));
+        drop(roster);
+        let seat = |named: Named| gossip::Seat {
+            addr: named.seat.addr,
+            zone: named.seat.zone,
+            link_mbps: named.seat.link_mbps,
+            left_ms: millis(named.left),
+            age_ms: named.age.map(millis),
+        };
+        let mut seats: Vec<gossip::Seat> = named.into_iter().map(seat).collect();
+        let small = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let mut sums = sums;
+        loop {
+            let rest = seats.split_off(seats.len().min(NAMED));
+            let answer = Answer {
+                all: small(count.all),
+                near: small(count.near),
+                place: small(count.place),
+                seats,
+                sums: sums.take(),
+            };
+            self.send(&[asker.addr], Message::Answer(answer));
+            if rest.is_empty() {
+                return;
             }
+            seats = rest;
+        }
+    }
+
+    /// What all entries have in progress, for those of the own zone.
+    fn sums(&self, now: Instant) -> Saying {
+        let held = self.sums.borrow().clone();
+        if let Some((_, sums)) = held.filter(|(at, _)| now < *at + SUMS_KEPT) {
+            return sums;
+        }
+        let said = self.saying(now);
+        let own = read(&said);
+        let sum = self.state.others.borrow().sum_all(now, &own);
+        let members = self.state.roster.borrow().count().near;
+        let sums = Saying {
+            every_ms: millis(Intervals::relayed(members).near),
+            ..write(&said, sum)
         };
+        *self.sums.borrow_mut() = Some((now, sums.clone()));
+        sums
+    }
+
+    fn take_answer(&self, from: SocketAddr, answer: &Answer) {
+        let state = &self.state;
         let now = state.clock.now();
-        let near = said.zone == zone_number(&state.settings.zone);
-        let peer = Peer {
-            heard: now,
-            near,
-            spoke: true,
+        let large = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
+        let count = Count {
+            all: large(answer.all),
+            near: large(answer.near),
+            place: large(answer.place),
         };
-        if state.peers.borrow_mut().insert(from, peer).is_none() {
-            info!("entry found", kv: { peer = from.to_string().as_str(), by = "gossip" });
+        state.finder.borrow_mut().answered(now);
+        state.roster.borrow_mut().counted(now, count);
+        for seat in &answer.seats {
+            let left = Duration::from_millis(u64::from(seat.left_ms));
+            let age_ms = seat.age_ms;
+            let seat = Seat {
+                addr: seat.addr,
+                zone: seat.zone,
+                link_mbps: seat.link_mbps,
+            };
+            if seat.addr != state.settings.gossip {
+                self.note(now, seat, left, left, "answer");
+                self.note_age(now, seat.addr, age_ms);
+            }
         }
-        let rank = Rank::new(said.zone, from, said.link_mbps);
-        let until = now + Duration::from_millis(u64::from(said.every_ms)) * BELIEVED;
-        if near {
-            state.readers.borrow_mut().hear(from, rank, until);
+        state.roster.borrow_mut().heard(from);
+        let Some(sums) = &answer.sums else {
+            return;
+        };
+        crashes::hear(state, now, &sums.crashes);
+        state.others.borrow_mut().hear(now, read(sums));
+        metrics::counter!("pimentocart_sums_heard_total").increment(1);
+    }
+
+    /// Notes how old the copies of the entry at `addr` are, if it has any.
+    fn note_age(&self, now: Instant, addr: SocketAddr, age_ms: Option<u32>) {
+        let state = &self.state;
+        let age = age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+        state.roster.borrow_mut().aged(now, addr, age);
+        if let Some(age) = age {
+            state.readers.borrow_mut().aged(now, addr, age);
+            state.finder.borrow_mut().running();
         }
-        if let Some(duties) = &*state.duties.borrow() {
-            duties.hear(from, rank, until - now, said.wall_ms);
+    }
+
+    /// Notes another entry, which counts as there for `within`, and as one that
+    /// reads the store for its zone for `reads`.
+    fn note(&self, now: Instant, seat: Seat, within: Duration, reads: Duration, by: &str) {
+        let state = &self.state;
+        if state.roster.borrow_mut().note(seat, now + within) {
+            info!("entry found", kv: { peer = seat.addr.to_string().as_str(), by });
+        }
+        if seat.zone == zone_number(&state.settings.zone) {
+            let rank = seat.rank();
+            state
+                .readers
+                .borrow_mut()
+                .hear(seat.addr, rank, now + reads);
         }
-        crashes::hear(&state, now, &said.crashes);
-        state.others.borrow_mut().hear(now, read(&said));
+    }
+
+    /// Hands what the others have to those who decide.
+    fn take_over(&self, now: Instant) {
+        let state = &self.state;
+        let own = read(&self.saying(now));
+        let mut others = state.others.borrow_mut();
+        others.forget(now);
+        let sum = others.sum(now, &own);
+        drop(others);
+        let count = state.roster.borrow().count();
+        metrics::gauge!("pimentocart_entries_heard").set(count.all.saturating_sub(1) as f64);
+        let calls = |server: u16| sum.calls.get(&server).copied().unwrap_or_default();
+        state.balance.borrow_mut().hear(calls);
+        state.readers.borrow_mut().sized(count.near);
+        self.share(now, count);
+        let Some(catalog) = state.catalog.borrow().clone() else {
+            return;
+        };
+        for service in catalog.services().filter(|s| s.engine.is_some()) {
+            let told = sum.services.get(&number(&service.name));
+            let told = told.copied().unwrap_or_default();
+            state.pools.borrow_mut().hear(now, &service.name, told);
+        }
+    }
+
+    /// Takes this entry's part of what all share: the limits that servers name,
+    /// and repeats.
+    fn share(&self, now: Instant, count: Count) {
+        let state = &self.state;
+        let entries = state.entry_count.borrow_mut().note(now, count.all);
+        state.budget.borrow_mut().shared(entries);
+        let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        state.balance.borrow_mut().share(Turns {
+            entries: number(entries),
+            place: number(count.place),
+            at: now,
+            wall: Duration::from_millis(state.clock.wall_ms()),
+        });
+    }
+}
+
+/// A service's number between entries.
+fn number(service: &str) -> u32 {
+    rendezvous::number(service) as u32
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn service(number: u32, told: &Told) -> gossip::Service {
+    gossip::Service {
+        number,
+        reading: told.reading as f32,
+        writing: told.writing as f32,
+        pace: told.pace as f32,
+        paced: told.paced,
+        pause: told.pause as f32,
     }
 }
 
-fn read(said: &gossip::Saying) -> Saying {
+fn calls_at((server, calls): (u16, Calls)) -> (u16, u16, u16) {
+    let small = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+    (server, small(calls.open), small(calls.waiting))
+}
+
+/// What `said` says, in the types of those who decide.
+fn read(said: &Saying) -> others::Saying {
     let told = |s: &gossip::Service| {
         let told = Told {
             reading: f64::from(s.reading),
             writing: f64::from(s.writing),
             pace: f64::from(s.pace),
-            paced: u32::from(s.pace > 0.0),
+            paced: s.paced,
             pause: f64::from(s.pause),
         };
         (s.number, told)
@@ -184,91 +436,52 @@
         };
         (*server, calls)
     };
-    Saying {
+    let crash = |crash: &gossip::Crash| {
+        let age = Duration::from_millis(u64::from(crash.age_ms));
+        let crash = Crash {
+            fingerprint: Fingerprint(crash.fingerprint),
+            life: crash.life,
+        };
+        (crash, age)
+    };
+    others::Saying {
         life: said.life,
         seq: said.seq,
+        zone: said.zone,
+        scope: match said.scope {
+            Scope::Own => others::Scope::Own,
+            Scope::Zone => others::Scope::Zone,
+            Scope::All => others::Scope::All,
+        },
+        entries: said.entries,
         every: Duration::from_millis(u64::from(said.every_ms)),
         services: said.services.iter().map(told).collect(),
         calls: said.calls.iter().map(calls).collect(),
+        crashes: said.crashes.iter().map(crash).collect(),
     }
 }
 
-/// Hands what the others have to those who decide.
-fn take_over(state: &State, now: Instant) {
-    let mut others = state.others.borrow_mut();
-    others.forget(now);
-    metrics::gauge!("pimentocart_entries_heard").set(others.count() as f64);
-    let calls = others.calls();
-    let calls = |server: u16| calls.get(&server).copied().unwrap_or_default();
-    state.balance.borrow_mut().hear(calls);
-    share(state, now);
-    let Some(catalog) = state.catalog.borrow().clone() else {
-        return;
+/// What several entries have, as the one that says `own` passes it on. The
+/// busiest servers stand first.
+fn write(own: &Saying, sum: others::Saying) -> Saying {
+    let mut calls = sum.calls;
+    calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
+    let crash = |(crash, age): (Crash, Duration)| gossip::Crash {
+        fingerprint: crash.fingerprint.0,
+        life: crash.life,
+        age_ms: millis(age),
     };
-    for service in catalog.services().filter(|s| s.engine.is_some()) {
-        let told = others.told(number(&service.name));
-        state.pools.borrow_mut().hear(now, &service.name, told);
-    }
-}
-
-/// Finds out with how many entries this one shares the limits that servers
-/// name.
-fn share(state: &State, now: Instant) {
-    let own = state.settings.gossip;
-    let peers = state.peers.borrow();
-    let spoke = peers.iter().filter(|(_, peer)| peer.spoke);
-    let before = spoke.clone().filter(|(addr, _)| **addr < own).count();
-    let entries = state.entry_count.borrow_mut().note(now, spoke.count() + 1);
-    let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
-    state.balance.borrow_mut().share(Turns {
-        entries: number(entries),
-        place: number(before),
-        at: now,
-        wall: Duration::from_millis(state.clock.wall_ms()),
-    });
-}
-
-/// Writes this entry's address into the directory and finds the others there.
-pub async fn find<D: Directory>(state: Rc<State>, directory: D, addr: SocketAddr, end: Stop) {
-    let mut announced = false;
-    let mut rewinds = 0;
-    let mut lost = false;
-    while !end.asked() {
-        // A store that came back from an old copy may lack the announcement.
-        let seen = state.tables.rewinds.get();
-        announced &= std::mem::replace(&mut rewinds, seen) == seen;
-        if !announced {
-            let name = &state.settings.name;
-            announced = directory.announce(name, addr).await.is_ok();
-        }
-        let found = directory.entries().await;
-        let wait = if found.is_ok() && announced {
-            let heard = u32::try_from(state.others.borrow().count()).unwrap_or(u32::MAX);
-            LOOK_EACH.saturating_mul(heard).max(LOOK_LEAST)
-        } else {
-            RETRY
-        };
-        // The first of a row is logged; peers that were found stay known.
-        if let Err(e) = &found
-            && !lost
-        {
-            warn!("directory lost", kv: { cause = e.to_string().as_str() });
-        }
-        lost = found.is_err();
-        let now = state.clock.now();
-        for peer in found.unwrap_or_default() {
-            let known = state.peers.borrow().contains_key(&peer);
-            if peer != addr && !known {
-                info!("entry found", kv: { peer = peer.to_string().as_str(), by = "directory" });
-                // Until it is heard it may stand in this zone.
-                let found = Peer {
-                    heard: now,
-                    near: true,
-                    spoke: false,
-                };
-                state.peers.borrow_mut().insert(peer, found);
-            }
-        }
-        tokio::time::sleep(wait).await;
+    Saying {
+        scope: match sum.scope {
+            others::Scope::Own => Scope::Own,
+            others::Scope::Zone => Scope::Zone,
+            others::Scope::All => Scope::All,
+        },
+        asks: Asks::Nothing,
+        entries: sum.entries,
+        services: sum.services.iter().map(|(n, t)| service(*n, t)).collect(),
+        calls: calls.into_iter().map(calls_at).collect(),
+        crashes: sum.crashes.into_iter().map(crash).collect(),
+        ..own.clone()
     }
 }
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -55,6 +55,7 @@
 }
 
 async fn answer(state: &Rc<State>, incoming: Incoming) -> Reply {
+    state.wait_for_tables().await;
     let id = state.dialect.ask(&incoming.headers).id;
     let version = state.catalog.borrow().as_ref().map_or(0, |c| c.version);
     let call = match Call::read(state, incoming) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`tables`]: what they say, put to use.
 //! - [`state`]: the catalog in force, the known servers, what is open.
 //! - [`grants`]: asking the sidecars beside engines.
+//! - [`finding`]: finding the other entries.
 //! - [`gossip`]: what entries tell each other.
 //! - [`http`]: the callers' side.
 //! - [`call`]: one call, and getting it to run.
@@ -29,6 +30,7 @@
 pub mod edge;
 pub mod events;
 pub mod exchange;
+pub mod finding;
 pub mod follow;
 pub mod gossip;
 pub mod grants;
@@ -51,6 +53,7 @@
 use base::stop::Stop;
 use duties::Duties;
 use edge::{Dialect, Platform};
+use gossip::Voice;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 
@@ -76,8 +79,7 @@
         Some(addr) => Some(listen("metrics", addr).await?),
         None => None,
     };
-    let addr = settings.gossip;
-    let socket = UdpSocket::bind(addr).await?;
+    let socket = UdpSocket::bind(settings.gossip).await?;
     let duties = match Duties::bind(&settings, Rc::clone(&clock)).await {
         Ok(duties) => duties,
         // Others perform the duties; callers are served all the same.
@@ -109,11 +111,12 @@
         platform.crashes(),
         end.clone(),
     ));
-    actix_rt::spawn(gossip::run(Rc::clone(&state), socket, end.clone()));
-    actix_rt::spawn(gossip::find(
+    let voice = Voice::new(Rc::clone(&state), socket);
+    actix_rt::spawn(Rc::clone(&voice).run(end.clone()));
+    actix_rt::spawn(finding::run(
         Rc::clone(&state),
+        voice,
         platform.directory(),
-        addr,
         end.clone(),
     ));
     actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use base::stop::Stop;
+use policy::readers::TURN;
 use policy::replica::{Records, Replica, Scope, Update};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,6 +23,10 @@
 /// own last read, so a longer time would cost freshness without a change.
 const HOLD: Duration = Duration::from_millis(250);
 
+/// The same for one who has no copy yet: a neighbour that has started in the same
+/// moment has its own in a moment, or the next one is asked.
+const HOLD_FIRST: Duration = Duration::from_millis(300);
+
 /// The longest time that a question is held, whatever its asker says.
 const HOLD_MOST: Duration = Duration::from_secs(1);
 
@@ -41,12 +46,17 @@
 /// How often is looked whether there is a neighbour to ask.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// The same while this entry has no copy.
+const LOOK_FIRST: Duration = Duration::from_millis(20);
+
 /// Asks neighbours until `end`.
 pub async fn follow(state: Rc<State>, end: Stop) {
     let mut link = None;
     let mut before = None;
     while !end.asked() {
-        let addr = state.readers.borrow_mut().ask(state.clock.now());
+        let now = state.clock.now();
+        let age = state.tables.age(now);
+        let addr = state.readers.borrow_mut().source(now, age);
         if before != Some(addr) {
             note_source(addr);
             before = Some(addr);
@@ -59,7 +69,7 @@
             // Without a neighbour the store is read (`follow`).
             None => {
                 link = None;
-                LOOK
+                if age.is_some() { LOOK } else { LOOK_FIRST }
             }
         };
         tokio::time::sleep(pause).await;
@@ -74,6 +84,9 @@
     forget(state, now);
     match asked {
         Ok((link, age)) => {
+            if age.is_some_and(|age| age <= TURN) {
+                state.lost.set(false);
+            }
             state.readers.borrow_mut().answered(now, addr, age);
             Some(link)
         }
@@ -112,12 +125,16 @@
 }
 
 fn question(state: &State) -> Follow {
+    let hold = match state.tables.age(state.clock.now()) {
+        Some(_) => HOLD,
+        None => HOLD_FIRST,
+    };
     Follow {
         version: tables::VERSION,
         catalog: state.tables.catalog.borrow().next(),
         servers: state.tables.servers.borrow().next(),
         crashes: state.tables.crashes.borrow().next(),
-        wait_ms: millis(HOLD),
+        wait_ms: millis(hold),
     }
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -1,20 +1,20 @@
 //! The catalog in force, the known servers, and what is open.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::clock::Clock;
 use base::stop::Stop;
 use policy::balance::Balance;
 use policy::budget::Budget;
+use policy::finding::Finder;
 use policy::link::Link;
 use policy::others::{EntryCount, Others};
 use policy::pools::Pools;
 use policy::readers::{Rank, Readers};
 use policy::rendezvous;
+use policy::roster::{Roster, Seat};
 use policy::routes::Catalog;
 use policy::waits::Waits;
 
@@ -32,6 +32,9 @@
 /// connection whose time is over is not used either way.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// How long a call waits for the tables of an entry that has just started.
+const TABLES_WAIT: Duration = Duration::from_millis(400);
+
 /// All that the parts of an entry share.
 pub struct State {
     /// What the operators set.
@@ -55,7 +58,9 @@
     /// What other entries have in progress.
     pub others: RefCell<Others>,
     /// Other entries.
-    pub peers: RefCell<HashMap<SocketAddr, Peer>>,
+    pub roster: RefCell<Roster>,
+    /// How they are found.
+    pub finder: RefCell<Finder>,
     /// How many entries there are.
     pub entry_count: RefCell<EntryCount>,
     /// Repeats that are left.
@@ -70,6 +75,10 @@
     pub pool: Pool,
     /// Wakes those who wait for the store when it answers again.
     pub regained: Notify,
+    /// Has the others told at once what this one has.
+    pub speak: Notify,
+    /// Whether the store does not answer questions about servers.
+    pub lost: Cell<bool>,
     /// What the host's link carries towards the callers, if it matters.
     pub link: RefCell<Option<Link>>,
     /// Whether the servers are known.
@@ -80,17 +89,6 @@
     pub open: Cell<usize>,
 }
 
-/// Another entry.
-#[derive(Debug, Clone, Copy)]
-pub struct Peer {
-    /// When it was last heard, or found in the directory.
-    pub heard: Instant,
-    /// Whether it stands in the same availability zone.
-    pub near: bool,
-    /// Whether it was heard itself.
-    pub spoke: bool,
-}
-
 impl std::fmt::Debug for State {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("State")
@@ -111,7 +109,12 @@
             tables: Tables::default(),
             readers: RefCell::new(Readers::new(own_rank(&settings))),
             others: RefCell::default(),
-            peers: RefCell::default(),
+            roster: RefCell::new(Roster::new(own_seat(&settings), settings.duties.is_some())),
+            finder: RefCell::new(Finder::new(
+                clock.now(),
+                settings.seed_addrs(),
+                settings.first_start,
+            )),
             entry_count: RefCell::default(),
             budget: RefCell::new(Budget::new(settings.repeats())),
             dialect,
@@ -122,6 +125,8 @@
             crashes: Crashes::default(),
             pool: Pool::default(),
             regained: Notify::new(),
+            speak: Notify::new(),
+            lost: Cell::new(false),
             link: RefCell::new(settings.link_mbps.map(Link::new)),
             listed: Cell::new(false),
             stopping: Stop::new(),
@@ -137,6 +142,22 @@
         known && !self.stopping.asked() && !self.crowded()
     }
 
+    /// Waits until the catalog and the servers are known, for a while. An entry
+    /// that has started has them in a moment, and a caller that is turned away
+    /// comes back later than that.
+    pub async fn wait_for_tables(&self) {
+        let known = || self.catalog.borrow().is_some() && !self.balance.borrow().is_empty();
+        let wait = async {
+            while !known() {
+                self.tables.changed.notified().await;
+            }
+        };
+        if !known() {
+            // Either way the call is judged by what is known then.
+            let _ = tokio::time::timeout(TABLES_WAIT, wait).await;
+        }
+    }
+
     /// Whether the entries of this availability zone read the store for each
     /// other.
     #[must_use]
@@ -149,7 +170,7 @@
     pub fn rivals(&self) -> usize {
         match self.shares() {
             true => 0,
-            false => self.others.borrow().count(),
+            false => self.roster.borrow().count().all.saturating_sub(1),
         }
     }
 
@@ -162,10 +183,18 @@
     }
 }
 
+/// This entry as others know it.
+fn own_seat(settings: &Settings) -> Seat {
+    Seat {
+        addr: settings.gossip,
+        zone: zone_number(&settings.zone),
+        link_mbps: link_mbps(settings),
+    }
+}
+
 /// Where this entry stands among those of its zone.
 pub(crate) fn own_rank(settings: &Settings) -> Rank {
-    let zone = zone_number(&settings.zone);
-    Rank::new(zone, settings.gossip, link_mbps(settings))
+    own_seat(settings).rank()
 }
 
 /// An availability zone's number between entries.
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -39,7 +39,7 @@
             zone: state.settings.zone.clone(),
             ready: state.ready(),
             catalog: state.catalog.borrow().as_ref().map(|c| c.version),
-            entries: state.others.borrow().count(),
+            entries: state.roster.borrow().count().all.saturating_sub(1),
             servers: state.balance.borrow().ids().len(),
             limited: state.balance.borrow().limited(),
             crashes: state.crashes.count(),
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -26,6 +26,10 @@
 /// long after it has come back.
 const SETTLE: Duration = Duration::from_secs(3);
 
+/// News of so many servers get a line each. A whole table of hundreds would take
+/// a thin host longer to log than to use.
+const LOGGED: usize = 32;
+
 /// Copies of the tables.
 #[derive(Debug, Default)]
 pub struct Tables {
@@ -56,6 +60,14 @@
         self.settling.set(self.settling.get().max(until));
     }
 
+    /// How old the older of the copies that every call needs is; none while
+    /// one is missing.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let catalog = self.catalog.borrow().age(now)?;
+        Some(catalog.max(self.servers.borrow().age(now)?))
+    }
+
     /// Whether there is news for one who asks.
     pub(crate) fn newer(&self, ask: &Follow) -> bool {
         let catalog = self.catalog.borrow().newer(ask.catalog);
@@ -103,9 +115,13 @@
     }
     let away = !state.tables.settling(now).is_zero();
     let until = now + if away { RETURN } else { LEAVE };
+    let many = news.len() > LOGGED;
+    if many {
+        info!("servers listed", kv: { count = news.len() });
+    }
     for (id, listed) in news {
         match listed {
-            Some(listed) => list(state, now, listed),
+            Some(listed) => list(state, now, listed, !many),
             None => miss(state, now, &id, until),
         }
     }
@@ -121,7 +137,7 @@
     }
 }
 
-fn list(state: &State, now: Instant, listed: Listed) {
+fn list(state: &State, now: Instant, listed: Listed, log: bool) {
     let (id, leaving) = (Rc::clone(&listed.id), listed.leaving);
     let (addr, zone, born) = (listed.addr, Rc::clone(&listed.zone), listed.born);
     let change = state.balance.borrow_mut().list(now, listed);
@@ -132,6 +148,9 @@
     if leaving || change == Change::Restarted {
         state.pool.forget(&id);
     }
+    if !log {
+        return;
+    }
     info!("server listed", kv: {
         server = &*id,
         addr = addr.to_string().as_str(),
--- a/crates/forward/tests/calls/callers.rs
+++ b/crates/forward/tests/calls/callers.rs
@@ -37,6 +37,25 @@
     assert!(!entry.state.ready());
 }
 
+/// Guards against callers being turned away by an entry that has started and is
+/// about to be told of the catalog.
+#[actix_rt::test]
+async fn first_tables_are_waited_for() {
+    let entry = Entry::start(Plan::new(Kind::Once, 1, &[])).await;
+    let catalog = entry.state.catalog.borrow_mut().take();
+    let call = entry.call(ID);
+    let told = async {
+        // The call comes meanwhile.
+        for _ in 0..1000 {
+            tokio::task::yield_now().await;
+        }
+        *entry.state.catalog.borrow_mut() = catalog;
+        entry.state.tables.changed.notify_waiters();
+    };
+    let (answer, ()) = futures_util::future::join(call, told).await;
+    assert_eq!(status(&answer), "200");
+}
+
 #[actix_rt::test]
 async fn passed_on_unchanged() {
     let entry = Entry::start(Plan::new(Kind::Once, 1, &[])).await;
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -345,6 +345,12 @@
         gone
     }
 
+    /// Whether no server is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// The names of the known servers.
     #[must_use]
     pub fn ids(&self) -> Vec<Rc<str>> {
--- /dev/null
+++ b/crates/policy/src/finding.rs
@@ -0,0 +1,230 @@
+//! How an entry that starts finds the others.
+//!
+//! Load pattern: hundreds of entries start in the same moment, half of them
+//! once more in the middle of the day. If each announced itself in the store
+//! and read there who else is there, a start would cost the store several
+//! calls of each. An entry asks the few hosts that its settings name, which
+//! answer with whom to ask next; only where none answers, and for the first
+//! entries of a zone, is the store's directory used. See
+//! docs/DECISIONS/0801-relays.md.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long an entry that starts waits to be told of others before it reads the
+/// store's tables by itself.
+const START: Duration = Duration::from_millis(250);
+
+/// The same where all hosts start for the first time. They do so within a few
+/// tenths of a second, and no caller waits.
+const START_FIRST: Duration = Duration::from_millis(600);
+
+/// How long it waits before it uses the directory, in which each start costs
+/// several calls.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// The pause between two questions while nobody has answered yet, one host at a
+/// time: hundreds of entries ask the same few.
+const ASK_FIRST: Duration = Duration::from_millis(100);
+
+/// The same once that has failed for [`SETTLE`].
+const ASK_ALONE: Duration = Duration::from_millis(500);
+
+/// The same once others are known, at first and at the most; it doubles. Those
+/// who started in the same moment, and those who were cut off from each other,
+/// find each other so.
+const ASK_MORE: Duration = Duration::from_millis(250);
+const ASK_AGAIN: Duration = Duration::from_secs(5);
+
+/// An entry that is answered by its zone's relays asks nobody else for so long
+/// after the last answer.
+const QUIET: Duration = Duration::from_secs(10);
+
+/// After so long without any answer it takes itself to be alone.
+const ALONE: Duration = Duration::from_secs(25);
+
+/// How often the directory is read while nobody answers, and by the first
+/// entries of a zone, which may be unknown to the hosts that are asked.
+const LOOK_ALONE: Duration = Duration::from_secs(15);
+const LOOK_FIRST: Duration = Duration::from_secs(30);
+
+/// The pause after the directory could not be reached.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// The longest pause after it could not be reached.
+const RETRY_MOST: Duration = Duration::from_secs(5);
+
+/// How long to wait until there is something to do, at the most.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What an entry does next to find others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Asks the entry there whom it knows.
+    Ask(SocketAddr),
+    /// Writes its own address into the directory.
+    Announce,
+    /// Reads the directory.
+    Look,
+    /// Waits.
+    Wait(Duration),
+}
+
+/// Finds the other entries.
+#[derive(Debug)]
+pub struct Finder {
+    /// Hosts that the settings name.
+    seeds: Vec<SocketAddr>,
+    /// How long the entry waits to be told of others.
+    start: Duration,
+    /// Entries that the directory names.
+    listed: Vec<SocketAddr>,
+    started: Instant,
+    /// When another entry last answered.
+    answered: Option<Instant>,
+    /// When another entry was last asked, how often one was, and how often since
+    /// the first answer.
+    asked: Option<Instant>,
+    turn: usize,
+    again: u32,
+    announced: bool,
+    /// Whether one that has answered, or that was named, has been up for longer.
+    running: bool,
+    /// When the directory is to be read again.
+    look: Instant,
+    /// When it may be written to again.
+    retry: Instant,
+    failures: u32,
+}
+
+impl Finder {
+    /// Makes the finder of an entry that starts now; `first` says whether all
+    /// entries start for the first time.
+    #[must_use]
+    pub fn new(now: Instant, seeds: Vec<SocketAddr>, first: bool) -> Self {
+        Self {
+            look: now,
+            // Without anybody to ask there is nothing to wait for.
+            start: match (seeds.is_empty(), first) {
+                (true, _) => Duration::ZERO,
+                (false, true) => START_FIRST,
+                (false, false) => START,
+            },
+            seeds,
+            listed: Vec::new(),
+            started: now,
+            answered: None,
+            asked: None,
+            turn: 0,
+            again: 0,
+            announced: false,
+            running: false,
+            retry: now,
+            failures: 0,
+        }
+    }
+
+    /// Whether the entry may go by what it knows: it has waited long enough to
+    /// be told of others, or there is nobody to ask.
+    #[must_use]
+    pub fn settled(&self, now: Instant) -> bool {
+        self.running || now >= self.started + self.start
+    }
+
+    /// Notes that others have been up for longer, and know who there is.
+    pub fn running(&mut self) {
+        self.running = true;
+    }
+
+    /// How long ago the entry has started.
+    #[must_use]
+    pub fn since(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
+    /// What to do next; `first` says whether the entry is one of the first of
+    /// its zone, `relayed` whether these tell the others who there is.
+    pub fn next(&mut self, now: Instant, first: bool, relayed: bool) -> Step {
+        if let Some(addr) = self.ask(now, relayed && !first) {
+            return Step::Ask(addr);
+        }
+        let alone = self.alone(now);
+        let waited = self.seeds.is_empty() || self.since(now) >= SETTLE;
+        let uses = waited && (alone || first);
+        if uses && !self.announced && now >= self.retry {
+            return Step::Announce;
+        }
+        if uses && now >= self.look {
+            return Step::Look;
+        }
+        Step::Wait(LOOK)
+    }
+
+    /// Notes that another entry has answered.
+    pub fn answered(&mut self, now: Instant) {
+        self.answered = Some(now);
+    }
+
+    /// Notes whether the directory has taken the address.
+    pub fn announced(&mut self, now: Instant, done: bool) {
+        self.announced = done;
+        self.tried(now, done);
+    }
+
+    /// Notes that the directory may have lost the address.
+    pub fn forgotten(&mut self) {
+        self.announced = false;
+    }
+
+    /// Notes what the directory names; none when it did not answer.
+    pub fn looked(&mut self, now: Instant, found: Option<Vec<SocketAddr>>) {
+        self.tried(now, found.is_some());
+        let Some(found) = found else {
+            self.look = self.retry;
+            return;
+        };
+        self.listed = found;
+        self.look = match self.alone(now) {
+            true => now + LOOK_ALONE,
+            false => now + LOOK_FIRST,
+        };
+    }
+
+    fn tried(&mut self, now: Instant, done: bool) {
+        self.failures = if done { 0 } else { self.failures + 1 };
+        let pause = RETRY.saturating_mul(1 << self.failures.min(8) >> 1);
+        self.retry = if done {
+            now
+        } else {
+            now + pause.min(RETRY_MOST)
+        };
+    }
+
+    /// Whether nobody has answered for long.
+    fn alone(&self, now: Instant) -> bool {
+        self.answered.is_none_or(|at| now >= at + ALONE)
+    }
+
+    /// Whom to ask now, if anybody; `told` says whether relays tell this entry
+    /// who there is.
+    fn ask(&mut self, now: Instant, told: bool) -> Option<SocketAddr> {
+        let count = self.seeds.len() + self.listed.len();
+        let quiet = self.answered.is_none_or(|at| now >= at + QUIET);
+        let every = match self.alone(now) {
+            true if self.since(now) < SETTLE => ASK_FIRST,
+            true => ASK_ALONE,
+            false if told && quiet => ASK_ALONE,
+            false if told => return None,
+            false => (ASK_MORE * 2u32.pow(self.again.min(8))).min(ASK_AGAIN),
+        };
+        if count == 0 || self.asked.is_some_and(|at| now < at + every) {
+            return None;
+        }
+        self.again += u32::from(self.answered.is_some());
+        self.asked = Some(now);
+        let number = self.turn % count;
+        self.turn += 1;
+        let seed = self.seeds.get(number).copied();
+        seed.or_else(|| self.listed.get(number - self.seeds.len()).copied())
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,9 @@
 //! - [`terms`]: on what terms a call asks for a place at an engine.
 //! - [`waits`]: whether it would come too late.
 //! - [`link`]: whether it should get new connections.
-//! - [`others`]: what other entries have in progress.
+//! - [`finding`]: how it finds the other entries.
+//! - [`roster`]: which there are, and whom it speaks with.
+//! - [`others`]: what they have in progress.
 //! - [`replica`]: its copies of the store's tables.
 //! - [`readers`]: whether it reads them itself or asks a neighbour.
 //! - [`budget`]: whether it may be sent to a second one.
@@ -46,6 +48,7 @@
 pub mod caches;
 pub mod duty;
 pub mod estimate;
+pub mod finding;
 pub mod fleet_time;
 pub mod grants;
 pub mod lease;
@@ -65,6 +68,7 @@
 pub mod rendezvous;
 pub mod replica;
 pub mod retry;
+pub mod roster;
 pub mod routes;
 pub mod scaling;
 pub mod subset;
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -5,10 +5,11 @@
 //! an engine is. Each entry tells the others what it has, several times a
 //! second; what was told last counts until it is too old to be believed.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::pools::Told;
+use crate::suspects::Crash;
 
 /// What an entry said is believed for so many of its own intervals.
 pub const BELIEVED: u32 = 4;
@@ -70,6 +71,36 @@
     }
 }
 
+/// Answers a second that a relay gives to those of its zone, however many they
+/// are.
+const ANSWERS: f64 = 64.0;
+
+impl Intervals {
+    /// The intervals of an entry of a zone with so many members, which tells its
+    /// relays.
+    #[must_use]
+    pub fn relayed(members: usize) -> Self {
+        let span = Duration::from_secs_f64(members as f64 / ANSWERS);
+        let span = span.clamp(EVERY_MOST, FAR_MOST);
+        Self {
+            near: span,
+            far: span,
+        }
+    }
+}
+
+/// Whose calls a saying tells of.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum Scope {
+    /// Those of the entry that says it.
+    #[default]
+    Own,
+    /// Those of its availability zone.
+    Zone,
+    /// Those of all entries.
+    All,
+}
+
 /// What one entry says.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Saying {
@@ -77,12 +108,21 @@
     pub life: u64,
     /// Grows with each saying of that life.
     pub seq: u32,
+    /// The availability zone that the entry stands in, by number.
+    pub zone: u32,
+    /// Whose calls these are.
+    pub scope: Scope,
+    /// Entries whose calls these are.
+    pub entries: u32,
     /// How often the entry speaks.
     pub every: Duration,
-    /// What it has for each service, by the service's number.
+    /// What there is for each service, by the service's number.
     pub services: Vec<(u32, Told)>,
-    /// Its calls at each server, by the server's short number.
+    /// Calls at each server, by the server's short number.
     pub calls: Vec<(u16, Calls)>,
+    /// Crashes of servers under calls, with how long ago they were seen, that
+    /// the store has not taken yet.
+    pub crashes: Vec<(Crash, Duration)>,
 }
 
 /// Calls at one server.
@@ -94,6 +134,9 @@
     pub waiting: u32,
 }
 
+/// Crashes that are passed on with the sum of several entries.
+const CRASHES: usize = 16;
+
 /// How long an entry that is not heard any more still counts among those that
 /// share a limit. Entries that lost each other all go on, and would each take a
 /// larger share while the sum is held against all of them.
@@ -127,58 +170,171 @@
 /// What all other entries said last.
 #[derive(Debug, Default)]
 pub struct Others {
-    entries: HashMap<u64, (Instant, Saying)>,
+    said: HashMap<(u64, Scope), (Instant, Saying)>,
 }
 
 impl Others {
     /// Takes a saying over, unless a later one of the same life came first.
     pub fn hear(&mut self, now: Instant, saying: Saying) {
-        let held = self.entries.get(&saying.life);
+        let key = (saying.life, saying.scope);
+        let held = self.said.get(&key);
         if held.is_none_or(|(_, held)| held.seq < saying.seq) {
-            self.entries.insert(saying.life, (now, saying));
+            self.said.insert(key, (now, saying));
         }
     }
 
     /// Forgets what is too old to be believed: its entry may have ended, and
     /// the calls that it told of with it.
     pub fn forget(&mut self, now: Instant) {
-        self.entries
+        self.said
             .retain(|_, (at, said)| now < *at + said.every * BELIEVED);
     }
 
-    /// Entries that are heard.
+    /// Entries that are heard themselves.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.entries.len()
+        let own = |(_, scope): &&(u64, Scope)| *scope == Scope::Own;
+        self.said.keys().filter(own).count()
+    }
+
+    /// How many entries the relays of each other zone have summed up.
+    #[must_use]
+    pub fn zones(&self) -> BTreeMap<u32, usize> {
+        let mut zones = BTreeMap::new();
+        for (_, said) in self.said.values().filter(|(_, s)| s.scope == Scope::Zone) {
+            let entries = usize::try_from(said.entries).unwrap_or(usize::MAX);
+            let most: &mut usize = zones.entry(said.zone).or_default();
+            *most = entries.max(*most);
+        }
+        zones
     }
 
-    /// Calls of all others at each server.
+    /// What all other entries have, as far as is known; `own` is what this one
+    /// says, which a sum of all holds as well.
     #[must_use]
-    pub fn calls(&self) -> HashMap<u16, Calls> {
-        let mut all: HashMap<u16, Calls> = HashMap::new();
-        for (_, said) in self.entries.values() {
-            for (server, calls) in &said.calls {
-                let sum = all.entry(*server).or_default();
-                sum.open += calls.open;
-                sum.waiting += calls.waiting;
+    pub fn sum(&self, now: Instant, own: &Saying) -> Sum {
+        match self.best(|said| said.scope == Scope::All) {
+            Some(all) => {
+                let mut sum = Sum::default();
+                sum.add(now, all);
+                sum.less(own);
+                sum
             }
+            None => self.heard(now),
+        }
+    }
+
+    /// What the entries of zone `own.zone` have together, for the other zones.
+    #[must_use]
+    pub fn sum_zone(&self, now: Instant, own: &Saying) -> Saying {
+        let mut sum = Sum::default();
+        let said = self.said.values();
+        for held in said.filter(|(_, s)| s.scope == Scope::Own && s.zone == own.zone) {
+            sum.add(now, held);
         }
-        all
+        sum.add(now, &(now, own.clone()));
+        sum.saying(own, Scope::Zone)
     }
 
-    /// What all others have for a service, by its number.
+    /// What all entries have together, for those of the own zone.
     #[must_use]
-    pub fn told(&self, service: u32) -> Told {
-        let mut sum = Told::default();
-        let said = self.entries.values().flat_map(|(_, s)| &s.services);
-        for (_, told) in said.filter(|(s, _)| *s == service) {
-            sum.reading += told.reading;
-            sum.writing += told.writing;
-            sum.pace += told.pace;
-            sum.paced += u32::from(told.pace > 0.0);
-            sum.pause = sum.pause.max(told.pause);
-        }
-        sum.pace /= f64::from(sum.paced.max(1));
+    pub fn sum_all(&self, now: Instant, own: &Saying) -> Saying {
+        let mut sum = self.heard(now);
+        sum.add(now, &(now, own.clone()));
+        sum.saying(own, Scope::All)
+    }
+
+    /// What was heard of each zone, or of its entries.
+    fn heard(&self, now: Instant) -> Sum {
+        let mut zones: Vec<u32> = Vec::new();
+        for (_, said) in self.said.values() {
+            if said.scope == Scope::Zone && !zones.contains(&said.zone) {
+                zones.push(said.zone);
+            }
+        }
+        let mut sum = Sum::default();
+        for zone in &zones {
+            let best = self.best(|s| s.scope == Scope::Zone && s.zone == *zone);
+            sum.add_some(now, best);
+        }
+        let apart = |s: &Saying| s.scope == Scope::Own && !zones.contains(&s.zone);
+        for held in self.said.values().filter(|(_, said)| apart(said)) {
+            sum.add(now, held);
+        }
         sum
     }
+
+    /// Of several sums of the same entries, the one that holds most of them: a
+    /// relay that has just started has heard few.
+    fn best(&self, which: impl Fn(&Saying) -> bool) -> Option<&(Instant, Saying)> {
+        let held = self.said.values().filter(|(_, said)| which(said));
+        held.max_by_key(|(at, said)| (said.entries, *at))
+    }
+}
+
+/// What several entries have together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Sum {
+    /// How many they are.
+    pub entries: u32,
+    /// What they have for each service, by the service's number.
+    pub services: BTreeMap<u32, Told>,
+    /// Calls at each server, by the server's short number.
+    pub calls: BTreeMap<u16, Calls>,
+    /// Crashes of servers, with how long ago they were seen.
+    pub crashes: BTreeMap<Crash, Duration>,
+}
+
+impl Sum {
+    /// Adds what was heard at some time.
+    fn add(&mut self, now: Instant, (at, said): &(Instant, Saying)) {
+        self.entries += said.entries;
+        for (service, told) in &said.services {
+            let held = self.services.entry(*service).or_default();
+            *held = held.plus(told);
+        }
+        for (server, calls) in &said.calls {
+            let sum = self.calls.entry(*server).or_default();
+            sum.open += calls.open;
+            sum.waiting += calls.waiting;
+        }
+        let passed = now.saturating_duration_since(*at);
+        for (crash, age) in &said.crashes {
+            self.crashes.entry(*crash).or_insert(*age + passed);
+        }
+    }
+
+    fn add_some(&mut self, now: Instant, held: Option<&(Instant, Saying)>) {
+        if let Some(held) = held {
+            self.add(now, held);
+        }
+    }
+
+    /// Takes away what one entry has.
+    fn less(&mut self, own: &Saying) {
+        self.entries = self.entries.saturating_sub(own.entries);
+        for (service, told) in &own.services {
+            if let Some(held) = self.services.get_mut(service) {
+                *held = held.less(told);
+            }
+        }
+        for (server, calls) in &own.calls {
+            if let Some(sum) = self.calls.get_mut(server) {
+                sum.open = sum.open.saturating_sub(calls.open);
+                sum.waiting = sum.waiting.saturating_sub(calls.waiting);
+            }
+        }
+    }
+
+    /// The same as it is passed on by the entry that says `own`.
+    fn saying(self, own: &Saying, scope: Scope) -> Saying {
+        Saying {
+            scope,
+            entries: self.entries,
+            services: self.services.into_iter().collect(),
+            calls: self.calls.into_iter().collect(),
+            crashes: self.crashes.into_iter().take(CRASHES).collect(),
+            ..own.clone()
+        }
+    }
 }
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -152,6 +152,34 @@
     pub pause: f64,
 }
 
+impl Told {
+    /// What two have together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        let paced = self.paced + other.paced;
+        let known = |told: &Self| told.pace * f64::from(told.paced);
+        Self {
+            reading: self.reading + other.reading,
+            writing: self.writing + other.writing,
+            pace: (known(self) + known(other)) / f64::from(paced.max(1)),
+            paced,
+            pause: self.pause.max(other.pause),
+        }
+    }
+
+    /// What is left of several without one of them.
+    #[must_use]
+    pub fn less(&self, one: &Self) -> Self {
+        Self {
+            reading: (self.reading - one.reading).max(0.0),
+            writing: (self.writing - one.writing).max(0.0),
+            pace: self.pace,
+            paced: self.paced.saturating_sub(one.paced),
+            pause: self.pause,
+        }
+    }
+}
+
 impl Demand {
     /// This entry's own calls.
     fn told(&self, now: Instant) -> Told {
--- a/crates/policy/src/readers.rs
+++ b/crates/policy/src/readers.rs
@@ -26,10 +26,42 @@
 /// alone, within a few seconds; a reader that died silently costs this much.
 pub const OLDEST: Duration = Duration::from_millis(1800);
 
+/// The age at which the next in the order reads as well, and the others ask it.
+/// It has to be above what a copy comes to between two answers of the store.
+pub const TURN: Duration = Duration::from_millis(1450);
+
+/// How long copies count as fresh that were fresh when they were told of: whoever
+/// has them brings them up to date meanwhile.
+const KNOWN: Duration = Duration::from_secs(4);
+
+/// How long entries that have started and have no copies yet wait for their
+/// neighbours: those that come next in the order, and the others at least and
+/// at most.
+const FIRST_TURN: Duration = Duration::from_millis(300);
+const FIRST_EACH: Duration = Duration::from_millis(150);
+const FIRST: Duration = Duration::from_millis(800);
+const FIRST_SPREAD: Duration = Duration::from_millis(700);
+
+/// How much later the one after that reads.
+const TURN_EACH: Duration = Duration::from_millis(100);
+
 /// How much sooner some of the entries lose patience, so that those of a zone
 /// do not all turn to the store in the same moment.
 const SPREAD: Duration = Duration::from_millis(200);
 
+/// How much later some of them lose it for each entry of the zone beyond
+/// [`CROWD`], so that the first who reaches the store can tell the others.
+const SPREAD_EACH: Duration = Duration::from_millis(30);
+const CROWD: usize = 16;
+const SPREAD_MOST: Duration = Duration::from_millis(2500);
+
+/// How long an entry whose neighbours are asked waits before it tries a store
+/// again that did not answer; for each entry of a large zone a part of it, so
+/// that all of them together try as often, however many they are.
+const ASIDE: Duration = Duration::from_secs(2);
+const ASIDE_EACH: Duration = Duration::from_millis(250);
+const ASIDE_ALONE: Duration = Duration::from_secs(3);
+
 /// How long a neighbour that did not answer is passed over; it doubles each
 /// time. A dead host costs each question its whole wait.
 const REST_FIRST: Duration = Duration::from_secs(1);
@@ -72,6 +104,10 @@
 pub struct Readers {
     own: Rank,
     peers: HashMap<SocketAddr, Peer>,
+    /// How many entries the zone has, as far as others say.
+    size: usize,
+    /// How many of them were before this one when any was heard last.
+    place: usize,
 }
 
 #[derive(Debug)]
@@ -83,8 +119,22 @@
     failures: u32,
     /// Passed over until then.
     rest: Option<Instant>,
-    /// Whether what it told last was too old.
-    stale: bool,
+    /// When it last told how old its copies were, and how old.
+    told: Option<(Instant, Duration)>,
+}
+
+impl Peer {
+    /// Whether what it told of late was too old to go on with.
+    fn stale(&self, now: Instant) -> bool {
+        let late = |at: Instant| now < at + REST_STALE;
+        self.told.is_some_and(|(at, age)| age > TURN && late(at))
+    }
+
+    /// Whether its copies are known to be fresh by now.
+    fn fresh(&self, now: Instant) -> bool {
+        self.told
+            .is_some_and(|(at, age)| age <= TURN && now < at + KNOWN)
+    }
 }
 
 impl Readers {
@@ -94,9 +144,16 @@
         Self {
             own,
             peers: HashMap::new(),
+            size: 0,
+            place: 0,
         }
     }
 
+    /// Notes how many entries the zone has.
+    pub fn sized(&mut self, size: usize) {
+        self.size = size;
+    }
+
     /// Notes that a neighbour was heard, which will be heard again before
     /// `until`.
     pub fn hear(&mut self, addr: SocketAddr, rank: Rank, until: Instant) {
@@ -105,15 +162,29 @@
             until,
             failures: 0,
             rest: None,
-            stale: false,
+            told: None,
         });
         peer.rank = rank;
         peer.until = peer.until.max(until);
     }
 
+    /// Notes how old the copies of a neighbour are, as it says itself.
+    pub fn aged(&mut self, now: Instant, addr: SocketAddr, age: Duration) {
+        if let Some(peer) = self.peers.get_mut(&addr) {
+            peer.told = Some((now, age));
+        }
+    }
+
     /// The neighbour to ask; none when this entry has to read by itself.
+    ///
+    /// One whose copies are old has lost the store, and the next in the order
+    /// reads by then. If both have, the store may be away for all, and nothing
+    /// is gained by asking one after the other.
     pub fn ask(&mut self, now: Instant) -> Option<SocketAddr> {
         self.peers.retain(|_, peer| now < peer.until);
+        if !self.peers.is_empty() {
+            self.place = self.before();
+        }
         if !self.shared() {
             return None;
         }
@@ -121,8 +192,42 @@
         let mut before: Vec<(&SocketAddr, &Peer)> = before.collect();
         before.sort_by_key(|(addr, p)| (p.rank, **addr));
         let up = |p: &Peer| p.rest.is_none_or(|until| until <= now);
-        let first = before.into_iter().take(ASKED).find(|(_, p)| up(p));
-        first.map(|(addr, _)| *addr)
+        let before = before.into_iter().take(ASKED);
+        let up: Vec<_> = before.filter(|(_, p)| up(p)).collect();
+        let fresh = up.iter().find(|(_, p)| !p.stale(now));
+        fresh.or(up.first()).map(|(addr, _)| **addr)
+    }
+
+    /// The neighbour to ask by an entry whose own copies are `age` old; none
+    /// when it has none. Where those before it have lost the store as it has
+    /// itself, or have just started as it has, any other one that has fresh copies
+    /// will do.
+    pub fn source(&mut self, now: Instant, age: Option<Duration>) -> Option<SocketAddr> {
+        let asked = self.ask(now);
+        let young = age.is_some_and(|age| age <= TURN);
+        if young && (asked.is_some() || self.place == 0) {
+            return asked;
+        }
+        let fresh = |addr| self.peers.get(&addr).is_some_and(|p| p.fresh(now));
+        if asked.is_some_and(fresh) {
+            return asked;
+        }
+        let first = self.fresh(now).min_by_key(|(addr, p)| (p.rank, **addr));
+        first.map(|(addr, _)| *addr).or(asked)
+    }
+
+    /// Whether there is a neighbour to ask for an entry that has no copies, or
+    /// whose turn it is not to read.
+    #[must_use]
+    pub fn copied(&self, now: Instant, any: bool) -> bool {
+        (any || self.place > 0) && self.fresh(now).next().is_some()
+    }
+
+    /// Neighbours that answer and have fresh copies.
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        let up = move |p: &Peer| p.rest.is_none_or(|until| until <= now);
+        let peers = self.peers.iter();
+        peers.filter(move |(_, p)| p.fresh(now) && up(p))
     }
 
     /// Notes what a neighbour has answered: how old its copies are, or none
@@ -133,7 +238,7 @@
         };
         if let Some(peer) = self.peers.get_mut(&addr) {
             peer.failures = 0;
-            peer.stale = age > OLDEST;
+            peer.told = Some((now, age));
         }
     }
 
@@ -146,23 +251,58 @@
         }
     }
 
-    /// Notes that the store has answered this entry. A neighbour that told old
-    /// news meanwhile has lost it; before that, nobody can know better, and
-    /// passing over one after the other would only move the questions about.
-    pub fn store_answered(&mut self, now: Instant) {
-        for peer in self.peers.values_mut().filter(|p| p.stale) {
-            peer.rest = Some(now + REST_STALE);
-            peer.stale = false;
-        }
-    }
-
     /// How old a copy may become before this entry reads by itself, though
     /// it has a neighbour to ask.
     #[must_use]
     pub fn patience(&self) -> Duration {
+        let before = self.before();
+        if before <= ASKED {
+            return TURN + TURN_EACH * u32::try_from(before.saturating_sub(1)).unwrap_or(0);
+        }
+        let share = self.share();
+        let crowd = u32::try_from(self.size.saturating_sub(CROWD)).unwrap_or(u32::MAX);
+        let later = SPREAD_EACH.saturating_mul(crowd).min(SPREAD_MOST);
+        OLDEST - SPREAD.mul_f64(share) + later.mul_f64(1.0 - share)
+    }
+
+    /// How long an entry that has started waits for its neighbours' copies before
+    /// it reads by itself.
+    #[must_use]
+    pub fn patience_first(&self) -> Duration {
+        let before = self.before();
+        if before <= ASKED {
+            let later = u32::try_from(before.saturating_sub(1)).unwrap_or(0);
+            return FIRST_TURN + FIRST_EACH * later;
+        }
+        FIRST + FIRST_SPREAD.mul_f64(self.share())
+    }
+
+    /// This entry's part of a span over which those of a zone are spread.
+    fn share(&self) -> f64 {
         let Reverse(draw) = self.own.draw;
-        let share = (draw % 1024) as f64 / 1024.0;
-        OLDEST - SPREAD.mul_f64(share)
+        (draw % 1024) as f64 / 1024.0
+    }
+
+    /// How long an entry whose turn it is not to read waits before it tries a
+    /// store again that did not answer; none when it is its turn.
+    pub fn aside(&mut self, now: Instant) -> Option<Duration> {
+        let asked = self.ask(now).is_some();
+        if self.place == 0 {
+            return None;
+        }
+        let size = u32::try_from(self.size.max(self.peers.len())).unwrap_or(u32::MAX);
+        let each = match self.place <= ASKED {
+            true => ASIDE,
+            false => ASIDE_EACH.saturating_mul(size).max(ASIDE),
+        };
+        // One that has lost its neighbours as well has nobody else to learn from.
+        Some(if asked { each } else { each.min(ASIDE_ALONE) })
+    }
+
+    /// How many neighbours are before this entry in the order.
+    fn before(&self) -> usize {
+        let peers = self.peers.values();
+        peers.filter(|p| p.rank < self.own).count()
     }
 
     /// Whether the entries of the zone read for each other.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -3,16 +3,27 @@
 //! A datagram replaces all that its sender said before, so that one that is
 //! lost costs nothing but time.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram; another one is not read.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Largest datagram, in bytes; it must fit one packet.
 pub const LARGEST: usize = 1400;
 
-/// One entry's calls.
+/// What one entry tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What the sender has in progress, or several entries have.
+    Saying(Saying),
+    /// What the sender knows of other entries.
+    Answer(Answer),
+}
+
+/// Calls of one entry, or of several.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Saying {
     /// The life of the entry.
@@ -27,15 +38,78 @@
     pub zone: u32,
     /// What its link carries, in million bits a second.
     pub link_mbps: u32,
-    /// What it has for each service.
+    /// How long its copies of the store's tables have not been known to be
+    /// complete, in milliseconds; none while it has none.
+    pub age_ms: Option<u32>,
+    /// What it wants to be answered.
+    pub asks: Asks,
+    /// Whose calls these are.
+    pub scope: Scope,
+    /// How many entries these are.
+    pub entries: u32,
+    /// What there is for each service.
     pub services: Vec<Service>,
-    /// Servers by short number, with the entry's open calls at each and those
-    /// of them that wait for their first event.
+    /// Servers by short number, with the open calls at each and those of them
+    /// that wait for their first event.
     pub calls: Vec<(u16, u16, u16)>,
     /// Crashes of servers under calls that the store has not taken yet.
     pub crashes: Vec<Crash>,
 }
 
+/// What an entry wants to be answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Asks {
+    /// Nothing.
+    Nothing,
+    /// Which entries there are.
+    Entries,
+    /// That, and what all of them have in progress.
+    Sums,
+}
+
+/// Whose calls a saying tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender's.
+    Own,
+    /// Those of its availability zone.
+    Zone,
+    /// Those of all entries.
+    All,
+}
+
+/// What an entry knows of others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// How many entries it knows of, with itself and the one that asks.
+    pub all: u32,
+    /// Those of them in the zone of the one that asks.
+    pub near: u32,
+    /// Those that stand before the one that asks, in the order by zone and
+    /// address.
+    pub place: u32,
+    /// Some of them, or all.
+    pub seats: Vec<Seat>,
+    /// What all of them have in progress.
+    pub sums: Option<Saying>,
+}
+
+/// An entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seat {
+    /// Where it hears others.
+    pub addr: SocketAddr,
+    /// The availability zone that it stands in, by number.
+    pub zone: u32,
+    /// What its link carries, in million bits a second.
+    pub link_mbps: u32,
+    /// How much longer it counts as there, in milliseconds.
+    pub left_ms: u32,
+    /// How long its copies of the store's tables have not been known to be
+    /// complete, in milliseconds; none while it has none.
+    pub age_ms: Option<u32>,
+}
+
 /// A server that has crashed under a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -47,7 +121,7 @@
     pub age_ms: u32,
 }
 
-/// One entry's calls for one service.
+/// Calls of one entry, or of several, for one service.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The service, by number.
@@ -56,8 +130,11 @@
     pub reading: f32,
     /// Calls in progress that write.
     pub writing: f32,
-    /// Seconds that an engine takes to read a token.
+    /// Seconds that an engine takes to read a token, on the mean of those who
+    /// know.
     pub pace: f32,
+    /// How many entries know it.
+    pub paced: u32,
     /// The pause that streams meet beside reading, in seconds.
     pub pause: f32,
 }
@@ -80,25 +157,43 @@
 }
 
 /// Writes a datagram. What does not fit one packet is left out from the end,
-/// so that the busiest servers should stand first.
+/// so that the busiest servers and the entries that matter most should stand
+/// first.
 #[must_use]
-pub fn encode(mut saying: Saying) -> Vec<u8> {
+pub fn encode(mut message: Message) -> Vec<u8> {
     loop {
-        let bytes = postcard::to_allocvec(&(VERSION, &saying)).unwrap_or_default();
-        if bytes.len() <= LARGEST || saying.calls.is_empty() {
+        let bytes = postcard::to_allocvec(&(VERSION, &message)).unwrap_or_default();
+        if bytes.len() <= LARGEST || !shorten(&mut message) {
             return bytes;
         }
-        let kept = saying.calls.len() * 3 / 4;
-        saying.calls.truncate(kept);
     }
 }
 
+/// Leaves something out; returns whether there was anything.
+fn shorten(message: &mut Message) -> bool {
+    let calls = match message {
+        Message::Saying(saying) => &mut saying.calls,
+        Message::Answer(answer) => match &mut answer.sums {
+            Some(sums) if !sums.calls.is_empty() => &mut sums.calls,
+            _ => {
+                let kept = answer.seats.len() * 3 / 4;
+                let some = !answer.seats.is_empty();
+                answer.seats.truncate(kept);
+                return some;
+            }
+        },
+    };
+    let some = !calls.is_empty();
+    calls.truncate(calls.len() * 3 / 4);
+    some
+}
+
 /// Reads a datagram.
 ///
 /// # Errors
 ///
 /// Returns why it is not one of these.
-pub fn decode(bytes: &[u8]) -> Result<Saying, Error> {
+pub fn decode(bytes: &[u8]) -> Result<Message, Error> {
     match bytes.split_first() {
         Some((&VERSION, rest)) => postcard::from_bytes(rest).context(BytesSnafu),
         first => VersionSnafu {
