--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -90,8 +90,6 @@
             tokio::time::sleep(if waits { TICK } else { REST }).await;
             if waits {
                 self.let_in();
-            } else {
-                base::telemetry::upkeep();
             }
         }
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -232,6 +232,5 @@
         tokio::time::sleep(SWEEP).await;
         state.pool.sweep(state.clock.now());
         crashes::expire(&state, state.clock.now());
-        base::telemetry::upkeep();
     }
 }
