Name no entry that has ended

Traced: an entry whose time was over and that had not yet been forgotten was named to others with no time left, who held it until they next looked, and named it on; so relays that had ended went round for ever.

--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -311,7 +311,7 @@
                 zone: seat.zone,
                 link_mbps: seat.link_mbps,
             };
-            if seat.addr != state.settings.gossip {
+            if seat.addr != state.settings.gossip && !left.is_zero() {
                 self.note(now, seat, left, left, "answer");
                 self.note_age(now, seat.addr, age_ms);
             }
--- a/crates/policy/src/finding.rs
+++ b/crates/policy/src/finding.rs
@@ -192,7 +192,8 @@
 
     fn tried(&mut self, now: Instant, done: bool) {
         self.failures = if done { 0 } else { self.failures + 1 };
-        let pause = RETRY.saturating_mul(1 << self.failures.min(8) >> 1);
+        let doubled = 2u32.pow(self.failures.saturating_sub(1).min(8));
+        let pause = RETRY.saturating_mul(doubled);
         self.retry = if done {
             now
         } else {
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -273,7 +273,9 @@
                 zones.flat_map(|(zone, n)| self.first(zone, n)).collect()
             }
         };
-        let others = known.into_iter().filter(|k| k.seat.addr != asker.addr);
+        // Told on with no time left, one that has ended would go round for ever.
+        let there = |k: &&Known| k.seat.addr != asker.addr && now < k.until;
+        let others = known.into_iter().filter(there);
         let others = others.map(|k| Named {
             seat: k.seat,
             left: k.until.saturating_duration_since(now),
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -426,7 +426,8 @@
                 entry.roster.count().all
             );
         };
-        assert!(!near.is_empty() && near.iter().all(|a| !dead.contains(a)));
+        let live = !near.is_empty() && near.iter().all(|a| !dead.contains(a));
+        assert!(live, "{near:?} at {:?}", entry.seat);
     }
     let relays = fleet.live().filter(|e| e.roster.relays()).count();
     assert_eq!(relays, RELAYS * ZONES as usize);
