--- a/crates/policy/tests/readers.rs
+++ b/crates/policy/tests/readers.rs
@@ -200,3 +200,45 @@
     let rate = size as f64 / aside.as_secs_f64();
     assert!(rate <= 6.0, "{rate} a second");
 }
+
+/// Guards against entries that have started waiting for a reader that has no copies
+/// either, as it started while the store turned it away.
+#[test]
+fn first_copies_come_from_whoever_has_them() {
+    let now = Instant::now();
+    let (first, second) = wide(now);
+    let mut other = view(now, 9, 12);
+    assert_eq!(other.source(now, None), Some(addr(first)));
+    other.aged(now, addr(3), Duration::from_millis(200));
+    assert_eq!(other.source(now, None), Some(addr(3)));
+    let mut reader = view(now, first, 12);
+    assert!(!reader.copied(now, true));
+    reader.aged(now, addr(3), Duration::from_millis(200));
+    assert!(reader.copied(now, true) && !reader.copied(now, false));
+    assert_eq!(reader.source(now, None), Some(addr(3)));
+    let waits = |n| view(now, n, 12).patience_first();
+    assert!((2..12).all(|n| waits(second) < waits(n)));
+}
+
+/// Guards against all entries of a large zone turning to the store before the first of
+/// them that reaches it can tell the others.
+#[rstest]
+#[case::dozen(12, 200)]
+#[case::hundred(100, 1000)]
+fn impatience_of_a_large_zone_is_spread(#[case] size: usize, #[case] least_ms: u64) {
+    let now = Instant::now();
+    let spans = (2..60).map(|n| {
+        let mut other = view(now, n, 60);
+        other.sized(size);
+        other.patience()
+    });
+    let spans: Vec<Duration> = spans.collect();
+    let (least, most) = (spans.iter().min(), spans.iter().max());
+    let spread = *most.expect("some") - *least.expect("some");
+    assert!(spread.as_millis() >= u128::from(least_ms) / 2, "{spread:?}");
+    assert!(
+        spans
+            .iter()
+            .all(|s| *s <= OLDEST + Duration::from_millis(2500))
+    );
+}
