Try the store again at once where no neighbour is asked, and where it has dropped what was asked for

Change: without a neighbour to ask the pause is that of before, longer only in large zones; a dropped history is followed by the whole table after 0.15 s. few_try_again_at_once fails without the first.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -97,7 +97,7 @@
             CATALOG_WAIT
         };
         let Some(update) = reader.next(&state, asked, wait).await else {
-            tokio::time::sleep(after(&state, reader.failures)).await;
+            tokio::time::sleep(reader.pause(&state)).await;
             continue;
         };
         let update = update.map(Rc::new);
@@ -119,7 +119,7 @@
             continue;
         }
         let Some(mut update) = reader.next(&state, asked, SERVER_WAIT).await else {
-            tokio::time::sleep(after(&state, reader.failures)).await;
+            tokio::time::sleep(reader.pause(&state)).await;
             continue;
         };
         if update.scope == Scope::Copy {
@@ -148,7 +148,7 @@
         }
         let asked = state.tables.crashes.borrow().next();
         let Some(update) = reader.next(&state, asked, CRASHES_WAIT).await else {
-            tokio::time::sleep(after(&state, reader.failures)).await;
+            tokio::time::sleep(reader.pause(&state)).await;
             continue;
         };
         let whole = update.scope != Scope::Changes;
@@ -206,13 +206,6 @@
     Some(spare.clamp(Duration::from_millis(1), LOOK))
 }
 
-/// How long to wait after so many failures in a row. Where neighbours are asked
-/// too, they tell when they reach the store again.
-fn after(state: &State, failures: u32) -> Duration {
-    let aside = state.readers.borrow_mut().aside(state.clock.now());
-    aside.unwrap_or_else(|| retry(failures))
-}
-
 /// How long to wait after so many failures in a row.
 #[must_use]
 pub fn retry(failures: u32) -> Duration {
@@ -241,6 +234,8 @@
     rewound: bool,
     /// Failures since the last answer.
     failures: u32,
+    /// Whether the store answered that it does not have what was asked for.
+    outdated: bool,
 }
 
 impl<S: Source> Reader<S> {
@@ -251,7 +246,19 @@
             whole: false,
             rewound: false,
             failures: 0,
+            outdated: false,
+        }
+    }
+
+    /// How long to wait after a failure. Where neighbours are asked too, they
+    /// tell when they reach the store again. A store that has dropped what was
+    /// asked for is there, and has the whole table.
+    fn pause(&self, state: &State) -> Duration {
+        if self.outdated {
+            return RETRY;
         }
+        let aside = state.readers.borrow_mut().aside(state.clock.now());
+        retry(self.failures).max(aside.unwrap_or_default())
     }
 
     /// What the store says of a table that is held up to `from`; it may keep
@@ -332,6 +339,7 @@
         }
         self.whole |= rewound || matches!(e, SourceError::Expired { .. });
         self.failures = self.failures.saturating_add(1);
+        self.outdated = !matches!(e, SourceError::Unavailable { .. });
         // Servers report all the time, so that this table shows first that the
         // store is back.
         if self.name == SERVERS && matches!(e, SourceError::Unavailable { .. }) {
--- a/crates/policy/src/readers.rs
+++ b/crates/policy/src/readers.rs
@@ -60,7 +60,11 @@
 /// that all of them together try as often, however many they are.
 const ASIDE: Duration = Duration::from_secs(2);
 const ASIDE_EACH: Duration = Duration::from_millis(250);
-const ASIDE_ALONE: Duration = Duration::from_secs(3);
+
+/// The same where it has no neighbour to ask, for each entry of the zone and at
+/// the most.
+const ALONE_EACH: Duration = Duration::from_millis(30);
+const ALONE_MOST: Duration = Duration::from_secs(3);
 
 /// How long a neighbour that did not answer is passed over; it doubles each
 /// time. A dead host costs each question its whole wait.
@@ -291,12 +295,12 @@
             return None;
         }
         let size = u32::try_from(self.size.max(self.peers.len())).unwrap_or(u32::MAX);
-        let each = match self.place <= ASKED {
-            true => ASIDE,
-            false => ASIDE_EACH.saturating_mul(size).max(ASIDE),
-        };
-        // One that has lost its neighbours as well has nobody else to learn from.
-        Some(if asked { each } else { each.min(ASIDE_ALONE) })
+        // One that has no neighbour to ask has nobody else to learn from.
+        Some(match (asked, self.place <= ASKED) {
+            (false, _) => ALONE_EACH.saturating_mul(size).min(ALONE_MOST),
+            (true, true) => ASIDE,
+            (true, false) => ASIDE_EACH.saturating_mul(size).max(ASIDE),
+        })
     }
 
     /// How many neighbours are before this entry in the order.
--- a/crates/policy/tests/readers.rs
+++ b/crates/policy/tests/readers.rs
@@ -242,3 +242,23 @@
             .all(|s| *s <= OLDEST + Duration::from_millis(2500))
     );
 }
+
+/// Guards against an entry of a small zone leaving the store alone for seconds after
+/// one question has failed, while it has no neighbour to learn from: what operators
+/// declare has to be in force by then.
+#[rstest]
+#[case::pair(2)]
+#[case::nine(9)]
+fn few_try_again_at_once(#[case] size: u8) {
+    let now = Instant::now();
+    for own in 0..size {
+        let mut other = view(now, own, size);
+        other.sized(usize::from(size));
+        for n in 0..size {
+            other.failed(now, addr(n));
+        }
+        assert_eq!(other.ask(now), None);
+        let aside = other.aside(now).unwrap_or_default();
+        assert!(aside <= Duration::from_millis(300), "{aside:?}");
+    }
+}
