Tidy the readers' and followers' constants, and one question asked twice

Read again as a newcomer: comments stood at the wrong constants, one described what is not done any more, two blocks said the same type's methods, and what passes a neighbour over was written twice. No behaviour changed; tests of policy (readers, others, pools) and forward (calls, tables) pass.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -23,10 +23,6 @@
 /// within the time in which a catalog has to be in force.
 const CATALOG_WAIT: Duration = Duration::from_secs(2);
 
-/// The same for crashes, of which there are few. Entries that see one tell the
-/// others by themselves until the store has it.
-const CRASHES_WAIT: Duration = Duration::from_secs(8);
-
 /// The same where neighbours are told: they cannot know that the copy still
 /// holds before the store answers, and would soon read by themselves.
 const CATALOG_WAIT_SHARED: Duration = Duration::from_secs(1);
@@ -35,6 +31,10 @@
 /// once; a lost question should be given up soon.
 const SERVER_WAIT: Duration = Duration::from_millis(300);
 
+/// The same for crashes, of which there are few. Entries that see one tell the
+/// others by themselves until the store has it.
+const CRASHES_WAIT: Duration = Duration::from_secs(8);
+
 /// The pause after a failed question; the store comes back at any moment.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -342,7 +342,7 @@
         self.outdated = !matches!(e, SourceError::Unavailable { .. });
         // Servers report all the time, so that this table shows first that the
         // store is back.
-        if self.name == SERVERS && matches!(e, SourceError::Unavailable { .. }) {
+        if self.name == SERVERS && !self.outdated {
             state.lost.set(true);
         }
         // The first of a row is logged; the rest are counted.
--- a/crates/policy/src/others.rs
+++ b/crates/policy/src/others.rs
@@ -3,7 +3,8 @@
 //! An entry sees its own calls only. With a few dozen entries before as many
 //! engines it has about one call at each, which says nothing about how busy
 //! an engine is. Each entry tells the others what it has, several times a
-//! second; what was told last counts until it is too old to be believed.
+//! second, or where they are too many its zone's relays (`roster`); what was
+//! told last counts until it is too old to be believed.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -32,6 +33,10 @@
 /// designed for (docs/CAPACITY.md).
 const RATE: f64 = 8192.0;
 
+/// Answers a second that a relay gives to those of its zone, however many they
+/// are.
+const ANSWERS: f64 = 64.0;
+
 /// How often an entry speaks.
 ///
 /// Load pattern: each of some dozen entries tells all others what it has. At
@@ -69,13 +74,7 @@
             far: span(far, left.max(1.0)),
         }
     }
-}
 
-/// Answers a second that a relay gives to those of its zone, however many they
-/// are.
-const ANSWERS: f64 = 64.0;
-
-impl Intervals {
     /// The intervals of an entry of a zone with so many members, which tells its
     /// relays.
     #[must_use]
--- a/crates/policy/src/readers.rs
+++ b/crates/policy/src/readers.rs
@@ -30,6 +30,9 @@
 /// It has to be above what a copy comes to between two answers of the store.
 pub const TURN: Duration = Duration::from_millis(1450);
 
+/// How much later the one after that reads.
+const TURN_EACH: Duration = Duration::from_millis(100);
+
 /// How long copies count as fresh that were fresh when they were told of: whoever
 /// has them brings them up to date meanwhile.
 const KNOWN: Duration = Duration::from_secs(4);
@@ -42,9 +45,6 @@
 const FIRST: Duration = Duration::from_millis(800);
 const FIRST_SPREAD: Duration = Duration::from_millis(700);
 
-/// How much later the one after that reads.
-const TURN_EACH: Duration = Duration::from_millis(100);
-
 /// How much sooner some of the entries lose patience, so that those of a zone
 /// do not all turn to the store in the same moment.
 const SPREAD: Duration = Duration::from_millis(200);
@@ -73,9 +73,8 @@
 /// The longest time for which a neighbour is passed over.
 const REST_MOST: Duration = Duration::from_secs(8);
 
-/// How long a neighbour is passed over that tells what is too old while the
-/// store answers others: it is cut off from the store and says so itself by
-/// its age when it is back.
+/// How long a neighbour counts as cut off from the store after it told what is
+/// too old, and the next in the order is asked before it.
 const REST_STALE: Duration = Duration::from_secs(3);
 
 /// Neighbours that are asked before an entry reads by itself.
@@ -134,6 +133,11 @@
         self.told.is_some_and(|(at, age)| age > TURN && late(at))
     }
 
+    /// Whether it is not passed over.
+    fn up(&self, now: Instant) -> bool {
+        self.rest.is_none_or(|until| until <= now)
+    }
+
     /// Whether its copies are known to be fresh by now.
     fn fresh(&self, now: Instant) -> bool {
         self.told
@@ -195,9 +199,8 @@
         let before = self.peers.iter().filter(|(_, p)| p.rank < self.own);
         let mut before: Vec<(&SocketAddr, &Peer)> = before.collect();
         before.sort_by_key(|(addr, p)| (p.rank, **addr));
-        let up = |p: &Peer| p.rest.is_none_or(|until| until <= now);
         let before = before.into_iter().take(ASKED);
-        let up: Vec<_> = before.filter(|(_, p)| up(p)).collect();
+        let up: Vec<_> = before.filter(|(_, p)| p.up(now)).collect();
         let fresh = up.iter().find(|(_, p)| !p.stale(now));
         fresh.or(up.first()).map(|(addr, _)| **addr)
     }
@@ -229,9 +232,8 @@
 
     /// Neighbours that answer and have fresh copies.
     fn fresh(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
-        let up = move |p: &Peer| p.rest.is_none_or(|until| until <= now);
         let peers = self.peers.iter();
-        peers.filter(move |(_, p)| p.fresh(now) && up(p))
+        peers.filter(move |(_, p)| p.fresh(now) && p.up(now))
     }
 
     /// Notes what a neighbour has answered: how old its copies are, or none
