Log and count what answers say of their servers

What callers saw: calls reach servers that have said that they leave, or that they want rest.

Nothing acts on it yet. Limits that servers name go the same way; their tests hand over a whole word now and assert what they did.

--- a/crates/forward/src/edge.rs
+++ b/crates/forward/src/edge.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use policy::balance::Listed;
+use policy::balance::{Listed, Word};
 use policy::duty::{Term, Written};
 use policy::routes::Catalog;
 use policy::scaling;
@@ -128,9 +128,8 @@
     pub keep: Option<Duration>,
     /// Whether the server closes the connection after this answer.
     pub close: bool,
-    /// The calls a second that the server takes from all entries together, if
-    /// it names any.
-    pub limit: Option<f64>,
+    /// What it says of the server itself.
+    pub word: Word,
 }
 
 /// A table in the platform's store: the newest record of each key, and what
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -7,12 +7,13 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use policy::balance::Listed;
+use policy::balance::{Listed, Word};
 use spdlog::info;
 
 use crate::edge::Signs;
 use crate::grants::Grant;
 use crate::pool::{Conn, Pool};
+use crate::relay::millis;
 use crate::state::State;
 
 /// What of a failed send is known about the call having run.
@@ -212,7 +213,7 @@
     state.balance.borrow_mut().heard(now, &server.id);
     // Another server at the address speaks for itself only.
     if !signs.elsewhere {
-        note_limit(state, server, begun, signs.limit);
+        note_word(state, server, begun, &signs.word);
     }
 
     // A server may send a second answer to an earlier call late, just where
@@ -259,16 +260,24 @@
     })
 }
 
-/// Notes the limit that a server names in its answer to a call that was sent at
+/// Notes what a server says of itself in its answer to a call that was sent at
 /// `sent`.
-fn note_limit(state: &State, server: &Listed, sent: Instant, limit: Option<f64>) {
+fn note_word(state: &State, server: &Listed, sent: Instant, word: &Word) {
     let now = state.clock.now();
-    let mut balance = state.balance.borrow_mut();
-    if balance.named(now, &server.id, sent, limit) {
+    let news = state.balance.borrow_mut().answered(now, server, sent, word);
+    if news.leaving {
+        metrics::counter!("pimentocart_servers_leaving_total").increment(1);
+        info!("server leaves", kv: { server = &*server.id });
+    }
+    if let Some(rest) = news.rest {
+        metrics::counter!("pimentocart_rests_asked_total").increment(1);
+        info!("server rests", kv: { server = &*server.id, ms = millis(rest) });
+    }
+    if let Some(named) = news.limited {
         info!("server limit changed", kv: {
             server = &*server.id,
-            named = limit.is_some(),
-            rate = limit.unwrap_or(0.0)
+            named,
+            rate = word.limit.unwrap_or(0.0)
         });
     }
 }
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -20,7 +20,11 @@
     pub entries: usize,
     /// Backend servers that are known.
     pub servers: usize,
-    /// Those of them that name how many calls they take.
+    /// Those of them that say in their answers that they leave.
+    pub leaving: usize,
+    /// Those that have asked for rest.
+    pub resting: usize,
+    /// Those that name how many calls they take.
     pub limited: usize,
     /// Crashes of servers that are held against calls.
     pub crashes: usize,
@@ -34,6 +38,7 @@
     /// What `state` holds.
     #[must_use]
     pub fn of(state: &State) -> Self {
+        let said = state.balance.borrow().said(state.clock.now());
         Self {
             name: state.settings.name.clone(),
             zone: state.settings.zone.clone(),
@@ -41,7 +46,9 @@
             catalog: state.catalog.borrow().as_ref().map(|c| c.version),
             entries: state.roster.borrow().count().all.saturating_sub(1),
             servers: state.balance.borrow().ids().len(),
-            limited: state.balance.borrow().limited(),
+            leaving: said.leaving,
+            resting: said.resting,
+            limited: said.limited,
             crashes: state.crashes.count(),
             open: state.open.get(),
             duties: state.duties.borrow().as_ref().map(|d| d.view()),
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -13,7 +13,7 @@
 use forward::settings::Settings;
 use forward::state::State;
 use http::{HeaderMap, HeaderValue};
-use policy::balance::Listed;
+use policy::balance::{Listed, Word};
 use policy::routes::{Catalog, Engine, Kind, Limits, Route, Service, Workspace};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -76,7 +76,13 @@
             encoded: headers.contains_key("content-encoding"),
             keep: None,
             close: text(headers, "connection").is_some_and(|c| c == "close"),
-            limit: text(headers, "limit").and_then(|l| l.parse().ok()),
+            word: Word {
+                leaving: headers.contains_key("leaving"),
+                rest: text(headers, "rest-ms")
+                    .and_then(|t| t.parse().ok())
+                    .map(Duration::from_millis),
+                limit: text(headers, "limit").and_then(|l| l.parse().ok()),
+            },
         }
     }
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 
 mod limit;
 mod names;
+mod said;
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -22,8 +23,10 @@
 use crate::rendezvous::{number, weight};
 use limit::Limit;
 use names::Names;
+use said::Said;
 
 pub use limit::Turns;
+pub use said::{Counts, News, Word};
 
 /// How long a server that failed once is left alone; it doubles with each
 /// further failure. Long enough for a restart to be seen, short enough that
@@ -162,8 +165,8 @@
     /// Since when the list has not shown it, and until when it may yet be
     /// called.
     missing: Option<(Instant, Instant)>,
-    /// The calls a second that it takes from all entries, if it says so.
-    limit: Option<Limit>,
+    /// What it has said of itself.
+    said: Said,
 }
 
 /// When a server began: by its own word, then by when it was first told.
@@ -188,7 +191,7 @@
     /// Whether it takes a call from this entry now, by the limit that it names.
     fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
         let open = |limit: Limit| turns.is_some_and(|turns| limit.open(now, turns));
-        self.limit.is_none_or(open)
+        self.said.limit.is_none_or(open)
     }
 
     /// Whether it has calls and sends nothing. A host that went dark keeps its
@@ -259,7 +262,7 @@
                     server.failed = 0;
                     server.rest = None;
                     server.heard = None;
-                    server.limit = None;
+                    server.said = Said::default();
                     return Change::Restarted;
                 }
                 match back || !same {
@@ -279,7 +282,7 @@
                     rest: None,
                     heard: None,
                     missing: None,
-                    limit: None,
+                    said: Said::default(),
                     listed,
                 };
                 self.servers.insert(Rc::clone(&server.listed.id), server);
--- a/crates/policy/src/balance/limit.rs
+++ b/crates/policy/src/balance/limit.rs
@@ -122,27 +122,10 @@
         self.turns = Some(turns);
     }
 
-    /// Notes what a server's answer to a call that was sent at `sent` says of
-    /// the calls a second that it takes from all entries. Returns whether it has
-    /// begun or ceased to name any.
-    pub fn named(&mut self, now: Instant, id: &str, sent: Instant, rate: Option<f64>) -> bool {
-        let Some(server) = self.servers.get_mut(id) else {
-            return false;
-        };
-        let before = server.limit.is_some();
-        match (&mut server.limit, rate) {
-            (Some(limit), Some(rate)) => limit.name(now, rate),
-            (Some(limit), None) if limit.lifted(sent) => server.limit = None,
-            (None, Some(rate)) => server.limit = Some(Limit::new(now, rate)),
-            _ => {}
-        }
-        server.limit.is_some() != before
-    }
-
     /// Takes the entry's turn for a call that is about to be sent to a server;
     /// returns whether it may be.
     pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
-        let limit = self.servers.get_mut(id).and_then(|s| s.limit.as_mut());
+        let limit = self.servers.get_mut(id).and_then(|s| s.said.limit.as_mut());
         match (limit, &self.turns) {
             (None, _) => true,
             (Some(limit), Some(turns)) if limit.open(now, turns) => {
@@ -159,13 +142,7 @@
     pub fn next_turn(&self, now: Instant, service: &str) -> Option<Duration> {
         let turns = self.turns.as_ref()?;
         let limits = self.servers.values().filter(|s| s.serves(service));
-        let waits = limits.filter_map(|s| s.limit?.wait(now, turns));
+        let waits = limits.filter_map(|s| s.said.limit?.wait(now, turns));
         waits.min()
     }
-
-    /// Known servers that name a limit.
-    #[must_use]
-    pub fn limited(&self) -> usize {
-        self.servers.values().filter(|s| s.limit.is_some()).count()
-    }
 }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::{Balance, By, Listed, Part, Turns, Want};
+use policy::balance::{Balance, By, Listed, Part, Turns, Want, Word};
 use policy::others::EntryCount;
 use rstest::rstest;
 
@@ -39,6 +39,14 @@
     }
 }
 
+/// What an answer says that names this limit and nothing else.
+fn word(limit: Option<f64>) -> Word {
+    Word {
+        limit,
+        ..Word::default()
+    }
+}
+
 fn turns(entries: u32, place: u32, at: Instant, wall: Duration) -> Turns {
     Turns {
         entries,
@@ -80,7 +88,7 @@
         for ms in 0..u64::try_from(span.as_millis()).expect("short") {
             let now = self.start + from + MS * u32::try_from(ms).expect("short");
             for entry in &mut self.entries {
-                entry.named(now, "s", now, Some(limit(ms)));
+                entry.answered(now, &listed("s"), now, &word(Some(limit(ms))));
                 let chosen = entry.choose(now, &want());
                 if chosen.is_some_and(|s| entry.take_turn(now, &s.id)) {
                     self.sent.push(now);
@@ -177,7 +185,7 @@
             ..listed("other")
         },
     );
-    balance.named(now, "s", now, Some(0.0));
+    balance.answered(now, &listed("s"), now, &word(Some(0.0)));
     (balance, now)
 }
 
@@ -197,9 +205,9 @@
 #[test]
 fn late_answer_lifts_nothing() {
     let (mut balance, now) = limited();
-    balance.named(now + MS * 9, "s", now - MS, None);
+    balance.answered(now + MS * 9, &listed("s"), now - MS, &word(None));
     assert!(!balance.take_turn(now + MS * 9, "s"));
-    balance.named(now + MS * 10, "s", now + MS, None);
+    balance.answered(now + MS * 10, &listed("s"), now + MS, &word(None));
     assert!(balance.take_turn(now + MS * 10, "s"));
 }
 
