--- a/crates/cli/tests/forward/limits.rs
+++ b/crates/cli/tests/forward/limits.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use crate::caller::{Seen, call};
-use crate::platform::{Platform, until};
+use crate::platform::{Platform, Word, until};
 use crate::process::Entry;
 
 /// A limit that allows each of two entries one request in half an hour.
@@ -30,7 +30,7 @@
     let entries = [0, 1].map(|n| Entry::start(&format!("limit{name}{n}"), store, None));
     until("ready", || entries.iter().all(Entry::ready));
 
-    limited.limit(HARDLY_ANY);
+    limited.say(Word::Limit(HARDLY_ANY));
     let mut tries = 0;
     let mut served = |entry: &Entry| {
         tries += 1;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -40,6 +40,17 @@
     panic!("never: {what}");
 }
 
+/// What a server says of itself in its answers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Word {
+    /// It takes so many requests a second.
+    Limit(&'static str),
+    /// It leaves.
+    Leaving,
+    /// It turns requests away, and wants none for so many seconds.
+    Rest(&'static str),
+}
+
 /// The platform: its store, and what its servers saw.
 #[derive(Default)]
 pub(crate) struct Platform {
@@ -53,8 +64,8 @@
     pub(crate) runs: Mutex<BTreeMap<String, u32>>,
     /// Calls that came to each server.
     pub(crate) arrived: Mutex<BTreeMap<String, u32>>,
-    /// What servers name as the requests a second that they take.
-    limits: Mutex<BTreeMap<String, &'static str>>,
+    /// What servers say of themselves in their answers.
+    words: Mutex<BTreeMap<String, Word>>,
     /// How many servers have ended under a fatal call.
     pub(crate) ended: AtomicU32,
     version: AtomicU32,
@@ -135,11 +146,11 @@
         });
     }
 
-    /// Ends what was brought about and lasts: an outage, limits, and a store that
+    /// Ends what was brought about and lasts: an outage, what servers say, and a store that
     /// lacks what is written again.
     pub(crate) fn recover(&self) {
         self.down.store(false, Ordering::SeqCst);
-        self.limits.lock().expect("not poisoned").clear();
+        self.words.lock().expect("not poisoned").clear();
         until("all is written again", || {
             self.rewinding.load(Ordering::SeqCst) == 0
         });
@@ -289,6 +300,17 @@
             let mut arrived = self.arrived.lock().expect("not poisoned");
             *arrived.entry(own.to_owned()).or_default() += 1;
             drop(arrived);
+            let words = self.words.lock().expect("not poisoned");
+            let word = words.get(own).copied();
+            drop(words);
+            if let Some(Word::Rest(seconds)) = word {
+                let refusal = format!(
+                    "503 Busy\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\n\
+                     Retry-After: {seconds}"
+                );
+                answer(&mut out, &refusal, b"");
+                continue;
+            }
             *self
                 .runs
                 .lock()
@@ -303,8 +325,10 @@
                 return;
             }
             let mut marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
-            if let Some(limit) = self.limits.lock().expect("not poisoned").get(own) {
-                marks += &format!("Server-Limit: {limit}\r\n");
+            match word {
+                Some(Word::Limit(limit)) => marks += &format!("Server-Limit: {limit}\r\n"),
+                Some(Word::Leaving) => marks += "Server-Leaving: 1\r\n",
+                Some(Word::Rest(_)) | None => {}
             }
             if !head.starts_with("POST /stream/") && !head.starts_with("POST /engine/") {
                 let body = format!("answer to {id}");
@@ -360,10 +384,10 @@
         });
     }
 
-    /// Has it name a limit in its answers from now on.
-    pub(crate) fn limit(&self, limit: &'static str) {
-        let mut limits = self.platform.limits.lock().expect("not poisoned");
-        limits.insert(self.id.clone(), limit);
+    /// Has it say this in its answers from now on.
+    pub(crate) fn say(&self, word: Word) {
+        let mut words = self.platform.words.lock().expect("not poisoned");
+        words.insert(self.id.clone(), word);
     }
 
     /// Calls that have come to it.
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::caller::{Seen, call};
-use crate::platform::{EVENTS, Platform, Server, until};
+use crate::platform::{EVENTS, Platform, Server, Word, until};
 use crate::process::{Entry, Process, sidecar};
 
 const CALLERS: usize = 6;
@@ -196,7 +196,7 @@
     println!("  drill={fault}");
     match fault {
         0 => platform.rewind(count, Duration::from_millis(ms)),
-        1 => servers[count % servers.len()].limit("20"),
+        1 => servers[count % servers.len()].say(Word::Limit("20")),
         _ => {}
     }
 }
