Take a server for leaving as soon as one of its answers says so

Cause: an entry took a server for leaving by the store's table alone, and the store was away. Class: what an entry has been told by the server itself counts only once the store says so.

Ruled out: that the word is read and then overwritten (it was not read at all), and that only calls which waited go out (both calls of the incident were placed three seconds after the answer).

Change: the word of any answer counts for all ways of choosing a server, for the engines' split and their number, and once more right before a call is sent, as it may have waited. No later record of the list takes it back; the server's next life does not inherit it, and an answer of an earlier life or of another server at the address says nothing of it. Idle connections are closed.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -244,7 +244,7 @@
         state: Rc::clone(state),
         server: server.clone(),
         incoming,
-        reusable: !signs.close,
+        reusable: !signs.close && !signs.word.leaving,
         framed,
         waiting: true,
         conn: Some(conn),
@@ -268,6 +268,7 @@
     if news.leaving {
         metrics::counter!("pimentocart_servers_leaving_total").increment(1);
         info!("server leaves", kv: { server = &*server.id });
+        state.pool.forget(&server.id);
     }
     if let Some(rest) = news.rest {
         metrics::counter!("pimentocart_rests_asked_total").increment(1);
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -6,3 +6,4 @@
 mod grants;
 mod repeats;
 mod streams;
+mod words;
--- /dev/null
+++ b/crates/forward/tests/calls/words.rs
@@ -0,0 +1,69 @@
+//! What answers say of the servers that make them.
+
+use policy::routes::Kind;
+use rstest::rstest;
+
+use crate::common::{Act, Entry, Plan, field};
+
+const ID: &str = "call-id: 1\r\n";
+
+/// Calls after a server has said something.
+const CALLS: usize = 6;
+
+/// Makes a call to which one of two servers gives `answer`, and some more;
+/// returns how many of those have reached that server.
+async fn reached(answer: Act) -> usize {
+    let entry = Entry::start(Plan::new(Kind::Idempotent, 1, &[answer])).await;
+    entry.call(ID).await;
+    for _ in 0..CALLS {
+        entry.call(ID).await;
+    }
+    let requests = entry.servers.requests();
+    let speaker = field(&requests[0], "server");
+    let more = requests[1..].iter();
+    more.filter(|r| field(r, "server") == speaker).count()
+}
+
+/// Guards against a server's leaving being read from some of its answers only.
+#[rstest]
+#[case::whole(Act::Send(
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\nContent-Length: 5\r\n\r\nhello"
+))]
+#[case::bodiless(Act::Send("HTTP/1.1 204 None\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\n\r\n"))]
+#[case::failed(Act::Send(
+    "HTTP/1.1 500 Failed\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\nContent-Length: 3\r\n\r\nbad"
+))]
+#[case::not_run(Act::Send(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nleaving: 1\r\nContent-Length: 0\r\n\r\n"
+))]
+#[case::cut_short(Act::SendClose(
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\nContent-Length: 9\r\n\r\nhello"
+))]
+#[case::unsealed(Act::Send(
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nleaving: 1\r\nContent-Length: 2\r\n\r\nno"
+))]
+#[case::of_another_call(Act::Send(
+    "HTTP/1.1 200 OK\r\ncall-id: other\r\nseal: s\r\nleaving: 1\r\nContent-Length: 2\r\n\r\nno"
+))]
+#[case::encoded(Act::Send(
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\nContent-Encoding: br\r\n\
+     Content-Length: 2\r\n\r\nno"
+))]
+#[actix_rt::test]
+async fn leaving_read_from_any_answer(#[case] answer: Act) {
+    assert_eq!(reached(answer).await, 0);
+}
+
+/// Guards against a server being taken for leaving by what another one says
+/// that has its address by now.
+#[actix_rt::test]
+async fn leaving_of_another_server_means_nothing() {
+    let answer = Act::Send(
+        "HTTP/1.1 421 Other\r\ncall-id: {id}\r\nnot-run: 1\r\nelsewhere: 1\r\nleaving: 1\r\n\
+         Content-Length: 0\r\n\r\n",
+    );
+    let entry = Entry::start(Plan::new(Kind::Idempotent, 1, &[answer])).await;
+    entry.call(ID).await;
+    let now = entry.state.clock.now();
+    assert_eq!(entry.state.balance.borrow().said(now).leaving, 0);
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -177,9 +177,14 @@
         (self.listed.born, self.first)
     }
 
+    /// Whether it leaves, by the list or by its own word, whichever came first.
+    fn leaves(&self) -> bool {
+        self.listed.leaving || self.said.leaving
+    }
+
     /// Whether it is there and takes new calls of `service`.
     fn serves(&self, service: &str) -> bool {
-        let there = !self.listed.leaving && !self.replaced && self.missing.is_none();
+        let there = !self.leaves() && !self.replaced && self.missing.is_none();
         there && &*self.listed.service == service
     }
 
@@ -364,7 +369,7 @@
     #[must_use]
     pub fn leaves(&self, listed: &Listed) -> bool {
         let server = self.servers.get(&listed.id);
-        server.is_some_and(|s| s.listed.leaving && s.listed.born == listed.born)
+        server.is_some_and(|s| s.leaves() && s.listed.born == listed.born)
     }
 
     /// Where a known server listens.
@@ -376,7 +381,7 @@
     /// Whether a server is known and takes new calls.
     #[must_use]
     pub fn open(&self, id: &str) -> bool {
-        let open = |s: &Server| !s.listed.leaving && !s.replaced;
+        let open = |s: &Server| !s.leaves() && !s.replaced;
         self.servers.get(id).is_some_and(open)
     }
 
@@ -422,8 +427,7 @@
     /// The servers for a call, the best first.
     pub fn ranked(&mut self, now: Instant, want: &Want<'_>) -> Vec<Listed> {
         self.turn = self.turn.wrapping_add(1);
-        let serves =
-            |s: &&Server| &*s.listed.service == want.service && !s.listed.leaving && !s.replaced;
+        let serves = |s: &&Server| &*s.listed.service == want.service && !s.leaves() && !s.replaced;
         let mut fit: Vec<&Server> = self.servers.values().filter(serves).collect();
         match fit.iter().any(|s| s.missing.is_none()) {
             true => fit.retain(|s| s.missing.is_none()),
@@ -473,9 +477,7 @@
         // The cut is made among all servers that take calls, so that an entry
         // for which one of them rests cuts where the others do.
         let mut order: Vec<&Server> = self.servers.values().collect();
-        order.retain(|s| {
-            &*s.listed.service == want.service && !s.listed.leaving && s.missing.is_none()
-        });
+        order.retain(|s| &*s.listed.service == want.service && !s.leaves() && s.missing.is_none());
         order.sort_by_key(|s| weight(CUT, s.key));
         let part: HashSet<u64> = order.iter().take(count).map(|s| s.key).collect();
         let inside = |s: &&Server| part.contains(&s.key) == first;
--- a/crates/policy/src/balance/limit.rs
+++ b/crates/policy/src/balance/limit.rs
@@ -123,10 +123,16 @@
     }
 
     /// Takes the entry's turn for a call that is about to be sent to a server;
-    /// returns whether it may be.
+    /// returns whether it may be. What the server has said since the call was
+    /// placed counts too.
     pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
-        let limit = self.servers.get_mut(id).and_then(|s| s.said.limit.as_mut());
-        match (limit, &self.turns) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return true;
+        };
+        if server.leaves() {
+            return false;
+        }
+        match (&mut server.said.limit, &self.turns) {
             (None, _) => true,
             (Some(limit), Some(turns)) if limit.open(now, turns) => {
                 limit.take(now, turns);
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::balance::{Balance, By, Change, Listed, Part, Want};
+use policy::balance::{Balance, By, Change, Listed, Part, Want, Word};
 use policy::others::Calls;
 use policy::rendezvous;
 
@@ -384,3 +384,47 @@
         HashSet::from(["ours".to_owned()])
     );
 }
+
+/// What an answer says of a server that leaves.
+const LEAVING: Word = Word {
+    leaving: true,
+    rest: None,
+    limit: None,
+};
+
+/// Guards against a server being called that has said that it leaves, while the
+/// list goes on showing it as it was.
+#[test]
+fn leaving_by_its_own_word() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    assert!(
+        balance
+            .answered(now, &listed("s0", "a"), now, &LEAVING)
+            .leaving
+    );
+    balance.list(now, listed("s0", "a"));
+    assert_eq!(balance.size("llm").0, 1);
+    assert!(!balance.open("s0") && !balance.take_turn(now, "s0"));
+    for prefix in 0..100 {
+        let want = want(Some(prefix));
+        assert_eq!(chosen(&mut balance, now, &want).as_deref(), Some("s1"));
+    }
+}
+
+/// Guards against a server's next life being taken for leaving, by its earlier
+/// one's word or by an answer of that one that comes late.
+#[test]
+fn next_life_does_not_leave() {
+    let (now, mut balance) = (Instant::now(), Balance::new("a"));
+    let life = |born| Listed {
+        born: Some(born),
+        ..listed("s", "a")
+    };
+    balance.list(now, life(1));
+    balance.answered(now, &life(1), now, &LEAVING);
+    assert!(!balance.open("s"));
+    balance.list(now, life(2));
+    assert!(balance.open("s"));
+    balance.answered(now, &life(1), now, &LEAVING);
+    assert!(balance.open("s"));
+}
