Send a server nothing in the time for which it has asked for rest

Cause: nothing read Retry-After, and a refusal neither has a server left alone nor counts as a failure. A server that turns everything away answers at once, so it has no open calls and stays the first choice.

Ruled out: that only repeats or waiting calls pass it by (most were first sends), and that a rest was read and ended early (it was not read at all).

Change: such a server is no choice until its time has passed, for first sends, repeats, hops, resumed streams and calls that a sidecar lets in, and is looked at once more right before a call is sent. Unlike the pause after a failure it holds when no other server is left, and neither a good answer to an earlier call nor the list ends it. If all servers of a service rest, the caller is told at once when the first takes calls again (reason servers_busy), or waits where that is within half of its target, as with limits.

Also: the limit's turn and the rest are one question now; a caller is no longer told to wait for a turn while another server takes calls.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -75,6 +75,8 @@
     BrokenOff,
     /// Backend servers crash when they run the request.
     CrashesServers,
+    /// All backend servers have asked for fewer requests or for none.
+    ServersBusy,
     /// The platform's log is needed and cannot be reached.
     LogDown,
     /// The idempotency key is in use by another entry.
@@ -87,7 +89,7 @@
 
 impl Refusal {
     /// Every reason, for setting up counters.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -106,6 +108,7 @@
         Self::OutcomeUnknown,
         Self::BrokenOff,
         Self::CrashesServers,
+        Self::ServersBusy,
         Self::LogDown,
         Self::KeyTaken,
         Self::KeyReused,
@@ -134,6 +137,7 @@
             Self::OutcomeUnknown => "outcome_unknown",
             Self::BrokenOff => "broken_off",
             Self::CrashesServers => "crashes_servers",
+            Self::ServersBusy => "servers_busy",
             Self::LogDown => "log_down",
             Self::KeyTaken => "key_taken",
             Self::KeyReused => "key_reused",
@@ -158,6 +162,7 @@
             | Self::RetryBudget
             | Self::Draining
             | Self::CrashesServers
+            | Self::ServersBusy
             | Self::LogDown => 503,
             Self::Expired | Self::OutcomeUnknown => 504,
             Self::CallerGone => 499,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -374,16 +374,26 @@
     fn given_up(&self, last: Option<&Failure>) -> Own {
         match last {
             Some(Failure::Late) => Own::failed(504, Refusal::Expired),
-            Some(Failure::Waited) => Own::refused(Refusal::TargetUnreachable, AFTER_FULL),
+            Some(Failure::Waited) => {
+                Own::refused(Refusal::TargetUnreachable, self.after(AFTER_FULL))
+            }
             Some(Failure::Unknown(_)) => Own::failed(502, Refusal::OutcomeUnknown),
             Some(Failure::CrashesServers(after)) => Own::refused(Refusal::CrashesServers, *after),
             Some(Failure::TooLate(after)) => Own::refused(Refusal::TargetUnreachable, *after),
-            Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, AFTER_FULL),
+            Some(Failure::Busy(wait)) => Own::refused(Refusal::ServersBusy, self.after(*wait)),
+            Some(Failure::NotRun(_)) => Own::refused(Refusal::Shed, self.after(AFTER_FULL)),
             Some(Failure::NeverSent(_) | Failure::Elsewhere) | None => {
-                Own::refused(Refusal::NoServer, AFTER_NO_SERVER)
+                Own::refused(Refusal::NoServer, self.after(AFTER_NO_SERVER))
             }
         }
     }
+
+    /// When to come back: not before a server takes calls again.
+    fn after(&self, least: Duration) -> Duration {
+        let now = self.state.clock.now();
+        let wait = self.state.balance.borrow().next_turn(now, &self.service);
+        wait.unwrap_or_default().max(least)
+    }
 }
 
 fn find(catalog: &Catalog, incoming: &Incoming) -> Result<Rc<Route>, Own> {
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -19,7 +19,8 @@
 /// sent anywhere: a region that lost some hosts has others.
 const DIALS: usize = 4;
 
-/// The part of its target that a call may wait for a server's limit.
+/// The part of its target that a call may wait for servers that have asked for
+/// fewer calls.
 const TURN_SHARE: f64 = 0.5;
 
 impl Call {
@@ -48,8 +49,8 @@
                 let Some(wait) = self.next_turn(now) else {
                     break;
                 };
+                failure = Failure::Busy(wait);
                 if !self.waits(now, wait) {
-                    failure = Failure::TooLate(wait);
                     break;
                 }
                 tokio::time::sleep(wait).await;
@@ -65,8 +66,9 @@
             } = place;
             let now = self.state.clock.now();
             if !self.state.balance.borrow_mut().take_turn(now, &server.id) {
-                // Another call took the turn while this one was placed.
-                failure = self.next_turn(now).map_or(failure, Failure::TooLate);
+                // Another call took the turn while this one was placed, or the
+                // server has asked for rest or begun to leave.
+                failure = self.next_turn(now).map_or(failure, Failure::Busy);
                 continue;
             }
             let request = self.request(now, &server, begin, fetch);
@@ -119,8 +121,8 @@
             .map_or(Ok(()), |left| Err(Failure::CrashesServers(left)))
     }
 
-    /// How long it is until a server that names a limit takes a call, if there is
-    /// any.
+    /// How long it is until a server takes a call, if all that are there have
+    /// asked for fewer.
     fn next_turn(&self, now: Instant) -> Option<Duration> {
         self.state.balance.borrow().next_turn(now, &self.service)
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -34,6 +34,9 @@
     /// The call was not sent, since it would have come too late; the caller
     /// may come back after this time.
     TooLate(Duration),
+    /// The call was not sent, since all servers that are there have asked for
+    /// fewer calls or for none; the first of them takes one after this time.
+    Busy(Duration),
     /// The call was not sent, since servers crash under it; it will not be for
     /// this long.
     CrashesServers(Duration),
@@ -50,6 +53,7 @@
                 | Self::Elsewhere
                 | Self::Waited
                 | Self::TooLate(_)
+                | Self::Busy(_)
                 | Self::CrashesServers(_)
         )
     }
@@ -72,6 +76,7 @@
             Self::Late => "late",
             Self::Waited => "waited",
             Self::TooLate(_) => "too_late",
+            Self::Busy(_) => "servers_busy",
             Self::CrashesServers(_) => "crashes_servers",
         }
     }
--- a/crates/forward/tests/calls/words.rs
+++ b/crates/forward/tests/calls/words.rs
@@ -3,7 +3,7 @@
 use policy::routes::Kind;
 use rstest::rstest;
 
-use crate::common::{Act, Entry, Plan, field};
+use crate::common::{Act, Entry, Plan, field, status};
 
 const ID: &str = "call-id: 1\r\n";
 
@@ -67,3 +67,48 @@
     let now = entry.state.clock.now();
     assert_eq!(entry.state.balance.borrow().said(now).leaving, 0);
 }
+
+/// Guards against rest being read from some refusals only.
+#[rstest]
+#[case::not_run(Act::Send(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nrest-ms: 9000\r\n\
+     Content-Length: 0\r\n\r\n"
+))]
+#[case::may_have_run(Act::Send(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nseal: s\r\nrest-ms: 9000\r\n\
+     Content-Length: 0\r\n\r\n"
+))]
+#[case::of_another_call(Act::Send(
+    "HTTP/1.1 503 Full\r\ncall-id: other\r\nnot-run: 1\r\nrest-ms: 9000\r\n\
+     Content-Length: 0\r\n\r\n"
+))]
+#[case::closing(Act::SendClose(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nrest-ms: 9000\r\n\
+     Connection: close\r\nContent-Length: 0\r\n\r\n"
+))]
+#[case::cut_short(Act::SendClose(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nrest-ms: 9000\r\n\
+     Content-Length: 9\r\n\r\nfull"
+))]
+#[actix_rt::test]
+async fn rest_read_from_any_refusal(#[case] refusal: Act) {
+    assert_eq!(reached(refusal).await, 0);
+}
+
+/// Guards against callers being sent away without knowing for how long, or being
+/// kept waiting, while all servers rest.
+#[actix_rt::test]
+async fn resting_service_says_when_to_return() {
+    let refusal = "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nrest-ms: 9000\r\n\
+                   Content-Length: 0\r\n\r\n";
+    let acts = [Act::Send(refusal), Act::Send(refusal)];
+    let entry = Entry::start(Plan::new(Kind::Once, 2, &acts)).await;
+    for reached in [2, 2] {
+        let answer = entry.call(ID).await;
+        assert_eq!(status(&answer), "503");
+        let after = field(&answer, "retry-after").and_then(|a| a.parse::<f64>().ok());
+        let after = after.expect("a time");
+        assert!((8.0..20.0).contains(&after), "{after} s");
+        assert_eq!(entry.servers.requests().len(), reached);
+    }
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -21,7 +21,6 @@
 
 use crate::others::Calls;
 use crate::rendezvous::{number, weight};
-use limit::Limit;
 use names::Names;
 use said::Said;
 
@@ -193,10 +192,9 @@
         self.own.open + self.others.open
     }
 
-    /// Whether it takes a call from this entry now, by the limit that it names.
+    /// Whether it takes a call from this entry now, by what it has said.
     fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
-        let open = |limit: Limit| turns.is_some_and(|turns| limit.open(now, turns));
-        self.said.limit.is_none_or(open)
+        self.said.takes(now, turns)
     }
 
     /// Whether it has calls and sends nothing. A host that went dark keeps its
--- a/crates/policy/src/balance/limit.rs
+++ b/crates/policy/src/balance/limit.rs
@@ -121,34 +121,4 @@
     pub fn share(&mut self, turns: Turns) {
         self.turns = Some(turns);
     }
-
-    /// Takes the entry's turn for a call that is about to be sent to a server;
-    /// returns whether it may be. What the server has said since the call was
-    /// placed counts too.
-    pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
-        let Some(server) = self.servers.get_mut(id) else {
-            return true;
-        };
-        if server.leaves() {
-            return false;
-        }
-        match (&mut server.said.limit, &self.turns) {
-            (None, _) => true,
-            (Some(limit), Some(turns)) if limit.open(now, turns) => {
-                limit.take(now, turns);
-                true
-            }
-            (Some(_), _) => false,
-        }
-    }
-
-    /// How long it is until some server of `service` takes a call, if all that
-    /// are there wait for a turn.
-    #[must_use]
-    pub fn next_turn(&self, now: Instant, service: &str) -> Option<Duration> {
-        let turns = self.turns.as_ref()?;
-        let limits = self.servers.values().filter(|s| s.serves(service));
-        let waits = limits.filter_map(|s| s.said.limit?.wait(now, turns));
-        waits.min()
-    }
 }
--- a/crates/policy/src/balance/said.rs
+++ b/crates/policy/src/balance/said.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::limit::Limit;
+use super::limit::{Limit, Turns};
 use super::{Balance, Listed};
 
 /// The longest rest that is believed. What is longer is taken for a mistake,
@@ -38,41 +38,74 @@
     /// Whether it leaves, which no life of a server takes back.
     pub(super) leaving: bool,
     /// Until when it wants no calls.
-    pub(super) rest: Option<Instant>,
+    rest: Option<Instant>,
     /// The calls a second that it takes from all entries.
-    pub(super) limit: Option<Limit>,
+    limit: Option<Limit>,
 }
 
 impl Said {
-    /// Takes an answer's word over that came to a call sent at `sent`.
-    fn hear(&mut self, now: Instant, sent: Instant, word: &Word) -> News {
+    /// Takes over what an answer says, as `heard` describes it.
+    fn hear(&mut self, heard: &Heard<'_>) -> News {
+        let Heard { now, word, .. } = *heard;
         let leaving = word.leaving && !self.leaving;
         self.leaving |= word.leaving;
         let rested = self.rests(now);
         if let Some(rest) = word.rest {
-            let until = now + rest.min(REST_MOST);
-            self.rest = self.rest.max(Some(until));
+            let span = rest.min(REST_MOST);
+            self.rest = self.rest.max(Some(now + span));
         }
         let limited = self.limit.is_some();
         match (&mut self.limit, word.limit) {
             (Some(limit), Some(rate)) => limit.name(now, rate),
-            (Some(limit), None) if limit.lifted(sent) => self.limit = None,
+            (Some(limit), None) if limit.lifted(heard.sent) => self.limit = None,
             (None, Some(rate)) => self.limit = Some(Limit::new(now, rate)),
             _ => {}
         }
         News {
             leaving,
             rest: word.rest.filter(|_| !rested),
-            limited: Some(self.limit.is_some()).filter(|now| *now != limited),
+            limited: Some(self.limit.is_some()).filter(|named| *named != limited),
         }
     }
 
+    /// Notes that a call goes out to it.
+    fn sent(&mut self, now: Instant, turns: Option<&Turns>) {
+        if let (Some(limit), Some(turns)) = (&mut self.limit, turns) {
+            limit.take(now, turns);
+        }
+    }
+
+    /// Whether it takes one more call from this entry now.
+    pub(super) fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
+        let turn = |limit: Limit| turns.is_some_and(|turns| limit.open(now, turns));
+        !self.rests(now) && self.limit.is_none_or(turn)
+    }
+
+    /// How long it is until it does at the most; none if that is not known.
+    fn wait(&self, now: Instant, turns: Option<&Turns>) -> Option<Duration> {
+        let turn = match self.limit {
+            Some(limit) if !limit.open(now, turns?) => limit.wait(now, turns?)?,
+            _ => Duration::ZERO,
+        };
+        let rest = self.rest.map(|until| until.saturating_duration_since(now));
+        Some(rest.unwrap_or_default().max(turn))
+    }
+
     /// Whether it wants no calls now.
-    pub(super) fn rests(&self, now: Instant) -> bool {
+    fn rests(&self, now: Instant) -> bool {
         self.rest.is_some_and(|until| now < until)
     }
 }
 
+/// An answer that says something of its server.
+#[derive(Debug, Clone, Copy)]
+struct Heard<'a> {
+    now: Instant,
+    /// When its call was sent.
+    sent: Instant,
+    word: &'a Word,
+}
+
 /// How many of the known servers have said something that still holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -89,11 +122,38 @@
     /// of it. An answer of an earlier life says nothing of the present one.
     pub fn answered(&mut self, now: Instant, server: &Listed, sent: Instant, word: &Word) -> News {
         match self.servers.get_mut(&server.id) {
-            Some(known) if known.listed.born == server.born => known.said.hear(now, sent, word),
+            Some(known) if known.listed.born == server.born => {
+                known.said.hear(&Heard { now, sent, word })
+            }
             _ => News::default(),
         }
     }
 
+    /// Takes the entry's turn for a call that is about to be sent to a server;
+    /// returns whether it may be. What the server has said since the call was
+    /// placed counts too.
+    pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return true;
+        };
+        let turns = self.turns.as_ref();
+        if server.leaves() || !server.takes(now, turns) {
+            return false;
+        }
+        server.said.sent(now, turns);
+        true
+    }
+
+    /// How long it is until some server of `service` takes a call, if all that
+    /// are there have asked for something else.
+    #[must_use]
+    pub fn next_turn(&self, now: Instant, service: &str) -> Option<Duration> {
+        let serving = self.servers.values().filter(|s| s.serves(service));
+        let turns = self.turns.as_ref();
+        let waits = serving.filter_map(|s| s.said.wait(now, turns));
+        waits.min().filter(|wait| !wait.is_zero())
+    }
+
     /// How many of the known servers have said something that still holds.
     #[must_use]
     pub fn said(&self, now: Instant) -> Counts {
