Return to servers that have rested with one call at a time, and not all at once

A server that was full asks each entry for rest, and all that was held back comes to it in the moment in which the rest ends. It is full again at once.

Cause: an entry either sent a server nothing or all that it had, and all entries and callers that were told so in one moment came back in one.

Change: after a rest a server gets one call more than the entry has open there, and another one for each that is answered, from half of what was too much before slowly; ten seconds after its end it is trusted. An entry stays away for up to a quarter longer than it was asked, and callers are told a time that is longer by up to a half, each by a draw of its own; so are those that are refused since no server or no configuration is known.

Why it works: the window keeps what one entry can send at once to what is answered, and the draws keep the moments apart in which entries and callers come back.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -20,6 +20,7 @@
 use policy::pools::{Coming, Work};
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
 use policy::suspects::Fingerprint;
+use policy::waits;
 use rand::RngExt;
 use spdlog::info;
 
@@ -132,7 +133,8 @@
     pub fn read(state: &Rc<State>, incoming: Incoming) -> Result<Self, Own> {
         let catalog = state.catalog.borrow().clone();
         let Some(catalog) = catalog else {
-            return Err(Own::refused(Refusal::NoBundle, AFTER_START));
+            let after = waits::spread(AFTER_START, rand::rng().random());
+            return Err(Own::refused(Refusal::NoBundle, after));
         };
         let ask = state.dialect.ask(&incoming.headers);
         let route = find(&catalog, &incoming)?;
@@ -388,11 +390,13 @@
         }
     }
 
-    /// When to come back: not before a server takes calls again.
+    /// When to come back: not before a server takes calls again, and not in the
+    /// same moment as others that are refused now.
     fn after(&self, least: Duration) -> Duration {
         let now = self.state.clock.now();
         let wait = self.state.balance.borrow().next_turn(now, &self.service);
-        wait.unwrap_or_default().max(least)
+        let wait = wait.unwrap_or_default().max(least);
+        waits::spread(wait, rand::rng().random())
     }
 }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use policy::balance::{Listed, Word};
+use rand::RngExt;
 use spdlog::info;
 
 use crate::edge::Signs;
@@ -269,7 +270,10 @@
 /// `sent`.
 fn note_word(state: &State, server: &Listed, sent: Instant, word: &Word) {
     let now = state.clock.now();
-    let news = state.balance.borrow_mut().answered(now, server, sent, word);
+    let news = state
+        .balance
+        .borrow_mut()
+        .answered(now, server, sent, word, rand::rng().random());
     if news.leaving {
         metrics::counter!("pimentocart_servers_leaving_total").increment(1);
         info!("server leaves", kv: { server = &*server.id });
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod names;
 mod said;
+mod window;
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -194,7 +195,7 @@
 
     /// Whether it takes a call from this entry now, by what it has said.
     fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
-        self.said.takes(now, turns)
+        self.said.takes(now, self.own.open, turns)
     }
 
     /// Whether it has calls and sends nothing. A host that went dark keeps its
@@ -542,6 +543,7 @@
             server.refused = 0;
             server.failed = 0;
             server.rest = None;
+            server.said.good();
         }
     }
 
--- a/crates/policy/src/balance/said.rs
+++ b/crates/policy/src/balance/said.rs
@@ -3,12 +3,24 @@
 use std::time::{Duration, Instant};
 
 use super::limit::{Limit, Turns};
+use super::window::Window;
 use super::{Balance, Listed};
 
 /// The longest rest that is believed. What is longer is taken for a mistake,
 /// as a service would lose the server for as long.
 const REST_MOST: Duration = Duration::from_secs(3600);
 
+/// Part of the rest that a server asks for by which an entry may stay away for
+/// longer. All entries are asked in the same moment when a server begins to turn
+/// calls away, and would all come back in one, too.
+const REST_SPREAD: f64 = 0.25;
+
+/// How long after a rest a server gets no more calls at once than it answers.
+const WINDOW_KEPT: Duration = Duration::from_secs(10);
+
+/// How soon a server may have room again: calls end all the time.
+const ROOM: Duration = Duration::from_millis(20);
+
 /// What an answer says of the server that made it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Word {
@@ -39,6 +51,8 @@
     pub(super) leaving: bool,
     /// Until when it wants no calls.
     rest: Option<Instant>,
+    /// Calls at once since then.
+    window: Option<Window>,
     /// The calls a second that it takes from all entries.
     limit: Option<Limit>,
 }
@@ -51,8 +65,12 @@
         self.leaving |= word.leaving;
         let rested = self.rests(now);
         if let Some(rest) = word.rest {
-            let span = rest.min(REST_MOST);
-            self.rest = self.rest.max(Some(now + span));
+            let span = rest.min(REST_MOST).mul_f64(1.0 + REST_SPREAD * heard.drawn);
+            let until = self.rest.max(Some(now + span));
+            if !rested {
+                self.window = Some(Window::new(heard.open));
+            }
+            self.rest = until;
         }
         let limited = self.limit.is_some();
         match (&mut self.limit, word.limit) {
@@ -68,33 +86,57 @@
         }
     }
 
-    /// Notes that a call goes out to it.
-    fn sent(&mut self, now: Instant, turns: Option<&Turns>) {
+    /// Notes that it has answered a call as it should.
+    pub(super) fn good(&mut self) {
+        if let Some(window) = &mut self.window {
+            window.answered();
+        }
+    }
+
+    /// Notes that a call goes out to it with `open` calls there.
+    fn sent(&mut self, now: Instant, open: u32, turns: Option<&Turns>) {
         if let (Some(limit), Some(turns)) = (&mut self.limit, turns) {
             limit.take(now, turns);
         }
+        if let Some(window) = &mut self.window {
+            window.sent(open);
+        }
     }
 
-    /// Whether it takes one more call from this entry now.
-    pub(super) fn takes(&self, now: Instant, turns: Option<&Turns>) -> bool {
+    /// Whether it takes one more call from this entry now, with `open` there.
+    pub(super) fn takes(&self, now: Instant, open: u32, turns: Option<&Turns>) -> bool {
         let turn = |limit: Limit| turns.is_some_and(|turns| limit.open(now, turns));
-        !self.rests(now) && self.limit.is_none_or(turn)
+        !self.rests(now) && self.room(now, open) && self.limit.is_none_or(turn)
     }
 
     /// How long it is until it does at the most; none if that is not known.
-    fn wait(&self, now: Instant, turns: Option<&Turns>) -> Option<Duration> {
+    fn wait(&self, now: Instant, open: u32, turns: Option<&Turns>) -> Option<Duration> {
         let turn = match self.limit {
             Some(limit) if !limit.open(now, turns?) => limit.wait(now, turns?)?,
             _ => Duration::ZERO,
         };
-        let rest = self.rest.map(|until| until.saturating_duration_since(now));
-        Some(rest.unwrap_or_default().max(turn))
+        let rest = self
+            .rest
+            .map(|until| until.saturating_duration_since(now))
+            .filter(|rest| !rest.is_zero());
+        let room = match self.room(now, open) {
+            true => Duration::ZERO,
+            false => ROOM,
+        };
+        Some(rest.unwrap_or(room).max(turn))
     }
 
     /// Whether it wants no calls now.
     fn rests(&self, now: Instant) -> bool {
         self.rest.is_some_and(|until| now < until)
     }
+
+    /// Whether its window has room for one more call.
+    fn room(&self, now: Instant, open: u32) -> bool {
+        let held = self.rest.is_some_and(|until| now < until + WINDOW_KEPT);
+        let window = self.window.filter(|_| held);
+        window.is_none_or(|window| window.takes(open))
+    }
 }
 
 /// An answer that says something of its server.
@@ -104,6 +146,10 @@
     /// When its call was sent.
     sent: Instant,
     word: &'a Word,
+    /// Calls of this entry at the server.
+    open: u32,
+    /// A number drawn evenly from 0 to 1.
+    drawn: f64,
 }
 
 /// How many of the known servers have said something that still holds.
@@ -120,11 +166,23 @@
 impl Balance {
     /// Notes what an answer of `server` to a call that was sent at `sent` says
     /// of it. An answer of an earlier life says nothing of the present one.
-    pub fn answered(&mut self, now: Instant, server: &Listed, sent: Instant, word: &Word) -> News {
+    /// `drawn` is a number drawn evenly from 0 to 1.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        server: &Listed,
+        sent: Instant,
+        word: &Word,
+        drawn: f64,
+    ) -> News {
         match self.servers.get_mut(&server.id) {
-            Some(known) if known.listed.born == server.born => {
-                known.said.hear(&Heard { now, sent, word })
-            }
+            Some(known) if known.listed.born == server.born => known.said.hear(&Heard {
+                now,
+                sent,
+                word,
+                open: known.own.open,
+                drawn,
+            }),
             _ => News::default(),
         }
     }
@@ -140,7 +198,7 @@
         if server.leaves() || !server.takes(now, turns) {
             return false;
         }
-        server.said.sent(now, turns);
+        server.said.sent(now, server.own.open, turns);
         true
     }
 
@@ -150,7 +208,7 @@
     pub fn next_turn(&self, now: Instant, service: &str) -> Option<Duration> {
         let serving = self.servers.values().filter(|s| s.serves(service));
         let turns = self.turns.as_ref();
-        let waits = serving.filter_map(|s| s.said.wait(now, turns));
+        let waits = serving.filter_map(|s| s.said.wait(now, s.own.open, turns));
         waits.min().filter(|wait| !wait.is_zero())
     }
 
--- a/crates/policy/src/waits.rs
+++ b/crates/policy/src/waits.rs
@@ -37,6 +37,9 @@
 /// who were refused together would come back together.
 const RETURN_SPREAD: f64 = 1.0;
 
+/// Part of a wait for servers over which those who are told of it are spread.
+const WAIT_SPREAD: f64 = 0.5;
+
 /// What is known about waiting at the engines of each service.
 #[derive(Debug, Default)]
 pub struct Waits {
@@ -118,3 +121,11 @@
     let excess = expected.saturating_sub(allowed);
     RETURN_LEAST + excess + expected.mul_f64(RETURN_SPREAD * drawn)
 }
+
+/// When to come back for a call that no server takes for `wait`: callers who are
+/// all told the same moment would all come back in it. `drawn` as in
+/// [`comeback`].
+#[must_use]
+pub fn spread(wait: Duration, drawn: f64) -> Duration {
+    wait.mul_f64(1.0 + WAIT_SPREAD * drawn)
+}
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -399,7 +399,7 @@
     let (now, mut balance) = (Instant::now(), balance(2));
     assert!(
         balance
-            .answered(now, &listed("s0", "a"), now, &LEAVING)
+            .answered(now, &listed("s0", "a"), now, &LEAVING, 0.0)
             .leaving
     );
     balance.list(now, listed("s0", "a"));
@@ -421,10 +421,10 @@
         ..listed("s", "a")
     };
     balance.list(now, life(1));
-    balance.answered(now, &life(1), now, &LEAVING);
+    balance.answered(now, &life(1), now, &LEAVING, 0.0);
     assert!(!balance.open("s"));
     balance.list(now, life(2));
     assert!(balance.open("s"));
-    balance.answered(now, &life(1), now, &LEAVING);
+    balance.answered(now, &life(1), now, &LEAVING, 0.0);
     assert!(balance.open("s"));
 }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -88,7 +88,7 @@
         for ms in 0..u64::try_from(span.as_millis()).expect("short") {
             let now = self.start + from + MS * u32::try_from(ms).expect("short");
             for entry in &mut self.entries {
-                entry.answered(now, &listed("s"), now, &word(Some(limit(ms))));
+                entry.answered(now, &listed("s"), now, &word(Some(limit(ms))), 0.0);
                 let chosen = entry.choose(now, &want());
                 if chosen.is_some_and(|s| entry.take_turn(now, &s.id)) {
                     self.sent.push(now);
@@ -185,7 +185,7 @@
             ..listed("other")
         },
     );
-    balance.answered(now, &listed("s"), now, &word(Some(0.0)));
+    balance.answered(now, &listed("s"), now, &word(Some(0.0)), 0.0);
     (balance, now)
 }
 
@@ -205,9 +205,9 @@
 #[test]
 fn late_answer_lifts_nothing() {
     let (mut balance, now) = limited();
-    balance.answered(now + MS * 9, &listed("s"), now - MS, &word(None));
+    balance.answered(now + MS * 9, &listed("s"), now - MS, &word(None), 0.0);
     assert!(!balance.take_turn(now + MS * 9, "s"));
-    balance.answered(now + MS * 10, &listed("s"), now + MS, &word(None));
+    balance.answered(now + MS * 10, &listed("s"), now + MS, &word(None), 0.0);
     assert!(balance.take_turn(now + MS * 10, "s"));
 }
 
