Keep what servers have said while the list does not show them

What callers would see: a server that is cut off from the store drops out of the list, and shows again in the same life seconds later. Entries had forgotten by then that it leaves, rests or takes few calls, and sent it all they had.

Cause: what a server says was kept with its place in the list, and lost with it; answers of servers that are not listed were not read at all.

Change: it is kept for ten minutes for that life, answers that come meanwhile included; another life is free of it.

Before: said::word_outlasts_a_lapse and word_heard_during_a_lapse failed in all six cases (leaving, rest, limit). After: they pass.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 
 mod limit;
 mod names;
+mod past;
 mod said;
 mod window;
 
@@ -23,6 +24,7 @@
 use crate::others::Calls;
 use crate::rendezvous::{number, weight};
 use names::Names;
+use past::Past;
 use said::Said;
 
 pub use limit::Turns;
@@ -132,6 +134,8 @@
     /// The entry's availability zone.
     zone: Rc<str>,
     servers: HashMap<Rc<str>, Server>,
+    /// What servers have said that are not known any more, or not again.
+    past: Past,
     /// Names in the order in which they were first told.
     names: Names,
     /// Where the entry stands among those that share the servers' limits; none
@@ -226,6 +230,7 @@
         Self {
             zone: Rc::from(zone),
             servers: HashMap::new(),
+            past: Past::default(),
             names: Names::default(),
             turns: None,
             turn: 0,
@@ -286,7 +291,7 @@
                     rest: None,
                     heard: None,
                     missing: None,
-                    said: Said::default(),
+                    said: self.past.take(&listed),
                     listed,
                 };
                 self.servers.insert(Rc::clone(&server.listed.id), server);
@@ -344,9 +349,10 @@
         let gone = |s: &&Server| s.missing.is_some_and(|(since, _)| now >= since + wait);
         let gone = self.servers.values().filter(gone);
         let gone: Vec<Rc<str>> = gone.map(|s| Rc::clone(&s.listed.id)).collect();
-        for id in &gone {
-            self.servers.remove(id);
+        for server in gone.iter().filter_map(|id| self.servers.remove(id)) {
+            self.past.keep(now, &server.listed, server.said);
         }
+        self.past.expire(now);
         let servers = &self.servers;
         self.names.forget(now, |id| servers.contains_key(id));
         gone
--- a/crates/policy/src/balance/said.rs
+++ b/crates/policy/src/balance/said.rs
@@ -59,7 +59,7 @@
 
 impl Said {
     /// Takes over what an answer says, as `heard` describes it.
-    fn hear(&mut self, heard: &Heard<'_>) -> News {
+    pub(super) fn hear(&mut self, heard: &Heard<'_>) -> News {
         let Heard { now, word, .. } = *heard;
         let leaving = word.leaving && !self.leaving;
         self.leaving |= word.leaving;
@@ -126,6 +126,11 @@
         Some(rest.unwrap_or(room).max(turn))
     }
 
+    /// Whether any of it still holds.
+    pub(super) fn holds(&self, now: Instant) -> bool {
+        self.leaving || self.rests(now) || self.limit.is_some()
+    }
+
     /// Whether it wants no calls now.
     fn rests(&self, now: Instant) -> bool {
         self.rest.is_some_and(|until| now < until)
@@ -141,15 +146,15 @@
 
 /// An answer that says something of its server.
 #[derive(Debug, Clone, Copy)]
-struct Heard<'a> {
-    now: Instant,
+pub(super) struct Heard<'a> {
+    pub(super) now: Instant,
     /// When its call was sent.
-    sent: Instant,
-    word: &'a Word,
+    pub(super) sent: Instant,
+    pub(super) word: &'a Word,
     /// Calls of this entry at the server.
-    open: u32,
+    pub(super) open: u32,
     /// A number drawn evenly from 0 to 1.
-    drawn: f64,
+    pub(super) drawn: f64,
 }
 
 /// How many of the known servers have said something that still holds.
@@ -175,15 +180,18 @@
         word: &Word,
         drawn: f64,
     ) -> News {
-        match self.servers.get_mut(&server.id) {
-            Some(known) if known.listed.born == server.born => known.said.hear(&Heard {
-                now,
-                sent,
-                word,
-                open: known.own.open,
-                drawn,
-            }),
-            _ => News::default(),
+        let known = self.servers.get_mut(&server.id);
+        let heard = Heard {
+            now,
+            sent,
+            word,
+            open: known.as_ref().map_or(0, |known| known.own.open),
+            drawn,
+        };
+        match known {
+            Some(known) if known.listed.born == server.born => known.said.hear(&heard),
+            Some(_) => News::default(),
+            None => self.past.hear(server, &heard),
         }
     }
 
