Leave a server alone for a while that turns one call after the other away

Cause: a refusal was not counted at all, neither as a failure nor as anything else. Same class: an answer that says something of its server and is not read.

Change: three in a row have the server left alone as three failures do (0.3 s, doubling to 3 s); a good answer ends it, and with no other server it is taken all the same.

Before: balance::refusing_server_is_passed_over fails without the one line in turned_away.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -177,6 +177,7 @@
             Ok(answer) if answer.status < 500 => balance.good(&server.id),
             Ok(_) => balance.failed(now, &server.id),
             Err(Failure::Unknown(_)) => balance.failed(now, &server.id),
+            Err(Failure::NotRun(_)) => balance.turned_away(now, &server.id),
             Err(_) => {}
         }
         drop(balance);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -562,6 +562,13 @@
         }
     }
 
+    /// Notes that a server has turned a call away. One that does so time and again
+    /// is left alone like one that fails; single refusals are those of a full
+    /// server, which has room in a moment.
+    pub fn turned_away(&mut self, now: Instant, id: &str) {
+        self.failed(now, id);
+    }
+
     /// Notes that a call failed at a server after it was sent.
     pub fn failed(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -428,3 +428,31 @@
     balance.answered(now, &life(1), now, &LEAVING, 0.0);
     assert!(balance.open("s"));
 }
+
+/// Guards against a server that turns every call away staying the first choice,
+/// since it answers at once and so has no calls open.
+#[test]
+fn refusing_server_is_passed_over() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    let home = chosen(&mut balance, now, &want(Some(7))).expect("a server");
+    for _ in 0..3 {
+        balance.turned_away(now, &home);
+    }
+    let other = chosen(&mut balance, now, &want(Some(7)));
+    assert_ne!(other.as_ref(), Some(&home));
+    balance.good(&home);
+    assert_eq!(chosen(&mut balance, now, &want(Some(7))), Some(home));
+}
+
+/// Guards against a service being left to nobody since all of its servers turn
+/// calls away: the next one may be taken.
+#[test]
+fn refusing_servers_are_better_than_none() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    for id in ["s0", "s1"] {
+        for _ in 0..9 {
+            balance.turned_away(now, id);
+        }
+    }
+    assert!(chosen(&mut balance, now, &want(None)).is_some());
+}
