Have sidecars tell entries that their engine leaves

What callers would see: calls wait at the sidecar of an engine that leaves, and are let in there until an answer or the store has told their entry.

Cause: an engine says in its report, and in the header of each answer to who asks for it, whether it leaves; the sidecar reads neither, though it stands beside the engine and asks it many times a second. Class: what a server says and nobody reads.

Change: the sidecar reads both, the header of failed and garbled answers too; calls that wait are sent away at once and new ones are not let in, with a verdict of their own, on which the entry takes the engine for leaving as it does by an answer. The next life is free of it, also under the same name. A state that is not known counts as serving. Entries of an older version do not understand the verdict and decide alone, as if the sidecar were silent.

--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -161,10 +161,15 @@
         let now = self.clock.now();
         let mut inner = self.inner.borrow_mut();
         let meant = inner.lives.asked(&want.server, want.born);
-        if meant == Meant::Gone {
+        let over = match meant {
+            Meant::Gone => Some(("gone", grants::Verdict::Gone)),
+            Meant::Leaving => Some(("leaving", grants::Verdict::Leaving)),
+            Meant::Known | Meant::New => None,
+        };
+        if let Some((word, verdict)) = over {
             drop(inner);
-            metrics::counter!("pimentocart_grants_total", "verdict" => "gone").increment(1);
-            self.send(from, id, grants::Verdict::Gone, 0, false);
+            metrics::counter!("pimentocart_grants_total", "verdict" => word).increment(1);
+            self.send(from, id, verdict, 0, false);
             return;
         }
         if !inner.grants.life(want.born) {
@@ -243,17 +248,32 @@
             info!("engine gone", kv: { server });
             inner.grants.ended_all();
         }
+        // Let in one after the other, each would be refused by the engine.
+        self.send_away(&mut inner, server, grants::Verdict::Gone);
+    }
+
+    /// Notes that the engine says that it leaves.
+    pub fn leaves(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(server) = inner.lives.leaves().map(str::to_owned) else {
+            return;
+        };
+        info!("engine leaves", kv: { server = server.as_str() });
+        self.send_away(&mut inner, &server, grants::Verdict::Leaving);
+    }
+
+    /// Answers all calls that wait for a life of the engine.
+    fn send_away(&self, inner: &mut Inner, server: &str, verdict: grants::Verdict) {
         let now = self.clock.now();
         let meant: Vec<CallId> = {
             let askers = inner.askers.iter();
             let meant = askers.filter(|(_, asker)| asker.server == server);
             meant.map(|(id, _)| *id).collect()
         };
-        // Let in one after the other, each would be refused by the engine.
         for id in meant {
             inner.grants.ended(now, id, Duration::ZERO);
             if let Some(asker) = inner.askers.remove(&id) {
-                self.send(asker.addr, id, grants::Verdict::Gone, 0, false);
+                self.send(asker.addr, id, verdict, 0, false);
             }
         }
     }
--- a/crates/admission/src/edge.rs
+++ b/crates/admission/src/edge.rs
@@ -6,7 +6,16 @@
 /// The engine beside the sidecar.
 pub trait Engine {
     /// What the engine says of itself now.
-    fn report(&self) -> impl Future<Output = Result<Report, EngineError>>;
+    fn ask(&self) -> impl Future<Output = Told>;
+}
+
+/// What an engine says of itself.
+#[derive(Debug)]
+pub struct Told {
+    /// Whether it is about to end, which it says also where it fails.
+    pub leaving: bool,
+    /// What it runs and holds.
+    pub report: Result<Report, EngineError>,
 }
 
 /// Why an engine said nothing.
--- a/crates/admission/src/watch.rs
+++ b/crates/admission/src/watch.rs
@@ -17,7 +17,11 @@
         if desk.idle() {
             continue;
         }
-        match engine.report().await {
+        let told = engine.ask().await;
+        if told.leaving {
+            desk.leaves();
+        }
+        match told.report {
             Ok(report) => {
                 if lost {
                     info!("engine regained", kv: { running = report.running });
--- a/crates/admission/tests/desk.rs
+++ b/crates/admission/tests/desk.rs
@@ -210,3 +210,33 @@
     let granted = entry.want_at("s", 3, 3_000, Some(2_000)).await;
     assert_eq!(granted, Verdict::Granted);
 }
+
+/// Guards against calls being let in to an engine that has said that it leaves:
+/// those that wait are sent away, and so are those that come.
+#[actix_rt::test]
+async fn leaving_engine_lets_nobody_in() {
+    let (desk, entry) = start().await;
+    entry.want_at("old", 1, 30_000, None).await;
+    let queued = entry.want_at("old", 2, 3_000, None).await;
+    assert!(matches!(queued, Verdict::Queued(_)));
+    desk.leaves();
+    let answer = entry.next().await;
+    assert_eq!((answer.number, answer.verdict), (2, Verdict::Leaving));
+    let refused = entry.want_at("old", 3, 3_000, None).await;
+    assert_eq!(refused, Verdict::Leaving);
+    let judged = entry.want_at("new", 4, 3_000, None).await;
+    assert!(matches!(judged, Verdict::Granted | Verdict::Queued(_)));
+}
+
+/// Guards against the next life of an engine under the same name being taken for
+/// leaving.
+#[actix_rt::test]
+async fn same_name_does_not_leave() {
+    let (desk, entry) = start().await;
+    entry.want_at("s", 1, 3_000, Some(1_000)).await;
+    desk.leaves();
+    let refused = entry.want_at("s", 2, 3_000, Some(1_000)).await;
+    assert_eq!(refused, Verdict::Leaving);
+    let granted = entry.want_at("s", 3, 3_000, Some(2_000)).await;
+    assert_eq!(granted, Verdict::Granted);
+}
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use policy::balance::Listed;
+use policy::balance::{Listed, Word};
 use spdlog::{info, warn};
 
 use super::place::Place;
@@ -144,6 +144,15 @@
         self.state.balance.borrow_mut().miss(now, &server.id, now);
     }
 
+    /// Notes that the sidecar beside `server` says that it leaves.
+    pub(super) fn leaves(&self, server: &Listed) {
+        let word = Word {
+            leaving: true,
+            ..Word::default()
+        };
+        exchange::note_word(&self.state, server, self.state.clock.now(), &word);
+    }
+
     fn request(
         &self,
         now: Instant,
--- a/crates/forward/src/call/place.rs
+++ b/crates/forward/src/call/place.rs
@@ -144,6 +144,7 @@
                 }
                 Decided::Silent => return Ok(None),
                 Decided::Gone => self.gone(now, server),
+                Decided::Leaving => self.leaves(server),
                 Decided::Refused(expected, held) => {
                     holder.note(held.tokens, server);
                     if least.as_ref().is_none_or(|(e, _)| expected < *e) {
@@ -172,6 +173,10 @@
                 self.gone(now, &server);
                 Ok(None)
             }
+            Decided::Leaving => {
+                self.leaves(&server);
+                Ok(None)
+            }
             Decided::Refused(expected, _) => Err(self.too_late(&server, expected)),
         }
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -268,7 +268,7 @@
 
 /// Notes what a server says of itself in its answer to a call that was sent at
 /// `sent`.
-fn note_word(state: &State, server: &Listed, sent: Instant, word: &Word) {
+pub(crate) fn note_word(state: &State, server: &Listed, sent: Instant, word: &Word) {
     let now = state.clock.now();
     let news = state
         .balance
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -74,6 +74,8 @@
     Refused(Duration, Held),
     /// The life of the engine that was meant has ended.
     Gone,
+    /// The engine is about to end and takes no new calls.
+    Leaving,
     /// The sidecar says nothing.
     Silent,
 }
@@ -203,6 +205,7 @@
                 Decided::Refused(Duration::from_millis(u64::from(ms)), held)
             }
             Verdict::Gone => Decided::Gone,
+            Verdict::Leaving => Decided::Leaving,
             Verdict::Told | Verdict::Busy(_) => Decided::Silent,
         }
     }
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -211,6 +211,23 @@
     assert!(!requests[0].contains(&format!("server: {}", want.server)));
 }
 
+/// Guards against calls being sent to an engine of which its sidecar says that it
+/// leaves, as long as no answer and not the store have said so.
+#[actix_rt::test]
+async fn leaving_by_the_sidecar() {
+    let (sidecar, entry) = Sidecar::start().await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(READS).await });
+    let (_, leaving) = sidecar.say(Verdict::Leaving, 0).await;
+    sidecar.say(Verdict::Granted, 0).await;
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+    assert!(!entry.state.balance.borrow().open(&leaving));
+    let requests = entry.servers.requests();
+    assert_eq!(requests.len(), 1);
+    assert_ne!(field(&requests[0], "server"), Some(leaving));
+}
+
 /// A prompt of which 13,300 tokens are shared.
 const SHARES: &str = "call-id: 1\r\nprompt: 17000\r\noutput: 50\r\nparts: 7:13300,8:3700\r\n";
 
--- a/crates/policy/src/grants/lives.rs
+++ b/crates/policy/src/grants/lives.rs
@@ -19,6 +19,8 @@
     Known,
     /// One that was not known: it has read nothing, and runs nothing.
     New,
+    /// The life that is known, which takes no new calls.
+    Leaving,
     /// One that is gone.
     Gone,
 }
@@ -28,6 +30,10 @@
 pub struct Lives {
     /// The name of the life that is known; none before any was asked for.
     known: Option<String>,
+    /// When that life began, as far as those say who ask.
+    born: Option<u64>,
+    /// Whether that life has said that it leaves.
+    leaving: bool,
     /// Names that the engine has refused, with when those lives had begun, if
     /// they say so.
     gone: VecDeque<(String, Option<u64>)>,
@@ -41,13 +47,28 @@
         if self.gone.iter().any(gone) {
             return Meant::Gone;
         }
-        if self.known.as_deref() == Some(name) {
-            return Meant::Known;
+        let known = self.known.as_deref() == Some(name);
+        if !known || born > self.born {
+            self.born = born;
+            self.leaving = false;
+        }
+        if known {
+            return match self.leaving {
+                true => Meant::Leaving,
+                false => Meant::Known,
+            };
         }
         self.known = Some(name.to_owned());
         Meant::New
     }
 
+    /// Notes that the engine says that it leaves; returns the life's name if that
+    /// was not known.
+    pub fn leaves(&mut self) -> Option<&str> {
+        let before = std::mem::replace(&mut self.leaving, self.known.is_some());
+        self.known.as_deref().filter(|_| !before)
+    }
+
     /// Notes that the engine has refused a call as meant for another life;
     /// returns whether that life was the one known.
     pub fn refused(&mut self, name: &str, born: Option<u64>) -> bool {
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -125,6 +125,8 @@
     Told,
     /// Calls take so many thousandths of the engine's time, slots or memory.
     Busy(u32),
+    /// The engine is about to end and takes no new calls.
+    Leaving,
 }
 
 /// Writes a datagram.
