Keep no connection longer than its server has said in a refusal

What callers would see: a call lost on a kept connection that its server closes in the same moment.

Change: it is read from every answer; a refusal's headers are decoded once, and the connection of a server that leaves or closes is not kept.

Before: words::connection_time_read_from_any_answer failed for the refusal (one connection for both calls). After: it passes.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -217,6 +217,9 @@
     let now = state.clock.now();
     let signs = state.dialect.signs(status, response.headers());
     state.balance.borrow_mut().heard(now, &server.id);
+    if let Some(keep) = signs.keep {
+        conn.keep_for(keep);
+    }
     // Another server at the address speaks for itself only.
     if !signs.elsewhere {
         note_word(state, server, begun, &signs.word);
@@ -228,9 +231,12 @@
     if signs.id.is_some() && signs.id.as_deref() != id {
         return Err(Failure::Unknown("answer to another call".to_owned()));
     }
+    let reusable = !signs.close && !signs.word.leaving;
     if signs.not_run {
-        // Its body has no use, but its connection has.
-        drain(state, server, response, conn).await;
+        // Its body has no use, but its connection may have.
+        if reusable {
+            drain(state, server, response, conn).await;
+        }
         if !signs.elsewhere {
             return Err(Failure::NotRun(status));
         }
@@ -239,9 +245,6 @@
         }
         return Err(Failure::Elsewhere);
     }
-    if let Some(keep) = signs.keep {
-        conn.keep_for(keep);
-    }
     let (parts, incoming) = response.into_parts();
     let marks = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     let framed = marks.iter().any(|m| parts.headers.contains_key(m));
@@ -250,7 +253,7 @@
         state: Rc::clone(state),
         server: server.clone(),
         incoming,
-        reusable: !signs.close && !signs.word.leaving,
+        reusable,
         framed,
         waiting: true,
         conn: Some(conn),
@@ -362,10 +365,9 @@
 /// Reads the short body of a refusal, so that the connection can be used
 /// again.
 async fn drain(state: &Rc<State>, server: &Listed, response: Response<Incoming>, conn: Conn) {
-    let signs = state.dialect.signs(0, response.headers());
     let read = response.into_body().collect();
     let read = tokio::time::timeout(REFUSAL_LIMIT, read).await;
-    if matches!(read, Ok(Ok(_))) && !signs.close {
+    if matches!(read, Ok(Ok(_))) {
         state.pool.put(state.clock.now(), &server.id, conn);
     }
 }
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -74,7 +74,9 @@
             not_run: headers.contains_key("not-run"),
             elsewhere: headers.contains_key("elsewhere"),
             encoded: headers.contains_key("content-encoding"),
-            keep: None,
+            keep: text(headers, "keep-ms")
+                .and_then(|t| t.parse().ok())
+                .map(Duration::from_millis),
             close: text(headers, "connection").is_some_and(|c| c == "close"),
             word: Word {
                 leaving: headers.contains_key("leaving"),
--- a/crates/forward/tests/calls/words.rs
+++ b/crates/forward/tests/calls/words.rs
@@ -112,3 +112,25 @@
         assert_eq!(entry.servers.requests().len(), reached);
     }
 }
+
+/// Guards against a call being lost on a connection that its server has said it
+/// closes, in a refusal as in any other answer.
+#[rstest]
+#[case::served(
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nkeep-ms: 0\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::refused(
+    "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nkeep-ms: 0\r\nContent-Length: 0\r\n\r\n"
+)]
+#[actix_rt::test]
+async fn connection_time_read_from_any_answer(#[case] answer: &'static str) {
+    let acts = [Act::Send(answer)];
+    let entry = Entry::start(Plan::new(Kind::Once, 1, &acts)).await;
+    entry.lose_a_server();
+    entry.call(ID).await;
+    assert_eq!(status(&entry.call(ID).await), "200");
+    assert_eq!(
+        (entry.servers.requests().len(), entry.servers.taken()),
+        (2, 2)
+    );
+}
