Have servers of the soak say that they leave, and ask for rest

Servers that leave say so in their answers, as they do on the platform; now and then a server or an engine turns calls away and asks for 0.3 s. Other draws of a seed stay as they are.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -376,6 +376,7 @@
 
     /// Announces that it leaves, goes on serving for a while, and ends.
     pub(crate) fn leave(self) {
+        self.say(Word::Leaving);
         self.list("draining");
         thread::spawn(move || {
             thread::sleep(Duration::from_millis(2500));
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -1,6 +1,6 @@
 //! Faults by seeds: processes stopped, frozen, killed and restarted, servers
 //! leaving and dying, the store down and back, also from an old copy, servers
-//! that name limits, configurations in series, in any order and overlapping,
+//! that name limits or ask for rest, configurations in series, in any order and overlapping,
 //! while callers check what they were promised.
 //!
 //! `SOAK_SEEDS=100-149` plays those seeds in place of the few of every run.
@@ -87,7 +87,7 @@
     for _ in 0..STEPS {
         step(&mut rng, &platform, &mut servers, &mut entries);
         step_aside(&mut aside, &mut sidecar);
-        drill(&mut drills, &platform, &servers);
+        drill(&mut drills, &platform, &servers, &engines);
         thread::sleep(Duration::from_millis(rng.random_range(20..250)));
     }
     platform.recover();
@@ -103,8 +103,9 @@
         entries.iter().all(Entry::ready)
     });
     // An entry learns of a limit's end with the next call that it may send.
-    until("no limit is left", || {
-        entries.iter().all(|e| e.status("limited") == 0)
+    until("no limit and no rest is left", || {
+        let left = |e: &Entry| e.status("limited") + e.status("resting");
+        entries.iter().all(|e| left(e) == 0)
     });
     end.store(true, Ordering::SeqCst);
 
@@ -189,14 +190,16 @@
 }
 
 /// Now and then the store comes back from an old copy, or a server names how
-/// much it takes.
-fn drill(rng: &mut Pcg64Mcg, platform: &Arc<Platform>, servers: &[Server]) {
+/// much it takes or asks for rest.
+fn drill(rng: &mut Pcg64Mcg, platform: &Arc<Platform>, servers: &[Server], engines: &[Server]) {
     let fault = rng.random_range(0..8);
     let (count, ms) = (rng.random_range(0..6), rng.random_range(0..800));
     println!("  drill={fault}");
     match fault {
         0 => platform.rewind(count, Duration::from_millis(ms)),
         1 => servers[count % servers.len()].say(Word::Limit("20")),
+        2 => servers[count % servers.len()].say(Word::Rest("0.3")),
+        3 => engines[count % engines.len()].say(Word::Rest("0.3")),
         _ => {}
     }
 }
