Have nobody copy prompts from an engine that rests

What callers would see: an engine that has asked for rest is made to send its prompts to others, which takes the time that it has asked for.

Cause: the engines from which prompts are copied are chosen by themselves, and that choice did not look at what they say. An engine that leaves may still be copied from: what it holds is gone soon.

Before: rests::resting_server_is_no_source failed (two sources). After: one, and both once the rest is over.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -422,7 +422,7 @@
         let fit = |s: &&Server| {
             let here = &*s.listed.service == want.service;
             let here = here && !s.replaced && s.missing.is_none();
-            here && s.well(now, want.silence)
+            here && !s.said.rests(now) && s.well(now, want.silence)
         };
         let mut fit: Vec<&Server> = self.servers.values().filter(fit).collect();
         fit.sort_by_key(|s| Reverse(weight(prefix, s.key)));
--- a/crates/policy/src/balance/said.rs
+++ b/crates/policy/src/balance/said.rs
@@ -132,7 +132,7 @@
     }
 
     /// Whether it wants no calls now.
-    fn rests(&self, now: Instant) -> bool {
+    pub(super) fn rests(&self, now: Instant) -> bool {
         self.rest.is_some_and(|until| now < until)
     }
 
--- a/crates/policy/tests/rests.rs
+++ b/crates/policy/tests/rests.rs
@@ -337,3 +337,18 @@
     balance.ended("s0");
     assert!(send(&mut balance) && send(&mut balance) && !send(&mut balance));
 }
+
+/// Guards against an engine that has asked for rest being made to send prompts to
+/// others.
+#[test]
+fn resting_server_is_no_source() {
+    let (balance, now) = pair(0.0);
+    let want = Want {
+        prefix: Some(7),
+        ..want(&[])
+    };
+    let holders = balance.holders(now, &want);
+    assert_eq!(holders.len(), 1);
+    assert_eq!(&*holders[0].id, "s1");
+    assert_eq!(balance.holders(now + ASKED, &want).len(), 2);
+}
