Rank calls of workspaces with and without a tier on one scale

Cause: ranks of workspaces with a tier ran from 0 to 8, three for each tier, those of others from 0 to 2, by the route's tier alone.

Change: a workspace without a tier has its route's, on the same scale. The ranking is a function of policy::terms now.

Before: terms::tiers_go_before_routes failed (a call of tier 0 behind one of tier 1). After: it passes.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -20,6 +20,7 @@
 use policy::pools::{Coming, Work};
 use policy::routes::{Access, Catalog, Kind, Route, Workspace};
 use policy::suspects::Fingerprint;
+use policy::terms;
 use policy::waits;
 use rand::RngExt;
 use spdlog::info;
@@ -32,10 +33,6 @@
 use crate::reply::{Own, Reply};
 use crate::state::{Open, State};
 
-/// Ranks of routes within one tier of workspaces: engines know ten ranks,
-/// and three tiers of each fit.
-const RANKS: u8 = 3;
-
 /// When to come back if no server takes the call: servers that were replaced
 /// are known about so long after.
 const AFTER_NO_SERVER: Duration = Duration::from_millis(400);
@@ -235,15 +232,10 @@
         own.unwrap_or(self.route.tier)
     }
 
-    /// The call's rank for engines. The workspace's tier goes first; within
-    /// it the route's decides, or an engine that runs out of memory could
-    /// preempt a live stream for the bulk work of an equal workspace.
+    /// The call's rank for engines.
     fn rank(&self) -> u8 {
-        let route = self.route.tier.0.min(RANKS - 1);
-        match self.workspace.as_ref().and_then(|w| w.tier) {
-            Some(tier) => tier.0.saturating_mul(RANKS).saturating_add(route),
-            None => route,
-        }
+        let workspace = self.workspace.as_ref().and_then(|w| w.tier);
+        terms::rank(workspace, self.route.tier)
     }
 
     /// Gets the call to run and says what to answer.
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -8,8 +8,14 @@
 
 use std::time::Duration;
 
+use base::ids::Tier;
+
 use crate::waits::LOWER_TIER;
 
+/// Ranks of routes within one tier: engines know ten ranks, and three tiers of
+/// each fit.
+const RANKS: u8 = 3;
+
 /// Part of the route's timeout that the least patient of callers bring: what
 /// one waits is its own choice, and fresh calls come with less than the whole.
 const PATIENCE_LEAST: f64 = 0.85;
@@ -26,6 +32,17 @@
 /// Part of its time left that a call of the tiers above the lowest may take.
 const PATIENT: f64 = 0.6;
 
+/// The rank of a call for engines; 0 is the most urgent. The tier of its
+/// workspace goes first, which is its route's where the workspace has none.
+/// Within it the route's decides, or an engine that runs out of memory could
+/// preempt a live stream for the bulk work of an equal workspace.
+#[must_use]
+pub fn rank(workspace: Option<Tier>, route: Tier) -> u8 {
+    let tier = workspace.unwrap_or(route);
+    let within = route.0.min(RANKS - 1);
+    tier.0.saturating_mul(RANKS).saturating_add(within)
+}
+
 /// A call, as far as its terms depend on it.
 #[derive(Debug, Clone, Copy)]
 pub struct Caller {
--- a/crates/policy/tests/terms.rs
+++ b/crates/policy/tests/terms.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use policy::terms::Caller;
+use base::ids::Tier;
+use policy::terms::{self, Caller};
 use rstest::rstest;
 
 fn ms(ms: u64) -> Duration {
@@ -80,3 +81,18 @@
     };
     assert_eq!(caller.must(ms(expected), ms(4_000)), must);
 }
+
+/// Guards against a call of a workspace with a tier standing behind one of a
+/// lower tier whose workspace has none.
+#[test]
+fn tiers_go_before_routes() {
+    for (high, low) in [(0, 1), (1, 2), (0, 2)] {
+        for within in 0..3 {
+            let named = terms::rank(Some(Tier(high)), Tier(within));
+            let route = terms::rank(None, Tier(low));
+            assert!(named < route, "{high} within {within} against {low}");
+        }
+        let open = terms::rank(None, Tier(high));
+        assert!(open < terms::rank(Some(Tier(low)), Tier(0)));
+    }
+}
