Tell callers when a server is tried again while all turn calls away

Cause: how long an entry leaves such servers alone grows with their refusals, but what it told callers did not look at it.

Change: a refusal names the time at which the first of them is tried again of the entry's own accord, if that is later.

balance::next_try_of_refusing_servers_is_told is written with the code.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -382,11 +382,13 @@
         }
     }
 
-    /// When to come back: not before a server takes calls again, and not in the
-    /// same moment as others that are refused now.
+    /// When to come back: not before a server takes calls or is tried again, and
+    /// not in the same moment as others that are refused now.
     fn after(&self, least: Duration) -> Duration {
         let now = self.state.clock.now();
-        let wait = self.state.balance.borrow().next_turn(now, &self.service);
+        let balance = self.state.balance.borrow();
+        let turn = balance.next_turn(now, &self.service);
+        let wait = turn.max(balance.next_try(now, &self.service));
         let wait = wait.unwrap_or_default().max(least);
         waits::spread(wait, rand::rng().random())
     }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -569,6 +569,18 @@
         self.failed(now, id);
     }
 
+    /// How long it is until some server of `service` is tried again of its own
+    /// accord, if all that are there are left alone after failures.
+    #[must_use]
+    pub fn next_try(&self, now: Instant, service: &str) -> Option<Duration> {
+        let serving = self.servers.values().filter(|s| s.serves(service));
+        let left = serving.map(|s| {
+            s.rest
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        });
+        left.min().filter(|left| !left.is_zero())
+    }
+
     /// Notes that a call failed at a server after it was sent.
     pub fn failed(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -456,3 +456,25 @@
     }
     assert!(chosen(&mut balance, now, &want(None)).is_some());
 }
+
+/// Guards against callers being told to come back before a server is tried
+/// again, while all of them turn calls away.
+#[test]
+fn next_try_of_refusing_servers_is_told() {
+    let (now, mut balance) = (Instant::now(), balance(2));
+    for _ in 0..5 {
+        balance.turned_away(now, "s0");
+    }
+    assert_eq!(balance.next_try(now, "llm"), None);
+    for _ in 0..3 {
+        balance.turned_away(now, "s1");
+    }
+    assert_eq!(
+        balance.next_try(now, "llm"),
+        Some(Duration::from_millis(300))
+    );
+    assert_eq!(
+        balance.next_try(now + Duration::from_millis(300), "llm"),
+        None
+    );
+}
