Count calls as used that an engine had begun when it crashed

Cause: a call to an engine counted with its first event only, so that calls of which nothing had come when their engine crashed were missing; calls to plain servers count once nothing proves that they did not run.

Change: a call that may have run counts, on both kinds of server.

Before: calls usage::begun_calls_count_once failed for engines in two cases (0 in place of 1).

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -266,6 +266,10 @@
                 },
                 Err(failure) => failure,
             };
+            if matches!(failure, Failure::Unknown(_)) {
+                // Engines crash with calls of which nothing has come yet.
+                self.count();
+            }
             metrics::counter!("pimentocart_sends_failed_total", "cause" => failure.word())
                 .increment(1);
             info!("send failed", kv: {
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -6,4 +6,5 @@
 mod grants;
 mod repeats;
 mod streams;
+mod usage;
 mod words;
