Hold what an engine says of itself against the life that was asked

Found by reading: an answer of an engine that ends could come after its next life was asked for, and have all entries take that one for leaving. The sidecar notes which life it knew when it asked. desk leaving_engine_lets_nobody_in has a late answer of the earlier life now.

--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -252,14 +252,19 @@
         self.send_away(&mut inner, server, grants::Verdict::Gone);
     }
 
-    /// Notes that the engine says that it leaves.
-    pub fn leaves(&self) {
+    /// The life of the engine that is known.
+    #[must_use]
+    pub fn life(&self) -> Option<String> {
+        self.inner.borrow().lives.known().map(str::to_owned)
+    }
+
+    /// Notes that life `server` of the engine says that it leaves.
+    pub fn leaves(&self, server: &str) {
         let mut inner = self.inner.borrow_mut();
-        let Some(server) = inner.lives.leaves().map(str::to_owned) else {
-            return;
-        };
-        info!("engine leaves", kv: { server = server.as_str() });
-        self.send_away(&mut inner, &server, grants::Verdict::Leaving);
+        if inner.lives.leaves(server) {
+            info!("engine leaves", kv: { server });
+            self.send_away(&mut inner, server, grants::Verdict::Leaving);
+        }
     }
 
     /// Answers all calls that wait for a life of the engine.
--- a/crates/admission/src/watch.rs
+++ b/crates/admission/src/watch.rs
@@ -17,9 +17,11 @@
         if desk.idle() {
             continue;
         }
+        // Another life may be known by the time of the answer.
+        let life = desk.life();
         let told = engine.ask().await;
-        if told.leaving {
-            desk.leaves();
+        if let Some(life) = life.filter(|_| told.leaving) {
+            desk.leaves(&life);
         }
         match told.report {
             Ok(report) => {
--- a/crates/admission/tests/desk.rs
+++ b/crates/admission/tests/desk.rs
@@ -219,13 +219,17 @@
     entry.want_at("old", 1, 30_000, None).await;
     let queued = entry.want_at("old", 2, 3_000, None).await;
     assert!(matches!(queued, Verdict::Queued(_)));
-    desk.leaves();
+    desk.leaves("old");
     let answer = entry.next().await;
     assert_eq!((answer.number, answer.verdict), (2, Verdict::Leaving));
     let refused = entry.want_at("old", 3, 3_000, None).await;
     assert_eq!(refused, Verdict::Leaving);
     let judged = entry.want_at("new", 4, 3_000, None).await;
     assert!(matches!(judged, Verdict::Granted | Verdict::Queued(_)));
+    // An answer of the earlier life that comes late.
+    desk.leaves("old");
+    let judged = entry.want_at("new", 5, 3_000, None).await;
+    assert!(matches!(judged, Verdict::Granted | Verdict::Queued(_)));
 }
 
 /// Guards against the next life of an engine under the same name being taken for
@@ -234,7 +238,7 @@
 async fn same_name_does_not_leave() {
     let (desk, entry) = start().await;
     entry.want_at("s", 1, 3_000, Some(1_000)).await;
-    desk.leaves();
+    desk.leaves("s");
     let refused = entry.want_at("s", 2, 3_000, Some(1_000)).await;
     assert_eq!(refused, Verdict::Leaving);
     let granted = entry.want_at("s", 3, 3_000, Some(2_000)).await;
--- a/crates/policy/src/grants/lives.rs
+++ b/crates/policy/src/grants/lives.rs
@@ -62,11 +62,16 @@
         Meant::New
     }
 
-    /// Notes that the engine says that it leaves; returns the life's name if that
-    /// was not known.
-    pub fn leaves(&mut self) -> Option<&str> {
-        let before = std::mem::replace(&mut self.leaving, self.known.is_some());
-        self.known.as_deref().filter(|_| !before)
+    /// The name of the life that is known.
+    #[must_use]
+    pub fn known(&self) -> Option<&str> {
+        self.known.as_deref()
+    }
+
+    /// Notes that life `name` says that it leaves; returns whether that is news of
+    /// the life that is known.
+    pub fn leaves(&mut self, name: &str) -> bool {
+        self.is(name) && !std::mem::replace(&mut self.leaving, true)
     }
 
     /// Notes that the engine has refused a call as meant for another life;
