Have servers of the process tests close their listener before their connections

Traced: a server of the stand-in that ends under a call closed the call's connection, and its listener only when a thread of its own ran next; an entry that looked in between got a connection and took the server for alive. With 100 ms before the listener closes the test failed 2 of 2 times, in the same way. A process that ends closes both at once; the stand-in waits now until its listener refuses. With the same 100 ms all seven tests of fatal pass, and without. No assertion is changed.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -320,8 +320,12 @@
             if head.lines().next().is_some_and(|l| l.contains(FATAL)) {
                 self.ended.fetch_add(1, Ordering::SeqCst);
                 gone.store(true, Ordering::SeqCst);
-                // Wakes the listener, which closes.
-                let _ = stream.local_addr().map(TcpStream::connect);
+                // A process that ends closes its listener no later than its
+                // connections. Each connection made here wakes it.
+                let addr = stream.local_addr().expect("an address");
+                until("the listener is closed", || {
+                    TcpStream::connect(addr).is_err()
+                });
                 return;
             }
             let mut marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
