Log whole tables and what a restored store's copy withholds; keep the soak's logs

A whole table that is read, or received from a neighbour, now has a line with its records, deletions and the keys that stay deleted (policy::replica keeps them for the log). The soak's processes write their logs beside their settings instead of to null.

No decision changed.

--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -1,5 +1,6 @@
 //! Starts the daemons as child processes.
 
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, ToSocketAddrs, UdpSocket};
 use std::ops::{Deref, DerefMut};
@@ -19,7 +20,8 @@
 const READY: u16 = 7102;
 const GOSSIP: u16 = 7103;
 
-/// A daemon that runs as a child process.
+/// A daemon that runs as a child process. It writes its log to a file beside its
+/// settings, which stays after the test.
 pub(crate) struct Process {
     child: Option<Child>,
     subcommand: &'static str,
@@ -47,8 +49,12 @@
         let command = command
             .args([self.subcommand, "--settings"])
             .arg(&self.settings);
+        let log = self.settings.with_file_name("log");
+        let log = File::options().create(true).append(true).open(log);
         // A startup error is printed to stderr only.
-        let command = command.stdout(Stdio::null()).stderr(Stdio::inherit());
+        let command = command
+            .stdout(log.expect("cannot open the log"))
+            .stderr(Stdio::inherit());
         self.child = Some(command.spawn().expect("cannot start the program"));
     }
 
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use policy::balance::ServerRecord;
-use policy::replica::{Records, Update, UpdateKind};
+use policy::replica::{Records, Replica, Update, UpdateKind};
 use policy::routes::Catalog;
 use spdlog::{info, warn};
 
@@ -102,11 +102,7 @@
             continue;
         };
         let update = update.map(Rc::new);
-        let changes = state
-            .tables
-            .catalog
-            .borrow_mut()
-            .apply_store_update(update, position);
+        let changes = reader.apply(&mut state.tables.catalog.borrow_mut(), update, position);
         apply_catalogs(&state, changes);
     }
 }
@@ -131,11 +127,7 @@
             preserve_leaving(&state, &mut update.records);
         }
         let now = state.clock.now();
-        let changes = state
-            .tables
-            .servers
-            .borrow_mut()
-            .apply_store_update(update, position);
+        let changes = reader.apply(&mut state.tables.servers.borrow_mut(), update, position);
         apply_servers(&state, now, changes);
         let recovering = !state.tables.settling_left(now).is_zero();
         tokio::time::sleep(poll_delay(recovering, state.competing_readers())).await;
@@ -165,11 +157,7 @@
             continue;
         };
         let snapshot = update.kind != UpdateKind::Delta;
-        let changes = state
-            .tables
-            .crashes
-            .borrow_mut()
-            .apply_store_update(update, position);
+        let changes = reader.apply(&mut state.tables.crashes.borrow_mut(), update, position);
         let pause = if changes.is_empty() {
             Duration::ZERO
         } else {
@@ -330,6 +318,28 @@
         }
     }
 
+    /// Applies an update to the replica, and logs whole tables.
+    fn apply<T: Clone + PartialEq>(
+        &self,
+        replica: &mut Replica<T>,
+        update: Update<T>,
+        requested: Option<u64>,
+    ) -> Records<T> {
+        let (kind, position, count) = (update.kind, update.position, update.records.len());
+        let changes = replica.apply_store_update(update, requested);
+        if kind != UpdateKind::Delta {
+            info!("whole table read", kv: {
+                table = self.name,
+                restored = kind == UpdateKind::RestoredSnapshot,
+                position,
+                records = count,
+                changed = changes.len(),
+                withheld = replica.withheld().join(",").as_str()
+            });
+        }
+        changes
+    }
+
     async fn read(
         &self,
         from: Option<u64>,
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -166,21 +166,22 @@
     let age =
         ages.map(|(c, s)| Duration::from_millis(u64::from(c.staleness_ms.max(s.staleness_ms))));
     if let Some(delta) = answer.catalog {
-        let changes = merge(&mut state.tables.catalog.borrow_mut(), now, client, &delta)?;
+        let changes = merge("catalog", &mut state.tables.catalog.borrow_mut(), now, client, &delta)?;
         apply_catalogs(state, changes);
     }
     if let Some(delta) = answer.servers {
-        let changes = merge(&mut state.tables.servers.borrow_mut(), now, client, &delta)?;
+        let changes = merge("servers", &mut state.tables.servers.borrow_mut(), now, client, &delta)?;
         apply_servers(state, now, changes);
     }
     if let Some(delta) = answer.crashes {
-        let changes = merge(&mut state.tables.crashes.borrow_mut(), now, client, &delta)?;
+        let changes = merge("crashes", &mut state.tables.crashes.borrow_mut(), now, client, &delta)?;
         crashes::apply_changes(state, now, changes, delta.snapshot);
     }
     Ok(age)
 }
 
 fn merge<T>(
+    table: &'static str,
     replica: &mut Replica<T>,
     now: Instant,
     client: &NeighbourClient,
@@ -190,8 +191,20 @@
     T: Clone + PartialEq + DeserializeOwned,
 {
     let age = Duration::from_millis(u64::from(delta.staleness_ms));
+    let records: Records<T> = tables::decode_records(client.addr(), &delta.records)?;
+    let deleted = records.iter().filter(|(_, value)| value.is_none()).count();
+    if delta.snapshot || deleted > 0 {
+        info!("table received from a neighbour", kv: {
+            table,
+            peer = client.addr().to_string().as_str(),
+            snapshot = delta.snapshot,
+            position = delta.position,
+            records = records.len(),
+            deleted
+        });
+    }
     Ok(replica.apply_peer_update(Update {
-        records: tables::decode_records(client.addr(), &delta.records)?,
+        records,
         kind: if delta.snapshot {
             UpdateKind::Snapshot
         } else {
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -73,6 +73,8 @@
     /// Tombstones up to this position have been pruned; peers behind it get the whole
     /// table.
     pruned_position: u64,
+    /// Keys that the last update contained and that stayed deleted.
+    withheld: Vec<Rc<str>>,
 }
 
 #[derive(Debug)]
@@ -99,6 +101,7 @@
             fresh_at: None,
             writes: 0,
             pruned_position: 0,
+            withheld: Vec::new(),
         }
     }
 }
@@ -134,6 +137,7 @@
         {
             return Vec::new();
         }
+        self.withheld.clear();
         let mut changed_records = Vec::new();
         if update.kind != UpdateKind::Delta {
             changed_records.extend(self.delete_absent(&update));
@@ -142,6 +146,7 @@
         let restored = update.kind == UpdateKind::RestoredSnapshot;
         for (key, value) in update.records {
             if restored && self.was_deleted(&key) {
+                self.withheld.push(key);
                 continue;
             }
             if self.set(
@@ -263,6 +268,13 @@
         }
     }
 
+    /// The keys that the last update contained and that stayed deleted, since the store
+    /// was restored from a copy made before they were deleted.
+    #[must_use]
+    pub fn withheld(&self) -> &[Rc<str>] {
+        &self.withheld
+    }
+
     /// The store's position up to which the replica is complete.
     #[must_use]
     pub fn position(&self) -> Option<u64> {
