Take a key that a peer lacks from the next restored copy of the store

What callers saw: an entry without a catalog for good. It is not ready and refuses every call as no_bundle while the entry beside it serves; in the soak for 30 s, until the harness gave up.

Cause: entry 1 wrote that the copy lacked config; its answer to a peer said deleted; entry 0 believed that a record had deleted it, and a deleted key waits until it is written again. Ruled out: the harness not writing the record back (entry 1 reads it at 02015); entry 0 not reading (02188).

Change, in policy::replica: a key that a peer passes on as deleted, and of which the replica holds no value, is no evidence of a deletion.

Tests: record_lacking_at_a_peer_is_taken_from_the_next_copy failed before (case 1 without the first part, 2 and 3 without the second); only_deleted_keys_are_withheld, a model of restores, copies and restarts, fails without the first (256 cases) and passed 20,000 cases.

--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -166,15 +166,33 @@
     let age =
         ages.map(|(c, s)| Duration::from_millis(u64::from(c.staleness_ms.max(s.staleness_ms))));
     if let Some(delta) = answer.catalog {
-        let changes = merge("catalog", &mut state.tables.catalog.borrow_mut(), now, client, &delta)?;
+        let changes = merge(
+            "catalog",
+            &mut state.tables.catalog.borrow_mut(),
+            now,
+            client,
+            &delta,
+        )?;
         apply_catalogs(state, changes);
     }
     if let Some(delta) = answer.servers {
-        let changes = merge("servers", &mut state.tables.servers.borrow_mut(), now, client, &delta)?;
+        let changes = merge(
+            "servers",
+            &mut state.tables.servers.borrow_mut(),
+            now,
+            client,
+            &delta,
+        )?;
         apply_servers(state, now, changes);
     }
     if let Some(delta) = answer.crashes {
-        let changes = merge("crashes", &mut state.tables.crashes.borrow_mut(), now, client, &delta)?;
+        let changes = merge(
+            "crashes",
+            &mut state.tables.crashes.borrow_mut(),
+            now,
+            client,
+            &delta,
+        )?;
         crashes::apply_changes(state, now, changes, delta.snapshot);
     }
     Ok(age)
@@ -205,10 +223,9 @@
     }
     Ok(replica.apply_peer_update(Update {
         records,
-        kind: if delta.snapshot {
-            UpdateKind::Snapshot
-        } else {
-            UpdateKind::Delta
+        kind: match delta.snapshot {
+            true => UpdateKind::of_snapshot(replica.position(), delta.position),
+            false => UpdateKind::Delta,
         },
         position: delta.position,
         as_of: now.checked_sub(age).unwrap_or(now),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -12,6 +12,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Number of low bits of a position that hold the offset in the store's log. The bits
+/// above them count how often the store was restored from an old copy: offsets are then
+/// assigned again, and positions from before must compare as lower. Positions stay below
+/// 2^53, so that all JSON parsers represent them exactly.
+pub const OFFSET_BITS: u32 = 40;
+
 /// How long the tombstone of a deleted key is kept, so that peers that were unreachable
 /// in the meantime receive the deletion. A peer that was unreachable for longer gets
 /// the whole table.
@@ -33,6 +39,19 @@
     RestoredSnapshot,
 }
 
+impl UpdateKind {
+    /// The kind of a whole table at `position`, for a replica that is complete up to
+    /// `known`.
+    #[must_use]
+    pub fn of_snapshot(known: Option<u64>, position: u64) -> Self {
+        let restores = |position: u64| position >> OFFSET_BITS;
+        match known.is_some_and(|known| restores(known) < restores(position)) {
+            true => Self::RestoredSnapshot,
+            false => Self::Snapshot,
+        }
+    }
+}
+
 /// An update of a table from the store or a peer.
 #[derive(Debug, Clone)]
 pub struct Update<T> {
@@ -143,7 +162,8 @@
             changed_records.extend(self.delete_absent(&update));
             self.pruned_position = self.pruned_position.max(update.position);
         }
-        let restored = update.kind == UpdateKind::RestoredSnapshot;
+        // A peer has withheld those records itself, unless they were written again.
+        let restored = update.kind == UpdateKind::RestoredSnapshot && !from_peer;
         for (key, value) in update.records {
             if restored && self.was_deleted(&key) {
                 self.withheld.push(key);
@@ -192,29 +212,33 @@
         self.records.get(key).is_some_and(deleted)
     }
 
-    /// Writes one record; returns whether its value changed. `mark_unchanged` passes on
-    /// an unchanged record to peers as well.
+    /// Writes one record; returns whether its value changed. An unchanged record from a
+    /// peer is passed on to other peers as well.
+    ///
+    /// A peer passes on a key as deleted also when its restored copy lacked the key. For
+    /// a replica without a value of the key, that is no evidence of a deletion.
     fn set(
         &mut self,
         key: &Rc<str>,
         value: Option<T>,
         changed: u64,
         at: Instant,
-        mark_unchanged: bool,
+        from_peer: bool,
     ) -> bool {
         match self.records.get_mut(key) {
             Some(record) if record.value == value => {
-                record.missing_in_copy = false;
-                if mark_unchanged {
+                record.missing_in_copy &= from_peer;
+                if from_peer {
                     record.changed = changed;
                 }
                 false
             }
-            _ => {
+            existing => {
+                let missing_in_copy = from_peer && existing.is_none() && value.is_none();
                 self.writes += 1;
                 let record = Record {
                     value,
-                    missing_in_copy: false,
+                    missing_in_copy,
                     changed,
                     sequence: self.writes,
                     at,
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -1,11 +1,12 @@
 //! Tests replicas of a table that are updated from the store and from each other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::replica::{Replica, Update, UpdateKind};
+use policy::replica::{OFFSET_BITS, Replica, Update, UpdateKind};
 use proptest::prelude::*;
+use rstest::rstest;
 
 type Records = policy::replica::Records<u8>;
 
@@ -71,6 +72,74 @@
     assert_eq!(records, vec![record("config", 1)]);
 }
 
+/// The position `offset` of a store that was restored `restores` times.
+fn position(restores: u64, offset: u64) -> u64 {
+    restores << OFFSET_BITS | offset
+}
+
+/// Takes over what `source` passes on to a peer at the position of `replica`.
+fn copy_from(replica: &mut Replica<u8>, source: &Replica<u8>) {
+    let Some((kind, records)) = source.changes_since(replica.position()) else {
+        return;
+    };
+    let position = source.position().expect("a complete replica");
+    let kind = match kind {
+        UpdateKind::Delta => kind,
+        _ => UpdateKind::of_snapshot(replica.position(), position),
+    };
+    replica.apply_peer_update(update(kind, position, records));
+}
+
+/// Guards against an entry without a catalog for good: it copied from a peer whose
+/// restored copy of the store lacked the catalog, and then withheld the catalog from the
+/// next copy.
+#[rstest]
+#[case::started_from_the_copy(Some(snapshot(position(1, 0), Vec::new())), false)]
+#[case::held_the_record(Some(snapshot(10, vec![record("config", 1)])), false)]
+#[case::held_the_record_and_copied_from_a_started_peer(
+    Some(snapshot(10, vec![record("config", 1)])),
+    true
+)]
+#[case::knew_nothing(None, false)]
+fn record_lacking_at_a_peer_is_taken_from_the_next_copy(
+    #[case] first: Option<Update<u8>>,
+    #[case] peer_started: bool,
+) {
+    let lacking = || update(UpdateKind::RestoredSnapshot, position(1, 0), Vec::new());
+    let mut peer = Replica::default();
+    if !peer_started {
+        peer.apply_store_update(snapshot(10, vec![record("config", 1)]), None);
+    }
+    peer.apply_store_update(lacking(), None);
+    let mut replica = Replica::default();
+    if let Some(first) = first {
+        replica.apply_store_update(first, None);
+    }
+    copy_from(&mut replica, &peer);
+    let records = vec![record("config", 1)];
+    let copy = update(UpdateKind::RestoredSnapshot, position(2, 1), records);
+    let changed_records = replica.apply_store_update(copy, replica.position());
+    assert_eq!(changed_records, [record("config", 1)]);
+}
+
+/// Guards against calls to a departed server: a peer whose restored copy lacked its
+/// record does not know that it left, but the entry does.
+#[test]
+fn record_lacking_at_a_peer_stays_deleted() {
+    let mut replica = Replica::default();
+    replica.apply_store_update(snapshot(10, vec![record("left", 1)]), None);
+    let mut peer = Replica::default();
+    copy_from(&mut peer, &replica);
+    let lacking = update(UpdateKind::RestoredSnapshot, position(1, 0), Vec::new());
+    peer.apply_store_update(lacking, Some(10));
+    replica.apply_store_update(delta(12, vec![record("left", None)]), Some(10));
+    copy_from(&mut replica, &peer);
+    let records = vec![record("left", 1)];
+    let copy = update(UpdateKind::RestoredSnapshot, position(2, 1), records);
+    let changed_records = replica.apply_store_update(copy, Some(position(1, 0)));
+    assert!(changed_records.is_empty(), "{changed_records:?}");
+}
+
 /// Guards against a record returning that was deleted after a restored copy had lacked
 /// it.
 #[test]
@@ -279,3 +348,99 @@
         }
     }
 }
+
+/// A store that is restored from old copies, and the keys that a record ever deleted.
+#[derive(Default)]
+struct RestoredLog {
+    log: Log,
+    restores: u64,
+    deleted: BTreeSet<u8>,
+}
+
+impl RestoredLog {
+    fn write(&mut self, key: u8, value: Option<u8>) {
+        self.log.0.push((key, value));
+        if value.is_none() {
+            self.deleted.insert(key);
+        }
+    }
+
+    /// Restores a copy that lacks the newest `count` records.
+    fn restore(&mut self, count: usize) {
+        let kept = self.log.0.len().saturating_sub(count);
+        self.log.0.truncate(kept);
+        self.restores += 1;
+    }
+
+    /// What an entry reads whose replica is complete up to `from`.
+    fn update(&self, from: Option<u64>) -> Update<u8> {
+        let start = position(self.restores, 0);
+        let offset = from.and_then(|from| from.checked_sub(start));
+        let mut update = store_update(&self.log, offset);
+        update.position += start;
+        if offset.is_none() {
+            update.kind = UpdateKind::of_snapshot(from, update.position);
+        }
+        update
+    }
+}
+
+#[derive(Debug, Clone)]
+enum RestoreStep {
+    Write(u8, Option<u8>),
+    Restore(usize),
+    Read(usize),
+    CopyFrom(usize, usize),
+    Restart(usize),
+}
+
+fn restore_step() -> impl Strategy<Value = RestoreStep> {
+    let entry = 0..ENTRIES;
+    prop_oneof![
+        4 => (0..3u8, proptest::option::weighted(0.8, 0..2u8))
+            .prop_map(|(k, v)| RestoreStep::Write(k, v)),
+        2 => (0..4usize).prop_map(RestoreStep::Restore),
+        4 => entry.clone().prop_map(RestoreStep::Read),
+        4 => (entry.clone(), entry.clone()).prop_map(|(a, b)| RestoreStep::CopyFrom(a, b)),
+        1 => entry.prop_map(RestoreStep::Restart),
+    ]
+}
+
+proptest! {
+    /// Whatever copies the store is restored from, and whichever entries copy from each
+    /// other, an entry that has read the store lacks only keys that a record deleted once.
+    #[test]
+    fn only_deleted_keys_are_withheld(
+        steps in proptest::collection::vec(restore_step(), 1..100),
+    ) {
+        let mut store = RestoredLog::default();
+        let mut copies: Vec<Replica<u8>> = (0..ENTRIES).map(|_| Replica::default()).collect();
+        for step in steps {
+            match step {
+                RestoreStep::Write(key, value) => store.write(key, value),
+                RestoreStep::Restore(count) => store.restore(count),
+                RestoreStep::Read(i) => {
+                    let from = copies[i].position();
+                    copies[i].apply_store_update(store.update(from), from);
+                    let (_, records) = copies[i].changes_since(None).expect("a complete replica");
+                    let held: BTreeMap<_, _> = records.into_iter().collect();
+                    for (key, value) in store.log.table(store.log.0.len()) {
+                        prop_assert!(
+                            held.get(&name(key)) == Some(&Some(value))
+                                || store.deleted.contains(&key),
+                            "{key} is missing in {held:?}"
+                        );
+                    }
+                }
+                RestoreStep::CopyFrom(i, j) => {
+                    if i != j {
+                        let mut replica = std::mem::take(&mut copies[i]);
+                        copy_from(&mut replica, &copies[j]);
+                        copies[i] = replica;
+                    }
+                }
+                RestoreStep::Restart(i) => copies[i] = Replica::default(),
+            }
+        }
+    }
+}
