--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -5,6 +5,7 @@
 //! that is missing from the table may still be running. An entry that can ask a neighbour
 //! (`neighbours`) reads only the tables of which its copy has become too old.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -97,7 +98,8 @@
         } else {
             CATALOG_WAIT
         };
-        let Some(update) = reader.next_update(&state, position, wait).await else {
+        let replica = &state.tables.catalog;
+        let Some(update) = reader.next_update(&state, replica, wait).await else {
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
@@ -119,7 +121,8 @@
             tokio::time::sleep(delay).await;
             continue;
         }
-        let Some(mut update) = reader.next_update(&state, position, SERVER_WAIT).await else {
+        let replica = &state.tables.servers;
+        let Some(mut update) = reader.next_update(&state, replica, SERVER_WAIT).await else {
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
@@ -152,7 +155,8 @@
             continue;
         }
         let position = state.tables.crashes.borrow().position();
-        let Some(update) = reader.next_update(&state, position, CRASHES_WAIT).await else {
+        let replica = &state.tables.crashes;
+        let Some(update) = reader.next_update(&state, replica, CRASHES_WAIT).await else {
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
@@ -280,14 +284,15 @@
         retry_delay(self.failures).max(peer_delay.unwrap_or_default())
     }
 
-    /// Reads the changes after position `from`, or a snapshot; the store may hold the
+    /// Reads the changes that `replica` lacks, or a snapshot; the store may hold the
     /// request for `wait`. Returns `None` after a failure.
-    async fn next_update(
+    async fn next_update<T: Clone + PartialEq>(
         &mut self,
         state: &State,
-        from: Option<u64>,
+        replica: &RefCell<Replica<T>>,
         wait: Duration,
     ) -> Option<Update<S::Item>> {
+        let from = replica.borrow().position();
         let from = from.filter(|_| !self.needs_snapshot);
         let sent = state.clock.now();
         // A request that was lost during an outage would block until its timeout. When
@@ -302,8 +307,13 @@
                 let kind = match from {
                     Some(_) => UpdateKind::Delta,
                     None if std::mem::take(&mut self.restored) => UpdateKind::RestoredSnapshot,
-                    None => UpdateKind::Snapshot,
+                    // A snapshot is read without a position, so the store cannot report
+                    // the restore.
+                    None => UpdateKind::of_snapshot(replica.borrow().position(), changes.next),
                 };
+                if kind == UpdateKind::RestoredSnapshot {
+                    state.tables.record_restore();
+                }
                 self.record_success(state, from.is_none());
                 Some(to_update(
                     changes,
@@ -381,12 +391,6 @@
         metrics::counter!("pimentocart_store_failures_total", "table" => self.name).increment(1);
         let restored = matches!(e, SourceError::Rewound { .. });
         self.restored |= restored;
-        if restored {
-            state
-                .tables
-                .restore_count
-                .set(state.tables.restore_count.get() + 1);
-        }
         self.needs_snapshot |= restored || matches!(e, SourceError::Expired { .. });
         self.failures = self.failures.saturating_add(1);
         self.position_expired = !matches!(e, SourceError::Unavailable { .. });
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -53,6 +53,11 @@
         self.extend_settling(now, SETTLING_TIME);
     }
 
+    /// Records that the store was found to be restored from an old copy.
+    pub(crate) fn record_restore(&self) {
+        self.restore_count.set(self.restore_count.get() + 1);
+    }
+
     /// Extends the time during which servers may be missing although they are running to at
     /// least `duration` from now.
     pub(crate) fn extend_settling(&self, now: Instant, duration: Duration) {
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -11,6 +11,7 @@
 use forward::settings::Settings;
 use forward::state::State;
 use policy::balance::ServerRecord;
+use policy::replica::OFFSET_BITS;
 use policy::routes::{CallerLimits, Catalog};
 use rstest::rstest;
 
@@ -19,6 +20,8 @@
 /// The answer of a table to one request.
 enum Answer<T> {
     Records(Vec<(String, Option<T>)>),
+    /// Records with the position after them.
+    RecordsAt(u64, Vec<(String, Option<T>)>),
     Unavailable,
     Expired,
     /// The store was restored from an old copy.
@@ -30,6 +33,8 @@
 /// A table with prepared answers; after the last one it has no more changes.
 struct Table<T> {
     answers: RefCell<VecDeque<Answer<T>>>,
+    /// Position after the records of the last answer.
+    position: Cell<u64>,
     requests: Rc<Cell<usize>>,
 }
 
@@ -37,6 +42,7 @@
     fn new(answers: Vec<Answer<T>>) -> Self {
         Self {
             answers: RefCell::new(answers.into()),
+            position: Cell::new(1),
             requests: Rc::default(),
         }
     }
@@ -46,7 +52,11 @@
         let next = self.answers.borrow_mut().pop_front();
         let (step, peer) = ("read", "store".to_owned());
         match next {
-            Some(Answer::Records(records)) => Ok(Changes { records, next: 1 }),
+            Some(Answer::Records(records)) => Ok(self.changes(records)),
+            Some(Answer::RecordsAt(position, records)) => {
+                self.position.set(position);
+                Ok(self.changes(records))
+            }
             Some(Answer::Unavailable) => Err(SourceError::Unavailable {
                 step,
                 peer,
@@ -57,13 +67,15 @@
             Some(Answer::Lost) => std::future::pending().await,
             None => {
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                Ok(Changes {
-                    records: Vec::new(),
-                    next: 1,
-                })
+                Ok(self.changes(Vec::new()))
             }
         }
     }
+
+    fn changes(&self, records: Vec<(String, Option<T>)>) -> Changes<T> {
+        let next = self.position.get();
+        Changes { records, next }
+    }
 }
 
 impl<T> Source for Table<T> {
@@ -185,6 +197,31 @@
     assert_eq!(names, ["stays"]);
 }
 
+/// Guards against calls to a server that has left, after the store was restored from a
+/// copy while the entry was about to read the whole table because of an outage: the store
+/// refuses no position then.
+#[actix_rt::test]
+async fn left_server_stays_away_after_restore_seen_by_snapshot_only() {
+    let state = state();
+    let listed = |ids: &[&str]| {
+        let keyed = |id: &&str| (id.to_string(), Some(record(id, false)));
+        ids.iter().map(keyed).collect::<Vec<_>>()
+    };
+    let servers = Table::new(vec![
+        Answer::RecordsAt(2, listed(&["left", "stays"])),
+        Answer::RecordsAt(3, vec![("left".to_owned(), None)]),
+        Answer::Unavailable,
+        Answer::RecordsAt(3, Vec::new()),
+        Answer::RecordsAt(1 << OFFSET_BITS | 2, listed(&["left", "stays"])),
+    ]);
+    let requests = Rc::clone(&servers.requests);
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    wait_until("all answers are read", || requests.get() > 6).await;
+    let serving = state.balancer.borrow().serving("app");
+    let names: Vec<&str> = serving.iter().map(|(s, _)| &*s.id).collect();
+    assert_eq!(names, ["stays"]);
+}
+
 /// The store is unavailable at the start. The entry retries until it has both tables, and
 /// is not ready before.
 #[actix_rt::test]
