Read the servers again for a call that has none, shortly after a start

What callers saw: 503 no_server from an entry that is ready, for up to 0.8 s after the store had all servers again, while the entry beside it served.

Cause: the reader of the servers believed the table that it had read at the start, for the usual 0.8 s; the short interval after an outage is for entries that saw one, and an entry that starts has seen none. Ruled out: the store lacking the records; withheld keys (none in the log).

Change: for 3 s after the first read, and after a recovery of the store, a call for whose service no server is known waits up to 0.4 s, as calls before the first tables do, and wakes the reader, which reads at most each 150 ms for it. Later it is refused at once. Load: nothing unless calls lack a server; then 7 reads a second of an entry that reads the store, for 3 s.

Tests: call_waits_for_first_server (503 instead of 200 before), call_without_server_makes_servers_read_again (failed without the reader's part), call_is_not_held.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -30,8 +30,9 @@
 /// earlier SIGTERM, and the harness did not restart it as the platform does.
 /// 508: an entry started while the store lacked the configuration, and did not
 /// load it from the snapshot. 3638: the same with two successive snapshots, the
-/// first of which lacked it.
-const REGRESSION_SEEDS: [u64; 3] = [16, 508, 3638];
+/// first of which lacked it. 31: an entry withheld the configuration that its
+/// peer's copy had lacked, or refused calls until its next read of the servers.
+const REGRESSION_SEEDS: [u64; 4] = [16, 31, 508, 3638];
 
 /// Results of one seed.
 #[derive(Debug, Default)]
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -133,10 +133,21 @@
         let changes = reader.apply(&mut state.tables.servers.borrow_mut(), update, position);
         apply_servers(&state, now, changes);
         let recovering = !state.tables.settling_left(now).is_zero();
-        tokio::time::sleep(poll_delay(recovering, state.competing_readers())).await;
+        let delay = poll_delay(recovering, state.competing_readers());
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = wait_until_wanted(&state) => {}
+        }
     }
 }
 
+/// Waits until a call lacks a server, and at least [`RECOVERY_POLL_DELAY`], so that such
+/// calls do not cost one read each.
+async fn wait_until_wanted(state: &State) {
+    tokio::time::sleep(RECOVERY_POLL_DELAY).await;
+    state.servers_wanted.notified().await;
+}
+
 /// Follows the records of servers that crashed during calls.
 pub async fn crashes<S: Source<Item = u64>>(state: Rc<State>, source: S) {
     let mut reader = TableReader::new("crashes", source);
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -36,6 +36,9 @@
 /// How long a call waits at an entry that has just started and has not read its tables.
 const TABLES_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Interval at which a waiting call asks for another read of the servers.
+const SERVER_WAIT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The shared state of an entry.
 pub struct State {
     /// The settings, read at the start.
@@ -76,6 +79,8 @@
     pub connection_pool: ConnectionPool,
     /// Wakes the tasks that wait for the store when it answers again.
     pub store_recovered: Notify,
+    /// Wakes the reader of the servers ahead of its next read.
+    pub servers_wanted: Notify,
     /// Triggers a load report to the other entries ahead of the next interval.
     pub gossip_now: Notify,
     /// Whether the store does not answer reads of the server table.
@@ -129,6 +134,7 @@
             crashes: CrashTracker::default(),
             connection_pool: ConnectionPool::default(),
             store_recovered: Notify::new(),
+            servers_wanted: Notify::new(),
             gossip_now: Notify::new(),
             store_lost: Cell::new(false),
             link_load: RefCell::new(settings.link_mbps.map(LinkLoad::new)),
@@ -161,6 +167,29 @@
         }
     }
 
+    /// Waits until a server of `service` is known, or until a timeout, while the table may
+    /// lack running servers. A store that was restored from an old copy has all records
+    /// again within a moment, and a rejected caller would take longer to retry.
+    pub async fn wait_for_server(&self, service: &str) {
+        let known = || {
+            let now = self.clock.now();
+            !self.tables.may_lack_servers(now) || self.balancer.borrow().knows_server(now, service)
+        };
+        if known() {
+            return;
+        }
+        let wait = async {
+            while !known() {
+                self.servers_wanted.notify_one();
+                // The table is checked again after a timeout as well as a change.
+                let changed = self.tables.changed.notified();
+                let _ = tokio::time::timeout(SERVER_WAIT_INTERVAL, changed).await;
+            }
+        };
+        // After the timeout the call continues with the servers that are there.
+        let _ = tokio::time::timeout(TABLES_TIMEOUT, wait).await;
+    }
+
     /// Whether the entries of this availability zone share their reads of the store.
     #[must_use]
     pub fn shares_reads(&self) -> bool {
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -45,6 +45,8 @@
     pub(crate) restore_count: Cell<u32>,
     /// Servers may be missing until this time although they are running.
     settling_until: Cell<Option<Instant>>,
+    /// When the servers were first read.
+    servers_read_at: Cell<Option<Instant>>,
 }
 
 impl TableReplicas {
@@ -60,7 +62,7 @@
 
     /// Extends the time during which servers may be missing although they are running to at
     /// least `duration` from now.
-    pub(crate) fn extend_settling(&self, now: Instant, duration: Duration) {
+    pub fn extend_settling(&self, now: Instant, duration: Duration) {
         let settling_until = Some(now + duration);
         self.settling_until
             .set(self.settling_until.get().max(settling_until));
@@ -81,6 +83,21 @@
         catalog || servers || self.crashes.borrow().has_changes_since(request.crashes)
     }
 
+    /// Records that the servers were read.
+    pub(crate) fn servers_read(&self, now: Instant) {
+        let first = self.servers_read_at.get().unwrap_or(now);
+        self.servers_read_at.set(Some(first));
+    }
+
+    /// Whether the table may lack running servers: shortly after a recovery of the store,
+    /// and after the first read, since the store may have been restored just before it.
+    #[must_use]
+    pub fn may_lack_servers(&self, now: Instant) -> bool {
+        let read_at = self.servers_read_at.get();
+        let recently_started = read_at.is_some_and(|at| now < at + SETTLING_TIME);
+        recently_started || !self.settling_left(now).is_zero()
+    }
+
     /// Remaining time during which servers may be missing although they are running.
     #[must_use]
     pub fn settling_left(&self, now: Instant) -> Duration {
@@ -137,6 +154,7 @@
         }
     }
     forget_missing(state, now);
+    state.tables.servers_read(now);
     state.servers_loaded.set(true);
 }
 
--- a/crates/forward/tests/calls/callers.rs
+++ b/crates/forward/tests/calls/callers.rs
@@ -1,6 +1,8 @@
 //! Calls that are denied or malicious, or that arrive while the entry starts or
 //! stops.
 
+use std::time::Duration;
+
 use policy::routes::CallKind;
 use rstest::rstest;
 
@@ -57,6 +59,34 @@
     assert_eq!(status(&answer), "200");
 }
 
+/// Guards against an entry refusing calls right after its start, when the store was
+/// restored from an old copy and is about to have the servers again.
+#[actix_rt::test]
+async fn call_waits_for_first_server() {
+    let entry = Entry::start(Plan::new(CallKind::Once, 1, &[])).await;
+    let state = &entry.state;
+    let now = state.clock.now();
+    let servers = state.balancer.borrow().serving("app");
+    for (server, _) in &servers {
+        let mut balancer = state.balancer.borrow_mut();
+        balancer.mark_missing(now, &server.id, now);
+    }
+    state.tables.extend_settling(now, Duration::from_secs(60));
+    let call = entry.call(ID);
+    let listed = async {
+        // Lets the call arrive first.
+        for _ in 0..1000 {
+            tokio::task::yield_now().await;
+        }
+        for (server, _) in servers {
+            state.balancer.borrow_mut().upsert(now, server);
+        }
+        state.tables.changed.notify_waiters();
+    };
+    let (answer, ()) = futures_util::future::join(call, listed).await;
+    assert_eq!(status(&answer), "200");
+}
+
 #[actix_rt::test]
 async fn request_forwarded_unchanged() {
     let entry = Entry::start(Plan::new(CallKind::Once, 1, &[])).await;
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::clock::SystemClock;
+use base::clock::{Clock, ManualClock, SystemClock};
 use forward::follow;
 use forward::platform::{Changes, Source, SourceError};
 use forward::settings::Settings;
@@ -91,6 +91,10 @@
 }
 
 fn state() -> Rc<State> {
+    state_with_clock(Rc::new(SystemClock))
+}
+
+fn state_with_clock(clock: Rc<dyn Clock>) -> Rc<State> {
     let any = "127.0.0.1:1";
     let text = serde_json::json!({
         "name": "entry", "zone": "a", "listen": any, "ready": any, "ready_path": "/ready",
@@ -98,7 +102,7 @@
         "repeat_window_s": 10.0,
     });
     let settings: Settings = serde_json::from_value(text).expect("settings");
-    State::new(settings, Rc::new(NoCallsDialect), Rc::new(SystemClock))
+    State::new(settings, Rc::new(NoCallsDialect), clock)
 }
 
 fn catalog(version: u64) -> Answer<Catalog> {
@@ -222,6 +226,50 @@
     assert_eq!(names, ["stays"]);
 }
 
+/// Guards against calls refused for the time between two reads of the servers, by an entry
+/// that has started while the store, restored from an old copy, lacked them.
+#[actix_rt::test]
+async fn call_without_server_makes_servers_read_again() {
+    tokio::time::pause();
+    let state = state();
+    let other = ServerRecord {
+        service: Rc::from("other"),
+        ..record("s0", false)
+    };
+    let first = Answer::Records(vec![("s0".to_owned(), Some(other))]);
+    let servers = Table::new(vec![first, server("s1")]);
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    wait_until("the first read", || state.servers_loaded.get()).await;
+    state.wait_for_server("app").await;
+    let now = state.clock.now();
+    assert!(state.balancer.borrow().knows_server(now, "app"));
+}
+
+/// Guards against calls that are held although no server is to be expected: the table is
+/// complete, and a server that has gone missing may still be called.
+#[rstest]
+#[case::complete_table(Duration::from_secs(5), false)]
+#[case::missing_server(Duration::ZERO, true)]
+#[actix_rt::test]
+async fn call_is_not_held(#[case] age: Duration, #[case] missing: bool) {
+    tokio::time::pause();
+    let clock = Rc::new(ManualClock::new());
+    let state = state_with_clock(Rc::clone(&clock) as Rc<dyn Clock>);
+    let mut answers = vec![server("s1")];
+    if missing {
+        answers.push(Answer::Records(vec![("s1".to_owned(), None)]));
+    }
+    let servers = Table::new(answers);
+    let requests = Rc::clone(&servers.requests);
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    wait_until("all answers are read", || requests.get() > 2).await;
+    clock.advance(age);
+    let service = if missing { "app" } else { "other" };
+    let before = tokio::time::Instant::now();
+    state.wait_for_server(service).await;
+    assert_eq!(before.elapsed(), Duration::ZERO);
+}
+
 /// The store is unavailable at the start. The entry retries until it has both tables, and
 /// is not ready before.
 #[actix_rt::test]
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -406,6 +406,22 @@
             .collect()
     }
 
+    /// Whether any server of `service` is known that may be called, now or after a
+    /// pause.
+    #[must_use]
+    pub fn knows_server(&self, now: Instant, service: &str) -> bool {
+        self.callable(now, service).next().is_some()
+    }
+
+    /// The servers of `service` that are listed or may still be called.
+    fn callable(&self, now: Instant, service: &str) -> impl Iterator<Item = &Server> {
+        let callable = move |s: &&Server| {
+            let present = s.missing.is_none_or(|(_, until)| now < until);
+            &*s.record.service == service && !s.draining() && !s.replaced && present
+        };
+        self.servers.values().filter(callable)
+    }
+
     /// The best server for a call, if any server may take it.
     pub fn choose(&mut self, now: Instant, query: &ServerQuery<'_>) -> Option<ServerRecord> {
         self.ranked(now, query).into_iter().next()
@@ -433,12 +449,9 @@
     /// The servers that may take a call, the best first.
     pub fn ranked(&mut self, now: Instant, query: &ServerQuery<'_>) -> Vec<ServerRecord> {
         self.choices = self.choices.wrapping_add(1);
-        let serves =
-            |s: &&Server| &*s.record.service == query.service && !s.draining() && !s.replaced;
-        let mut candidates: Vec<&Server> = self.servers.values().filter(serves).collect();
-        match candidates.iter().any(|s| s.missing.is_none()) {
-            true => candidates.retain(|s| s.missing.is_none()),
-            false => candidates.retain(|s| s.missing.is_some_and(|(_, until)| now < until)),
+        let mut candidates: Vec<&Server> = self.callable(now, query.service).collect();
+        if candidates.iter().any(|s| s.missing.is_none()) {
+            candidates.retain(|s| s.missing.is_none());
         }
         let turns = self.turns.as_ref();
         candidates.retain(|s| !query.tried.contains(&s.record.id) && s.accepts_call(now, turns));
