Go on asking a relay that is skipped until it answers or expires

What callers saw: an entry that was cut off for four seconds knew the load of one of 299 others, for good (cut_off_entry_returns_to_relays, forty seconds later, failed before with 1): it sends calls to engines that are full, and the paces and limits that entries share are its own. In ended_relays_are_replaced a third entry acts as its zone's relay, and reads the directory and tells the other zones like one.

Cause: after three unanswered reports the entry believes the relay gone and reports to it no more; only an answer takes that back, and nobody answers who isn't asked. The entry stays in its roster as long as others list it. Ruled out: rosters that differ (the ranks agree in all traces); relays that ended (the one skipped is alive).

Change: a skipped relay still gets each report, until it answers or expires: two datagrams a round more at most, for as long as a relay is silent.

Same class looked for: readers skip a peer for 8 s at most, the balancer a server for 3 s, ejections end by time.

--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -27,7 +27,7 @@
 /// Time for which an entry counts as present after it has answered.
 const ANSWER_TTL: Duration = Duration::from_secs(10);
 
-/// Consecutive unanswered reports after which a relay is skipped.
+/// Consecutive unanswered reports after which a relay is skipped until it answers.
 const MAX_UNANSWERED: u32 = 3;
 
 /// Time for which a relay's entry counts stay valid.
@@ -249,10 +249,12 @@
             false => Vec::new(),
         };
         let other_zones = addresses(other_zones);
-        let same_zone = addresses(self.highest_ranked(own, RELAYS_PER_ZONE));
+        let mut same_zone = self.highest_ranked(own, RELAYS_PER_ZONE);
+        same_zone.extend(self.skipped_relays());
+        let same_zone = addresses(same_zone);
         for addr in &same_zone {
             if let Some(member) = self.entries.get_mut(addr) {
-                member.unanswered += 1;
+                member.unanswered = member.unanswered.saturating_add(1);
             }
         }
         Targets::Relays {
@@ -336,6 +338,27 @@
         zones
     }
 
+    /// The entries that precede the relays of the own zone and are skipped because they
+    /// do not answer. They still get reports until they expire: messages may have been
+    /// lost, and an entry that is not asked cannot answer.
+    fn skipped_relays(&self) -> Vec<&Member> {
+        let mut first: Vec<&Member> = self.members_of(self.own.zone).collect();
+        first.sort_unstable_by_key(|m| (m.rank, m.info.addr));
+        let mut relays = 0;
+        let mut skipped = Vec::new();
+        for member in first {
+            if relays == RELAYS_PER_ZONE || skipped.len() == RELAYS_PER_ZONE {
+                break;
+            }
+            if member.is_unresponsive() {
+                skipped.push(member);
+            } else {
+                relays += 1;
+            }
+        }
+        skipped
+    }
+
     /// The first `count` entries of a zone in its order, without this one and those
     /// that do not answer.
     fn highest_ranked(&self, zone: u32, count: usize) -> Vec<&Member> {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -141,6 +141,8 @@
     rng: StdRng,
     /// Entries that neither send nor receive.
     dead: BTreeSet<usize>,
+    /// Entries whose datagrams are all lost, in both directions.
+    cut_off: BTreeSet<usize>,
     /// Hash of all datagrams in the order in which they were sent.
     sent_hash: DefaultHasher,
 }
@@ -162,6 +164,7 @@
             tick: 0,
             rng,
             dead: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
             sent_hash: DefaultHasher::new(),
         }
     }
@@ -202,6 +205,8 @@
         (self.tick, from, to).hash(&mut self.sent_hash);
         if let Some(to) = self.index_by_addr.get(&to).copied()
             && !self.rng.random_bool(LOSS_RATE)
+            && !self.cut_off.contains(&from)
+            && !self.cut_off.contains(&to)
         {
             self.in_flight.push((to, addr, message));
         }
@@ -314,6 +319,12 @@
         }
     }
 
+    /// The entries that are relays.
+    fn relays(&self) -> Vec<usize> {
+        let relays = (0..self.entries.len()).filter(|n| self.entries[*n].roster.is_relay());
+        relays.collect()
+    }
+
     fn live(&self) -> impl Iterator<Item = &Entry> {
         let live = self.entries.iter().enumerate();
         live.filter(|(n, _)| !self.dead.contains(n)).map(|(_, e)| e)
@@ -426,14 +437,19 @@
     }
 }
 
-/// Guards against a zone that keeps reporting to relays which have ended.
-#[test]
-fn ended_relays_are_replaced() {
-    let mut fleet = Fleet::new(300, 8);
+/// Guards against a zone that keeps reporting to relays which have ended, and against
+/// entries that take another one's place because a few answers of it were lost.
+#[rstest]
+#[case::seed_8(8)]
+#[case::seed_27(27)]
+#[case::seed_46(46)]
+#[case::seed_160(160)]
+#[case::seed_167(167)]
+#[case::seed_176(176)]
+fn ended_relays_are_replaced(#[case] seed: u64) {
+    let mut fleet = Fleet::new(300, seed);
     fleet.run(Duration::from_secs(6));
-    let relays: Vec<usize> = (0..300)
-        .filter(|n| fleet.entries[*n].roster.is_relay())
-        .collect();
+    let relays = fleet.relays();
     assert_eq!(relays.len(), RELAYS_PER_ZONE * ZONES as usize);
     fleet.dead.extend(&relays);
     fleet.run(Duration::from_secs(45));
@@ -453,6 +469,52 @@
     assert_eq!(relays, RELAYS_PER_ZONE * ZONES as usize);
 }
 
+/// Guards against relays that were unreachable for a few seconds and are not used again.
+#[test]
+fn unreachable_relays_are_used_again() {
+    let mut fleet = Fleet::new(300, 16);
+    fleet.run(WARM_UP);
+    let relays = fleet.relays();
+    let zone_0 = relays.iter().filter(|n| info_of(**n).zone == 0);
+    fleet.dead.extend(zone_0);
+    fleet.run(Duration::from_secs(6));
+    fleet.dead.clear();
+    fleet.run(WARM_UP);
+    assert_eq!(fleet.relays(), relays);
+}
+
+/// Guards against an entry that stops asking all relays because it was cut off for a few
+/// seconds, and so knows hardly any load but its own from then on.
+#[rstest]
+#[case::relays_skipped(4)]
+#[case::all_skipped(7)]
+#[case::all_expired(30)]
+fn cut_off_entry_returns_to_relays(#[case] seconds: u64) {
+    let mut fleet = Fleet::new(300, 17);
+    fleet.run(WARM_UP);
+    let relays = fleet.relays();
+    let member = (0..300).rfind(|n| !relays.contains(n));
+    let member = member.expect("most are no relays");
+    fleet.cut_off.insert(member);
+    fleet.run(Duration::from_secs(seconds));
+    fleet.cut_off.clear();
+    // Until after the sums from before have expired.
+    fleet.run(2 * WARM_UP);
+    let now = fleet.now;
+    let entry = &mut fleet.entries[member];
+    let own = entry.report(MIN_PRESENCE);
+    let entries = entry.peer_loads.sum(now, &own).entries;
+    assert!((295..=299).contains(&entries), "{entries}");
+    let Targets::Relays { same_zone, .. } = entry.roster.targets() else {
+        panic!("entry {member} reports to all");
+    };
+    let zone = info_of(member).zone;
+    let zone_relays = relays.iter().map(|n| info_of(*n));
+    let zone_relays = zone_relays.filter(|info| info.zone == zone);
+    let expected: BTreeSet<_> = zone_relays.map(|info| info.addr).collect();
+    assert_eq!(same_zone.into_iter().collect::<BTreeSet<_>>(), expected);
+}
+
 /// Guards against runs that differ with the same seed, which cannot be traced: entries
 /// must not act in the order of a map that draws its own.
 #[rstest]
