End a call's wait for a server before its deadline, and count such waits

A caller with little time left must not be held past it for a server. The names of the tables stand in one place.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -249,7 +249,9 @@
     /// Sends the call, with retries, and returns the reply for the caller.
     pub async fn run(self: Rc<Self>) -> Reply {
         let _open = OpenCall::new(&self.state);
-        self.state.wait_for_server(&self.service).await;
+        self.state
+            .wait_for_server(&self.service, self.deadline)
+            .await;
         let mut tried = Vec::new();
         self.state
             .repeat_budget
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -17,7 +17,7 @@
 use crate::crashes;
 use crate::platform::{Changes, Source, SourceError};
 use crate::state::State;
-use crate::tables::{apply_catalogs, apply_servers};
+use crate::tables::{CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, apply_catalogs, apply_servers};
 
 /// How long the store may hold a long-poll request while there is no new catalog. A
 /// request lost with its connection delays a new catalog by this time, which must be well
@@ -74,15 +74,12 @@
 /// crash at the same time.
 const CRASH_POLL_DELAY: Duration = Duration::from_millis(50);
 
-/// Name of the table of servers, in log lines and metrics.
-const SERVERS_TABLE: &str = "servers";
-
 /// Number of other entries from which [`SERVER_POLL_DELAY_MANY`] applies.
 const MANY_ENTRIES: usize = 8;
 
 /// Follows the catalog, which the operators declare.
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
-    let mut reader = TableReader::new("catalog", source);
+    let mut reader = TableReader::new(CATALOG_TABLE, source);
     loop {
         wait_for_store(&state).await;
         let (position, age) = {
@@ -150,7 +147,7 @@
 
 /// Follows the records of servers that crashed during calls.
 pub async fn crashes<S: Source<Item = u64>>(state: Rc<State>, source: S) {
-    let mut reader = TableReader::new("crashes", source);
+    let mut reader = TableReader::new(CRASHES_TABLE, source);
     loop {
         wait_for_store(&state).await;
         // A neighbour sends crashes at once, and the age of its copies is known from the
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -17,7 +17,9 @@
 
 use crate::crashes;
 use crate::state::State;
-use crate::tables::{apply_catalogs, apply_servers, forget_missing};
+use crate::tables::{
+    CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, apply_catalogs, apply_servers, forget_missing,
+};
 
 /// How long a neighbour may hold a long-poll request. Its answer also refreshes the age of
 /// the copies, so a longer wait without changes would make them older.
@@ -167,7 +169,7 @@
         ages.map(|(c, s)| Duration::from_millis(u64::from(c.staleness_ms.max(s.staleness_ms))));
     if let Some(delta) = answer.catalog {
         let changes = merge(
-            "catalog",
+            CATALOG_TABLE,
             &mut state.tables.catalog.borrow_mut(),
             now,
             client,
@@ -177,7 +179,7 @@
     }
     if let Some(delta) = answer.servers {
         let changes = merge(
-            "servers",
+            SERVERS_TABLE,
             &mut state.tables.servers.borrow_mut(),
             now,
             client,
@@ -187,7 +189,7 @@
     }
     if let Some(delta) = answer.crashes {
         let changes = merge(
-            "crashes",
+            CRASHES_TABLE,
             &mut state.tables.crashes.borrow_mut(),
             now,
             client,
@@ -198,6 +200,8 @@
     Ok(age)
 }
 
+/// Applies a neighbour's changes of a table to the replica; returns the records that
+/// changed.
 fn merge<T>(
     table: &'static str,
     replica: &mut Replica<T>,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::clock::Clock;
 use base::stop::StopSignal;
@@ -169,8 +169,9 @@
 
     /// Waits until a server of `service` is known, or until a timeout, while the table may
     /// lack running servers. A store that was restored from an old copy has all records
-    /// again within a moment, and a rejected caller would take longer to retry.
-    pub async fn wait_for_server(&self, service: &str) {
+    /// again within a moment, and a rejected caller would take longer to retry. The wait
+    /// ends before the caller's `deadline`.
+    pub async fn wait_for_server(&self, service: &str, deadline: Instant) {
         let known = || {
             let now = self.clock.now();
             !self.tables.may_lack_servers(now) || self.balancer.borrow().knows_server(now, service)
@@ -186,8 +187,11 @@
                 let _ = tokio::time::timeout(SERVER_WAIT_INTERVAL, changed).await;
             }
         };
+        let left = deadline.saturating_duration_since(self.clock.now());
         // After the timeout the call continues with the servers that are there.
-        let _ = tokio::time::timeout(TABLES_TIMEOUT, wait).await;
+        let found = tokio::time::timeout(TABLES_TIMEOUT.min(left / 2), wait).await;
+        let outcome = if found.is_ok() { "found" } else { "none" };
+        metrics::counter!("pimentocart_server_waits_total", "outcome" => outcome).increment(1);
     }
 
     /// Whether the entries of this availability zone share their reads of the store.
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -26,6 +26,11 @@
 /// be reported as deleted.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
+/// Names of the tables, in log lines and metrics.
+pub(crate) const CATALOG_TABLE: &str = "catalog";
+pub(crate) const SERVERS_TABLE: &str = "servers";
+pub(crate) const CRASHES_TABLE: &str = "crashes";
+
 /// Maximum number of changed servers that get a log line each. On a small host, logging a
 /// table of hundreds of servers would take longer than applying it.
 const MAX_LOGGED_SERVERS: usize = 32;
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -240,7 +240,8 @@
     let servers = Table::new(vec![first, server("s1")]);
     actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
     wait_until("the first read", || state.servers_loaded.get()).await;
-    state.wait_for_server("app").await;
+    let deadline = state.clock.now() + Duration::from_secs(6);
+    state.wait_for_server("app", deadline).await;
     let now = state.clock.now();
     assert!(state.balancer.borrow().knows_server(now, "app"));
 }
@@ -266,7 +267,8 @@
     clock.advance(age);
     let service = if missing { "app" } else { "other" };
     let before = tokio::time::Instant::now();
-    state.wait_for_server(service).await;
+    let deadline = state.clock.now() + Duration::from_secs(6);
+    state.wait_for_server(service, deadline).await;
     assert_eq!(before.elapsed(), Duration::ZERO);
 }
 
