Carry workspace, answer length and copies between the parts to come

Cause: two deployments contend for engines by workspace, run streams on engines of unequal speed and lose running streams with their engine. The parts that handle this need fields that no message or header carries.

Change: admission requests name the workspace and the expected answer, responses may tell the engine's pace and free memory (version 4); headers for backups and copies; engines' declared moves and backups; settings for each part, all off.

Tests of wire, policy, admission, forward and platform pass.

--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -214,6 +214,8 @@
             copy_time: admission
                 .copy_ns
                 .map(|ns| Duration::from_nanos(u64::from(ns))),
+            workspace: admission.workspace,
+            output_tokens: admission.output_tokens,
         };
         let tokens = state.grants.missing_tokens(&request.parts);
         let held = state.cached_prefix(&request.parts);
@@ -347,6 +349,8 @@
             verdict,
             cached_tokens,
             prefer_fetch,
+            event_us: 0,
+            free_tokens: 0,
         });
         // A response that cannot be sent counts as lost: the entry repeats its
         // request.
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -22,6 +22,12 @@
     /// Interval at which the engine's report is polled.
     #[serde(default = "report_every")]
     pub report_every: HumanDuration,
+    /// Whether the engine is shared fairly between workspaces while calls wait.
+    #[serde(default)]
+    pub fair_shares: bool,
+    /// Whether streams are admitted by the pauses that they have to expect.
+    #[serde(default)]
+    pub paced_streams: bool,
     /// Minimum level of log lines.
     #[serde(default)]
     pub log_level: Level,
--- a/crates/admission/tests/responder.rs
+++ b/crates/admission/tests/responder.rs
@@ -65,6 +65,8 @@
             forced: false,
             remote_tokens: 0,
             copy_ns: None,
+            workspace: None,
+            output_tokens: 0,
         };
         self.send(number, RequestKind::Admission(admission)).await;
         self.receive().await.verdict
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -176,6 +176,8 @@
                 StartPoint::After(last) => last,
             },
             fetch_from,
+            backup: None,
+            kv_copy: None,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -328,10 +328,24 @@
             forced: terms == AdmissionTerms::Forced,
             remote_tokens: holder.tokens,
             copy_ns: self.copy_ns(),
+            workspace: self
+                .workspace
+                .as_ref()
+                .map(|w| rendezvous::hash_name(&w.name)),
+            output_tokens: self.output_tokens(),
         };
         sidecars.request_admission(now, server, request).await
     }
 
+    /// The expected number of output tokens: the caller's estimate, but at most
+    /// its limit.
+    fn output_tokens(&self) -> u32 {
+        let limit = self.parsed_headers.max_tokens;
+        self.parsed_headers
+            .length_hint
+            .map_or(limit, |hint| hint.min(limit))
+    }
+
     /// The parts of the prompt, in the form that sidecars take.
     fn prompt_parts(&self) -> Vec<(u64, u32)> {
         if self.parsed_headers.prompt_parts.is_empty() {
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -110,6 +110,19 @@
     /// Another server that has parts of the prompt cached, from which they may
     /// be copied instead of being computed again.
     pub fetch_from: Option<SocketAddr>,
+    /// Another server to which the KV cache of the call is copied as it grows.
+    pub backup: Option<SocketAddr>,
+    /// The copy of the call's KV cache from which it continues.
+    pub kv_copy: Option<KvCopy<'a>>,
+}
+
+/// A copy of a call's KV cache at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KvCopy<'a> {
+    /// The address of the server that holds it.
+    pub addr: SocketAddr,
+    /// Its name there.
+    pub handle: &'a str,
 }
 
 /// The fields of the headers of a backend server's response.
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -66,6 +66,19 @@
     /// Duties that one entry performs for the whole fleet, if the platform has any.
     #[serde(default)]
     pub duties: Option<DutySettings>,
+    /// Whether contended backend servers are shared fairly between workspaces.
+    #[serde(default)]
+    pub fair_shares: bool,
+    /// Whether streams on engines that leave are moved to other engines.
+    #[serde(default)]
+    pub moves: bool,
+    /// Whether the KV cache of streams is copied to a second engine, from which
+    /// they continue when the first one crashes.
+    #[serde(default)]
+    pub backups: bool,
+    /// Whether streams are placed by the measured pace of engines.
+    #[serde(default)]
+    pub paced_streams: bool,
     /// Minimum level of logged events.
     #[serde(default)]
     pub log_level: Level,
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -460,6 +460,8 @@
             memory_tokens: 100_000,
             event_tokens: 8,
             copy_time: None,
+            moves: false,
+            backups: false,
         }),
         scaling: None,
     };
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -26,6 +26,8 @@
         verdict,
         cached_tokens: 0,
         prefer_fetch: false,
+        event_us: 0,
+        free_tokens: 0,
     }
 }
 
--- a/crates/policy/src/grants/call.rs
+++ b/crates/policy/src/grants/call.rs
@@ -39,6 +39,10 @@
     pub fetchable: u32,
     /// Time to fetch a token as declared by the operators.
     pub copy_time: Option<Duration>,
+    /// Hash of the name of the call's workspace, if callers need keys.
+    pub workspace: Option<u64>,
+    /// Expected number of output tokens; 0 if unknown.
+    pub output_tokens: u32,
 }
 
 impl GrantRequest {
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -113,6 +113,13 @@
     /// Time to copy the KV cache of one token between engines, if declared.
     #[serde(rename = "copy")]
     pub copy_time: Option<Duration>,
+    /// Whether a running call can be moved to another engine.
+    #[serde(default)]
+    pub moves: bool,
+    /// Whether an engine can send a running call's KV cache to another one as it
+    /// grows.
+    #[serde(default)]
+    pub backups: bool,
 }
 
 /// Settings of a workspace that affect its calls.
--- a/crates/policy/tests/grants/common.rs
+++ b/crates/policy/tests/grants/common.rs
@@ -34,6 +34,8 @@
         forced: false,
         fetchable: 0,
         copy_time: None,
+        workspace: None,
+        output_tokens: 0,
     }
 }
 
--- a/crates/policy/tests/timing.rs
+++ b/crates/policy/tests/timing.rs
@@ -119,6 +119,8 @@
             forced: false,
             fetchable: 0,
             copy_time: None,
+            workspace: None,
+            output_tokens: 0,
         };
         if self.grants.request(at, request) == GrantDecision::Granted {
             self.engine.start_prefill(self.now, id, tokens);
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -9,7 +9,7 @@
 use crate::gossip::Error;
 
 /// First byte of each datagram. Datagrams of another version are rejected.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -109,6 +109,10 @@
     /// Declared time to copy the KV cache of one token between engines, in
     /// nanoseconds.
     pub copy_ns: Option<u32>,
+    /// Hash of the name of the call's workspace, if callers need keys.
+    pub workspace: Option<u64>,
+    /// Expected number of output tokens; 0 if unknown.
+    pub output_tokens: u32,
 }
 
 /// A question how much of a prompt the engine holds in its KV cache.
@@ -136,6 +140,12 @@
     /// prefilling the prompt.
     #[serde(rename = "fetch")]
     pub prefer_fetch: bool,
+    /// Typical time between two events of a stream at the engine, in
+    /// microseconds; 0 if unknown.
+    pub event_us: u32,
+    /// KV cache tokens of the engine that no call holds or will need; 0 if
+    /// unknown.
+    pub free_tokens: u32,
 }
 
 /// The decision of a sidecar on a call.
--- a/crates/wire/tests/grants.rs
+++ b/crates/wire/tests/grants.rs
@@ -21,6 +21,8 @@
         forced: false,
         remote_tokens: 13_300,
         copy_ns: Some(2_383),
+        workspace: Some(u64::MAX),
+        output_tokens: u32::MAX,
     }
 }
 
@@ -56,6 +58,8 @@
         verdict,
         cached_tokens: 13_300,
         prefer_fetch: true,
+        event_us: 24_000,
+        free_tokens: 90_000,
     };
     assert_eq!(
         decode::<GrantResponse>(&encode(&response)).expect("the datagram decodes"),
