Admit prefill beside streams by the gaps that streams have seen

Cause: the bound on prefill beside streams was checked when a call asked and not when a queued call was granted, a prompt at its home started at any length, and the share of the gap that prefill may take settled where one stream in eight was late. Answers still to come were not counted as memory.

Change: with paced_streams, the sidecar learns for each engine the gap of streams as a function of the prefill admitted within one gap (quantile 0.95 over bins, joined until it rises with the load). Prompts are admitted, at request and from the queue, if that gap stays within the smallest maximum of the streams that are at least as urgent. Prompts that are too long even alone do not hold up those behind them; at home they are refused once they can no longer be in time, forced ones start alone then. Streams are refused where their gaps are expected to be too long. Admission counts the answers still to come, and answers carry the free memory.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -48,6 +48,9 @@
     });
 
     let responder = GrantResponder::new(socket, clock);
+    if settings.paced_streams {
+        responder.enable_paces();
+    }
     actix_rt::spawn(poller::poll_engine(
         Rc::clone(&responder),
         engine,
--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -1,11 +1,11 @@
 //! Answers the admission requests of entries over UDP: keeps the waiting calls,
 //! passes every request to the [`GrantController`] and sends its decisions.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::clock::Clock;
 use base::stop::StopSignal;
@@ -30,6 +30,8 @@
     socket: UdpSocket,
     clock: Rc<dyn Clock>,
     state: RefCell<State>,
+    /// KV cache tokens that no call holds or will need; 0 if unknown.
+    free_tokens: Cell<u32>,
 }
 
 #[derive(Debug, Default)]
@@ -63,9 +65,16 @@
             socket,
             clock,
             state: RefCell::default(),
+            free_tokens: Cell::new(0),
         })
     }
 
+    /// From now on admits prompts and streams by the pauses that streams have
+    /// to expect.
+    pub fn enable_paces(&self) {
+        self.state.borrow_mut().grants.enable_paces();
+    }
+
     /// Receives and handles datagrams; never returns.
     pub async fn listen(self: Rc<Self>) {
         let mut buffer = vec![0; grants::MAX_DATAGRAM_BYTES];
@@ -221,6 +230,7 @@
         let held = state.cached_prefix(&request.parts);
         let prefer_fetch = state.grants.fetch_pays();
         let decision = state.grants.request(now, request);
+        self.note_free_tokens(&state, now);
         let (waiting, flying, running) = state.grants.counts();
         let estimates = state.grants.estimates();
         let (label, expected) = match decision {
@@ -238,7 +248,8 @@
             expected_ms = millis(expected),
             allowed_ms = admission.first_event_ms, home = admission.is_home, tokens, held, source = admission.remote_tokens,
             waiting, flying, running, pace_ns = estimates.pace_ns, fetch_ns = estimates.fetch_ns,
-            base_us = estimates.base_us, window = estimates.window, gap_percent = estimates.gap_percent
+            base_us = estimates.base_us, window = estimates.window, gap_percent = estimates.gap_percent,
+            stream_gap_ms = millis(state.grants.expected_gap(now))
             });
         }
         if label == "queued" {
@@ -327,15 +338,32 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let prefer_fetch = state.grants.fetch_pays();
+        for (id, expected) in state.grants.refuse_waiting(now) {
+            let Some(call) = state.waiting_calls.remove(&id) else {
+                continue;
+            };
+            info!("waiting call refused", kv: { id = call.request_id.as_str(), why = "streams" });
+            metrics::counter!("pimentocart_grants_total", "verdict" => "refused").increment(1);
+            let verdict = grants::Verdict::Refused(millis(expected));
+            self.send(call.addr, id, verdict, 0, false);
+        }
         for (id, held) in state.grants.grant_waiting(now) {
             let Some(call) = state.waiting_calls.remove(&id) else {
                 continue;
             };
+            self.note_free_tokens(&state, now);
             info!("waiting call granted", kv: { id = call.request_id.as_str(), held });
             self.send(call.addr, id, grants::Verdict::Granted, held, prefer_fetch);
         }
     }
 
+    /// Updates the free memory that answers carry.
+    fn note_free_tokens(&self, state: &State, now: Instant) {
+        let free = state.grants.free_tokens(now).unwrap_or(0);
+        self.free_tokens
+            .set(u32::try_from(free).unwrap_or(u32::MAX));
+    }
+
     fn send(
         &self,
         to: SocketAddr,
@@ -350,7 +378,7 @@
             cached_tokens,
             prefer_fetch,
             event_us: 0,
-            free_tokens: 0,
+            free_tokens: self.free_tokens.get(),
         });
         // A response that cannot be sent counts as lost: the entry repeats its
         // request.
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -13,6 +13,7 @@
 //! - [`call`]: requests, decisions and engine reports.
 //! - [`parts`]: which prompt parts the engine's cache should hold.
 //! - [`fetch`]: the time to copy prompt tokens from another engine.
+//! - `gaps`: the gaps that streams see beside prefill.
 //! - [`incarnations`]: which incarnation of the engine is current.
 //! - `timing`: a model of the time to first token (TTFT).
 //! - `queue`: the calls that wait for admission.
@@ -22,6 +23,7 @@
 
 pub mod call;
 pub mod fetch;
+mod gaps;
 pub mod incarnations;
 mod mix;
 pub mod parts;
@@ -36,6 +38,7 @@
 use crate::estimate::averages::MovingAverage;
 pub use call::{CallId, EngineEstimates, EngineReport, GrantDecision, GrantRequest};
 use fetch::FetchEstimate;
+use gaps::GapModel;
 use mix::RankMix;
 use parts::PartCache;
 use queue::{QueueKey, QueuedCall, WaitQueue};
@@ -105,6 +108,13 @@
 /// measured.
 const HOLD_TIME_PRIOR: f64 = 0.5;
 
+/// Assumed time per output token, in seconds, until one was measured.
+const TOKEN_TIME_PRIOR: f64 = 0.01;
+
+/// Queued calls behind one that waits for streams to end that are considered
+/// at a time; bounds the work of a decision.
+const MAX_SKIPPED: usize = 32;
+
 /// How long admitted prefill is remembered; the gaps that streams allow are
 /// shorter.
 const READ_HISTORY: Duration = Duration::from_secs(2);
@@ -143,6 +153,11 @@
     gap_share: f64,
     /// Recently admitted prefill, in seconds.
     recent_reads: VecDeque<(Instant, f64)>,
+    /// Mean time per output token of a call, in seconds.
+    token_time: MovingAverage,
+    /// Learned gaps of streams; none if prefill beside streams follows
+    /// `gap_share`.
+    gaps: Option<GapModel>,
 }
 
 /// The work of a prompt before its first event.
@@ -154,6 +169,8 @@
     fetched: u32,
     /// Tokens that the engine's cache does not hold.
     missing: u32,
+    /// Output tokens that the call is expected to produce.
+    output: u32,
 }
 
 #[derive(Debug)]
@@ -172,6 +189,9 @@
             since: now,
             deadline: self.since + self.request.time_left,
             max_gap: self.request.max_gap,
+            rank: self.request.rank,
+            output_tokens: self.request.output_tokens,
+            peak_load: 0,
         }
     }
 }
@@ -181,6 +201,12 @@
     since: Instant,
     deadline: Instant,
     max_gap: Option<Duration>,
+    rank: u8,
+    /// Output tokens that the call is expected to produce.
+    output_tokens: u32,
+    /// Most prefill admitted within one maximum gap, in tokens; counted for
+    /// streams if their gaps are learned.
+    peak_load: u32,
 }
 
 impl Default for GrantController {
@@ -201,11 +227,19 @@
             reserve: StreamReserve::default(),
             gap_share: GAP_SHARE_INITIAL,
             recent_reads: VecDeque::new(),
+            token_time: MovingAverage::default(),
+            gaps: None,
         }
     }
 }
 
 impl GrantController {
+    /// From now on learns the gaps of streams beside prefill and reserves
+    /// memory for the answers of admitted calls.
+    pub fn enable_paces(&mut self) {
+        self.gaps = Some(GapModel::default());
+    }
+
     /// Decides whether a call is admitted, queued or refused. Idempotent: a
     /// repeated request for the same call gets the same answer, so that a lost
     /// reply costs only time.
@@ -228,29 +262,40 @@
         let expected = self.expected_ttft(now, key, cost.tokens, &request);
         if request.max_gap.is_some() {
             self.reserve.record_stream(now);
-            return match request.forced || self.has_room(now, cost) {
+            let excess = self.gap_excess(now, &request, cost);
+            let admitted = self.has_room(now, cost) && excess.is_zero();
+            return match request.forced || admitted {
                 true => {
                     self.admit(now, cost, request);
                     GrantDecision::Granted
                 }
-                false => GrantDecision::Refused(expected),
+                false => GrantDecision::Refused(expected.saturating_add(excess)),
             };
         }
-        let fits =
-            self.fits_memory(now, cost) && (request.is_home || !self.exceeds_gap(cost.tokens));
+        let beside = match self.gaps.is_some() {
+            true => self.within_gap(now, &request, cost),
+            false => !self.exceeds_gap(cost.tokens),
+        };
+        let fits = self.fits_memory(now, cost) && (request.is_home || beside);
         // No other engine can be faster than an idle one.
         let idle = self.queue.is_empty() && self.unread_tokens() == 0;
-        let late = expected > request.ttft_limit && !(idle && self.may_start(now, cost));
+        let start_by = now + self.start_limit(&request, cost);
+        let may_start = self.may_start(now, &request, cost, start_by);
+        // A refusal states the time without this wait: a call that has to be
+        // admitted all the same does not wait for streams beyond its limit.
+        let waited = expected.saturating_add(self.gap_wait(now, &request, cost));
+        let late = waited > request.ttft_limit && !(idle && may_start);
         if !request.forced && (late || !fits) {
             return GrantDecision::Refused(expected.max(request.ttft_limit));
         }
-        let free = self.queue.is_empty() && self.may_start(now, cost);
+        let free = self.queue.is_empty() && may_start;
         if free || self.never_fits(cost) {
             self.admit(now, cost, request);
             return GrantDecision::Granted;
         }
         let queued = QueuedCall {
             since: now,
+            start_by,
             tokens: cost.tokens,
             request,
         };
@@ -263,22 +308,55 @@
     pub fn grant_waiting(&mut self, now: Instant) -> Vec<(CallId, u32)> {
         self.expire(now);
         let mut granted = Vec::new();
-        while let Some(first) = self.queue.first() {
-            // Shared parts may have been read since the call was queued.
-            let cost = self.prompt_cost(first);
-            if !self.may_start(now, cost) {
-                break;
-            }
-            let Some(queued) = self.queue.pop() else {
+        while let Some(id) = self.next_startable(now) {
+            let Some(queued) = self.queue.remove(id) else {
                 break;
             };
             let request = queued.request;
+            // Shared parts may have been read since the call was queued.
+            let cost = self.prompt_cost(&request);
             granted.push((request.id, request.tokens().saturating_sub(cost.missing)));
             self.admit(now, cost, request);
         }
         granted
     }
 
+    /// The first queued call that may be admitted now. A call that waits for
+    /// streams to end does not hold up those behind it.
+    fn next_startable(&self, now: Instant) -> Option<CallId> {
+        for call in self.queue.iter().take(MAX_SKIPPED) {
+            let cost = self.prompt_cost(&call.request);
+            if self.may_start(now, &call.request, cost, call.start_by) {
+                return Some(call.request.id);
+            }
+            if !self.waits_for_streams(&call.request, cost) {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Removes the queued calls that have waited for streams to end for as
+    /// long as their limits allow, so that their entries ask other engines.
+    /// Returns each with the time that its first token would take.
+    pub fn refuse_waiting(&mut self, now: Instant) -> Vec<(CallId, Duration)> {
+        if self.gaps.is_none() {
+            return Vec::new();
+        }
+        let overdue = |call: &&QueuedCall| {
+            now >= call.start_by
+                && !call.request.forced
+                && self.waits_for_streams(&call.request, self.prompt_cost(&call.request))
+        };
+        let overdue = self.queue.iter().filter(overdue);
+        let refused = overdue.map(|call| (call.request.id, call.request.ttft_limit));
+        let refused: Vec<(CallId, Duration)> = refused.collect();
+        for (id, _) in &refused {
+            self.queue.remove(*id);
+        }
+        refused
+    }
+
     /// Notes that an admitted call fetches tokens from another engine, which
     /// holds the first `fetchable` tokens of the prompt.
     pub fn record_fetch(&mut self, id: CallId, fetchable: u32) {
@@ -296,7 +374,10 @@
         if let Some(call) = self.pending.get_mut(&id) {
             let others = call.backlog.saturating_sub(call.cost.tokens);
             call.backlog = others.saturating_add(cost.tokens);
-            call.cost = cost;
+            call.cost = PromptCost {
+                output: call.cost.output,
+                ..cost
+            };
         }
     }
 
@@ -319,7 +400,16 @@
         }
         self.timing
             .record_first_event(now, call.since, tokens, fetched > 0);
-        self.running.insert(id, call.to_running(now));
+        self.start_running(now, id, &call);
+    }
+
+    /// Moves an admitted call to the running ones.
+    fn start_running(&mut self, now: Instant, id: CallId, call: &PendingCall) {
+        let mut running = call.to_running(now);
+        if let (Some(gaps), Some(gap)) = (&self.gaps, running.max_gap) {
+            running.peak_load = gaps.load(now, gap);
+        }
+        self.running.insert(id, running);
     }
 
     /// Derives the fetch time from a call's time to first event.
@@ -339,8 +429,16 @@
         if let Some(call) = self.running.remove(&id) {
             let held = now.saturating_duration_since(call.since);
             self.hold_time.add(held.as_secs_f64());
+            if call.output_tokens > 0 {
+                let tokens = f64::from(call.output_tokens);
+                self.token_time.add(held.as_secs_f64() / tokens);
+            }
             if let Some(gap) = call.max_gap {
                 self.adapt_gap_share(gap, pause);
+                // A stream of one event shows no gap.
+                if let Some(gaps) = self.gaps.as_mut().filter(|_| !pause.is_zero()) {
+                    gaps.record_stream(now, call.peak_load, pause, gap);
+                }
             }
         }
     }
@@ -393,6 +491,9 @@
     pub fn reset_engine(&mut self) {
         self.parts = PartCache::default();
         self.report = None;
+        if let Some(gaps) = &mut self.gaps {
+            *gaps = GapModel::default();
+        }
     }
 
     /// Drops the admitted calls as well, since they ended with the engine.
@@ -475,7 +576,11 @@
     fn prompt_cost(&self, request: &GrantRequest) -> PromptCost {
         let missing = self.parts.missing_tokens(&request.parts);
         let held = request.tokens().saturating_sub(missing);
-        self.cost_with_source(missing, held, request.fetchable)
+        let cost = self.cost_with_source(missing, held, request.fetchable);
+        PromptCost {
+            output: request.output_tokens,
+            ..cost
+        }
     }
 
     /// The cost of a prompt of which this engine holds the first `held` tokens
@@ -492,6 +597,7 @@
             tokens,
             fetched,
             missing,
+            output: 0,
         }
     }
 
@@ -521,6 +627,7 @@
         let backlog = self.unread_tokens().saturating_add(cost.tokens);
         self.recent_reads
             .push_back((now, f64::from(cost.tokens) * self.timing.pace()));
+        self.record_read(now, cost, &request);
         let call = PendingCall {
             since: now,
             cost,
@@ -548,11 +655,14 @@
         let expired: Vec<CallId> = expired.collect();
         for id in expired {
             if let Some(call) = self.pending.remove(&id) {
-                self.running.insert(id, call.to_running(now));
+                self.start_running(now, id, &call);
             }
         }
         self.running.retain(|_, call| now < call.deadline);
         self.queue.expire(now);
+        if let Some(gaps) = &mut self.gaps {
+            gaps.expire(now);
+        }
     }
 }
 
--- a/crates/policy/src/grants/queue.rs
+++ b/crates/policy/src/grants/queue.rs
@@ -25,6 +25,8 @@
 pub(super) struct QueuedCall {
     /// When it was queued.
     pub(super) since: Instant,
+    /// When it has to be admitted so that its first event is in time.
+    pub(super) start_by: Instant,
     /// Tokens that it has to read.
     pub(super) tokens: u32,
     pub(super) request: GrantRequest,
@@ -57,23 +59,15 @@
         self.calls.insert((key, id), call);
     }
 
-    /// The call that is admitted next.
-    pub(super) fn first(&self) -> Option<&GrantRequest> {
-        self.calls.first_key_value().map(|(_, w)| &w.request)
+    /// The calls in order of admission.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &QueuedCall> {
+        self.calls.values()
     }
 
-    /// Removes the call that is admitted next.
-    pub(super) fn pop(&mut self) -> Option<QueuedCall> {
-        let ((_, id), call) = self.calls.pop_first()?;
-        self.keys.remove(&id);
-        Some(call)
-    }
-
-    /// Removes a cancelled call.
-    pub(super) fn remove(&mut self, id: CallId) {
-        if let Some(key) = self.keys.remove(&id) {
-            self.calls.remove(&(key, id));
-        }
+    /// Removes a call that is admitted, refused or cancelled.
+    pub(super) fn remove(&mut self, id: CallId) -> Option<QueuedCall> {
+        let key = self.keys.remove(&id)?;
+        self.calls.remove(&(key, id))
     }
 
     /// Number of calls up to and including `key`, and the tokens that they
@@ -95,7 +89,9 @@
         let gone = |w: &&QueuedCall| now >= w.since + w.request.time_left;
         let gone = self.calls.values().filter(gone).map(|w| w.request.id);
         let gone: Vec<CallId> = gone.collect();
-        gone.into_iter().for_each(|id| self.remove(id));
+        for id in gone {
+            self.remove(id);
+        }
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/policy/tests/grants/main.rs
+++ b/crates/policy/tests/grants/main.rs
@@ -7,11 +7,13 @@
 //! - [`streams`]: prefill beside running streams.
 //! - [`room`]: memory, slots and restarts of the engine.
 //! - [`fetch`]: prompts that are fetched from other engines.
+//! - [`gaps`]: gaps of streams that are learned from finished ones.
 //! - [`tiers`]: small engines under calls of several tiers.
 
 mod bursts;
 mod common;
 mod fetch;
+mod gaps;
 mod order;
 mod room;
 mod streams;
