Decide which streams get a copy at a second engine

Cause: a stream that may run only once is lost when its engine crashes.

Change: policy::backup decides which streams are worth a copy and counts the copies of one entry at each engine, in equal parts of a bounded share of memory. Balancer::copy_hosts ranks the engines that may hold one: another zone first, then by rendezvous on the request ID. Nothing uses it yet.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -8,6 +8,7 @@
 //! calls that all entries report. See docs/DECISIONS/0601-on-the-platform.md.
 
 mod cooldown;
+mod copies;
 mod feedback;
 mod name_order;
 mod rate_limit;
@@ -28,6 +29,7 @@
 use name_order::NameOrder;
 use retained::RetainedFeedback;
 
+pub use copies::CopyQuery;
 pub use feedback::{FeedbackChange, FeedbackCounts, ServerFeedback};
 pub use rate_limit::TurnSchedule;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`replica`]: an entry's replicas of the store's tables.
 //! - [`readers`]: whether an entry reads the store or asks a neighbour.
 //! - [`repeat_budget`]: how many calls may be repeated at a second server.
+//! - [`backup`]: which streams have a copy at a second engine.
 //! - [`suspects`]: which requests crash the servers that run them.
 //! - [`rendezvous`]: rendezvous hashing of servers.
 //!
@@ -44,6 +45,7 @@
 //! - [`outlier`]: which servers are ejected for a while.
 
 pub mod backoff;
+pub mod backup;
 pub mod balance;
 pub mod caches;
 pub mod discovery;
