Continue crashed streams at the engine with their copy

Cause: a stream of a route whose calls may run once is lost when its engine crashes, also before its response began.

Change: with the setting `backups`, an entry asks the engine of a live stream to send its KV cache to a second engine. When the connection breaks, it sends the request there once, naming the copy and the last event that the caller has. It is not sent without the copy, to an engine that leaves, rests or has restarted, after the deadline, or without a retry left. Placement notes the free memory that sidecars report.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -1,14 +1,16 @@
 //! A caller's request and the attempts to have it executed.
 //!
 //! - `attempt`: sending the call to a chosen server.
+//! - `continuation`: continuing a broken stream from its copy at a second server.
 //! - `placement`: choosing a server and getting admission to it.
 //! - `response`: processing the server's response.
 
 mod attempt;
+mod continuation;
 mod placement;
 mod response;
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,6 +27,7 @@
 use rand::RngExt;
 use spdlog::info;
 
+use continuation::Backup;
 use response::is_valid_success;
 
 use crate::crashes;
@@ -67,6 +70,8 @@
     billing: Cell<BillingState>,
     /// The fingerprint, computed on first use.
     fingerprint: OnceCell<Fingerprint>,
+    /// The copy of its KV cache at a second engine, if one was asked for.
+    backup: RefCell<Option<Backup>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -165,6 +170,7 @@
             phase,
             billing: Cell::new(BillingState::NotStarted),
             fingerprint: OnceCell::new(),
+            backup: RefCell::default(),
             route,
             service,
             parsed_headers,
@@ -293,6 +299,9 @@
                 detail = format!("{error:?}").as_str(),
                 ms = self.age_ms()
             });
+            if let Some(reply) = self.continue_unanswered(&error, &tried).await {
+                return reply;
+            }
             let may_retry = error.not_run() || self.route.kind.repeatable();
             let is_final = error.is_final();
             // Once the call may have run on some server, a later failure does
@@ -366,6 +375,9 @@
     /// Clears the mark of a possible start if the failure shows that the call
     /// has not run.
     fn record_failed(&self, error: &SendError) {
+        if error.not_run() {
+            self.discard_backup();
+        }
         if self.billing.get() == BillingState::MaybeStarted && error.not_run() {
             self.billing.set(BillingState::NotStarted);
         }
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -13,7 +13,7 @@
 use super::placement::Placement;
 use super::{Call, StartPoint};
 use crate::exchange::{self, SendError, ServerResponse};
-use crate::platform::AddedHeaders;
+use crate::platform::{AddedHeaders, KvCopy};
 
 /// Servers to which a connection is tried before an unsent call fails. After
 /// the loss of some hosts a region still has others.
@@ -23,6 +23,17 @@
 /// servers have asked for a lower rate.
 const TURN_SHARE: f64 = 0.5;
 
+/// Other engines that have, or get, parts of the call's KV cache.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct CacheSources<'a> {
+    /// An engine that has parts of the prompt cached.
+    pub(super) fetch_from: Option<SocketAddr>,
+    /// The engine to which the KV cache is copied as it grows.
+    pub(super) backup: Option<SocketAddr>,
+    /// The copy of the run's KV cache from which it continues.
+    pub(super) kv_copy: Option<KvCopy<'a>>,
+}
+
 impl Call {
     /// Sends the call to one server. A server that cannot be reached is skipped
     /// and does not count as an attempt.
@@ -72,7 +83,13 @@
                 error = self.next_turn(now).map_or(error, SendError::ServersBusy);
                 continue;
             }
-            let request = self.build_request(now, &server, start, fetch_from);
+            self.reserve_backup(&server);
+            let sources = CacheSources {
+                fetch_from,
+                backup: self.backup_server().map(|s| s.addr),
+                kv_copy: None,
+            };
+            let request = self.build_request(now, &server, start, sources);
             let id = self.parsed_headers.request_id.as_deref();
             self.record_sent();
             let sent =
@@ -159,12 +176,12 @@
         exchange::apply_feedback(&self.state, server, self.state.clock.now(), &feedback);
     }
 
-    fn build_request(
+    pub(super) fn build_request(
         &self,
         now: Instant,
         server: &ServerRecord,
         start: StartPoint,
-        fetch_from: Option<SocketAddr>,
+        sources: CacheSources<'_>,
     ) -> Request<Full<Bytes>> {
         let added = AddedHeaders {
             time_left: self.deadline.saturating_duration_since(now),
@@ -175,9 +192,9 @@
                 StartPoint::Beginning => None,
                 StartPoint::After(last) => last,
             },
-            fetch_from,
-            backup: None,
-            kv_copy: None,
+            fetch_from: sources.fetch_from,
+            backup: sources.backup,
+            kv_copy: sources.kv_copy,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -187,7 +204,11 @@
     }
 
     /// Records in the balancer how the attempt ended.
-    fn record_outcome(&self, server: &ServerRecord, sent: &Result<ServerResponse, SendError>) {
+    pub(super) fn record_outcome(
+        &self,
+        server: &ServerRecord,
+        sent: &Result<ServerResponse, SendError>,
+    ) {
         let now = self.state.clock.now();
         let mut balance = self.state.balancer.borrow_mut();
         match sent {
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -339,13 +339,20 @@
 
     /// The expected number of output tokens: the caller's estimate, but at most
     /// its limit.
-    fn output_tokens(&self) -> u32 {
+    pub(super) fn output_tokens(&self) -> u32 {
         let limit = self.parsed_headers.max_tokens;
         self.parsed_headers
             .length_hint
             .map_or(limit, |hint| hint.min(limit))
     }
 
+    /// The length of the whole prompt in tokens, with the parts that it shares.
+    pub(super) fn whole_prompt_tokens(&self) -> u32 {
+        let parts = self.parsed_headers.prompt_parts.iter();
+        let sum = parts.fold(0, |sum: u32, p| sum.saturating_add(p.tokens));
+        sum.max(self.parsed_headers.prompt_tokens)
+    }
+
     /// The parts of the prompt, in the form that sidecars take.
     fn prompt_parts(&self) -> Vec<(u64, u32)> {
         if self.parsed_headers.prompt_parts.is_empty() {
@@ -419,11 +426,15 @@
             prefix_hash,
             tried,
             partition,
-            silence_timeout: (self.route.latency_target * SILENCE_FACTOR)
-                .clamp(MIN_SILENCE, MAX_SILENCE),
+            silence_timeout: self.silence_timeout(),
         }
     }
 
+    /// The time after which a server that has sent nothing is passed over.
+    pub(super) fn silence_timeout(&self) -> Duration {
+        (self.route.latency_target * SILENCE_FACTOR).clamp(MIN_SILENCE, MAX_SILENCE)
+    }
+
     /// The call's times, from which its latency limit follows.
     fn call_timing(&self, start: StartPoint) -> CallTiming {
         CallTiming {
--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -26,6 +26,7 @@
     ) -> Result<Reply, SendError> {
         let success = (200..300).contains(&response.status);
         if success && !is_valid_success(&response) {
+            self.forgo_backup();
             return Err(SendError::Unknown(
                 "success response without seal or ID, or encoded".to_owned(),
             ));
@@ -51,6 +52,7 @@
             });
         }
         self.record_usage();
+        self.forgo_backup();
         let body = self.read_body(&mut response.body).await?;
         if response.status < 500 && response.body.framed {
             self.record_completed();
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -414,11 +414,13 @@
     }
 
     /// Passes the number of entries to the policies that divide a shared limit among
-    /// them: the rate limits that servers set, and the retry budget.
+    /// them: the rate limits that servers set, the retry budget, and the memory of
+    /// engines for copies.
     fn apply_entry_count(&self, now: Instant, counts: EntryCounts) {
         let state = &self.state;
         let entries = state.entry_count.borrow_mut().record(now, counts.total);
         state.repeat_budget.borrow_mut().set_entries(entries);
+        state.copies.borrow_mut().set_entries(entries);
         let to_u32 = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         state.balancer.borrow_mut().set_turns(TurnSchedule {
             entries: to_u32(entries),
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -41,6 +41,10 @@
 /// Maximum time for which a sidecar that did not respond gets no admission requests.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
+/// How long a report of an engine's free KV cache is used. Streams end within
+/// seconds, and with them the memory that they hold.
+const FREE_TOKENS_TTL: Duration = Duration::from_secs(2);
+
 /// Delay after a failure to receive from the socket.
 const SOCKET_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -56,6 +60,8 @@
     pending: RefCell<HashMap<u32, UnboundedSender<GrantResponse>>>,
     /// Sidecars that did not respond, by host.
     backoffs: RefCell<HashMap<IpAddr, Backoff>>,
+    /// Free KV cache of engines in tokens, with the time of the report, by host.
+    free_tokens: RefCell<HashMap<IpAddr, (Instant, u32)>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -168,6 +174,7 @@
             next_number: Cell::new(0),
             pending: RefCell::default(),
             backoffs: RefCell::default(),
+            free_tokens: RefCell::default(),
         });
         actix_rt::spawn(Rc::clone(&sidecars).receive());
         Ok(sidecars)
@@ -203,6 +210,10 @@
             return AdmissionDecision::NoResponse;
         };
         self.backoffs.borrow_mut().remove(&host);
+        if answer.free_tokens > 0 {
+            let mut known = self.free_tokens.borrow_mut();
+            known.insert(host, (now, answer.free_tokens));
+        }
         let cached = CachedPrefix {
             tokens: answer.cached_tokens,
             prefer_fetch: answer.prefer_fetch,
@@ -218,6 +229,15 @@
         }
     }
 
+    /// The KV cache tokens of the engine on `host` that no call holds or will need,
+    /// as its sidecar reported with an admission a moment ago.
+    #[must_use]
+    pub fn free_tokens(&self, now: Instant, host: IpAddr) -> Option<u32> {
+        let known = self.free_tokens.borrow().get(&host).copied();
+        let (_, tokens) = known.filter(|(at, _)| now < *at + FREE_TOKENS_TTL)?;
+        Some(tokens)
+    }
+
     /// The number of tokens from the start of a prompt that `server` has in its KV
     /// cache; 0 if its sidecar does not answer at once.
     pub async fn lookup_prefix(&self, server: &ServerRecord, prompt_parts: Vec<(u64, u32)>) -> u32 {
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -109,6 +109,7 @@
                     if relay.body.framed {
                         relay.call.record_completed();
                     }
+                    relay.call.record_copy_freed();
                     relay.log("whole");
                     None
                 }
@@ -205,8 +206,8 @@
         self.last_sent = now;
     }
 
-    /// Resumes the stream at another server after the last complete event, if
-    /// its route allows that.
+    /// Resumes the stream after the last complete event: at another server, if
+    /// its route allows that, or at the engine with its copy.
     async fn fail_over(&mut self, cause: &str) -> Result<(), StreamError> {
         let broken = |server: String, cause: &str| StreamError::Broken {
             server,
@@ -220,23 +221,32 @@
             .borrow_mut()
             .call_failed(self.call.state.clock.now(), &failed);
         let resumable = self.call.route.kind == policy::routes::CallKind::Resumable;
-        if !resumable || self.last_event.is_none() && self.event_count > 0 {
+        if self.last_event.is_none() && self.event_count > 0 {
             return Err(broken(failed, cause));
         }
         self.splitter.take_pending();
-        let resumed = Rc::clone(&self.call)
-            .resume(self.last_event, &mut self.tried)
-            .await;
+        let resumed = match resumable {
+            true => {
+                let call = Rc::clone(&self.call);
+                call.resume(self.last_event, &mut self.tried).await
+            }
+            false => {
+                let last = self.last_event;
+                self.call.continue_stream(&failed, last, cause).await
+            }
+        };
         let Some(body) = resumed else {
             return Err(broken(failed, cause));
         };
-        info!("stream resumed", kv: {
-            id = self.call.request_id(),
-            from = failed.as_str(),
-            at = &*body.server.id,
-            after = self.last_event.unwrap_or(0),
-            cause
-        });
+        if resumable {
+            info!("stream resumed", kv: {
+                id = self.call.request_id(),
+                from = failed.as_str(),
+                at = &*body.server.id,
+                after = self.last_event.unwrap_or(0),
+                cause
+            });
+        }
         self.body = body;
         self.just_resumed = true;
         self.resumed = true;
@@ -253,10 +263,12 @@
             .last_sent
             .saturating_duration_since(self.call.received_at);
         metrics::histogram!("pimentocart_answer_seconds", "kind" => "stream").record(age);
+        let backup = self.call.backup_server();
         info!("stream ended", kv: {
             id = self.call.request_id(),
             route = self.call.route.name.as_str(),
             server = &*self.body.server.id,
+            backup = backup.as_ref().map_or("-", |s| &*s.id),
             events = self.event_count,
             first_ms = millis(self.first_delay),
             pause_ms = millis(self.max_pause),
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -7,6 +7,7 @@
 
 use base::clock::Clock;
 use base::stop::StopSignal;
+use policy::backup::CopyTable;
 use policy::balance::Balancer;
 use policy::discovery::PeerDiscovery;
 use policy::link::LinkLoad;
@@ -69,6 +70,8 @@
     pub entry_count: RefCell<PeakEntryCount>,
     /// Limits the repeats of calls.
     pub repeat_budget: RefCell<RepeatBudget>,
+    /// The copies of this entry's streams at second engines.
+    pub copies: RefCell<CopyTable>,
     /// Asks the sidecars next to engines, if there are any.
     pub sidecars: RefCell<Option<Rc<SidecarClient>>>,
     /// The fleet-wide duties, if any are configured and their port could be bound.
@@ -129,6 +132,7 @@
             dialect,
             clock,
             catalog: RefCell::default(),
+            copies: RefCell::new(CopyTable::new(&settings.name)),
             sidecars: RefCell::default(),
             duties: RefCell::default(),
             crashes: CrashTracker::default(),
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -17,6 +17,7 @@
 use policy::routes::{CallKind, CallerLimits, Catalog, Engine, Route, Service, Workspace};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// The host of the engines and their sidecar.
 pub(crate) const ENGINES: &str = "127.0.0.2";
@@ -61,6 +62,12 @@
         if let Some(holder) = added.fetch_from {
             set("fetch", holder.to_string());
         }
+        if let Some(backup) = added.backup {
+            set("backup", backup.to_string());
+        }
+        if let Some(copy) = added.kv_copy {
+            set("kv-from", format!("{}/{}", copy.addr, copy.handle));
+        }
         if let Some(last) = added.last_event {
             set("last-event", last.to_string());
         }
@@ -160,6 +167,8 @@
     accepted: Cell<usize>,
     /// Connections that the other side has closed.
     closed: Cell<usize>,
+    /// Tells the servers to reset their connections.
+    reset: Notify,
 }
 
 impl Servers {
@@ -171,6 +180,11 @@
         self.inner.accepted.get()
     }
 
+    /// Resets the connections on which the servers wait for a request.
+    pub(crate) fn reset_connections(&self) {
+        self.inner.reset.notify_waiters();
+    }
+
     /// Waits until the other side has closed a connection.
     pub(crate) async fn wait_closed(&self) {
         while self.inner.closed.get() == 0 {
@@ -198,7 +212,15 @@
                 Some(Action::Early(bytes)) => Some(*bytes),
                 _ => None,
             };
-            let Some(request) = read_request(&mut stream, &mut all, early).await else {
+            let request = tokio::select! {
+                request = read_request(&mut stream, &mut all, early) => request,
+                () = self.inner.reset.notified() => {
+                    let linger = Some(Duration::ZERO);
+                    let _ = socket2::SockRef::from(&stream).set_linger(linger);
+                    return;
+                }
+            };
+            let Some(request) = request else {
                 break;
             };
             let id = header(&request, ID).unwrap_or_default();
@@ -297,6 +319,10 @@
     pub(crate) tier: u8,
     /// Whether the servers are engines, on a host of their own.
     pub(crate) engine: bool,
+    /// Whether the entry's setting for backups is on.
+    pub(crate) backups: bool,
+    /// Whether the engines declare backups.
+    pub(crate) declared: bool,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -310,6 +336,8 @@
             keys: false,
             tier: 1,
             engine: false,
+            backups: false,
+            declared: false,
             actions: actions.to_vec(),
         }
     }
@@ -319,7 +347,12 @@
     pub(crate) async fn start(plan: Plan) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
-        let state = State::new(settings(addr), Rc::new(TestDialect), Rc::new(SystemClock));
+        let settings = Settings {
+            backups: plan.backups,
+            ..settings(addr)
+        };
+        let state = State::new(settings, Rc::new(TestDialect), Rc::new(SystemClock));
+        state.copies.borrow_mut().set_entries(1);
         let servers = Servers::default();
         for id in ["s1", "s2"] {
             let host = if plan.engine { ENGINES } else { "127.0.0.1" };
@@ -461,7 +494,7 @@
             event_tokens: 8,
             copy_time: None,
             moves: false,
-            backups: false,
+            backups: plan.declared,
         }),
         scaling: None,
     };
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls through a whole entry over real sockets, between callers and backend
 //! servers that misbehave.
 
+mod backups;
 mod callers;
 mod common;
 mod feedback;
