Ask a server again whose reservation expired, once no other is left

Cause: a slot is held for 250 ms. When the entry or the sidecar is slow for longer, the start is answered with an expired reservation, and the server was excluded for the rest of the call. In the traced failure of rolling_restart (the tests of demo/failures in parallel on one core beside 3 busy loops) sidecar-1 and sidecar-0 had both let a reservation expire, the third was draining, and the call ended with no_server although two servers were open, not ejected and had room.

Change: servers whose reservation expired, or that restarted between the reservation and the start, are asked again once no other is left, while time is left. The first such retry of a call is free, since a pause makes all reservations of a process expire at once; further ones are charged to the budget, so the load at most doubles.

Tests: grant_all_expired and grant_many_expired failed before and pass; grant_always_expired bounds the starts at 210 for 100 calls.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use base::reason::{Executed, Refusal, RetryReason};
 use policy::placement::{PlacementRequest, ServerIndex};
 use policy::retry::{FailedAttempt, RetryDecision};
+use spdlog::debug;
 
 use crate::error::RequestError;
 use crate::request::Request;
@@ -37,6 +38,11 @@
 pub struct Attempts {
     /// Sidecars that failed or refused the request; they are not asked again.
     excluded: Vec<ServerIndex>,
+    /// Those of them that were only slow. They are asked again once no other
+    /// is left.
+    slow: Vec<ServerIndex>,
+    /// Whether the retry that a call may make without charge was made.
+    free_retry_used: bool,
     /// Number of reservation rounds that yielded no slot.
     rounds: u32,
     /// Whether an earlier run was started. The deadline of the first token no
@@ -54,6 +60,14 @@
         }
     }
 
+    /// Excludes a sidecar, for good or until no other is left.
+    fn exclude(&mut self, server: ServerIndex, cause: RetryReason) {
+        self.excluded.push(server);
+        if was_slow(cause) {
+            self.slow.push(server);
+        }
+    }
+
     /// Merges the error of the last attempt with what earlier attempts ran. A
     /// request that was preempted or lost at one server and then refused by the
     /// next did run, and the caller must not be told that it did not.
@@ -118,9 +132,19 @@
 ) -> Result<Run, RequestError> {
     let mut ticket = request.ticket;
     loop {
-        let chosen = choose(state, request, attempts);
+        let mut chosen = choose(state, request, attempts);
+        let none_left = chosen.is_empty();
+        if none_left && !attempts.slow.is_empty() {
+            let slow = std::mem::take(&mut attempts.slow);
+            attempts.excluded.retain(|server| !slow.contains(server));
+            chosen = choose(state, request, attempts);
+        }
         if let Some(last) = failure.take() {
-            check_retry(state, request, attempts, last, chosen.is_empty())?;
+            log_failure(request, &last);
+            if chosen.is_empty() {
+                return Err(last.error);
+            }
+            check_retry(state, request, attempts, last, none_left)?;
             // Each attempt gets its own ticket, because the previous one is
             // cancelled at every sidecar that was asked.
             ticket = RequestId::random();
@@ -136,7 +160,12 @@
         let run = match round.run(ttft_budget).await {
             Ok(run) => run,
             Err(rejections) => {
-                attempts.excluded.extend(&chosen);
+                // A sidecar without a rejection was removed meanwhile.
+                for server in chosen {
+                    let rejection = rejections.iter().find(|r| r.index == server);
+                    let cause = rejection.map_or(RetryReason::Unreachable, |r| r.cause);
+                    attempts.exclude(server, cause);
+                }
                 attempts.rounds += 1;
                 failure = Some(round_failure(&rejections));
                 continue;
@@ -155,8 +184,8 @@
                 return Ok(run);
             }
             status => {
-                attempts.excluded.push(run.server.index);
                 let last = start_failure(status);
+                attempts.exclude(run.server.index, last.attempt.cause);
                 attempts.record(last.attempt.ran);
                 failure = Some(last);
             }
@@ -175,22 +204,49 @@
     state.placement.borrow_mut().choose(now, &placement_request)
 }
 
+/// Whether a sidecar may well grant the request if it is asked again: it or the
+/// entry was slow for a moment, or it just restarted. The request did not run there.
+fn was_slow(cause: RetryReason) -> bool {
+    match cause {
+        RetryReason::ReservationExpired | RetryReason::SidecarRestarted => true,
+        RetryReason::Unreachable
+        | RetryReason::Silent
+        | RetryReason::Refused
+        | RetryReason::BackendFailed
+        | RetryReason::Unknown
+        | RetryReason::Draining
+        | RetryReason::Preempted => false,
+    }
+}
+
+fn log_failure(request: &Request, failure: &AttemptFailure) {
+    let ticket = request.ticket.to_string();
+    debug!("attempt failed", kv: { ticket = ticket.as_str(), cause = failure.attempt.cause.as_str(), reason = failure.error.reason.as_str() });
+}
+
 /// Checks whether a failed attempt may be retried; otherwise returns the error
-/// for the caller.
+/// for the caller. `none_left` says that only servers that were slow before can
+/// be asked.
 fn check_retry(
     state: &State,
     request: &Request,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     failure: AttemptFailure,
-    no_candidates: bool,
+    none_left: bool,
 ) -> Result<(), RequestError> {
     let AttemptFailure { attempt, error } = failure;
     let left = time_left(state, request, attempts);
     let needed = time_needed(state, request, attempts);
-    if no_candidates || attempt.decide(request.repeatable, left, needed) != RetryDecision::Again {
+    if attempt.decide(request.repeatable, left, needed) != RetryDecision::Again {
         return Err(error);
     }
 
+    // A pause of one process makes all of its reservations expire at once, more
+    // than the budget covers. One retry for each call at most doubles the load.
+    let expired = attempt.cause == RetryReason::ReservationExpired;
+    let free = (expired || none_left) && !attempts.free_retry_used;
+    attempts.free_retry_used |= free;
+
     // These retries do not count against the budget: a draining sidecar is not
     // asked again and a request is preempted at most once, so neither cause can
     // amplify the load.
@@ -198,7 +254,7 @@
         attempt.cause,
         RetryReason::Draining | RetryReason::Preempted
     );
-    if !exempt && !state.retry_budget.borrow_mut().take(&request.class) {
+    if !(exempt || free || state.retry_budget.borrow_mut().take(&request.class)) {
         return Err(match error.reason {
             Refusal::NoServer => RequestError {
                 reason: Refusal::RetryBudget,
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -47,6 +47,8 @@
 pub(crate) enum StartScript {
     Run,
     Expired,
+    /// The reservations of the first starts, of this number, have expired.
+    ExpiredUntil(u32),
     /// The request runs, but the first reply is lost.
     ReplyLost,
     /// The first start gets no reply; then the sidecar restarts.
@@ -148,6 +150,16 @@
         }
     }
 
+    fn offer(&self, token_us: u32) -> Reply<ReserveOutcome> {
+        count(&self.offers);
+        self.reply(ReserveOutcome::Ready {
+            lease_ms: 250,
+            ttft_us: token_us,
+            token_us,
+            cached_tokens: 0,
+        })
+    }
+
     fn chunk(&self, number: u32) -> Chunk {
         Chunk {
             tokens: 1,
@@ -204,15 +216,7 @@
                 reason,
                 retry_after_ms: 7000,
             }),
-            ReserveScript::Ready { token_us } => {
-                count(&fake.offers);
-                fake.reply(ReserveOutcome::Ready {
-                    lease_ms: 250,
-                    ttft_us: token_us,
-                    token_us,
-                    cached_tokens: 0,
-                })
-            }
+            ReserveScript::Ready { token_us } => fake.offer(token_us),
         }
     }
 
@@ -223,7 +227,12 @@
             (StartScript::Silent, _) | (StartScript::ReplyLost | StartScript::RestartAfter, 1) => {
                 std::future::pending().await
             }
-            (StartScript::Run | StartScript::ReplyLost, _) => fake.reply(StartOutcome::Running),
+            (StartScript::ExpiredUntil(number), call) if call <= number => {
+                fake.reply(StartOutcome::ReservationExpired)
+            }
+            (StartScript::Run | StartScript::ReplyLost | StartScript::ExpiredUntil(_), _) => {
+                fake.reply(StartOutcome::Running)
+            }
             (StartScript::Expired, _) => fake.reply(StartOutcome::ReservationExpired),
             (StartScript::RestartAfter | StartScript::RestartBefore, _) => {
                 fake.incarnation.set(2);
--- a/crates/entry/tests/routing/retries.rs
+++ b/crates/entry/tests/routing/retries.rs
@@ -122,6 +122,47 @@
     assert_eq!(answer, (good(), 1));
 }
 
+// Both reservations expire because a process was slow, and both servers have room.
+// The caller is not refused with `no_server`: the servers are asked again, also for
+// a request that is not repeatable, since it did not run.
+#[rstest]
+#[case::one_server(1)]
+#[case::two_servers(2)]
+#[actix_rt::test]
+async fn grant_all_expired(#[case] servers: usize) {
+    let script = start_script(StartScript::ExpiredUntil(1));
+    let fakes = ["f0", "f1"].map(|name| FakeSidecar::new(name, script));
+    let state = generous_entry(&fakes[..servers], 2, PlacementMode::LateBinding).await;
+    let answer = call(&state, request(true, false)).await;
+    assert_eq!(answer.end, Ok(()));
+}
+
+// An entry is paused and the reservations of 30 calls expire, three times as many as
+// the retry budget covers. No caller is refused.
+#[actix_rt::test]
+async fn grant_many_expired() {
+    let fake = FakeSidecar::new("only", start_script(StartScript::ExpiredUntil(30)));
+    let state = generous_entry(std::slice::from_ref(&fake), 2, PlacementMode::LateBinding).await;
+    let calls = (0..30).map(|_| call(&state, request(true, true)));
+    for answer in futures_util::future::join_all(calls).await {
+        assert_eq!(answer, CallResult::complete("only0 only1 "));
+    }
+}
+
+// Every reservation expires. The retries must not multiply the load: one is free for
+// each of the 100 calls, and the others come from the budget of 10.
+#[actix_rt::test]
+async fn grant_always_expired() {
+    let fakes = ["f0", "f1"].map(|name| FakeSidecar::new(name, start_script(StartScript::Expired)));
+    let state = generous_entry(&fakes, 1, PlacementMode::LateBinding).await;
+    for _ in 0..100 {
+        let answer = call(&state, request(true, true)).await;
+        assert_eq!(answer.end.map_err(|(_, ran)| ran), Err(Executed::No));
+    }
+    let starts: u32 = fakes.iter().map(|f| f.starts.get()).sum();
+    assert_eq!(starts, 100 + 100 + 10);
+}
+
 // The backend server fails before the first chunk. A request that is known not to
 // have run is retried. If it may have run, it is retried only if it is repeatable;
 // otherwise the caller is told that this is unknown.
