Ask a server again that did not answer in time, once no other is left

Cause: a server that did not answer two reservations within the margin of 500 ms each was excluded for the rest of the call, also when it was the only one, and the call ended with no_server although its deadline was 10 s. On a new connection one silent reservation was enough: the peer backs off after it, the repetition fails as unreachable, and so do all calls that arrive meanwhile.

Change: the peer keeps whether its backoff follows a timeout or a refusal (Error::timed_out), and says how long it lasts (backoff_left). Servers that did not answer in time are asked again once no other is left, after the backoff. A server that refuses connections is still given up at once.

Tests: grant_silent_alone failed before in both cases and passes; backoff_tells_timeout.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -144,7 +144,11 @@
             if chosen.is_empty() {
                 return Err(last.error);
             }
-            check_retry(state, request, attempts, last, none_left)?;
+            let pause = none_left.then(|| backoff_left(state, &chosen));
+            check_retry(state, request, attempts, last, pause)?;
+            if let Some(pause) = pause {
+                tokio::time::sleep(pause).await;
+            }
             // Each attempt gets its own ticket, because the previous one is
             // cancelled at every sidecar that was asked.
             ticket = RequestId::random();
@@ -204,13 +208,22 @@
     state.placement.borrow_mut().choose(now, &placement_request)
 }
 
+/// Time until one of the servers can be connected to. A call that only they can
+/// serve would otherwise fail at once, and all calls of a service with it.
+fn backoff_left(state: &State, servers: &[ServerIndex]) -> Duration {
+    let servers = servers.iter().filter_map(|index| state.server(*index));
+    let left = servers.map(|server| server.peer.backoff_left()).min();
+    left.unwrap_or_default()
+}
+
 /// Whether a sidecar may well grant the request if it is asked again: it or the
 /// entry was slow for a moment, or it just restarted. The request did not run there.
 fn was_slow(cause: RetryReason) -> bool {
     match cause {
-        RetryReason::ReservationExpired | RetryReason::SidecarRestarted => true,
+        RetryReason::Silent | RetryReason::ReservationExpired | RetryReason::SidecarRestarted => {
+            true
+        }
         RetryReason::Unreachable
-        | RetryReason::Silent
         | RetryReason::Refused
         | RetryReason::BackendFailed
         | RetryReason::Unknown
@@ -225,18 +238,19 @@
 }
 
 /// Checks whether a failed attempt may be retried; otherwise returns the error
-/// for the caller. `none_left` says that only servers that were slow before can
-/// be asked.
+/// for the caller. `pause` is given if only servers that were slow before can be
+/// asked, and is the delay before that.
 fn check_retry(
     state: &State,
     request: &Request,
     attempts: &mut Attempts,
     failure: AttemptFailure,
-    none_left: bool,
+    pause: Option<Duration>,
 ) -> Result<(), RequestError> {
     let AttemptFailure { attempt, error } = failure;
     let left = time_left(state, request, attempts);
     let needed = time_needed(state, request, attempts);
+    let needed = needed + pause.unwrap_or_default();
     if attempt.decide(request.repeatable, left, needed) != RetryDecision::Again {
         return Err(error);
     }
@@ -244,7 +258,7 @@
     // A pause of one process makes all of its reservations expire at once, more
     // than the budget covers. One retry for each call at most doubles the load.
     let expired = attempt.cause == RetryReason::ReservationExpired;
-    let free = (expired || none_left) && !attempts.free_retry_used;
+    let free = (expired || pause.is_some()) && !attempts.free_retry_used;
     attempts.free_retry_used |= free;
 
     // These retries do not count against the budget: a draining sidecar is not
--- a/crates/entry/src/reserve.rs
+++ b/crates/entry/src/reserve.rs
@@ -364,7 +364,7 @@
 /// The retry reason for a failed call.
 pub(crate) fn retry_reason(error: &Error) -> RetryReason {
     match error {
-        Error::Dial { .. } => RetryReason::Unreachable,
-        Error::Call { .. } | Error::Silent { .. } => RetryReason::Silent,
+        Error::Dial { .. } if !error.timed_out() => RetryReason::Unreachable,
+        Error::Dial { .. } | Error::Call { .. } | Error::Silent { .. } => RetryReason::Silent,
     }
 }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -84,6 +84,7 @@
             false => RESENDS,
         };
         let mut sent = false;
+        let mut cause = RetryReason::Unreachable;
         for _ in 0..=resends {
             // This process may have been suspended during the wait, and another
             // entry may have claimed the idempotency key since. A start sent now
@@ -107,13 +108,14 @@
                 Err(e) => {
                     warn!("start got no reply", kv: { ticket = self.ticket.to_string().as_str(), error = e.to_string().as_str() });
                     sent |= !e.never_sent();
-                    base::telemetry::count_retry(retry_reason(&e));
+                    cause = retry_reason(&e);
+                    base::telemetry::count_retry(cause);
                     tokio::time::sleep(RESEND_DELAY).await;
                 }
             }
         }
         if !sent {
-            return StartStatus::NotRun(RetryReason::Unreachable);
+            return StartStatus::NotRun(cause);
         }
         // A repeatable request is retried at another server. This run, if it
         // exists, is cancelled on drop.
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -40,6 +40,8 @@
     },
     Refuse(Refusal),
     Silent,
+    /// The first reservations, of this number, get no reply.
+    SilentUntil(u32),
 }
 
 /// How the fake replies to a start.
@@ -212,6 +214,10 @@
                 })
             }
             ReserveScript::Silent => std::future::pending().await,
+            ReserveScript::SilentUntil(number) if call_number <= number => {
+                std::future::pending().await
+            }
+            ReserveScript::SilentUntil(_) => fake.offer(3000),
             ReserveScript::Refuse(reason) => fake.reply(ReserveOutcome::Refused {
                 reason,
                 retry_after_ms: 7000,
--- a/crates/entry/tests/routing/retries.rs
+++ b/crates/entry/tests/routing/retries.rs
@@ -163,6 +163,23 @@
     assert_eq!(starts, 100 + 100 + 10);
 }
 
+// The only server, to which a new connection was made, replies to none of the first
+// reservations, and the calls that follow fail during the backoff. No caller is
+// refused while time is left; 30 are three times as many as the retry budget covers.
+#[rstest]
+#[case::one(1)]
+#[case::many(30)]
+#[actix_rt::test]
+async fn grant_silent_alone(#[case] count: u32) {
+    let script = reserve_script(ReserveScript::SilentUntil(count));
+    let fake = FakeSidecar::new("only", script);
+    let state = entry(std::slice::from_ref(&fake), 2).await;
+    let calls = (0..count).map(|_| call(&state, request(true, false)));
+    for answer in futures_util::future::join_all(calls).await {
+        assert_eq!(answer, CallResult::complete("only0 only1 "));
+    }
+}
+
 // The backend server fails before the first chunk. A request that is known not to
 // have run is retried. If it may have run, it is retried only if it is repeatable;
 // otherwise the caller is told that this is unknown.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -79,6 +79,8 @@
     failures: Cell<u32>,
     /// End of the backoff; no connection attempt before this time.
     retry_at: Cell<Option<Instant>>,
+    /// Whether the backoff follows a timeout. The sidecar may then only be slow.
+    timed_out: Cell<bool>,
 }
 
 /// An established connection.
@@ -146,6 +148,17 @@
     pub fn never_sent(&self) -> bool {
         matches!(self, Self::Dial { .. })
     }
+
+    /// Whether the sidecar did not answer in time, or not in time the last time
+    /// that it was asked. A host that refuses or resets connections did answer.
+    #[must_use]
+    pub fn timed_out(&self) -> bool {
+        match self {
+            Self::Dial { source, .. } => source.kind() == io::ErrorKind::TimedOut,
+            Self::Call { .. } => false,
+            Self::Silent { .. } => true,
+        }
+    }
 }
 
 impl Peer {
@@ -159,6 +172,7 @@
             connect_lock: tokio::sync::Mutex::default(),
             failures: Cell::new(0),
             retry_at: Cell::new(None),
+            timed_out: Cell::new(false),
         }
     }
 
@@ -168,6 +182,15 @@
         self.addr
     }
 
+    /// Time until the next connection attempt; zero unless the peer backs off
+    /// after a failure.
+    #[must_use]
+    pub fn backoff_left(&self) -> Duration {
+        self.retry_at.get().map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+
     /// Reserves a slot; see [`crate::Sidecar::reserve`].
     ///
     /// # Errors
@@ -306,12 +329,12 @@
             }
             Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => {
                 if connection.last_response.get() <= sent {
-                    self.discard(&connection);
+                    self.discard(&connection, true);
                 }
                 SilentSnafu { step, peer, waited }.fail()
             }
             Ok(Err(source)) => {
-                self.discard(&connection);
+                self.discard(&connection, false);
                 Err(source).context(CallSnafu { step, peer })
             }
         }
@@ -331,15 +354,17 @@
         }
         // Calls that waited for a failed attempt do not retry it one after the
         // other, since each would wait for the full connection timeout.
-        if self
-            .retry_at
-            .get()
-            .is_some_and(|until| Instant::now() < until)
-        {
-            return Err(io::ErrorKind::HostUnreachable.into());
+        if !self.backoff_left().is_zero() {
+            let kind = match self.timed_out.get() {
+                true => io::ErrorKind::TimedOut,
+                false => io::ErrorKind::HostUnreachable,
+            };
+            return Err(kind.into());
         }
 
-        let connection = self.connect().await.inspect_err(|_| self.back_off())?;
+        let connection = self.connect().await;
+        let connection =
+            connection.inspect_err(|e| self.back_off(e.kind() == io::ErrorKind::TimedOut))?;
         let connection = Rc::new(connection);
         *self.connection.borrow_mut() = Some(Rc::clone(&connection));
         Ok(connection)
@@ -381,8 +406,9 @@
     }
 
     /// Discards a connection and aborts all calls in flight on it, each of which
-    /// would otherwise wait for its own timeout.
-    fn discard(&self, connection: &Rc<Connection>) {
+    /// would otherwise wait for its own timeout. `timed_out` says that it did not
+    /// respond, rather than that it failed.
+    fn discard(&self, connection: &Rc<Connection>, timed_out: bool) {
         connection.discarded.trigger();
         let mut current = self.connection.borrow_mut();
         if !current.as_ref().is_some_and(|c| Rc::ptr_eq(c, connection)) {
@@ -394,12 +420,13 @@
         // connections would be connected to in a loop. A connection that had
         // worked is replaced without delay.
         if !connection.responded.get() {
-            self.back_off();
+            self.back_off(timed_out);
         }
     }
 
     /// Starts a backoff that doubles with each consecutive failure.
-    fn back_off(&self) {
+    fn back_off(&self, timed_out: bool) {
+        self.timed_out.set(timed_out);
         let failures = self.failures.get();
         self.failures.set(failures.saturating_add(1));
         let backoff = INITIAL_BACKOFF * 2u32.pow(failures.min(10));
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -245,6 +245,25 @@
     assert!(backed_off > 0);
 }
 
+// Guards against taking a slow sidecar for one that is gone: calls during the backoff
+// fail at once, and must say whether the failure before was a timeout.
+#[rstest]
+#[case::silent(true)]
+#[case::refuses(false)]
+#[actix_rt::test]
+async fn backoff_tells_timeout(#[case] accepts: bool) {
+    let (listener, addr) = listen().await;
+    // The connection is accepted by the operating system, and nobody reads from it.
+    let listener = accepts.then_some(listener);
+
+    let peer = Peer::new(addr, timeouts());
+    for call in 1..=2 {
+        let error = peer.cancel(HEADER, RequestId(call)).await.unwrap_err();
+        assert_eq!(error.timed_out(), accepts, "call {call}: {error}");
+    }
+    drop(listener);
+}
+
 // Guards against waiting for the margin on a connection that was idle for so
 // long that a middlebox may have dropped its state: the next call must use a new
 // connection.
