Go on pulling from a server that does not answer, if no other can run the call

Cause: after two pulls without a reply an entry gives up a repeatable request at its server and retries it at another one.

Change: the retry requires that another server may be asked (Placement::has_usable); else the entry pulls until the time-out.

Test: answer_silent_alone failed before and passes.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Whether the request can be placed at another server than `server` now.
+    #[must_use]
+    pub fn has_other(&self, state: &State, request: &Request, server: ServerIndex) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(server);
+        let placement = state.placement.borrow();
+        placement.has_usable(state.clock.now(), &request.target, &excluded)
+    }
+
     /// Merges the error of the last attempt with what earlier attempts ran. A
     /// request that was preempted or lost at one server and then refused by the
     /// next did run, and the caller must not be told that it did not.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -190,14 +190,21 @@
         }
     }
 
-    /// Whether to stop pulling from an unreachable sidecar. If the request may
+    /// Whether to stop pulling from an unreachable sidecar. If the request can
     /// run at another server, waiting costs more than another run. Otherwise the
     /// entry keeps trying up to a timeout, since the sidecar buffers the answer
     /// for a while.
     fn should_give_up(&self, since: Instant, failed_pulls: u32) -> bool {
-        let may_retry = self.request.repeatable && !self.delivered();
         let timeout = self.state.settings.routing.unreachable_timeout.0;
-        (may_retry && failed_pulls >= MAX_FAILED_PULLS) || since.elapsed() >= timeout
+        since.elapsed() >= timeout || (failed_pulls >= MAX_FAILED_PULLS && self.can_run_elsewhere())
+    }
+
+    /// Whether the request may run a second time and a server is there for it.
+    fn can_run_elsewhere(&self) -> bool {
+        let (server, request) = (self.run.server.index, &self.request);
+        request.repeatable
+            && !self.delivered()
+            && self.attempts.has_other(&self.state, request, server)
     }
 
     /// Validates a pull result and updates the counters of the run.
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -68,8 +68,8 @@
     Complete,
     /// Is interrupted after this number of chunks.
     Interrupted(u32, Executed),
-    /// The first pull gets no reply.
-    PullLost,
+    /// The first pulls, of this number, get no reply.
+    PullsLost(u32),
 }
 
 /// The behavior of a fake.
@@ -251,11 +251,11 @@
         let fake = self.0;
         let call_number = count(&fake.pulls);
         let running = fake.script.get().running;
-        if running == RunScript::PullLost && call_number == 1 {
+        if matches!(running, RunScript::PullsLost(number) if call_number <= number) {
             std::future::pending::<()>().await;
         }
         let (chunks, end) = match running {
-            RunScript::Complete | RunScript::PullLost => {
+            RunScript::Complete | RunScript::PullsLost(_) => {
                 let end = ResponseEnd::Complete {
                     chunk_count: 2,
                     status: 200,
@@ -320,6 +320,16 @@
     entry_with(fakes, fan_out, routing).await
 }
 
+/// An entry that detects an unresponsive connection soon and keeps pulling from an
+/// unreachable sidecar for longer than a busy machine takes.
+pub(crate) async fn patient_entry(fakes: &[Rc<FakeSidecar>], fan_out: usize) -> Rc<State> {
+    let routing = Routing {
+        unreachable_timeout: HumanDuration::secs(15),
+        ..short_timeouts(PlacementMode::LateBinding)
+    };
+    entry_with(fakes, fan_out, routing).await
+}
+
 /// An entry with the given routing settings.
 async fn entry_with(fakes: &[Rc<FakeSidecar>], fan_out: usize, routing: Routing) -> Rc<State> {
     let mut sidecars = Vec::new();
--- a/crates/entry/tests/routing/retries.rs
+++ b/crates/entry/tests/routing/retries.rs
@@ -5,7 +5,7 @@
 
 use crate::fake::{
     CallResult, FakeSidecar, ReserveScript, RunScript, Script, StartScript, call, entry,
-    entry_state, generous_entry, request,
+    entry_state, generous_entry, patient_entry, request,
 };
 use base::reason::{Executed, Refusal};
 use entry::settings::SidecarInfo;
@@ -39,7 +39,9 @@
         script.starting,
         StartScript::Silent | StartScript::ReplyLost | StartScript::RestartAfter
     );
-    starting || script.reserving == ReserveScript::Silent || script.running == RunScript::PullLost
+    starting
+        || script.reserving == ReserveScript::Silent
+        || matches!(script.running, RunScript::PullsLost(_))
 }
 
 /// Makes one request; returns the caller's answer and the number of starts at
@@ -241,10 +243,22 @@
 #[case::once(false)]
 #[actix_rt::test]
 async fn answer_connection_silent(#[case] repeatable: bool) {
-    let answer = call_with_bad(run_script(RunScript::PullLost), true, repeatable).await;
+    let answer = call_with_bad(run_script(RunScript::PullsLost(1)), true, repeatable).await;
     assert_eq!(answer, (bad(), 0));
 }
 
+// Two pulls get no reply, after which a request is retried at another server, and
+// there is none. The entry goes on pulling for its timeout; the caller must not be
+// told that the outcome is unknown when the answer can still be had.
+#[actix_rt::test]
+async fn answer_silent_alone() {
+    let fake = FakeSidecar::new("only", run_script(RunScript::PullsLost(2)));
+    let state = patient_entry(std::slice::from_ref(&fake), 2).await;
+    let answer = call(&state, request(true, true)).await;
+    assert_eq!(answer, CallResult::complete("only0 only1 "));
+    assert_eq!(fake.starts.get(), 1);
+}
+
 // All servers refuse every request. If each request were tried at each server,
 // 1000 requests would cause 5000 reservations. Only grants add to the retry budget
 // and none is granted, so at most the 10 initial retries are made: the first 5
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -327,6 +327,13 @@
         chosen
     }
 
+    /// Whether any server of `target` other than the excluded ones may be asked.
+    #[must_use]
+    pub fn has_usable(&self, now: Instant, target: &str, excluded: &[ServerIndex]) -> bool {
+        let pool = self.targets.get(target).map(|pool| &self.pools[*pool]);
+        pool.is_some_and(|pool| pool.all().any(|i| self.usable(now, i, excluded).is_some()))
+    }
+
     fn late_binding(
         &mut self,
         now: Instant,
