--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -81,7 +81,7 @@
 
 async fn sweep(state: Rc<State>, end: StopSignal) {
     while !end.is_triggered() {
-        state.sweep();
+        state.periodic_sweep();
         tokio::time::sleep(SWEEP_INTERVAL).await;
     }
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -77,6 +77,8 @@
     undelivered_ends: Cell<usize>,
     /// When the end of a response was last delivered.
     last_delivery: Cell<Option<Instant>>,
+    /// When the last periodic sweep was due.
+    last_tick: Cell<Option<Instant>>,
     /// Whether the sidecar drains and refuses new requests.
     draining: Cell<bool>,
     /// Whether the backend server is considered unreachable.
@@ -119,6 +121,7 @@
             retained_bytes: Cell::new(0),
             undelivered_ends: Cell::new(0),
             last_delivery: Cell::new(None),
+            last_tick: Cell::new(None),
             draining: Cell::new(false),
             failed: Cell::new(false),
             backend_failure: Notify::new(),
--- a/crates/sidecar/src/state/maintenance.rs
+++ b/crates/sidecar/src/state/maintenance.rs
@@ -12,7 +12,27 @@
 use super::{MAX_CALL_WAIT, State};
 use crate::metrics;
 
+/// Time between two periodic sweeps, due every 10 ms, after which this process
+/// counts as having been paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(50);
+
 impl State {
+    /// Sweeps, or skips one sweep after a pause of this process.
+    ///
+    /// The starts that arrived during the pause are still unread then. If the
+    /// sweep came first, it would expire their holds, although the entries were
+    /// in time.
+    pub fn periodic_sweep(&self) {
+        let now = self.clock.now();
+        let last = self.last_tick.replace(Some(now));
+        if last.is_some_and(|last| now.saturating_duration_since(last) > PAUSE_LIMIT) {
+            // The next sweep is not skipped, however late it comes.
+            self.last_tick.set(None);
+            return;
+        }
+        self.sweep();
+    }
+
     /// Releases expired holds, refuses requests that cannot meet their targets
     /// and drops responses whose retention ended. Its cost grows with the number
     /// of due timers and not with the number of tracked requests.
