Resend a start that got no reply, if no other server can run the call

Cause: a start without a reply is resent once for a repeatable call, since it can run at another server. With no other server the caller got outcome_unknown after about a second, though a call that must not be repeated is resent three times.

Change: the single resend requires that another server may be asked.

Test: start_silent_alone failed before and passes.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -189,7 +189,8 @@
         if !request.may_start(state.clock.now()) {
             return Err(idempotency::claim_expired());
         }
-        match run.start(request).await {
+        let has_other = attempts.has_other(state, request, run.server.index);
+        match run.start(request, has_other).await {
             StartStatus::Running => {
                 let share = state.shares().retry_ratio;
                 state.retry_budget.borrow_mut().earn(&request.class, share);
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -14,13 +14,14 @@
 use crate::reserve::retry_reason;
 use crate::state::{Server, State};
 
-/// Number of times that an unanswered start is resent for a request that must
-/// not run twice. Only the reply shows whether such a request ran.
+/// Number of times that an unanswered start is resent for a request that cannot
+/// run at another server. If it must not run twice, only the reply shows whether
+/// it ran.
 const RESENDS: u32 = 3;
 
-/// Number of times that an unanswered start is resent for a repeatable request,
-/// which can run at another server instead.
-const RESENDS_REPEATABLE: u32 = 1;
+/// Number of times that an unanswered start is resent for a request that can run
+/// at another server instead.
+const RESENDS_ELSEWHERE: u32 = 1;
 
 /// Delay before a start is resent, so that a sidecar that resets connections is
 /// not flooded.
@@ -77,10 +78,11 @@
 
     /// Starts the request. An unanswered start may have taken effect, so it is
     /// resent for the same incarnation. The start is idempotent: the reply to
-    /// any copy shows whether the request runs.
-    pub async fn start(&self, request: &Request) -> StartStatus {
-        let resends = match request.repeatable {
-            true => RESENDS_REPEATABLE,
+    /// any copy shows whether the request runs. `has_other` says that another
+    /// server may be asked instead.
+    pub async fn start(&self, request: &Request, has_other: bool) -> StartStatus {
+        let resends = match request.repeatable && has_other {
+            true => RESENDS_ELSEWHERE,
             false => RESENDS,
         };
         let mut sent = false;
--- a/crates/entry/tests/routing/fake.rs
+++ b/crates/entry/tests/routing/fake.rs
@@ -51,8 +51,8 @@
     Expired,
     /// The reservations of the first starts, of this number, have expired.
     ExpiredUntil(u32),
-    /// The request runs, but the first reply is lost.
-    ReplyLost,
+    /// The request runs, but the first replies, of this number, are lost.
+    RepliesLost(u32),
     /// The first start gets no reply; then the sidecar restarts.
     RestartAfter,
     /// The sidecar restarts before the first start arrives.
@@ -230,13 +230,16 @@
         let fake = self.0;
         let call_number = count(&fake.starts);
         match (fake.script.get().starting, call_number) {
-            (StartScript::Silent, _) | (StartScript::ReplyLost | StartScript::RestartAfter, 1) => {
+            (StartScript::Silent, _) | (StartScript::RestartAfter, 1) => {
+                std::future::pending().await
+            }
+            (StartScript::RepliesLost(number), call) if call <= number => {
                 std::future::pending().await
             }
             (StartScript::ExpiredUntil(number), call) if call <= number => {
                 fake.reply(StartOutcome::ReservationExpired)
             }
-            (StartScript::Run | StartScript::ReplyLost | StartScript::ExpiredUntil(_), _) => {
+            (StartScript::Run | StartScript::RepliesLost(_) | StartScript::ExpiredUntil(_), _) => {
                 fake.reply(StartOutcome::Running)
             }
             (StartScript::Expired, _) => fake.reply(StartOutcome::ReservationExpired),
--- a/crates/entry/tests/routing/retries.rs
+++ b/crates/entry/tests/routing/retries.rs
@@ -37,7 +37,7 @@
 fn leaves_unanswered(script: Script) -> bool {
     let starting = matches!(
         script.starting,
-        StartScript::Silent | StartScript::ReplyLost | StartScript::RestartAfter
+        StartScript::Silent | StartScript::RepliesLost(_) | StartScript::RestartAfter
     );
     starting
         || script.reserving == ReserveScript::Silent
@@ -89,7 +89,7 @@
 // the complete answer.
 #[actix_rt::test]
 async fn grant_start_reply_lost() {
-    let answer = call_with_bad(start_script(StartScript::ReplyLost), true, false).await;
+    let answer = call_with_bad(start_script(StartScript::RepliesLost(1)), true, false).await;
     assert_eq!(answer, (bad(), 0));
 }
 
@@ -247,6 +247,18 @@
     assert_eq!(answer, (bad(), 0));
 }
 
+// A start and its repetition get no reply, after which a repeatable request is retried
+// at another server, and there is none. The start is resent as for a request that must
+// not run twice; the caller must not be told that the outcome is unknown.
+#[actix_rt::test]
+async fn start_silent_alone() {
+    let script = start_script(StartScript::RepliesLost(2));
+    let fake = FakeSidecar::new("only", script);
+    let state = patient_entry(std::slice::from_ref(&fake), 2).await;
+    let answer = call(&state, request(true, true)).await;
+    assert_eq!(answer, CallResult::complete("only0 only1 "));
+}
+
 // Two pulls get no reply, after which a request is retried at another server, and
 // there is none. The entry goes on pulling for its timeout; the caller must not be
 // told that the outcome is unknown when the answer can still be had.
