--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use base::reason::{Executed, Refusal, RetryReason};
 use policy::placement::{PlacementRequest, ServerIndex};
 use policy::retry::{FailedAttempt, RetryDecision};
+use spdlog::debug;
 
 use crate::error::RequestError;
 use crate::request::Request;
@@ -37,6 +38,11 @@
 pub struct Attempts {
     /// Sidecars that failed or refused the request; they are not asked again.
     excluded: Vec<ServerIndex>,
+    /// Those of them that were only slow. They are asked again once no other
+    /// is left.
+    slow: Vec<ServerIndex>,
+    /// Whether the retry that a call may make without charge was made.
+    free_retry_used: bool,
     /// Number of reservation rounds that yielded no slot.
     rounds: u32,
     /// Whether an earlier run was started. The deadline of the first token no
@@ -54,6 +60,23 @@
         }
     }
 
+    /// Excludes a sidecar, for good or until no other is left.
+    fn exclude(&mut self, server: ServerIndex, cause: RetryReason) {
+        self.excluded.push(server);
+        if was_slow(cause) {
+            self.slow.push(server);
+        }
+    }
+
+    /// Whether the request can be placed at another server than `server` now.
+    #[must_use]
+    pub fn has_other(&self, state: &State, request: &Request, server: ServerIndex) -> bool {
+        let mut excluded = self.excluded.clone();
+        excluded.push(server);
+        let placement = state.placement.borrow();
+        placement.has_usable(state.clock.now(), &request.target, &excluded)
+    }
+
     /// Merges the error of the last attempt with what earlier attempts ran. A
     /// request that was preempted or lost at one server and then refused by the
     /// next did run, and the caller must not be told that it did not.
@@ -118,9 +141,23 @@
 ) -> Result<Run, RequestError> {
     let mut ticket = request.ticket;
     loop {
-        let chosen = choose(state, request, attempts);
+        let mut chosen = choose(state, request, attempts);
+        let none_left = chosen.is_empty();
+        if none_left && !attempts.slow.is_empty() {
+            let slow = std::mem::take(&mut attempts.slow);
+            attempts.excluded.retain(|server| !slow.contains(server));
+            chosen = choose(state, request, attempts);
+        }
         if let Some(last) = failure.take() {
-            check_retry(state, request, attempts, last, chosen.is_empty())?;
+            log_failure(request, &last);
+            if chosen.is_empty() {
+                return Err(last.error);
+            }
+            let pause = none_left.then(|| backoff_left(state, &chosen));
+            check_retry(state, request, attempts, last, pause)?;
+            if let Some(pause) = pause {
+                tokio::time::sleep(pause).await;
+            }
             // Each attempt gets its own ticket, because the previous one is
             // cancelled at every sidecar that was asked.
             ticket = RequestId::random();
@@ -136,7 +173,12 @@
         let run = match round.run(ttft_budget).await {
             Ok(run) => run,
             Err(rejections) => {
-                attempts.excluded.extend(&chosen);
+                // A sidecar without a rejection was removed meanwhile.
+                for server in chosen {
+                    let rejection = rejections.iter().find(|r| r.index == server);
+                    let cause = rejection.map_or(RetryReason::Unreachable, |r| r.cause);
+                    attempts.exclude(server, cause);
+                }
                 attempts.rounds += 1;
                 failure = Some(round_failure(&rejections));
                 continue;
@@ -147,7 +189,8 @@
         if !request.may_start(state.clock.now()) {
             return Err(idempotency::claim_expired());
         }
-        match run.start(request).await {
+        let has_other = attempts.has_other(state, request, run.server.index);
+        match run.start(request, has_other).await {
             StartStatus::Running => {
                 let share = state.shares().retry_ratio;
                 state.retry_budget.borrow_mut().earn(&request.class, share);
@@ -155,8 +198,8 @@
                 return Ok(run);
             }
             status => {
-                attempts.excluded.push(run.server.index);
                 let last = start_failure(status);
+                attempts.exclude(run.server.index, last.attempt.cause);
                 attempts.record(last.attempt.ran);
                 failure = Some(last);
             }
@@ -175,22 +218,59 @@
     state.placement.borrow_mut().choose(now, &placement_request)
 }
 
+/// Time until one of the servers can be connected to. A call that only they can
+/// serve would otherwise fail at once, and all calls of a service with it.
+fn backoff_left(state: &State, servers: &[ServerIndex]) -> Duration {
+    let servers = servers.iter().filter_map(|index| state.server(*index));
+    let left = servers.map(|server| server.peer.backoff_left()).min();
+    left.unwrap_or_default()
+}
+
+/// Whether a sidecar may well grant the request if it is asked again: it or the
+/// entry was slow for a moment, or it just restarted. The request did not run there.
+fn was_slow(cause: RetryReason) -> bool {
+    match cause {
+        RetryReason::Silent | RetryReason::ReservationExpired | RetryReason::SidecarRestarted => {
+            true
+        }
+        RetryReason::Unreachable
+        | RetryReason::Refused
+        | RetryReason::BackendFailed
+        | RetryReason::Unknown
+        | RetryReason::Draining
+        | RetryReason::Preempted => false,
+    }
+}
+
+fn log_failure(request: &Request, failure: &AttemptFailure) {
+    let ticket = request.ticket.to_string();
+    debug!("attempt failed", kv: { ticket = ticket.as_str(), cause = failure.attempt.cause.as_str(), reason = failure.error.reason.as_str() });
+}
+
 /// Checks whether a failed attempt may be retried; otherwise returns the error
-/// for the caller.
+/// for the caller. `pause` is given if only servers that were slow before can be
+/// asked, and is the delay before that.
 fn check_retry(
     state: &State,
     request: &Request,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     failure: AttemptFailure,
-    no_candidates: bool,
+    pause: Option<Duration>,
 ) -> Result<(), RequestError> {
     let AttemptFailure { attempt, error } = failure;
     let left = time_left(state, request, attempts);
     let needed = time_needed(state, request, attempts);
-    if no_candidates || attempt.decide(request.repeatable, left, needed) != RetryDecision::Again {
+    let needed = needed + pause.unwrap_or_default();
+    if attempt.decide(request.repeatable, left, needed) != RetryDecision::Again {
         return Err(error);
     }
 
+    // A pause of one process makes all of its reservations expire at once, more
+    // than the budget covers. One retry for each call at most doubles the load.
+    let expired = attempt.cause == RetryReason::ReservationExpired;
+    let free = (expired || pause.is_some()) && !attempts.free_retry_used;
+    attempts.free_retry_used |= free;
+
     // These retries do not count against the budget: a draining sidecar is not
     // asked again and a request is preempted at most once, so neither cause can
     // amplify the load.
@@ -198,7 +278,7 @@
         attempt.cause,
         RetryReason::Draining | RetryReason::Preempted
     );
-    if !exempt && !state.retry_budget.borrow_mut().take(&request.class) {
+    if !(exempt || free || state.retry_budget.borrow_mut().take(&request.class)) {
         return Err(match error.reason {
             Refusal::NoServer => RequestError {
                 reason: Refusal::RetryBudget,
