Learn the paces of engines and share them between entries

Cause: an entry cannot tell an engine at 0.6 times the nominal speed from one at 1.6 times.

Change: an entry reports with the end of a call its typical time between two events (the lower quartile of its gaps, since prefill beside the stream says nothing about the engine's pace). With paced_streams, the sidecar answers with the median over the last 12 calls of 30 s; entries keep it for 10 s, put at most 64 paces, newest first, into their load reports (gossip version 7, which is one byte longer without paces), and relays report the mean. From them the balancer sorts a service's engines into fast, normal and slow ones once their paces differ by a factor of 2, with hysteresis. Nothing is placed by it yet. Stream ended names the engine's pace, a gauge counts engines by class.

cargo test -p policy -p wire -p admission -p forward passes.

--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -30,8 +30,17 @@
     socket: UdpSocket,
     clock: Rc<dyn Clock>,
     state: RefCell<State>,
+    /// What the answers say about the engine.
+    engine: Cell<EngineFacts>,
+}
+
+/// What answers say about the engine.
+#[derive(Debug, Clone, Copy, Default)]
+struct EngineFacts {
+    /// Typical time between two events, in microseconds; 0 if unknown.
+    event_us: u32,
     /// KV cache tokens that no call holds or will need; 0 if unknown.
-    free_tokens: Cell<u32>,
+    free_tokens: u32,
 }
 
 #[derive(Debug, Default)]
@@ -65,7 +74,7 @@
             socket,
             clock,
             state: RefCell::default(),
-            free_tokens: Cell::new(0),
+            engine: Cell::default(),
         })
     }
 
@@ -167,8 +176,10 @@
                 self.handle_server_gone(&server, started_ms)
             }
             RequestKind::FirstEvent => self.state.borrow_mut().grants.record_first_event(now, id),
-            RequestKind::Ended { pause_ms } => {
+            RequestKind::Ended { pause_ms, event_us } => {
                 let mut state = self.state.borrow_mut();
+                let event = Duration::from_micros(u64::from(event_us));
+                state.grants.record_event_time(now, event);
                 let pause = Duration::from_millis(u64::from(pause_ms));
                 state.grants.call_ended(now, id, pause);
                 state.waiting_calls.remove(&id);
@@ -230,7 +241,7 @@
         let held = state.cached_prefix(&request.parts);
         let prefer_fetch = state.grants.fetch_pays();
         let decision = state.grants.request(now, request);
-        self.note_free_tokens(&state, now);
+        self.update_facts(&state, now);
         let (waiting, flying, running) = state.grants.counts();
         let estimates = state.grants.estimates();
         let (label, expected) = match decision {
@@ -351,17 +362,20 @@
             let Some(call) = state.waiting_calls.remove(&id) else {
                 continue;
             };
-            self.note_free_tokens(&state, now);
+            self.update_facts(&state, now);
             info!("waiting call granted", kv: { id = call.request_id.as_str(), held });
             self.send(call.addr, id, grants::Verdict::Granted, held, prefer_fetch);
         }
     }
 
-    /// Updates the free memory that answers carry.
-    fn note_free_tokens(&self, state: &State, now: Instant) {
+    /// Updates what the answers say about the engine.
+    fn update_facts(&self, state: &State, now: Instant) {
         let free = state.grants.free_tokens(now).unwrap_or(0);
-        self.free_tokens
-            .set(u32::try_from(free).unwrap_or(u32::MAX));
+        let event = state.grants.event_time(now).unwrap_or_default();
+        self.engine.set(EngineFacts {
+            event_us: u32::try_from(event.as_micros()).unwrap_or(u32::MAX),
+            free_tokens: u32::try_from(free).unwrap_or(u32::MAX),
+        });
     }
 
     fn send(
@@ -372,13 +386,14 @@
         cached_tokens: u32,
         prefer_fetch: bool,
     ) {
+        let engine = self.engine.get();
         let bytes = grants::encode(&grants::GrantResponse {
             call_number: id.number,
             verdict,
             cached_tokens,
             prefer_fetch,
-            event_us: 0,
-            free_tokens: self.free_tokens.get(),
+            event_us: engine.event_us,
+            free_tokens: engine.free_tokens,
         });
         // A response that cannot be sent counts as lost: the entry repeats its
         // request.
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -13,7 +13,9 @@
 
 use base::ids::Incarnation;
 use base::stop::StopSignal;
-use convert::{decode_load, encode_load, millis, server_calls, service_load, service_number};
+use convert::{
+    decode_load, encode_load, millis, server_calls, service_load, service_number, to_pace,
+};
 use policy::balance::TurnSchedule;
 use policy::peer_load::{EXPIRY_INTERVALS, Intervals};
 use policy::pools::ServiceDemand;
@@ -202,6 +204,7 @@
             services: services.iter().map(service).collect(),
             calls: calls.into_iter().map(server_calls).collect(),
             crashes: state.crashes.unstored_reports(state.clock.wall_ms()),
+            paces: state.known_paces(now).into_iter().map(to_pace).collect(),
         }
     }
 
@@ -389,12 +392,16 @@
         let own = decode_load(&self.own_load(now));
         let mut others = state.peer_loads.borrow_mut();
         others.expire(now);
-        let total = others.sum(now, &own);
+        let mut total = others.sum(now, &own);
         drop(others);
         let count = state.roster.borrow().count();
         metrics::gauge!("pimentocart_entries_heard").set(count.total.saturating_sub(1) as f64);
         let calls = |server: u16| total.calls.get(&server).copied().unwrap_or_default();
         state.balancer.borrow_mut().set_remote_calls(calls);
+        if state.settings.paced_streams {
+            total.add_paces(&own.paces);
+            state.apply_paces(&total.mean_paces());
+        }
         state
             .zone_readers
             .borrow_mut()
--- a/crates/forward/src/gossip/convert.rs
+++ b/crates/forward/src/gossip/convert.rs
@@ -33,6 +33,18 @@
     (server, to_u16(calls.open), to_u16(calls.waiting))
 }
 
+/// Resolution of paces on the wire.
+const PACE_UNIT: Duration = Duration::from_micros(10);
+
+pub(super) fn to_pace((server, event): (u16, Duration)) -> (u16, u16) {
+    let units = event.as_nanos() / PACE_UNIT.as_nanos();
+    (server, u16::try_from(units).unwrap_or(u16::MAX))
+}
+
+fn from_pace((server, units): &(u16, u16)) -> (u16, Duration) {
+    (*server, PACE_UNIT * u32::from(*units))
+}
+
 /// Converts a load report from the wire.
 pub(super) fn decode_load(load: &EntryLoad) -> peer_load::LoadReport {
     let demand = |s: &gossip::ServiceLoad| {
@@ -74,6 +86,7 @@
         services: load.services.iter().map(demand).collect(),
         calls: load.calls.iter().map(calls).collect(),
         crashes: load.crashes.iter().map(crash).collect(),
+        paces: load.paces.iter().map(from_pace).collect(),
     }
 }
 
@@ -103,6 +116,7 @@
             .collect(),
         calls: calls.into_iter().map(server_calls).collect(),
         crashes: total.crashes.into_iter().map(crash).collect(),
+        paces: total.paces.into_iter().map(to_pace).collect(),
         ..own.clone()
     }
 }
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -12,6 +12,7 @@
 
 use base::ids::Incarnation;
 use policy::balance::ServerRecord;
+use policy::paces::PaceTable;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -56,6 +57,8 @@
     pending: RefCell<HashMap<u32, UnboundedSender<GrantResponse>>>,
     /// Sidecars that did not respond, by host.
     backoffs: RefCell<HashMap<IpAddr, Backoff>>,
+    /// The paces of engines that their sidecars have stated.
+    pub(crate) paces: RefCell<PaceTable>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -98,8 +101,19 @@
     number: u32,
     /// The longest gap between two events of the call's stream.
     max_gap: Cell<Duration>,
+    /// The first gaps between two events.
+    gaps: RefCell<Vec<Duration>>,
 }
 
+/// Gaps of a stream from which its typical time between events is taken; a
+/// stream has some dozens.
+const MAX_GAPS: usize = 64;
+
+/// Part of a stream's gaps that are shorter than the typical one. Prefill beside
+/// the stream lengthens the others and says nothing about the engine's pace: an
+/// engine would look slow because it gets prompts.
+const TYPICAL_GAP_QUANTILE: f64 = 0.25;
+
 impl Grant {
     /// Tells the sidecar that the call has received its first event.
     pub fn report_first_event(&self) {
@@ -127,6 +141,22 @@
     /// Records the gap between two events of the call's stream.
     pub fn record_gap(&self, gap: Duration) {
         self.max_gap.set(self.max_gap.get().max(gap));
+        let mut gaps = self.gaps.borrow_mut();
+        if gaps.len() < MAX_GAPS {
+            gaps.push(gap);
+        }
+    }
+
+    /// The typical time between two events of the call's stream; zero if it had
+    /// fewer than two.
+    fn typical_gap(&self) -> Duration {
+        let mut gaps = self.gaps.borrow_mut();
+        if gaps.is_empty() {
+            return Duration::ZERO;
+        }
+        let rank = (gaps.len() as f64 * TYPICAL_GAP_QUANTILE) as usize;
+        let (_, gap, _) = gaps.select_nth_unstable(rank);
+        *gap
     }
 }
 
@@ -135,8 +165,12 @@
         self.sidecars.pending.borrow_mut().remove(&self.number);
         let max_gap = self.max_gap.get().as_millis();
         let pause_ms = u32::try_from(max_gap).unwrap_or(u32::MAX);
-        self.sidecars
-            .send(self.to, self.number, RequestKind::Ended { pause_ms });
+        let event_us = self.typical_gap().as_micros();
+        let ended = RequestKind::Ended {
+            pause_ms,
+            event_us: u32::try_from(event_us).unwrap_or(u32::MAX),
+        };
+        self.sidecars.send(self.to, self.number, ended);
     }
 }
 
@@ -168,6 +202,7 @@
             next_number: Cell::new(0),
             pending: RefCell::default(),
             backoffs: RefCell::default(),
+            paces: RefCell::default(),
         });
         actix_rt::spawn(Rc::clone(&sidecars).receive());
         Ok(sidecars)
@@ -197,12 +232,15 @@
             to: SocketAddr::new(host, self.port),
             number,
             max_gap: Cell::default(),
+            gaps: RefCell::default(),
         };
         let Some(answer) = self.await_decision(&grant, &request, &mut answers).await else {
             self.start_backoff(now, host);
             return AdmissionDecision::NoResponse;
         };
         self.backoffs.borrow_mut().remove(&host);
+        let event = Duration::from_micros(u64::from(answer.event_us));
+        self.paces.borrow_mut().record(now, server.number(), event);
         let cached = CachedPrefix {
             tokens: answer.cached_tokens,
             prefer_fetch: answer.prefer_fetch,
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -248,6 +248,14 @@
         id.to_string()
     }
 
+    /// Typical time between two events at the server, in milliseconds; 0 if
+    /// unknown.
+    fn server_pace(&self) -> u64 {
+        let state = &self.call.state;
+        let balancer = state.balancer.borrow();
+        millis(balancer.pace(&self.body.server.id).unwrap_or_default())
+    }
+
     fn log(&self, outcome: &str) {
         let age = self
             .last_sent
@@ -260,6 +268,7 @@
             events = self.event_count,
             first_ms = millis(self.first_delay),
             pause_ms = millis(self.max_pause),
+            pace_ms = self.server_pace(),
             ms = self.call.age_ms(),
             outcome
         });
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,6 +2,7 @@
 //! and the calls in progress.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use policy::balance::Balancer;
 use policy::discovery::PeerDiscovery;
 use policy::link::LinkLoad;
+use policy::paces::PaceClass;
 use policy::peer_load::{PeakEntryCount, PeerLoads};
 use policy::pools::PhasePools;
 use policy::readers::{Rank, ZoneReaders};
@@ -145,6 +147,26 @@
         })
     }
 
+    /// The paces of engines that this entry knows from their sidecars, the newest
+    /// first; none unless streams are placed by them.
+    #[must_use]
+    pub fn known_paces(&self, now: Instant) -> Vec<(u16, Duration)> {
+        let sidecars = self.sidecars.borrow();
+        let sidecars = sidecars.as_ref().filter(|_| self.settings.paced_streams);
+        sidecars.map_or_else(Vec::new, |s| s.paces.borrow_mut().recent(now))
+    }
+
+    /// Passes the paces that all entries know to the balancer.
+    pub fn apply_paces(&self, paces: &BTreeMap<u16, Duration>) {
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_paces(paces);
+        for class in PaceClass::ALL {
+            let engines = balancer.class_sizes(class);
+            metrics::gauge!("pimentocart_engines_paced", "class" => class.label())
+                .set(engines as f64);
+        }
+    }
+
     /// Whether the load balancer should send new connections here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -15,13 +15,14 @@
 mod slow_start;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::paces::{PaceClass, PaceClasses};
 use crate::peer_load::CallCounts;
 use crate::rendezvous::{hash_name, score};
 use feedback::FeedbackState;
@@ -66,6 +67,14 @@
     pub started_ms: Option<u64>,
 }
 
+impl ServerRecord {
+    /// The server's short number in what entries exchange.
+    #[must_use]
+    pub fn number(&self) -> u16 {
+        short_number(hash_name(&self.id))
+    }
+}
+
 /// How a record from the platform's list differs from what was known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordChange {
@@ -138,6 +147,8 @@
     turns: Option<TurnSchedule>,
     /// Choices made so far; varies the tie-break from call to call.
     choices: u64,
+    /// Classes of each service's servers by their paces.
+    paces: HashMap<Rc<str>, PaceClasses>,
 }
 
 #[derive(Debug)]
@@ -173,6 +184,11 @@
 type StartRank = (Option<u64>, u64);
 
 impl Server {
+    /// Its number in what entries exchange.
+    fn number(&self) -> u16 {
+        short_number(self.name_hash)
+    }
+
     fn start_rank(&self) -> StartRank {
         (self.record.started_ms, self.first_seen)
     }
@@ -232,6 +248,7 @@
             name_order: NameOrder::default(),
             turns: None,
             choices: 0,
+            paces: HashMap::new(),
         }
     }
 
@@ -509,6 +526,39 @@
         }
     }
 
+    /// Sets the typical time between two events of a stream at each server, by
+    /// its short number.
+    pub fn set_paces(&mut self, paces: &BTreeMap<u16, Duration>) {
+        let mut services: BTreeMap<Rc<str>, Vec<(u16, Duration)>> = BTreeMap::new();
+        for server in self.servers.values() {
+            let known = services.entry(Rc::clone(&server.record.service));
+            let known = known.or_default();
+            if let Some(event) = paces.get(&server.number()) {
+                known.push((server.number(), *event));
+            }
+        }
+        self.paces
+            .retain(|service, _| services.contains_key(service));
+        for (service, known) in services {
+            self.paces.entry(service).or_default().update(&known);
+        }
+    }
+
+    /// The typical time between two events of a stream at a server, if known.
+    #[must_use]
+    pub fn pace(&self, id: &str) -> Option<Duration> {
+        let server = self.servers.get(id)?;
+        self.paces
+            .get(&server.record.service)?
+            .event(server.number())
+    }
+
+    /// Number of servers with a known pace in a class, over all services.
+    #[must_use]
+    pub fn class_sizes(&self, class: PaceClass) -> usize {
+        self.paces.values().map(|paces| paces.count(class)).sum()
+    }
+
     /// Open calls of this entry, by the short number of the server.
     #[must_use]
     pub fn own_calls(&self) -> Vec<(u16, CallCounts)> {
--- a/crates/policy/src/grants/gaps.rs
+++ b/crates/policy/src/grants/gaps.rs
@@ -39,6 +39,13 @@
 /// until gaps without prefill were measured.
 const BASE_SHARE: f64 = 0.45;
 
+/// Number of recent calls whose time between events counts. A slowed engine
+/// shows in the median once half of them ran on it.
+const EVENT_SAMPLES: usize = 12;
+
+/// Number of calls from which the typical time between events is known.
+const EVENT_SAMPLES_MIN: usize = 3;
+
 /// Part of a stream's maximum gap that prefill may always take where streams
 /// are late without any prefill: to hold prompts back would not help them.
 const MIN_SHARE: f64 = 0.2;
@@ -96,6 +103,8 @@
     exceptions: f64,
     /// When the last stream was admitted or ended.
     last_stream: Option<Instant>,
+    /// Time between the events of recently finished calls.
+    events: VecDeque<(Instant, Duration)>,
 }
 
 /// A finished stream.
@@ -239,6 +248,26 @@
         Duration::try_from_secs_f64(gap).unwrap_or(Duration::MAX)
     }
 
+    /// Records the time between the events of a finished call.
+    pub(super) fn record_event_time(&mut self, now: Instant, event: Duration) {
+        if self.events.len() == EVENT_SAMPLES {
+            self.events.pop_front();
+        }
+        self.events.push_back((now, event));
+    }
+
+    /// The typical time between two events: the median over recent calls.
+    pub(super) fn event_time(&self, now: Instant) -> Option<Duration> {
+        let recent = self.events.iter().filter(|(at, _)| now < *at + MAX_AGE);
+        let mut times: Vec<Duration> = recent.map(|(_, event)| *event).collect();
+        if times.len() < EVENT_SAMPLES_MIN {
+            return None;
+        }
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        Some(*median)
+    }
+
     /// Notes that a stream is admitted.
     pub(super) fn record_start(&mut self, now: Instant) {
         self.last_stream = Some(now);
--- a/crates/policy/src/grants/room.rs
+++ b/crates/policy/src/grants/room.rs
@@ -281,6 +281,20 @@
         expected.saturating_sub(gap)
     }
 
+    /// Records the typical time between the events of a call that has ended.
+    pub fn record_event_time(&mut self, now: Instant, event: Duration) {
+        if let Some(gaps) = self.gaps.as_mut().filter(|_| !event.is_zero()) {
+            gaps.record_event_time(now, event);
+        }
+    }
+
+    /// The typical time between two events of a call at the engine; none if
+    /// unknown or not measured.
+    #[must_use]
+    pub fn event_time(&self, now: Instant) -> Option<Duration> {
+        self.gaps.as_ref()?.event_time(now)
+    }
+
     /// The expected longest gap of streams beside the prefill admitted within
     /// a gap; zero if no stream runs or gaps are not learned.
     #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`routes`]: which route a call takes and who may use it.
 //! - [`balance`]: which backend server gets a call.
 //! - [`pools`]: which engines prefill prompts and which decode answers.
+//! - [`paces`]: which engines of a service are fast or slow.
 //! - [`pauses`]: how long prefill pauses the streams at the same engine.
 //! - [`urgency`]: rank and latency limit of a call at engines.
 //! - [`wait_estimate`]: whether a call would miss its deadline.
@@ -59,6 +60,7 @@
 pub mod membership;
 pub mod offer;
 pub mod outlier;
+pub mod paces;
 pub mod pauses;
 pub mod peer_load;
 pub mod placement;
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::paces::MAX_REPORTED;
 use crate::pools::ServiceDemand;
 use crate::suspects::Crash;
 
@@ -123,6 +124,9 @@
     /// Server crashes during calls that the store has not recorded yet, with the time
     /// since each was observed.
     pub crashes: Vec<(Crash, Duration)>,
+    /// Typical time between two events of a stream at each server, by the server's
+    /// short number; the newest first.
+    pub paces: Vec<(u16, Duration)>,
 }
 
 /// Numbers of calls at one server.
@@ -296,6 +300,9 @@
     pub calls: BTreeMap<u16, CallCounts>,
     /// Server crashes, with the time since each was observed.
     pub crashes: BTreeMap<Crash, Duration>,
+    /// Sum and number of the reported times between two events of a stream at each
+    /// server, by the server's short number.
+    pub paces: BTreeMap<u16, (Duration, u32)>,
 }
 
 impl LoadTotal {
@@ -315,6 +322,7 @@
         for (crash, age) in &report.crashes {
             self.crashes.entry(*crash).or_insert(*age + elapsed);
         }
+        self.add_paces(&report.paces);
     }
 
     fn add_if_some(&mut self, now: Instant, received: Option<&(Instant, LoadReport)>) {
@@ -323,7 +331,24 @@
         }
     }
 
-    /// Subtracts the load of one entry.
+    /// Adds reported times between two events of a stream.
+    pub fn add_paces(&mut self, paces: &[(u16, Duration)]) {
+        for (server, event) in paces {
+            let (sum, count) = self.paces.entry(*server).or_default();
+            *sum += *event;
+            *count += 1;
+        }
+    }
+
+    /// The mean of the reported times between two events of a stream, by the server's
+    /// short number.
+    #[must_use]
+    pub fn mean_paces(&self) -> BTreeMap<u16, Duration> {
+        let mean = |(server, (sum, count)): (&u16, &(Duration, u32))| (*server, *sum / *count);
+        self.paces.iter().map(mean).collect()
+    }
+
+    /// Subtracts the load of one entry. Paces are no sums and stay.
     fn subtract(&mut self, own: &LoadReport) {
         self.entries = self.entries.saturating_sub(own.entries);
         for (service, load) in &own.services {
@@ -341,7 +366,15 @@
 
     /// Converts the total to a report sent by the entry with the report `own`.
     fn into_report(self, own: &LoadReport, scope: Scope) -> LoadReport {
+        // What this entry has learned is the newest it knows; the rest is cut off by
+        // number, at any entry alike.
+        let own_first = own.paces.iter().map(|(server, _)| *server);
+        let mut paces = self.mean_paces();
+        let own_first = own_first.filter_map(|server| paces.remove_entry(&server));
+        let own_first: Vec<(u16, Duration)> = own_first.collect();
+        let paces = own_first.into_iter().chain(paces);
         LoadReport {
+            paces: paces.take(MAX_REPORTED).collect(),
             scope,
             entries: self.entries,
             services: self.services.into_iter().collect(),
--- a/crates/policy/tests/grants/main.rs
+++ b/crates/policy/tests/grants/main.rs
@@ -4,6 +4,7 @@
 //! - [`common`]: calls and a simulated burst.
 //! - [`bursts`]: bursts above the prefill rate.
 //! - [`order`]: order of queued calls, and lost messages.
+//! - [`pace`]: the typical time between events.
 //! - [`streams`]: prefill beside running streams.
 //! - [`room`]: memory, slots and restarts of the engine.
 //! - [`fetch`]: prompts that are fetched from other engines.
@@ -15,6 +16,7 @@
 mod fetch;
 mod gaps;
 mod order;
+mod pace;
 mod room;
 mod streams;
 mod tiers;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -9,7 +9,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram. Datagrams of another version are rejected.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -60,6 +60,10 @@
     pub calls: Vec<(u16, u16, u16)>,
     /// Server crashes that the store has not recorded yet.
     pub crashes: Vec<CrashReport>,
+    /// For each server with a known pace: its short number and the typical time
+    /// between two events of a stream there, in tens of microseconds. The newest
+    /// come first, at most 64.
+    pub paces: Vec<(u16, u16)>,
 }
 
 /// The reply that an entry requests.
@@ -193,10 +197,10 @@
 /// Drops the last quarter of a list; returns whether there was anything to
 /// drop.
 fn shorten(message: &mut Message) -> bool {
-    let calls = match message {
-        Message::Load(load) => &mut load.calls,
+    let load = match message {
+        Message::Load(load) => load,
         Message::Membership(reply) => match &mut reply.totals {
-            Some(totals) if !totals.calls.is_empty() => &mut totals.calls,
+            Some(totals) if !totals.calls.is_empty() || !totals.paces.is_empty() => totals,
             _ => {
                 let kept = reply.members.len() * 3 / 4;
                 let dropped = !reply.members.is_empty();
@@ -205,8 +209,12 @@
             }
         },
     };
-    let dropped = !calls.is_empty();
-    calls.truncate(calls.len() * 3 / 4);
+    let dropped = !load.calls.is_empty() || !load.paces.is_empty();
+    // The shorter of the two lists says more about each server in it.
+    match load.calls.len() >= load.paces.len() {
+        true => load.calls.truncate(load.calls.len() * 3 / 4),
+        false => load.paces.truncate(load.paces.len() * 3 / 4),
+    }
     dropped
 }
 
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -60,6 +60,9 @@
     Ended {
         /// Longest pause between two events of the call, in milliseconds.
         pause_ms: u32,
+        /// Typical time between two events of the call, in microseconds; 0 if
+        /// it had fewer than two.
+        event_us: u32,
     },
     /// Asks for the utilization of the engine; unrelated to a call.
     #[serde(rename = "Busy")]
--- a/crates/wire/tests/grants.rs
+++ b/crates/wire/tests/grants.rs
@@ -31,7 +31,7 @@
 #[case::lookup(RequestKind::Lookup(PrefixLookup { server: "i-1".to_owned(), prompt_parts: admission_request().prompt_parts }))]
 #[case::fetching(RequestKind::Fetching(13_300))]
 #[case::first_event(RequestKind::FirstEvent)]
-#[case::ended(RequestKind::Ended { pause_ms: 70 })]
+#[case::ended(RequestKind::Ended { pause_ms: 70, event_us: 24_000 })]
 fn request_round_trip(#[case] kind: RequestKind) {
     let request = GrantRequest {
         incarnation: u64::MAX,
