Place streams on the fastest engines of a service

Cause: a hash decides which engines get the streams, also where engines run at 0.6, 1 and 1.6 times the nominal speed, and every engine counts the same.

Streams prefer engines whose typical time between events fits three times into their maximum gap. Without classes the partitions are as before.

--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -277,6 +277,9 @@
         };
         let mut balance = self.state.balancer.borrow_mut();
         let mut ranked = balance.ranked(now, &self.server_query(part, excluded));
+        if let Some(gap) = self.route.max_gap.filter(|_| phase == Phase::Decode) {
+            balance.put_slow_last(&mut ranked, gap);
+        }
         ranked.truncate(HOME_ENGINES);
         if phase != Phase::Prefill {
             return ranked;
@@ -487,6 +490,8 @@
         let (engines, slots) = self.state.balancer.borrow().serving_capacity(&self.service);
         let mut pools = self.state.phase_pools.borrow_mut();
         let decode_engines = pools.decode_engines(now, &self.service, engines, slots);
+        let balancer = self.state.balancer.borrow();
+        let decode_engines = balancer.paced_count(&self.service, decode_engines);
         match (decode_engines, phase) {
             (0, _) => Partition::All,
             (count, Phase::Decode) => Partition::First(count),
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -514,11 +514,7 @@
         };
         // The partition is computed over all servers that take calls. An entry
         // that has one of them in cooldown thus partitions like the others.
-        let mut order: Vec<&Server> = self.servers.values().collect();
-        order.retain(|s| {
-            &*s.record.service == query.service && !s.draining() && s.missing.is_none()
-        });
-        order.sort_by_key(|s| score(PARTITION_KEY, s.name_hash));
+        let order = self.partition_order(query.service);
         let first_servers: HashSet<u64> = order.iter().take(count).map(|s| s.name_hash).collect();
         let inside = |s: &&Server| first_servers.contains(&s.name_hash) == first;
         if candidates.iter().any(inside) {
@@ -526,6 +522,38 @@
         }
     }
 
+    /// The servers of a service that take calls, in the order in which they are
+    /// partitioned: the fastest class first, then by hash.
+    fn partition_order(&self, service: &str) -> Vec<&Server> {
+        let mut order: Vec<&Server> = self.servers.values().collect();
+        order.retain(|s| &*s.record.service == service && !s.draining() && s.missing.is_none());
+        let paces = self.paces.get(service);
+        let class = |s: &Server| paces.map_or(PaceClass::default(), |p| p.class(s.number()));
+        order.sort_by_key(|s| (class(s), score(PARTITION_KEY, s.name_hash)));
+        order
+    }
+
+    /// The number of servers at the start of the partition order that are about
+    /// as fast together as `count` average ones.
+    #[must_use]
+    pub fn paced_count(&self, service: &str, count: usize) -> usize {
+        let paces = self.paces.get(service).filter(|p| p.is_active());
+        let Some(paces) = paces.filter(|_| count > 0) else {
+            return count;
+        };
+        let order = self.partition_order(service);
+        let speeds: Vec<f64> = order.iter().map(|s| paces.speed(s.number())).collect();
+        let needed = speeds.iter().sum::<f64>() * count as f64 / order.len().max(1) as f64;
+        let mut sum = 0.0;
+        // Half a server too few is closer than half a server too many.
+        let fits = |speed: &&f64| {
+            sum += **speed;
+            sum - **speed / 2.0 <= needed
+        };
+        let servers = speeds.iter().take_while(fits).count();
+        servers.clamp(1, order.len().saturating_sub(1).max(1))
+    }
+
     /// Sets the typical time between two events of a stream at each server, by
     /// its short number.
     pub fn set_paces(&mut self, paces: &BTreeMap<u16, Duration>) {
@@ -559,6 +587,16 @@
         self.paces.values().map(|paces| paces.count(class)).sum()
     }
 
+    /// Moves the servers that are too slow for a stream that allows `max_gap`
+    /// behind the others.
+    pub fn put_slow_last(&self, ranked: &mut [ServerRecord], max_gap: Duration) {
+        let too_slow = |server: &ServerRecord| {
+            let paces = self.paces.get(&server.service);
+            paces.is_some_and(|p| p.is_too_slow(server.number(), max_gap))
+        };
+        ranked.sort_by_key(too_slow);
+    }
+
     /// Open calls of this entry, by the short number of the server.
     #[must_use]
     pub fn own_calls(&self) -> Vec<(u16, CallCounts)> {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -1,6 +1,6 @@
 //! The choice of a backend server for calls that an entry routes directly.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,6 +10,8 @@
 };
 use policy::peer_load::CallCounts;
 use policy::rendezvous;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 
 /// A server with open calls that sends nothing for this long counts as silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -522,3 +524,151 @@
         None
     );
 }
+
+/// Paces of `count` servers at 0.6, 1 and 1.6 times the speed of one with 25 ms
+/// between events; the class of a server follows from its index.
+fn three_paces(count: usize) -> BTreeMap<u16, Duration> {
+    let pace = |i: usize| {
+        let event = Duration::from_secs_f64(0.025 / [0.6, 1.0, 1.6][i % 3]);
+        (record(&format!("s{i}"), "a").number(), event)
+    };
+    (0..count).map(pace).collect()
+}
+
+/// Ids of the servers in a partition.
+fn partition_ids(balancer: &mut Balancer, partition: Partition) -> HashSet<String> {
+    let query = ServerQuery {
+        partition,
+        ..query(None)
+    };
+    let ranked = balancer.ranked(Instant::now(), &query);
+    ranked.iter().map(|s| s.id.to_string()).collect()
+}
+
+/// Index of a server, from which its speed follows.
+fn index(id: &str) -> usize {
+    id[1..].parse().expect("a number after the letter")
+}
+
+/// A hash decides which engines get the streams, and a third of them run where
+/// they cannot be in time. The fastest engines must come first, fewer of them
+/// for the same load, and all entries must agree whatever they learned first.
+#[test]
+fn streams_get_the_fastest_engines() {
+    let (mut one, mut two) = (balancer(48), Balancer::new("b"));
+    for i in (0..48).rev() {
+        two.upsert(Instant::now(), record(&format!("s{i}"), "c"));
+    }
+    let hashed = partition_ids(&mut one, Partition::First(16));
+    assert_eq!(one.paced_count("llm", 24), 24);
+    one.set_paces(&three_paces(48));
+    two.set_paces(&three_paces(48));
+    let fastest = partition_ids(&mut one, Partition::First(16));
+    assert!(fastest.iter().all(|id| index(id) % 3 == 2), "{fastest:?}");
+    assert_ne!(hashed, fastest);
+    // 16 fast engines do the work of 24 average ones.
+    assert_eq!(one.paced_count("llm", 24), 16);
+    assert_eq!(one.paced_count("llm", 0), 0);
+    assert!((1..48).contains(&one.paced_count("llm", 48)));
+    for count in [8, 16, 20, 30] {
+        let partition = Partition::First(count);
+        let (first, second) = (
+            partition_ids(&mut one, partition),
+            partition_ids(&mut two, partition),
+        );
+        assert_eq!(first, second);
+        assert_eq!(one.paced_count("llm", count), two.paced_count("llm", count));
+        let rest = partition_ids(&mut one, Partition::Rest(count));
+        assert!(rest.is_disjoint(&first) && rest.len() + count == 48);
+    }
+}
+
+/// Engines that are alike, or whose paces are unknown, must be partitioned as
+/// without paces: each change leaves cached prefixes behind.
+#[test]
+fn alike_engines_are_partitioned_by_hash() {
+    let mut balancer = balancer(48);
+    let hashed = partition_ids(&mut balancer, Partition::First(16));
+    let alike =
+        |(n, (number, _)): (u64, (u16, Duration))| (number, Duration::from_millis(25 + n % 15));
+    let alike: BTreeMap<u16, Duration> = (0u64..).zip(three_paces(48)).map(alike).collect();
+    for paces in [alike, BTreeMap::new()] {
+        balancer.set_paces(&paces);
+        assert_eq!(partition_ids(&mut balancer, Partition::First(16)), hashed);
+        assert_eq!(balancer.paced_count("llm", 24), 24);
+    }
+}
+
+/// An engine whose pace is unknown, as after a restart, counts as the median:
+/// it goes behind the fast ones and before the slow ones.
+#[test]
+fn unknown_pace_counts_as_median() {
+    let mut balancer = balancer(48);
+    let mut paces = three_paces(48);
+    for id in ["s2", "s3"] {
+        paces.remove(&record(id, "a").number());
+    }
+    balancer.set_paces(&paces);
+    let first = partition_ids(&mut balancer, Partition::First(15));
+    assert!(!first.contains("s2") && first.iter().all(|id| index(id) % 3 == 2));
+    let faster = partition_ids(&mut balancer, Partition::First(33));
+    assert!(faster.contains("s2") && faster.contains("s3"));
+    assert_eq!(balancer.pace("s2"), None);
+    assert_eq!(balancer.pace("s1"), Some(Duration::from_millis(25)));
+}
+
+/// A stream goes to an engine that leaves no room within its gap only if all
+/// others are taken; the order of the others stays.
+#[test]
+fn too_slow_engines_come_last() {
+    let mut balancer = balancer(12);
+    let mut ranked = balancer.ranked(Instant::now(), &query(Some(7)));
+    let unpaced = ranked.clone();
+    balancer.put_slow_last(&mut ranked, Duration::from_millis(100));
+    assert_eq!(ranked, unpaced);
+    balancer.set_paces(&three_paces(12));
+    balancer.put_slow_last(&mut ranked, Duration::from_millis(100));
+    let slow = |s: &ServerRecord| index(&s.id) % 3 == 0;
+    assert!(ranked[..8].iter().all(|s| !slow(s)) && ranked[8..].iter().all(slow));
+    let kept: Vec<&ServerRecord> = unpaced.iter().filter(|s| !slow(s)).collect();
+    assert_eq!(ranked[..8].iter().collect::<Vec<_>>(), kept);
+}
+
+/// A model of streams on 48 engines of three speeds that each take 2.5 times as
+/// long now and then, with times between events as measured on ikambi: with half
+/// of the engines for streams, chosen by hash, one in ten or more is late; with
+/// the fastest engines first fewer than one in twenty.
+#[test]
+fn streams_on_fast_engines_are_in_time() {
+    let gap = Duration::from_millis(200);
+    let mut rng = Pcg64::seed_from_u64(11);
+    let mut late_share = |balancer: &mut Balancer| {
+        let count = balancer.paced_count("llm", 24);
+        let mut late = 0;
+        for key in 0..2_000 {
+            let query = ServerQuery {
+                partition: Partition::First(count),
+                strategy: Strategy::TwoChoices,
+                ..query(Some(key))
+            };
+            let mut ranked = balancer.ranked(Instant::now(), &query);
+            balancer.put_slow_last(&mut ranked, gap);
+            let speed = [0.6, 1.0, 1.6][index(&ranked[0].id) % 3];
+            // Fewer engines hold more streams each; half of a step's time grows
+            // with their number.
+            let load = 0.5 + 0.5 * 24.0 / count as f64;
+            let disturbed = if rng.random_bool(0.4) { 2.5 } else { 1.0 };
+            let event = 38.0 / speed * load * rng.random_range(1.0..1.2) * disturbed;
+            // Prefill beside the stream.
+            let longest = event + rng.random_range(0.0..120.0);
+            late += u32::from(longest > 200.0);
+        }
+        f64::from(late) / 2_000.0
+    };
+    let mut balancer = balancer(48);
+    let before = late_share(&mut balancer);
+    balancer.set_paces(&three_paces(48));
+    let after = late_share(&mut balancer);
+    assert!(before >= 0.1, "{before} {after}");
+    assert!(after < 0.05, "{before} {after}");
+}
