--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -628,7 +628,7 @@
     assert_eq!(ranked, unpaced);
     balancer.set_paces(&three_paces(12));
     balancer.put_slow_last(&mut ranked, Duration::from_millis(100));
-    let slow = |s: &ServerRecord| index(&s.id) % 3 == 0;
+    let slow = |s: &ServerRecord| index(&s.id).is_multiple_of(3);
     assert!(ranked[..8].iter().all(|s| !slow(s)) && ranked[8..].iter().all(slow));
     let kept: Vec<&ServerRecord> = unpaced.iter().filter(|s| !slow(s)).collect();
     assert_eq!(ranked[..8].iter().collect::<Vec<_>>(), kept);
