Test that nothing is sent after the deadline, with a clock of the test's own

Cause: the deadline check of a continuation was not covered: over real time the relay ends the stream first.

Change: plans of the call tests name the clock; the test advances it. The test of a caller that leaves fails instead of waiting forever if no continuation comes.

--- a/crates/forward/tests/calls/backups.rs
+++ b/crates/forward/tests/calls/backups.rs
@@ -1,8 +1,10 @@
 //! Streams that may run only once, continued from the copy of their KV cache at
 //! a second engine.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use base::clock::ManualClock;
 use policy::backup::MIN_TIME_LEFT;
 use policy::balance::ServerRecord;
 use policy::routes::CallKind;
@@ -195,11 +197,12 @@
     let mut stream = entry.connect().await;
     let sent = stream.write_all(request(LIVE, "").as_bytes()).await;
     sent.expect("sent");
+    let mut part = [0; 1 << 10];
     while entry.servers.requests().len() < 2 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        let read = stream.read(&mut part);
+        let read = tokio::time::timeout(Duration::from_millis(5), read).await;
+        assert!(!matches!(read, Ok(Ok(0) | Err(_))), "the stream has ended");
     }
-    let mut part = [0; 1 << 10];
-    assert!(stream.read(&mut part).await.expect("the first event") > 0);
     drop(stream);
     entry.servers.wait_closed().await;
     assert_continues(&entry.servers.requests());
@@ -299,16 +302,23 @@
     assert_eq!(entry.servers.requests().len(), 1);
 }
 
-/// The engine with the copy announces that it leaves, restarts, or the retry
-/// budget is exhausted, before the first engine crashes. An engine that leaves
-/// must get no new work, a new incarnation has no copy, and retries are limited.
+/// Before the first engine crashes, the engine with the copy announces that it
+/// leaves or restarts, the retry budget is exhausted, or the deadline passes. An
+/// engine that leaves must get no new work, a new incarnation has no copy, retries
+/// are limited, and nothing is sent after the deadline.
 #[rstest]
 #[case::leaving(Change::Leaving)]
 #[case::restarted(Change::Restarted)]
 #[case::no_retry(Change::NoRetry)]
+#[case::deadline_passed(Change::DeadlinePassed)]
 #[actix_rt::test]
 async fn unavailable_copy_not_asked(#[case] change: Change) {
-    let entry = Entry::start(plan(&[Action::Send(PARTIAL), Action::Send(REMAINDER)])).await;
+    let clock = ManualClock::new();
+    let entry = Entry::start(Plan {
+        clock: Rc::new(clock.clone()),
+        ..plan(&[Action::Send(PARTIAL), Action::Send(REMAINDER)])
+    })
+    .await;
     let mut stream = entry.connect().await;
     let sent = stream.write_all(request(LIVE, "").as_bytes()).await;
     sent.expect("sent");
@@ -340,6 +350,7 @@
         Change::NoRetry => {
             entry.take_all_retries();
         }
+        Change::DeadlinePassed => clock.advance(Duration::from_secs(6)),
     }
     entry.servers.reset_connections();
     let _ = stream.read_to_end(&mut all).await;
@@ -354,4 +365,5 @@
     Leaving,
     Restarted,
     NoRetry,
+    DeadlinePassed,
 }
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::clock::SystemClock;
+use base::clock::{Clock, SystemClock};
 use base::ids::Tier;
 use base::stop::StopSignal;
 use forward::platform::{AddedHeaders, CallHeaders, Dialect, PromptPart, ResponseHeaders};
@@ -323,6 +323,8 @@
     pub(crate) backups: bool,
     /// Whether the engines declare backups.
     pub(crate) declared: bool,
+    /// The entry's clock.
+    pub(crate) clock: Rc<dyn Clock>,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -338,6 +340,7 @@
             engine: false,
             backups: false,
             declared: false,
+            clock: Rc::new(SystemClock),
             actions: actions.to_vec(),
         }
     }
@@ -351,7 +354,7 @@
             backups: plan.backups,
             ..settings(addr)
         };
-        let state = State::new(settings, Rc::new(TestDialect), Rc::new(SystemClock));
+        let state = State::new(settings, Rc::new(TestDialect), Rc::clone(&plan.clock));
         state.copies.borrow_mut().set_entries(1);
         let servers = Servers::default();
         for id in ["s1", "s2"] {
