Continue at an engine that the list lacks for a moment

Cause: while the store is unavailable, records of live engines expire. A continuation asked for a listed engine, so that streams with a copy would have been lost then.

Change: an engine counts as current for as long as it may be called.

--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -223,7 +223,7 @@
         if self.blocked_for().is_some() {
             return Err(("blocked", "servers crash while they run the call"));
         }
-        if !self.state.balancer.borrow().is_current(server) {
+        if !self.state.balancer.borrow().is_current(now, server) {
             return Err(("gone", "the engine with the copy has left"));
         }
         if !self.take_retry() {
--- a/crates/policy/src/balance/copies.rs
+++ b/crates/policy/src/balance/copies.rs
@@ -42,12 +42,14 @@
         usable.into_iter().map(|s| &s.record).collect()
     }
 
-    /// Whether this incarnation of a server is listed at the same address and
-    /// takes calls.
+    /// Whether this incarnation of a server takes calls at the same address. It
+    /// may have been missing from the list for a moment, since the list loses
+    /// live servers while the store is unavailable.
     #[must_use]
-    pub fn is_current(&self, record: &ServerRecord) -> bool {
-        self.servers.get(&record.id).is_some_and(|s| {
-            s.serves(&record.service)
+    pub fn is_current(&self, now: Instant, record: &ServerRecord) -> bool {
+        let mut callable = self.callable(now, &record.service);
+        callable.any(|s| {
+            s.record.id == record.id
                 && s.record.started_ms == record.started_ms
                 && s.record.addr == record.addr
         })
--- a/crates/policy/tests/backup.rs
+++ b/crates/policy/tests/backup.rs
@@ -230,7 +230,19 @@
     listed.started_ms = started_ms;
     listed.addr.set_port(port);
     balancer.upsert(now, listed);
-    assert_eq!(balancer.is_current(&held), current);
+    assert_eq!(balancer.is_current(now, &held), current);
+}
+
+/// While the store is unavailable, the list loses live engines. A stream must still
+/// continue there for as long as they may be called.
+#[test]
+fn missing_engine_is_current_for_a_moment() {
+    let now = Instant::now();
+    let mut balancer = balancer(now, &["a", "b"]);
+    let until = now + Duration::from_secs(2);
+    balancer.mark_missing(now, "s7", until);
+    assert!(balancer.is_current(now, &record(7, "b")));
+    assert!(!balancer.is_current(until, &record(7, "b")));
 }
 
 /// All entries together must not fill an engine's KV cache with copies, or its own
