Decide which streams move from a leaving engine, and how a move proceeds

Cause: a stream that does not end within the drain period is cut when its engine exits.

Nothing uses it yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`routes`]: which route a call takes and who may use it.
 //! - [`balance`]: which backend server gets a call.
 //! - [`pools`]: which engines prefill prompts and which decode answers.
+//! - [`moves`]: which streams move away from an engine that leaves, and how.
 //! - [`pauses`]: how long prefill pauses the streams at the same engine.
 //! - [`urgency`]: rank and latency limit of a call at engines.
 //! - [`wait_estimate`]: whether a call would miss its deadline.
@@ -57,6 +58,7 @@
 pub mod load;
 pub mod loading;
 pub mod membership;
+pub mod moves;
 pub mod offer;
 pub mod outlier;
 pub mod pauses;
