--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -261,6 +261,36 @@
         })
     }
 
+    /// Sends the call again to `server`, to continue after event `last` from `copy`. It
+    /// counts as the same run, so no sidecar is asked and no retry is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream does not continue there, and whether it may have run.
+    pub(crate) async fn continue_at(
+        &self,
+        server: &ServerRecord,
+        copy: KvCopy<'_>,
+        last: u64,
+    ) -> Result<ResponseBody, SendError> {
+        let now = self.state.clock.now();
+        if now >= self.deadline {
+            return Err(SendError::TimedOutUnsent);
+        }
+        let sources = CacheSources {
+            kv_copy: Some(copy),
+            ..CacheSources::default()
+        };
+        let request = self.build_request(now, server, StartPoint::After(Some(last)), sources);
+        let id = self.parsed_headers.request_id.as_deref();
+        let sent = exchange::send(&self.state, server, request, id, self.deadline, None);
+        let response = sent.await?;
+        match is_valid_success(&response) {
+            true => Ok(response.body),
+            false => Err(SendError::Unknown(format!("status {}", response.status))),
+        }
+    }
+
     fn log_unusable(&self, outcome: &str, detail: &str) {
         let at = self.backup_server();
         info!("stream not continued", kv: {
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -4,8 +4,10 @@
 mod backups;
 mod callers;
 mod common;
+mod engines;
 mod feedback;
 mod grants;
+mod moves;
 mod retries;
 mod streams;
 mod usage;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`balance`]: which backend server gets a call.
 //! - [`pools`]: which engines prefill prompts and which decode answers.
 //! - [`paces`]: which engines of a service are fast or slow.
+//! - [`moves`]: which streams move away from an engine that leaves, and how.
 //! - [`pauses`]: how long prefill pauses the streams at the same engine.
 //! - [`urgency`]: rank and latency limit of a call at engines.
 //! - [`wait_estimate`]: whether a call would miss its deadline.
@@ -60,6 +61,7 @@
 pub mod load;
 pub mod loading;
 pub mod membership;
+pub mod moves;
 pub mod offer;
 pub mod outlier;
 pub mod paces;
