Continue a stream from its copy only after its first event

Cause: a call whose connection broke before the response's head was sent on to the engine with its copy.

Change: nothing is sent to the second engine before the caller has an event.

Tests: crash_before_first_event_not_continued replaces the tests that expected a continuation before the first event, and counts one request in each case; it fails on the code before.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -299,9 +299,6 @@
                 detail = format!("{error:?}").as_str(),
                 ms = self.age_ms()
             });
-            if let Some(reply) = self.continue_unanswered(&error, &tried).await {
-                return reply;
-            }
             let may_retry = error.not_run() || self.route.kind.repeatable();
             let is_final = error.is_final();
             // Once the call may have run on some server, a later failure does
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -20,7 +20,6 @@
 use super::{Call, StartPoint};
 use crate::exchange::{self, ResponseBody, SendError, ServerResponse};
 use crate::platform::KvCopy;
-use crate::reply::Reply;
 use crate::state::State;
 
 /// The copy of a stream at a second engine. Dropping it ends its count.
@@ -127,43 +126,23 @@
     }
 
     /// Continues a broken stream after event `last` at the engine with its copy.
+    ///
+    /// A call without an event is not continued. It may be one that crashes the
+    /// engine on arrival, and the second engine would begin it again and crash
+    /// as well before it looks for a copy.
     pub(crate) async fn continue_stream(
         &self,
         from: &str,
         last: Option<u64>,
         cause: &str,
     ) -> Option<ResponseBody> {
-        let response = self.continue_at_copy(from, StartPoint::After(last), cause);
+        let response = self.continue_at_copy(from, last?, cause);
         Some(response.await?.body)
     }
 
-    /// Continues a call whose connection broke before its stream began. The
-    /// engine may have begun the run.
-    pub(super) async fn continue_unanswered(
-        self: &Rc<Self>,
-        error: &SendError,
-        tried: &[Rc<str>],
-    ) -> Option<Reply> {
-        let SendError::Unknown(cause) = error else {
-            return None;
-        };
-        let from = tried.last().map_or("-", |s| &**s);
-        let response = self.continue_at_copy(from, StartPoint::Beginning, cause);
-        let response = response.await?;
-        let accepted = self.accept(response, tried).await;
-        accepted
-            .inspect_err(|error| self.log_unusable("continuation broke", &format!("{error:?}")))
-            .ok()
-    }
-
     /// Sends the call to the engine with its copy, once at most; `None` if it has
     /// no copy or does not continue there.
-    async fn continue_at_copy(
-        &self,
-        from: &str,
-        start: StartPoint,
-        cause: &str,
-    ) -> Option<ServerResponse> {
+    async fn continue_at_copy(&self, from: &str, last: u64, cause: &str) -> Option<ServerResponse> {
         let server = {
             let backup = self.backup.borrow();
             let backup = backup.as_ref().filter(|b| b.usable.take())?;
@@ -179,7 +158,7 @@
             addr: server.addr,
             handle,
         };
-        let sent = self.send_to_copy(&server, start, copy).await;
+        let sent = self.send_to_copy(&server, last, copy).await;
         let outcome = match &sent {
             Ok(response) if is_valid_success(response) => "continued",
             Ok(_) => "failed",
@@ -193,7 +172,7 @@
                     id = self.request_id(),
                     from,
                     at = &*server.id,
-                    after = after(start),
+                    after = last,
                     cause
                 });
                 Some(response)
@@ -240,7 +219,7 @@
     async fn send_to_copy(
         &self,
         server: &ServerRecord,
-        start: StartPoint,
+        last: u64,
         copy: KvCopy<'_>,
     ) -> Result<ServerResponse, SendError> {
         let now = self.state.clock.now();
@@ -248,7 +227,7 @@
             kv_copy: Some(copy),
             ..CacheSources::default()
         };
-        let request = self.build_request(now, server, start, sources);
+        let request = self.build_request(now, server, StartPoint::After(Some(last)), sources);
         let id = Some(copy.handle);
         let sent = exchange::send(&self.state, server, request, id, self.deadline, None).await;
         if sent.as_ref().is_err_and(|e| *e == SendError::WrongServer) {
@@ -302,14 +281,6 @@
     }
 }
 
-/// The last event that the caller has, for logs; 0 if none.
-fn after(start: StartPoint) -> u64 {
-    match start {
-        StartPoint::Beginning => 0,
-        StartPoint::After(last) => last.unwrap_or(0),
-    }
-}
-
 fn count(outcome: &'static str) {
     metrics::counter!("pimentocart_backups_total", "outcome" => outcome).increment(1);
 }
