Ask an ejected server when no other is left

Cause: two calls without a reply eject a server for 1 s, later up to 60 s, and so does a slow pace. When the other servers of the pool were closed or draining meanwhile, as during a rolling restart, callers got no_server at once although the ejected server accepted requests.

Change: a choice that finds no other server returns ejected ones, unless their runs fail. Such calls are no probes and make the ejection no longer.

Test: choose_ejected_last; unreachable and slow failed before.

--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Whether a request may be sent to the server when no other is left, also
+    /// while it is ejected. Runs that fail are not repeated there; a server that
+    /// is slow or was for a moment is better than a refusal.
+    #[must_use]
+    pub fn usable_as_last(&self) -> bool {
+        !self.ejected() || self.cause != Some(Fault::RunFailed)
+    }
+
     /// Whether the server counts towards the share of servers that may be ejected.
     #[must_use]
     pub fn ejected(&self) -> bool {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -317,16 +317,27 @@
             PlacementMode::LeastLoaded => chosen.extend(self.least_loaded(now, &pool, request)),
             PlacementMode::TwoChoices => chosen.extend(self.choose_of_two(now, &pool, request)),
         }
-        self.pools[pool_index] = pool;
-
         for index in &chosen {
             if let Some(server) = self.server_mut(*index) {
                 server.health.request_sent(now);
             }
         }
+        // These requests are no probes: a failed one says no more than the fault
+        // that ejected the server, and must not make the ejection longer.
+        if chosen.is_empty() {
+            let ejected = pool.all().filter(|i| self.is_last_resort(now, *i, request));
+            chosen.extend(ejected.take(request.fan_out.max(1)));
+        }
+        self.pools[pool_index] = pool;
         chosen
     }
 
+    /// Whether an ejected server may be asked because no other is left.
+    fn is_last_resort(&self, now: Instant, index: ServerIndex, request: &PlacementRequest) -> bool {
+        let accepts = self.accepting(now, index, request.excluded);
+        accepts.is_some_and(|s| s.health.usable_as_last())
+    }
+
     /// Whether any server of `target` other than the excluded ones may be asked.
     #[must_use]
     pub fn has_usable(&self, now: Instant, target: &str, excluded: &[ServerIndex]) -> bool {
@@ -508,6 +519,17 @@
         now: Instant,
         index: ServerIndex,
         excluded: &[ServerIndex],
+    ) -> Option<&Server> {
+        self.accepting(now, index, excluded)
+            .filter(|server| server.health.usable(now))
+    }
+
+    /// The server, if it accepts requests as far as it and the host list say.
+    fn accepting(
+        &self,
+        now: Instant,
+        index: ServerIndex,
+        excluded: &[ServerIndex],
     ) -> Option<&Server> {
         let server = self.server(index)?;
         let draining = server.reports.newest().draining
@@ -515,8 +537,7 @@
                 .reports
                 .newest_age(now)
                 .is_some_and(|a| a < DRAIN_MAX_AGE);
-        (server.health.usable(now) && !server.closed && !draining && !excluded.contains(&index))
-            .then_some(server)
+        (!server.closed && !draining && !excluded.contains(&index)).then_some(server)
     }
 
     fn server(&self, index: ServerIndex) -> Option<&Server> {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -146,6 +146,37 @@
     assert!((least..=most).contains(&chosen.len()), "{chosen:?}");
 }
 
+// One server is ejected, and the others are closed, as while they restart. The last
+// one must be asked even so, unless its runs fail; otherwise every caller is refused
+// for the whole ejection although it may only have been slow for a moment.
+#[rstest]
+#[case::unreachable(Fault::Unreachable, &[0])]
+#[case::slow(Fault::Slow, &[0])]
+#[case::runs_fail(Fault::RunFailed, &[])]
+fn choose_ejected_last(#[case] fault: Fault, #[case] expected: &[ServerIndex]) {
+    let mut now = Instant::now();
+    let mut placement = placement(PlacementMode::LateBinding, 3);
+    while !placement.is_ejected(0) {
+        now += Duration::from_millis(100);
+        placement.record_fault(now, 0, fault, 0.3);
+    }
+    assert!(!placement.choose(now, &request(0, &[])).contains(&0));
+
+    for index in [1, 2] {
+        placement.set_closed(index, true);
+    }
+    for _ in 0..2 {
+        assert_eq!(placement.choose(now, &request(0, &[])), expected);
+        // A call that fails here makes the ejection no longer.
+        placement.record_fault(now, 0, fault, 0.3);
+    }
+    assert!(placement.choose(now, &request(0, &[0])).is_empty());
+    placement.set_closed(1, false);
+    assert_eq!(placement.choose(now, &request(0, &[])), [1]);
+    now += Duration::from_secs(1);
+    assert!(placement.choose(now, &request(0, &[])).contains(&0));
+}
+
 // Even if all servers fail, only the given share of the pool is ejected; the
 // others are still asked.
 #[test]
