--- a/crates/policy/tests/grants/gaps.rs
+++ b/crates/policy/tests/grants/gaps.rs
@@ -427,10 +427,20 @@
     }
     assert_eq!(grants.free_tokens(now), Some(1_500));
     assert!(refused(grants.request(now, call(3))));
-    // The part of the answers that has been produced is in the report.
     for number in 0..3 {
         grants.record_first_event(now, id(number));
     }
+    // Nearly all of the answers is still to come.
+    let soon = now + ms(100);
+    grants.update_report(
+        soon,
+        EngineReport {
+            used_tokens: 3 * 500,
+            ..report
+        },
+    );
+    assert!(refused(grants.request(soon, call(5))));
+    // The part of the answers that has been produced is in the report.
     let later = now + Duration::from_secs(20);
     let used_tokens = 3 * 1_500;
     grants.update_report(
