Move streams away from engines that leave

Cause: a stream that does not end within the drain period is cut when its engine exits.

Change: an entry keeps its open streams by engine (forward::moves). When it learns, from the list, a response or a sidecar, that an engine leaves, it copies the runs that would not end in time to another engine, stops them and continues there; the relay passes on the rest of the old stream first. The engines' calls are a trait, implemented in platform/. Off by default; acts only on services whose engines declare moves. Scripted engines for the tests keep runs, copies and handles by the protocol.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -1,10 +1,12 @@
 //! A caller's request and the attempts to have it executed.
 //!
 //! - `attempt`: sending the call to a chosen server.
+//! - `continuation`: continuing a stream from a copy of its KV cache.
 //! - `placement`: choosing a server and getting admission to it.
 //! - `response`: processing the server's response.
 
 mod attempt;
+mod continuation;
 mod placement;
 mod response;
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -184,6 +184,11 @@
             .bytes_received(now, &self.server.id);
     }
 
+    /// Closes the connection before the response's end.
+    pub(crate) fn close(&mut self) {
+        self.conn = None;
+    }
+
     /// Returns the connection to the pool.
     fn release_connection(&mut self) {
         let Some(conn) = self.conn.take() else { return };
@@ -303,6 +308,7 @@
         metrics::counter!("pimentocart_servers_leaving_total").increment(1);
         info!("server leaves", kv: { server = &*server.id });
         state.connection_pool.close_idle(&server.id);
+        state.moves.server_leaves(now, &server.id);
     }
     if let Some(backoff) = changes.backoff {
         metrics::counter!("pimentocart_rests_asked_total").increment(1);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
+//! - [`moves`]: moves streams away from engines that leave.
 //! - [`events`]: splits a stream into its numbered events.
 //! - [`reply`]: answers to callers.
 //! - [`reload`]: reads the settings again at run time.
@@ -34,6 +35,7 @@
 pub mod gossip;
 pub mod grants;
 pub mod http;
+pub mod moves;
 pub mod neighbours;
 pub mod platform;
 pub mod pool;
@@ -119,6 +121,10 @@
         platform.directory(),
         end.clone(),
     ));
+    if state.settings.moves {
+        let control = platform.engine_control();
+        actix_rt::spawn(moves::run(Rc::clone(&state), control, end.clone()));
+    }
     actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
     for listener in [Some(ready), metrics].into_iter().flatten() {
         actix_rt::spawn(http::serve_operators(
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use policy::balance::{ServerFeedback, ServerRecord};
 use policy::duty::{Term, WriteOutcome};
+use policy::moves::CopyOutcome;
 use policy::routes::Catalog;
 use policy::scaling;
 use policy::suspects::Crash;
@@ -28,6 +29,8 @@
     type DutyStore: DutyStore + 'static;
     /// The client of the duty API.
     type DutyApi: DutyApi + 'static;
+    /// The client of the engines' calls that move running streams.
+    type EngineControl: EngineControl + 'static;
 
     /// Reads the operators' declarations.
     fn catalogs(&self) -> Self::Catalogs;
@@ -46,6 +49,9 @@
 
     /// Connects to the duty API at `addr`.
     fn duty_api(&self, addr: SocketAddr) -> Self::DutyApi;
+
+    /// Creates the client of the engines' calls.
+    fn engine_control(&self) -> Self::EngineControl;
 }
 
 /// The headers that callers and backend servers use.
@@ -229,6 +235,47 @@
     ) -> impl Future<Output = DutyOutcome>;
 }
 
+/// A call that copies a running request's KV cache to another engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyRequest<'a> {
+    /// The request's ID.
+    pub id: &'a str,
+    /// The address of the engine that gets the copy.
+    pub to: SocketAddr,
+    /// Whether the run stops first. Otherwise it continues during the copy.
+    pub last: bool,
+}
+
+/// The calls to engines that move running streams.
+pub trait EngineControl {
+    /// Copies a run of the engine at `engine` to another engine and waits until the copy is
+    /// complete. A repeated call copies only what is new.
+    fn copy_run(
+        &self,
+        engine: SocketAddr,
+        request: &CopyRequest<'_>,
+    ) -> impl Future<Output = CopyOutcome>;
+
+    /// Frees a copy at the engine at `engine`, which made it, and at the one that got it.
+    fn drop_copy(
+        &self,
+        engine: SocketAddr,
+        handle: &str,
+    ) -> impl Future<Output = Result<(), EngineError>>;
+}
+
+/// A call to an engine failed. A copy that is not freed expires.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub), display("step={step} peer={peer}: {cause}"))]
+pub struct EngineError {
+    /// The operation.
+    pub step: &'static str,
+    /// The engine's address.
+    pub peer: String,
+    /// The error or the unexpected response.
+    pub cause: String,
+}
+
 /// The outcome of a duty's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DutyOutcome {
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::call::Call;
 use crate::events::EventSplitter;
 use crate::exchange::ResponseBody;
+use crate::moves::{self, MovableStream};
 use crate::state::OpenCall;
 
 /// A stream that is being relayed to a caller.
@@ -41,6 +42,8 @@
     max_pause: Duration,
     /// Servers that the call was sent to.
     tried: Vec<Rc<str>>,
+    /// Set while the stream can be moved to another engine.
+    movable: Option<MovableStream>,
     /// Counts the call as open, so that the entry does not stop before its end.
     _open: OpenCall,
 }
@@ -77,6 +80,7 @@
     ) -> Self {
         Self {
             last_event: call.parsed_headers.last_event,
+            movable: MovableStream::register(&call, &body, 0),
             body,
             splitter: EventSplitter::default(),
             first_bytes: Some(first),
@@ -130,7 +134,8 @@
                 Some(first) => Ok(Ok(Some(first))),
                 None => {
                     let deadline: Instant = self.call.deadline;
-                    tokio::time::timeout_at(deadline.into(), self.body.next()).await
+                    let next = moves::read(&mut self.body, self.movable.as_ref());
+                    tokio::time::timeout_at(deadline.into(), next).await
                 }
             };
             match next {
@@ -149,7 +154,7 @@
                     return Ok(Some(self.splitter.take_pending()));
                 }
                 Ok(Ok(None)) => self.fail_over("stream ended inside an event").await?,
-                Ok(Err(cause)) => self.fail_over(&cause).await?,
+                Ok(Err(cause)) => self.source_closed(&cause).await?,
             }
         }
     }
@@ -203,6 +208,28 @@
             metrics::histogram!("pimentocart_pause_seconds").record(elapsed);
         }
         self.last_sent = now;
+        if let Some(stream) = &self.movable {
+            stream.record_progress(now, self.event_count, self.last_event);
+        }
+    }
+
+    /// Continues the stream where it was moved to, or else fails over.
+    async fn source_closed(&mut self, cause: &str) -> Result<(), StreamError> {
+        if let Some(stream) = self.movable.take() {
+            // Two engines must not run the stream, so the connection that may still be open
+            // is closed before the request is sent again.
+            self.body.close();
+            let continued = stream.continue_elsewhere(&self.call, self.last_sent);
+            if let Some((body, movable)) = continued.await {
+                self.splitter.take_pending();
+                self.body = body;
+                self.movable = movable;
+                self.just_resumed = true;
+                self.resumed = true;
+                return Ok(());
+            }
+        }
+        self.fail_over(cause).await
     }
 
     /// Resumes the stream at another server after the last complete event, if
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -24,6 +24,7 @@
 use crate::crashes::{self, CrashTracker};
 use crate::duties::Duties;
 use crate::grants::SidecarClient;
+use crate::moves::OpenStreams;
 use crate::platform::Dialect;
 use crate::pool::ConnectionPool;
 use crate::settings::Settings;
@@ -75,6 +76,8 @@
     pub duties: RefCell<Option<Rc<Duties>>>,
     /// Server crashes, and the calls that may have caused them.
     pub crashes: CrashTracker,
+    /// The open streams that can be moved, and the engines that leave.
+    pub moves: OpenStreams,
     /// Idle connections to servers.
     pub connection_pool: ConnectionPool,
     /// Wakes the tasks that wait for the store when it answers again.
@@ -132,6 +135,7 @@
             sidecars: RefCell::default(),
             duties: RefCell::default(),
             crashes: CrashTracker::default(),
+            moves: OpenStreams::new(settings.moves),
             connection_pool: ConnectionPool::default(),
             store_recovered: Notify::new(),
             servers_wanted: Notify::new(),
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -34,6 +34,9 @@
     /// Calls whose answers have not been sent completely.
     #[serde(rename = "open")]
     pub open_calls: usize,
+    /// Moves of streams in progress, if moves are enabled.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub moves: Option<usize>,
     /// Status of the fleet-wide duties, if any are configured.
     pub duties: Option<DutyStatus>,
 }
@@ -55,6 +58,7 @@
             limited: feedback.limited,
             crashes: state.crashes.count(),
             open_calls: state.open_calls.get(),
+            moves: state.settings.moves.then(|| state.moves.in_progress()),
             duties: state.duties.borrow().as_ref().map(|d| d.status()),
         }
     }
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -182,6 +182,9 @@
     if change == RecordChange::Unchanged {
         return;
     }
+    if leaving {
+        state.moves.server_leaves(now, &id);
+    }
     // Connections to its previous incarnation are dead.
     if leaving || change == RecordChange::Restarted {
         state.connection_pool.close_idle(&id);
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -64,6 +64,12 @@
         if let Some(last) = added.last_event {
             set("last-event", last.to_string());
         }
+        if let Some(backup) = added.backup {
+            set("backup", backup.to_string());
+        }
+        if let Some(copy) = added.kv_copy {
+            set("kv-from", format!("{}/{}", copy.addr, copy.handle));
+        }
         out
     }
 
@@ -297,6 +303,10 @@
     pub(crate) tier: u8,
     /// Whether the servers are engines, on a host of their own.
     pub(crate) engine: bool,
+    /// Whether the engines declare moves.
+    pub(crate) moves: bool,
+    /// Whether the entry's setting `moves` is on.
+    pub(crate) moves_enabled: bool,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -310,6 +320,8 @@
             keys: false,
             tier: 1,
             engine: false,
+            moves: false,
+            moves_enabled: false,
             actions: actions.to_vec(),
         }
     }
@@ -317,17 +329,31 @@
 
 impl Entry {
     pub(crate) async fn start(plan: Plan) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let addr = listener.local_addr().expect("an address");
-        let state = State::new(settings(addr), Rc::new(TestDialect), Rc::new(SystemClock));
         let servers = Servers::default();
+        let mut records = Vec::new();
         for id in ["s1", "s2"] {
             let host = if plan.engine { ENGINES } else { "127.0.0.1" };
-            let addr = servers.listen(host).await;
-            state
-                .balancer
-                .borrow_mut()
-                .upsert(Instant::now(), listed(id, addr));
+            records.push(listed(id, servers.listen(host).await));
+        }
+        Self::start_with(plan, servers, records).await
+    }
+
+    /// Starts an entry that knows the servers of `records`.
+    pub(crate) async fn start_with(
+        plan: Plan,
+        servers: Servers,
+        records: Vec<ServerRecord>,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let settings = Settings {
+            moves: plan.moves_enabled,
+            ..settings(addr)
+        };
+        let state = State::new(settings, Rc::new(TestDialect), Rc::new(SystemClock));
+        for record in records {
+            let mut balancer = state.balancer.borrow_mut();
+            balancer.upsert(Instant::now(), record);
         }
         // Earlier calls, which fill the retry budget.
         let service = Rc::from("app");
@@ -426,7 +452,7 @@
     serde_json::from_value(text).expect("settings")
 }
 
-fn listed(id: &str, addr: SocketAddr) -> ServerRecord {
+pub(crate) fn listed(id: &str, addr: SocketAddr) -> ServerRecord {
     ServerRecord {
         id: Rc::from(id),
         service: Rc::from("app"),
@@ -460,7 +486,7 @@
             memory_tokens: 100_000,
             event_tokens: 8,
             copy_time: None,
-            moves: false,
+            moves: plan.moves,
             backups: false,
         }),
         scaling: None,
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -3,8 +3,10 @@
 
 mod callers;
 mod common;
+mod engines;
 mod feedback;
 mod grants;
+mod moves;
 mod retries;
 mod streams;
 mod usage;
