--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -12,8 +12,7 @@
 use base::stop::StopSignal;
 use policy::balance::{Partition, ServerQuery, ServerRecord, Strategy};
 use policy::moves::{
-    self, Action, CopyOutcome, DRAIN_TIME, Destination, Event, MAX_PER_SOURCE, Phase,
-    RunningStream, StreamNeeds,
+    self, Action, CopyOutcome, DRAIN_TIME, Destination, Event, Phase, RunningStream, StreamNeeds,
 };
 use policy::rendezvous::hash_name;
 use spdlog::info;
@@ -148,6 +147,7 @@
 /// Begins the moves that are due, within the limits.
 fn start_moves<C: EngineControl + 'static>(state: &Rc<State>, control: &Rc<C>) {
     let now = state.clock.now();
+    let limit = moves::source_limit(state.roster.borrow().count().total);
     let leaving = state.moves.leaving.borrow().clone();
     for (id, since) in leaving {
         let streams = state.moves.at(&id);
@@ -173,7 +173,7 @@
         let running: Vec<RunningStream> = waiting.values().map(|s| s.running_stream()).collect();
         let copy_time = streams.first().map_or(Duration::ZERO, |s| s.copy_time);
         for key in moves::streams_to_move(now, since + DRAIN_TIME, copy_time, &running) {
-            if in_progress >= MAX_PER_SOURCE {
+            if in_progress >= limit {
                 break;
             }
             let Some(stream) = waiting.get(&key) else {
--- a/crates/forward/tests/calls/engines.rs
+++ b/crates/forward/tests/calls/engines.rs
@@ -431,7 +431,7 @@
 }
 
 /// The events from number `first` to `last`.
-fn events(first: u64, last: u64) -> String {
+pub(crate) fn events(first: u64, last: u64) -> String {
     let event = |n| format!("id: {n}\ndata: {n}\n\n");
     (first..=last).map(event).collect()
 }
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 
 use crate::common::{Entry, Plan, Servers, header, listed, status};
-use crate::engines::{EVENTS, Engines, Script};
+use crate::engines::{EVENTS, Engines, Script, events};
 
 /// An entry with scripted engines.
 struct Fleet {
@@ -153,14 +153,21 @@
 /// a complete response.
 fn assert_whole(answer: &str) {
     assert_eq!(status(answer), "200");
-    assert_eq!(numbers(answer), (1..=EVENTS).collect::<Vec<u64>>());
+    assert_eq!(body(answer), events(1, EVENTS));
     assert_eq!(header(answer, "seal").as_deref(), Some("1"));
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
-fn numbers(answer: &str) -> Vec<u64> {
-    let data = answer.lines().filter_map(|l| l.strip_prefix("data: "));
-    data.map(|n| n.parse().expect("a number")).collect()
+/// The body of a chunked response, as far as it arrived.
+fn body(answer: &str) -> String {
+    let mut chunks = answer.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    let mut body = String::new();
+    while let Some((length, rest)) = chunks.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).expect("a length");
+        body.push_str(&rest[..length]);
+        chunks = rest[length..].trim_start_matches("\r\n");
+    }
+    body
 }
 
 /// An engine leaves while a long stream runs. The caller must see one unbroken stream with
@@ -328,7 +335,7 @@
     }
     let (call, _) = fleet.call_and_leave("1").await;
     let answer = call.await.expect("an answer");
-    assert_eq!(numbers(&answer), [1, 2, 3]);
+    assert_eq!(body(&answer), events(1, 3));
     assert!(!answer.ends_with("0\r\n\r\n"));
     assert_eq!(fleet.engines.continuations().len(), 2);
     fleet.engines.wait_until(|e| e.freed().len() == 1).await;
--- a/crates/policy/src/moves.rs
+++ b/crates/policy/src/moves.rs
@@ -21,11 +21,21 @@
 /// that is moved without need pauses once; a stream that is cut is lost.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
-/// Moves from one source that an entry has in progress at a time. The engine queues copies
-/// on its link, and a run that has stopped waits for the copies ahead of its own. With two,
-/// one stream is copied while another one continues.
+/// Moves from one source that an entry has in progress at most. With two, one stream is
+/// copied while another one continues.
 pub const MAX_PER_SOURCE: usize = 2;
 
+/// Moves from one source that an entry of `entries` has in progress at a time. The engine
+/// queues the copies of all entries on its link, and a caller whose run has stopped waits for
+/// the copies ahead of its own; more of them move nothing sooner.
+#[must_use]
+pub fn source_limit(entries: usize) -> usize {
+    match entries > MAX_PER_SOURCE {
+        true => 1,
+        false => MAX_PER_SOURCE,
+    }
+}
+
 /// Moves to one destination that an entry has in progress at a time.
 pub const MAX_PER_DESTINATION: usize = 2;
 
--- a/crates/policy/src/moves/machine.rs
+++ b/crates/policy/src/moves/machine.rs
@@ -120,8 +120,6 @@
     Returned,
     /// No copy was made; the stream stays at the source.
     Refused,
-    /// The run was not stopped; the stream stays at the source.
-    Unstopped,
     /// The stream has ended, or its caller has left, before it continued elsewhere.
     Ended,
     /// The stream could not be continued anywhere.
@@ -129,16 +127,6 @@
 }
 
 impl Outcome {
-    /// All outcomes.
-    pub const ALL: [Self; 6] = [
-        Self::Moved,
-        Self::Returned,
-        Self::Refused,
-        Self::Unstopped,
-        Self::Ended,
-        Self::Lost,
-    ];
-
     /// A short name for logs and metric labels.
     #[must_use]
     pub fn label(self) -> &'static str {
@@ -146,7 +134,6 @@
             Self::Moved => "moved",
             Self::Returned => "returned",
             Self::Refused => "refused",
-            Self::Unstopped => "unstopped",
             Self::Ended => "ended",
             Self::Lost => "lost",
         }
--- a/crates/policy/tests/moves.rs
+++ b/crates/policy/tests/moves.rs
@@ -7,7 +7,7 @@
 use base::ids::Tier;
 use policy::moves::{
     Action, CopyOutcome, DRAIN_TIME, Destination, Event, MAX_PER_DESTINATION, Move, Outcome, Phase,
-    RunningStream, Site, StreamNeeds, choose_destination, streams_to_move,
+    RunningStream, Site, StreamNeeds, choose_destination, source_limit, streams_to_move,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -130,6 +130,15 @@
     assert_eq!(chosen, HashSet::from([0, 3, 6, 9]));
 }
 
+/// Guards against a long queue of copies on the link of an engine that many entries use.
+#[rstest]
+#[case::alone(1, 2)]
+#[case::two(2, 2)]
+#[case::many(30, 1)]
+fn source_limit_by_entries(#[case] entries: usize, #[case] limit: usize) {
+    assert_eq!(source_limit(entries), limit);
+}
+
 fn copied(handle: &str) -> Event {
     Event::Answered(CopyOutcome::Copied {
         handle: handle.to_owned(),
