Resume a stream soon when its engine crashes during the copy

Cause: a relay whose source's connection ended waited for the answer of the first copy until the call's timeout of 5 s, also if another server could resume the stream.

Change: such a stream waits 200 ms at most. Tests for the status and for an engine that never answers.

--- a/crates/forward/src/moves/stream.rs
+++ b/crates/forward/src/moves/stream.rs
@@ -9,6 +9,7 @@
 use futures_util::future::{Either, select};
 use policy::balance::ServerRecord;
 use policy::moves::{Action, Event, Move, Phase, RunningStream, Site};
+use policy::routes::CallKind;
 use spdlog::info;
 use tokio::sync::Notify;
 
@@ -18,6 +19,10 @@
 use crate::relay::millis;
 use crate::state::State;
 
+/// Longest wait for the answer of a first copy after the source's connection has ended, if
+/// another server can resume the stream. A source that has crashed may never answer.
+const RESUME_DELAY: Duration = Duration::from_millis(200);
+
 /// Time without bytes after which the connection of a run that was stopped is closed from
 /// this end. A host that lost power does not close it. Events that are lost with it are sent
 /// again by the engine that continues.
@@ -264,10 +269,14 @@
                 Some(Action::End { .. }) => return None,
                 Some(_) => {}
                 None => {
+                    let copying = matches!(stream.state.borrow().phase(), Phase::Copying(_));
+                    let resumable = call.route.kind == CallKind::Resumable;
+                    let until = match copying && resumable {
+                        true => (state.clock.now() + RESUME_DELAY).min(stream.deadline),
+                        false => stream.deadline,
+                    };
                     let changed = stream.changed.notified();
-                    tokio::time::timeout_at(stream.deadline.into(), changed)
-                        .await
-                        .ok()?;
+                    tokio::time::timeout_at(until.into(), changed).await.ok()?;
                 }
             }
         }
--- a/crates/forward/tests/calls/engines.rs
+++ b/crates/forward/tests/calls/engines.rs
@@ -146,6 +146,11 @@
         self.set_state(id, RunState::Released);
     }
 
+    /// Breaks a run's connection inside an event, as when its engine crashes.
+    pub(crate) fn break_run(&self, id: &str) {
+        self.set_state(id, RunState::Stopped);
+    }
+
     pub(crate) fn calls(&self) -> Vec<CopyCall> {
         self.0.calls.borrow().clone()
     }
@@ -218,7 +223,8 @@
         let first = match header(&request, "kv-from") {
             None => {
                 self.start_run(&id, engine);
-                1
+                let last = header(&request, "last-event");
+                last.map_or(1, |l| l.parse::<u64>().expect("a number") + 1)
             }
             Some(from) => {
                 let last = header(&request, "last-event").expect("a number");
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -7,6 +7,7 @@
 
 use base::stop::StopSignal;
 use forward::platform::{Changes, Source, SourceError};
+use forward::status::Status;
 use policy::balance::ServerRecord;
 use policy::moves::{MAX_PER_DESTINATION, MAX_PER_SOURCE};
 use policy::routes::CallKind;
@@ -61,6 +62,18 @@
     }
 
     async fn start_with(count: usize, enabled: bool, declared: bool) -> Self {
+        Self::start_plan(
+            count,
+            Plan {
+                moves: declared,
+                moves_enabled: enabled,
+                ..Plan::new(CallKind::Stream, 1, &[])
+            },
+        )
+        .await
+    }
+
+    async fn start_plan(count: usize, plan: Plan) -> Self {
         let engines = Engines::default();
         let mut records = Vec::new();
         for n in 0..count {
@@ -72,10 +85,8 @@
         }
         let plan = Plan {
             engine: true,
-            moves: declared,
-            moves_enabled: enabled,
             timeout: Duration::from_secs(20),
-            ..Plan::new(CallKind::Stream, 1, &[])
+            ..plan
         };
         let entry = Entry::start_with(plan, Servers::default(), records.clone()).await;
         let state = Rc::clone(&entry.state);
@@ -341,6 +352,26 @@
     fleet.engines.wait_until(|e| e.freed().len() == 1).await;
 }
 
+/// The source crashes during the first copy and never answers. A stream that another server
+/// can resume must not wait for the answer.
+#[actix_rt::test]
+async fn resumable_stream_does_not_wait_for_copy() {
+    let plan = Plan {
+        moves: true,
+        moves_enabled: true,
+        ..Plan::new(CallKind::Resumable, 2, &[])
+    };
+    let fleet = Fleet::start_plan(3, plan).await;
+    fleet.engines.script(&[Script::Hold]);
+    let (call, _) = fleet.call_and_leave("1").await;
+    fleet.engines.wait_until(|e| e.calls().len() == 1).await;
+    fleet.engines.break_run("1");
+    assert_whole(&call.await.expect("an answer"));
+    assert_eq!(fleet.engines.continuations(), []);
+    fleet.engines.release_copies();
+    fleet.engines.wait_until(|e| e.freed().len() == 1).await;
+}
+
 /// Many streams leave at once. No more copies than the limits may be in progress for one
 /// source or destination, and all streams must move.
 #[actix_rt::test]
@@ -390,6 +421,7 @@
     fleet.engines.script(&[Script::Hold]);
     let (call, _) = fleet.call_and_leave("1").await;
     fleet.engines.wait_until(|e| e.calls().len() == 1).await;
+    assert_eq!(Status::of(&fleet.entry.state).moves, Some(1));
     fleet.engines.release_run("1");
     assert_whole(&call.await.expect("an answer"));
     fleet.engines.release_copies();
