--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -7,13 +7,14 @@
 
 use base::stop::StopSignal;
 use forward::platform::{Changes, Source, SourceError};
+use forward::status::Status;
 use policy::balance::ServerRecord;
 use policy::moves::{MAX_PER_DESTINATION, MAX_PER_SOURCE};
 use policy::routes::CallKind;
 use rstest::rstest;
 
 use crate::common::{Entry, Plan, Servers, header, listed, status};
-use crate::engines::{EVENTS, Engines, Script};
+use crate::engines::{EVENTS, Engines, Script, events};
 
 /// An entry with scripted engines.
 struct Fleet {
@@ -61,6 +62,18 @@
     }
 
     async fn start_with(count: usize, enabled: bool, declared: bool) -> Self {
+        Self::start_plan(
+            count,
+            Plan {
+                moves: declared,
+                moves_enabled: enabled,
+                ..Plan::new(CallKind::Stream, 1, &[])
+            },
+        )
+        .await
+    }
+
+    async fn start_plan(count: usize, plan: Plan) -> Self {
         let engines = Engines::default();
         let mut records = Vec::new();
         for n in 0..count {
@@ -72,10 +85,8 @@
         }
         let plan = Plan {
             engine: true,
-            moves: declared,
-            moves_enabled: enabled,
             timeout: Duration::from_secs(20),
-            ..Plan::new(CallKind::Stream, 1, &[])
+            ..plan
         };
         let entry = Entry::start_with(plan, Servers::default(), records.clone()).await;
         let state = Rc::clone(&entry.state);
@@ -153,14 +164,21 @@
 /// a complete response.
 fn assert_whole(answer: &str) {
     assert_eq!(status(answer), "200");
-    assert_eq!(numbers(answer), (1..=EVENTS).collect::<Vec<u64>>());
+    assert_eq!(body(answer), events(1, EVENTS));
     assert_eq!(header(answer, "seal").as_deref(), Some("1"));
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
-fn numbers(answer: &str) -> Vec<u64> {
-    let data = answer.lines().filter_map(|l| l.strip_prefix("data: "));
-    data.map(|n| n.parse().expect("a number")).collect()
+/// The body of a chunked response, as far as it arrived.
+fn body(answer: &str) -> String {
+    let mut chunks = answer.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    let mut body = String::new();
+    while let Some((length, rest)) = chunks.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).expect("a length");
+        body.push_str(&rest[..length]);
+        chunks = rest[length..].trim_start_matches("\r\n");
+    }
+    body
 }
 
 /// An engine leaves while a long stream runs. The caller must see one unbroken stream with
@@ -328,12 +346,32 @@
     }
     let (call, _) = fleet.call_and_leave("1").await;
     let answer = call.await.expect("an answer");
-    assert_eq!(numbers(&answer), [1, 2, 3]);
+    assert_eq!(body(&answer), events(1, 3));
     assert!(!answer.ends_with("0\r\n\r\n"));
     assert_eq!(fleet.engines.continuations().len(), 2);
     fleet.engines.wait_until(|e| e.freed().len() == 1).await;
 }
 
+/// The source crashes during the first copy and never answers. A stream that another server
+/// can resume must not wait for the answer.
+#[actix_rt::test]
+async fn resumable_stream_does_not_wait_for_copy() {
+    let plan = Plan {
+        moves: true,
+        moves_enabled: true,
+        ..Plan::new(CallKind::Resumable, 2, &[])
+    };
+    let fleet = Fleet::start_plan(3, plan).await;
+    fleet.engines.script(&[Script::Hold]);
+    let (call, _) = fleet.call_and_leave("1").await;
+    fleet.engines.wait_until(|e| e.calls().len() == 1).await;
+    fleet.engines.break_run("1");
+    assert_whole(&call.await.expect("an answer"));
+    assert_eq!(fleet.engines.continuations(), []);
+    fleet.engines.release_copies();
+    fleet.engines.wait_until(|e| e.freed().len() == 1).await;
+}
+
 /// Many streams leave at once. No more copies than the limits may be in progress for one
 /// source or destination, and all streams must move.
 #[actix_rt::test]
@@ -383,6 +421,7 @@
     fleet.engines.script(&[Script::Hold]);
     let (call, _) = fleet.call_and_leave("1").await;
     fleet.engines.wait_until(|e| e.calls().len() == 1).await;
+    assert_eq!(Status::of(&fleet.entry.state).moves, Some(1));
     fleet.engines.release_run("1");
     assert_whole(&call.await.expect("an answer"));
     fleet.engines.release_copies();
