--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -1,7 +1,7 @@
 //! A caller's request and the attempts to have it executed.
 //!
 //! - `attempt`: sending the call to a chosen server.
-//! - `continuation`: continuing a broken stream from its copy at a second server.
+//! - `continuation`: continuing a stream from a copy of its KV cache.
 //! - `placement`: choosing a server and getting admission to it.
 //! - `response`: processing the server's response.
 
@@ -299,9 +299,6 @@
                 detail = format!("{error:?}").as_str(),
                 ms = self.age_ms()
             });
-            if let Some(reply) = self.continue_unanswered(&error, &tried).await {
-                return reply;
-            }
             let may_retry = error.not_run() || self.route.kind.repeatable();
             let is_final = error.is_final();
             // Once the call may have run on some server, a later failure does
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -16,13 +16,14 @@
 mod slow_start;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::paces::{PaceClass, PaceClasses};
 use crate::peer_load::CallCounts;
 use crate::rendezvous::{hash_name, score};
 use feedback::FeedbackState;
@@ -68,6 +69,14 @@
     pub started_ms: Option<u64>,
 }
 
+impl ServerRecord {
+    /// The server's short number in what entries exchange.
+    #[must_use]
+    pub fn number(&self) -> u16 {
+        short_number(hash_name(&self.id))
+    }
+}
+
 /// How a record from the platform's list differs from what was known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordChange {
@@ -140,6 +149,8 @@
     turns: Option<TurnSchedule>,
     /// Choices made so far; varies the tie-break from call to call.
     choices: u64,
+    /// Classes of each service's servers by their paces.
+    paces: HashMap<Rc<str>, PaceClasses>,
 }
 
 #[derive(Debug)]
@@ -175,6 +186,11 @@
 type StartRank = (Option<u64>, u64);
 
 impl Server {
+    /// Its number in what entries exchange.
+    fn number(&self) -> u16 {
+        short_number(self.name_hash)
+    }
+
     fn start_rank(&self) -> StartRank {
         (self.record.started_ms, self.first_seen)
     }
@@ -234,6 +250,7 @@
             name_order: NameOrder::default(),
             turns: None,
             choices: 0,
+            paces: HashMap::new(),
         }
     }
 
@@ -499,11 +516,7 @@
         };
         // The partition is computed over all servers that take calls. An entry
         // that has one of them in cooldown thus partitions like the others.
-        let mut order: Vec<&Server> = self.servers.values().collect();
-        order.retain(|s| {
-            &*s.record.service == query.service && !s.draining() && s.missing.is_none()
-        });
-        order.sort_by_key(|s| score(PARTITION_KEY, s.name_hash));
+        let order = self.partition_order(query.service);
         let first_servers: HashSet<u64> = order.iter().take(count).map(|s| s.name_hash).collect();
         let inside = |s: &&Server| first_servers.contains(&s.name_hash) == first;
         if candidates.iter().any(inside) {
@@ -511,6 +524,81 @@
         }
     }
 
+    /// The servers of a service that take calls, in the order in which they are
+    /// partitioned: the fastest class first, then by hash.
+    fn partition_order(&self, service: &str) -> Vec<&Server> {
+        let mut order: Vec<&Server> = self.servers.values().collect();
+        order.retain(|s| &*s.record.service == service && !s.draining() && s.missing.is_none());
+        let paces = self.paces.get(service);
+        let class = |s: &Server| paces.map_or(PaceClass::default(), |p| p.class(s.number()));
+        order.sort_by_key(|s| (class(s), score(PARTITION_KEY, s.name_hash)));
+        order
+    }
+
+    /// The number of servers at the start of the partition order that are about
+    /// as fast together as `count` average ones.
+    #[must_use]
+    pub fn paced_count(&self, service: &str, count: usize) -> usize {
+        let paces = self.paces.get(service).filter(|p| p.is_active());
+        let Some(paces) = paces.filter(|_| count > 0) else {
+            return count;
+        };
+        let order = self.partition_order(service);
+        let speeds: Vec<f64> = order.iter().map(|s| paces.speed(s.number())).collect();
+        let needed = speeds.iter().sum::<f64>() * count as f64 / order.len().max(1) as f64;
+        let mut sum = 0.0;
+        // Half a server too few is closer than half a server too many.
+        let fits = |speed: &&f64| {
+            sum += **speed;
+            sum - **speed / 2.0 <= needed
+        };
+        let servers = speeds.iter().take_while(fits).count();
+        servers.clamp(1, order.len().saturating_sub(1).max(1))
+    }
+
+    /// Sets the typical time between two events of a stream at each server, by
+    /// its short number.
+    pub fn set_paces(&mut self, paces: &BTreeMap<u16, Duration>) {
+        let mut services: BTreeMap<Rc<str>, Vec<(u16, Duration)>> = BTreeMap::new();
+        for server in self.servers.values() {
+            let known = services.entry(Rc::clone(&server.record.service));
+            let known = known.or_default();
+            if let Some(event) = paces.get(&server.number()) {
+                known.push((server.number(), *event));
+            }
+        }
+        self.paces
+            .retain(|service, _| services.contains_key(service));
+        for (service, known) in services {
+            self.paces.entry(service).or_default().update(&known);
+        }
+    }
+
+    /// The typical time between two events of a stream at a server, if known.
+    #[must_use]
+    pub fn pace(&self, id: &str) -> Option<Duration> {
+        let server = self.servers.get(id)?;
+        self.paces
+            .get(&server.record.service)?
+            .event(server.number())
+    }
+
+    /// Number of servers with a known pace in a class, over all services.
+    #[must_use]
+    pub fn class_sizes(&self, class: PaceClass) -> usize {
+        self.paces.values().map(|paces| paces.count(class)).sum()
+    }
+
+    /// Moves the servers that are too slow for a stream that allows `max_gap`
+    /// behind the others.
+    pub fn put_slow_last(&self, ranked: &mut [ServerRecord], max_gap: Duration) {
+        let too_slow = |server: &ServerRecord| {
+            let paces = self.paces.get(&server.service);
+            paces.is_some_and(|p| p.is_too_slow(server.number(), max_gap))
+        };
+        ranked.sort_by_key(too_slow);
+    }
+
     /// Open calls of this entry, by the short number of the server.
     #[must_use]
     pub fn own_calls(&self) -> Vec<(u16, CallCounts)> {
