Refuse calls of workspaces above their share of full plain services

Cause: servers without sidecars reject what arrives beyond their queues, whoever sent it, so a flood of one workspace takes a third of all others' calls.

Change: policy::shares::rates counts the calls of workspaces to each service and tier. While servers reject calls, an entry refuses calls of workspaces above their max-min fair rate before it sends them (setting fair_shares, reason over_share, status 503 with Retry-After). Load reports carry the rates of the 8 heaviest workspaces and the rest summed, only for services that have rejected calls within 10 s; relays sum them. Gossip is version 7.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -81,6 +81,8 @@
     CrashesServers,
     /// All backend servers asked for fewer requests or none (backpressure).
     ServersBusy,
+    /// The workspace is above its share of a service that rejects calls.
+    OverShare,
     /// The platform's log is required and unreachable.
     #[serde(rename = "log_down")]
     LogUnavailable,
@@ -95,7 +97,7 @@
 
 impl Refusal {
     /// Every reason, to initialise the counters.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -115,6 +117,7 @@
         Self::Truncated,
         Self::CrashesServers,
         Self::ServersBusy,
+        Self::OverShare,
         Self::LogUnavailable,
         Self::KeyInUse,
         Self::KeyReused,
@@ -144,6 +147,7 @@
             Self::Truncated => "broken_off",
             Self::CrashesServers => "crashes_servers",
             Self::ServersBusy => "servers_busy",
+            Self::OverShare => "over_share",
             Self::LogUnavailable => "log_down",
             Self::KeyInUse => "key_taken",
             Self::KeyReused => "key_reused",
@@ -169,6 +173,7 @@
             | Self::Draining
             | Self::CrashesServers
             | Self::ServersBusy
+            | Self::OverShare
             | Self::LogUnavailable => 503,
             Self::Expired | Self::OutcomeUnknown => 504,
             Self::CallerGone => 499,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -240,6 +240,11 @@
         tier.unwrap_or(self.route.tier)
     }
 
+    /// Whether the call's service has engines.
+    pub(crate) fn has_engine(&self) -> bool {
+        self.phase.is_some()
+    }
+
     /// The call's priority rank at engines.
     fn rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.tier);
@@ -252,6 +257,9 @@
         self.state
             .wait_for_server(&self.service, self.deadline)
             .await;
+        if let Some(refusal) = self.refuse_over_share() {
+            return Reply::Local(refusal);
+        }
         let mut tried = Vec::new();
         self.state
             .repeat_budget
@@ -305,6 +313,9 @@
                 break;
             }
         }
+        if matches!(last, Some(SendError::NotRun(_))) {
+            self.record_rejected_call();
+        }
         failed_reply.unwrap_or_else(|| Reply::Local(self.final_reply(last.as_ref())))
     }
 
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -198,6 +198,9 @@
             Err(_) => {}
         }
         drop(balance);
+        if matches!(sent, Err(SendError::NotRun(_))) {
+            self.record_rejection(now);
+        }
         if matches!(sent, Err(SendError::Unknown(_))) {
             self.record_broken(server);
         }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -13,7 +13,8 @@
 
 use base::ids::Incarnation;
 use base::stop::StopSignal;
-use convert::{decode_load, encode_load, millis, server_calls, service_load, service_number};
+pub(crate) use convert::service_number;
+use convert::{decode_load, encode_load, millis, server_calls, service_load, workspace_rates};
 use policy::balance::TurnSchedule;
 use policy::peer_load::{EXPIRY_INTERVALS, Intervals};
 use policy::pools::ServiceDemand;
@@ -186,6 +187,7 @@
         let services = state.phase_pools.borrow_mut().local_demand(now);
         let mut calls = state.balancer.borrow().own_calls();
         calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
+        let rates = state.workspace_rates.borrow_mut().own_rates(now);
         let service =
             |(name, demand): &(Rc<str>, ServiceDemand)| service_load(service_number(name), demand);
         EntryLoad {
@@ -202,6 +204,7 @@
             services: services.iter().map(service).collect(),
             calls: calls.into_iter().map(server_calls).collect(),
             crashes: state.crashes.unstored_reports(state.clock.wall_ms()),
+            workspaces: rates.iter().flat_map(workspace_rates).collect(),
         }
     }
 
@@ -391,6 +394,10 @@
         others.expire(now);
         let total = others.sum(now, &own);
         drop(others);
+        if state.settings.fair_shares {
+            let remote = total.workspaces.clone();
+            state.workspace_rates.borrow_mut().set_remote(now, remote);
+        }
         let count = state.roster.borrow().count();
         metrics::gauge!("pimentocart_entries_heard").set(count.total.saturating_sub(1) as f64);
         let calls = |server: u16| total.calls.get(&server).copied().unwrap_or_default();
--- a/crates/forward/src/gossip/convert.rs
+++ b/crates/forward/src/gossip/convert.rs
@@ -1,15 +1,17 @@
 //! Conversion between load reports on the wire and the types of the policies.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use policy::peer_load::{self, CallCounts};
 use policy::pools::ServiceDemand;
 use policy::rendezvous;
+use policy::shares::rates::{GroupRates, ShareGroup};
 use policy::suspects::{Crash, Fingerprint};
-use wire::gossip::{self, EntryLoad, LoadScope, WantedReply};
+use wire::gossip::{self, EntryLoad, LoadScope, RateOf, WantedReply, WorkspaceRate};
 
 /// The number that identifies a service in gossip messages.
-pub(super) fn service_number(service: &str) -> u32 {
+pub(crate) fn service_number(service: &str) -> u32 {
     rendezvous::hash_name(service) as u32
 }
 
@@ -33,6 +35,49 @@
     (server, to_u16(calls.open), to_u16(calls.waiting))
 }
 
+/// Converts the rates of a group to the wire.
+pub(super) fn workspace_rates((group, rates): &(ShareGroup, GroupRates)) -> Vec<WorkspaceRate> {
+    let rate = |of: RateOf, rate: f64| WorkspaceRate {
+        service_number: group.service,
+        tier: group.tier,
+        of,
+        rate: rate as f32,
+    };
+    let workspaces = rates.workspaces.iter();
+    let workspaces = workspaces.map(|(w, r)| rate(RateOf::Workspace(*w), *r));
+    let others =
+        (rates.other_count > 0).then(|| rate(RateOf::Others(rates.other_count), rates.other_rate));
+    let rejected = (rates.rejected > 0.0).then(|| rate(RateOf::Rejected, rates.rejected));
+    workspaces
+        .chain(others)
+        .chain([rate(RateOf::Sent, rates.sent)])
+        .chain(rejected)
+        .collect()
+}
+
+/// Converts the rates of workspaces from the wire. Rates that are no numbers are
+/// ignored.
+fn decode_rates(rates: &[WorkspaceRate]) -> Vec<(ShareGroup, GroupRates)> {
+    let mut groups: BTreeMap<ShareGroup, GroupRates> = BTreeMap::new();
+    for rate in rates.iter().filter(|r| r.rate.is_finite() && r.rate > 0.0) {
+        let group = ShareGroup {
+            service: rate.service_number,
+            tier: rate.tier,
+        };
+        let rates = groups.entry(group).or_default();
+        let value = f64::from(rate.rate);
+        match rate.of {
+            RateOf::Workspace(workspace) => {
+                rates.workspaces.insert(workspace, value);
+            }
+            RateOf::Others(count) => (rates.other_count, rates.other_rate) = (count, value),
+            RateOf::Sent => rates.sent = value,
+            RateOf::Rejected => rates.rejected = value,
+        }
+    }
+    groups.into_iter().collect()
+}
+
 /// Converts a load report from the wire.
 pub(super) fn decode_load(load: &EntryLoad) -> peer_load::LoadReport {
     let demand = |s: &gossip::ServiceLoad| {
@@ -74,6 +119,7 @@
         services: load.services.iter().map(demand).collect(),
         calls: load.calls.iter().map(calls).collect(),
         crashes: load.crashes.iter().map(crash).collect(),
+        workspaces: decode_rates(&load.workspaces),
     }
 }
 
@@ -103,6 +149,7 @@
             .collect(),
         calls: calls.into_iter().map(server_calls).collect(),
         crashes: total.crashes.into_iter().map(crash).collect(),
+        workspaces: total.workspaces.iter().flat_map(workspace_rates).collect(),
         ..own.clone()
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`reply`]: answers to callers.
 //! - [`reload`]: reads the settings again at run time.
 //! - [`duties`]: duties that one entry performs for the whole fleet.
+//! - `shares`: refuses calls of workspaces above their share of a full service.
 //! - [`status`]: the entry's status, for operators.
 //! - [`drain`]: stops the entry without interrupting calls.
 
@@ -41,6 +42,7 @@
 pub mod reload;
 pub mod reply;
 pub mod settings;
+mod shares;
 pub mod state;
 pub mod status;
 pub mod tables;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -17,6 +17,7 @@
 use policy::repeat_budget::RepeatBudget;
 use policy::roster::{EntryInfo, Roster};
 use policy::routes::Catalog;
+use policy::shares::rates::WorkspaceRates;
 use policy::wait_estimate::WaitEstimator;
 
 use tokio::sync::Notify;
@@ -67,6 +68,8 @@
     pub discovery: RefCell<PeerDiscovery>,
     /// The number of entries.
     pub entry_count: RefCell<PeakEntryCount>,
+    /// Rates of workspaces' calls to services without engines.
+    pub workspace_rates: RefCell<WorkspaceRates>,
     /// Limits the repeats of calls.
     pub repeat_budget: RefCell<RepeatBudget>,
     /// Asks the sidecars next to engines, if there are any.
@@ -125,6 +128,7 @@
                 settings.first_start,
             )),
             entry_count: RefCell::default(),
+            workspace_rates: RefCell::default(),
             repeat_budget: RefCell::new(RepeatBudget::new(settings.repeat_limit())),
             dialect,
             clock,
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -293,6 +293,8 @@
     pub(crate) timeout: Duration,
     pub(crate) target: Duration,
     pub(crate) keys: bool,
+    /// Whether full services are shared fairly between workspaces.
+    pub(crate) fair_shares: bool,
     /// The route's tier.
     pub(crate) tier: u8,
     /// Whether the servers are engines, on a host of their own.
@@ -308,6 +310,7 @@
             timeout: Duration::from_secs(5),
             target: Duration::from_millis(100),
             keys: false,
+            fair_shares: false,
             tier: 1,
             engine: false,
             actions: actions.to_vec(),
@@ -319,7 +322,11 @@
     pub(crate) async fn start(plan: Plan) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
-        let state = State::new(settings(addr), Rc::new(TestDialect), Rc::new(SystemClock));
+        let settings = Settings {
+            fair_shares: plan.fair_shares,
+            ..settings(addr)
+        };
+        let state = State::new(settings, Rc::new(TestDialect), Rc::new(SystemClock));
         let servers = Servers::default();
         for id in ["s1", "s2"] {
             let host = if plan.engine { ENGINES } else { "127.0.0.1" };
@@ -465,11 +472,15 @@
         }),
         scaling: None,
     };
-    let workspace = Workspace {
-        name: "w".to_owned(),
-        tier: None,
+    let workspace = |name: &str| {
+        Rc::new(Workspace {
+            name: name.to_owned(),
+            tier: None,
+        })
     };
-    let keys = HashMap::from([("k".to_owned(), Rc::new(workspace))]);
+    let keys = [("k", "w"), ("other", "calm")];
+    let keys = keys.map(|(key, name)| (key.to_owned(), workspace(name)));
+    let keys = HashMap::from(keys);
     let keys = plan.keys.then_some(keys);
     Catalog::new(1, vec![route], vec![service], keys, CallerLimits::default())
 }
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -6,5 +6,6 @@
 mod feedback;
 mod grants;
 mod retries;
+mod shares;
 mod streams;
 mod usage;
--- a/crates/policy/examples/fair_shares/replay.rs
+++ b/crates/policy/examples/fair_shares/replay.rs
@@ -158,7 +158,7 @@
     /// served.
     pub(crate) fn fair_parts(&self) -> Vec<f64> {
         let total: f64 = self.served.iter().sum();
-        let fair = fair_rate(&self.requested, total);
+        let fair = shares::fair_rate(self.requested.clone(), total);
         let parts = self.served.iter().zip(&self.requested);
         let parts = parts.filter(|(_, requested)| **requested > 0.0);
         parts
@@ -167,22 +167,6 @@
     }
 }
 
-/// The largest part that any one may get if `total` is divided by max-min
-/// fairness among those who requested `requested`.
-pub(crate) fn fair_rate(requested: &[f64], total: f64) -> f64 {
-    let mut sorted = requested.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    let mut left = total;
-    for (n, cost) in sorted.iter().enumerate() {
-        let part = left / (sorted.len() - n) as f64;
-        if *cost >= part {
-            return part;
-        }
-        left -= cost;
-    }
-    f64::INFINITY
-}
-
 fn exponential(random: &mut Pcg64, mean: f64) -> f64 {
     let uniform: f64 = random.random();
     -(1.0 - uniform).ln() * mean
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::pools::ServiceDemand;
+use crate::shares::rates::{self, GroupRates, ShareGroup};
 use crate::suspects::Crash;
 
 /// Number of the sender's report intervals after which its report expires.
@@ -123,6 +124,8 @@
     /// Server crashes during calls that the store has not recorded yet, with the time
     /// since each was observed.
     pub crashes: Vec<(Crash, Duration)>,
+    /// Rates of workspaces' calls to services that reject calls.
+    pub workspaces: Vec<(ShareGroup, GroupRates)>,
 }
 
 /// Numbers of calls at one server.
@@ -296,6 +299,8 @@
     pub calls: BTreeMap<u16, CallCounts>,
     /// Server crashes, with the time since each was observed.
     pub crashes: BTreeMap<Crash, Duration>,
+    /// Rates of workspaces' calls to services that reject calls.
+    pub workspaces: BTreeMap<ShareGroup, GroupRates>,
 }
 
 impl LoadTotal {
@@ -315,6 +320,9 @@
         for (crash, age) in &report.crashes {
             self.crashes.entry(*crash).or_insert(*age + elapsed);
         }
+        for (group, rates) in &report.workspaces {
+            self.workspaces.entry(*group).or_default().add(rates);
+        }
     }
 
     fn add_if_some(&mut self, now: Instant, received: Option<&(Instant, LoadReport)>) {
@@ -337,6 +345,11 @@
                 sum.waiting = sum.waiting.saturating_sub(calls.waiting);
             }
         }
+        for (group, rates) in &own.workspaces {
+            if let Some(sum) = self.workspaces.get_mut(group) {
+                sum.subtract(rates);
+            }
+        }
     }
 
     /// Converts the total to a report sent by the entry with the report `own`.
@@ -347,6 +360,7 @@
             services: self.services.into_iter().collect(),
             calls: self.calls.into_iter().collect(),
             crashes: self.crashes.into_iter().take(MAX_CRASHES).collect(),
+            workspaces: rates::reported(self.workspaces.into_iter().collect()),
             ..own.clone()
         }
     }
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -10,8 +10,13 @@
 //! by the cost of its admitted calls; its next call starts at that tag or at the
 //! virtual time, whichever is later, so that a workspace which was idle has no
 //! credit. The virtual time follows the smallest tag that is served or waits.
+//!
+//! - [`rates`]: the shares of services without engines.
+//!
 //! See docs/design/fair-shares.md.
 
+pub mod rates;
+
 use std::collections::BTreeMap;
 
 /// Cost of a token to prefill, at a weight of 1, in units of the account.
@@ -48,6 +53,22 @@
     tokens.min(CALL_TOKENS_MAX) + SLOT_COST
 }
 
+/// The largest part that one may get if `total` is divided by max-min fairness
+/// among those who request `requested`; infinite if there is enough for all.
+#[must_use]
+pub fn fair_rate(mut requested: Vec<f64>, total: f64) -> f64 {
+    requested.sort_by(f64::total_cmp);
+    let mut left = total;
+    for (n, rate) in requested.iter().enumerate() {
+        let part = left / (requested.len() - n) as f64;
+        if *rate > part {
+            return part.max(0.0);
+        }
+        left -= rate;
+    }
+    f64::INFINITY
+}
+
 /// The service that workspaces have received at one engine.
 #[derive(Debug, Clone, Default)]
 pub struct ShareAccount {
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -9,7 +9,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram. Datagrams of another version are rejected.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -60,6 +60,37 @@
     pub calls: Vec<(u16, u16, u16)>,
     /// Server crashes that the store has not recorded yet.
     pub crashes: Vec<CrashReport>,
+    /// Rates of workspaces' calls to services that reject calls: for each
+    /// service and tier, the heaviest 8 workspaces and the rest summed.
+    pub workspaces: Vec<WorkspaceRate>,
+}
+
+/// A rate of calls to one service and of one tier.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceRate {
+    /// Number of the service.
+    #[serde(rename = "number")]
+    pub service_number: u32,
+    /// Tier of the calls; 0 is the highest.
+    pub tier: u8,
+    /// The calls that are counted.
+    pub of: RateOf,
+    /// Calls per second.
+    pub rate: f32,
+}
+
+/// Which calls a [`WorkspaceRate`] counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RateOf {
+    /// Those of the workspace with this short hash of its name.
+    Workspace(u32),
+    /// Those of this many other workspaces together.
+    Others(u32),
+    /// Those that were sent to servers.
+    Sent,
+    /// Those that all tried servers have rejected; present only while the service
+    /// rejects calls.
+    Rejected,
 }
 
 /// The reply that an entry requests.
@@ -194,6 +225,11 @@
 /// drop.
 fn shorten(message: &mut Message) -> bool {
     let calls = match message {
+        Message::Load(load) if load.calls.is_empty() => {
+            let dropped = !load.workspaces.is_empty();
+            load.workspaces.clear();
+            return dropped;
+        }
         Message::Load(load) => &mut load.calls,
         Message::Membership(reply) => match &mut reply.totals {
             Some(totals) if !totals.calls.is_empty() => &mut totals.calls,
