--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -20,6 +20,7 @@
 use policy::repeat_budget::RepeatBudget;
 use policy::roster::{EntryInfo, Roster};
 use policy::routes::Catalog;
+use policy::shares::rates::WorkspaceRates;
 use policy::wait_estimate::WaitEstimator;
 
 use tokio::sync::Notify;
@@ -71,6 +72,8 @@
     pub discovery: RefCell<PeerDiscovery>,
     /// The number of entries.
     pub entry_count: RefCell<PeakEntryCount>,
+    /// Rates of workspaces' calls to services without engines.
+    pub workspace_rates: RefCell<WorkspaceRates>,
     /// Limits the repeats of calls.
     pub repeat_budget: RefCell<RepeatBudget>,
     /// The copies of this entry's streams at second engines.
@@ -133,6 +136,7 @@
                 settings.first_start,
             )),
             entry_count: RefCell::default(),
+            workspace_rates: RefCell::default(),
             repeat_budget: RefCell::new(RepeatBudget::new(settings.repeat_limit())),
             dialect,
             clock,
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -321,6 +321,8 @@
     pub(crate) timeout: Duration,
     pub(crate) target: Duration,
     pub(crate) keys: bool,
+    /// Whether full services are shared fairly between workspaces.
+    pub(crate) fair_shares: bool,
     /// The route's tier.
     pub(crate) tier: u8,
     /// Whether the servers are engines, on a host of their own.
@@ -346,6 +348,7 @@
             timeout: Duration::from_secs(5),
             target: Duration::from_millis(100),
             keys: false,
+            fair_shares: false,
             tier: 1,
             engine: false,
             backups: false,
@@ -379,6 +382,7 @@
         let addr = listener.local_addr().expect("an address");
         let settings = Settings {
             backups: plan.backups,
+            fair_shares: plan.fair_shares,
             moves: plan.moves_enabled,
             ..settings(addr)
         };
@@ -524,11 +528,15 @@
         }),
         scaling: None,
     };
-    let workspace = Workspace {
-        name: "w".to_owned(),
-        tier: None,
+    let workspace = |name: &str| {
+        Rc::new(Workspace {
+            name: name.to_owned(),
+            tier: None,
+        })
     };
-    let keys = HashMap::from([("k".to_owned(), Rc::new(workspace))]);
+    let keys = [("k", "w"), ("other", "calm")];
+    let keys = keys.map(|(key, name)| (key.to_owned(), workspace(name)));
+    let keys = HashMap::from(keys);
     let keys = plan.keys.then_some(keys);
     Catalog::new(1, vec![route], vec![service], keys, CallerLimits::default())
 }
--- a/crates/policy/tests/grants/main.rs
+++ b/crates/policy/tests/grants/main.rs
@@ -10,6 +10,8 @@
 //! - [`fetch`]: prompts that are fetched from other engines.
 //! - [`gaps`]: gaps of streams that are learned from finished ones.
 //! - [`tiers`]: small engines under calls of several tiers.
+//! - [`shares`]: fair shares between workspaces.
+//! - [`replay`]: calls of many workspaces, shared with an example.
 
 mod bursts;
 mod common;
@@ -17,6 +19,9 @@
 mod gaps;
 mod order;
 mod pace;
+#[path = "../../examples/fair_shares/replay.rs"]
+mod replay;
 mod room;
+mod shares;
 mod streams;
 mod tiers;
