Weight the homes of prefixes by the paces of engines

Cause: with homes by hash alone, engines at 0.6 times the nominal speed have as many prefixes as those at 1.6 times.

Change: once paces form classes, homes follow weighted rendezvous hashing with the speed of the class, at most 1.25. The rounded speed of a class is kept until it is clearly off: a new test showed that the number of engines of a partition otherwise follows changes of a few percent.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -24,7 +24,7 @@
 
 use crate::paces::{PaceClass, PaceClasses};
 use crate::peer_load::CallCounts;
-use crate::rendezvous::{hash_name, score};
+use crate::rendezvous::{hash_name, score, weighted_score};
 use feedback::FeedbackState;
 use name_order::NameOrder;
 use retained::RetainedFeedback;
@@ -459,7 +459,7 @@
             listed && !s.feedback.is_backing_off(now) && s.is_healthy(now, query.silence_timeout)
         };
         let mut usable: Vec<&Server> = self.servers.values().filter(usable).collect();
-        usable.sort_by_key(|s| Reverse(score(prefix_hash, s.name_hash)));
+        usable.sort_by_key(|s| Reverse(self.home_rank(prefix_hash, s)));
         usable.into_iter().map(|s| s.record.clone()).collect()
     }
 
@@ -483,6 +483,7 @@
         match query.strategy {
             Strategy::PrefixAffinity => {
                 let limit = overload_limit(&candidates);
+                let rank = |s: &Server| self.home_rank(rank_key, s);
                 candidates.sort_by_key(|s| (s.open_calls() > limit, Reverse(rank(s))));
             }
             Strategy::TwoChoices => {
@@ -522,6 +523,17 @@
         }
     }
 
+    /// The rank of a server as the home of a prefix; the highest is the home.
+    /// Faster servers are the homes of more prefixes.
+    fn home_rank(&self, prefix_hash: u64, server: &Server) -> u64 {
+        let paces = self.paces.get(&server.record.service);
+        match paces.and_then(|p| p.home_weight(server.number())) {
+            // Positive floating-point numbers are ordered as their bits.
+            Some(weight) => weighted_score(prefix_hash, server.name_hash, weight).to_bits(),
+            None => score(prefix_hash, server.name_hash),
+        }
+    }
+
     /// The servers of a service that take calls, in the order in which they are
     /// partitioned: the fastest class first, then by hash.
     fn partition_order(&self, service: &str) -> Vec<&Server> {
--- a/crates/policy/src/paces.rs
+++ b/crates/policy/src/paces.rs
@@ -43,9 +43,17 @@
 const CLASS_HYSTERESIS: f64 = 1.1;
 
 /// Steps to which the speed of a class is rounded, so that small changes do
-/// not change the number of engines of a partition.
+/// not change the number of engines of a partition or the homes of prefixes.
 const SPEED_STEPS: f64 = 4.0;
 
+/// Part of a step by which a speed has to differ from the last rounded one to
+/// be rounded again (hysteresis); 0.5 is the bound between two steps.
+const SPEED_HYSTERESIS: f64 = 0.85;
+
+/// Largest weight of an engine as the home of prefixes. With more, one of 50
+/// engines that joins or leaves would move 3 in 100 prefixes.
+const HOME_WEIGHT_MAX: f64 = 1.25;
+
 /// A stream avoids an engine if its gap is shorter than this multiple of the
 /// typical time between events. Engines take up to 2.5 times as long for some
 /// time, and prefill needs room besides.
@@ -157,8 +165,11 @@
         for class in PaceClass::ALL {
             self.speeds[class as usize] = match self.mean_event(class) {
                 Some(mean) if self.active => {
-                    let speed = median / mean.as_secs_f64().max(1e-6);
-                    (speed * SPEED_STEPS).round().max(1.0) / SPEED_STEPS
+                    let steps = median / mean.as_secs_f64().max(1e-6) * SPEED_STEPS;
+                    let last = self.speeds[class as usize] * SPEED_STEPS;
+                    let kept = last > 0.0 && (steps - last).abs() < SPEED_HYSTERESIS;
+                    let steps = if kept { last } else { steps.round().max(1.0) };
+                    steps / SPEED_STEPS
                 }
                 _ => 1.0,
             };
@@ -199,6 +210,14 @@
         }
     }
 
+    /// The weight of an engine as the home of prefixes: the speed of its class,
+    /// bounded; none if the paces do not differ enough.
+    #[must_use]
+    pub fn home_weight(&self, engine: u16) -> Option<f64> {
+        let weight = self.speed(engine).min(HOME_WEIGHT_MAX);
+        self.active.then_some(weight)
+    }
+
     /// Mean time between events over the engines of a class with a known pace.
     #[must_use]
     pub fn mean_event(&self, class: PaceClass) -> Option<Duration> {
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -18,3 +18,13 @@
 pub fn hash_name(name: &str) -> u64 {
     rapidhash_v3(name.as_bytes())
 }
+
+/// The score of a server whose share of all keys is proportional to `weight`,
+/// which is positive. If a weight changes, keys move to or from this server
+/// only.
+#[must_use]
+pub fn weighted_score(key: u64, server: u64, weight: f64) -> f64 {
+    // The upper 53 bits of the score as a number between 0 and 1.
+    let unit = ((score(key, server) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -weight / unit.ln()
+}
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -672,3 +672,87 @@
     assert!(before >= 0.1, "{before} {after}");
     assert!(after < 0.05, "{before} {after}");
 }
+
+/// The home of each of many prefixes, by index of the server.
+fn homes(balancer: &mut Balancer, prefixes: u64) -> Vec<usize> {
+    let mut home = |prefix| {
+        let id = choose_id(balancer, Instant::now(), &query(Some(prefix)));
+        index(&id.expect("a home"))
+    };
+    (0..prefixes).map(&mut home).collect()
+}
+
+/// Number of prefixes in 1,000 whose home differs.
+fn moved(one: &[usize], two: &[usize]) -> usize {
+    let pairs = one.iter().zip(two);
+    pairs.filter(|(a, b)| a != b).count() * 1_000 / one.len()
+}
+
+/// Homes of prefixes must survive changes of the fleet and of paces: each move
+/// prefills a shared prefix again at another engine.
+#[test]
+fn weighted_homes_stay() {
+    let mut fifty = balancer(50);
+    fifty.set_paces(&three_paces(50));
+    let before = homes(&mut fifty, 6_000);
+    for gone in ["s0", "s1", "s2"] {
+        let mut rest = balancer(50);
+        rest.set_paces(&three_paces(50));
+        rest.mark_missing(Instant::now(), gone, Instant::now());
+        assert!(moved(&before, &homes(&mut rest, 6_000)) < 30, "{gone}");
+    }
+    let mut more = balancer(51);
+    more.set_paces(&three_paces(51));
+    assert!(moved(&before, &homes(&mut more, 6_000)) < 30);
+    // A restarted engine has no pace, and all paces change a little.
+    let mut paces = three_paces(50);
+    paces.remove(&record("s2", "a").number());
+    fifty.set_paces(&paces);
+    assert!(moved(&before, &homes(&mut fifty, 6_000)) < 30);
+    for (n, event) in (0u32..).zip(paces.values_mut()) {
+        *event = event.mul_f64(0.96 + 0.02 * f64::from(n % 5));
+    }
+    let restarted = homes(&mut fifty, 6_000);
+    fifty.set_paces(&paces);
+    assert!(moved(&restarted, &homes(&mut fifty, 6_000)) < 30);
+}
+
+/// With homes by hash alone, the slowest engines have as many prefixes as the
+/// fastest, and do 1.7 times the mean work for their speed.
+#[test]
+fn homes_follow_paces() {
+    let busiest = |balancer: &mut Balancer| {
+        let mut work = [0.0; 48];
+        for home in homes(balancer, 16_000) {
+            work[home] += 1.0 / [0.6, 1.0, 1.6][home % 3];
+        }
+        let mean = work.iter().sum::<f64>() / 48.0;
+        work.iter().fold(0.0, |a: f64, b| a.max(*b)) / mean
+    };
+    let mut balancer = balancer(48);
+    let before = busiest(&mut balancer);
+    balancer.set_paces(&three_paces(48));
+    let after = busiest(&mut balancer);
+    assert!(before > 1.4 && after < 1.3, "{before} {after}");
+}
+
+/// Reported paces vary by some percent. If the number of engines for streams
+/// followed them, streams and prompts would mix at the engine in between.
+#[test]
+fn partition_size_ignores_small_changes() {
+    let mut rng = Pcg64::seed_from_u64(5);
+    let mut balancer = balancer(48);
+    balancer.set_paces(&three_paces(48));
+    let sizes = |balancer: &Balancer| -> Vec<usize> {
+        (1..48).map(|n| balancer.paced_count("llm", n)).collect()
+    };
+    let expected = sizes(&balancer);
+    for _ in 0..50 {
+        let mut paces = three_paces(48);
+        for event in paces.values_mut() {
+            *event = event.mul_f64(rng.random_range(0.92..1.08));
+        }
+        balancer.set_paces(&paces);
+        assert_eq!(sizes(&balancer), expected);
+    }
+}
