Forget that a server leaves once it takes calls again

Cause: a server that restarts under its name and leaves again would count as leaving since the first time, so that streams which end in time would be moved.

Change: the time is dropped when the balancer lists the server as taking calls.

--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -150,6 +150,11 @@
     let limit = moves::source_limit(state.roster.borrow().count().total);
     let leaving = state.moves.leaving.borrow().clone();
     for (id, since) in leaving {
+        // One that has restarted under its name may leave again later.
+        if state.balancer.borrow().accepts_calls(&id) {
+            state.moves.leaving.borrow_mut().remove(&id);
+            continue;
+        }
         let streams = state.moves.at(&id);
         if streams.is_empty() {
             if now >= since + LEAVING_TTL {
