--- a/crates/policy/tests/grants/shares.rs
+++ b/crates/policy/tests/grants/shares.rs
@@ -248,8 +248,12 @@
     for n in 0..10 {
         grants.request(now, stream_of(100 + n, FLOOD));
     }
+    assert!(grants.share_level(FLOOD, 5) >= 2);
     let later = now + Duration::from_secs(10);
-    grants.request(later, call(2, CALM, 1_000));
+    let filler = call(1_001, Some(3), 10_000);
+    assert!(granted(grants.request(later, filler)));
+    let queued = grants.request(later, call(2, CALM, 1_000));
+    assert!(matches!(queued, GrantDecision::Queued(_)), "{queued:?}");
     assert_eq!(grants.share_level(FLOOD, 5), 0);
 }
 
