Check the incarnation and the backoff of the engine that continues a stream

Change: the tests compare the named incarnation with the address of the copy, and cover an engine that asks for backoff. A loop of the tier test is bounded, since it did not end when room was ignored.

--- a/crates/forward/tests/calls/backups.rs
+++ b/crates/forward/tests/calls/backups.rs
@@ -2,11 +2,11 @@
 //! a second engine.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use base::clock::ManualClock;
+use base::clock::{Clock, ManualClock};
 use policy::backup::MIN_TIME_LEFT;
-use policy::balance::ServerRecord;
+use policy::balance::{ServerFeedback, ServerRecord};
 use policy::routes::CallKind;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -71,7 +71,7 @@
 
 /// Asserts that the second request continues the run of the first at the engine
 /// with its copy.
-fn assert_continues(requests: &[String]) {
+fn assert_continues(entry: &Entry, requests: &[String]) {
     let [first, second] = requests else {
         panic!("{} requests", requests.len());
     };
@@ -80,11 +80,22 @@
     assert_eq!(header(second, "kv-from"), Some(format!("{backup}/1")));
     assert!(header(second, "backup").is_none());
     assert_ne!(header(first, "server"), header(second, "server"));
+    // The intended incarnation is the one at the address of the copy.
+    let server = header(second, "server").expect("an intended server");
+    let addr = entry.state.balancer.borrow().addr(&server);
+    assert_eq!(addr.map(|a| a.to_string()), Some(backup));
     assert_eq!(header(first, "call-id"), header(second, "call-id"));
     assert_eq!(first.lines().next(), second.lines().next());
     assert!(second.ends_with("body"));
 }
 
+/// The record of an engine that serves calls.
+fn serving(entry: &Entry, id: &str) -> ServerRecord {
+    let serving = entry.state.balancer.borrow().serving("app");
+    let mut records = serving.into_iter().map(|(record, _)| record);
+    records.find(|r| *r.id == *id).expect("a serving engine")
+}
+
 /// Tokens that the entry counts for copies at both engines.
 fn held(entry: &Entry) -> u64 {
     let copies = entry.state.copies.borrow();
@@ -107,7 +118,7 @@
     assert_eq!(header(&answer, "by").as_deref(), Some("one"));
     assert!(header(&answer, "extra").is_none());
     let requests = entry.servers.requests();
-    assert_continues(&requests);
+    assert_continues(&entry, &requests);
     assert_eq!(header(&requests[1], "last-event").as_deref(), Some("1"));
     assert_eq!(entry.take_all_retries(), 19);
     assert_eq!(held(&entry), 0);
@@ -127,7 +138,7 @@
     assert_eq!(status(&answer), "200");
     assert_eq!(events(&answer), (vec!["a", "b"], true));
     let requests = entry.servers.requests();
-    assert_continues(&requests);
+    assert_continues(&entry, &requests);
     assert!(header(&requests[1], "last-event").is_none());
 }
 
@@ -148,7 +159,7 @@
     let answer = entry.call(LIVE).await;
     assert_eq!(events(&answer), (vec!["a"], false));
     assert!(!answer.contains("hello"));
-    assert_continues(&entry.servers.requests());
+    assert_continues(&entry, &entry.servers.requests());
 }
 
 /// No engine continues a call that broke before its response. Its outcome must
@@ -166,7 +177,7 @@
     let entry = Entry::start(plan(&actions)).await;
     let answer = entry.call(LIVE).await;
     assert_eq!(status(&answer), "502");
-    assert_continues(&entry.servers.requests());
+    assert_continues(&entry, &entry.servers.requests());
 }
 
 /// The second engine also crashes in the middle of the stream. There is no other
@@ -183,7 +194,7 @@
     let entry = Entry::start(plan(&actions)).await;
     let answer = entry.call(LIVE).await;
     assert_eq!(events(&answer), (vec!["a", "b"], false));
-    assert_continues(&entry.servers.requests());
+    assert_continues(&entry, &entry.servers.requests());
     // The engine keeps the copy of a run that has not ended successfully.
     assert_eq!(held(&entry), 715 + 280);
 }
@@ -205,7 +216,7 @@
     }
     drop(stream);
     entry.servers.wait_closed().await;
-    assert_continues(&entry.servers.requests());
+    assert_continues(&entry, &entry.servers.requests());
 }
 
 /// The call's deadline passes while its engine stalls, or while the second one
@@ -284,7 +295,7 @@
     let answer = entry.call(LIVE).await;
     assert_eq!(events(&answer), (vec!["a", "b"], true));
     let requests = entry.servers.requests();
-    assert_continues(&requests[1..]);
+    assert_continues(&entry, &requests[1..]);
     assert_ne!(
         header(&requests[0], "backup"),
         header(&requests[1], "backup")
@@ -303,11 +314,13 @@
 }
 
 /// Before the first engine crashes, the engine with the copy announces that it
-/// leaves or restarts, the retry budget is exhausted, or the deadline passes. An
-/// engine that leaves must get no new work, a new incarnation has no copy, retries
-/// are limited, and nothing is sent after the deadline.
+/// leaves, asks for backoff or restarts, the retry budget is exhausted, or the
+/// deadline passes. An engine that leaves or backs off must get no new work, a new
+/// incarnation has no copy, retries are limited, and nothing is sent after the
+/// deadline.
 #[rstest]
 #[case::leaving(Change::Leaving)]
+#[case::backing_off(Change::BackingOff)]
 #[case::restarted(Change::Restarted)]
 #[case::no_retry(Change::NoRetry)]
 #[case::deadline_passed(Change::DeadlinePassed)]
@@ -334,18 +347,22 @@
     };
     match change {
         Change::Leaving => entry.mark_leaving(second),
+        Change::BackingOff => {
+            let feedback = ServerFeedback {
+                backoff: Some(Duration::from_secs(5)),
+                ..ServerFeedback::default()
+            };
+            let (now, record) = (clock.now(), serving(&entry, second));
+            let mut balancer = entry.state.balancer.borrow_mut();
+            balancer.apply_feedback(now, &record, now, &feedback, 0.0);
+        }
         Change::Restarted => {
+            let restarted = ServerRecord {
+                started_ms: Some(1),
+                ..serving(&entry, second)
+            };
             let mut balancer = entry.state.balancer.borrow_mut();
-            let serving = balancer.serving("app").into_iter().map(|(s, _)| s);
-            let record = serving.into_iter().find(|s| &*s.id == second);
-            let record = record.expect("the second engine");
-            balancer.upsert(
-                Instant::now(),
-                ServerRecord {
-                    started_ms: Some(1),
-                    ..record
-                },
-            );
+            balancer.upsert(clock.now(), restarted);
         }
         Change::NoRetry => {
             entry.take_all_retries();
@@ -363,6 +380,7 @@
 #[derive(Debug)]
 enum Change {
     Leaving,
+    BackingOff,
     Restarted,
     NoRetry,
     DeadlinePassed,
--- a/crates/policy/tests/backup.rs
+++ b/crates/policy/tests/backup.rs
@@ -316,7 +316,7 @@
             ..live()
         };
         let mut placed = 0;
-        for key in 0.. {
+        for key in 0..10_000 {
             let hosts = balancer.copy_hosts(now, &query(&source, key));
             if table
                 .reserve(now, &stream, &engine(), &hosts, |_| None)
