--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -9,5 +9,6 @@
 mod grants;
 mod moves;
 mod retries;
+mod shares;
 mod streams;
 mod usage;
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -20,8 +20,10 @@
 //! - `mix`: the share of recent work that was more urgent than a call.
 //! - `reserve`: slots that are reserved for streams.
 //! - `room`: whether the engine has slots, memory and time for a call.
+//! - `displace`: queued calls that are refused when others go ahead of them.
 
 pub mod call;
+mod displace;
 pub mod fetch;
 mod gaps;
 pub mod incarnations;
@@ -36,12 +38,13 @@
 use std::time::{Duration, Instant};
 
 use crate::estimate::averages::MovingAverage;
+use crate::shares::{self, ShareAccount};
 pub use call::{CallId, EngineEstimates, EngineReport, GrantDecision, GrantRequest};
 use fetch::FetchEstimate;
 use gaps::GapModel;
 use mix::RankMix;
 use parts::PartCache;
-use queue::{QueueKey, QueuedCall, WaitQueue};
+use queue::{LAST_CALL, QueueKey, QueuedCall, WaitQueue};
 use reserve::StreamReserve;
 use timing::TtftModel;
 
@@ -158,6 +161,10 @@
     /// Learned gaps of streams; none if prefill beside streams follows
     /// `gap_share`.
     gaps: Option<GapModel>,
+    /// The service of workspaces, if the engine is shared fairly.
+    shares: Option<ShareAccount>,
+    /// Queued calls that were refused since they were last taken.
+    displaced: Vec<(CallId, Duration)>,
 }
 
 /// The work of a prompt before its first event.
@@ -229,6 +236,8 @@
             recent_reads: VecDeque::new(),
             token_time: MovingAverage::default(),
             gaps: None,
+            shares: None,
+            displaced: Vec::new(),
         }
     }
 }
@@ -240,6 +249,16 @@
         self.gaps = Some(GapModel::default());
     }
 
+    /// A controller that shares the engine fairly between workspaces while calls
+    /// wait; `shares` is an account without any service.
+    #[must_use]
+    pub fn with_shares(shares: ShareAccount) -> Self {
+        Self {
+            shares: Some(shares),
+            ..Self::default()
+        }
+    }
+
     /// Decides whether a call is admitted, queued or refused. Idempotent: a
     /// repeated request for the same call gets the same answer, so that a lost
     /// reply costs only time.
@@ -259,7 +278,7 @@
             rank: request.rank,
             due: now + self.overtake_limit(&request, cost),
         };
-        let expected = self.expected_ttft(now, key, cost.tokens, &request);
+        let expected = self.expected_ttft(now, key, LAST_CALL, cost.tokens, &request);
         if request.max_gap.is_some() {
             self.reserve.record_stream(now);
             let excess = self.gap_excess(now, &request, cost);
@@ -286,6 +305,7 @@
         let waited = expected.saturating_add(self.gap_wait(now, &request, cost));
         let late = waited > request.ttft_limit && !(idle && may_start);
         if !request.forced && (late || !fits) {
+            let expected = expected.max(self.share_wait(&request));
             return GrantDecision::Refused(expected.max(request.ttft_limit));
         }
         let free = self.queue.is_empty() && may_start;
@@ -297,9 +317,12 @@
             since: now,
             start_by,
             tokens: cost.tokens,
+            cost: shares::call_cost(cost.tokens, request.output_tokens),
             request,
         };
-        self.queue.push(key, queued);
+        let workspace = self.lane(&queued.request);
+        self.queue.push(key, workspace, queued);
+        self.displace(now, key, workspace);
         GrantDecision::Queued(expected)
     }
 
@@ -324,7 +347,16 @@
     /// The first queued call that may be admitted now. A call that waits for
     /// streams to end does not hold up those behind it.
     fn next_startable(&self, now: Instant) -> Option<CallId> {
-        for call in self.queue.iter().take(MAX_SKIPPED) {
+        let shares = self.shares.as_ref();
+        let first = self.queue.first(shares)?;
+        let cost = self.prompt_cost(&first.request);
+        if self.may_start(now, &first.request, cost, first.start_by) {
+            return Some(first.request.id);
+        }
+        if !self.waits_for_streams(&first.request, cost) {
+            return None;
+        }
+        for call in self.queue.ordered(shares, MAX_SKIPPED) {
             let cost = self.prompt_cost(&call.request);
             if self.may_start(now, &call.request, cost, call.start_by) {
                 return Some(call.request.id);
@@ -542,16 +574,21 @@
     }
 
     /// Expected TTFT of a call at position `key` of the queue that has to read
-    /// `tokens`.
+    /// `tokens`; `id` is [`LAST_CALL`] for a new call.
     fn expected_ttft(
         &self,
         now: Instant,
         key: QueueKey,
+        id: CallId,
         tokens: u32,
         request: &GrantRequest,
     ) -> Duration {
         let (calls, queued_tokens) = match request.max_gap {
-            None => self.queue.ahead_of(key),
+            None => {
+                let lane = self.lane(request);
+                let ahead = self.queue.ahead_of(key, id, lane, self.shares.as_ref());
+                (ahead.calls, ahead.tokens)
+            }
             Some(_) => (0, 0),
         };
         let ahead = queued_tokens + u64::from(tokens.min(OWN_TOKENS_MAX));
@@ -622,6 +659,11 @@
             self.fetch.record_chance(cost.fetched > 0);
         }
         self.parts.insert(&request.parts);
+        let workspace = self.lane(&request);
+        if let Some(shares) = &mut self.shares {
+            let cost = shares::call_cost(cost.tokens, request.output_tokens);
+            shares.charge(workspace, cost, self.queue.workspaces());
+        }
         self.mix
             .add(now, request.rank, f64::from(cost.tokens) + SLOT_TOKENS);
         let backlog = self.unread_tokens().saturating_add(cost.tokens);
@@ -663,6 +705,12 @@
         if let Some(gaps) = &mut self.gaps {
             gaps.expire(now);
         }
+        if self.queue.is_empty()
+            && self.pending.is_empty()
+            && let Some(shares) = &mut self.shares
+        {
+            shares.reset();
+        }
     }
 }
 
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -11,6 +11,7 @@
 
 use crate::paces::MAX_REPORTED;
 use crate::pools::ServiceDemand;
+use crate::shares::rates::{self, GroupRates, ShareGroup};
 use crate::suspects::Crash;
 
 /// Number of the sender's report intervals after which its report expires.
@@ -127,6 +128,8 @@
     /// Typical time between two events of a stream at each server, by the server's
     /// short number; the newest first.
     pub paces: Vec<(u16, Duration)>,
+    /// Rates of workspaces' calls to services that reject calls.
+    pub workspaces: Vec<(ShareGroup, GroupRates)>,
 }
 
 /// Numbers of calls at one server.
@@ -303,6 +306,8 @@
     /// Sum and number of the reported times between two events of a stream at each
     /// server, by the server's short number.
     pub paces: BTreeMap<u16, (Duration, u32)>,
+    /// Rates of workspaces' calls to services that reject calls.
+    pub workspaces: BTreeMap<ShareGroup, GroupRates>,
 }
 
 impl LoadTotal {
@@ -323,6 +328,9 @@
             self.crashes.entry(*crash).or_insert(*age + elapsed);
         }
         self.add_paces(&report.paces);
+        for (group, rates) in &report.workspaces {
+            self.workspaces.entry(*group).or_default().add(rates);
+        }
     }
 
     fn add_if_some(&mut self, now: Instant, received: Option<&(Instant, LoadReport)>) {
@@ -362,6 +370,11 @@
                 sum.waiting = sum.waiting.saturating_sub(calls.waiting);
             }
         }
+        for (group, rates) in &own.workspaces {
+            if let Some(sum) = self.workspaces.get_mut(group) {
+                sum.subtract(rates);
+            }
+        }
     }
 
     /// Converts the total to a report sent by the entry with the report `own`.
@@ -380,6 +393,7 @@
             services: self.services.into_iter().collect(),
             calls: self.calls.into_iter().collect(),
             crashes: self.crashes.into_iter().take(MAX_CRASHES).collect(),
+            workspaces: rates::reported(self.workspaces.into_iter().collect()),
             ..own.clone()
         }
     }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -64,6 +64,37 @@
     /// between two events of a stream there, in tens of microseconds. The newest
     /// come first, at most 64.
     pub paces: Vec<(u16, u16)>,
+    /// Rates of workspaces' calls to services that reject calls: for each
+    /// service and tier, the heaviest 8 workspaces and the rest summed.
+    pub workspaces: Vec<WorkspaceRate>,
+}
+
+/// A rate of calls to one service and of one tier.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceRate {
+    /// Number of the service.
+    #[serde(rename = "number")]
+    pub service_number: u32,
+    /// Tier of the calls; 0 is the highest.
+    pub tier: u8,
+    /// The calls that are counted.
+    pub of: RateOf,
+    /// Calls per second.
+    pub rate: f32,
+}
+
+/// Which calls a [`WorkspaceRate`] counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RateOf {
+    /// Those of the workspace with this short hash of its name.
+    Workspace(u32),
+    /// Those of this many other workspaces together.
+    Others(u32),
+    /// Those that were sent to servers.
+    Sent,
+    /// Those that all tried servers have rejected; present only while the service
+    /// rejects calls.
+    Rejected,
 }
 
 /// The reply that an entry requests.
@@ -194,13 +225,13 @@
     }
 }
 
-/// Drops the last quarter of a list; returns whether there was anything to
-/// drop.
+/// Shortens the lists of a message, the least important first; returns whether
+/// there was anything to drop.
 fn shorten(message: &mut Message) -> bool {
     let load = match message {
         Message::Load(load) => load,
         Message::Membership(reply) => match &mut reply.totals {
-            Some(totals) if !totals.calls.is_empty() || !totals.paces.is_empty() => totals,
+            Some(totals) if has_lists(totals) => totals,
             _ => {
                 let kept = reply.members.len() * 3 / 4;
                 let dropped = !reply.members.is_empty();
@@ -209,15 +240,22 @@
             }
         },
     };
-    let dropped = !load.calls.is_empty() || !load.paces.is_empty();
+    let dropped = has_lists(load);
+    let (calls, paces) = (load.calls.len(), load.paces.len());
     // The shorter of the two lists says more about each server in it.
-    match load.calls.len() >= load.paces.len() {
-        true => load.calls.truncate(load.calls.len() * 3 / 4),
-        false => load.paces.truncate(load.paces.len() * 3 / 4),
+    match (calls, paces) {
+        (0, 0) => load.workspaces.clear(),
+        _ if calls >= paces => load.calls.truncate(calls * 3 / 4),
+        _ => load.paces.truncate(paces * 3 / 4),
     }
     dropped
 }
 
+/// Whether a load has a list that can be shortened.
+fn has_lists(load: &EntryLoad) -> bool {
+    !(load.calls.is_empty() && load.paces.is_empty() && load.workspaces.is_empty())
+}
+
 /// Decodes a datagram.
 ///
 /// # Errors
