Form classes of engines by the shortest time between their events

Cause: entries sorted engines into classes by the time between events that sidecars state, which load lengthens.

Change: whether paces differ is judged by the shortest time of each engine, known in eight updates at least.

Tests: loaded_engines_stay_alike; the tests of classes set their paces eight times, as classes need now.

--- a/crates/policy/src/grants/gaps.rs
+++ b/crates/policy/src/grants/gaps.rs
@@ -39,14 +39,10 @@
 /// until gaps without prefill were measured.
 const BASE_SHARE: f64 = 0.45;
 
-/// Number of recent calls whose time between events counts.
+/// Number of recent calls whose time between events counts. A slowed engine
+/// shows in the median once half of them ran on it.
 const EVENT_SAMPLES: usize = 12;
 
-/// Quantile of these times that is typical for the engine. Prefill beside a call
-/// lengthens its events, and with the median, engines that are alike by design
-/// differ by their load: from 17 to 40 ms at half of the calls.
-const EVENT_QUANTILE: f64 = 0.25;
-
 /// Number of calls from which the typical time between events is known.
 const EVENT_SAMPLES_MIN: usize = 3;
 
@@ -260,16 +256,16 @@
         self.events.push_back((now, event));
     }
 
-    /// The typical time between two events: a low quantile over recent calls.
+    /// The typical time between two events: the median over recent calls.
     pub(super) fn event_time(&self, now: Instant) -> Option<Duration> {
         let recent = self.events.iter().filter(|(at, _)| now < *at + MAX_AGE);
         let mut times: Vec<Duration> = recent.map(|(_, event)| *event).collect();
         if times.len() < EVENT_SAMPLES_MIN {
             return None;
         }
-        let rank = (times.len() as f64 * EVENT_QUANTILE) as usize;
-        let (_, typical, _) = times.select_nth_unstable(rank);
-        Some(*typical)
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        Some(*median)
     }
 
     /// Notes that a stream is admitted.
--- a/crates/policy/src/paces.rs
+++ b/crates/policy/src/paces.rs
@@ -33,6 +33,14 @@
 /// Number of engines with a known pace from which classes are formed.
 const MIN_ENGINES: usize = 4;
 
+/// Updates in which an engine's pace has to be known before its shortest time
+/// between events counts as its own speed.
+const MIN_UPDATES: u32 = 8;
+
+/// Growth of the shortest known time between events with each update, so that
+/// an engine that has become slower for good is noticed within a minute.
+const SHORTEST_GROWTH: f64 = 1.01;
+
 /// Times between events below and above which an engine is fast or slow, as
 /// parts of the median.
 const FAST_BELOW: f64 = 0.8;
@@ -135,6 +143,8 @@
     active: bool,
     /// Pace and class of each engine with a known pace.
     engines: BTreeMap<u16, (Duration, PaceClass)>,
+    /// Number of updates and shortest time between events of each of them.
+    shortest: BTreeMap<u16, (u32, Duration)>,
     /// Speed of each class relative to the median.
     speeds: [f64; 3],
 }
@@ -145,14 +155,10 @@
     pub fn update(&mut self, paces: &[(u16, Duration)]) {
         let mut sorted: Vec<f64> = paces.iter().map(|(_, e)| e.as_secs_f64()).collect();
         sorted.sort_by(f64::total_cmp);
-        let quantile = |part: f64| {
-            let rank = (sorted.len().saturating_sub(1)) as f64 * part;
-            sorted.get(rank.round() as usize).copied().unwrap_or(0.0)
-        };
-        let ratio = quantile(1.0 - SPREAD_QUANTILE) / quantile(SPREAD_QUANTILE).max(1e-6);
+        self.update_shortest(paces);
         let bound = if self.active { ALIKE_RATIO } else { PACE_RATIO };
-        self.active = sorted.len() >= MIN_ENGINES && ratio >= bound;
-        let median = quantile(0.5);
+        self.active = self.spread().is_some_and(|ratio| ratio >= bound);
+        let median = quantile(&sorted, 0.5);
         let engines = paces.iter().map(|(engine, event)| {
             let previous = self.engines.get(engine).map(|(_, class)| *class);
             let class = match self.active {
@@ -176,6 +182,29 @@
         }
     }
 
+    /// Updates the shortest time between events of each engine with a pace.
+    fn update_shortest(&mut self, paces: &[(u16, Duration)]) {
+        let known = paces.iter().map(|(engine, event)| {
+            let (updates, shortest) = self.shortest.get(engine).copied().unwrap_or((0, *event));
+            let shortest = shortest.mul_f64(SHORTEST_GROWTH).min(*event);
+            (*engine, (updates.saturating_add(1), shortest))
+        });
+        self.shortest = known.collect();
+    }
+
+    /// Ratio of the slow engines' to the fast engines' time between events;
+    /// `None` while too few are known. The shortest time of each engine counts,
+    /// since load lengthens it: engines that are alike by design differ by more
+    /// than [`PACE_RATIO`] where some prefill long prompts and others do not.
+    fn spread(&self) -> Option<f64> {
+        let known = self.shortest.values().filter(|(n, _)| *n >= MIN_UPDATES);
+        let mut sorted: Vec<f64> = known.map(|(_, event)| event.as_secs_f64()).collect();
+        sorted.sort_by(f64::total_cmp);
+        let fast = quantile(&sorted, SPREAD_QUANTILE).max(1e-6);
+        let ratio = quantile(&sorted, 1.0 - SPREAD_QUANTILE) / fast;
+        (sorted.len() >= MIN_ENGINES).then_some(ratio)
+    }
+
     /// Whether the engines' paces differ enough for classes.
     #[must_use]
     pub fn is_active(&self) -> bool {
@@ -237,6 +266,12 @@
     }
 }
 
+/// A quantile of sorted values; 0 if there are none.
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let rank = (sorted.len().saturating_sub(1)) as f64 * part;
+    sorted.get(rank.round() as usize).copied().unwrap_or(0.0)
+}
+
 /// The class of an engine whose time between events is `part` of the median.
 fn classify(part: f64, previous: Option<PaceClass>) -> PaceClass {
     let (fast, slow) = match previous {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -525,6 +525,11 @@
     );
 }
 
+/// Sets the paces as often as classes need.
+fn settle_paces(balancer: &mut Balancer, paces: &BTreeMap<u16, Duration>) {
+    (0..8).for_each(|_| balancer.set_paces(paces));
+}
+
 /// Paces of `count` servers at 0.6, 1 and 1.6 times the speed of one with 25 ms
 /// between events; the class of a server follows from its index.
 fn three_paces(count: usize) -> BTreeMap<u16, Duration> {
@@ -561,8 +566,8 @@
     }
     let hashed = partition_ids(&mut one, Partition::First(16));
     assert_eq!(one.paced_count("llm", 24), 24);
-    one.set_paces(&three_paces(48));
-    two.set_paces(&three_paces(48));
+    settle_paces(&mut one, &three_paces(48));
+    settle_paces(&mut two, &three_paces(48));
     let fastest = partition_ids(&mut one, Partition::First(16));
     assert!(fastest.iter().all(|id| index(id) % 3 == 2), "{fastest:?}");
     assert_ne!(hashed, fastest);
@@ -593,7 +598,7 @@
         |(n, (number, _)): (u64, (u16, Duration))| (number, Duration::from_millis(25 + n % 15));
     let alike: BTreeMap<u16, Duration> = (0u64..).zip(three_paces(48)).map(alike).collect();
     for paces in [alike, BTreeMap::new()] {
-        balancer.set_paces(&paces);
+        settle_paces(&mut balancer, &paces);
         assert_eq!(partition_ids(&mut balancer, Partition::First(16)), hashed);
         assert_eq!(balancer.paced_count("llm", 24), 24);
     }
@@ -608,7 +613,7 @@
     for id in ["s2", "s3"] {
         paces.remove(&record(id, "a").number());
     }
-    balancer.set_paces(&paces);
+    settle_paces(&mut balancer, &paces);
     let first = partition_ids(&mut balancer, Partition::First(15));
     assert!(!first.contains("s2") && first.iter().all(|id| index(id) % 3 == 2));
     let faster = partition_ids(&mut balancer, Partition::First(33));
@@ -626,7 +631,7 @@
     let unpaced = ranked.clone();
     balancer.put_slow_last(&mut ranked, Duration::from_millis(100));
     assert_eq!(ranked, unpaced);
-    balancer.set_paces(&three_paces(12));
+    settle_paces(&mut balancer, &three_paces(12));
     balancer.put_slow_last(&mut ranked, Duration::from_millis(100));
     let slow = |s: &ServerRecord| index(&s.id).is_multiple_of(3);
     assert!(ranked[..8].iter().all(|s| !slow(s)) && ranked[8..].iter().all(slow));
@@ -667,7 +672,7 @@
     };
     let mut balancer = balancer(48);
     let before = late_share(&mut balancer);
-    balancer.set_paces(&three_paces(48));
+    settle_paces(&mut balancer, &three_paces(48));
     let after = late_share(&mut balancer);
     assert!(before >= 0.1, "{before} {after}");
     assert!(after < 0.05, "{before} {after}");
@@ -693,16 +698,16 @@
 #[test]
 fn weighted_homes_stay() {
     let mut fifty = balancer(50);
-    fifty.set_paces(&three_paces(50));
+    settle_paces(&mut fifty, &three_paces(50));
     let before = homes(&mut fifty, 6_000);
     for gone in ["s0", "s1", "s2"] {
         let mut rest = balancer(50);
-        rest.set_paces(&three_paces(50));
+        settle_paces(&mut rest, &three_paces(50));
         rest.mark_missing(Instant::now(), gone, Instant::now());
         assert!(moved(&before, &homes(&mut rest, 6_000)) < 30, "{gone}");
     }
     let mut more = balancer(51);
-    more.set_paces(&three_paces(51));
+    settle_paces(&mut more, &three_paces(51));
     assert!(moved(&before, &homes(&mut more, 6_000)) < 30);
     // A restarted engine has no pace, and all paces change a little.
     let mut paces = three_paces(50);
@@ -731,7 +736,7 @@
     };
     let mut balancer = balancer(48);
     let before = busiest(&mut balancer);
-    balancer.set_paces(&three_paces(48));
+    settle_paces(&mut balancer, &three_paces(48));
     let after = busiest(&mut balancer);
     assert!(before > 1.4 && after < 1.3, "{before} {after}");
 }
@@ -742,7 +747,7 @@
 fn partition_size_ignores_small_changes() {
     let mut rng = Pcg64::seed_from_u64(5);
     let mut balancer = balancer(48);
-    balancer.set_paces(&three_paces(48));
+    settle_paces(&mut balancer, &three_paces(48));
     let sizes = |balancer: &Balancer| -> Vec<usize> {
         (1..48).map(|n| balancer.paced_count("llm", n)).collect()
     };
--- a/crates/policy/tests/paces.rs
+++ b/crates/policy/tests/paces.rs
@@ -29,7 +29,7 @@
 fn speeds_form_classes() {
     for seed in 0..50 {
         let mut classes = PaceClasses::default();
-        classes.update(&three_speeds(seed, 0.15));
+        (0..8).for_each(|_| classes.update(&three_speeds(seed, 0.15)));
         assert!(classes.is_active());
         for engine in 0..48 {
             let expected = [PaceClass::Slow, PaceClass::Normal, PaceClass::Fast];
@@ -57,6 +57,24 @@
     }
 }
 
+/// Prefill beside streams lengthens their events to three times the usual on a
+/// third of the engines at a time. If that made classes, streams would crowd on
+/// the engines that happen to read little.
+#[test]
+fn loaded_engines_stay_alike() {
+    let mut classes = PaceClasses::default();
+    for round in 0..200_u16 {
+        let paces: Vec<(u16, Duration)> = (0..54)
+            .map(|engine| {
+                let loaded = (engine + round / 4) % 3 == 0;
+                (engine, ms(if loaded { 75.0 } else { 25.0 }))
+            })
+            .collect();
+        classes.update(&paces);
+        assert!(!classes.is_active(), "{round}");
+    }
+}
+
 /// An engine near the bound of a class would change it with each report, and
 /// each change leaves cached prefixes behind.
 #[test]
@@ -83,7 +101,7 @@
     let normal = three_speeds(3, 0.0);
     let mut slowed = normal.clone();
     slowed[2].1 = slowed[2].1.mul_f64(2.5);
-    classes.update(&normal);
+    (0..8).for_each(|_| classes.update(&normal));
     assert_eq!(classes.class(2), PaceClass::Fast);
     classes.update(&slowed);
     assert_eq!(classes.class(2), PaceClass::Slow);
