Let a test of continuations fail at once instead of after the idle timeout

Cause: the caller kept its connection open, so that the test waited for the entry's idle timeout when the stream was continued against the rule.

Change: the caller asks for the connection to be closed.

--- a/crates/forward/tests/calls/backups.rs
+++ b/crates/forward/tests/calls/backups.rs
@@ -333,7 +333,9 @@
     })
     .await;
     let mut stream = entry.connect().await;
-    let sent = stream.write_all(request(LIVE, "").as_bytes()).await;
+    let sent = stream
+        .write_all(request(LIVE, "Connection: close\r\n").as_bytes())
+        .await;
     sent.expect("sent");
     let mut all = Vec::new();
     while !String::from_utf8_lossy(&all).contains("data: a") {
