Test that a restarted sidecar shares fairly

Cause: a restarted sidecar has no tags, and no test showed that a flood gains nothing from it.

Change: a test in which entries repeat their requests to a new sidecar.

--- a/crates/policy/tests/grants/shares.rs
+++ b/crates/policy/tests/grants/shares.rs
@@ -318,3 +318,29 @@
     }
     assert_eq!(account.lead(1), 1_000 * cost);
 }
+
+/// The sidecar restarts during a flood and entries repeat the requests of their
+/// waiting calls: without any tags, the flood must not get ahead of others, and
+/// nobody may be refused for what was served before the restart.
+#[test]
+fn restart_keeps_shares() {
+    let (mut before, now) = (fair(), Instant::now());
+    fill(&mut before, now);
+    before.request(now, call(50, CALM, 3_000));
+    for n in 0..10 {
+        before.request(now, stream_of(100 + n, FLOOD));
+    }
+    assert!(before.share_level(FLOOD, 5) >= 2);
+    drop(before);
+
+    let mut after = fair();
+    fill(&mut after, now);
+    for n in 0..10 {
+        let queued = after.request(now, call(n, FLOOD, 1_500));
+        assert!(matches!(queued, GrantDecision::Queued(_)), "{queued:?}");
+    }
+    after.request(now, call(50, CALM, 3_000));
+    after.record_first_event(now + ms(90), id(1_000));
+    let order = admit_waiting(&mut after, now + ms(90));
+    assert_eq!(order.first(), Some(&id(50)), "{order:?}");
+}
