Log the counts behind each decision on a retry

A report names a service that got more repeats than ratio and slack allow. The log could not tell why: only refused retries had a line, without counts. The lines now name the entries that share the slack and the calls and repeats of the window, which separates restarts, a wrong number of entries and sends that are not counted. No decision changes.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -394,16 +394,23 @@
     /// Takes one retry from the retry budget, if one is left.
     fn take_retry(&self) -> bool {
         let now = self.state.clock.now();
-        let left = self
-            .state
-            .repeat_budget
-            .borrow_mut()
-            .take_repeat(now, &self.service);
+        let mut budget = self.state.repeat_budget.borrow_mut();
+        let left = budget.take_repeat(now, &self.service);
+        let usage = budget.usage(now, &self.service);
+        drop(budget);
         let outcome = if left { "taken" } else { "none_left" };
         metrics::counter!("pimentocart_repeats_total", "outcome" => outcome).increment(1);
-        if !left {
-            info!("retry budget exhausted", kv: { id = self.request_id(), service = &*self.service });
-        }
+        let event = match left {
+            true => "retry taken",
+            false => "retry budget exhausted",
+        };
+        info!("{event}", kv: {
+            id = self.request_id(),
+            service = &*self.service,
+            entries = usage.entries,
+            calls = usage.calls,
+            repeats = usage.repeats
+        });
         left
     }
 
--- a/crates/policy/src/repeat_budget.rs
+++ b/crates/policy/src/repeat_budget.rs
@@ -38,6 +38,17 @@
     services: HashMap<Rc<str>, VecDeque<Slice>>,
 }
 
+/// What the budget of one service is computed from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// Number of entries that share the slack; 0 while unknown.
+    pub entries: usize,
+    /// Calls in the window.
+    pub calls: u32,
+    /// Repeats in the window.
+    pub repeats: u32,
+}
+
 /// The counts of one time slice.
 #[derive(Debug, Clone, Copy)]
 struct Slice {
@@ -74,19 +85,32 @@
             0 => 0.0,
             entries => self.limit.slack * USED_SLACK / entries as f64,
         };
-        self.current_slice(now, service);
-        let Some(slices) = self.services.get(service) else {
-            return false;
-        };
-        let calls: u32 = slices.iter().map(|s| s.calls).sum();
-        let repeats: u32 = slices.iter().map(|s| s.repeats).sum();
-        if f64::from(repeats + 1) > f64::from(calls) * ratio + slack {
+        let usage = self.usage(now, service);
+        if f64::from(usage.repeats + 1) > f64::from(usage.calls) * ratio + slack {
             return false;
         }
         self.current_slice(now, service).repeats += 1;
         true
     }
 
+    /// The counts from which the budget of a service is computed, for logs.
+    pub fn usage(&mut self, now: Instant, service: &Rc<str>) -> BudgetUsage {
+        self.current_slice(now, service);
+        let slices = self.services.get(service).into_iter().flatten();
+        slices.fold(
+            BudgetUsage {
+                entries: self.entries,
+                calls: 0,
+                repeats: 0,
+            },
+            |usage, slice| BudgetUsage {
+                calls: usage.calls + slice.calls,
+                repeats: usage.repeats + slice.repeats,
+                ..usage
+            },
+        )
+    }
+
     /// The slice that contains `now`. Drops slices that are outside the window.
     fn current_slice(&mut self, now: Instant, service: &Rc<str>) -> &mut Slice {
         let RepeatLimit { window, .. } = self.limit;
