--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -491,3 +491,26 @@
     assert_whole(&call.await.expect("an answer"));
     assert_eq!(fleet.engines.continuations()[0].0, addr);
 }
+
+/// Guards against streams that move being sent to a second engine beyond the retry budget.
+/// A stream that may not move stays and ends whole.
+#[actix_rt::test]
+async fn stream_moved_without_retry() {
+    let fleet = Fleet::start(3).await;
+    let call = fleet.call("1").await;
+    fleet.entry.take_all_retries();
+    fleet.leave(fleet.engines.engine_of("1")).await;
+    fleet.wait_no_move().await;
+    assert_eq!(fleet.engines.calls().len(), 0);
+    assert_whole(&call.await.expect("an answer"));
+}
+
+/// Guards against moves that leave the retry budget as it was.
+#[actix_rt::test]
+async fn move_takes_a_retry() {
+    let fleet = Fleet::start(3).await;
+    let before = Fleet::start(3).await.entry.take_all_retries();
+    let (call, _) = fleet.call_and_leave("1").await;
+    assert_whole(&call.await.expect("an answer"));
+    assert_eq!(fleet.entry.take_all_retries(), before - 1);
+}
