Give a starting entry no part of the retry slack for a window

Callers saw engines that were overrun by repeats while entries restarted. An entry took its part of the slack anew after each restart, since it had forgotten what it used before, and all of the slack while it knew no other entry. Both are one fault: a starting entry spends a shared allowance of which it does not know the state. Within its first window it now has none, so that the parts of all its lifetimes in any window add up to one part. The number of entries is known by then.

Two older tests set the budget's start two windows back, as their entries are running ones; their bounds are the same.

--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -137,7 +137,7 @@
             )),
             entry_count: RefCell::default(),
             workspace_rates: RefCell::default(),
-            repeat_budget: RefCell::new(RepeatBudget::new(settings.repeat_limit())),
+            repeat_budget: RefCell::new(RepeatBudget::new(clock.now(), settings.repeat_limit())),
             dialect,
             clock,
             catalog: RefCell::default(),
--- a/crates/policy/examples/backups.rs
+++ b/crates/policy/examples/backups.rs
@@ -235,7 +235,7 @@
         slack: 0.0,
     };
     let mut budgets: Vec<RepeatBudget> = (0..deployment.entries)
-        .map(|_| RepeatBudget::new(limit))
+        .map(|_| RepeatBudget::new(now, limit))
         .collect();
     for stream in streams {
         for _ in 0..CALLS_PER_STREAM {
--- a/crates/policy/src/repeat_budget.rs
+++ b/crates/policy/src/repeat_budget.rs
@@ -25,14 +25,17 @@
     pub slack: f64,
 }
 
-/// The fraction of the slack that entries use. The rest covers restarted entries,
-/// which count from zero, and counts that are off by one slice.
+/// The fraction of the slack that entries use. The rest covers counts that are off by one
+/// slice.
 const USED_SLACK: f64 = 0.4;
 
 /// Counts the calls and repeats of each service.
 #[derive(Debug)]
 pub struct RepeatBudget {
     limit: RepeatLimit,
+    /// When the entry may use its part of the slack: a window after its start, since it
+    /// does not know what it used before.
+    slack_from: Instant,
     /// Number of entries that share the slack; 0 while unknown.
     entries: usize,
     services: HashMap<Rc<str>, VecDeque<Slice>>,
@@ -58,11 +61,12 @@
 }
 
 impl RepeatBudget {
-    /// Creates a budget without any counted calls.
+    /// Creates the budget of an entry that starts now.
     #[must_use]
-    pub fn new(limit: RepeatLimit) -> Self {
+    pub fn new(now: Instant, limit: RepeatLimit) -> Self {
         Self {
             limit,
+            slack_from: now + limit.window,
             entries: 0,
             services: HashMap::new(),
         }
@@ -83,6 +87,7 @@
         let ratio = self.limit.ratio;
         let slack = match self.entries {
             0 => 0.0,
+            _ if now < self.slack_from => 0.0,
             entries => self.limit.slack * USED_SLACK / entries as f64,
         };
         let usage = self.usage(now, service);
--- a/crates/policy/tests/repeat_budget.rs
+++ b/crates/policy/tests/repeat_budget.rs
@@ -10,11 +10,12 @@
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn budget() -> RepeatBudget {
-    RepeatBudget::new(RepeatLimit {
+    let limit = RepeatLimit {
         ratio: 0.2,
         window: WINDOW,
         slack: 0.0,
-    })
+    };
+    RepeatBudget::new(Instant::now(), limit)
 }
 
 /// Guards against entries with less than one call per second having no repeats at
@@ -25,7 +26,8 @@
 #[case::hundreds(467, 1000.0)]
 #[case::thousands(2000, 1000.0)]
 fn slack_is_shared(#[case] entries: usize, #[case] slack: f64) {
-    let (now, service) = (Instant::now(), Rc::from("app"));
+    let (start, service) = (Instant::now(), Rc::from("app"));
+    let now = start + WINDOW * 2;
     let limit = RepeatLimit {
         ratio: 0.2,
         window: WINDOW,
@@ -33,7 +35,7 @@
     };
     let mut repeats = 0;
     for _ in 0..entries {
-        let mut budget = RepeatBudget::new(limit);
+        let mut budget = RepeatBudget::new(start, limit);
         budget.set_entries(entries);
         for _ in 0..4 {
             budget.record_call(now, &service);
@@ -54,12 +56,14 @@
 /// known.
 #[test]
 fn no_slack_before_entries_are_counted() {
-    let (now, service) = (Instant::now(), Rc::from("app"));
-    let mut budget = RepeatBudget::new(RepeatLimit {
+    let (start, service) = (Instant::now(), Rc::from("app"));
+    let now = start + WINDOW * 2;
+    let limit = RepeatLimit {
         ratio: 0.2,
         window: WINDOW,
         slack: 100.0,
-    });
+    };
+    let mut budget = RepeatBudget::new(start, limit);
     budget.record_call(now, &service);
     assert!(!budget.take_repeat(now, &service));
 }
--- a/crates/policy/tests/repeat_budget_fleet.rs
+++ b/crates/policy/tests/repeat_budget_fleet.rs
@@ -35,7 +35,9 @@
             limit,
             now,
             service: Rc::from("llm"),
-            budgets: (0..entries).map(|_| RepeatBudget::new(limit)).collect(),
+            budgets: (0..entries)
+                .map(|_| RepeatBudget::new(now, limit))
+                .collect(),
             calls: Vec::new(),
             repeats: Vec::new(),
         };
@@ -52,7 +54,7 @@
 
     /// Restarts an entry, which knows no other one at first.
     fn restart(&mut self, entry: usize) {
-        self.budgets[entry] = RepeatBudget::new(self.limit);
+        self.budgets[entry] = RepeatBudget::new(self.now, self.limit);
         self.budgets[entry].set_entries(1);
     }
 
