Back each repeat by the credit of a recent call

Repeats of all entries together could exceed the limit though each entry kept to it, which servers feel as load when they can bear it least. An entry allowed the ratio of all its calls of the last window at any moment, so calls before the window and calls in it both allowed repeats in it: when callers move to other entries, when entries restart, and when a repeat at the end of a slice is forgotten with the slice's start. The cause is one: the same time span of calls is spent twice.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -396,7 +396,7 @@
         let now = self.state.clock.now();
         let mut budget = self.state.repeat_budget.borrow_mut();
         let left = budget.take_repeat(now, &self.service);
-        let usage = budget.usage(now, &self.service);
+        let balance = budget.balance(now, &self.service);
         drop(budget);
         let outcome = if left { "taken" } else { "none_left" };
         metrics::counter!("pimentocart_repeats_total", "outcome" => outcome).increment(1);
@@ -407,9 +407,9 @@
         info!("{event}", kv: {
             id = self.request_id(),
             service = &*self.service,
-            entries = usage.entries,
-            calls = usage.calls,
-            repeats = usage.repeats
+            entries = balance.entries,
+            credit = format!("{:.2}", balance.credit).as_str(),
+            slack = format!("{:.2}", balance.slack).as_str()
         });
         left
     }
