Divide shared limits only once another entry is known

A starting entry counted itself as the only one until the first answer of another, and divided what all entries share by one: the retry slack, turns at servers with a rate limit and the memory of engines for copies. When all entries start, each took all. The count now stays unknown until an entry has answered, there are no seeds to ask, or nobody has answered for 25 s, after which an entry has always counted itself as isolated. All three users treat an unknown count as no share.

Test limits_used_before_another_entry_is_known: 1 entry counted before, none now until the seed's answer, then 3.

--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -432,6 +432,9 @@
     /// engines for copies.
     fn apply_entry_count(&self, now: Instant, counts: EntryCounts) {
         let state = &self.state;
+        if !state.discovery.borrow().entries_known(now) {
+            return;
+        }
         let entries = state.entry_count.borrow_mut().record(now, counts.total);
         state.repeat_budget.borrow_mut().set_entries(entries);
         state.copies.borrow_mut().set_entries(entries);
--- a/crates/forward/tests/tables/main.rs
+++ b/crates/forward/tests/tables/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod crashes;
+mod entry_count;
 mod follow;
 mod neighbours;
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -136,6 +136,14 @@
         self.running = true;
     }
 
+    /// Whether the number of entries is known: another entry has answered, or there is
+    /// none that could.
+    #[must_use]
+    pub fn entries_known(&self, now: Instant) -> bool {
+        let isolated = self.elapsed(now) >= ISOLATION_TIMEOUT;
+        self.seeds.is_empty() || self.last_answer.is_some() || isolated
+    }
+
     /// Time since the start of discovery.
     #[must_use]
     pub fn elapsed(&self, now: Instant) -> Duration {
