Charge streams that move to the retry budget

A stream that moves away from an engine that leaves is sent to a second engine without a retry from the budget, so that a release of many engines adds arrivals that no limit holds. A move is the same run, but the engine gets another request all the same. It now takes a retry when it begins, while the stream can still stay; a return to the source after a refusal takes another. Without one the stream stays at its engine and is checked again.

Tests: stream_moved_without_retry saw two copy calls with no retry left, move_takes_a_retry 20 retries left instead of 19; both hold now.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -393,25 +393,7 @@
 
     /// Takes one retry from the retry budget, if one is left.
     fn take_retry(&self) -> bool {
-        let now = self.state.clock.now();
-        let mut budget = self.state.repeat_budget.borrow_mut();
-        let left = budget.take_repeat(now, &self.service);
-        let balance = budget.balance(now, &self.service);
-        drop(budget);
-        let outcome = if left { "taken" } else { "none_left" };
-        metrics::counter!("pimentocart_repeats_total", "outcome" => outcome).increment(1);
-        let event = match left {
-            true => "retry taken",
-            false => "retry budget exhausted",
-        };
-        info!("{event}", kv: {
-            id = self.request_id(),
-            service = &*self.service,
-            entries = balance.entries,
-            credit = format!("{:.2}", balance.credit).as_str(),
-            slack = format!("{:.2}", balance.slack).as_str()
-        });
-        left
+        self.state.take_retry(self.request_id(), &self.service)
     }
 
     /// The reply when no server has served the call.
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -241,7 +241,7 @@
     }
 
     /// Sends the call again to `server`, to continue after event `last` from `copy`. It
-    /// counts as the same run, so no sidecar is asked and no retry is taken.
+    /// counts as the same run, so no sidecar is asked. The caller takes the retry.
     ///
     /// # Errors
     ///
--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -187,6 +187,10 @@
             if !set_destination(state, now, stream) {
                 continue;
             }
+            // The stream will be sent to a second engine. Without a retry it stays.
+            if !state.take_retry(&stream.request_id, &stream.source.service) {
+                break;
+            }
             if stream.state.borrow_mut().begin().is_some() {
                 in_progress += 1;
                 let stream = Rc::clone(stream);
--- a/crates/forward/src/moves/stream.rs
+++ b/crates/forward/src/moves/stream.rs
@@ -246,6 +246,11 @@
                         addr: stream.source.addr,
                         handle: &handle,
                     };
+                    // The retry for the destination was taken when the move began.
+                    if at == Site::Source && !state.take_retry(call.request_id(), &call.service) {
+                        action = stream.apply(state, Event::ContinueRefused);
+                        continue;
+                    }
                     let sent = call.continue_at(&server, copy, last).await;
                     let event = match &sent {
                         Ok(_) => Event::Continued,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -22,6 +22,7 @@
 use policy::routes::Catalog;
 use policy::shares::rates::WorkspaceRates;
 use policy::wait_estimate::WaitEstimator;
+use spdlog::info;
 
 use tokio::sync::Notify;
 
@@ -228,6 +229,29 @@
         metrics::counter!("pimentocart_server_waits_total", "outcome" => outcome).increment(1);
     }
 
+    /// Takes one retry of the call with the ID `request_id` from the retry budget, if one
+    /// is left.
+    pub(crate) fn take_retry(&self, request_id: &str, service: &Rc<str>) -> bool {
+        let now = self.clock.now();
+        let mut budget = self.repeat_budget.borrow_mut();
+        let left = budget.take_repeat(now, service);
+        let balance = budget.balance(now, service);
+        drop(budget);
+        let (outcome, event) = match left {
+            true => ("taken", "retry taken"),
+            false => ("none_left", "retry budget exhausted"),
+        };
+        metrics::counter!("pimentocart_repeats_total", "outcome" => outcome).increment(1);
+        info!("{event}", kv: {
+            id = request_id,
+            service = &**service,
+            entries = balance.entries,
+            credit = format!("{:.2}", balance.credit).as_str(),
+            slack = format!("{:.2}", balance.slack).as_str()
+        });
+        left
+    }
+
     /// Whether the entries of this availability zone share their reads of the store.
     #[must_use]
     pub fn shares_reads(&self) -> bool {
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -501,6 +501,7 @@
     fleet.entry.take_all_retries();
     fleet.leave(fleet.engines.engine_of("1")).await;
     fleet.wait_no_move().await;
+    fleet.engines.release_run("1");
     assert_eq!(fleet.engines.calls().len(), 0);
     assert_whole(&call.await.expect("an answer"));
 }
