Log the versions of servers and the streams that callers take up

Streams held events of two software versions, and no line told where: nothing in an entry knew a server's version or that a call takes a stream up. No decision changes.

--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use policy::pools::Phase;
+use spdlog::info;
 
 use super::{Call, unshared_tokens};
 use crate::exchange::{ResponseBody, SendError, ServerResponse};
@@ -39,6 +40,15 @@
             let first_bytes = first_bytes.unwrap_or_default();
             self.record_first_event(&response);
             self.record_usage();
+            if let Some(resumes) = &self.parsed_headers.resumes {
+                info!("stream taken up", kv: {
+                    id = self.request_id(),
+                    resumes = resumes.as_str(),
+                    after = self.parsed_headers.last_event.unwrap_or(0),
+                    at = &*response.body.server.id,
+                    version = &*response.body.server.version
+                });
+            }
             let relay = Relay::new(
                 Rc::clone(self),
                 response.body,
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -88,6 +88,9 @@
     pub prompt_parts: Vec<PromptPart>,
     /// The number of the last event of a stream that the caller has received.
     pub last_event: Option<u64>,
+    /// The ID of the attempt that brought the first event of the stream that the caller
+    /// takes up, if it does.
+    pub resumes: Option<String>,
 }
 
 /// A part of a prompt that other calls may share.
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -270,6 +270,8 @@
                 id = self.call.request_id(),
                 from = failed.as_str(),
                 at = &*body.server.id,
+                from_version = &*self.body.server.version,
+                version = &*body.server.version,
                 after = self.last_event.unwrap_or(0),
                 cause
             });
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -178,6 +178,7 @@
 fn record_server(state: &State, now: Instant, record: ServerRecord, log: bool) {
     let (id, leaving) = (Rc::clone(&record.id), record.leaving);
     let (addr, zone, started_ms) = (record.addr, Rc::clone(&record.zone), record.started_ms);
+    let version = Rc::clone(&record.version);
     let change = state.balancer.borrow_mut().upsert(now, record);
     if change == RecordChange::Unchanged {
         return;
@@ -196,6 +197,7 @@
         server = &*id,
         addr = addr.to_string().as_str(),
         zone = &*zone,
+        version = &*version,
         leaving,
         born = started_ms.unwrap_or(0),
         restarted = change == RecordChange::Restarted
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -498,6 +498,7 @@
         slots: 4,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -431,6 +431,7 @@
         slots: 4,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -132,6 +132,7 @@
         slots: 1,
         leaving,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/forward/tests/tables/neighbours.rs
+++ b/crates/forward/tests/tables/neighbours.rs
@@ -116,6 +116,7 @@
         slots: 1,
         leaving,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/policy/examples/backups.rs
+++ b/crates/policy/examples/backups.rs
@@ -272,5 +272,6 @@
         slots: 96,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -67,6 +67,8 @@
     /// Unix epoch, if the record says so.
     #[serde(rename = "born")]
     pub started_ms: Option<u64>,
+    /// The version of its software; empty if the record names none.
+    pub version: Rc<str>,
 }
 
 impl ServerRecord {
--- a/crates/policy/tests/backoff.rs
+++ b/crates/policy/tests/backoff.rs
@@ -41,6 +41,7 @@
         slots: SLOTS as u32,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/policy/tests/backup.rs
+++ b/crates/policy/tests/backup.rs
@@ -48,6 +48,7 @@
         slots: 96,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -34,6 +34,7 @@
         slots: 16,
         leaving: false,
         started_ms: None,
+        version: Rc::default(),
     }
 }
 
--- a/crates/policy/tests/feedback.rs
+++ b/crates/policy/tests/feedback.rs
@@ -38,6 +38,7 @@
         slots: 4,
         leaving: false,
         started_ms: Some(started_ms),
+        version: Rc::default(),
     }
 }
 
--- a/crates/policy/tests/rate_limits.rs
+++ b/crates/policy/tests/rate_limits.rs
@@ -27,6 +27,7 @@
         slots: 4,
         leaving: false,
         started_ms: Some(1),
+        version: Rc::default(),
     }
 }
 
