Add failing tests of streams that go on at another version

Calls: a stream resumed within one answer, a copy for backups and a move choose servers of any version.

The tests also expect all streams to go on while servers of their version serve, so that refusing them is no way to pass; one that holds on this code keeps calls without an event free to go to any version.

--- a/crates/cli/tests/forward/caller.rs
+++ b/crates/cli/tests/forward/caller.rs
@@ -1,6 +1,6 @@
 //! An HTTP client that calls the entry.
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -53,3 +53,58 @@
         false => Outcome::Truncated,
     }
 }
+
+/// A stream as its caller sees it, over all calls for it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct StreamRead {
+    /// The status of the last call; 0 if it had no answer.
+    pub(crate) status: u16,
+    /// The number and data of each event.
+    pub(crate) events: Vec<(u32, String)>,
+    /// Whether the last answer ended as complete.
+    pub(crate) complete: bool,
+}
+
+impl StreamRead {
+    /// Makes one call for the stream that the call `first` began, which is `id` itself for a
+    /// new stream, and reads until `count` events have arrived in all or the answer ends.
+    pub(crate) fn read(&mut self, at: SocketAddr, id: &str, first: &str, count: usize) {
+        (self.status, self.complete) = (0, false);
+        let Ok(mut stream) = TcpStream::connect(at) else {
+            return;
+        };
+        let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+        let resumes = match self.events.last() {
+            Some((last, _)) => format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"),
+            None => String::new(),
+        };
+        let request = format!(
+            "POST /resume/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 6000\r\n{resumes}Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        if stream.write_all(request.as_bytes()).is_err() {
+            return;
+        }
+        let mut number = None;
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            if self.status == 0 {
+                self.status = line.split(' ').nth(1).map_or(0, |s| s.parse().unwrap_or(0));
+            } else if let Some(id) = line.strip_prefix("id: ") {
+                number = id.parse().ok();
+            } else if let (Some(data), Some(number)) = (line.strip_prefix("data: "), number) {
+                self.events.push((number, data.to_owned()));
+                if self.events.len() >= count {
+                    return;
+                }
+            }
+            self.complete |= line == "0" && self.status == 200;
+        }
+    }
+
+    /// Whether the events come from servers of one version, in order.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let versions = self.events.windows(2).all(|pair| pair[0].1 == pair[1].1);
+        let numbers = self.events.iter().map(|(number, _)| *number);
+        versions && numbers.eq(1..=self.events.len() as u32)
+    }
+}
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -10,3 +10,4 @@
 mod process;
 mod signals;
 mod soak;
+mod versions;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -100,11 +100,13 @@
                 "route_type": kind, "timeout_ms": 6000, "service": service,
                 "max_attempts": attempts})
         };
-        let config = json!({"version": version, "services": [{"name": "app"},
+        let mut resumable = route("resume", "streaming", "text", 2);
+        resumable["resumable"] = true.into();
+        let config = json!({"version": version, "services": [{"name": "app"}, {"name": "text"},
             {"name": "llm", "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 1}}],
             "routes": [route("once", "unsafe", "app", 1), route("safe", "safe", "app", 2),
                 route("stream", "streaming", "app", 1),
-                route("engine", "streaming", "llm", 1)]});
+                route("engine", "streaming", "llm", 1), resumable]});
         self.write("keyed.op", "config", &config.to_string());
     }
 
@@ -157,15 +159,26 @@
 
     /// Starts a plain backend server and registers it.
     pub(crate) fn server(self: &Arc<Self>) -> Server {
-        self.start_server("app", "127.0.0.1")
+        self.start_server("app", "127.0.0.1", "v1")
     }
 
     /// Starts a model engine and registers it.
     pub(crate) fn engine(self: &Arc<Self>) -> Server {
-        self.start_server("llm", ENGINE_HOST)
+        self.start_server("llm", ENGINE_HOST, "v1")
     }
 
-    fn start_server(self: &Arc<Self>, service: &'static str, host: &'static str) -> Server {
+    /// Starts a server of resumable streams, with this version of its software, and
+    /// registers it. Its events hold the version.
+    pub(crate) fn stream_server(self: &Arc<Self>, version: &'static str) -> Server {
+        self.start_server("text", "127.0.0.1", version)
+    }
+
+    fn start_server(
+        self: &Arc<Self>,
+        service: &'static str,
+        host: &'static str,
+        version: &'static str,
+    ) -> Server {
         let listener = TcpListener::bind((host, 0)).expect("cannot bind a listener");
         let addr = listener.local_addr().expect("socket has no address");
         let number = self.servers.fetch_add(1, Ordering::SeqCst);
@@ -173,6 +186,7 @@
             platform: Arc::clone(self),
             service,
             host,
+            version,
             id: format!("i-{number}"),
             addr,
             stopped: Arc::default(),
@@ -189,7 +203,7 @@
                     return;
                 }
                 let (own, id, stopped) = (Arc::clone(&own), id.clone(), Arc::clone(&stopped));
-                thread::spawn(move || own.run(&stream, &id, &stopped));
+                thread::spawn(move || own.run(&stream, &id, version, &stopped));
             }
         });
         server
@@ -284,7 +298,7 @@
     }
 
     /// Serves calls to a backend server on one connection.
-    fn run(&self, stream: &TcpStream, own: &str, stopped: &AtomicBool) {
+    fn run(&self, stream: &TcpStream, own: &str, version: &str, stopped: &AtomicBool) {
         let mut out = stream.try_clone().expect("cannot clone the stream");
         let mut reader = BufReader::new(stream);
         while let Some((head, _)) = read(&mut reader) {
@@ -337,7 +351,9 @@
                 Some(ServerHint::Leaving) => marks += "Server-Leaving: 1\r\n",
                 Some(ServerHint::Backoff(_)) | None => {}
             }
-            if !head.starts_with("POST /stream/") && !head.starts_with("POST /engine/") {
+            let resumable = head.starts_with("POST /resume/");
+            let streams = ["POST /stream/", "POST /engine/", "POST /resume/"];
+            if !streams.iter().any(|path| head.starts_with(path)) {
                 let body = format!("answer to {id}");
                 let head = format!(
                     "HTTP/1.1 200 OK\r\n{marks}Content-Length: {}\r\n\r\n",
@@ -347,14 +363,17 @@
                 let _ = out.write_all((head + &body).as_bytes());
                 continue;
             }
+            let received = header(&head, "last-event-id").and_then(|n| n.parse().ok());
+            let first: u32 = received.map_or(1, |number: u32| number + 1);
+            let data = if resumable { version } else { &id };
             let head = format!("HTTP/1.1 200 OK\r\n{marks}Transfer-Encoding: chunked\r\n\r\n");
             let _ = out.write_all(head.as_bytes());
-            for number in 1..=STREAM_EVENTS {
+            for number in first..=STREAM_EVENTS {
                 thread::sleep(Duration::from_millis(15));
                 if stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let event = format!("id: {number}\ndata: {id}\n\n");
+                let event = format!("id: {number}\ndata: {data}\n\n");
                 let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                 let _ = out.write_all(chunk.as_bytes());
             }
@@ -368,6 +387,7 @@
     platform: Arc<Platform>,
     service: &'static str,
     host: &'static str,
+    version: &'static str,
     id: String,
     addr: SocketAddr,
     stopped: Arc<AtomicBool>,
@@ -376,7 +396,7 @@
 impl Server {
     fn register(&self, state: &str) {
         let entry = json!({"service": self.service, "address": self.addr, "zone": "a", "slots": 8,
-            "state": state, "seq": 1});
+            "version": self.version, "state": state, "seq": 1});
         self.platform
             .write("keyed.servers", &self.id, &entry.to_string());
     }
@@ -411,7 +431,8 @@
 
     /// Starts another server of the same service on the same host.
     pub(crate) fn replacement(&self) -> Self {
-        self.platform.start_server(self.service, self.host)
+        self.platform
+            .start_server(self.service, self.host, self.version)
     }
 
     /// Deletes the server's record from the store.
--- a/crates/forward/tests/calls/backups.rs
+++ b/crates/forward/tests/calls/backups.rs
@@ -89,6 +89,21 @@
     assert!(second.ends_with("body"));
 }
 
+/// Guards against a copy at an engine of another version, where the stream must not go on.
+#[actix_rt::test]
+async fn copy_at_another_version() {
+    let plan = Plan {
+        versions: &["v1", "v2"],
+        ..plan(&[Action::SendReset(PARTIAL), Action::Send(REMAINDER)])
+    };
+    let entry = Entry::start(plan).await;
+    let answer = entry.call(LIVE).await;
+    assert_eq!(events(&answer), (vec!["a"], false));
+    let requests = entry.servers.requests();
+    assert_eq!(requests.len(), 1);
+    assert!(header(&requests[0], "backup").is_none());
+}
+
 /// The record of an engine that serves calls.
 fn serving(entry: &Entry, id: &str) -> ServerRecord {
     let serving = entry.state.balancer.borrow().serving("app");
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -306,7 +306,7 @@
     found.next().map(|(_, v)| v.to_owned())
 }
 
-/// An entry with two servers that perform the planned actions in order.
+/// An entry with servers that perform the planned actions in order.
 pub(crate) struct Entry {
     pub(crate) state: Rc<State>,
     pub(crate) servers: Servers,
@@ -337,6 +337,8 @@
     pub(crate) moves: bool,
     /// Whether the entry's setting `moves` is on.
     pub(crate) moves_enabled: bool,
+    /// The software version of each server.
+    pub(crate) versions: &'static [&'static str],
     pub(crate) actions: Vec<Action>,
 }
 
@@ -356,6 +358,7 @@
             clock: Rc::new(SystemClock),
             moves: false,
             moves_enabled: false,
+            versions: &["", ""],
             actions: actions.to_vec(),
         }
     }
@@ -365,9 +368,13 @@
     pub(crate) async fn start(plan: Plan) -> Self {
         let servers = Servers::default();
         let mut records = Vec::new();
-        for id in ["s1", "s2"] {
+        for (n, version) in plan.versions.iter().enumerate() {
             let host = if plan.engine { ENGINES } else { "127.0.0.1" };
-            records.push(listed(id, servers.listen(host).await));
+            let record = listed(&format!("s{}", n + 1), servers.listen(host).await);
+            records.push(ServerRecord {
+                version: Rc::from(*version),
+                ..record
+            });
         }
         Self::start_with(plan, servers, records).await
     }
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -80,6 +80,7 @@
             let record = listed(&format!("e{n}"), engines.listen().await);
             records.push(ServerRecord {
                 slots: 16,
+                version: Rc::from(plan.versions.get(n).copied().unwrap_or_default()),
                 ..record
             });
         }
@@ -515,3 +516,20 @@
     assert_whole(&call.await.expect("an answer"));
     assert_eq!(fleet.entry.take_all_retries(), before - 1);
 }
+
+/// Guards against a stream moving to an engine of another version.
+#[actix_rt::test]
+async fn stream_moved_to_another_version() {
+    let plan = Plan {
+        moves: true,
+        moves_enabled: true,
+        versions: &["v1", "v2"],
+        ..Plan::new(CallKind::Stream, 1, &[])
+    };
+    let fleet = Fleet::start_plan(2, plan).await;
+    let (call, _) = fleet.call_and_leave("1").await;
+    fleet.wait_no_move().await;
+    fleet.engines.release_run("1");
+    assert_eq!(fleet.engines.calls(), []);
+    assert_whole(&call.await.expect("an answer"));
+}
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -62,6 +62,58 @@
     );
 }
 
+/// Guards against a stream going on at a server of another version than the one that began
+/// it. Without another server of its version it ends incomplete.
+#[actix_rt::test]
+async fn resumed_at_another_version() {
+    let actions = [Action::SendReset(PARTIAL), Action::Send(REMAINDER)];
+    let plan = Plan {
+        versions: &["v1", "v2"],
+        ..Plan::new(CallKind::Resumable, 2, &actions)
+    };
+    let entry = Entry::start(plan).await;
+    assert_eq!(events(&entry.call(ID).await), (vec!["a"], false));
+    assert_eq!(entry.servers.requests().len(), 1);
+}
+
+/// Guards against a stream not going on though another server of its version serves.
+#[actix_rt::test]
+async fn not_resumed_at_own_version() {
+    for _ in 0..8 {
+        let actions = [Action::SendReset(PARTIAL), Action::Send(REMAINDER)];
+        let plan = Plan {
+            versions: &["v1", "v2", "v1", "v2"],
+            ..Plan::new(CallKind::Resumable, 2, &actions)
+        };
+        let entry = Entry::start(plan).await;
+        assert_eq!(events(&entry.call(ID).await), (vec!["a", "b"], true));
+        let requests = entry.servers.requests();
+        let version = |n: usize| {
+            let server = header(&requests[n], "server").expect("an intended server");
+            let balancer = entry.state.balancer.borrow();
+            let record = balancer
+                .serving("app")
+                .into_iter()
+                .map(|(record, _)| record);
+            let record = record.into_iter().find(|r| *r.id == *server);
+            record.expect("a serving server").version
+        };
+        assert_eq!(version(0), version(1));
+    }
+}
+
+/// Guards against a call without an event being bound to the version of its first server.
+#[actix_rt::test]
+async fn retry_before_first_event_needs_no_version() {
+    let actions = [Action::SendReset(""), Action::Send(COMPLETE)];
+    let plan = Plan {
+        versions: &["v1", "v2"],
+        ..Plan::new(CallKind::Resumable, 2, &actions)
+    };
+    let entry = Entry::start(plan).await;
+    assert_eq!(events(&entry.call(ID).await), (vec!["a", "b"], true));
+}
+
 /// A stream breaks and the only other server is unreachable. It must be tried
 /// once; repeated tries would use up the retries that all calls of the service
 /// share.
