Keep a broken stream at servers of the version that began it

Callers got streams with events of two software versions, which do not fit together. An entry resumed a broken stream, placed its copy and moved it at any server of the service, since nothing knew a server's version.

A call is now bound to the version of the server that sent its first event, and the choice of servers, of copies and of destinations keeps to it. Before the first event any version may serve. A stream without another server of its version ends incomplete, as its caller can see.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -72,6 +72,8 @@
     fingerprint: OnceCell<Fingerprint>,
     /// The copy of its KV cache at a second engine, if one was asked for.
     backup: RefCell<Option<Backup>>,
+    /// The software version that began its stream, once an event has arrived.
+    version: OnceCell<Rc<str>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -171,6 +173,7 @@
             billing: Cell::new(BillingState::NotStarted),
             fingerprint: OnceCell::new(),
             backup: RefCell::default(),
+            version: OnceCell::new(),
             route,
             service,
             parsed_headers,
@@ -332,7 +335,7 @@
         failed && attempts_left && self.route.kind == CallKind::Idempotent
     }
 
-    /// Resumes a stream at another server after event `last`.
+    /// Resumes a stream at another server of its version after event `last`.
     pub async fn resume(
         self: Rc<Self>,
         last: Option<u64>,
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -430,6 +430,7 @@
             tried,
             partition,
             silence_timeout: self.silence_timeout(),
+            version: self.version.get().map(|v| &**v),
         }
     }
 
--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -200,8 +200,8 @@
     }
 }
 
-/// Chooses the engine to which a stream moves, another one than before; returns whether
-/// there is one.
+/// Chooses the engine to which a stream moves: one of its software version, and another than
+/// before. Returns whether there is one.
 fn set_destination(state: &State, now: Instant, stream: &OpenStream) -> bool {
     let before = stream
         .destination
@@ -218,6 +218,7 @@
         partition: Partition::All,
         strategy: Strategy::LeastOwnCalls,
         silence_timeout: SILENCE_TIMEOUT,
+        version: Some(&stream.source.version),
     };
     let (engines, open_calls) = {
         let mut balancer = state.balancer.borrow_mut();
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -103,6 +103,9 @@
     pub partition: Partition,
     /// How servers are ranked.
     pub strategy: Strategy,
+    /// The software version that began the call's stream. What other versions write does
+    /// not fit it.
+    pub version: Option<&'a str>,
     /// A server with open calls that has sent nothing for this long is passed
     /// over.
     pub silence_timeout: Duration,
@@ -471,6 +474,9 @@
     pub fn ranked(&mut self, now: Instant, query: &ServerQuery<'_>) -> Vec<ServerRecord> {
         self.choices = self.choices.wrapping_add(1);
         let mut candidates: Vec<&Server> = self.callable(now, query.service).collect();
+        if let Some(version) = query.version {
+            candidates.retain(|s| &*s.record.version == version);
+        }
         if candidates.iter().any(|s| s.missing.is_none()) {
             candidates.retain(|s| s.missing.is_none());
         }
--- a/crates/policy/src/balance/copies.rs
+++ b/crates/policy/src/balance/copies.rs
@@ -20,8 +20,8 @@
 
 impl Balancer {
     /// The engines that may hold the copy of a stream, the best first: other
-    /// engines of its service that take calls, are healthy and have not asked
-    /// for fewer calls; those of other availability zones before those of the
+    /// engines of its service and software version that take calls, are healthy
+    /// and have not asked for fewer calls; those of other availability zones before those of the
     /// stream's own, since the engines of a zone can fail together; then by
     /// rendezvous score, so that one engine's streams spread over many.
     #[must_use]
@@ -31,6 +31,7 @@
             s.serves(&source.service)
                 && s.record.id != source.id
                 && s.record.addr != source.addr
+                && s.record.version == source.version
                 && s.is_healthy(now, query.silence_timeout)
                 && !s.feedback.is_active(now)
         };
--- a/crates/policy/tests/backoff.rs
+++ b/crates/policy/tests/backoff.rs
@@ -53,6 +53,7 @@
         partition: Partition::All,
         strategy: Strategy::LeastOwnCalls,
         silence_timeout: Duration::from_secs(9),
+        version: None,
     }
 }
 
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -58,6 +58,7 @@
             Strategy::LeastOwnCalls
         },
         silence_timeout: SILENCE_TIMEOUT,
+        version: None,
     }
 }
 
--- a/crates/policy/tests/rate_limits.rs
+++ b/crates/policy/tests/rate_limits.rs
@@ -39,6 +39,7 @@
         partition: Partition::All,
         strategy: Strategy::LeastOwnCalls,
         silence_timeout: Duration::from_secs(9),
+        version: None,
     }
 }
 
