Keep streams that callers take up at the version that began them

No entry knew which version that was.

The entry at which a stream begins now remembers its version and, while the service runs several, tells three others before the caller gets the first event. Rendezvous hashing on the ID that the caller names chooses them, so any entry can ask. An entry that starts asks the others for what it has lost. Without a record a stream goes on only if one version is known and an entry that was asked knows no other; else the call is refused with 503 version_unknown, as it has not run. State is bounded by 65,536 records.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -81,6 +81,8 @@
     CrashesServers,
     /// All backend servers asked for fewer requests or none (backpressure).
     ServersBusy,
+    /// The software version that began the stream is not known.
+    VersionUnknown,
     /// The workspace is above its share of a service that rejects calls.
     OverShare,
     /// The platform's log is required and unreachable.
@@ -97,7 +99,7 @@
 
 impl Refusal {
     /// Every reason, to initialise the counters.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -117,6 +119,7 @@
         Self::Truncated,
         Self::CrashesServers,
         Self::ServersBusy,
+        Self::VersionUnknown,
         Self::OverShare,
         Self::LogUnavailable,
         Self::KeyInUse,
@@ -147,6 +150,7 @@
             Self::Truncated => "broken_off",
             Self::CrashesServers => "crashes_servers",
             Self::ServersBusy => "servers_busy",
+            Self::VersionUnknown => "version_unknown",
             Self::OverShare => "over_share",
             Self::LogUnavailable => "log_down",
             Self::KeyInUse => "key_taken",
@@ -173,6 +177,7 @@
             | Self::Draining
             | Self::CrashesServers
             | Self::ServersBusy
+            | Self::VersionUnknown
             | Self::OverShare
             | Self::LogUnavailable => 503,
             Self::Expired | Self::OutcomeUnknown => 504,
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -32,6 +32,7 @@
 
 use crate::crashes;
 use crate::exchange::{ResponseBody, SendError};
+use crate::origins::{self, NewStream};
 use crate::platform::CallHeaders;
 use crate::reply::{LocalReply, Reply};
 use crate::state::{OpenCall, State};
@@ -269,6 +270,10 @@
         if let Some(refusal) = self.refuse_over_share() {
             return Reply::Local(refusal);
         }
+        if self.takes_up_stream() && !self.find_version().await {
+            let after = self.retry_after(NO_SERVER_RETRY);
+            return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
+        }
         let mut tried = Vec::new();
         self.state
             .repeat_budget
@@ -328,6 +333,46 @@
         failed_reply.unwrap_or_else(|| Reply::Local(self.final_reply(last.as_ref())))
     }
 
+    /// Whether the caller takes up a stream that an earlier attempt began.
+    fn takes_up_stream(&self) -> bool {
+        let headers = &self.parsed_headers;
+        let continues = headers.resumes.is_some() || headers.last_event.is_some();
+        continues && self.route.kind == CallKind::Resumable
+    }
+
+    /// Finds the software version that began the stream that the caller takes up; returns
+    /// whether it is known.
+    async fn find_version(&self) -> bool {
+        let resumes = self.parsed_headers.resumes.as_deref();
+        let found = origins::find_version(&self.state, &self.service, resumes, self.deadline).await;
+        let outcome = if found.is_some() { "known" } else { "unknown" };
+        metrics::counter!("pimentocart_streams_taken_up_total", "version" => outcome).increment(1);
+        match found {
+            Some(version) => self.version.set(version).is_ok(),
+            None => false,
+        }
+    }
+
+    /// Binds the call to the version of the server that has sent its first event, and
+    /// records it for callers that take the stream up elsewhere.
+    fn bind_version(&self, server: &ServerRecord) {
+        if self.version.set(Rc::clone(&server.version)).is_err() {
+            return;
+        }
+        let request_id = self.parsed_headers.request_id.as_deref();
+        let Some(request_id) = request_id.filter(|_| self.route.kind == CallKind::Resumable) else {
+            return;
+        };
+        let caller_timeout = self.parsed_headers.caller_timeout;
+        let stream = NewStream {
+            request_id,
+            service: &self.service,
+            version: &server.version,
+            caller_timeout: caller_timeout.unwrap_or(self.route.call_timeout),
+        };
+        origins::stream_began(&self.state, &stream);
+    }
+
     /// Whether another server may succeed where this one failed.
     fn should_retry(&self, reply: &Reply, tried: &[Rc<str>]) -> bool {
         let failed = matches!(reply, Reply::Buffered { status, .. } if *status >= 500);
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -26,6 +26,7 @@
 use wire::gossip::{self, EntryLoad, LoadScope, Membership, Message, WantedReply};
 
 use crate::crashes;
+use crate::origins;
 use crate::state::{State, link_mbps, zone_hash};
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
@@ -51,7 +52,7 @@
 /// Sends and receives the gossip of one entry.
 pub struct GossipEndpoint {
     state: Rc<State>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     incarnation: u64,
     seq: Cell<u32>,
     /// The last computed load of all entries, and when it was computed.
@@ -70,6 +71,8 @@
     /// Creates the endpoint of an entry that receives gossip on `socket`.
     #[must_use]
     pub fn new(state: Rc<State>, socket: UdpSocket) -> Rc<Self> {
+        let socket = Rc::new(socket);
+        state.origins.set_socket(Rc::clone(&socket));
         Rc::new(Self {
             state,
             socket,
@@ -100,7 +103,9 @@
             };
             // The next report is due both on a timeout and on a notification.
             let _ = tokio::time::timeout(interval, self.state.gossip_now.notified()).await;
-            self.apply_peer_loads(self.state.clock.now());
+            let now = self.state.clock.now();
+            self.apply_peer_loads(now);
+            origins::tell_homes(&self.state, now);
         }
     }
 
@@ -229,6 +234,7 @@
             match gossip::decode(&buffer[..length]) {
                 Ok(Message::Load(load)) => self.handle_load(from, &load),
                 Ok(Message::Membership(membership)) => self.handle_membership(from, &membership),
+                Ok(Message::Origins(message)) => origins::handle(&self.state, from, message),
                 Err(e) => warn!("gossip message not decoded", kv: {
                     peer = from.to_string().as_str(), cause = e.to_string().as_str()
                 }),
@@ -379,6 +385,7 @@
         let state = &self.state;
         if state.roster.borrow_mut().insert(info, now + ttl) {
             info!("entry found", kv: { peer = info.addr.to_string().as_str(), by });
+            origins::ask_for_missing(state, info.addr);
         }
         if info.zone == zone_hash(&state.settings.zone) {
             let rank = info.rank();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
+//! - [`origins`]: which software version began a stream that a caller takes up.
 //! - [`moves`]: moves streams away from engines that leave.
 //! - [`events`]: splits a stream into its numbered events.
 //! - [`reply`]: answers to callers.
@@ -38,6 +39,7 @@
 pub mod http;
 pub mod moves;
 pub mod neighbours;
+pub mod origins;
 pub mod platform;
 pub mod pool;
 pub mod relay;
--- /dev/null
+++ b/crates/forward/src/origins.rs
@@ -0,0 +1,292 @@
+//! Finds out which software version began a stream that a caller takes up here, and tells
+//! other entries of the streams that begin here. `policy::origins` decides whom to tell and
+//! to ask and what follows from the answers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use policy::origins::{self, KnownVersions, Members, OriginAnswer, OriginRecord, OriginTable};
+use policy::versions::version_number;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use wire::gossip::{self, KnownOrigin, MAX_ORIGINS, Message, OriginMessage, StreamOrigin};
+
+use crate::gossip::service_number;
+use crate::state::State;
+
+/// Time after which entries that have not answered are asked again.
+const RESEND_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Longest wait for answers. A caller that is refused may ask another entry.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time beyond the caller's timeout for which its streams are remembered.
+const TTL_MARGIN: Duration = Duration::from_secs(2);
+
+/// The versions that began streams, as this entry knows them.
+#[derive(Debug, Default)]
+pub struct Origins {
+    table: RefCell<OriginTable>,
+    /// The socket of the gossip, once it is bound.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Queries that wait for answers, by number.
+    queries: RefCell<HashMap<u32, Rc<Query>>>,
+    next_query: Cell<u32>,
+}
+
+/// A query for one stream.
+#[derive(Debug, Default)]
+struct Query {
+    answers: RefCell<BTreeMap<SocketAddr, OriginAnswer>>,
+    answered: Notify,
+}
+
+impl Origins {
+    /// Uses `socket` for messages to other entries.
+    pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
+    /// Number of streams whose version is known.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    fn send(&self, to: SocketAddr, message: OriginMessage) {
+        if let Some(socket) = &*self.socket.borrow() {
+            // A datagram that cannot be sent is treated as lost.
+            let _ = socket.try_send_to(&gossip::encode(Message::Origins(message)), to);
+        }
+    }
+
+    fn send_records(&self, to: SocketAddr, records: &[OriginRecord]) {
+        for part in records.chunks(MAX_ORIGINS) {
+            let origins = part.iter().map(to_wire).collect();
+            self.send(to, OriginMessage::Records(origins));
+        }
+    }
+}
+
+/// Records that a stream has begun at a server of `version`, and tells its homes. This is
+/// done before the caller gets its first event, so that the entry's end loses no stream.
+pub(crate) fn stream_began(state: &State, stream: &NewStream<'_>) {
+    let now = state.clock.now();
+    let record = OriginRecord {
+        stream: origins::stream_key(stream.request_id),
+        version: version_number(stream.version),
+        ttl: stream.caller_timeout + TTL_MARGIN,
+    };
+    let mut table = state.origins.table.borrow_mut();
+    table.began(now, stream.service, record);
+    drop(table);
+    tell_homes(state, now);
+}
+
+/// A stream that begins at this entry.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NewStream<'a> {
+    /// ID of the attempt that brings its first event.
+    pub(crate) request_id: &'a str,
+    /// The service that it comes from.
+    pub(crate) service: &'a Rc<str>,
+    /// Software version of its server.
+    pub(crate) version: &'a str,
+    /// How long its caller waits for the whole of it.
+    pub(crate) caller_timeout: Duration,
+}
+
+/// Tells the homes of own streams that they were not told of, where several versions serve.
+pub(crate) fn tell_homes(state: &State, now: Instant) {
+    let several = |service: &str| known_versions(state, now, service) == KnownVersions::Several;
+    let untold = state.origins.table.borrow_mut().take_untold(now, several);
+    if untold.is_empty() {
+        return;
+    }
+    let members = members(state);
+    let mut by_home: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+    for record in untold {
+        for home in members.homes(record.stream) {
+            by_home.entry(home).or_default().push(record);
+        }
+    }
+    by_home.remove(&state.settings.gossip);
+    for (home, records) in by_home {
+        state.origins.send_records(home, &records);
+    }
+}
+
+/// Asks an entry that was just found for the records that this one may have lost.
+pub(crate) fn ask_for_missing(state: &State, peer: SocketAddr) {
+    if state.roster.borrow().common_members().contains(&peer) {
+        state.origins.send(peer, OriginMessage::Missing);
+    }
+}
+
+/// The version that began the stream of the attempt `resumes`; `None` if it is not known
+/// and several may have. Asks other entries until `deadline` at most.
+pub(crate) async fn find_version(
+    state: &State,
+    service: &Rc<str>,
+    resumes: Option<&str>,
+    deadline: Instant,
+) -> Option<Rc<str>> {
+    let now = state.clock.now();
+    let stream = resumes.map(origins::stream_key);
+    let recorded = stream.and_then(|s| state.origins.table.borrow().version(now, s));
+    if let Some(number) = recorded {
+        return version_name(state, now, service, number);
+    }
+    let mut peers = members(state).asked(stream.unwrap_or_default());
+    peers.retain(|peer| *peer != state.settings.gossip);
+    let answers = match stream {
+        Some(stream) => ask(state, service, stream, &peers, deadline).await,
+        None => Vec::new(),
+    };
+    let now = state.clock.now();
+    let began = answers.iter().find_map(|answer| match answer {
+        OriginAnswer::Began(number) => Some(*number),
+        OriginAnswer::SeveralVersions | OriginAnswer::Unknown => None,
+    });
+    if let Some(number) = began {
+        return version_name(state, now, service, number);
+    }
+    let known = known_versions(state, now, service);
+    let can_ask = stream.is_some() && !peers.is_empty();
+    origins::infer_version(&known, &answers, can_ask)
+}
+
+/// Asks entries for a stream until one knows it or all have answered.
+async fn ask(
+    state: &State,
+    service: &Rc<str>,
+    stream: u64,
+    peers: &[SocketAddr],
+    deadline: Instant,
+) -> Vec<OriginAnswer> {
+    let own = &state.origins;
+    let number = own.next_query.get();
+    own.next_query.set(number.wrapping_add(1));
+    let query = Rc::new(Query::default());
+    own.queries.borrow_mut().insert(number, Rc::clone(&query));
+    let message = OriginMessage::Query {
+        query: number,
+        stream,
+        service_number: service_number(service),
+    };
+    let until = (state.clock.now() + ANSWER_TIMEOUT).min(deadline);
+    while !query.is_settled(peers) {
+        let now = state.clock.now();
+        if now >= until {
+            break;
+        }
+        let missing = |peer: &&SocketAddr| !query.answers.borrow().contains_key(peer);
+        for peer in peers.iter().filter(missing) {
+            own.send(*peer, message.clone());
+        }
+        let resend_at = (now + RESEND_INTERVAL).min(until);
+        let settled = async {
+            while !query.is_settled(peers) {
+                query.answered.notified().await;
+            }
+        };
+        // Those that have not answered are asked again after the timeout.
+        let _ = tokio::time::timeout_at(resend_at.into(), settled).await;
+    }
+    own.queries.borrow_mut().remove(&number);
+    let answers = query.answers.borrow();
+    answers.values().copied().collect()
+}
+
+impl Query {
+    fn is_settled(&self, peers: &[SocketAddr]) -> bool {
+        let answers = self.answers.borrow();
+        let began = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Began(_));
+        answers.len() == peers.len() || answers.values().any(began)
+    }
+}
+
+/// Handles a message of another entry.
+pub(crate) fn handle(state: &State, from: SocketAddr, message: OriginMessage) {
+    let now = state.clock.now();
+    let own = &state.origins;
+    match message {
+        OriginMessage::Records(origins) => {
+            let mut table = own.table.borrow_mut();
+            for origin in origins {
+                table.insert(now, from_wire(&origin));
+            }
+        }
+        OriginMessage::Missing => {
+            let records = own.table.borrow().records_for(now, from, &members(state));
+            own.send_records(from, &records);
+        }
+        OriginMessage::Query {
+            query,
+            stream,
+            service_number,
+        } => {
+            let origin = known_origin(state, now, stream, service_number);
+            own.send(from, OriginMessage::Reply { query, origin });
+        }
+        OriginMessage::Reply { query, origin } => {
+            let answer = match origin {
+                KnownOrigin::Version(number) => OriginAnswer::Began(number),
+                KnownOrigin::SeveralVersions => OriginAnswer::SeveralVersions,
+                KnownOrigin::Unknown => OriginAnswer::Unknown,
+            };
+            if let Some(query) = own.queries.borrow().get(&query) {
+                query.answers.borrow_mut().insert(from, answer);
+                query.answered.notify_one();
+            }
+        }
+    }
+}
+
+/// What this entry tells one that asks for a stream.
+fn known_origin(state: &State, now: Instant, stream: u64, service: u32) -> KnownOrigin {
+    if let Some(version) = state.origins.table.borrow().version(now, stream) {
+        return KnownOrigin::Version(version);
+    }
+    let balancer = state.balancer.borrow();
+    let mut services = balancer.known_services();
+    let service = services.find(|name| service_number(name) == service);
+    let versions = service.map_or(0, |s| balancer.recent_versions(now, s).len());
+    match versions {
+        0 | 1 => KnownOrigin::Unknown,
+        _ => KnownOrigin::SeveralVersions,
+    }
+}
+
+fn members(state: &State) -> Members {
+    Members::new(&state.roster.borrow().common_members())
+}
+
+fn known_versions(state: &State, now: Instant, service: &str) -> KnownVersions {
+    KnownVersions::of(&state.balancer.borrow().recent_versions(now, service))
+}
+
+/// The name of the version with this number; `None` if no server has had it recently.
+fn version_name(state: &State, now: Instant, service: &str, number: u32) -> Option<Rc<str>> {
+    let versions = state.balancer.borrow().recent_versions(now, service);
+    versions.into_iter().find(|v| version_number(v) == number)
+}
+
+fn to_wire(record: &OriginRecord) -> StreamOrigin {
+    StreamOrigin {
+        stream: record.stream,
+        version: record.version,
+        ttl_ms: u32::try_from(record.ttl.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn from_wire(origin: &StreamOrigin) -> OriginRecord {
+    OriginRecord {
+        stream: origin.stream,
+        version: origin.version,
+        ttl: Duration::from_millis(u64::from(origin.ttl_ms)),
+    }
+}
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -30,6 +30,7 @@
 use crate::duties::Duties;
 use crate::grants::SidecarClient;
 use crate::moves::OpenStreams;
+use crate::origins::Origins;
 use crate::platform::Dialect;
 use crate::pool::ConnectionPool;
 use crate::settings::Settings;
@@ -79,6 +80,8 @@
     pub repeat_budget: RefCell<RepeatBudget>,
     /// The copies of this entry's streams at second engines.
     pub copies: RefCell<CopyTable>,
+    /// The software versions that began streams.
+    pub origins: Origins,
     /// Asks the sidecars next to engines, if there are any.
     pub sidecars: RefCell<Option<Rc<SidecarClient>>>,
     /// The fleet-wide duties, if any are configured and their port could be bound.
@@ -143,6 +146,7 @@
             clock,
             catalog: RefCell::default(),
             copies: RefCell::new(CopyTable::new(&settings.name)),
+            origins: Origins::default(),
             sidecars: RefCell::default(),
             duties: RefCell::default(),
             crashes: CrashTracker::default(),
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -34,6 +34,8 @@
     /// Calls whose answers have not been sent completely.
     #[serde(rename = "open")]
     pub open_calls: usize,
+    /// Streams of which the software version that began them is known.
+    pub origins: usize,
     /// Moves of streams in progress, if moves are enabled.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub moves: Option<usize>,
@@ -58,6 +60,7 @@
             limited: feedback.limited,
             crashes: state.crashes.count(),
             open_calls: state.open_calls.get(),
+            origins: state.origins.count(),
             moves: state.settings.moves.then(|| state.moves.in_progress()),
             duties: state.duties.borrow().as_ref().map(|d| d.status()),
         }
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -42,6 +42,8 @@
             prompt_tokens: number(headers, "prompt"),
             max_tokens: number(headers, "output"),
             prompt_parts: parts(headers),
+            last_event: text(headers, "last-event").and_then(|n| n.parse().ok()),
+            resumes: text(headers, "resumes"),
             ..CallHeaders::default()
         }
     }
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -102,6 +102,28 @@
     }
 }
 
+/// Guards against a stream of unknown origin being taken up at any version, and against
+/// refusing it while there is one version only.
+#[rstest]
+#[case::one_version(&["v1", "v1"], "200", 1)]
+#[case::several_versions(&["v1", "v2"], "503", 0)]
+#[actix_rt::test]
+async fn unknown_stream_taken_up(
+    #[case] versions: &'static [&'static str],
+    #[case] expected: &str,
+    #[case] requests: usize,
+) {
+    let plan = Plan {
+        versions,
+        ..Plan::new(CallKind::Resumable, 2, &[Action::Send(REMAINDER)])
+    };
+    let entry = Entry::start(plan).await;
+    let answer = entry.call("call-id: 2\r\nresumes: 1\r\nlast-event: 1\r\n");
+    let answer = answer.await;
+    assert_eq!(status(&answer), expected);
+    assert_eq!(entry.servers.requests().len(), requests);
+}
+
 /// Guards against a call without an event being bound to the version of its first server.
 #[actix_rt::test]
 async fn retry_before_first_event_needs_no_version() {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -26,6 +26,7 @@
 use crate::paces::{PaceClass, PaceClasses};
 use crate::peer_load::CallCounts;
 use crate::rendezvous::{hash_name, score, weighted_score};
+use crate::versions::VersionHistory;
 use feedback::FeedbackState;
 use name_order::NameOrder;
 use retained::RetainedFeedback;
@@ -148,6 +149,8 @@
     retained: RetainedFeedback,
     /// The order in which server names were first seen.
     name_order: NameOrder,
+    /// The software versions of each service.
+    versions: VersionHistory,
     /// The entry's turns among those that share the servers' rate limits. Until
     /// the entries are counted it is unset, and rate-limited servers get no
     /// calls.
@@ -253,6 +256,7 @@
             servers: HashMap::new(),
             retained: RetainedFeedback::default(),
             name_order: NameOrder::default(),
+            versions: VersionHistory::default(),
             turns: None,
             choices: 0,
             paces: HashMap::new(),
@@ -269,7 +273,24 @@
         let first_seen = self.name_order.position(now, &record.id);
         let addr = record.addr;
         let old_addr = self.addr(&record.id);
+        let id = Rc::clone(&record.id);
+        let version = |server: &Server| {
+            let ServerRecord {
+                service, version, ..
+            } = &server.record;
+            (Rc::clone(service), Rc::clone(version))
+        };
+        let before = self.servers.get(&id).map(version);
         let change = self.upsert_record(record, first_seen);
+        let after = self.servers.get(&id).map(version);
+        if before != after {
+            if let Some((service, version)) = after {
+                self.versions.server_added(&service, &version);
+            }
+            if let Some((service, version)) = before {
+                self.versions.server_removed(now, &service, &version);
+            }
+        }
         if change != RecordChange::Unchanged {
             self.update_replaced(addr);
             old_addr
@@ -372,6 +393,10 @@
         let gone = self.servers.values().filter(gone);
         let gone: Vec<Rc<str>> = gone.map(|s| Rc::clone(&s.record.id)).collect();
         for server in gone.iter().filter_map(|id| self.servers.remove(id)) {
+            let ServerRecord {
+                service, version, ..
+            } = &server.record;
+            self.versions.server_removed(now, service, version);
             self.retained.keep(now, &server.record, server.feedback);
         }
         self.retained.expire(now);
@@ -430,6 +455,18 @@
             .collect()
     }
 
+    /// The software versions of `service` that have or recently had servers, also
+    /// those whose servers take no calls any more.
+    #[must_use]
+    pub fn recent_versions(&self, now: Instant, service: &str) -> Vec<Rc<str>> {
+        self.versions.recent(now, service).cloned().collect()
+    }
+
+    /// The names of the services of which any server is or was known.
+    pub fn known_services(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.versions.services()
+    }
+
     /// Whether any server of `service` is known that may be called, now or after a
     /// pause.
     #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,8 @@
 //! - [`replica`]: an entry's replicas of the store's tables.
 //! - [`readers`]: whether an entry reads the store or asks a neighbour.
 //! - [`repeat_budget`]: how many calls may be repeated at a second server.
+//! - [`versions`]: the software versions of each service's servers.
+//! - [`origins`]: which software version began a stream that a caller takes up.
 //! - [`backup`]: which streams have a copy at a second engine.
 //! - [`suspects`]: which requests crash the servers that run them.
 //! - [`rendezvous`]: rendezvous hashing of servers.
@@ -64,6 +66,7 @@
 pub mod membership;
 pub mod moves;
 pub mod offer;
+pub mod origins;
 pub mod outlier;
 pub mod paces;
 pub mod pauses;
@@ -84,6 +87,7 @@
 pub mod suspects;
 pub mod urgency;
 pub mod usage;
+pub mod versions;
 pub mod wait_estimate;
 
 pub use placement::Placement;
--- /dev/null
+++ b/crates/policy/src/origins.rs
@@ -0,0 +1,262 @@
+//! Which software version began a stream that a caller takes up at another entry.
+//!
+//! What two versions write does not fit together, and servers do not check it. The entry at
+//! which a stream begins therefore tells the version to a few other entries, its homes,
+//! which rendezvous hashing selects by the stream's request ID. Any entry can ask them. It
+//! does so only while the service runs several versions; otherwise the answer is clear. See
+//! docs/design/stream-versions.md.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::rendezvous::{hash_name, score};
+use crate::versions::RECENT;
+
+/// Entries that are told of a stream, besides the one that began it.
+const HOMES: usize = 3;
+
+/// Entries that are asked. One more than homes, since entries may know different ones.
+const ASKED: usize = HOMES + 1;
+
+/// Records that an entry keeps at most. It drops those that expire first.
+const MAX_RECORDS: usize = 65_536;
+
+/// The key of a stream, computed from the request ID of the attempt that began it.
+#[must_use]
+pub fn stream_key(request_id: &str) -> u64 {
+    hash_name(request_id)
+}
+
+/// The version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OriginRecord {
+    /// The stream.
+    pub stream: u64,
+    /// Number of the version.
+    pub version: u32,
+    /// Time for which its caller may still take it up.
+    pub ttl: Duration,
+}
+
+/// What an asked entry knows of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginAnswer {
+    /// The number of the version that began it.
+    Began(u32),
+    /// Nothing, and it has recently seen several versions of the service.
+    SeveralVersions,
+    /// Nothing.
+    Unknown,
+}
+
+/// The versions of a service as an entry itself knows them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KnownVersions {
+    /// No server of it is known.
+    None,
+    /// Only this one has been seen recently.
+    One(Rc<str>),
+    /// Several have been seen recently.
+    Several,
+}
+
+impl KnownVersions {
+    /// Summarizes versions that have been seen recently.
+    #[must_use]
+    pub fn of(versions: &[Rc<str>]) -> Self {
+        match versions {
+            [] => Self::None,
+            [one] => Self::One(Rc::clone(one)),
+            _ => Self::Several,
+        }
+    }
+}
+
+/// Whether the version of a stream without a record is clear. `answers` are those of the
+/// entries that were asked, and `peers` says whether any entry could be asked.
+///
+/// An entry that is cut off from the store may not know of a new version. It takes its only
+/// one for the stream's only if another entry knows no more, or there is none.
+#[must_use]
+pub fn infer_version(
+    known: &KnownVersions,
+    answers: &[OriginAnswer],
+    peers: bool,
+) -> Option<Rc<str>> {
+    let KnownVersions::One(version) = known else {
+        return None;
+    };
+    let several = answers.contains(&OriginAnswer::SeveralVersions);
+    let confirmed = !answers.is_empty() || !peers;
+    (confirmed && !several).then(|| Rc::clone(version))
+}
+
+/// The entries that may be told of streams.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    /// Each with the hash of its address.
+    entries: Vec<(SocketAddr, u64)>,
+}
+
+impl Members {
+    /// Those at the given addresses.
+    #[must_use]
+    pub fn new(addrs: &[SocketAddr]) -> Self {
+        let entries = addrs.iter().map(|a| (*a, hash_name(&a.to_string())));
+        Self {
+            entries: entries.collect(),
+        }
+    }
+
+    /// The entries that are told of a stream.
+    #[must_use]
+    pub fn homes(&self, stream: u64) -> Vec<SocketAddr> {
+        self.highest_ranked(stream, HOMES)
+    }
+
+    /// The entries that are asked for a stream.
+    #[must_use]
+    pub fn asked(&self, stream: u64) -> Vec<SocketAddr> {
+        self.highest_ranked(stream, ASKED)
+    }
+
+    fn highest_ranked(&self, stream: u64, count: usize) -> Vec<SocketAddr> {
+        let scored = self.entries.iter();
+        let mut ranked: Vec<(u64, SocketAddr)> = scored
+            .map(|(addr, hash)| (score(stream, *hash), *addr))
+            .collect();
+        ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, addr)| addr).collect()
+    }
+}
+
+/// The versions of streams that this entry began or was told of.
+#[derive(Debug, Default)]
+pub struct OriginTable {
+    records: HashMap<u64, Record>,
+    /// The records by the time at which they expire.
+    expiry: BTreeSet<(Instant, u64)>,
+    /// Own streams that the homes have not been told of, in the order of their start.
+    untold: VecDeque<(u64, Rc<str>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    version: u32,
+    expires_at: Instant,
+}
+
+impl OriginTable {
+    /// Records a stream of `service` that begins at this entry.
+    pub fn began(&mut self, now: Instant, service: &Rc<str>, record: OriginRecord) {
+        self.insert(now, record);
+        self.untold.push_back((record.stream, Rc::clone(service)));
+    }
+
+    /// Records a stream that began at another entry.
+    pub fn insert(&mut self, now: Instant, record: OriginRecord) {
+        self.expire(now);
+        let expires_at = now + record.ttl.min(RECENT);
+        let inserted = Record {
+            version: record.version,
+            expires_at,
+        };
+        if let Some(replaced) = self.records.insert(record.stream, inserted) {
+            self.expiry.remove(&(replaced.expires_at, record.stream));
+        }
+        self.expiry.insert((expires_at, record.stream));
+        while self.records.len() > MAX_RECORDS {
+            let Some((_, stream)) = self.expiry.pop_first() else {
+                break;
+            };
+            self.records.remove(&stream);
+        }
+    }
+
+    /// The number of the version that began a stream, if known.
+    #[must_use]
+    pub fn version(&self, now: Instant, stream: u64) -> Option<u32> {
+        let record = self.records.get(&stream)?;
+        (now < record.expires_at).then_some(record.version)
+    }
+
+    /// Takes the own streams that the homes are to be told of: those of services for which
+    /// `several` versions are known. The others wait until there are several.
+    pub fn take_untold(
+        &mut self,
+        now: Instant,
+        several: impl Fn(&str) -> bool,
+    ) -> Vec<OriginRecord> {
+        self.expire(now);
+        let (records, mut told) = (&self.records, Vec::new());
+        self.untold.retain(|(stream, service)| {
+            let Some(record) = records.get(stream) else {
+                return false;
+            };
+            if !several(service) {
+                return true;
+            }
+            told.push(record.with_key(now, *stream));
+            false
+        });
+        told
+    }
+
+    /// The records for which the entry at `home` is a home among `members`. An entry that
+    /// has started asks for them.
+    #[must_use]
+    pub fn records_for(
+        &self,
+        now: Instant,
+        home: SocketAddr,
+        members: &Members,
+    ) -> Vec<OriginRecord> {
+        let valid = self.records.iter().filter(|(_, r)| now < r.expires_at);
+        let valid = valid.filter(|(stream, _)| members.homes(**stream).contains(&home));
+        valid
+            .map(|(stream, record)| record.with_key(now, *stream))
+            .collect()
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((expires_at, stream)) = self.expiry.first().copied() {
+            if now < expires_at {
+                break;
+            }
+            self.expiry.pop_first();
+            self.records.remove(&stream);
+        }
+        // Streams end in about the order of their start.
+        let records = &self.records;
+        let ended = |(stream, _): &(u64, Rc<str>)| !records.contains_key(stream);
+        while self.untold.front().is_some_and(ended) {
+            self.untold.pop_front();
+        }
+    }
+}
+
+impl Record {
+    fn with_key(self, now: Instant, stream: u64) -> OriginRecord {
+        OriginRecord {
+            stream,
+            version: self.version,
+            ttl: self.expires_at.saturating_duration_since(now),
+        }
+    }
+}
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -324,6 +324,24 @@
         }
     }
 
+    /// The entries, with this one, that the entries of the own zone know alike: all, or
+    /// the first of the zone if there are too many.
+    #[must_use]
+    pub fn common_members(&self) -> Vec<SocketAddr> {
+        if !self.uses_relays() {
+            let all = self.entries.keys().copied();
+            return all.chain([self.own.addr]).collect();
+        }
+        let members = self.members_of(self.own.zone);
+        let mut members: Vec<(Rank, SocketAddr)> = members
+            .map(|m| (m.rank, m.info.addr))
+            .chain([(self.rank, self.own.addr)])
+            .collect();
+        members.sort_unstable();
+        members.truncate(MAX_NAMED);
+        members.into_iter().map(|(_, addr)| addr).collect()
+    }
+
     /// The other entries of a zone.
     fn members_of(&self, zone: u32) -> impl Iterator<Item = &Member> {
         self.entries.values().filter(move |m| m.info.zone == zone)
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -14,6 +14,9 @@
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 
+/// Maximum number of records in one [`OriginMessage`], such that it fits one datagram.
+pub const MAX_ORIGINS: usize = 64;
+
 /// A datagram from one entry to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -23,6 +26,55 @@
     /// The entries that the sender knows.
     #[serde(rename = "Answer")]
     Membership(Membership),
+    /// Which software versions began streams.
+    Origins(OriginMessage),
+}
+
+/// A message about the software versions that began streams.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum OriginMessage {
+    /// Streams that the recipient is to remember; at most [`MAX_ORIGINS`].
+    Records(Vec<StreamOrigin>),
+    /// Requests the records that the sender lacks because it has started.
+    Missing,
+    /// Asks for the version that began a stream.
+    Query {
+        /// Number of the query, to match its reply.
+        query: u32,
+        /// Key of the stream.
+        stream: u64,
+        /// Number of the service.
+        service_number: u32,
+    },
+    /// The reply to a query.
+    Reply {
+        /// Number of the query.
+        query: u32,
+        /// What the sender knows of the stream.
+        origin: KnownOrigin,
+    },
+}
+
+/// The software version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Key of the stream.
+    pub stream: u64,
+    /// Number of the version.
+    pub version: u32,
+    /// Time for which the caller may take the stream up, in milliseconds.
+    pub ttl_ms: u32,
+}
+
+/// What an entry knows of a stream's origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KnownOrigin {
+    /// The number of the version that began it.
+    Version(u32),
+    /// Nothing; the service has or recently had several versions.
+    SeveralVersions,
+    /// Nothing.
+    Unknown,
 }
 
 /// The load of one entry, or the aggregate over several entries.
@@ -239,6 +291,7 @@
                 return dropped;
             }
         },
+        Message::Origins(_) => return false,
     };
     let dropped = has_lists(load);
     let (calls, paces) = (load.calls.len(), load.paces.len());
