Let streams go on at the only version while the store answers

With one version in service, a caller that took its stream up while the three other entries were restarting was refused, as no entry answered within 150 ms. The answer is only needed by an entry that has lost the store and may not know of a new version; the others now go by their table. Streams that wait to be told of are kept by service, so that the start of a stream does not look at those of services with one version.

--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -155,8 +155,8 @@
         return version_name(state, now, service, number);
     }
     let known = known_versions(state, now, service);
-    let can_ask = stream.is_some() && !peers.is_empty();
-    origins::infer_version(&known, &answers, can_ask)
+    let outdated = state.store_lost.get() && !peers.is_empty();
+    origins::infer_version(&known, &answers, outdated)
 }
 
 /// Asks entries for a stream until one knows it or all have answered.
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -75,22 +75,23 @@
     }
 }
 
-/// Whether the version of a stream without a record is clear. `answers` are those of the
-/// entries that were asked, and `peers` says whether any entry could be asked.
+/// The version of a stream without a record, if it is clear. `answers` are those of the
+/// entries that were asked.
 ///
-/// An entry that is cut off from the store may not know of a new version. It takes its only
-/// one for the stream's only if another entry knows no more, or there is none.
+/// An entry that is cut off from the store may not know of a new version. If it is, so that
+/// its table is `outdated`, it takes the only version it knows for the stream's only when
+/// another entry knows no more.
 #[must_use]
 pub fn infer_version(
     known: &KnownVersions,
     answers: &[OriginAnswer],
-    peers: bool,
+    outdated: bool,
 ) -> Option<Rc<str>> {
     let KnownVersions::One(version) = known else {
         return None;
     };
     let several = answers.contains(&OriginAnswer::SeveralVersions);
-    let confirmed = !answers.is_empty() || !peers;
+    let confirmed = !answers.is_empty() || !outdated;
     (confirmed && !several).then(|| Rc::clone(version))
 }
 
@@ -140,8 +141,9 @@
     records: HashMap<u64, Record>,
     /// The records by the time at which they expire.
     expiry: BTreeSet<(Instant, u64)>,
-    /// Own streams that the homes have not been told of, in the order of their start.
-    untold: VecDeque<(u64, Rc<str>)>,
+    /// Own streams of each service that the homes have not been told of, in the order of
+    /// their start.
+    untold: HashMap<Rc<str>, VecDeque<u64>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -154,7 +156,8 @@
     /// Records a stream of `service` that begins at this entry.
     pub fn began(&mut self, now: Instant, service: &Rc<str>, record: OriginRecord) {
         self.insert(now, record);
-        self.untold.push_back((record.stream, Rc::clone(service)));
+        let untold = self.untold.entry(Rc::clone(service)).or_default();
+        untold.push_back(record.stream);
     }
 
     /// Records a stream that began at another entry.
@@ -193,14 +196,15 @@
     ) -> Vec<OriginRecord> {
         self.expire(now);
         let (records, mut told) = (&self.records, Vec::new());
-        self.untold.retain(|(stream, service)| {
-            let Some(record) = records.get(stream) else {
-                return false;
-            };
+        self.untold.retain(|service, streams| {
             if !several(service) {
                 return true;
             }
-            told.push(record.with_key(now, *stream));
+            let known = streams.iter().filter_map(|stream| {
+                let record = records.get(stream)?;
+                Some(record.with_key(now, *stream))
+            });
+            told.extend(known);
             false
         });
         told
@@ -242,12 +246,15 @@
             self.expiry.pop_first();
             self.records.remove(&stream);
         }
-        // Streams end in about the order of their start.
+        // Streams expire in about the order of their start.
         let records = &self.records;
-        let ended = |(stream, _): &(u64, Rc<str>)| !records.contains_key(stream);
-        while self.untold.front().is_some_and(ended) {
-            self.untold.pop_front();
-        }
+        let expired = |stream: &u64| !records.contains_key(stream);
+        self.untold.retain(|_, streams| {
+            while streams.front().is_some_and(expired) {
+                streams.pop_front();
+            }
+            !streams.is_empty()
+        });
     }
 }
 
