Take streams up at the service at which they began

On a route that is split between services a caller that took a stream up was sent to any of them. The stream's version then names no server there, so that the call was refused though its version served, and versions of the same name would have been taken for one. The service is now picked by the hash of the stream's ID, equal at all entries, and records name the service. A route that was moved to another service since lets the stream go on there at any version, as before.

Test taken_up_at_another_service: 503 version_unknown before for the first stream whose second call was sent to the other service, 20 of 20 go on now at the server's own service.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -20,6 +20,7 @@
 use http::{HeaderMap, Method, Uri};
 use policy::balance::ServerRecord;
 use policy::pools::{IncomingCall, Phase};
+use policy::rendezvous;
 use policy::routes::{Access, CallKind, Catalog, Route, Workspace};
 use policy::suspects::Fingerprint;
 use policy::urgency;
@@ -32,7 +33,7 @@
 
 use crate::crashes;
 use crate::exchange::{ResponseBody, SendError};
-use crate::origins::{self, NewStream};
+use crate::origins::{self, Continuation, NewStream};
 use crate::platform::CallHeaders;
 use crate::reply::{LocalReply, Reply};
 use crate::state::{OpenCall, State};
@@ -152,7 +153,14 @@
             Access::Workspace(workspace) => Some(workspace),
             Access::Denied => return Err(LocalReply::denied(401, Refusal::BadToken)),
         };
-        let Some(service) = route.pick_service(rand::rng().random()).cloned() else {
+        // A stream that is taken up goes to the service at which it began.
+        let stream = parsed_headers.resumes.as_ref();
+        let stream = stream.or(parsed_headers.request_id.as_ref());
+        let sample = match stream {
+            Some(id) => rendezvous::unit_interval(rendezvous::hash_name(id)),
+            None => rand::rng().random(),
+        };
+        let Some(service) = route.pick_service(sample).cloned() else {
             return Err(LocalReply::refused(Refusal::NoServer, NO_SERVER_RETRY));
         };
         let engine = catalog.service(&service).and_then(|s| s.engine);
@@ -270,7 +278,7 @@
         if let Some(refusal) = self.refuse_over_share() {
             return Reply::Local(refusal);
         }
-        if self.takes_up_stream() && !self.find_version().await {
+        if self.takes_up_stream() && !self.bind_taken_up_stream().await {
             let after = self.retry_after(NO_SERVER_RETRY);
             return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
         }
@@ -340,17 +348,19 @@
         continues && self.route.kind == CallKind::Resumable
     }
 
-    /// Finds the software version that began the stream that the caller takes up; returns
-    /// whether it is known.
-    async fn find_version(&self) -> bool {
+    /// Finds the software version that began the stream that the caller takes up, and
+    /// binds the call to it; returns whether the stream may go on.
+    async fn bind_taken_up_stream(&self) -> bool {
         let resumes = self.parsed_headers.resumes.as_deref();
-        let found = origins::find_version(&self.state, &self.service, resumes, self.deadline).await;
-        let outcome = if found.is_some() { "known" } else { "unknown" };
+        let found =
+            origins::find_continuation(&self.state, &self.service, resumes, self.deadline).await;
+        let (outcome, may_go_on) = match found {
+            Continuation::AtVersion(version) => ("known", self.version.set(version).is_ok()),
+            Continuation::Anywhere => ("other_service", true),
+            Continuation::Nowhere => ("unknown", false),
+        };
         metrics::counter!("pimentocart_streams_taken_up_total", "version" => outcome).increment(1);
-        match found {
-            Some(version) => self.version.set(version).is_ok(),
-            None => false,
-        }
+        may_go_on
     }
 
     /// Binds the call to the version of the server that has sent its first event, and
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use policy::origins::{self, KnownVersions, Members, OriginAnswer, OriginRecord, OriginTable};
+use policy::origins::{
+    self, KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable,
+};
 use policy::versions::version_number;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -65,7 +67,7 @@
 
     fn send_records(&self, to: SocketAddr, records: &[OriginRecord]) {
         for part in records.chunks(MAX_ORIGINS) {
-            let origins = part.iter().map(to_wire).collect();
+            let origins = part.iter().map(record_to_wire).collect();
             self.send(to, OriginMessage::Records(origins));
         }
     }
@@ -77,7 +79,10 @@
     let now = state.clock.now();
     let record = OriginRecord {
         stream: origins::stream_key(stream.request_id),
-        version: version_number(stream.version),
+        origin: Origin {
+            service: service_number(stream.service),
+            version: version_number(stream.version),
+        },
         ttl: stream.caller_timeout + TTL_MARGIN,
     };
     let mut table = state.origins.table.borrow_mut();
@@ -126,19 +131,30 @@
     }
 }
 
-/// The version that began the stream of the attempt `resumes`; `None` if it is not known
-/// and several may have. Asks other entries until `deadline` at most.
-pub(crate) async fn find_version(
+/// Where a stream that a caller takes up may go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Continuation {
+    /// At servers of this software version.
+    AtVersion(Rc<str>),
+    /// At any server: it began at another service, which its route has been taken from.
+    Anywhere,
+    /// Not here: it is not known which version began it, or no server has it any more.
+    Nowhere,
+}
+
+/// Where the stream of the attempt `resumes` may go on, at servers of `service`. Asks other
+/// entries until `deadline` at most.
+pub(crate) async fn find_continuation(
     state: &State,
     service: &Rc<str>,
     resumes: Option<&str>,
     deadline: Instant,
-) -> Option<Rc<str>> {
+) -> Continuation {
     let now = state.clock.now();
     let stream = resumes.map(origins::stream_key);
-    let recorded = stream.and_then(|s| state.origins.table.borrow().version(now, s));
-    if let Some(number) = recorded {
-        return version_name(state, now, service, number);
+    let recorded = stream.and_then(|s| state.origins.table.borrow().origin(now, s));
+    if let Some(origin) = recorded {
+        return Continuation::from_origin(state, now, service, origin);
     }
     let mut peers = members(state).asked(stream.unwrap_or_default());
     peers.retain(|peer| *peer != state.settings.gossip);
@@ -148,15 +164,32 @@
     };
     let now = state.clock.now();
     let began = answers.iter().find_map(|answer| match answer {
-        OriginAnswer::Began(number) => Some(*number),
+        OriginAnswer::Began(origin) => Some(*origin),
         OriginAnswer::SeveralVersions | OriginAnswer::Unknown => None,
     });
-    if let Some(number) = began {
-        return version_name(state, now, service, number);
+    if let Some(origin) = began {
+        return Continuation::from_origin(state, now, service, origin);
     }
     let known = known_versions(state, now, service);
     let outdated = state.store_lost.get() && !peers.is_empty();
-    origins::infer_version(&known, &answers, outdated)
+    match origins::infer_version(&known, &answers, outdated) {
+        Some(version) => Continuation::AtVersion(version),
+        None => Continuation::Nowhere,
+    }
+}
+
+impl Continuation {
+    fn from_origin(state: &State, now: Instant, service: &str, origin: Origin) -> Self {
+        if origin.service != service_number(service) {
+            return Self::Anywhere;
+        }
+        let versions = state.balancer.borrow().recent_versions(now, service);
+        let mut versions = versions.into_iter();
+        match versions.find(|v| version_number(v) == origin.version) {
+            Some(version) => Self::AtVersion(version),
+            None => Self::Nowhere,
+        }
+    }
 }
 
 /// Asks entries for a stream until one knows it or all have answered.
@@ -217,7 +250,7 @@
         OriginMessage::Records(origins) => {
             let mut table = own.table.borrow_mut();
             for origin in origins {
-                table.insert(now, from_wire(&origin));
+                table.insert(now, record_from_wire(&origin));
             }
         }
         OriginMessage::Missing => {
@@ -234,7 +267,7 @@
         }
         OriginMessage::Reply { query, origin } => {
             let answer = match origin {
-                KnownOrigin::Version(number) => OriginAnswer::Began(number),
+                KnownOrigin::Began(origin) => OriginAnswer::Began(from_wire(origin)),
                 KnownOrigin::SeveralVersions => OriginAnswer::SeveralVersions,
                 KnownOrigin::Unknown => OriginAnswer::Unknown,
             };
@@ -248,8 +281,8 @@
 
 /// What this entry tells one that asks for a stream.
 fn known_origin(state: &State, now: Instant, stream: u64, service: u32) -> KnownOrigin {
-    if let Some(version) = state.origins.table.borrow().version(now, stream) {
-        return KnownOrigin::Version(version);
+    if let Some(origin) = state.origins.table.borrow().origin(now, stream) {
+        return KnownOrigin::Began(to_wire(origin));
     }
     let balancer = state.balancer.borrow();
     let mut services = balancer.known_services();
@@ -269,24 +302,32 @@
     KnownVersions::of(&state.balancer.borrow().recent_versions(now, service))
 }
 
-/// The name of the version with this number; `None` if no server has had it recently.
-fn version_name(state: &State, now: Instant, service: &str, number: u32) -> Option<Rc<str>> {
-    let versions = state.balancer.borrow().recent_versions(now, service);
-    versions.into_iter().find(|v| version_number(v) == number)
+fn to_wire(origin: Origin) -> gossip::Origin {
+    gossip::Origin {
+        service_number: origin.service,
+        version: origin.version,
+    }
+}
+
+fn from_wire(origin: gossip::Origin) -> Origin {
+    Origin {
+        service: origin.service_number,
+        version: origin.version,
+    }
 }
 
-fn to_wire(record: &OriginRecord) -> StreamOrigin {
+fn record_to_wire(record: &OriginRecord) -> StreamOrigin {
     StreamOrigin {
         stream: record.stream,
-        version: record.version,
+        origin: to_wire(record.origin),
         ttl_ms: u32::try_from(record.ttl.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
-fn from_wire(origin: &StreamOrigin) -> OriginRecord {
+fn record_from_wire(record: &StreamOrigin) -> OriginRecord {
     OriginRecord {
-        stream: origin.stream,
-        version: origin.version,
-        ttl: Duration::from_millis(u64::from(origin.ttl_ms)),
+        stream: record.stream,
+        origin: from_wire(record.origin),
+        ttl: Duration::from_millis(u64::from(record.ttl_ms)),
     }
 }
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -124,6 +124,28 @@
     assert_eq!(entry.servers.requests().len(), requests);
 }
 
+/// Guards against a stream being taken up at another service of a split route, where its
+/// version means nothing.
+#[actix_rt::test]
+async fn taken_up_at_another_service() {
+    let actions = [Action::Send(COMPLETE), Action::Send(REMAINDER)].repeat(20);
+    let plan = Plan {
+        versions: &["v1", "v2"],
+        services: &["app", "other"],
+        ..Plan::new(CallKind::Resumable, 1, &actions)
+    };
+    let entry = Entry::start(plan).await;
+    for id in 1..=20 {
+        entry.call(&format!("call-id: {id}\r\n")).await;
+        let again = format!("call-id: {id}-2\r\nresumes: {id}\r\nlast-event: 1\r\n");
+        assert_eq!(status(&entry.call(&again).await), "200");
+    }
+    let requests = entry.servers.requests();
+    let servers: Vec<_> = requests.iter().map(|r| header(r, "server")).collect();
+    assert!(servers.chunks(2).all(|pair| pair[0] == pair[1]));
+    assert!(servers.iter().any(|s| *s != servers[0]));
+}
+
 /// Guards against a call without an event being bound to the version of its first server.
 #[actix_rt::test]
 async fn retry_before_first_event_needs_no_version() {
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -30,13 +30,22 @@
     hash_name(request_id)
 }
 
-/// The version that began a stream.
+/// Where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// Number of the service.
+    pub service: u32,
+    /// Number of the software version of its server.
+    pub version: u32,
+}
+
+/// A stream and where it began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OriginRecord {
     /// The stream.
     pub stream: u64,
-    /// Number of the version.
-    pub version: u32,
+    /// Where it began.
+    pub origin: Origin,
     /// Time for which its caller may still take it up.
     pub ttl: Duration,
 }
@@ -44,8 +53,8 @@
 /// What an asked entry knows of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OriginAnswer {
-    /// The number of the version that began it.
-    Began(u32),
+    /// Where it began.
+    Began(Origin),
     /// Nothing, and it has recently seen several versions of the service.
     SeveralVersions,
     /// Nothing.
@@ -135,7 +144,7 @@
     }
 }
 
-/// The versions of streams that this entry began or was told of.
+/// Where the streams began that this entry began or was told of.
 #[derive(Debug, Default)]
 pub struct OriginTable {
     records: HashMap<u64, Record>,
@@ -148,7 +157,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Record {
-    version: u32,
+    origin: Origin,
     expires_at: Instant,
 }
 
@@ -165,7 +174,7 @@
         self.expire(now);
         let expires_at = now + record.ttl.min(RECENT);
         let inserted = Record {
-            version: record.version,
+            origin: record.origin,
             expires_at,
         };
         if let Some(replaced) = self.records.insert(record.stream, inserted) {
@@ -180,11 +189,11 @@
         }
     }
 
-    /// The number of the version that began a stream, if known.
+    /// Where a stream began, if known.
     #[must_use]
-    pub fn version(&self, now: Instant, stream: u64) -> Option<u32> {
+    pub fn origin(&self, now: Instant, stream: u64) -> Option<Origin> {
         let record = self.records.get(&stream)?;
-        (now < record.expires_at).then_some(record.version)
+        (now < record.expires_at).then_some(record.origin)
     }
 
     /// Takes the own streams that the homes are to be told of: those of services for which
@@ -262,7 +271,7 @@
     fn with_key(self, now: Instant, stream: u64) -> OriginRecord {
         OriginRecord {
             stream,
-            version: self.version,
+            origin: self.origin,
             ttl: self.expires_at.saturating_duration_since(now),
         }
     }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -24,7 +24,11 @@
 /// only.
 #[must_use]
 pub fn weighted_score(key: u64, server: u64, weight: f64) -> f64 {
-    // The upper 53 bits of the score as a number between 0 and 1.
-    let unit = ((score(key, server) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    -weight / unit.ln()
+    -weight / unit_interval(score(key, server)).ln()
+}
+
+/// A hash as a number between 0 and 1, without the ends.
+#[must_use]
+pub fn unit_interval(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -15,7 +15,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 
 /// Maximum number of records in one [`OriginMessage`], such that it fits one datagram.
-pub const MAX_ORIGINS: usize = 64;
+pub const MAX_ORIGINS: usize = 48;
 
 /// A datagram from one entry to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -55,13 +55,22 @@
     },
 }
 
-/// The software version that began a stream.
+/// Where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Number of the service.
+    pub service_number: u32,
+    /// Number of the software version of its server.
+    pub version: u32,
+}
+
+/// A stream and where it began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// Key of the stream.
     pub stream: u64,
-    /// Number of the version.
-    pub version: u32,
+    /// Where it began.
+    pub origin: Origin,
     /// Time for which the caller may take the stream up, in milliseconds.
     pub ttl_ms: u32,
 }
@@ -69,8 +78,8 @@
 /// What an entry knows of a stream's origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KnownOrigin {
-    /// The number of the version that began it.
-    Version(u32),
+    /// Where it began.
+    Began(Origin),
     /// Nothing; the service has or recently had several versions.
     SeveralVersions,
     /// Nothing.
