--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -128,7 +128,8 @@
 /// version means nothing.
 #[actix_rt::test]
 async fn taken_up_at_another_service() {
-    let actions = [Action::Send(COMPLETE), Action::Send(REMAINDER)].repeat(20);
+    let pair = |_| [Action::Send(COMPLETE), Action::Send(REMAINDER)];
+    let actions: Vec<Action> = (0..20).flat_map(pair).collect();
     let plan = Plan {
         versions: &["v1", "v2"],
         services: &["app", "other"],
