Admit streams that callers take up like streams that entries resume

A caller that takes a stream up was refused as late like one that has received nothing. While two versions serve, the engines of its own may be the busier ones, and a refusal loses the part that it has. The call now counts as the continuation that it is, which urgency::CallTiming has always asked for (its caller has received nothing is not true).

Test taken_up_stream_refused_as_late: 503 before, 200 now.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -282,6 +282,10 @@
             let after = self.retry_after(NO_SERVER_RETRY);
             return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
         }
+        let start = match self.takes_up_stream() {
+            true => StartPoint::After(self.parsed_headers.last_event),
+            false => StartPoint::Beginning,
+        };
         let mut tried = Vec::new();
         self.state
             .repeat_budget
@@ -295,7 +299,7 @@
             if attempt > 1 && !self.take_retry() {
                 break;
             }
-            let response = self.send(&mut tried, StartPoint::Beginning).await;
+            let response = self.send(&mut tried, start).await;
             let error = match response {
                 Ok(response) => match self.accept(response, &tried).await {
                     Ok(reply) if self.should_retry(&reply, &tried) => {
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -15,6 +15,7 @@
 use rstest::rstest;
 
 use crate::common::{Action, ENGINES, Entry, OK, Plan, WRONG_SERVER, header, request, status};
+use crate::streams::REMAINDER;
 
 /// A call dominated by the prefill of its prompt.
 const PREFILL_CALL: &str = "call-id: 1\r\nprompt: 3000\r\noutput: 50\r\n";
@@ -168,6 +169,33 @@
     assert!(entry.servers.requests().is_empty());
 }
 
+/// Guards against refusing as late a caller that takes up a stream, and so has a part of it:
+/// engines of its version may be the busiest.
+#[actix_rt::test]
+async fn taken_up_stream_refused_as_late() {
+    let mut plan = Plan::new(CallKind::Resumable, 1, &[Action::Send(REMAINDER)]);
+    plan.tier = 2;
+    let (sidecar, entry) = Sidecar::start_plan(plan).await;
+    let headers = format!("{PREFILL_CALL}resumes: 0\r\nlast-event: 1\r\n");
+    let admit_forced = async {
+        loop {
+            let (message, from) = sidecar.next().await;
+            let verdict = match message.kind {
+                RequestKind::Admission(admission) if admission.forced => Verdict::Granted,
+                RequestKind::Admission(_) => Verdict::Refused(4_000),
+                _ => continue,
+            };
+            let bytes = encode(&grant_response(message.call_number, verdict));
+            sidecar.0.send_to(&bytes, from).await.expect("sent");
+        }
+    };
+    let answer = tokio::select! {
+        answer = entry.call(&headers) => answer,
+        () = admit_forced => unreachable!("the sidecar answers until the call ends"),
+    };
+    assert_eq!(status(&answer), "200");
+}
+
 /// The sidecar does not respond. The entry asks three times, which takes less
 /// than 0.1 s, and then chooses by its local state. The next call must not ask
 /// at all.
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -18,7 +18,7 @@
     f\r\nid: 1\ndata: a\n\n\r\n8\r\nid: 2\nda\r\n";
 
 /// The rest of the stream after event 1, from another server.
-const REMAINDER: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: two\r\n\
+pub(crate) const REMAINDER: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: two\r\n\
     Transfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
 /// A server that resumes at the wrong event.
