Drop queries for streams whose caller has left

A caller that disconnected while other entries were asked for its stream left its query in the table of open queries for good, since only the end of the wait removed it. A guard removes it now; answers count only from entries that were asked. Found in reading.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -74,7 +74,8 @@
     fingerprint: OnceCell<Fingerprint>,
     /// The copy of its KV cache at a second engine, if one was asked for.
     backup: RefCell<Option<Backup>>,
-    /// The software version that began its stream, once an event has arrived.
+    /// The software version that its stream is bound to: the one that began it, known with
+    /// the first event or from the call that is taken up.
     version: OnceCell<Rc<str>>,
     method: Method,
     uri: Uri,
@@ -278,14 +279,14 @@
         if let Some(refusal) = self.refuse_over_share() {
             return Reply::Local(refusal);
         }
-        if self.takes_up_stream() && !self.bind_taken_up_stream().await {
-            let after = self.retry_after(NO_SERVER_RETRY);
-            return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
+        let mut start = StartPoint::Beginning;
+        if self.takes_up_stream() {
+            if !self.bind_taken_up_stream().await {
+                let after = self.retry_after(NO_SERVER_RETRY);
+                return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
+            }
+            start = StartPoint::After(self.parsed_headers.last_event);
         }
-        let start = match self.takes_up_stream() {
-            true => StartPoint::After(self.parsed_headers.last_event),
-            false => StartPoint::Beginning,
-        };
         let mut tried = Vec::new();
         self.state
             .repeat_budget
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -40,12 +40,26 @@
 }
 
 /// A query for one stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Query {
-    answers: RefCell<BTreeMap<SocketAddr, OriginAnswer>>,
+    /// The entries that are asked, each with its answer.
+    answers: RefCell<BTreeMap<SocketAddr, Option<OriginAnswer>>>,
     answered: Notify,
 }
 
+/// Guard that keeps a query until its caller has the answers or has left.
+struct OpenQuery<'a> {
+    origins: &'a Origins,
+    number: u32,
+    query: Rc<Query>,
+}
+
+impl Drop for OpenQuery<'_> {
+    fn drop(&mut self) {
+        self.origins.queries.borrow_mut().remove(&self.number);
+    }
+}
+
 impl Origins {
     /// Uses `socket` for messages to other entries.
     pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
@@ -58,6 +72,28 @@
         self.table.borrow().len()
     }
 
+    /// Number of queries that wait for answers.
+    #[must_use]
+    pub fn open_queries(&self) -> usize {
+        self.queries.borrow().len()
+    }
+
+    /// Opens a query to `peers`.
+    fn open_query(&self, peers: &[SocketAddr]) -> OpenQuery<'_> {
+        let number = self.next_query.get();
+        self.next_query.set(number.wrapping_add(1));
+        let query = Rc::new(Query {
+            answers: RefCell::new(peers.iter().map(|peer| (*peer, None)).collect()),
+            answered: Notify::new(),
+        });
+        self.queries.borrow_mut().insert(number, Rc::clone(&query));
+        OpenQuery {
+            origins: self,
+            number,
+            query,
+        }
+    }
+
     fn send(&self, to: SocketAddr, message: OriginMessage) {
         if let Some(socket) = &*self.socket.borrow() {
             // A datagram that cannot be sent is treated as lost.
@@ -200,45 +236,48 @@
     peers: &[SocketAddr],
     deadline: Instant,
 ) -> Vec<OriginAnswer> {
-    let own = &state.origins;
-    let number = own.next_query.get();
-    own.next_query.set(number.wrapping_add(1));
-    let query = Rc::new(Query::default());
-    own.queries.borrow_mut().insert(number, Rc::clone(&query));
+    let open = state.origins.open_query(peers);
+    let query = &open.query;
     let message = OriginMessage::Query {
-        query: number,
+        query: open.number,
         stream,
         service_number: service_number(service),
     };
     let until = (state.clock.now() + ANSWER_TIMEOUT).min(deadline);
-    while !query.is_settled(peers) {
+    while !query.is_settled() {
         let now = state.clock.now();
         if now >= until {
             break;
         }
-        let missing = |peer: &&SocketAddr| !query.answers.borrow().contains_key(peer);
-        for peer in peers.iter().filter(missing) {
-            own.send(*peer, message.clone());
+        for peer in query.missing() {
+            state.origins.send(peer, message.clone());
         }
         let resend_at = (now + RESEND_INTERVAL).min(until);
         let settled = async {
-            while !query.is_settled(peers) {
+            while !query.is_settled() {
                 query.answered.notified().await;
             }
         };
         // Those that have not answered are asked again after the timeout.
         let _ = tokio::time::timeout_at(resend_at.into(), settled).await;
     }
-    own.queries.borrow_mut().remove(&number);
     let answers = query.answers.borrow();
-    answers.values().copied().collect()
+    answers.values().copied().flatten().collect()
 }
 
 impl Query {
-    fn is_settled(&self, peers: &[SocketAddr]) -> bool {
+    /// Whether an entry knows the stream or all have answered.
+    fn is_settled(&self) -> bool {
+        let answers = self.answers.borrow();
+        let began = |answer: &Option<OriginAnswer>| matches!(answer, Some(OriginAnswer::Began(_)));
+        answers.values().any(began) || answers.values().all(Option::is_some)
+    }
+
+    /// The entries that have not answered.
+    fn missing(&self) -> Vec<SocketAddr> {
         let answers = self.answers.borrow();
-        let began = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Began(_));
-        answers.len() == peers.len() || answers.values().any(began)
+        let missing = answers.iter().filter(|(_, answer)| answer.is_none());
+        missing.map(|(peer, _)| *peer).collect()
     }
 }
 
@@ -271,8 +310,11 @@
                 KnownOrigin::SeveralVersions => OriginAnswer::SeveralVersions,
                 KnownOrigin::Unknown => OriginAnswer::Unknown,
             };
-            if let Some(query) = own.queries.borrow().get(&query) {
-                query.answers.borrow_mut().insert(from, answer);
+            let query = own.queries.borrow().get(&query).cloned();
+            if let Some(query) = query
+                && let Some(asked) = query.answers.borrow_mut().get_mut(&from)
+            {
+                *asked = Some(answer);
                 query.answered.notify_one();
             }
         }
--- a/crates/forward/tests/calls/callers.rs
+++ b/crates/forward/tests/calls/callers.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use policy::roster::EntryInfo;
 use policy::routes::CallKind;
 use rstest::rstest;
 
@@ -28,6 +29,31 @@
     }
 }
 
+/// Guards against keeping the query of each caller that leaves while another entry is asked
+/// for the stream that it takes up.
+#[actix_rt::test]
+async fn query_kept_after_disconnect() {
+    let entry = Entry::start(Plan::new(CallKind::Resumable, 1, &[])).await;
+    let silent = EntryInfo {
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        zone: 1,
+        link_mbps: 1,
+    };
+    let until = entry.state.clock.now() + Duration::from_secs(60);
+    entry.state.roster.borrow_mut().insert(silent, until);
+    let mut caller = entry.connect().await;
+    let call = request("call-id: 2\r\nresumes: 1\r\nlast-event: 1\r\n", "");
+    caller.write_all(call.as_bytes()).await.expect("sent");
+    while entry.state.origins.open_queries() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    drop(caller);
+    while entry.state.open_calls.get() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(entry.state.origins.open_queries(), 0);
+}
+
 /// An entry that has just started has no catalog and cannot tell whether a
 /// route exists. It must refuse the call for now instead of answering 404.
 #[actix_rt::test]
