Log the shared parts of calls whose connection breaks

Callers saw streams break while engines ended one after the other. The logs could not tell which of the calls at an engine had a part of their prompts in common, nor which had begun: 'connection broken' now has parts, run_ms, began and steady. No decision changes.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -31,7 +31,7 @@
 use continuation::Backup;
 use response::is_valid_success;
 
-use crate::crashes;
+use crate::crashes::{self, BrokenCall};
 use crate::exchange::{ResponseBody, SendError};
 use crate::origins::{self, Continuation, NewStream};
 use crate::platform::CallHeaders;
@@ -49,6 +49,10 @@
 /// Retry-After when the catalog is not known yet.
 const NO_CATALOG_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after its first event from which a stream counts as one that its server keeps
+/// writing. A server that crashes because of a call does so soon after it begins to answer.
+const STEADY_TIME: Duration = Duration::from_millis(500);
+
 /// A call, routed by the catalog in force, with everything needed to send it.
 #[derive(Debug)]
 pub struct Call {
@@ -72,6 +76,8 @@
     billing: Cell<BillingState>,
     /// The fingerprint, computed on first use.
     fingerprint: OnceCell<Fingerprint>,
+    /// The latest attempt.
+    attempt: Cell<Attempt>,
     /// The copy of its KV cache at a second engine, if one was asked for.
     backup: RefCell<Option<Backup>>,
     /// The software version that its stream is bound to: the one that began it, known with
@@ -111,6 +117,27 @@
     Counted,
 }
 
+/// An attempt to have a server run the call.
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    /// When the call was sent.
+    sent_at: Instant,
+    /// When the first event of the answer arrived.
+    began_at: Option<Instant>,
+    /// Whether the server has been writing the answer for [`STEADY_TIME`].
+    steady: bool,
+}
+
+impl Attempt {
+    fn new(sent_at: Instant) -> Self {
+        Self {
+            sent_at,
+            began_at: None,
+            steady: false,
+        }
+    }
+}
+
 /// Where a server starts the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StartPoint {
@@ -182,6 +209,7 @@
             phase,
             billing: Cell::new(BillingState::NotStarted),
             fingerprint: OnceCell::new(),
+            attempt: Cell::new(Attempt::new(incoming.received_at)),
             backup: RefCell::default(),
             version: OnceCell::new(),
             route,
@@ -238,7 +266,38 @@
     /// Records that the connection to `server` broke before the response was
     /// complete.
     pub(crate) fn record_broken(&self, server: &ServerRecord) {
-        crashes::connection_broken(&self.state, server, self.fingerprint());
+        let attempt = self.attempt.get();
+        let call = BrokenCall {
+            fingerprint: self.fingerprint(),
+            shared_parts: self.shared_parts().collect(),
+            sent_at: attempt.sent_at,
+            began: attempt.began_at.is_some(),
+            steady: attempt.steady,
+        };
+        crashes::connection_broken(&self.state, server, call);
+    }
+
+    /// The parts of the prompt that other calls may share: all but the last one.
+    fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let parts = self.parsed_headers.prompt_parts.split_last();
+        let shared = parts.map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+
+    /// Records that the call is sent to a server now.
+    fn begin_attempt(&self, now: Instant) {
+        self.attempt.set(Attempt::new(now));
+    }
+
+    /// Records that events of the answer arrived.
+    pub(crate) fn record_events(&self, now: Instant) {
+        let attempt = self.attempt.get();
+        let began_at = attempt.began_at.unwrap_or(now);
+        self.attempt.set(Attempt {
+            began_at: Some(began_at),
+            steady: now.saturating_duration_since(began_at) >= STEADY_TIME,
+            ..attempt
+        });
     }
 
     /// The time since the call was received, in milliseconds.
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -92,6 +92,7 @@
             let request = self.build_request(now, &server, start, sources);
             let id = self.parsed_headers.request_id.as_deref();
             self.record_sent();
+            self.begin_attempt(now);
             let sent =
                 exchange::send(&self.state, &server, request, id, self.deadline, grant).await;
             let sent = sent.map(|response| ServerResponse {
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -229,6 +229,7 @@
         };
         let request = self.build_request(now, server, StartPoint::After(Some(last)), sources);
         let id = Some(copy.handle);
+        self.begin_attempt(now);
         let sent = exchange::send(&self.state, server, request, id, self.deadline, None).await;
         if sent.as_ref().is_err_and(|e| *e == SendError::WrongServer) {
             self.mark_replaced(now, server);
@@ -262,6 +263,7 @@
         };
         let request = self.build_request(now, server, StartPoint::After(Some(last)), sources);
         let id = self.parsed_headers.request_id.as_deref();
+        self.begin_attempt(now);
         let sent = exchange::send(&self.state, server, request, id, self.deadline, None);
         let response = sent.await?;
         match is_valid_success(&response) {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -24,6 +24,7 @@
 use crate::follow::retry_delay;
 use crate::platform;
 use crate::pool::{Connection, ConnectionPool};
+use crate::relay::millis;
 use crate::state::State;
 
 /// Maximum number of connection attempts to find out whether a server has crashed.
@@ -60,7 +61,7 @@
 pub struct CrashTracker {
     suspects: RefCell<CrashSuspects>,
     /// Calls whose connection broke, by server, until the cause is known.
-    broken_calls: RefCell<HashMap<Rc<str>, Vec<Fingerprint>>>,
+    broken_calls: RefCell<HashMap<Rc<str>, Vec<BrokenCall>>>,
     /// Crashes to write to the store, with the time at which each was seen in Unix
     /// milliseconds, or `None` to delete it.
     pending_writes: RefCell<BTreeMap<Crash, Option<u64>>>,
@@ -151,17 +152,28 @@
     }
 }
 
-/// Records that the connection of the call `fingerprint` to `server` broke before the
-/// answer was complete. A broken connection alone does not count against the call.
-pub(crate) fn connection_broken(
-    state: &Rc<State>,
-    server: &ServerRecord,
-    fingerprint: Fingerprint,
-) {
+/// A call whose connection to a server broke.
+#[derive(Debug, Clone)]
+pub(crate) struct BrokenCall {
+    /// The call.
+    pub(crate) fingerprint: Fingerprint,
+    /// The parts of its prompt that other calls may share.
+    pub(crate) shared_parts: Vec<u64>,
+    /// When it was sent to the server.
+    pub(crate) sent_at: Instant,
+    /// Whether an event of the answer arrived.
+    pub(crate) began: bool,
+    /// Whether the server had been writing the answer for some time.
+    pub(crate) steady: bool,
+}
+
+/// Records that the connection of `call` to `server` broke before the answer was complete.
+/// A broken connection alone does not count against the call.
+pub(crate) fn connection_broken(state: &Rc<State>, server: &ServerRecord, call: BrokenCall) {
     let mut broken_calls = state.crashes.broken_calls.borrow_mut();
-    let fingerprints = broken_calls.entry(Rc::clone(&server.id)).or_default();
-    let first = fingerprints.is_empty();
-    fingerprints.push(fingerprint);
+    let calls = broken_calls.entry(Rc::clone(&server.id)).or_default();
+    let first = calls.is_empty();
+    calls.push(call);
     if first {
         actix_rt::spawn(check_server(Rc::clone(state), server.clone()));
     }
@@ -171,8 +183,8 @@
 async fn check_server(state: Rc<State>, server: ServerRecord) {
     let now = state.clock.now();
     let connected = connect(now, &server).await;
-    let fingerprints = state.crashes.broken_calls.borrow_mut().remove(&server.id);
-    let fingerprints = fingerprints.unwrap_or_default();
+    let calls = state.crashes.broken_calls.borrow_mut().remove(&server.id);
+    let calls = calls.unwrap_or_default();
     let outcome = match connected {
         Ok(conn) => {
             state.connection_pool.put(now, &server.id, conn);
@@ -183,19 +195,31 @@
         Err(_) => "unknown",
     };
     metrics::counter!("pimentocart_connections_broken_total", "server" => outcome)
-        .increment(fingerprints.len() as u64);
-    for fingerprint in &fingerprints {
+        .increment(calls.len() as u64);
+    for call in &calls {
+        let run = now.saturating_duration_since(call.sent_at);
         info!("connection broken", kv: {
             server = &*server.id,
             outcome,
-            fingerprint = fingerprint.to_string().as_str()
+            fingerprint = call.fingerprint.to_string().as_str(),
+            parts = format_parts(&call.shared_parts).as_str(),
+            run_ms = millis(run),
+            began = call.began,
+            steady = call.steady
         });
     }
     if outcome == "crashed" {
+        let fingerprints: Vec<Fingerprint> = calls.iter().map(|c| c.fingerprint).collect();
         record_crash(&state, &server, &fingerprints);
     }
 }
 
+/// The parts of a prompt for log lines.
+fn format_parts(parts: &[u64]) -> String {
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
+
 /// Connects to `server`, with retries after timeouts: otherwise a crashed server behind a
 /// link that loses packets would count as unreachable.
 async fn connect(now: Instant, server: &ServerRecord) -> io::Result<Connection> {
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -209,6 +209,7 @@
             metrics::histogram!("pimentocart_pause_seconds").record(elapsed);
         }
         self.last_sent = now;
+        self.call.record_events(now);
         if let Some(stream) = &self.movable {
             stream.record_progress(now, self.event_count, self.last_event);
         }
