Add failing tests of a part of a prompt that crashes servers

Servers of the stand-in close all of their connections when they crash, as a process does. Idle ones stayed open, so that the next call of an innocent caller on one of them had an unknown outcome.

--- a/crates/cli/tests/forward/caller.rs
+++ b/crates/cli/tests/forward/caller.rs
@@ -22,13 +22,19 @@
 
 /// Makes one call, on its own connection.
 pub(crate) fn call(at: SocketAddr, path: &str, id: &str) -> Outcome {
+    call_with_prompt(at, path, id, "")
+}
+
+/// Makes one call whose prompt has these parts, as in `5c1e:800,91bd:410`.
+pub(crate) fn call_with_prompt(at: SocketAddr, path: &str, id: &str, parts: &str) -> Outcome {
     let Ok(mut stream) = TcpStream::connect(at) else {
         return Outcome::NoAnswer;
     };
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\n\
-         X-Token-Count: 1000,40\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
+         X-Token-Count: 1000,40\r\nX-Prefix-Hash: {parts}\r\nConnection: close\r\n\
+         Content-Length: 4\r\n\r\nbody"
     );
     if stream.write_all(request.as_bytes()).is_err() {
         return Outcome::NoAnswer;
--- a/crates/cli/tests/forward/fatal.rs
+++ b/crates/cli/tests/forward/fatal.rs
@@ -1,13 +1,13 @@
 //! A request that crashes every server that executes it, sent repeatedly.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use nix::sys::signal::Signal;
 use rstest::rstest;
 
 use crate::caller::{Outcome, call};
-use crate::platform::{Platform, Server, wait_until};
+use crate::fleet::Fleet;
+use crate::platform::wait_until;
 use crate::process::Entry;
 
 /// How often the request is sent. Each time would crash a server.
@@ -17,66 +17,6 @@
 /// that it may reach while all entries learn of it.
 const MAX_CRASHES: u32 = 6;
 
-/// A fleet whose crashed servers are replaced.
-struct Fleet {
-    platform: Arc<Platform>,
-    entries: Vec<Entry>,
-    servers: Vec<Server>,
-}
-
-impl Fleet {
-    fn start(name: &str) -> Self {
-        let (platform, store) = Platform::start();
-        let entry = |n| Entry::start(&format!("{name}-{n}"), store, None);
-        let (servers, engines) = (
-            (0..2).map(|_| platform.server()),
-            (0..2).map(|_| platform.engine()),
-        );
-        let mut fleet = Self {
-            entries: (0..2).map(entry).collect(),
-            servers: servers.chain(engines).collect(),
-            platform,
-        };
-        fleet.replace();
-        fleet
-    }
-
-    /// Replaces each crashed server, and waits until all entries serve calls.
-    fn replace(&mut self) {
-        for server in &mut self.servers {
-            if server.is_stopped() {
-                server.deregister();
-                *server = server.replacement();
-            }
-        }
-        for entry in &self.entries {
-            for path in ["/safe/x", "/engine/x"] {
-                wait_until("all serve", || served(&call(entry.addr(), path, "other")));
-            }
-        }
-    }
-
-    /// Sends the request `times` times, alternating between the entries.
-    fn send(&mut self, path: &str, times: usize) {
-        for n in 0..times {
-            call(
-                self.entries[n % self.entries.len()].addr(),
-                path,
-                &format!("try-{n}"),
-            );
-            self.replace();
-        }
-    }
-
-    fn crashes(&self) -> u32 {
-        self.platform.crashes.load(Ordering::SeqCst)
-    }
-}
-
-fn served(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Complete(200, _))
-}
-
 /// Guards against forwarding a fatal request forever: each attempt has a new
 /// request id and goes to another entry, so ids alone cannot identify it.
 #[rstest]
@@ -86,7 +26,7 @@
 #[case::engine("/engine/fatal")]
 fn fatal_request_is_blocked(#[case] path: &str) {
     let name = path.replace('/', "-");
-    let mut fleet = Fleet::start(&format!("stopped{name}"));
+    let mut fleet = Fleet::start(&format!("stopped{name}"), 2);
     fleet.send(path, ATTEMPTS);
     let crashes = fleet.crashes();
     assert!(crashes <= MAX_CRASHES, "{crashes} servers crashed");
@@ -96,7 +36,7 @@
 /// they must read it from the store.
 #[test]
 fn fatal_request_blocked_after_restart() {
-    let mut fleet = Fleet::start("restart");
+    let mut fleet = Fleet::start("restart", 2);
     fleet.send("/safe/fatal", ATTEMPTS);
     for entry in &mut fleet.entries {
         entry.signal(Signal::SIGKILL);
@@ -115,7 +55,7 @@
 /// Guards against forwarding a known fatal request during a store outage.
 #[test]
 fn fatal_request_refused_during_store_outage() {
-    let mut fleet = Fleet::start("away");
+    let mut fleet = Fleet::start("away", 2);
     fleet.send("/safe/fatal", ATTEMPTS);
     wait_until("all entries know the crashes", || {
         fleet.entries.iter().all(|e| e.status("crashes") >= 3)
@@ -133,7 +73,7 @@
 /// entries must exchange the crashes that the store did not accept.
 #[test]
 fn crashes_are_gossiped_during_store_outage() {
-    let mut fleet = Fleet::start("told");
+    let mut fleet = Fleet::start("told", 2);
     for _ in 0..ATTEMPTS {
         fleet.servers.push(fleet.platform.server());
     }
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,8 @@
 
 mod caller;
 mod fatal;
+mod fatal_part;
+mod fleet;
 mod hints;
 mod limits;
 mod platform;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -22,6 +22,13 @@
 /// A call whose request line contains this text crashes the server.
 pub(crate) const FATAL_MARKER: &str = "fatal";
 
+/// A call with this part in its prompt, unless it is the last one, crashes the server when
+/// it begins to answer.
+pub(crate) const FATAL_PART: &str = "fa7a1";
+
+/// Time for which a server prepares an answer to such a call.
+const FATAL_DELAY: Duration = Duration::from_millis(20);
+
 /// Number of events in a stream.
 pub(crate) const STREAM_EVENTS: u32 = 6;
 
@@ -198,13 +205,20 @@
             Arc::clone(&server.stopped),
         );
         thread::spawn(move || {
+            let mut connections = Vec::new();
             for stream in listener.incoming().flatten() {
                 if stopped.load(Ordering::SeqCst) {
-                    return;
+                    break;
                 }
+                connections.extend(stream.try_clone());
                 let (own, id, stopped) = (Arc::clone(&own), id.clone(), Arc::clone(&stopped));
                 thread::spawn(move || own.run(&stream, &id, version, &stopped));
             }
+            // When a process crashes, its listener closes no later than its connections.
+            drop(listener);
+            for stream in connections {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
         });
         server
     }
@@ -297,6 +311,19 @@
         (era, Some(all))
     }
 
+    /// Crashes a server that runs a call on the connection `stream`.
+    fn crash_server(&self, stream: &TcpStream, stopped: &AtomicBool) {
+        if stopped.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.crashes.fetch_add(1, Ordering::SeqCst);
+        // Each connection made here wakes the accept loop.
+        let addr = stream.local_addr().expect("socket has no address");
+        wait_until("the listener is closed", || {
+            TcpStream::connect(addr).is_err()
+        });
+    }
+
     /// Serves calls to a backend server on one connection.
     fn run(&self, stream: &TcpStream, own: &str, version: &str, stopped: &AtomicBool) {
         let mut out = stream.try_clone().expect("cannot clone the stream");
@@ -335,15 +362,13 @@
                 .next()
                 .is_some_and(|l| l.contains(FATAL_MARKER))
             {
-                self.crashes.fetch_add(1, Ordering::SeqCst);
-                stopped.store(true, Ordering::SeqCst);
-                // When a process crashes, its listener closes no later than its
-                // connections. Each connection made here wakes the accept loop.
-                let addr = stream.local_addr().expect("socket has no address");
-                wait_until("the listener is closed", || {
-                    TcpStream::connect(addr).is_err()
-                });
-                return;
+                return self.crash_server(stream, stopped);
+            }
+            let parts = header(&head, "x-prefix-hash").unwrap_or_default();
+            let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
+            if shared.split(',').any(|part| part.starts_with(FATAL_PART)) {
+                thread::sleep(FATAL_DELAY);
+                return self.crash_server(stream, stopped);
             }
             let mut marks = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}\r\n");
             match hint {
