--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -31,7 +31,7 @@
 use continuation::Backup;
 use response::is_valid_success;
 
-use crate::crashes::{self, BrokenCall};
+use crate::crashes::{self, BrokenCall, CallIdentity};
 use crate::exchange::{ResponseBody, SendError};
 use crate::origins::{self, Continuation, NewStream};
 use crate::platform::CallHeaders;
@@ -53,6 +53,9 @@
 /// writing. A server that crashes because of a call does so soon after it begins to answer.
 const STEADY_TIME: Duration = Duration::from_millis(500);
 
+/// Maximum number of shared parts of a prompt that are checked and reported.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// A call, routed by the catalog in force, with everything needed to send it.
 #[derive(Debug)]
 pub struct Call {
@@ -255,7 +258,15 @@
         if crashes.is_empty() {
             return None;
         }
-        crashes.refusal_left(self.state.clock.now(), self.fingerprint())
+        crashes.refusal_left(self.state.clock.now(), &self.identity())
+    }
+
+    /// What identifies the call among others.
+    fn identity(&self) -> CallIdentity {
+        CallIdentity {
+            fingerprint: self.fingerprint(),
+            shared_parts: self.shared_parts(),
+        }
     }
 
     /// Records that a server has completed the call.
@@ -263,14 +274,19 @@
         self.state.crashes.request_served(self.fingerprint());
     }
 
+    /// Records that a server has answered the call's prompt.
+    pub(crate) fn record_sound(&self) {
+        crashes::record_sound_parts(&self.state, &self.shared_parts());
+    }
+
     /// Records that the connection to `server` broke before the response was
     /// complete.
     pub(crate) fn record_broken(&self, server: &ServerRecord) {
         let attempt = self.attempt.get();
         let call = BrokenCall {
-            fingerprint: self.fingerprint(),
-            shared_parts: self.shared_parts().collect(),
+            identity: self.identity(),
             sent_at: attempt.sent_at,
+            broken_at: self.state.clock.now(),
             began: attempt.began_at.is_some(),
             steady: attempt.steady,
         };
@@ -278,10 +294,11 @@
     }
 
     /// The parts of the prompt that other calls may share: all but the last one.
-    fn shared_parts(&self) -> impl Iterator<Item = u64> {
+    fn shared_parts(&self) -> Vec<u64> {
         let parts = self.parsed_headers.prompt_parts.split_last();
         let shared = parts.map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.id)
+        let ids = shared.iter().take(MAX_SHARED_PARTS).map(|part| part.id);
+        ids.collect()
     }
 
     /// Records that the call is sent to a server now.
@@ -293,11 +310,15 @@
     pub(crate) fn record_events(&self, now: Instant) {
         let attempt = self.attempt.get();
         let began_at = attempt.began_at.unwrap_or(now);
+        let steady = now.saturating_duration_since(began_at) >= STEADY_TIME;
         self.attempt.set(Attempt {
             began_at: Some(began_at),
-            steady: now.saturating_duration_since(began_at) >= STEADY_TIME,
+            steady,
             ..attempt
         });
+        if steady && !attempt.steady {
+            self.record_sound();
+        }
     }
 
     /// The time since the call was received, in milliseconds.
--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -68,6 +68,9 @@
         if response.status < 500 && response.body.framed {
             self.record_completed();
         }
+        if success && response.body.framed {
+            self.record_sound();
+        }
         Ok(Reply::Buffered {
             status: response.status,
             headers: response.headers,
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -1,13 +1,14 @@
 //! Backend servers that crash, and the calls that they were running at the time.
 //!
 //! When the connection to a server breaks, the entry connects again to find out whether
-//! the server has crashed. A crash counts against each call that the server was running,
-//! and is shared with the other entries through the store. A call during which several
-//! servers have crashed is refused from then on; `policy::suspects` decides when. See
-//! docs/DECISIONS/0607-crashing-requests.md.
+//! the server has crashed. A crash counts against each call that the server was running
+//! and against the parts of its prompt, and is shared with the other entries through the
+//! store. A call during which several servers have crashed is refused from then on, and so
+//! are calls with a part of which that holds; `policy::suspects` decides when. Parts that
+//! are known to be sound are shared as well. See docs/DECISIONS/0607-crashing-requests.md.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,10 +17,12 @@
 use policy::balance::ServerRecord;
 use policy::rendezvous;
 use policy::replica::Records;
-use policy::suspects::{CRASH_TTL, Crash, CrashSuspects, Fingerprint};
+use policy::suspects::{
+    CRASH_TTL, Crash, CrashRecord, CrashReport, CrashSuspects, Fingerprint, RecordKey,
+};
+use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::sync::Notify;
-use wire::gossip;
 
 use crate::follow::retry_delay;
 use crate::platform;
@@ -44,6 +47,11 @@
 /// entries have crashes to write at the same time.
 const WRITE_DELAY_PER_ENTRY: Duration = Duration::from_millis(20);
 
+/// Longest delay, for each known entry, before the others are told that a part is sound.
+/// Many entries know it of a part that many calls share, and the first one to tell it
+/// spares the others the write.
+const SOUND_DELAY_PER_ENTRY: Duration = Duration::from_millis(2);
+
 /// Interval at which the idle writer checks whether the entry stops.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,13 +70,31 @@
     suspects: RefCell<CrashSuspects>,
     /// Calls whose connection broke, by server, until the cause is known.
     broken_calls: RefCell<HashMap<Rc<str>, Vec<BrokenCall>>>,
-    /// Crashes to write to the store, with the time at which each was seen in Unix
-    /// milliseconds, or `None` to delete it.
-    pending_writes: RefCell<BTreeMap<Crash, Option<u64>>>,
+    /// Records to write to the store, or `None` to delete one.
+    pending_writes: RefCell<BTreeMap<RecordKey, Option<CrashRecord>>>,
     /// Index of the first of them in the next gossip datagram.
     gossip_cursor: Cell<usize>,
     /// Notified when there is something to write.
     write_needed: Notify,
+    /// Whether a task waits to tell the others which parts are sound.
+    telling: Cell<bool>,
+}
+
+/// A call with what identifies it among others.
+#[derive(Debug, Clone)]
+pub struct CallIdentity {
+    /// Its content.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other calls may share.
+    pub shared_parts: Vec<u64>,
+}
+
+/// What the store has not recorded yet.
+#[derive(Debug, Default)]
+pub(crate) struct Unstored {
+    pub(crate) crashes: Vec<CrashReport>,
+    /// Parts of prompts that are sound, with the time since each was known to be.
+    pub(crate) sound_parts: Vec<(u64, Duration)>,
 }
 
 impl CrashTracker {
@@ -86,67 +112,80 @@
 
     /// For how long a call must be refused; `None` if it may be sent to servers.
     #[must_use]
-    pub fn refusal_left(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
-        self.suspects.borrow().refusal_left(now, fingerprint)
+    pub fn refusal_left(&self, now: Instant, call: &CallIdentity) -> Option<Duration> {
+        let suspects = self.suspects.borrow();
+        suspects.refusal_left(now, call.fingerprint, &call.shared_parts)
+    }
+
+    /// The number of parts of prompts with which calls are refused.
+    #[must_use]
+    pub fn accused_parts(&self) -> usize {
+        self.suspects.borrow().accused_parts().count()
     }
 
     /// Records that a server completed a call.
     pub fn request_served(&self, fingerprint: Fingerprint) {
         let cleared = self.suspects.borrow_mut().request_served(fingerprint);
         for crash in cleared {
-            self.queue_write(crash, None);
+            self.queue_write(RecordKey::Crash(crash), None);
         }
     }
 
-    /// Queues a write of a crash to the store, or its deletion if `seen_ms` is `None`.
-    fn queue_write(&self, crash: Crash, seen_ms: Option<u64>) {
+    /// Queues a write of a record to the store, or its deletion.
+    fn queue_write(&self, key: RecordKey, record: Option<CrashRecord>) {
         let mut pending = self.pending_writes.borrow_mut();
-        if pending.len() >= MAX_PENDING_WRITES && !pending.contains_key(&crash) {
+        if pending.len() >= MAX_PENDING_WRITES && !pending.contains_key(&key) {
             metrics::counter!("pimentocart_crashes_not_told_total").increment(1);
             return;
         }
-        pending.insert(crash, seen_ms);
+        pending.insert(key, record);
         drop(pending);
         self.write_needed.notify_one();
     }
 
-    /// Crashes that the store has not recorded yet, for the next gossip datagram.
-    pub(crate) fn unstored_reports(&self, wall_ms: u64) -> Vec<gossip::CrashReport> {
+    /// What the store has not recorded yet, for the next gossip datagram.
+    pub(crate) fn unstored(&self, wall_ms: u64) -> Unstored {
         let pending = self.pending_writes.borrow();
-        let unstored = pending
+        let records = pending
             .iter()
-            .filter_map(|(crash, seen_ms)| Some((crash, (*seen_ms)?)));
-        let count = unstored.clone().count();
+            .filter_map(|(key, record)| Some((*key, record.as_ref()?)));
+        let count = records.clone().count();
+        let mut unstored = Unstored::default();
         if count == 0 {
-            return Vec::new();
+            return unstored;
         }
         let from = self.gossip_cursor.get() % count;
         self.gossip_cursor.set(from + MAX_DATAGRAM_CRASHES);
-        let reports = unstored
+        let records = records
             .cycle()
             .skip(from)
             .take(count.min(MAX_DATAGRAM_CRASHES));
-        let reports = reports.map(|(crash, seen_ms)| gossip::CrashReport {
-            fingerprint: crash.fingerprint.0,
-            incarnation: crash.incarnation,
-            age_ms: u32::try_from(wall_ms.saturating_sub(seen_ms)).unwrap_or(u32::MAX),
-        });
-        reports.collect()
+        for (key, record) in records {
+            match key {
+                RecordKey::Crash(crash) => unstored.crashes.push(report(crash, record, wall_ms)),
+                RecordKey::SoundPart(part) => {
+                    unstored
+                        .sound_parts
+                        .push((part, record_age(record, wall_ms)));
+                }
+            }
+        }
+        unstored
     }
 
-    /// The next crashes to write.
-    fn next_batch(&self) -> Vec<(Crash, Option<u64>)> {
+    /// The next records to write.
+    fn next_batch(&self) -> Vec<(RecordKey, Option<CrashRecord>)> {
         let pending = self.pending_writes.borrow();
         let batch = pending.iter().take(MAX_BATCH);
-        batch.map(|(crash, seen_ms)| (*crash, *seen_ms)).collect()
+        batch.map(|(key, record)| (*key, record.clone())).collect()
     }
 
     /// Removes a written batch from the queue, except records that changed since.
-    fn mark_written(&self, batch: &[(Crash, Option<u64>)]) {
+    fn mark_written(&self, batch: &[(RecordKey, Option<CrashRecord>)]) {
         let mut pending = self.pending_writes.borrow_mut();
-        for (crash, seen_ms) in batch {
-            if pending.get(crash) == Some(seen_ms) {
-                pending.remove(crash);
+        for (key, record) in batch {
+            if pending.get(key) == Some(record) {
+                pending.remove(key);
             }
         }
     }
@@ -156,17 +195,42 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenCall {
     /// The call.
-    pub(crate) fingerprint: Fingerprint,
-    /// The parts of its prompt that other calls may share.
-    pub(crate) shared_parts: Vec<u64>,
+    pub(crate) identity: CallIdentity,
     /// When it was sent to the server.
     pub(crate) sent_at: Instant,
+    /// When the connection broke.
+    pub(crate) broken_at: Instant,
     /// Whether an event of the answer arrived.
     pub(crate) began: bool,
     /// Whether the server had been writing the answer for some time.
     pub(crate) steady: bool,
 }
 
+impl BrokenCall {
+    /// Time from sending the call until its connection broke.
+    fn run(&self) -> Duration {
+        self.broken_at.saturating_duration_since(self.sent_at)
+    }
+
+    /// What the crash of the server with this incarnation says about the call. A server
+    /// that has been writing the answer for some time has not crashed because of a part
+    /// of the prompt.
+    fn into_report(self, now: Instant, incarnation: u64) -> CrashReport {
+        CrashReport {
+            crash: Crash {
+                fingerprint: self.identity.fingerprint,
+                incarnation,
+            },
+            age: now.saturating_duration_since(self.broken_at),
+            run: self.run(),
+            shared_parts: match self.steady {
+                true => Vec::new(),
+                false => self.identity.shared_parts,
+            },
+        }
+    }
+}
+
 /// Records that the connection of `call` to `server` broke before the answer was complete.
 /// A broken connection alone does not count against the call.
 pub(crate) fn connection_broken(state: &Rc<State>, server: &ServerRecord, call: BrokenCall) {
@@ -197,20 +261,18 @@
     metrics::counter!("pimentocart_connections_broken_total", "server" => outcome)
         .increment(calls.len() as u64);
     for call in &calls {
-        let run = now.saturating_duration_since(call.sent_at);
         info!("connection broken", kv: {
             server = &*server.id,
             outcome,
-            fingerprint = call.fingerprint.to_string().as_str(),
-            parts = format_parts(&call.shared_parts).as_str(),
-            run_ms = millis(run),
+            fingerprint = call.identity.fingerprint.to_string().as_str(),
+            parts = format_parts(&call.identity.shared_parts).as_str(),
+            run_ms = millis(call.run()),
             began = call.began,
             steady = call.steady
         });
     }
     if outcome == "crashed" {
-        let fingerprints: Vec<Fingerprint> = calls.iter().map(|c| c.fingerprint).collect();
-        record_crash(&state, &server, &fingerprints);
+        record_crash(&state, &server, calls);
     }
 }
 
@@ -234,111 +296,216 @@
     connected
 }
 
-/// Counts a crash of `server` against the calls `fingerprints`.
-fn record_crash(state: &State, server: &ServerRecord, fingerprints: &[Fingerprint]) {
-    let (now, seen_ms) = (state.clock.now(), state.clock.wall_ms());
+/// Counts a crash of `server` against the calls that it was running.
+fn record_crash(state: &Rc<State>, server: &ServerRecord, calls: Vec<BrokenCall>) {
+    let (now, wall_ms) = (state.clock.now(), state.clock.wall_ms());
     let incarnation = rendezvous::score(
         rendezvous::hash_name(&server.id),
         server.started_ms.unwrap_or(0),
     );
-    let crashes =
+    let reports = calls
+        .into_iter()
+        .map(|call| call.into_report(now, incarnation));
+    let reports = reports.collect();
+    let reports = observe(state, |suspects| suspects.server_crashed(now, reports));
+    for report in reports {
+        let key = RecordKey::Crash(report.crash);
+        state
+            .crashes
+            .queue_write(key, Some(record(&report, wall_ms)));
+        log_refusal(state, now, report.crash.fingerprint);
+    }
+}
+
+/// The record of a crash.
+fn record(report: &CrashReport, wall_ms: u64) -> CrashRecord {
+    CrashRecord {
+        seen_ms: wall_ms.saturating_sub(millis(report.age)),
+        run_ms: u32::try_from(millis(report.run)).unwrap_or(u32::MAX),
+        shared_parts: report.shared_parts.clone(),
+    }
+}
+
+/// The report of the crash with this record.
+fn report(crash: Crash, record: &CrashRecord, wall_ms: u64) -> CrashReport {
+    CrashReport {
+        crash,
+        age: record_age(record, wall_ms),
+        run: Duration::from_millis(u64::from(record.run_ms)),
+        shared_parts: record.shared_parts.clone(),
+    }
+}
+
+fn record_age(record: &CrashRecord, wall_ms: u64) -> Duration {
+    Duration::from_millis(wall_ms.saturating_sub(record.seen_ms))
+}
+
+/// Lets the suspects learn something. Logs the requests and parts that are refused from
+/// then on, and tells the other entries of parts that they may suspect wrongly.
+fn observe<T>(state: &Rc<State>, learn: impl FnOnce(&mut CrashSuspects) -> T) -> T {
+    let mut suspects = state.crashes.suspects.borrow_mut();
+    let before: BTreeSet<u64> = suspects.accused_parts().collect();
+    let learned = learn(&mut suspects);
+    let after: BTreeSet<u64> = suspects.accused_parts().collect();
+    let contested = suspects.has_contested_parts();
+    drop(suspects);
+    for part in after.difference(&before) {
+        warn!("calls with part refused from now on after server crashes", kv: {
+            part = format!("{part:x}").as_str()
+        });
+    }
+    for part in before.difference(&after) {
+        info!("calls with part accepted again", kv: { part = format!("{part:x}").as_str() });
+    }
+    metrics::gauge!("pimentocart_parts_refused").set(after.len() as f64);
+    if contested && !state.crashes.telling.replace(true) {
+        actix_rt::spawn(tell_sound_parts(Rc::clone(state)));
+    }
+    learned
+}
+
+/// Tells the other entries of parts that they may suspect and that this one knows to be
+/// sound, unless another entry does so first.
+async fn tell_sound_parts(state: Rc<State>) {
+    let entries = u32::try_from(state.roster.borrow().count().total).unwrap_or(u32::MAX);
+    let longest = SOUND_DELAY_PER_ENTRY.saturating_mul(entries);
+    tokio::time::sleep(longest.mul_f64(rand::rng().random())).await;
+    state.crashes.telling.set(false);
+    let (now, wall_ms) = (state.clock.now(), state.clock.wall_ms());
+    let told = observe(&state, |suspects| suspects.take_contested_parts(now));
+    for (part, age) in told {
+        let record = CrashRecord {
+            seen_ms: wall_ms.saturating_sub(millis(age)),
+            ..CrashRecord::default()
+        };
         state
             .crashes
-            .suspects
-            .borrow_mut()
-            .server_crashed(now, incarnation, fingerprints);
-    for crash in crashes {
-        state.crashes.queue_write(crash, Some(seen_ms));
-        log_refusal(state, now, crash.fingerprint);
+            .queue_write(RecordKey::SoundPart(part), Some(record));
+    }
+}
+
+/// Records that a server goes on with its answer to a prompt with these parts.
+pub(crate) fn record_sound_parts(state: &Rc<State>, parts: &[u64]) {
+    if !parts.is_empty() {
+        let now = state.clock.now();
+        observe(state, |suspects| suspects.record_sound_parts(now, parts));
     }
 }
 
-/// Logs the call if it is refused from now on.
+/// Logs the call if it is refused from now on, whatever parts its prompt has.
 fn log_refusal(state: &State, now: Instant, fingerprint: Fingerprint) {
-    if state.crashes.refusal_left(now, fingerprint).is_some() {
-        warn!("call refused from now on after server crashes", kv: { fingerprint = fingerprint.to_string().as_str() });
+    let call = CallIdentity {
+        fingerprint,
+        shared_parts: Vec::new(),
+    };
+    if state.crashes.refusal_left(now, &call).is_some() {
+        warn!("call refused from now on after server crashes", kv: {
+            fingerprint = call.fingerprint.to_string().as_str()
+        });
     }
 }
 
 /// Applies changes of the crash table; `snapshot` says whether they come from a snapshot.
-pub(crate) fn apply_changes(state: &State, now: Instant, changes: Records<u64>, snapshot: bool) {
+pub(crate) fn apply_changes(
+    state: &Rc<State>,
+    now: Instant,
+    changes: Records<CrashRecord>,
+    snapshot: bool,
+) {
     if !changes.is_empty() {
         state.tables.changed.notify_waiters();
     }
-    for (key, seen_ms) in changes {
-        let crash = match key.parse::<Crash>() {
-            Ok(crash) => crash,
+    for (key, record) in changes {
+        let key = match key.parse::<RecordKey>() {
+            Ok(key) => key,
             Err(cause) => {
                 warn!("invalid crash record skipped", kv: { key = &*key, cause = cause.as_str() });
                 continue;
             }
         };
-        match seen_ms {
-            Some(seen_ms) => apply_crash(state, now, crash, seen_ms),
-            None => apply_removal(state, now, crash, snapshot),
+        match record {
+            Some(record) => apply_record(state, now, key, &record),
+            None => apply_removal(state, now, key, snapshot),
         }
     }
     metrics::gauge!("pimentocart_crashes_held").set(state.crashes.count() as f64);
 }
 
-/// Adds crashes that another entry has reported by gossip.
-pub(crate) fn add_reports(state: &State, now: Instant, crashes: &[gossip::CrashReport]) {
-    for report in crashes {
-        let crash = Crash {
-            fingerprint: Fingerprint(report.fingerprint),
-            incarnation: report.incarnation,
-        };
-        let age = Duration::from_millis(u64::from(report.age_ms));
-        if state
-            .crashes
-            .suspects
-            .borrow_mut()
-            .add_crash(now, crash, age)
-        {
-            log_refusal(state, now, crash.fingerprint);
-        }
+/// Adds a crash that another entry has reported; returns whether it is new.
+pub(crate) fn add_report(state: &Rc<State>, now: Instant, report: &CrashReport) -> bool {
+    let added = observe(state, |suspects| suspects.add_crash(now, report));
+    if added {
+        log_refusal(state, now, report.crash.fingerprint);
     }
+    added
 }
 
-/// Adds a crash from the store that was seen at `seen_ms`, in Unix milliseconds.
-fn apply_crash(state: &State, now: Instant, crash: Crash, seen_ms: u64) {
-    let age = Duration::from_millis(state.clock.wall_ms().saturating_sub(seen_ms));
-    if state
-        .crashes
-        .suspects
-        .borrow_mut()
-        .add_crash(now, crash, age)
-    {
-        log_refusal(state, now, crash.fingerprint);
-    } else if age > ORPHAN_AGE && reads_store(state, now) {
-        state.crashes.queue_write(crash, None);
+/// Adds a part that another entry knew to be sound `age` ago.
+pub(crate) fn add_sound_part(state: &Rc<State>, now: Instant, part: u64, age: Duration) {
+    observe(state, |suspects| suspects.add_sound_part(now, part, age));
+}
+
+/// Adds a record from the store.
+fn apply_record(state: &Rc<State>, now: Instant, key: RecordKey, record: &CrashRecord) {
+    let wall_ms = state.clock.wall_ms();
+    let age = record_age(record, wall_ms);
+    match key {
+        RecordKey::Crash(crash) => {
+            let added = add_report(state, now, &report(crash, record, wall_ms));
+            if !added && age > ORPHAN_AGE && reads_store(state, now) {
+                state.crashes.queue_write(key, None);
+            }
+        }
+        RecordKey::SoundPart(part) => {
+            add_sound_part(state, now, part, age);
+            if age > ORPHAN_AGE && reads_store(state, now) {
+                state.crashes.queue_write(key, None);
+            }
+        }
     }
 }
 
-/// Handles a crash that the store no longer has.
-fn apply_removal(state: &State, now: Instant, crash: Crash, snapshot: bool) {
-    let age = state.crashes.suspects.borrow().crash_age(now, crash);
-    match age {
-        Some(age) if snapshot && age < REWRITE_WINDOW => {
-            let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            let seen_ms = state.clock.wall_ms().saturating_sub(age);
+/// Handles a record that the store no longer has.
+fn apply_removal(state: &Rc<State>, now: Instant, key: RecordKey, snapshot: bool) {
+    let wall_ms = state.clock.wall_ms();
+    let known = match key {
+        RecordKey::Crash(crash) => {
+            let report = state.crashes.suspects.borrow().report(now, crash);
+            report.map(|report| record(&report, wall_ms))
+        }
+        RecordKey::SoundPart(part) => {
+            let age = state.crashes.suspects.borrow().sound_age(now, part);
+            age.map(|age| CrashRecord {
+                seen_ms: wall_ms.saturating_sub(millis(age)),
+                ..CrashRecord::default()
+            })
+        }
+    };
+    let recent = |r: &CrashRecord| snapshot && record_age(r, wall_ms) < REWRITE_WINDOW;
+    match (known, key) {
+        (Some(record), _) if recent(&record) => {
             info!("crash missing from the store; writing it again", kv: {
-                crash = crash.to_string().as_str()
+                crash = key.to_string().as_str()
             });
-            state.crashes.queue_write(crash, Some(seen_ms));
+            state.crashes.queue_write(key, Some(record));
         }
-        _ => state.crashes.suspects.borrow_mut().remove_crash(crash),
+        (_, RecordKey::Crash(crash)) => observe(state, |suspects| suspects.remove_crash(crash)),
+        (_, RecordKey::SoundPart(_)) => {}
     }
 }
 
-/// Removes expired crashes from this entry, and also from the store if this entry reads it.
-pub(crate) fn expire(state: &State, now: Instant) {
-    let expired = state.crashes.suspects.borrow_mut().expire(now);
-    if expired.is_empty() || !reads_store(state, now) {
+/// Removes expired crashes and sound parts from this entry, and also from the store if this
+/// entry reads it.
+pub(crate) fn expire(state: &Rc<State>, now: Instant) {
+    let (crashes, parts) = observe(state, |suspects| {
+        (suspects.expire(now), suspects.expire_sound_parts(now))
+    });
+    if (crashes.is_empty() && parts.is_empty()) || !reads_store(state, now) {
         return;
     }
-    for crash in expired {
-        state.crashes.queue_write(crash, None);
+    let crashes = crashes.into_iter().map(RecordKey::Crash);
+    for key in crashes.chain(parts.into_iter().map(RecordKey::SoundPart)) {
+        state.crashes.queue_write(key, None);
     }
 }
 
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -12,6 +12,7 @@
 use policy::balance::ServerRecord;
 use policy::replica::{Records, Replica, Update, UpdateKind};
 use policy::routes::Catalog;
+use policy::suspects::CrashRecord;
 use spdlog::{info, warn};
 
 use crate::crashes;
@@ -146,7 +147,7 @@
 }
 
 /// Follows the records of servers that crashed during calls.
-pub async fn crashes<S: Source<Item = u64>>(state: Rc<State>, source: S) {
+pub async fn crashes<S: Source<Item = CrashRecord>>(state: Rc<State>, source: S) {
     let mut reader = TableReader::new(CRASHES_TABLE, source);
     loop {
         wait_for_store(&state).await;
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -15,7 +15,8 @@
 use base::stop::StopSignal;
 pub(crate) use convert::service_number;
 use convert::{
-    decode_load, encode_load, millis, server_calls, service_load, to_pace, workspace_rates,
+    decode_crash, decode_load, decode_sound, encode_crash, encode_load, encode_sound, millis,
+    server_calls, service_load, to_pace, workspace_rates,
 };
 use policy::balance::TurnSchedule;
 use policy::peer_load::{EXPIRY_INTERVALS, Intervals};
@@ -195,6 +196,7 @@
         let mut calls = state.balancer.borrow().own_calls();
         calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
         let rates = state.workspace_rates.borrow_mut().own_rates(now);
+        let unstored = state.crashes.unstored(state.clock.wall_ms());
         let service =
             |(name, demand): &(Rc<str>, ServiceDemand)| service_load(service_number(name), demand);
         EntryLoad {
@@ -210,7 +212,8 @@
             entries: 1,
             services: services.iter().map(service).collect(),
             calls: calls.into_iter().map(server_calls).collect(),
-            crashes: state.crashes.unstored_reports(state.clock.wall_ms()),
+            crashes: unstored.crashes.iter().map(encode_crash).collect(),
+            sound_parts: encode_sound(&unstored.sound_parts),
             paces: state.known_paces(now).into_iter().map(to_pace).collect(),
             workspaces: rates.iter().flat_map(workspace_rates).collect(),
         }
@@ -261,7 +264,7 @@
         if let Some(duties) = &*state.duties.borrow() {
             duties.observe_peer(from, info.rank(), ttl, load.wall_ms);
         }
-        crashes::add_reports(state, now, &load.crashes);
+        add_crashes(state, now, load);
         state
             .peer_loads
             .borrow_mut()
@@ -353,7 +356,7 @@
         let Some(totals) = &membership.totals else {
             return;
         };
-        crashes::add_reports(state, now, &totals.crashes);
+        add_crashes(state, now, totals);
         state
             .peer_loads
             .borrow_mut()
@@ -454,3 +457,13 @@
         });
     }
 }
+
+/// Adds what another entry has reported of crashes.
+fn add_crashes(state: &Rc<State>, now: Instant, load: &EntryLoad) {
+    for report in &load.crashes {
+        crashes::add_report(state, now, &decode_crash(report));
+    }
+    for (part, age) in decode_sound(&load.sound_parts) {
+        crashes::add_sound_part(state, now, part, age);
+    }
+}
--- a/crates/forward/src/gossip/convert.rs
+++ b/crates/forward/src/gossip/convert.rs
@@ -7,7 +7,7 @@
 use policy::pools::ServiceDemand;
 use policy::rendezvous;
 use policy::shares::rates::{GroupRates, ShareGroup};
-use policy::suspects::{Crash, Fingerprint};
+use policy::suspects::{Crash, CrashReport, Fingerprint};
 use wire::gossip::{self, EntryLoad, LoadScope, RateOf, WantedReply, WorkspaceRate};
 
 /// The number that identifies a service in gossip messages.
@@ -109,14 +109,6 @@
         };
         (*server, calls)
     };
-    let crash = |crash: &gossip::CrashReport| {
-        let age = Duration::from_millis(u64::from(crash.age_ms));
-        let crash = Crash {
-            fingerprint: Fingerprint(crash.fingerprint),
-            incarnation: crash.incarnation,
-        };
-        (crash, age)
-    };
     peer_load::LoadReport {
         incarnation: load.incarnation,
         seq: load.seq,
@@ -130,7 +122,8 @@
         interval: Duration::from_millis(u64::from(load.interval_ms)),
         services: load.services.iter().map(demand).collect(),
         calls: load.calls.iter().map(calls).collect(),
-        crashes: load.crashes.iter().map(crash).collect(),
+        crashes: load.crashes.iter().map(decode_crash).collect(),
+        sound_parts: decode_sound(&load.sound_parts),
         paces: load.paces.iter().map(from_pace).collect(),
         workspaces: decode_rates(&load.workspaces),
     }
@@ -142,11 +135,6 @@
 pub(super) fn encode_load(own: &EntryLoad, total: peer_load::LoadReport) -> EntryLoad {
     let mut calls = total.calls;
     calls.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.open));
-    let crash = |(crash, age): (Crash, Duration)| gossip::CrashReport {
-        fingerprint: crash.fingerprint.0,
-        incarnation: crash.incarnation,
-        age_ms: millis(age),
-    };
     EntryLoad {
         scope: match total.scope {
             peer_load::Scope::Own => LoadScope::Own,
@@ -161,9 +149,48 @@
             .map(|(n, t)| service_load(*n, t))
             .collect(),
         calls: calls.into_iter().map(server_calls).collect(),
-        crashes: total.crashes.into_iter().map(crash).collect(),
+        crashes: total.crashes.iter().map(encode_crash).collect(),
+        sound_parts: encode_sound(&total.sound_parts),
         paces: total.paces.into_iter().map(to_pace).collect(),
         workspaces: total.workspaces.iter().flat_map(workspace_rates).collect(),
         ..own.clone()
     }
 }
+
+/// Converts a report of a crash for a datagram.
+pub(super) fn encode_crash(report: &CrashReport) -> gossip::CrashReport {
+    gossip::CrashReport {
+        fingerprint: report.crash.fingerprint.0,
+        incarnation: report.crash.incarnation,
+        age_ms: millis(report.age),
+        run_ms: millis(report.run),
+        shared_parts: report.shared_parts.clone(),
+    }
+}
+
+/// Converts a report of a crash from a datagram.
+pub(super) fn decode_crash(report: &gossip::CrashReport) -> CrashReport {
+    CrashReport {
+        crash: Crash {
+            fingerprint: Fingerprint(report.fingerprint),
+            incarnation: report.incarnation,
+        },
+        age: Duration::from_millis(u64::from(report.age_ms)),
+        run: Duration::from_millis(u64::from(report.run_ms)),
+        shared_parts: report.shared_parts.clone(),
+    }
+}
+
+/// Converts parts that are known to be sound for a datagram.
+pub(super) fn encode_sound(parts: &[(u64, Duration)]) -> Vec<(u64, u32)> {
+    parts
+        .iter()
+        .map(|(part, age)| (*part, millis(*age)))
+        .collect()
+}
+
+/// Converts parts that are known to be sound from a datagram.
+pub(super) fn decode_sound(parts: &[(u64, u32)]) -> Vec<(u64, Duration)> {
+    let age = |ms: u32| Duration::from_millis(u64::from(ms));
+    parts.iter().map(|(part, ms)| (*part, age(*ms))).collect()
+}
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -86,7 +86,7 @@
 /// Polls the neighbour at `addr` and records the outcome. Reuses the connection `client`
 /// if it leads to `addr`; returns the connection unless it failed.
 async fn poll(
-    state: &State,
+    state: &Rc<State>,
     addr: SocketAddr,
     client: Option<NeighbourClient>,
 ) -> Option<NeighbourClient> {
@@ -118,7 +118,7 @@
 /// Sends one request and applies the answer; returns the age of the neighbour's copies,
 /// or `None` if it lacks one.
 async fn exchange(
-    state: &State,
+    state: &Rc<State>,
     addr: SocketAddr,
     client: Option<NeighbourClient>,
 ) -> Result<(NeighbourClient, Option<Duration>), Error> {
@@ -157,7 +157,7 @@
 /// Applies a neighbour's answer; returns the age of its older copy, or `None` if it lacks
 /// one.
 fn apply_answer(
-    state: &State,
+    state: &Rc<State>,
     client: &NeighbourClient,
     answer: TableChanges,
 ) -> Result<Option<Duration>, Error> {
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -10,7 +10,7 @@
 use policy::moves::CopyOutcome;
 use policy::routes::Catalog;
 use policy::scaling;
-use policy::suspects::Crash;
+use policy::suspects::{CrashRecord, RecordKey};
 use policy::usage::{UsageState, WorkspaceCounts};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -187,13 +187,13 @@
     fn entries(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
 
-/// The store's table of servers that have crashed under calls. Each record
-/// holds the time of the crash in milliseconds since the Unix epoch.
-pub trait CrashTable: Source<Item = u64> {
-    /// Writes some records, all or none; a record without a time is deleted.
+/// The store's table of servers that have crashed under calls, and of parts of
+/// prompts that are known to be sound.
+pub trait CrashTable: Source<Item = CrashRecord> {
+    /// Writes some records, all or none; a record without a value is deleted.
     fn write(
         &self,
-        crashes: &[(Crash, Option<u64>)],
+        records: &[(RecordKey, Option<CrashRecord>)],
     ) -> impl Future<Output = Result<(), SourceError>>;
 }
 
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -112,6 +112,7 @@
                     }
                     if relay.body.framed {
                         relay.call.record_completed();
+                        relay.call.record_sound();
                     }
                     relay.call.record_copy_freed();
                     relay.log("whole");
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -8,6 +8,7 @@
 use policy::balance::{RecordChange, ServerRecord};
 use policy::replica::{Records, Replica};
 use policy::routes::Catalog;
+use policy::suspects::CrashRecord;
 use spdlog::info;
 use tokio::sync::Notify;
 use wire::tables::ChangesRequest;
@@ -42,8 +43,8 @@
     pub catalog: RefCell<Replica<Rc<Catalog>>>,
     /// The backend servers.
     pub servers: RefCell<Replica<ServerRecord>>,
-    /// Servers that crashed during calls, each with the time in Unix milliseconds.
-    pub crashes: RefCell<Replica<u64>>,
+    /// Servers that crashed during calls, and parts of prompts that are known to be sound.
+    pub crashes: RefCell<Replica<CrashRecord>>,
     /// Notified when any table has changed.
     pub changed: Notify,
     /// Number of times that the store was found to be restored from an old copy.
--- a/crates/forward/tests/tables/crashes.rs
+++ b/crates/forward/tests/tables/crashes.rs
@@ -7,12 +7,13 @@
 
 use base::clock::{Clock, SystemClock};
 use base::stop::StopSignal;
+use forward::crashes::CallIdentity;
 use forward::platform::{self, Changes, Source, SourceError};
 use forward::settings::Settings;
 use forward::state::State;
 use forward::{crashes, follow, neighbours};
 use policy::readers::{MIN_SHARING_ENTRIES, Rank};
-use policy::suspects::{Crash, Fingerprint};
+use policy::suspects::{Crash, CrashRecord, Fingerprint, RecordKey};
 use tokio::net::TcpListener;
 
 use crate::common::{NoCallsDialect, TEST_TIMEOUT, wait_until};
@@ -23,7 +24,7 @@
 
 #[derive(Default)]
 struct Inner {
-    log: RefCell<Vec<(String, Option<u64>)>>,
+    log: RefCell<Vec<(String, Option<CrashRecord>)>>,
     unavailable: Cell<bool>,
     /// Whether it has refused a request.
     refused: Cell<bool>,
@@ -36,10 +37,10 @@
     }
 
     /// The newest record of each key.
-    fn records(&self) -> BTreeMap<String, u64> {
+    fn records(&self) -> BTreeMap<String, CrashRecord> {
         let log = self.0.log.borrow();
         let newest: BTreeMap<_, _> = log.iter().cloned().collect();
-        let kept = |(key, at): (String, Option<u64>)| Some((key, at?));
+        let kept = |(key, record): (String, Option<CrashRecord>)| Some((key, record?));
         newest.into_iter().filter_map(kept).collect()
     }
 
@@ -54,18 +55,22 @@
 }
 
 impl Source for Table {
-    type Item = u64;
+    type Item = CrashRecord;
 
-    async fn snapshot(&self) -> Result<Changes<u64>, SourceError> {
+    async fn snapshot(&self) -> Result<Changes<CrashRecord>, SourceError> {
         self.check()?;
         let records = self.records().into_iter();
         Ok(Changes {
-            records: records.map(|(key, at)| (key, Some(at))).collect(),
+            records: records.map(|(key, record)| (key, Some(record))).collect(),
             next: self.0.log.borrow().len() as u64,
         })
     }
 
-    async fn changes(&self, from: u64, _wait: Duration) -> Result<Changes<u64>, SourceError> {
+    async fn changes(
+        &self,
+        from: u64,
+        _wait: Duration,
+    ) -> Result<Changes<CrashRecord>, SourceError> {
         tokio::time::sleep(Duration::from_millis(5)).await;
         self.check()?;
         let log = self.0.log.borrow();
@@ -82,9 +87,11 @@
 }
 
 impl platform::CrashTable for Table {
-    async fn write(&self, crashes: &[(Crash, Option<u64>)]) -> Result<(), SourceError> {
+    async fn write(&self, records: &[(RecordKey, Option<CrashRecord>)]) -> Result<(), SourceError> {
         self.check()?;
-        let records = crashes.iter().map(|(crash, at)| (crash.to_string(), *at));
+        let records = records
+            .iter()
+            .map(|(key, record)| (key.to_string(), record.clone()));
         self.0.log.borrow_mut().extend(records);
         Ok(())
     }
@@ -97,13 +104,15 @@
 /// Records crashes of several server incarnations, as another entry would.
 async fn record_crashes(table: &Table, incarnations: std::ops::Range<u64>) {
     let crashes = incarnations.map(|incarnation| {
-        (
-            Crash {
-                fingerprint: crashing_call(),
-                incarnation,
-            },
-            Some(SystemClock.wall_ms()),
-        )
+        let crash = Crash {
+            fingerprint: crashing_call(),
+            incarnation,
+        };
+        let record = CrashRecord {
+            seen_ms: SystemClock.wall_ms(),
+            ..CrashRecord::default()
+        };
+        (RecordKey::Crash(crash), Some(record))
     });
     let crashes: Vec<_> = crashes.collect();
     platform::CrashTable::write(table, &crashes)
@@ -152,10 +161,12 @@
 }
 
 fn refused(state: &State) -> bool {
-    state
-        .crashes
-        .refusal_left(state.clock.now(), crashing_call())
-        .is_some()
+    let call = CallIdentity {
+        fingerprint: crashing_call(),
+        shared_parts: Vec::new(),
+    };
+    let left = state.crashes.refusal_left(state.clock.now(), &call);
+    left.is_some()
 }
 
 /// Guards against a request being sent on by an entry that saw none of its crashes: those
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -12,7 +12,7 @@
 use crate::paces::MAX_REPORTED;
 use crate::pools::ServiceDemand;
 use crate::shares::rates::{self, GroupRates, ShareGroup};
-use crate::suspects::Crash;
+use crate::suspects::{Crash, CrashReport};
 
 /// Number of the sender's report intervals after which its report expires.
 pub const EXPIRY_INTERVALS: u32 = 4;
@@ -122,9 +122,11 @@
     pub services: Vec<(u32, ServiceDemand)>,
     /// Calls at each server, by the server's short number.
     pub calls: Vec<(u16, CallCounts)>,
-    /// Server crashes during calls that the store has not recorded yet, with the time
-    /// since each was observed.
-    pub crashes: Vec<(Crash, Duration)>,
+    /// Server crashes during calls that the store has not recorded yet.
+    pub crashes: Vec<CrashReport>,
+    /// Parts of prompts that are known to be sound and that the store has not recorded
+    /// yet, with the time since each was known to be.
+    pub sound_parts: Vec<(u64, Duration)>,
     /// Typical time between two events of a stream at each server, by the server's
     /// short number; the newest first.
     pub paces: Vec<(u16, Duration)>,
@@ -301,8 +303,11 @@
     pub services: BTreeMap<u32, ServiceDemand>,
     /// Calls at each server, by the server's short number.
     pub calls: BTreeMap<u16, CallCounts>,
-    /// Server crashes, with the time since each was observed.
-    pub crashes: BTreeMap<Crash, Duration>,
+    /// Server crashes.
+    pub crashes: BTreeMap<Crash, CrashReport>,
+    /// Parts of prompts that are known to be sound, with the time since each was known
+    /// to be.
+    pub sound_parts: BTreeMap<u64, Duration>,
     /// Sum and number of the reported times between two events of a stream at each
     /// server, by the server's short number.
     pub paces: BTreeMap<u16, (Duration, u32)>,
@@ -324,8 +329,17 @@
             sum.waiting += calls.waiting;
         }
         let elapsed = now.saturating_duration_since(*at);
-        for (crash, age) in &report.crashes {
-            self.crashes.entry(*crash).or_insert(*age + elapsed);
+        for crash in &report.crashes {
+            let aged = || CrashReport {
+                age: crash.age + elapsed,
+                ..crash.clone()
+            };
+            self.crashes.entry(crash.crash).or_insert_with(aged);
+        }
+        for (part, age) in &report.sound_parts {
+            let age = *age + elapsed;
+            let least = self.sound_parts.entry(*part).or_insert(age);
+            *least = age.min(*least);
         }
         self.add_paces(&report.paces);
         for (group, rates) in &report.workspaces {
@@ -392,7 +406,8 @@
             entries: self.entries,
             services: self.services.into_iter().collect(),
             calls: self.calls.into_iter().collect(),
-            crashes: self.crashes.into_iter().take(MAX_CRASHES).collect(),
+            crashes: self.crashes.into_values().take(MAX_CRASHES).collect(),
+            sound_parts: self.sound_parts.into_iter().take(MAX_CRASHES).collect(),
             workspaces: rates::reported(self.workspaces.into_iter().collect()),
             ..own.clone()
         }
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -11,6 +11,12 @@
 //! innocent request is sooner or later served, which clears it, and is rarely
 //! sent to as many as three servers that crash. See
 //! docs/DECISIONS/0607-crashing-requests.md.
+//!
+//! - `parts`: finds the part of a prompt under which servers crash.
+//! - `records`: the records that entries share.
+
+mod parts;
+mod records;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::{self, Display, Formatter};
@@ -20,6 +26,10 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+pub use parts::TrialTurn;
+use parts::{PartSuspects, TimeMs};
+pub use records::{CrashRecord, RecordKey};
+
 /// Server crashes after which a request is refused. One or two also happen to
 /// innocent requests: a caller that retries once may meet a second server that
 /// crashes.
@@ -99,27 +109,60 @@
     }
 }
 
+/// A crash with what is known of the call that the server was running.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The call and the server.
+    pub crash: Crash,
+    /// Time since the crash was seen.
+    pub age: Duration,
+    /// Time from sending the call to the crash.
+    pub run: Duration,
+    /// The parts of its prompt that other requests may share; none if the server had
+    /// been writing the answer for some time.
+    pub shared_parts: Vec<u64>,
+}
+
+impl CrashReport {
+    /// A report on a call whose prompt has no known parts.
+    #[must_use]
+    pub fn without_parts(crash: Crash, age: Duration) -> Self {
+        Self {
+            crash,
+            age,
+            run: Duration::ZERO,
+            shared_parts: Vec::new(),
+        }
+    }
+}
+
 /// The crashes that entries attribute to requests.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     requests: HashMap<Fingerprint, Vec<CountedCrash>>,
+    parts: PartSuspects,
+    /// The time from which [`TimeMs`] counts.
+    epoch: Option<Instant>,
     /// The number of crashes of all requests.
     crash_count: usize,
     served: RecentlyServed,
 }
 
 /// A crash that counts against a request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct CountedCrash {
     incarnation: u64,
     expires_at: Instant,
+    run: Duration,
+    shared_parts: Vec<u64>,
 }
 
 impl CrashSuspects {
-    /// Counts a crash that was seen `age` ago against its request; returns whether
+    /// Counts a crash against its request and the parts of its prompt; returns whether
     /// it is new.
-    pub fn add_crash(&mut self, now: Instant, crash: Crash, age: Duration) -> bool {
-        let left = CRASH_TTL.saturating_sub(age);
+    pub fn add_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let crash = report.crash;
+        let left = CRASH_TTL.saturating_sub(report.age);
         let crashes = self.requests.entry(crash.fingerprint).or_default();
         if left.is_zero() || crashes.iter().any(|c| c.incarnation == crash.incarnation) {
             if crashes.is_empty() {
@@ -130,44 +173,77 @@
         crashes.push(CountedCrash {
             incarnation: crash.incarnation,
             expires_at: now + left,
+            run: report.run,
+            shared_parts: report.shared_parts.clone(),
         });
         self.crash_count += 1;
+        let crashed_ms = self.time_ms(now) - to_ms(report.age);
+        let sent_ms = crashed_ms - to_ms(report.run);
+        self.parts
+            .add(crash, sent_ms, crashed_ms, &report.shared_parts);
         if self.crash_count > MAX_CRASHES {
             self.evict_oldest(crash.fingerprint);
         }
         true
     }
 
-    /// Counts the crash of a server against each request that it was running,
-    /// except those that were served recently. Returns the crashes that are new.
-    pub fn server_crashed(
-        &mut self,
-        now: Instant,
-        incarnation: u64,
-        fingerprints: &[Fingerprint],
-    ) -> Vec<Crash> {
-        let crashes = fingerprints.iter().map(|fingerprint| Crash {
-            fingerprint: *fingerprint,
-            incarnation,
-        });
-        let crashes: Vec<Crash> = crashes
-            .filter(|c| !self.served.contains(c.fingerprint))
-            .collect();
-        let is_new = |c: &Crash| self.add_crash(now, *c, Duration::ZERO);
-        crashes.into_iter().filter(is_new).collect()
+    /// Counts the crash of a server against each call that it was running, except those
+    /// whose requests were served recently. Returns the reports that are new.
+    pub fn server_crashed(&mut self, now: Instant, calls: Vec<CrashReport>) -> Vec<CrashReport> {
+        let suspected = |c: &CrashReport| !self.served.contains(c.crash.fingerprint);
+        let calls: Vec<CrashReport> = calls.into_iter().filter(suspected).collect();
+        let is_new = |c: &CrashReport| self.add_crash(now, c);
+        calls.into_iter().filter(is_new).collect()
     }
 
     /// Records that a server completed a request, and returns the crashes that
     /// no longer count against it.
     pub fn request_served(&mut self, fingerprint: Fingerprint) -> Vec<Crash> {
         self.served.add(fingerprint);
-        let crashes = self.requests.remove(&fingerprint).unwrap_or_default();
-        self.crash_count -= crashes.len();
-        let crash = |c: CountedCrash| Crash {
-            fingerprint,
-            incarnation: c.incarnation,
-        };
-        crashes.into_iter().map(crash).collect()
+        self.remove_request(fingerprint)
+    }
+
+    /// Records that a server goes on with its answer to a prompt with these parts, which
+    /// are therefore sound.
+    pub fn record_sound_parts(&mut self, now: Instant, parts: &[u64]) {
+        let now_ms = self.time_ms(now);
+        self.parts.record_sound(now_ms, parts);
+    }
+
+    /// Records that another entry knew a part to be sound `age` ago; returns whether that
+    /// is new.
+    pub fn add_sound_part(&mut self, now: Instant, part: u64, age: Duration) -> bool {
+        let sound_ms = self.time_ms(now) - to_ms(age);
+        self.parts.add_sound(part, sound_ms)
+    }
+
+    /// The time since all entries knew a part to be sound.
+    #[must_use]
+    pub fn sound_age(&self, now: Instant, part: u64) -> Option<Duration> {
+        let sound_ms = self.parts.shared_sound(part)?;
+        let age_ms = self.time_ms_at(now) - sound_ms;
+        Some(Duration::from_millis(u64::try_from(age_ms).unwrap_or(0)))
+    }
+
+    /// Whether there are parts that other entries may suspect and that this one knows to
+    /// be sound.
+    #[must_use]
+    pub fn has_contested_parts(&self) -> bool {
+        self.parts.has_contested()
+    }
+
+    /// Takes the parts that other entries may suspect, with the time since this entry
+    /// knew each to be sound. The caller tells the others.
+    pub fn take_contested_parts(&mut self, now: Instant) -> Vec<(u64, Duration)> {
+        let now_ms = self.time_ms(now);
+        let age = |ms: TimeMs| Duration::from_millis(u64::try_from(ms).unwrap_or(0));
+        let parts = self.parts.take_contested().into_iter();
+        parts.map(|(p, at)| (p, age(now_ms - at))).collect()
+    }
+
+    /// The parts with which requests are refused.
+    pub fn accused_parts(&self) -> impl Iterator<Item = u64> {
+        self.parts.accused()
     }
 
     /// Removes a crash from its request.
@@ -175,54 +251,96 @@
         let Some(crashes) = self.requests.get_mut(&crash.fingerprint) else {
             return;
         };
-        let before = crashes.len();
-        crashes.retain(|c| c.incarnation != crash.incarnation);
-        self.crash_count -= before - crashes.len();
+        let position = crashes
+            .iter()
+            .position(|c| c.incarnation == crash.incarnation);
+        let Some(removed) = position.map(|n| crashes.swap_remove(n)) else {
+            return;
+        };
+        self.crash_count -= 1;
         if crashes.is_empty() {
             self.requests.remove(&crash.fingerprint);
         }
+        self.parts.remove(crash, &removed.shared_parts);
     }
 
-    /// How long ago a crash was seen, if it still counts.
+    /// What is known of a crash, if it still counts.
     #[must_use]
-    pub fn crash_age(&self, now: Instant, crash: Crash) -> Option<Duration> {
+    pub fn report(&self, now: Instant, crash: Crash) -> Option<CrashReport> {
         let crashes = self.requests.get(&crash.fingerprint)?;
         let counted = crashes
             .iter()
             .find(|c| c.incarnation == crash.incarnation)?;
-        Some(CRASH_TTL.saturating_sub(counted.expires_at.saturating_duration_since(now)))
+        let left = counted.expires_at.saturating_duration_since(now);
+        Some(CrashReport {
+            crash,
+            age: CRASH_TTL.saturating_sub(left),
+            run: counted.run,
+            shared_parts: counted.shared_parts.clone(),
+        })
     }
 
-    /// For how long a request must be refused, or none if it may be sent.
+    /// For how long a request must be refused, or none if it may be sent. A crash does not
+    /// count if it was caused by a part that the request does not have.
     #[must_use]
-    pub fn refusal_left(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
+    pub fn refusal_left(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        shared_parts: &[u64],
+    ) -> Option<Duration> {
+        if self.parts.refuses(shared_parts) {
+            return Some(CRASH_TTL);
+        }
         let crashes = self.requests.get(&fingerprint)?;
-        let mut expiries: Vec<Instant> = crashes.iter().map(|c| c.expires_at).collect();
+        if crashes.len() < CRASH_LIMIT {
+            return None;
+        }
+        let explained = self.parts.explained_without(shared_parts);
+        let counted = crashes
+            .iter()
+            .filter(|c| !explained.contains(&c.incarnation));
+        let mut expiries: Vec<Instant> = counted.map(|c| c.expires_at).collect();
         expiries.sort_by(|a, b| b.cmp(a));
         let until = expiries.get(CRASH_LIMIT - 1)?;
         until.checked_duration_since(now).filter(|l| !l.is_zero())
     }
 
+    /// Whether a request that is refused for a part of its prompt may be sent as a trial.
+    #[must_use]
+    pub fn may_try(&self, now: Instant, shared_parts: &[u64], turn: TrialTurn) -> bool {
+        self.parts.may_try(self.time_ms_at(now), shared_parts, turn)
+    }
+
+    /// Takes the trial of [`may_try`](Self::may_try); returns whether there was one.
+    pub fn take_trial(&mut self, now: Instant, shared_parts: &[u64], turn: TrialTurn) -> bool {
+        let now_ms = self.time_ms(now);
+        self.parts.take_trial(now_ms, shared_parts, turn)
+    }
+
     /// Removes the crashes that have expired; returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<Crash> {
         let mut expired = Vec::new();
-        self.requests.retain(|fingerprint, crashes| {
-            crashes.retain(|c| {
-                let keep = now < c.expires_at;
-                if !keep {
-                    expired.push(Crash {
-                        fingerprint: *fingerprint,
-                        incarnation: c.incarnation,
-                    });
-                }
-                keep
-            });
-            !crashes.is_empty()
-        });
-        self.crash_count -= expired.len();
+        for (fingerprint, crashes) in &self.requests {
+            let over = crashes.iter().filter(|c| now >= c.expires_at);
+            expired.extend(over.map(|c| Crash {
+                fingerprint: *fingerprint,
+                incarnation: c.incarnation,
+            }));
+        }
+        for crash in &expired {
+            self.remove_crash(*crash);
+        }
         expired
     }
 
+    /// Removes the parts that have not been known to be sound for [`CRASH_TTL`]; returns
+    /// those that all entries knew.
+    pub fn expire_sound_parts(&mut self, now: Instant) -> Vec<u64> {
+        let before_ms = self.time_ms(now) - to_ms(CRASH_TTL);
+        self.parts.expire_sound(before_ms)
+    }
+
     /// The number of crashes that are kept.
     #[must_use]
     pub fn crash_count(&self) -> usize {
@@ -239,17 +357,50 @@
     /// requests are dropped last.
     fn evict_oldest(&mut self, kept: Fingerprint) {
         let newest = |crashes: &[CountedCrash]| crashes.iter().map(|c| c.expires_at).max();
+        let refused = |crashes: &[CountedCrash]| {
+            let mut parts = crashes.iter().flat_map(|c| &c.shared_parts);
+            crashes.len() >= CRASH_LIMIT || parts.any(|part| self.parts.is_accused(*part))
+        };
         let others = self
             .requests
             .iter()
             .filter(|(fingerprint, _)| **fingerprint != kept);
-        let oldest =
-            others.min_by_key(|(_, crashes)| (crashes.len() >= CRASH_LIMIT, newest(crashes)));
+        let oldest = others.min_by_key(|(_, crashes)| (refused(crashes), newest(crashes)));
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
-            let crashes = self.requests.remove(&fingerprint).unwrap_or_default();
-            self.crash_count -= crashes.len();
+            self.remove_request(fingerprint);
         }
     }
+
+    /// Removes all crashes of a request; returns them.
+    fn remove_request(&mut self, fingerprint: Fingerprint) -> Vec<Crash> {
+        let crashes = self.requests.remove(&fingerprint).unwrap_or_default();
+        self.crash_count -= crashes.len();
+        let mut removed = Vec::new();
+        for counted in crashes {
+            let crash = Crash {
+                fingerprint,
+                incarnation: counted.incarnation,
+            };
+            self.parts.remove(crash, &counted.shared_parts);
+            removed.push(crash);
+        }
+        removed
+    }
+
+    fn time_ms(&mut self, now: Instant) -> TimeMs {
+        self.epoch.get_or_insert(now);
+        self.time_ms_at(now)
+    }
+
+    /// The time `now`; 0 before the first event.
+    fn time_ms_at(&self, now: Instant) -> TimeMs {
+        let epoch = self.epoch.unwrap_or(now);
+        to_ms(now.saturating_duration_since(epoch))
+    }
+}
+
+fn to_ms(span: Duration) -> TimeMs {
+    TimeMs::try_from(span.as_millis()).unwrap_or(TimeMs::MAX / 4)
 }
 
 /// The requests that were served most recently.
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use policy::suspects::{CRASH_LIMIT, CRASH_TTL, Crash, CrashSuspects, Fingerprint, MAX_CRASHES};
+use policy::suspects::{
+    CRASH_LIMIT, CRASH_TTL, Crash, CrashReport, CrashSuspects, Fingerprint, MAX_CRASHES,
+};
 use rstest::rstest;
 
 const MS: Duration = Duration::from_millis(1);
@@ -11,6 +13,20 @@
     Fingerprint::from_parts(&[name.as_bytes()])
 }
 
+/// For how long a request whose prompt has no parts is refused.
+fn refusal_left(suspects: &CrashSuspects, now: Instant, name: &str) -> Option<Duration> {
+    suspects.refusal_left(now, fingerprint(name), &[])
+}
+
+/// The report of a crash that has just been seen.
+fn report(name: &str, incarnation: u64) -> CrashReport {
+    let crash = Crash {
+        fingerprint: fingerprint(name),
+        incarnation,
+    };
+    CrashReport::without_parts(crash, Duration::ZERO)
+}
+
 /// Lets servers crash while running a request; returns the number of new crashes.
 fn crash_servers(
     suspects: &mut CrashSuspects,
@@ -20,7 +36,7 @@
 ) -> usize {
     let new = incarnations.map(|incarnation| {
         suspects
-            .server_crashed(now, incarnation, &[fingerprint(name)])
+            .server_crashed(now, vec![report(name, incarnation)])
             .len()
     });
     new.sum()
@@ -30,13 +46,10 @@
 fn refused_after_three_crashes() {
     let (mut suspects, now) = (CrashSuspects::default(), Instant::now());
     crash_servers(&mut suspects, now, "fatal", 0..2);
-    assert_eq!(suspects.refusal_left(now, fingerprint("fatal")), None);
+    assert_eq!(refusal_left(&suspects, now, "fatal"), None);
     crash_servers(&mut suspects, now, "fatal", 2..3);
-    assert_eq!(
-        suspects.refusal_left(now, fingerprint("fatal")),
-        Some(CRASH_TTL)
-    );
-    assert_eq!(suspects.refusal_left(now, fingerprint("other")), None);
+    assert_eq!(refusal_left(&suspects, now, "fatal"), Some(CRASH_TTL));
+    assert_eq!(refusal_left(&suspects, now, "other"), None);
 }
 
 /// Guards against an innocent request being refused because several entries report
@@ -48,16 +61,17 @@
         fingerprint: fingerprint("innocent"),
         incarnation: 1,
     };
-    assert!(suspects.add_crash(now, crash, Duration::ZERO));
+    let seen = CrashReport::without_parts(crash, Duration::ZERO);
+    assert!(suspects.add_crash(now, &seen));
     for _ in 0..CRASH_LIMIT {
-        assert!(!suspects.add_crash(now, crash, Duration::ZERO));
+        assert!(!suspects.add_crash(now, &seen));
         assert!(
             suspects
-                .server_crashed(now, 1, &[crash.fingerprint, crash.fingerprint])
+                .server_crashed(now, vec![seen.clone(), seen.clone()])
                 .is_empty()
         );
     }
-    assert_eq!(suspects.refusal_left(now, crash.fingerprint), None);
+    assert_eq!(refusal_left(&suspects, now, "innocent"), None);
     assert_eq!(suspects.crash_count(), 1);
 }
 
@@ -68,7 +82,7 @@
     let (mut suspects, now) = (CrashSuspects::default(), Instant::now());
     suspects.request_served(fingerprint("poll"));
     assert_eq!(crash_servers(&mut suspects, now, "poll", 0..20), 0);
-    assert_eq!(suspects.refusal_left(now, fingerprint("poll")), None);
+    assert_eq!(refusal_left(&suspects, now, "poll"), None);
 }
 
 #[test]
@@ -91,11 +105,8 @@
     let (mut suspects, now) = (CrashSuspects::default(), Instant::now());
     crash_servers(&mut suspects, now, "fatal", 0..3);
     let last = now + CRASH_TTL;
-    assert_eq!(
-        suspects.refusal_left(last - MS, fingerprint("fatal")),
-        Some(MS)
-    );
-    assert_eq!(suspects.refusal_left(last, fingerprint("fatal")), None);
+    assert_eq!(refusal_left(&suspects, last - MS, "fatal"), Some(MS));
+    assert_eq!(refusal_left(&suspects, last, "fatal"), None);
     assert_eq!(suspects.expire(last).len(), 3);
     assert!(suspects.is_empty());
 }
@@ -111,8 +122,9 @@
         fingerprint: fingerprint("fatal"),
         incarnation: 7,
     };
-    assert_eq!(suspects.add_crash(now, crash, age), held);
-    assert_eq!(suspects.crash_age(now, crash), held.then_some(age));
+    let late = CrashReport::without_parts(crash, age);
+    assert_eq!(suspects.add_crash(now, &late), held);
+    assert_eq!(suspects.report(now, crash), held.then_some(late));
     assert_eq!(suspects.is_empty(), !held);
 }
 
@@ -127,8 +139,8 @@
         crash_servers(&mut suspects, now + MS, &name, n..n + 1);
         assert!(suspects.crash_count() <= MAX_CRASHES);
     }
-    assert!(suspects.refusal_left(now, fingerprint("fatal")).is_some());
-    assert_eq!(suspects.refusal_left(now, fingerprint("innocent-0")), None);
+    assert!(refusal_left(&suspects, now, "fatal").is_some());
+    assert_eq!(refusal_left(&suspects, now, "innocent-0"), None);
 }
 
 #[test]
@@ -166,22 +178,22 @@
         Vec::new(),
     );
     entries.resize_with(188, CrashSuspects::default);
-    let (start, fatal) = (Instant::now(), fingerprint("fatal"));
+    let start = Instant::now();
     let mut crashed = 0u64;
     for attempt in 0..100u32 {
         let now = start + MS * 100 * attempt;
-        reports.retain(|(at, crash): &(Instant, Crash)| {
+        reports.retain(|(at, crash): &(Instant, CrashReport)| {
             let due = *at <= now;
             if due {
                 for entry in &mut entries {
-                    entry.add_crash(now, *crash, Duration::ZERO);
+                    entry.add_crash(now, crash);
                 }
             }
             !due
         });
         let entry = &mut entries[attempt as usize * 37 % 188];
-        if entry.refusal_left(now, fatal).is_none() {
-            let crashes = entry.server_crashed(now, crashed, &[fatal]);
+        if refusal_left(entry, now, "fatal").is_none() {
+            let crashes = entry.server_crashed(now, vec![report("fatal", crashed)]);
             reports.extend(crashes.into_iter().map(|crash| (now + MS * 300, crash)));
             crashed += 1;
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -9,7 +9,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram. Datagrams of another version are rejected.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -121,6 +121,9 @@
     pub calls: Vec<(u16, u16, u16)>,
     /// Server crashes that the store has not recorded yet.
     pub crashes: Vec<CrashReport>,
+    /// Parts of prompts that are known to be sound and that the store has not recorded
+    /// yet, each with the time since it was known to be, in milliseconds.
+    pub sound_parts: Vec<(u64, u32)>,
     /// For each server with a known pace: its short number and the typical time
     /// between two events of a stream there, in tens of microseconds. The newest
     /// come first, at most 64.
@@ -230,6 +233,10 @@
     pub incarnation: u64,
     /// Time since the crash was detected, in milliseconds.
     pub age_ms: u32,
+    /// Time from sending the call to the crash, in milliseconds.
+    pub run_ms: u32,
+    /// The parts of the call's prompt that other calls may share.
+    pub shared_parts: Vec<u64>,
 }
 
 /// The load of one service, of one entry or aggregated over several.
@@ -306,6 +313,9 @@
     let (calls, paces) = (load.calls.len(), load.paces.len());
     // The shorter of the two lists says more about each server in it.
     match (calls, paces) {
+        (0, 0) if load.workspaces.is_empty() => {
+            load.crashes.truncate(load.crashes.len() * 3 / 4);
+        }
         (0, 0) => load.workspaces.clear(),
         _ if calls >= paces => load.calls.truncate(calls * 3 / 4),
         _ => load.paces.truncate(paces * 3 / 4),
@@ -315,7 +325,13 @@
 
 /// Whether a load has a list that can be shortened.
 fn has_lists(load: &EntryLoad) -> bool {
-    !(load.calls.is_empty() && load.paces.is_empty() && load.workspaces.is_empty())
+    let lists = [
+        load.calls.is_empty(),
+        load.paces.is_empty(),
+        load.workspaces.is_empty(),
+        load.crashes.is_empty(),
+    ];
+    !lists.iter().all(|empty| *empty)
 }
 
 /// Decodes a datagram.
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -21,7 +21,7 @@
 
 /// Version of the record encoding. A neighbour with another version is skipped
 /// for a while, during which the asking entry reads the store instead.
-pub const FORMAT_VERSION: u8 = 4;
+pub const FORMAT_VERSION: u8 = 5;
 
 /// The calls that an entry serves to its neighbours.
 #[tarpc::service]
