Send one call with a refused part as a trial

A part that is refused wrongly, or whose servers were fixed, was refused for half an hour: no call with it ran any more, so that nothing could show that it is sound.

Tests: part_accepted_after_trial (refused before), no_trial_while_entries_are_unknown; new calls, repeats and resumed streams are checked right before they are sent. /status counts the refused parts as 'accused'.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -261,6 +261,23 @@
         crashes.refusal_left(self.state.clock.now(), &self.identity())
     }
 
+    /// Whether the call may be sent although servers crash under calls like it, to find
+    /// out whether they still do.
+    fn may_be_trial(&self) -> bool {
+        crashes::may_try(&self.state, &self.shared_parts())
+    }
+
+    /// Takes the trial of [`may_be_trial`](Self::may_be_trial); returns whether there was
+    /// one.
+    fn take_trial(&self) -> bool {
+        let taken = crashes::take_trial(&self.state, &self.shared_parts());
+        if taken {
+            metrics::counter!("pimentocart_part_trials_total").increment(1);
+            info!("call with refused part sent as a trial", kv: { id = self.request_id() });
+        }
+        taken
+    }
+
     /// What identifies the call among others.
     fn identity(&self) -> CallIdentity {
         CallIdentity {
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -67,9 +67,9 @@
                 tokio::time::sleep(wait).await;
                 continue;
             };
-            // Servers may have crashed under another attempt of this call while
-            // this one waited.
-            self.check_crashes()?;
+            // Servers may have crashed under another attempt of this call, or under
+            // calls like it, while this one waited.
+            self.admit_despite_crashes()?;
             let Placement {
                 server,
                 waiting_calls,
@@ -136,10 +136,21 @@
         Err(error)
     }
 
-    /// Fails if servers crash while they run the call.
+    /// Fails if servers crash while they run the call, unless it may be a trial.
     fn check_crashes(&self) -> Result<(), SendError> {
-        self.blocked_for()
-            .map_or(Ok(()), |left| Err(SendError::CrashesServers(left)))
+        match self.blocked_for() {
+            Some(left) if !self.may_be_trial() => Err(SendError::CrashesServers(left)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Like [`check_crashes`](Self::check_crashes), right before the call is sent: takes
+    /// the trial.
+    fn admit_despite_crashes(&self) -> Result<(), SendError> {
+        match self.blocked_for() {
+            Some(left) if !self.take_trial() => Err(SendError::CrashesServers(left)),
+            _ => Ok(()),
+        }
     }
 
     /// The time until a server accepts a call, if all known servers have asked
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -18,7 +18,7 @@
 use policy::rendezvous;
 use policy::replica::Records;
 use policy::suspects::{
-    CRASH_TTL, Crash, CrashRecord, CrashReport, CrashSuspects, Fingerprint, RecordKey,
+    CRASH_TTL, Crash, CrashRecord, CrashReport, CrashSuspects, Fingerprint, RecordKey, TrialTurn,
 };
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -384,6 +384,33 @@
     }
 }
 
+/// Whether a call that is refused for a part of its prompt may be sent as a trial.
+pub(crate) fn may_try(state: &State, shared_parts: &[u64]) -> bool {
+    let now = state.clock.now();
+    let suspects = state.crashes.suspects.borrow();
+    trial_turn(state, now).is_some_and(|turn| suspects.may_try(now, shared_parts, turn))
+}
+
+/// Takes the trial of [`may_try`]; returns whether there was one.
+pub(crate) fn take_trial(state: &State, shared_parts: &[u64]) -> bool {
+    let now = state.clock.now();
+    let mut suspects = state.crashes.suspects.borrow_mut();
+    trial_turn(state, now).is_some_and(|turn| suspects.take_trial(now, shared_parts, turn))
+}
+
+/// This entry's turn at trials; `None` while it does not know the other entries, which may
+/// make the same trial.
+fn trial_turn(state: &State, now: Instant) -> Option<TrialTurn> {
+    if !state.discovery.borrow().entries_known(now) {
+        return None;
+    }
+    let count = state.roster.borrow().count();
+    Some(TrialTurn {
+        entries: u32::try_from(count.total).unwrap_or(u32::MAX),
+        index: u32::try_from(count.preceding).unwrap_or(u32::MAX),
+    })
+}
+
 /// Records that a server goes on with its answer to a prompt with these parts.
 pub(crate) fn record_sound_parts(state: &Rc<State>, parts: &[u64]) {
     if !parts.is_empty() {
@@ -432,7 +459,7 @@
 }
 
 /// Adds a crash that another entry has reported; returns whether it is new.
-pub(crate) fn add_report(state: &Rc<State>, now: Instant, report: &CrashReport) -> bool {
+pub fn add_report(state: &Rc<State>, now: Instant, report: &CrashReport) -> bool {
     let added = observe(state, |suspects| suspects.add_crash(now, report));
     if added {
         log_refusal(state, now, report.crash.fingerprint);
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -31,6 +31,9 @@
     pub limited: usize,
     /// Server crashes that are attributed to calls.
     pub crashes: usize,
+    /// Parts of prompts with which calls are refused, since servers crash under them.
+    #[serde(rename = "accused")]
+    pub accused_parts: usize,
     /// Calls whose answers have not been sent completely.
     #[serde(rename = "open")]
     pub open_calls: usize,
@@ -59,6 +62,7 @@
             backing_off: feedback.backing_off,
             limited: feedback.limited,
             crashes: state.crashes.count(),
+            accused_parts: state.crashes.accused_parts(),
             open_calls: state.open_calls.get(),
             origins: state.origins.count(),
             moves: state.settings.moves.then(|| state.moves.in_progress()),
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -136,6 +136,8 @@
     SendClose(&'static str),
     /// Sends these bytes and resets the connection.
     SendReset(&'static str),
+    /// Sends these bytes after a while and keeps the connection open.
+    Delayed(&'static str),
     /// Sends nothing until the other side closes the connection.
     Silent,
     /// Sends these bytes once the request's head has arrived, then reads the
@@ -243,6 +245,10 @@
             };
             let (bytes, end) = match action {
                 Action::Send(bytes) => (bytes, None),
+                Action::Delayed(bytes) => {
+                    tokio::time::sleep(Duration::from_millis(30)).await;
+                    (bytes, None)
+                }
                 Action::SendClose(bytes) => (bytes, Some(false)),
                 Action::SendReset(bytes) => (bytes, Some(true)),
                 Action::Silent | Action::Early(_) => ("", None),
@@ -333,6 +339,8 @@
     pub(crate) backups: bool,
     /// Whether the engines declare backups.
     pub(crate) declared: bool,
+    /// Hosts on which other entries may run.
+    pub(crate) seeds: Vec<SocketAddr>,
     /// The entry's clock.
     pub(crate) clock: Rc<dyn Clock>,
     /// Whether the engines declare moves.
@@ -359,6 +367,7 @@
             engine: false,
             backups: false,
             declared: false,
+            seeds: Vec::new(),
             clock: Rc::new(SystemClock),
             moves: false,
             moves_enabled: false,
@@ -397,6 +406,7 @@
             backups: plan.backups,
             fair_shares: plan.fair_shares,
             moves: plan.moves_enabled,
+            seeds: plan.seeds.clone(),
             ..settings(addr)
         };
         let state = State::new(settings, Rc::new(TestDialect), Rc::clone(&plan.clock));
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -11,4 +11,5 @@
 mod retries;
 mod shares;
 mod streams;
+mod suspects;
 mod usage;
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -13,7 +13,7 @@
     f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
 /// The second event is incomplete.
-const PARTIAL: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: one\r\n\
+pub(crate) const PARTIAL: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: one\r\n\
     Transfer-Encoding: chunked\r\n\r\n\
     f\r\nid: 1\ndata: a\n\n\r\n8\r\nid: 2\nda\r\n";
 
