Do not move streams with a part under which servers crash

Streams that move from an engine that leaves were sent to the next one without a look at what servers crash under; new calls, repeats, resumed streams and copies at a second engine are checked right before each send. A move does not begin for such a stream, which stays at its engine, and one in progress does not send the call on. Both tests failed before: one stream moved, one was continued at the other engine.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -311,7 +311,7 @@
     }
 
     /// The parts of the prompt that other calls may share: all but the last one.
-    fn shared_parts(&self) -> Vec<u64> {
+    pub(crate) fn shared_parts(&self) -> Vec<u64> {
         let parts = self.parsed_headers.prompt_parts.split_last();
         let shared = parts.map_or(&[][..], |(_, shared)| shared);
         let ids = shared.iter().take(MAX_SHARED_PARTS).map(|part| part.id);
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -257,6 +257,9 @@
         if now >= self.deadline {
             return Err(SendError::TimedOutUnsent);
         }
+        if let Some(left) = self.blocked_for() {
+            return Err(SendError::CrashesServers(left));
+        }
         let sources = CacheSources {
             kv_copy: Some(copy),
             ..CacheSources::default()
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -117,6 +117,11 @@
         suspects.refusal_left(now, call.fingerprint, &call.shared_parts)
     }
 
+    /// Whether calls whose prompts have these parts are refused.
+    pub(crate) fn refuses_parts(&self, shared_parts: &[u64]) -> bool {
+        self.suspects.borrow().refuses_parts(shared_parts)
+    }
+
     /// The number of parts of prompts with which calls are refused.
     #[must_use]
     pub fn accused_parts(&self) -> usize {
--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -170,7 +170,8 @@
             let idle = s.relayed.get() && s.state.borrow().phase() == Phase::Idle;
             // A stream without event numbers cannot be continued.
             let numbered = s.last_event().is_some();
-            idle && numbered && (unlisted || balancer.is_leaving(&s.source))
+            let movable = idle && numbered && !s.is_refused(state);
+            movable && (unlisted || balancer.is_leaving(&s.source))
         };
         let waiting: BTreeMap<u64, &Rc<OpenStream>> =
             streams.iter().filter(waiting).map(|s| (s.key, s)).collect();
--- a/crates/forward/src/moves/stream.rs
+++ b/crates/forward/src/moves/stream.rs
@@ -36,6 +36,8 @@
     /// The engine that runs it.
     pub(super) source: ServerRecord,
     tier: Tier,
+    /// The parts of its prompt that other calls may share.
+    shared_parts: Vec<u64>,
     prompt_tokens: u32,
     /// Longest answer in tokens, if the caller has given it.
     answer_limit: Option<u32>,
@@ -76,6 +78,12 @@
         self.state.borrow().in_progress()
     }
 
+    /// Whether it must not be sent to another engine, since servers crash under calls with
+    /// a part of its prompt.
+    pub(super) fn is_refused(&self, state: &State) -> bool {
+        state.crashes.refuses_parts(&self.shared_parts)
+    }
+
     /// The number of the last event passed on.
     pub(super) fn last_event(&self) -> Option<u64> {
         self.progress.get().last_event
@@ -186,6 +194,7 @@
             request_id,
             source: body.server.clone(),
             tier: call.tier(),
+            shared_parts: call.shared_parts(),
             prompt_tokens: headers.prompt_tokens,
             answer_limit: Some(headers.max_tokens).filter(|t| *t > 0),
             answer_hint: headers.length_hint,
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::clock::ManualClock;
 use base::stop::StopSignal;
 use forward::platform::{Changes, Source, SourceError};
 use forward::status::Status;
@@ -15,6 +16,7 @@
 
 use crate::common::{Entry, Plan, Servers, header, listed, status};
 use crate::engines::{EVENTS, Engines, Script, events};
+use crate::suspects;
 
 /// An entry with scripted engines.
 struct Fleet {
@@ -122,7 +124,8 @@
     /// Starts a call with a long answer.
     fn start_call(&self, id: &str) -> actix_rt::task::JoinHandle<String> {
         let entry = Rc::clone(&self.entry);
-        let headers = format!("call-id: {id}\r\nprompt: 100\r\noutput: 4000\r\n");
+        let headers =
+            format!("call-id: {id}\r\nparts: 7:50,9:50\r\nprompt: 100\r\noutput: 4000\r\n");
         actix_rt::spawn(async move { entry.call(&headers).await })
     }
 
@@ -533,3 +536,38 @@
     assert_eq!(fleet.engines.calls(), []);
     assert_whole(&call.await.expect("an answer"));
 }
+
+/// Guards against moving a stream to another engine although a part of its prompt is known as
+/// one under which servers crash: it stays where it is.
+#[actix_rt::test]
+async fn stream_with_fatal_part_not_moved() {
+    let fleet = Fleet::start(3).await;
+    let call = fleet.call("1").await;
+    suspects::accuse(&fleet.entry.state, Duration::ZERO);
+    fleet.leave(fleet.engines.engine_of("1")).await;
+    fleet.wait_no_move().await;
+    fleet.engines.release_run("1");
+    assert_whole(&call.await.expect("an answer"));
+    assert_eq!(fleet.engines.calls(), []);
+}
+
+/// Guards against continuing a stream at another engine after that became known during the
+/// move. The clock stands still, so that the stream does not show that the part is sound.
+#[actix_rt::test]
+async fn stream_with_fatal_part_not_continued_elsewhere() {
+    let plan = Plan {
+        moves: true,
+        moves_enabled: true,
+        clock: Rc::new(ManualClock::new()),
+        ..Plan::new(CallKind::Stream, 1, &[])
+    };
+    let fleet = Fleet::start_plan(3, plan).await;
+    fleet.engines.script(&[Script::Hold]);
+    let (call, _) = fleet.call_and_leave("1").await;
+    fleet.engines.wait_until(|e| e.calls().len() == 1).await;
+    suspects::accuse(&fleet.entry.state, Duration::ZERO);
+    fleet.engines.release_copies();
+    let answer = call.await.expect("an answer");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(fleet.engines.continuations(), []);
+}
--- a/crates/forward/tests/calls/suspects.rs
+++ b/crates/forward/tests/calls/suspects.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::clock::Clock;
 use forward::crashes;
 use forward::state::State;
 use policy::routes::CallKind;
@@ -17,7 +16,7 @@
 const CALL: &str = "call-id: 1\r\nparts: 1:100,7:50,9:10\r\n";
 
 /// Adds reports of crashes under calls with part 7, the last of which was seen `age` ago.
-fn accuse(state: &Rc<State>, age: Duration) {
+pub(crate) fn accuse(state: &Rc<State>, age: Duration) {
     for n in 0..3u64 {
         let report = CrashReport {
             crash: Crash {
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -306,6 +306,12 @@
         until.checked_duration_since(now).filter(|l| !l.is_zero())
     }
 
+    /// Whether requests whose prompts have these parts are refused.
+    #[must_use]
+    pub fn refuses_parts(&self, shared_parts: &[u64]) -> bool {
+        self.parts.refuses(shared_parts)
+    }
+
     /// Whether a request that is refused for a part of its prompt may be sent as a trial.
     #[must_use]
     pub fn may_try(&self, now: Instant, shared_parts: &[u64], turn: TrialTurn) -> bool {
