Write repeated crashes to the store at once, also in large fleets

An entry waited 20 ms for each known entry between two writes of crashes: 2 s at 100 entries and 20 s at 987, while the others have 3 s to learn under which part of a prompt servers crash. Records of calls with a part under which another server crashed as well, and of parts that are known to be sound, now wait 2 ms an entry; a record that waits becomes urgent when another entry's is read. They also go first into a datagram when the store is away, and a datagram that holds many parts drops the last crashes instead of getting too long.

--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -47,6 +47,13 @@
 /// entries have crashes to write at the same time.
 const WRITE_DELAY_PER_ENTRY: Duration = Duration::from_millis(20);
 
+/// [`WRITE_DELAY_PER_ENTRY`] for urgent records. Only few entries have such records at the
+/// same time.
+const URGENT_DELAY_PER_ENTRY: Duration = Duration::from_millis(2);
+
+/// Shortest delay between two writes.
+const MIN_WRITE_DELAY: Duration = Duration::from_millis(50);
+
 /// Longest delay, for each known entry, before the others are told that a part is sound.
 /// Many entries know it of a part that many calls share, and the first one to tell it
 /// spares the others the write.
@@ -161,10 +168,10 @@
         }
         let from = self.gossip_cursor.get() % count;
         self.gossip_cursor.set(from + MAX_DATAGRAM_CRASHES);
-        let records = records
-            .cycle()
-            .skip(from)
-            .take(count.min(MAX_DATAGRAM_CRASHES));
+        let rotated = records.clone().cycle().skip(from).take(count);
+        let (urgent, others): (Vec<_>, Vec<_>) =
+            rotated.partition(|(key, record)| self.is_urgent(*key, record));
+        let records = urgent.into_iter().chain(others).take(MAX_DATAGRAM_CRASHES);
         for (key, record) in records {
             match key {
                 RecordKey::Crash(crash) => unstored.crashes.push(report(crash, record, wall_ms)),
@@ -178,11 +185,26 @@
         unstored
     }
 
-    /// The next records to write.
-    fn next_batch(&self) -> Vec<(RecordKey, Option<CrashRecord>)> {
+    /// The next records to write, the urgent ones first, and whether there are any of these.
+    fn next_batch(&self) -> (Vec<(RecordKey, Option<CrashRecord>)>, bool) {
         let pending = self.pending_writes.borrow();
-        let batch = pending.iter().take(MAX_BATCH);
-        batch.map(|(key, record)| (*key, record.clone())).collect()
+        let is_urgent = |(key, record): &(&RecordKey, &Option<CrashRecord>)| {
+            record.as_ref().is_some_and(|r| self.is_urgent(**key, r))
+        };
+        let (urgent, others): (Vec<_>, Vec<_>) = pending.iter().partition(is_urgent);
+        let any_urgent = !urgent.is_empty();
+        let batch = urgent.into_iter().chain(others).take(MAX_BATCH);
+        let batch = batch.map(|(key, record)| (*key, record.clone()));
+        (batch.collect(), any_urgent)
+    }
+
+    /// Whether the other entries should know of a record soon: a part under which another
+    /// server crashed as well, or one that they may suspect and that is sound.
+    fn is_urgent(&self, key: RecordKey, record: &CrashRecord) -> bool {
+        match key {
+            RecordKey::Crash(_) => self.suspects.borrow().is_repeated(&record.shared_parts),
+            RecordKey::SoundPart(_) => true,
+        }
     }
 
     /// Removes a written batch from the queue, except records that changed since.
@@ -303,7 +325,7 @@
 
 /// Counts a crash of `server` against the calls that it was running.
 fn record_crash(state: &Rc<State>, server: &ServerRecord, calls: Vec<BrokenCall>) {
-    let (now, wall_ms) = (state.clock.now(), state.clock.wall_ms());
+    let now = state.clock.now();
     let incarnation = rendezvous::score(
         rendezvous::hash_name(&server.id),
         server.started_ms.unwrap_or(0),
@@ -311,7 +333,13 @@
     let reports = calls
         .into_iter()
         .map(|call| call.into_report(now, incarnation));
-    let reports = reports.collect();
+    add_own_reports(state, reports.collect());
+}
+
+/// Counts the crash of a server that this entry has seen against the calls that it was
+/// running, and shares it with the other entries.
+pub fn add_own_reports(state: &Rc<State>, reports: Vec<CrashReport>) {
+    let (now, wall_ms) = (state.clock.now(), state.clock.wall_ms());
     let reports = observe(state, |suspects| suspects.server_crashed(now, reports));
     for report in reports {
         let key = RecordKey::Crash(report.crash);
@@ -363,6 +391,10 @@
         info!("calls with part accepted again", kv: { part = format!("{part:x}").as_str() });
     }
     metrics::gauge!("pimentocart_parts_refused").set(after.len() as f64);
+    // Records that wait to be written may have become urgent.
+    if !state.crashes.pending_writes.borrow().is_empty() {
+        state.crashes.write_needed.notify_one();
+    }
     if contested && !state.crashes.telling.replace(true) {
         actix_rt::spawn(tell_sound_parts(Rc::clone(state)));
     }
@@ -553,17 +585,22 @@
 /// Writes crashes to the store until `end`.
 pub async fn write_to_store<E: platform::CrashTable>(state: Rc<State>, table: E, end: StopSignal) {
     let mut failures = 0;
+    let mut written_at: Option<tokio::time::Instant> = None;
     while !end.is_triggered() {
-        let batch = state.crashes.next_batch();
-        if batch.is_empty() {
+        let (batch, urgent) = state.crashes.next_batch();
+        let delay = match batch.is_empty() {
+            true => STOP_CHECK_INTERVAL,
+            false => {
+                let since = written_at.map_or(Duration::MAX, |at| at.elapsed());
+                write_delay(&state, urgent, failures).saturating_sub(since)
+            }
+        };
+        if batch.is_empty() || !delay.is_zero() {
             // The queue is checked again after a timeout as well as a notification.
-            let _ =
-                tokio::time::timeout(STOP_CHECK_INTERVAL, state.crashes.write_needed.notified())
-                    .await;
+            let _ = tokio::time::timeout(delay, state.crashes.write_needed.notified()).await;
             continue;
         }
-        let mut pause =
-            WRITE_DELAY_PER_ENTRY * u32::try_from(state.roster.borrow().count().total).unwrap_or(1);
+        written_at = Some(tokio::time::Instant::now());
         match table.write(&batch).await {
             Ok(()) => {
                 state.crashes.mark_written(&batch);
@@ -571,14 +608,29 @@
             }
             Err(e) => {
                 failures += 1;
-                pause = pause.max(retry_delay(failures));
                 if failures == 1 {
                     warn!("writing crashes failed; retrying", kv: {
                         count = batch.len(), cause = e.to_string().as_str()
                     });
                 }
+                if urgent {
+                    state.gossip_now.notify_one();
+                }
             }
         }
-        tokio::time::sleep(pause).await;
     }
 }
+
+/// Delay between two writes.
+fn write_delay(state: &State, urgent: bool, failures: u32) -> Duration {
+    let entries = u32::try_from(state.roster.borrow().count().total).unwrap_or(u32::MAX);
+    let per_entry = match urgent {
+        true => URGENT_DELAY_PER_ENTRY,
+        false => WRITE_DELAY_PER_ENTRY,
+    };
+    let least = match failures {
+        0 => MIN_WRITE_DELAY,
+        _ => retry_delay(failures),
+    };
+    per_entry.saturating_mul(entries).max(least)
+}
--- a/crates/forward/tests/tables/crashes.rs
+++ b/crates/forward/tests/tables/crashes.rs
@@ -13,7 +13,9 @@
 use forward::state::State;
 use forward::{crashes, follow, neighbours};
 use policy::readers::{MIN_SHARING_ENTRIES, Rank};
-use policy::suspects::{Crash, CrashRecord, Fingerprint, RecordKey};
+use policy::roster::EntryCounts;
+use policy::suspects::{Crash, CrashRecord, CrashReport, Fingerprint, RecordKey};
+use rstest::rstest;
 use tokio::net::TcpListener;
 
 use crate::common::{NoCallsDialect, TEST_TIMEOUT, wait_until};
@@ -28,6 +30,8 @@
     unavailable: Cell<bool>,
     /// Whether it has refused a request.
     refused: Cell<bool>,
+    /// Number of times that it was read.
+    reads: Cell<u32>,
 }
 
 impl Table {
@@ -59,6 +63,7 @@
 
     async fn snapshot(&self) -> Result<Changes<CrashRecord>, SourceError> {
         self.check()?;
+        self.0.reads.set(self.0.reads.get() + 1);
         let records = self.records().into_iter();
         Ok(Changes {
             records: records.map(|(key, record)| (key, Some(record))).collect(),
@@ -236,3 +241,77 @@
     wait_until("deleted from the store", || table.records().is_empty()).await;
     wait_until("accepted again", || !refused(&state)).await;
 }
+
+/// Lets a server crash under a call of `state` whose prompt has part 7.
+fn crash_server(state: &Rc<State>, incarnation: u64) {
+    let report = CrashReport {
+        crash: Crash {
+            fingerprint: Fingerprint::from_parts(&[&incarnation.to_le_bytes()]),
+            incarnation,
+        },
+        age: Duration::ZERO,
+        run: Duration::from_millis(100),
+        shared_parts: vec![7],
+    };
+    crashes::add_own_reports(state, vec![report]);
+}
+
+/// Guards against the crashes of an entry reaching the store so late in a large fleet that
+/// the part of a prompt under which servers crash is not known within the 3 s that are
+/// allowed.
+#[rstest]
+#[case::small(4)]
+#[case::middle(100)]
+#[case::large(987)]
+#[actix_rt::test]
+async fn repeated_crashes_are_written_soon(#[case] entries: usize) {
+    let table = Table::default();
+    let state = start_entry(&table).await;
+    wait_until("the table was read", || table.0.reads.get() > 0).await;
+    let counts = EntryCounts {
+        total: entries,
+        same_zone: 10,
+        preceding: 0,
+    };
+    let now = state.clock.now();
+    state.roster.borrow_mut().record_counts(now, counts);
+    tokio::time::pause();
+    for incarnation in 0..5 {
+        crash_server(&state, incarnation);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    assert_eq!(table.records().len(), 5);
+}
+
+/// Guards against entries that write all crashes at once when all servers crash: those that
+/// point at no part wait.
+#[actix_rt::test]
+async fn single_crashes_are_paced() {
+    let table = Table::default();
+    let state = start_entry(&table).await;
+    wait_until("the table was read", || table.0.reads.get() > 0).await;
+    let counts = EntryCounts {
+        total: 100,
+        same_zone: 10,
+        preceding: 0,
+    };
+    let now = state.clock.now();
+    state.roster.borrow_mut().record_counts(now, counts);
+    tokio::time::pause();
+    for incarnation in 0..5 {
+        let mut report = CrashReport::without_parts(
+            Crash {
+                fingerprint: crashing_call(),
+                incarnation,
+            },
+            Duration::ZERO,
+        );
+        report.shared_parts = vec![incarnation];
+        crashes::add_own_reports(&state, vec![report]);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(table.records().len(), 1);
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    assert_eq!(table.records().len(), 5);
+}
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -241,6 +241,13 @@
         parts.map(|(p, at)| (p, age(now_ms - at))).collect()
     }
 
+    /// Whether several servers have crashed under calls with one of these parts, none of
+    /// which is known to be sound since.
+    #[must_use]
+    pub fn is_repeated(&self, shared_parts: &[u64]) -> bool {
+        self.parts.is_repeated(shared_parts)
+    }
+
     /// The parts with which requests are refused.
     pub fn accused_parts(&self) -> impl Iterator<Item = u64> {
         self.parts.accused()
--- a/crates/policy/src/suspects/parts.rs
+++ b/crates/policy/src/suspects/parts.rs
@@ -209,6 +209,17 @@
         self.accusations.iter().any(|a| a.applies_to(parts))
     }
 
+    /// Whether several servers have crashed under calls with one of these parts, none of
+    /// which is known to be sound since.
+    pub(super) fn is_repeated(&self, parts: &[u64]) -> bool {
+        let repeated = |part: &u64| {
+            let mut incarnations = self.valid_evidence(*part).map(|e| e.crash.incarnation);
+            let first = incarnations.next();
+            first.is_some_and(|first| incarnations.any(|other| other != first))
+        };
+        parts.iter().any(repeated)
+    }
+
     /// The incarnations whose crashes were caused by prompts unlike this one.
     pub(super) fn explained_without(&self, parts: &[u64]) -> BTreeSet<u64> {
         let others = self.accusations.iter().filter(|a| !a.applies_to(parts));
