Accuse the part of the calls whose answers had just begun

While engines crash several times a second hardly any call is answered, and a sound part that many calls share is at all crashed engines. It was accused in place of the fatal one, whose crashes then counted as explained, and stayed so, as its calls were not sent any more. An entry that others have lost meets this first: it does not hear of most fatal calls.

A server that crashes because of a call does so when it begins to answer. Reports now say whether the head of the answer had arrived within 250 ms before, and parts of such calls are accused first; after them those that were never known to be sound. A part that was known to be sound takes four crashes in place of three.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -125,8 +125,10 @@
 struct Attempt {
     /// When the call was sent.
     sent_at: Instant,
-    /// When the first event of the answer arrived.
+    /// When the head of the answer arrived.
     began_at: Option<Instant>,
+    /// When the first event of the answer arrived.
+    first_event: Option<Instant>,
     /// Whether the server has been writing the answer for [`STEADY_TIME`].
     steady: bool,
 }
@@ -136,6 +138,7 @@
         Self {
             sent_at,
             began_at: None,
+            first_event: None,
             steady: false,
         }
     }
@@ -304,7 +307,7 @@
             identity: self.identity(),
             sent_at: attempt.sent_at,
             broken_at: self.state.clock.now(),
-            began: attempt.began_at.is_some(),
+            began_at: attempt.began_at,
             steady: attempt.steady,
         };
         crashes::connection_broken(&self.state, server, call);
@@ -323,13 +326,21 @@
         self.attempt.set(Attempt::new(now));
     }
 
+    /// Records that the head of the answer arrived.
+    fn record_answer_began(&self) {
+        self.attempt.set(Attempt {
+            began_at: Some(self.state.clock.now()),
+            ..self.attempt.get()
+        });
+    }
+
     /// Records that events of the answer arrived.
     pub(crate) fn record_events(&self, now: Instant) {
         let attempt = self.attempt.get();
-        let began_at = attempt.began_at.unwrap_or(now);
-        let steady = now.saturating_duration_since(began_at) >= STEADY_TIME;
+        let first_event = attempt.first_event.unwrap_or(now);
+        let steady = now.saturating_duration_since(first_event) >= STEADY_TIME;
         self.attempt.set(Attempt {
-            began_at: Some(began_at),
+            first_event: Some(first_event),
             steady,
             ..attempt
         });
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -103,8 +103,9 @@
             if sent.as_ref().is_err_and(|e| *e == SendError::TimedOut) {
                 self.record_timeout(now, waiting_calls);
             }
-            if let Err(error) = &sent {
-                self.record_failed(error);
+            match &sent {
+                Ok(_) => self.record_answer_began(),
+                Err(error) => self.record_failed(error),
             }
             match sent {
                 Err(SendError::NeverSent(e)) => {
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -234,6 +234,9 @@
         if sent.as_ref().is_err_and(|e| *e == SendError::WrongServer) {
             self.mark_replaced(now, server);
         }
+        if sent.is_ok() {
+            self.record_answer_began();
+        }
         self.record_outcome(server, &sent);
         sent.map(|response| ServerResponse {
             sent_at: now,
@@ -269,6 +272,7 @@
         self.begin_attempt(now);
         let sent = exchange::send(&self.state, server, request, id, self.deadline, None);
         let response = sent.await?;
+        self.record_answer_began();
         match is_valid_success(&response) {
             true => Ok(response.body),
             false => Err(SendError::Unknown(format!("status {}", response.status))),
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -59,6 +59,10 @@
 /// spares the others the write.
 const SOUND_DELAY_PER_ENTRY: Duration = Duration::from_millis(2);
 
+/// Time from the head of an answer during which a server that crashes probably does so
+/// because of the call.
+const BEGIN_TIME: Duration = Duration::from_millis(250);
+
 /// Interval at which the idle writer checks whether the entry stops.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -227,8 +231,8 @@
     pub(crate) sent_at: Instant,
     /// When the connection broke.
     pub(crate) broken_at: Instant,
-    /// Whether an event of the answer arrived.
-    pub(crate) began: bool,
+    /// When the head of the answer arrived.
+    pub(crate) began_at: Option<Instant>,
     /// Whether the server had been writing the answer for some time.
     pub(crate) steady: bool,
 }
@@ -239,6 +243,12 @@
         self.broken_at.saturating_duration_since(self.sent_at)
     }
 
+    /// Whether the answer had begun a short time before.
+    fn just_began(&self) -> bool {
+        let age = |at| self.broken_at.saturating_duration_since(at);
+        self.began_at.is_some_and(|at| age(at) < BEGIN_TIME)
+    }
+
     /// What the crash of the server with this incarnation says about the call. A server
     /// that has been writing the answer for some time has not crashed because of a part
     /// of the prompt.
@@ -250,6 +260,7 @@
             },
             age: now.saturating_duration_since(self.broken_at),
             run: self.run(),
+            just_began: self.just_began(),
             shared_parts: match self.steady {
                 true => Vec::new(),
                 false => self.identity.shared_parts,
@@ -294,7 +305,7 @@
             fingerprint = call.identity.fingerprint.to_string().as_str(),
             parts = format_parts(&call.identity.shared_parts).as_str(),
             run_ms = millis(call.run()),
-            began = call.began,
+            began = call.began_at.is_some(),
             steady = call.steady
         });
     }
@@ -355,6 +366,7 @@
     CrashRecord {
         seen_ms: wall_ms.saturating_sub(millis(report.age)),
         run_ms: u32::try_from(millis(report.run)).unwrap_or(u32::MAX),
+        just_began: report.just_began,
         shared_parts: report.shared_parts.clone(),
     }
 }
@@ -365,6 +377,7 @@
         crash,
         age: record_age(record, wall_ms),
         run: Duration::from_millis(u64::from(record.run_ms)),
+        just_began: record.just_began,
         shared_parts: record.shared_parts.clone(),
     }
 }
--- a/crates/forward/src/gossip/convert.rs
+++ b/crates/forward/src/gossip/convert.rs
@@ -164,6 +164,7 @@
         incarnation: report.crash.incarnation,
         age_ms: millis(report.age),
         run_ms: millis(report.run),
+        just_began: report.just_began,
         shared_parts: report.shared_parts.clone(),
     }
 }
@@ -177,6 +178,7 @@
         },
         age: Duration::from_millis(u64::from(report.age_ms)),
         run: Duration::from_millis(u64::from(report.run_ms)),
+        just_began: report.just_began,
         shared_parts: report.shared_parts.clone(),
     }
 }
--- a/crates/forward/tests/calls/suspects.rs
+++ b/crates/forward/tests/calls/suspects.rs
@@ -25,6 +25,7 @@
             },
             age: age + Duration::from_millis(600 - 200 * n),
             run: Duration::from_millis(100),
+            just_began: false,
             shared_parts: vec![7],
         };
         crashes::add_report(state, state.clock.now(), &report);
--- a/crates/forward/tests/tables/crashes.rs
+++ b/crates/forward/tests/tables/crashes.rs
@@ -251,6 +251,7 @@
         },
         age: Duration::ZERO,
         run: Duration::from_millis(100),
+        just_began: false,
         shared_parts: vec![7],
     };
     crashes::add_own_reports(state, vec![report]);
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -118,6 +118,9 @@
     pub age: Duration,
     /// Time from sending the call to the crash.
     pub run: Duration,
+    /// Whether its answer had just begun. A server that crashes because of a call does so
+    /// at this moment.
+    pub just_began: bool,
     /// The parts of its prompt that other requests may share; none if the server had
     /// been writing the answer for some time.
     pub shared_parts: Vec<u64>,
@@ -131,6 +134,7 @@
             crash,
             age,
             run: Duration::ZERO,
+            just_began: false,
             shared_parts: Vec::new(),
         }
     }
@@ -154,6 +158,7 @@
     incarnation: u64,
     expires_at: Instant,
     run: Duration,
+    just_began: bool,
     shared_parts: Vec<u64>,
 }
 
@@ -174,13 +179,12 @@
             incarnation: crash.incarnation,
             expires_at: now + left,
             run: report.run,
+            just_began: report.just_began,
             shared_parts: report.shared_parts.clone(),
         });
         self.crash_count += 1;
         let crashed_ms = self.time_ms(now) - to_ms(report.age);
-        let sent_ms = crashed_ms - to_ms(report.run);
-        self.parts
-            .add(crash, sent_ms, crashed_ms, &report.shared_parts);
+        self.parts.add(crashed_ms, report);
         if self.crash_count > MAX_CRASHES {
             self.evict_oldest(crash.fingerprint);
         }
@@ -283,6 +287,7 @@
             crash,
             age: CRASH_TTL.saturating_sub(left),
             run: counted.run,
+            just_began: counted.just_began,
             shared_parts: counted.shared_parts.clone(),
         })
     }
--- a/crates/policy/src/suspects/parts.rs
+++ b/crates/policy/src/suspects/parts.rs
@@ -7,20 +7,26 @@
 //! that are lost at the same time, such as those of a rack, therefore count once.
 //!
 //! A server that goes on writing its answer shows that all parts of the prompt are
-//! sound, which voids all evidence against them from calls that were sent before. Of
-//! several parts that explain the same crashes, the one with the fewest calls is
+//! sound, which voids all evidence against them from calls that were sent before. A
+//! part that was ever known to be sound is accused only after [`KNOWN_LIMIT`] crashes:
+//! while engines crash all the time, hardly any call is answered. Of several parts that explain the same crashes, the one with the fewest calls is
 //! accused; a request is refused if it has all parts that cannot be told apart, so
-//! that a request with only some of them runs and tells them apart. See
+//! that a request with only some of them runs and tells them apart. Calls whose answers
+//! had just begun when the server crashed count before the others. See
 //! docs/DECISIONS/0607-crashing-requests.md.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use super::{CRASH_LIMIT, Crash};
+use super::{CRASH_LIMIT, Crash, CrashReport, to_ms};
 use crate::rendezvous;
 
 /// Time in milliseconds since the first event; negative before it.
 pub(super) type TimeMs = i64;
 
+/// [`CRASH_LIMIT`] for a part that was known to be sound before.
+const KNOWN_LIMIT: usize = 4;
+
 /// Separate crashes from which on an entry that knows a part to be sound tells the
 /// others. It is less than [`CRASH_LIMIT`], so that they know in time.
 const CONTEST_LIMIT: usize = CRASH_LIMIT - 1;
@@ -54,6 +60,8 @@
     crash: Crash,
     sent_ms: TimeMs,
     crashed_ms: TimeMs,
+    /// Whether the answer had just begun.
+    just_began: bool,
 }
 
 /// The evidence against one part.
@@ -97,10 +105,12 @@
 
 impl PartSuspects {
     /// Adds a call that was running at a server that crashed.
-    pub(super) fn add(&mut self, crash: Crash, sent_ms: TimeMs, crashed_ms: TimeMs, parts: &[u64]) {
+    pub(super) fn add(&mut self, crashed_ms: TimeMs, report: &CrashReport) {
+        let sent_ms = crashed_ms - to_ms(report.run);
         if crashed_ms - sent_ms < MIN_RUN_MS {
             return;
         }
+        let parts = &report.shared_parts;
         for part in parts {
             let sound = self.sound.get(part).copied().unwrap_or_default();
             if sound.shared_ms.is_some_and(|at| at >= sent_ms) {
@@ -108,9 +118,10 @@
             }
             let calls = &mut self.evidence.entry(*part).or_default().calls;
             calls.push(Evidence {
-                crash,
+                crash: report.crash,
                 sent_ms,
                 crashed_ms,
+                just_began: report.just_began,
             });
             calls.sort_by_key(|e| (e.crashed_ms, e.crash));
             let excess = calls.len().saturating_sub(MAX_EVIDENCE);
@@ -332,7 +343,10 @@
             .evidence
             .iter()
             .filter(|(_, evidence)| evidence.calls.len() >= CRASH_LIMIT)
-            .filter_map(|(part, _)| Candidate::new(*part, self.valid_evidence(*part)))
+            .filter_map(|(part, _)| {
+                let known = self.sound.contains_key(part);
+                Candidate::new(*part, known, self.valid_evidence(*part))
+            })
             .collect();
         candidates.sort_by_key(|c| c.part);
         self.accusations.clear();
@@ -356,20 +370,29 @@
 #[derive(Debug)]
 struct Candidate {
     part: u64,
+    /// Whether it was known to be sound before.
+    known: bool,
     calls: Vec<Evidence>,
     /// The crashed calls, without times.
     crashes: BTreeSet<Crash>,
 }
 
 impl Candidate {
-    fn new<'a>(part: u64, calls: impl Iterator<Item = &'a Evidence>) -> Option<Self> {
+    fn new<'a>(part: u64, known: bool, calls: impl Iterator<Item = &'a Evidence>) -> Option<Self> {
         let calls: Vec<Evidence> = calls.copied().collect();
         let candidate = Self {
             part,
+            known,
             crashes: calls.iter().map(|e| e.crash).collect(),
             calls,
         };
-        (candidate.series(&BTreeSet::new()).len() >= CRASH_LIMIT).then_some(candidate)
+        let series = candidate.series(&BTreeSet::new()).len();
+        (series >= candidate.limit()).then_some(candidate)
+    }
+
+    /// Separate crashes from which on it is accused.
+    fn limit(&self) -> usize {
+        if self.known { KNOWN_LIMIT } else { CRASH_LIMIT }
     }
 
     /// The separate crashes that are not in `explained`.
@@ -378,34 +401,48 @@
         separate_crashes(left.filter(|e| !explained.contains(&e.crash.incarnation)))
     }
 
+    /// The number of separate crashes that are not in `explained`, each under a call whose
+    /// answer had just begun.
+    fn began_series(&self, explained: &BTreeSet<u64>) -> usize {
+        let began = self.calls.iter().filter(|e| e.just_began);
+        separate_crashes(began.filter(|e| !explained.contains(&e.crash.incarnation))).len()
+    }
+
     /// Whether each call with this part also had `other`, but not the other way round.
     fn is_more_specific(&self, other: &Self) -> bool {
         self.crashes.len() < other.crashes.len() && self.crashes.is_subset(&other.crashes)
     }
 }
 
-/// The accusation that explains most of the crashes that are left. A more specific part
-/// that explains all of them but one is preferred, as the report of one crash may be late.
+/// The accusation that explains most of the crashes that are left, first of all those under
+/// calls whose answers had just begun; then parts that were never known to be sound come
+/// first. A more specific part that explains all of the crashes but
+/// one is preferred, as the report of one may be late.
 fn next_accusation(candidates: &[Candidate], explained: &BTreeSet<u64>) -> Option<Accusation> {
     let series = |c: &Candidate| c.series(explained).len();
-    let rank = |c: &&Candidate| (series(c), std::cmp::Reverse(c.crashes.len()));
-    let mut best = candidates.iter().max_by_key(rank)?;
-    if series(best) < CRASH_LIMIT {
-        return None;
-    }
+    let rank = |c: &&Candidate| {
+        let began = c.began_series(explained);
+        (began, !c.known, series(c), Reverse(c.crashes.len()))
+    };
+    let eligible = |c: &&Candidate| series(c) >= c.limit();
+    let mut best = candidates.iter().filter(eligible).max_by_key(rank)?;
     loop {
-        let least = CRASH_LIMIT.max(series(best) - 1);
-        let specific = |c: &&Candidate| c.is_more_specific(best) && series(c) >= least;
+        let least = series(best) - 1;
+        let specific = |c: &&Candidate| {
+            eligible(c) && c.is_more_specific(best) && series(c) >= least && c.known <= best.known
+        };
         match candidates.iter().filter(specific).max_by_key(rank) {
             Some(specific) => best = specific,
             None => break,
         }
     }
-    let alike = candidates.iter().filter(|c| c.crashes == best.crashes);
+    let alike = candidates
+        .iter()
+        .filter(|c| c.crashes == best.crashes && c.known == best.known);
     Some(Accusation {
         parts: alike.map(|c| c.part).collect(),
         incarnations: best.crashes.iter().map(|c| c.incarnation).collect(),
-        since_ms: best.series(explained)[CRASH_LIMIT - 1],
+        since_ms: best.series(explained)[best.limit() - 1],
     })
 }
 
--- a/crates/policy/src/suspects/records.rs
+++ b/crates/policy/src/suspects/records.rs
@@ -39,14 +39,19 @@
     }
 }
 
-/// The value of a record. Its text form is `SEEN_MS RUN_MS PART,PART`, with the parts in
-/// hexadecimal; all but the first field may be missing.
+/// Marks a call whose answer had just begun.
+const BEGAN_MARK: &str = "began";
+
+/// The value of a record. Its text form is `SEEN_MS RUN_MS PART,PART began`, with the parts
+/// in hexadecimal; all but the first field may be missing.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// When the crash was seen, or the part was known to be sound, in Unix milliseconds.
     pub seen_ms: u64,
     /// Time from sending the call to the crash, in milliseconds.
     pub run_ms: u32,
+    /// Whether the answer had just begun.
+    pub just_began: bool,
     /// The parts of the call's prompt that other requests may share.
     pub shared_parts: Vec<u64>,
 }
@@ -58,7 +63,11 @@
             return Ok(());
         }
         let parts: Vec<String> = self.shared_parts.iter().map(|p| format!("{p:x}")).collect();
-        write!(f, " {} {}", self.run_ms, parts.join(","))
+        write!(f, " {} {}", self.run_ms, parts.join(","))?;
+        match self.just_began {
+            true => write!(f, " {BEGAN_MARK}"),
+            false => Ok(()),
+        }
     }
 }
 
@@ -72,10 +81,17 @@
         let run_ms = fields.next().unwrap_or("0").parse().map_err(|_| bad())?;
         let parts = fields.next().unwrap_or("").split(',');
         let parts = parts.filter(|part| !part.is_empty()).map(parse_part);
+        let shared_parts = parts.collect::<Result<_, _>>()?;
+        let just_began = match fields.next() {
+            None => false,
+            Some(BEGAN_MARK) => true,
+            Some(_) => return Err(bad()),
+        };
         Ok(Self {
             seen_ms,
             run_ms,
-            shared_parts: parts.collect::<Result<_, _>>()?,
+            just_began,
+            shared_parts,
         })
     }
 }
--- a/crates/policy/tests/suspect_parts.rs
+++ b/crates/policy/tests/suspect_parts.rs
@@ -35,6 +35,7 @@
         },
         age: Duration::ZERO,
         run: RUN,
+        just_began: false,
         shared_parts: parts.to_vec(),
     }
 }
@@ -153,16 +154,32 @@
     assert!(!entry.refuses(&[FIRST, OTHER]));
 }
 
-/// Guards against a part staying sound for good: a part may begin to crash servers.
+/// Guards against a part staying sound for good: a part may begin to crash servers. It takes
+/// more crashes to accuse it than a part that no server ever answered.
 #[test]
 fn part_that_was_sound_is_refused() {
     let mut entry = Entry::new();
     entry.record_sound(&[FIRST, FATAL]);
     entry.now += ms(1000);
     (0..3).for_each(|_| entry.crash(&[&[FATAL]]));
+    assert!(!entry.refuses(&[FATAL]));
+    entry.crash(&[&[FATAL]]);
     assert!(entry.refuses(&[FATAL]));
 }
 
+/// Guards against accusing a part that has been answered before in place of the fatal one,
+/// while engines crash so often that no call is answered any more.
+#[test]
+fn unknown_part_is_accused_before_known_one() {
+    let mut entry = Entry::new();
+    entry.record_sound(&[FIRST, OTHER]);
+    entry.now += ms(1000);
+    (0..3).for_each(|_| entry.crash(&[&[FIRST, OTHER]]));
+    (0..3).for_each(|_| entry.crash(&[&[FIRST, FATAL], &[FIRST, OTHER]]));
+    assert!(entry.refuses(&[FATAL]));
+    assert!(!entry.refuses(&[FIRST, OTHER]));
+}
+
 /// Guards against refusing sound requests that share all but the fatal part with the
 /// requests under which servers crash, before any of them was answered.
 #[test]
@@ -323,16 +340,23 @@
 }
 
 #[rstest]
-#[case::without_call("1786043757772", 0, &[])]
-#[case::without_parts("1786043757772 146 ", 146, &[])]
-#[case::whole("1786043757772 146 aa,fa7a1", 146, &[FIRST, FATAL])]
-fn crash_record_round_trip(#[case] text: &str, #[case] run_ms: u32, #[case] parts: &[u64]) {
+#[case::without_call("1786043757772", 0, &[], false)]
+#[case::without_parts("1786043757772 146 ", 146, &[], false)]
+#[case::with_parts("1786043757772 146 aa,fa7a1", 146, &[FIRST, FATAL], false)]
+#[case::began("1786043757772 146 aa began", 146, &[FIRST], true)]
+fn crash_record_round_trip(
+    #[case] text: &str,
+    #[case] run_ms: u32,
+    #[case] parts: &[u64],
+    #[case] just_began: bool,
+) {
     let record: CrashRecord = text.parse().expect("valid");
     assert_eq!(
         record,
         CrashRecord {
             seen_ms: 1_786_043_757_772,
             run_ms,
+            just_began,
             shared_parts: parts.to_vec()
         }
     );
@@ -344,6 +368,7 @@
 #[case::no_number("x 1 aa")]
 #[case::no_run("1 x aa")]
 #[case::no_part("1 2 aa,xyz")]
+#[case::no_mark("1 2 aa x")]
 fn invalid_crash_records(#[case] text: &str) {
     assert!(text.parse::<CrashRecord>().is_err());
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -235,6 +235,8 @@
     pub age_ms: u32,
     /// Time from sending the call to the crash, in milliseconds.
     pub run_ms: u32,
+    /// Whether the answer to the call had just begun.
+    pub just_began: bool,
     /// The parts of the call's prompt that other calls may share.
     pub shared_parts: Vec<u64>,
 }
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -31,6 +31,7 @@
         incarnation: u64::MAX,
         age_ms: u32::MAX,
         run_ms: u32::MAX,
+        just_began: true,
         shared_parts: vec![u64::MAX; 32],
     };
     let load = EntryLoad {
