Count crashes of servers that are replaced at once or lost with their host

A crash counted only if a new connection was refused. A server whose address another one took at once accepted it, and a server that went dark with its host did not answer, so that calls under which such servers end were never suspected. Calls whose connections broke are now kept for eight seconds; they count if another server answers at the address, or the server's record is replaced or removed.

Test crash_of_replaced_server_counts: no crash was counted before. That the removal of a record counts has no test of its own.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::placement::Placement;
 use super::{Call, StartPoint};
+use crate::crashes;
 use crate::exchange::{self, SendError, ServerResponse};
 use crate::platform::{AddedHeaders, KvCopy};
 
@@ -178,6 +179,7 @@
             .balancer
             .borrow_mut()
             .mark_missing(now, &server.id, now);
+        crashes::server_gone(&self.state, &server.id);
     }
 
     /// Marks `server` as leaving, as its sidecar has reported.
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -63,6 +63,13 @@
 /// because of the call.
 const BEGIN_TIME: Duration = Duration::from_millis(250);
 
+/// Time after a connection broke within which the loss of its server counts as its cause. A
+/// silent server is removed from the list after a few heartbeats.
+const UNRESOLVED_TTL: Duration = Duration::from_secs(8);
+
+/// Maximum number of such calls that are kept for one server.
+const MAX_UNRESOLVED: usize = 64;
+
 /// Interval at which the idle writer checks whether the entry stops.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -81,6 +88,9 @@
     suspects: RefCell<CrashSuspects>,
     /// Calls whose connection broke, by server, until the cause is known.
     broken_calls: RefCell<HashMap<Rc<str>, Vec<BrokenCall>>>,
+    /// Calls whose connection broke at a server that was not found to have crashed, by
+    /// server. It may have been replaced at once, or be lost with its host.
+    unresolved_calls: RefCell<HashMap<Rc<str>, UnresolvedCalls>>,
     /// Records to write to the store, or `None` to delete one.
     pending_writes: RefCell<BTreeMap<RecordKey, Option<CrashRecord>>>,
     /// Index of the first of them in the next gossip datagram.
@@ -91,6 +101,13 @@
     telling: Cell<bool>,
 }
 
+/// Calls whose connection broke at a server of which it is not known whether it crashed.
+#[derive(Debug)]
+struct UnresolvedCalls {
+    server: ServerRecord,
+    calls: Vec<BrokenCall>,
+}
+
 /// A call with what identifies it among others.
 #[derive(Debug, Clone)]
 pub struct CallIdentity {
@@ -309,11 +326,50 @@
             steady = call.steady
         });
     }
-    if outcome == "crashed" {
-        record_crash(&state, &server, calls);
+    match outcome {
+        "crashed" => record_crash(&state, &server, calls),
+        _ => keep_unresolved(&state, server, calls),
+    }
+}
+
+/// Keeps calls until it is known whether their server crashed.
+fn keep_unresolved(state: &State, server: ServerRecord, calls: Vec<BrokenCall>) {
+    let mut unresolved = state.crashes.unresolved_calls.borrow_mut();
+    let at_server = unresolved
+        .entry(Rc::clone(&server.id))
+        .or_insert_with(|| UnresolvedCalls {
+            server,
+            calls: Vec::new(),
+        });
+    let room = MAX_UNRESOLVED.saturating_sub(at_server.calls.len());
+    at_server.calls.extend(calls.into_iter().take(room));
+}
+
+/// Counts a crash of the server `id` if connections to it broke a short time ago: another
+/// server has its address now, or its record was removed.
+pub(crate) fn server_gone(state: &Rc<State>, id: &str) {
+    let gone = state.crashes.unresolved_calls.borrow_mut().remove(id);
+    let Some(UnresolvedCalls { server, mut calls }) = gone else {
+        return;
+    };
+    let now = state.clock.now();
+    calls.retain(|call| now < call.broken_at + UNRESOLVED_TTL);
+    if !calls.is_empty() {
+        info!("server gone after its connections broke", kv: { server = id, calls = calls.len() });
+        record_crash(state, &server, calls);
     }
 }
 
+/// Forgets calls whose servers are still there.
+fn expire_unresolved(state: &State, now: Instant) {
+    let mut unresolved = state.crashes.unresolved_calls.borrow_mut();
+    unresolved.retain(|_, at_server| {
+        let calls = &mut at_server.calls;
+        calls.retain(|call| now < call.broken_at + UNRESOLVED_TTL);
+        !calls.is_empty()
+    });
+}
+
 /// The parts of a prompt for log lines.
 fn format_parts(parts: &[u64]) -> String {
     let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
@@ -574,6 +630,7 @@
 /// Removes expired crashes and sound parts from this entry, and also from the store if this
 /// entry reads it.
 pub(crate) fn expire(state: &Rc<State>, now: Instant) {
+    expire_unresolved(state, now);
     let (crashes, parts) = observe(state, |suspects| {
         (suspects.expire(now), suspects.expire_sound_parts(now))
     });
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use wire::tables::ChangesRequest;
 
+use crate::crashes;
 use crate::state::State;
 
 /// Servers whose records expired during an outage of the store register again within two
@@ -138,7 +139,7 @@
 }
 
 /// Applies changes of the servers.
-pub(crate) fn apply_servers(state: &State, now: Instant, changes: Records<ServerRecord>) {
+pub(crate) fn apply_servers(state: &Rc<State>, now: Instant, changes: Records<ServerRecord>) {
     if !changes.is_empty() {
         state.tables.changed.notify_waiters();
     }
@@ -176,7 +177,7 @@
     }
 }
 
-fn record_server(state: &State, now: Instant, record: ServerRecord, log: bool) {
+fn record_server(state: &Rc<State>, now: Instant, record: ServerRecord, log: bool) {
     let (id, leaving) = (Rc::clone(&record.id), record.leaving);
     let (addr, zone, started_ms) = (record.addr, Rc::clone(&record.zone), record.started_ms);
     let version = Rc::clone(&record.version);
@@ -191,6 +192,9 @@
     if leaving || change == RecordChange::Restarted {
         state.connection_pool.close_idle(&id);
     }
+    if change == RecordChange::Restarted {
+        crashes::server_gone(state, &id);
+    }
     if !log {
         return;
     }
@@ -205,12 +209,13 @@
     });
 }
 
-fn mark_missing(state: &State, now: Instant, id: &str, usable_until: Instant) {
+fn mark_missing(state: &Rc<State>, now: Instant, id: &str, usable_until: Instant) {
     if state
         .balancer
         .borrow_mut()
         .mark_missing(now, id, usable_until)
     {
         info!("server missing", kv: { server = id });
+        crashes::server_gone(state, id);
     }
 }
--- a/crates/forward/tests/calls/suspects.rs
+++ b/crates/forward/tests/calls/suspects.rs
@@ -9,7 +9,7 @@
 use policy::suspects::{Crash, CrashReport, Fingerprint};
 use rstest::rstest;
 
-use crate::common::{Action, Entry, NOT_RUN, OK, Plan, header, status};
+use crate::common::{Action, Entry, NOT_RUN, OK, Plan, WRONG_SERVER, header, status};
 use crate::streams::{PARTIAL, REMAINDER};
 
 /// A call whose prompt has the fatal part 7.
@@ -86,6 +86,28 @@
     assert_eq!(entry.servers.requests().len(), 1);
 }
 
+/// Guards against overlooking the crash of a server whose address another one takes at once,
+/// so that a new connection is not refused.
+#[actix_rt::test]
+async fn crash_of_replaced_server_counts() {
+    let actions = [Action::SendReset(""), Action::Send(WRONG_SERVER)];
+    let plan = Plan {
+        versions: &[""],
+        ..Plan::new(CallKind::Once, 1, &actions)
+    };
+    let entry = Entry::start(plan).await;
+    assert_eq!(status(&entry.call(CALL).await), "502");
+    assert_eq!(entry.state.crashes.count(), 0);
+    while entry.servers.accepted() < 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    // The server is found to be alive before the next call reaches it.
+    tokio::task::yield_now().await;
+    let other = CALL.replace("call-id: 1", "call-id: 2");
+    assert_eq!(status(&entry.call(&other).await), "503");
+    assert_eq!(entry.state.crashes.count(), 1);
+}
+
 /// Guards against a part being refused for good after the servers were fixed, or although
 /// it never was fatal: one call is sent again, and its answer clears the part.
 #[actix_rt::test]
