Add a soak of a part of a prompt that crashes servers

Entries are killed, paused and restarted, the store goes down and is restored, and all servers crash together, while calls with the part and sound ones beside come to any entry.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -12,4 +12,5 @@
 mod process;
 mod signals;
 mod soak;
+mod soak_parts;
 mod versions;
