Take unframed answers of crashed servers for broken ones

An answer without a length or chunks ends with its connection. If its server crashed between two events, the stream was passed on as complete before its last event; part of a plain answer was passed on as a success. Callers cannot tell either from a whole one.

At the end of such an answer the entry now connects to the server, unless it leaves: refused means that it crashed, and the stream is resumed or ends visibly incomplete. The connection replaces the one that the answer used up. Unframed answers of live servers count like others for what is known of requests and parts: on routes that have no others, no part was ever known to be sound.

--- a/crates/cli/tests/forward/soak_parts.rs
+++ b/crates/cli/tests/forward/soak_parts.rs
@@ -15,7 +15,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::caller::call_with_prompt;
+use crate::caller::{call, call_with_prompt};
 use crate::fleet::served;
 use crate::platform::{FATAL_PART, Platform, Server, wait_until};
 use crate::process::Entry;
@@ -100,6 +100,11 @@
     wait_until("all entries refuse the part", || {
         entries.iter().all(|e| e.status("accused") >= 1)
     });
+    // An entry that has just reached the store again may know lost servers only.
+    wait_until("all entries serve calls", || {
+        let serves = |addr: &SocketAddr| served(&call(*addr, "/safe/x", "other"));
+        addrs.iter().all(serves)
+    });
     let errors = check_contained(seed, &platform, &addrs, &counts);
     end.store(true, Ordering::SeqCst);
     for thread in threads {
--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -65,10 +65,10 @@
         self.record_usage();
         self.forgo_backup();
         let body = self.read_body(&mut response.body).await?;
-        if response.status < 500 && response.body.framed {
+        if response.status < 500 {
             self.record_completed();
         }
-        if success && response.body.framed {
+        if success {
             self.record_sound();
         }
         Ok(Reply::Buffered {
@@ -121,6 +121,10 @@
             }
             all.extend_from_slice(&bytes);
         }
+        if self.before_deadline(body.ended_by_crash()).await? {
+            let cause = "server crashed before the end of its answer".to_owned();
+            return Err(self.response_broken(body, cause));
+        }
         Ok(all.into())
     }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use spdlog::info;
 
+use crate::crashes;
 use crate::grants::Grant;
 use crate::platform::ResponseHeaders;
 use crate::pool::{Connection, ConnectionPool};
@@ -184,6 +185,12 @@
             .bytes_received(now, &self.server.id);
     }
 
+    /// Whether a response that has ended did so because its server crashed. The end of one
+    /// without a length or chunks does not show it.
+    pub(crate) async fn ended_by_crash(&self) -> bool {
+        !self.framed && crashes::has_crashed(&self.state, &self.server).await
+    }
+
     /// Closes the connection before the response's end.
     pub(crate) fn close(&mut self) {
         self.conn = None;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -110,10 +110,8 @@
                     if relay.event_count > 1 && !relay.resumed {
                         relay.call.record_pause(relay.max_pause);
                     }
-                    if relay.body.framed {
-                        relay.call.record_completed();
-                        relay.call.record_sound();
-                    }
+                    relay.call.record_completed();
+                    relay.call.record_sound();
                     relay.call.record_copy_freed();
                     relay.log("whole");
                     None
@@ -148,7 +146,13 @@
                     .fail();
                 }
                 Ok(Ok(Some(bytes))) => self.splitter.push(&bytes),
-                Ok(Ok(None)) if self.splitter.pending_len() == 0 => return Ok(None),
+                Ok(Ok(None)) if self.splitter.pending_len() == 0 => {
+                    if self.body.ended_by_crash().await {
+                        self.fail_over("server crashed between two events").await?;
+                        continue;
+                    }
+                    return Ok(None);
+                }
                 // The response is complete by its framing, even if its last
                 // bytes are no complete event. After a resumption only complete
                 // events may follow.
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -1,10 +1,13 @@
 //! Streams of events: relayed whole, resumed at another server, or ended with a
 //! visible error.
 
+use policy::balance::ServerRecord;
 use policy::routes::CallKind;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
-use crate::common::{Action, Entry, OK, Plan, header, status};
+use crate::common::{Action, Entry, OK, Plan, Servers, header, listed, status};
 
 const ID: &str = "call-id: 1\r\n";
 
@@ -277,3 +280,53 @@
     let answer = entry.call(ID).await;
     assert_eq!(events(&answer), (vec!["a"], complete));
 }
+
+/// Starts a server that answers one call with `bytes` and crashes: it closes its connection
+/// and accepts no others.
+async fn crashing_server(bytes: &'static str) -> ServerRecord {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1 << 12];
+        let _ = stream.read(&mut request).await;
+        let _ = stream
+            .write_all(bytes.replace("{id}", "1").as_bytes())
+            .await;
+        drop(listener);
+    });
+    listed("s1", addr)
+}
+
+/// Guards against passing a stream without a length on as complete whose server crashed
+/// between two events, which looks like its end.
+#[actix_rt::test]
+async fn unframed_stream_of_crashed_server_is_incomplete() {
+    let bytes = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n";
+    let plan = Plan::new(CallKind::Stream, 1, &[]);
+    let server = crashing_server(bytes).await;
+    let entry = Entry::start_with(plan, Servers::default(), vec![server]).await;
+    assert_eq!(events(&entry.call(ID).await), (vec!["a"], false));
+}
+
+/// Guards against passing on part of an answer without a length as a success, because its
+/// server crashed.
+#[actix_rt::test]
+async fn unframed_answer_of_crashed_server_is_no_success() {
+    let bytes = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nhel";
+    let plan = Plan::new(CallKind::Once, 1, &[]);
+    let server = crashing_server(bytes).await;
+    let entry = Entry::start_with(plan, Servers::default(), vec![server]).await;
+    assert_eq!(status(&entry.call(ID).await), "502");
+}
+
+/// Guards against taking an answer without a length or chunks for a broken one.
+#[actix_rt::test]
+async fn unframed_answer_is_whole() {
+    let bytes = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nhello";
+    let actions = [Action::SendClose(bytes)];
+    let entry = Entry::start(Plan::new(CallKind::Once, 1, &actions)).await;
+    let answer = entry.call(ID).await;
+    assert_eq!(status(&answer), "200");
+    assert!(answer.ends_with("hello"), "{answer}");
+}
--- a/crates/policy/tests/suspect_fleet.rs
+++ b/crates/policy/tests/suspect_fleet.rs
@@ -85,7 +85,7 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     FatalArrives,
     SoundArrives,
