--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -3,6 +3,7 @@
 //! servers ask for, requests that crash servers, and a randomized soak test.
 
 mod caller;
+mod connections;
 mod fatal;
 mod fatal_part;
 mod fleet;
