--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -101,6 +101,20 @@
     (Process::start("admission", name, &settings), listen.port())
 }
 
+/// Waits until all entries are ready. The platform restarts every process that has ended,
+/// including one that exits only now due to an earlier SIGTERM.
+pub(crate) fn wait_all_ready(entries: &mut [Entry]) {
+    wait_until("all entries are ready again", || {
+        for entry in &mut *entries {
+            if !entry.running() {
+                entry.wait();
+                entry.restart();
+            }
+        }
+        entries.iter().all(Entry::ready)
+    });
+}
+
 /// An entry that runs as a child process.
 pub(crate) struct Entry {
     process: Process,
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -20,7 +20,7 @@
 
 use crate::caller::{Outcome, StreamRead, call};
 use crate::platform::{Platform, STREAM_EVENTS, Server, ServerHint, wait_until};
-use crate::process::{Entry, Process, sidecar};
+use crate::process::{Entry, Process, sidecar, wait_all_ready};
 
 const CALLERS: usize = 6;
 /// Additional callers, whose calls go to the engines beside the sidecar.
@@ -113,17 +113,7 @@
         thread::sleep(Duration::from_millis(rng.random_range(20..250)));
     }
     platform.end_faults();
-    // The platform restarts every process that has ended, including one that
-    // exits only now due to an earlier SIGTERM.
-    wait_until("all entries are ready again", || {
-        for entry in &mut entries {
-            if !entry.running() {
-                entry.wait();
-                entry.restart();
-            }
-        }
-        entries.iter().all(Entry::ready)
-    });
+    wait_all_ready(&mut entries);
     // An entry learns that a limit has ended with its next allowed call.
     wait_until("no limit or backoff is left", || {
         let left = |e: &Entry| e.status("limited") + e.status("resting");
--- a/crates/cli/tests/forward/soak_parts.rs
+++ b/crates/cli/tests/forward/soak_parts.rs
@@ -18,7 +18,7 @@
 use crate::caller::{call, call_with_prompt};
 use crate::fleet::served;
 use crate::platform::{FATAL_PART, Platform, Server, wait_until};
-use crate::process::Entry;
+use crate::process::{Entry, wait_all_ready};
 
 const ENTRIES: usize = 4;
 const SERVERS: usize = 4;
@@ -88,15 +88,7 @@
         thread::sleep(Duration::from_millis(rng.random_range(20..250)));
     }
     platform.end_faults();
-    wait_until("all entries are ready again", || {
-        for entry in &mut entries {
-            if !entry.running() {
-                entry.wait();
-                entry.restart();
-            }
-        }
-        entries.iter().all(Entry::ready)
-    });
+    wait_all_ready(&mut entries);
     wait_until("all entries refuse the part", || {
         entries.iter().all(|e| e.status("accused") >= 1)
     });
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -476,10 +476,6 @@
         info!("calls with part accepted again", kv: { part = format!("{part:x}").as_str() });
     }
     metrics::gauge!("pimentocart_parts_refused").set(after.len() as f64);
-    // Records that wait to be written may have become urgent.
-    if !state.crashes.pending_writes.borrow().is_empty() {
-        state.crashes.write_needed.notify_one();
-    }
     if contested && !state.crashes.telling.replace(true) {
         actix_rt::spawn(tell_sound_parts(Rc::clone(state)));
     }
@@ -585,6 +581,8 @@
     let added = observe(state, |suspects| suspects.add_crash(now, report));
     if added {
         log_refusal(state, now, report.crash.fingerprint);
+        // Records that wait to be written may have become urgent.
+        state.crashes.write_needed.notify_one();
     }
     added
 }
--- a/crates/forward/tests/tables/crashes.rs
+++ b/crates/forward/tests/tables/crashes.rs
@@ -242,6 +242,17 @@
     wait_until("accepted again", || !refused(&state)).await;
 }
 
+/// Lets an entry know that there are `total` entries.
+fn set_entry_count(state: &State, total: usize) {
+    let counts = EntryCounts {
+        total,
+        same_zone: 10,
+        preceding: 0,
+    };
+    let now = state.clock.now();
+    state.roster.borrow_mut().record_counts(now, counts);
+}
+
 /// Lets a server crash under a call of `state` whose prompt has part 7.
 fn crash_server(state: &Rc<State>, incarnation: u64) {
     let report = CrashReport {
@@ -269,13 +280,7 @@
     let table = Table::default();
     let state = start_entry(&table).await;
     wait_until("the table was read", || table.0.reads.get() > 0).await;
-    let counts = EntryCounts {
-        total: entries,
-        same_zone: 10,
-        preceding: 0,
-    };
-    let now = state.clock.now();
-    state.roster.borrow_mut().record_counts(now, counts);
+    set_entry_count(&state, entries);
     tokio::time::pause();
     for incarnation in 0..5 {
         crash_server(&state, incarnation);
@@ -292,13 +297,7 @@
     let table = Table::default();
     let state = start_entry(&table).await;
     wait_until("the table was read", || table.0.reads.get() > 0).await;
-    let counts = EntryCounts {
-        total: 100,
-        same_zone: 10,
-        preceding: 0,
-    };
-    let now = state.clock.now();
-    state.roster.borrow_mut().record_counts(now, counts);
+    set_entry_count(&state, 100);
     tokio::time::pause();
     for incarnation in 0..5 {
         let mut report = CrashReport::without_parts(
--- a/crates/policy/src/suspects/parts.rs
+++ b/crates/policy/src/suspects/parts.rs
@@ -9,10 +9,12 @@
 //! A server that goes on writing its answer shows that all parts of the prompt are
 //! sound, which voids all evidence against them from calls that were sent before. A
 //! part that was ever known to be sound is accused only after [`KNOWN_LIMIT`] crashes:
-//! while engines crash all the time, hardly any call is answered. Of several parts that explain the same crashes, the one with the fewest calls is
-//! accused; a request is refused if it has all parts that cannot be told apart, so
-//! that a request with only some of them runs and tells them apart. Calls whose answers
-//! had just begun when the server crashed count before the others. See
+//! while servers crash all the time, hardly any call is answered.
+//!
+//! Of several parts that explain the same crashes, the one with the fewest calls is
+//! accused, and calls whose answers had just begun when the server crashed count
+//! before the others. A request is refused if it has all parts that cannot be told
+//! apart, so that a request with only some of them runs and tells them apart. See
 //! docs/DECISIONS/0607-crashing-requests.md.
 
 use std::cmp::Reverse;
@@ -415,9 +417,9 @@
 }
 
 /// The accusation that explains most of the crashes that are left, first of all those under
-/// calls whose answers had just begun; then parts that were never known to be sound come
-/// first. A more specific part that explains all of the crashes but
-/// one is preferred, as the report of one may be late.
+/// calls whose answers had just begun, and of a part that was never known to be sound. A
+/// more specific part that explains all of the crashes but one is preferred, as the report
+/// of one may be late.
 fn next_accusation(candidates: &[Candidate], explained: &BTreeSet<u64>) -> Option<Accusation> {
     let series = |c: &Candidate| c.series(explained).len();
     let rank = |c: &&Candidate| {
