Wait for the server table before refusing a call for dead servers

Callers got 503 no_server right after an outage of the store, from entries whose only listed server had died in the meantime: an entry that knows a server did not wait for the table.

Test dead_server_listed_after_store_outage failed before.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -39,7 +39,8 @@
 /// load it from the snapshot. 3638: the same with two successive snapshots, the
 /// first of which lacked it. 31: an entry withheld the configuration that its
 /// peer's copy had lacked, or refused calls until its next read of the servers.
-const REGRESSION_SEEDS: [u64; 4] = [16, 31, 508, 3638];
+/// 9132: an entry refused a call after a store outage, as it knew a dead server only.
+const REGRESSION_SEEDS: [u64; 5] = [16, 31, 508, 3638, 9132];
 
 /// Results of one seed.
 #[derive(Debug, Default)]
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -408,7 +408,13 @@
             if attempt > 1 && !self.take_retry() {
                 break;
             }
-            let response = self.send(&mut tried, start).await;
+            let mut response = self.send(&mut tried, start).await;
+            // The known servers may be dead while running ones are not listed yet.
+            if matches!(response, Err(SendError::NeverSent(_)))
+                && self.state.wait_for_missing_servers(self.deadline).await
+            {
+                response = self.send(&mut tried, start).await;
+            }
             let error = match response {
                 Ok(response) => match self.accept(response, &tried).await {
                     Ok(reply) if self.should_retry(&reply, &tried) => {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -233,6 +233,23 @@
         metrics::counter!("pimentocart_server_waits_total", "outcome" => outcome).increment(1);
     }
 
+    /// Waits for a change of the server table while it may lack running servers, for a call
+    /// that no known server takes; returns whether there was one. The wait ends before the
+    /// caller's `deadline`.
+    pub(crate) async fn wait_for_missing_servers(&self, deadline: Instant) -> bool {
+        let now = self.clock.now();
+        if !self.tables.may_lack_servers(now) {
+            return false;
+        }
+        let changed = self.tables.changed.notified();
+        self.servers_wanted.notify_one();
+        let left = deadline.saturating_duration_since(now);
+        let changed = tokio::time::timeout(TABLES_TIMEOUT.min(left / 2), changed).await;
+        let outcome = if changed.is_ok() { "changed" } else { "none" };
+        metrics::counter!("pimentocart_server_waits_total", "outcome" => outcome).increment(1);
+        changed.is_ok()
+    }
+
     /// Takes one retry of the call with the ID `request_id` from the retry budget, if one
     /// is left.
     pub(crate) fn take_retry(&self, request_id: &str, service: &Rc<str>) -> bool {
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -202,7 +202,7 @@
         }
     }
 
-    async fn listen(&self, host: &str) -> SocketAddr {
+    pub(crate) async fn listen(&self, host: &str) -> SocketAddr {
         let listener = TcpListener::bind((host, 0)).await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
         let servers = self.clone();
--- a/crates/forward/tests/calls/retries.rs
+++ b/crates/forward/tests/calls/retries.rs
@@ -1,15 +1,18 @@
 //! Which calls may be sent to a second server.
 
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use policy::balance::TurnSchedule;
 use policy::routes::CallKind;
 use rstest::rstest;
 
 use crate::common::{
-    Action, Entry, FAILED, NOT_RUN, OK, Plan, WRONG_SERVER, header, request, status,
+    Action, Entry, FAILED, NOT_RUN, OK, Plan, Servers, WRONG_SERVER, header, listed, request,
+    status,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const ID: &str = "call-id: 1\r\n";
 
@@ -339,3 +342,27 @@
         unix_time: Duration::from_secs(50),
     });
 }
+
+/// Guards against refusing a call because the only listed server is dead, while the table may
+/// lack running servers: shortly after an outage of the store they register again.
+#[actix_rt::test]
+async fn dead_server_listed_after_store_outage() {
+    let servers = Servers::default();
+    let dead = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let record = listed("dead", dead.local_addr().expect("an address"));
+    drop(dead);
+    let plan = Plan::new(CallKind::Once, 1, &[]);
+    let entry = Rc::new(Entry::start_with(plan, servers.clone(), vec![record]).await);
+    let state = Rc::clone(&entry.state);
+    state.tables.store_recovered(state.clock.now());
+    let caller = Rc::clone(&entry);
+    let mut call = actix_rt::spawn(async move { caller.call(ID).await });
+    tokio::select! {
+        answer = &mut call => panic!("no server was waited for: {answer:?}"),
+        () = state.servers_wanted.notified() => {}
+    }
+    let live = listed("live", servers.listen("127.0.0.1").await);
+    state.balancer.borrow_mut().upsert(Instant::now(), live);
+    state.tables.changed.notify_waiters();
+    assert_eq!(status(&call.await.expect("an answer")), "200");
+}
