--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -75,6 +75,13 @@
         status.and_then(|s| s.code())
     }
 
+    /// Number of lines of its log, over all starts, that contain `text`.
+    pub(crate) fn log_lines(&self, text: &str) -> usize {
+        let log = std::fs::read_to_string(self.settings.with_file_name("log"));
+        let log = log.expect("cannot read the log");
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
     pub(crate) fn running(&mut self) -> bool {
         let child = self.child.as_mut();
         child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
