--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,78 @@
+//! Runs one case of the review: the project's programs beside stand-ins for the platform,
+//! the runners and the clients.
+//!
+//! Usage: `standin CASE FOLDER TEMPORARY`. With `TROUBLE=0` the disruption is left out.
+//! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+
+mod deployment;
+mod http;
+mod late_refusal;
+mod process;
+mod record;
+mod store;
+
+use std::env;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use record::Record;
+
+/// What a case gets.
+pub struct Run {
+    /// Folder for settings and logs of the programs.
+    dir: PathBuf,
+    record: Arc<Record>,
+    /// Whether the disruption takes place.
+    trouble: bool,
+}
+
+pub enum Outcome {
+    Held,
+    Broken,
+    /// The disruption did not come about, for this reason.
+    NotRun(String),
+}
+
+impl Outcome {
+    pub fn from_breaks(breaks: usize) -> Self {
+        match breaks {
+            0 => Self::Held,
+            _ => Self::Broken,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, folder, dir] = &args[..] else {
+        eprintln!("usage: standin CASE FOLDER TEMPORARY");
+        return ExitCode::from(2);
+    };
+    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => Arc::new(record),
+        Err(e) => {
+            eprintln!("cannot write the record: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let run = Run {
+        dir: dir.into(),
+        record,
+        trouble: env::var("TROUBLE").as_deref() != Ok("0"),
+    };
+    run.record.line(&format!("case {case}, trouble {}", run.trouble));
+    let outcome = match case.as_str() {
+        "late-refusal" => late_refusal::run(&run),
+        _ => Ok(Outcome::NotRun("no such case".to_owned())),
+    };
+    let (text, code) = match outcome {
+        Ok(Outcome::Held) => ("the rule held".to_owned(), 0),
+        Ok(Outcome::Broken) => ("the rule was broken".to_owned(), 1),
+        Ok(Outcome::NotRun(why)) => (format!("not run: {why}"), 2),
+        Err(e) => (format!("not run: {e}"), 2),
+    };
+    run.record.line(&text);
+    println!("{case}: {text}");
+    ExitCode::from(code)
+}
