Review case 2: a usage window is reported twice after a drill and a restart

Claimed: ONE is broken (two reports of one window with different counts are accepted) when the store comes back from an old copy while the daemon that reports the usage is killed and started again.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,8 @@
 mod deployment;
 mod http;
 mod late_refusal;
+mod usage_twice;
+mod runner;
 mod process;
 mod record;
 mod store;
@@ -64,6 +66,7 @@
     run.record.line(&format!("case {case}, trouble {}", run.trouble));
     let outcome = match case.as_str() {
         "late-refusal" => late_refusal::run(&run),
+        "usage-twice" => usage_twice::run(&run),
         _ => Ok(Outcome::NotRun("no such case".to_owned())),
     };
     let (text, code) = match outcome {
