Review case 1: a stream that a draining runner's crash cuts ends as complete

Claimed: ORDER (and MIXED) are broken when a runner that drains crashes while it writes streams without a length: the client gets a proper end of a truncated stream.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -75,7 +75,11 @@
 
     /// Starts the entries and waits until they are ready.
     pub fn start_entries(&mut self) -> io::Result<()> {
-        let seeds: Vec<String> = self.hosts.iter().map(|h| self.quoted(h.host, GOSSIP)).collect();
+        let seeds: Vec<String> = self
+            .hosts
+            .iter()
+            .map(|h| self.quoted(h.host, GOSSIP))
+            .collect();
         for EntryHost { name, host, zone } in self.hosts.clone() {
             let duties = self.duties.as_ref();
             let duties = duties.map_or(String::new(), |d| format!(",\"duties\":{d}"));
@@ -92,7 +96,8 @@
                 self.quoted(host, GRANTS),
                 self.store_addr,
             );
-            self.entries.push(Daemon::start(&self.dir, "forward", name, &settings)?);
+            self.entries
+                .push(Daemon::start(&self.dir, "forward", name, &settings)?);
             self.callers.push(self.addr(host, CALLERS)?);
         }
         for host in self.hosts.clone() {
@@ -112,7 +117,8 @@
             "{{\"name\":\"{name}\",\"listen\":{listen},\"engine\":\"{engine}\",\
              \"paced_streams\":true,\"fair_shares\":true}}"
         );
-        self.sidecars.push(Daemon::start(&self.dir, "admission", &name, &settings)?);
+        self.sidecars
+            .push(Daemon::start(&self.dir, "admission", &name, &settings)?);
         Ok(())
     }
 
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,6 +1,6 @@
 //! The parts of HTTP/1.1 that the stand-ins need.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -22,11 +22,6 @@
         found.next().map(|(_, value)| value.as_str())
     }
 
-    /// The method of a request.
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or("")
-    }
-
     /// The path and query of a request.
     pub fn target(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or("")
--- a/review/standin/late_refusal.rs
+++ b/review/standin/late_refusal.rs
@@ -33,8 +33,16 @@
 ];
 
 const ENTRIES: [EntryHost; 2] = [
-    EntryHost { name: "front-heredia-a-1", host: "127.0.0.11", zone: "heredia-a" },
-    EntryHost { name: "front-escazu-b-1", host: "127.0.0.12", zone: "escazu-b" },
+    EntryHost {
+        name: "front-heredia-a-1",
+        host: "127.0.0.11",
+        zone: "heredia-a",
+    },
+    EntryHost {
+        name: "front-escazu-b-1",
+        host: "127.0.0.12",
+        zone: "escazu-b",
+    },
 ];
 
 /// What the runners have run: the requests with the number of their runs, and the posts.
@@ -88,11 +96,25 @@
         .collect();
     let mut broken = 0;
     for client in clients {
-        broken += client.join().map_err(|_| io::Error::other("a client failed"))??;
+        broken += client
+            .join()
+            .map_err(|_| io::Error::other("a client failed"))??;
     }
 
-    let twice = ledger.runs.lock().expect("poisoned").values().filter(|n| **n > 1).count();
-    let posted = ledger.posts.lock().expect("poisoned").values().filter(|n| **n > 1).count();
+    let twice = ledger
+        .runs
+        .lock()
+        .expect("poisoned")
+        .values()
+        .filter(|n| **n > 1)
+        .count();
+    let posted = ledger
+        .posts
+        .lock()
+        .expect("poisoned")
+        .values()
+        .filter(|n| **n > 1)
+        .count();
     let (answers, spoilt) = *ledger.spoilt.lock().expect("poisoned");
     if !deployment.all_running() {
         record.line("an entry has ended by itself");
@@ -167,13 +189,25 @@
         }
         let id = request.header("x-request-id").unwrap_or("-").to_owned();
         if faulty && answered && take_spoilt(ledger) {
-            record.line(&format!("runner {own} sends additional bytes after its last answer"));
+            record.line(&format!(
+                "runner {own} sends additional bytes after its last answer"
+            ));
             stream.write_all(EXTRA)?;
         }
         record.line(&format!("runner {own} runs {id}"));
-        *ledger.runs.lock().expect("poisoned").entry(id.clone()).or_default() += 1;
+        *ledger
+            .runs
+            .lock()
+            .expect("poisoned")
+            .entry(id.clone())
+            .or_default() += 1;
         let post = String::from_utf8_lossy(&request.body).into_owned();
-        *ledger.posts.lock().expect("poisoned").entry(post).or_default() += 1;
+        *ledger
+            .posts
+            .lock()
+            .expect("poisoned")
+            .entry(post)
+            .or_default() += 1;
         thread::sleep(WORK);
         let headers = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}.{id}\r\n");
         http::respond(&mut stream, "200 OK", &headers, b"done")?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,14 +4,16 @@
 //! Usage: `standin CASE FOLDER TEMPORARY`. With `TROUBLE=0` the disruption is left out.
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
+mod cut_stream;
 mod deployment;
 mod http;
 mod late_refusal;
-mod usage_twice;
-mod runner;
 mod process;
 mod record;
+mod runner;
 mod store;
+mod unframed;
+mod usage_twice;
 
 use std::env;
 use std::path::{Path, PathBuf};
@@ -47,6 +49,13 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().collect();
+    if let [_, role, id, addr] = &args[..]
+        && role == "runner"
+    {
+        let ended = unframed::run(id, addr);
+        eprintln!("the runner has ended: {ended:?}");
+        return ExitCode::FAILURE;
+    }
     let [_, case, folder, dir] = &args[..] else {
         eprintln!("usage: standin CASE FOLDER TEMPORARY");
         return ExitCode::from(2);
@@ -63,8 +72,10 @@
         record,
         trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
-    run.record.line(&format!("case {case}, trouble {}", run.trouble));
+    run.record
+        .line(&format!("case {case}, trouble {}", run.trouble));
     let outcome = match case.as_str() {
+        "cut-stream" => cut_stream::run(&run),
         "late-refusal" => late_refusal::run(&run),
         "usage-twice" => usage_twice::run(&run),
         _ => Ok(Outcome::NotRun("no such case".to_owned())),
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -22,12 +22,7 @@
 
 impl Daemon {
     /// Starts `role` with its settings, as the deploy file does.
-    pub fn start(
-        dir: &Path,
-        role: &'static str,
-        name: &str,
-        settings: &str,
-    ) -> io::Result<Self> {
+    pub fn start(dir: &Path, role: &'static str, name: &str, settings: &str) -> io::Result<Self> {
         fs::write(dir.join(format!("{name}.json")), settings)?;
         let child = spawn(dir, role, name)?;
         Ok(Self {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -41,7 +41,11 @@
         }
         let id = request.header("x-request-id").unwrap_or("-").to_owned();
         record.line(&format!("runner {own} runs {id}"));
-        *runs.lock().expect("poisoned").entry(id.clone()).or_default() += 1;
+        *runs
+            .lock()
+            .expect("poisoned")
+            .entry(id.clone())
+            .or_default() += 1;
         thread::sleep(WORK);
         let headers = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}.{id}\r\n");
         http::respond(&mut stream, "200 OK", &headers, b"done")?;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -54,14 +54,6 @@
         self.changed.notify_all();
     }
 
-    /// The newest value of a key.
-    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
-        let state = self.state.lock().expect("the store is poisoned");
-        let records = state.topics.get(topic)?;
-        let newest = records.iter().rev().find(|r| r.key == key)?;
-        String::from_utf8(newest.value.clone()).ok()
-    }
-
     /// Answers all calls with 503 from now on, or no longer.
     pub fn set_away(&self, away: bool) {
         self.state.lock().expect("the store is poisoned").away = away;
@@ -213,7 +205,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for n in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * n)) as usize & 63];
-            text.push(if n <= chunk.len() { char::from(digit) } else { '=' });
+            text.push(if n <= chunk.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
@@ -263,9 +259,11 @@
             runners: Mutex::new(runners.collect()),
         });
         let own = Arc::clone(&beats);
-        thread::spawn(move || loop {
-            own.write_all();
-            thread::sleep(HEARTBEAT);
+        thread::spawn(move || {
+            loop {
+                own.write_all();
+                thread::sleep(HEARTBEAT);
+            }
         });
         beats
     }
--- a/review/standin/usage_twice.rs
+++ b/review/standin/usage_twice.rs
@@ -32,8 +32,16 @@
 const WATCH: Duration = Duration::from_secs(16);
 
 const ENTRIES: [EntryHost; 2] = [
-    EntryHost { name: "front-plateau-1", host: "127.0.0.11", zone: "plateau" },
-    EntryHost { name: "front-almadies-1", host: "127.0.0.12", zone: "almadies" },
+    EntryHost {
+        name: "front-plateau-1",
+        host: "127.0.0.11",
+        zone: "plateau",
+    },
+    EntryHost {
+        name: "front-almadies-1",
+        host: "127.0.0.12",
+        zone: "almadies",
+    },
 ];
 
 /// A usage report that the platform has accepted.
@@ -67,7 +75,10 @@
 
     let runs = runner::Runs::default();
     let mut runners = Vec::new();
-    for (id, host, zone) in [("i-1", "127.0.0.21", "plateau"), ("i-2", "127.0.0.22", "almadies")] {
+    for (id, host, zone) in [
+        ("i-1", "127.0.0.21", "plateau"),
+        ("i-2", "127.0.0.22", "almadies"),
+    ] {
         let addr = runner::start_plain(id, host, Arc::clone(&runs), Arc::clone(record))?;
         runners.push(RunnerEntry {
             id: id.to_owned(),
@@ -109,7 +120,9 @@
         // Each of the two disruptions can be played alone.
         let only = std::env::var("ONLY").unwrap_or_default();
         let (drill, kill) = (only != "kill", only != "drill");
-        record.line(&format!("store goes away: {drill}; {holder} is killed: {kill}"));
+        record.line(&format!(
+            "store goes away: {drill}; {holder} is killed: {kill}"
+        ));
         if drill {
             deployment.store.set_away(true);
         }
@@ -120,7 +133,9 @@
         if drill {
             deployment.store.restore(copied_at);
             deployment.store.set_away(false);
-            record.line(&format!("store is back from a copy that is {COPY_AGE:?} old"));
+            record.line(&format!(
+                "store is back from a copy that is {COPY_AGE:?} old"
+            ));
         }
         thread::sleep(RESTART_DELAY.saturating_sub(AWAY));
         if kill {
@@ -146,7 +161,10 @@
 
     fn last_holder(&self) -> String {
         let accepted = self.accepted.lock().expect("poisoned");
-        accepted.last().map(|r| r.holder.clone()).unwrap_or_default()
+        accepted
+            .last()
+            .map(|r| r.holder.clone())
+            .unwrap_or_default()
     }
 
     /// Serves the platform's API for singleton duties.
@@ -161,21 +179,39 @@
 
     fn answer(&self, request: &Message, record: &Record) -> &'static str {
         let holder = request.header("x-duty-holder").unwrap_or("-").to_owned();
-        let token = request.header("x-fencing-token").and_then(|t| t.parse().ok());
+        let token = request
+            .header("x-fencing-token")
+            .and_then(|t| t.parse().ok());
         let token: u64 = token.unwrap_or(0);
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let path = request.path();
         let mut highest = self.highest_token.lock().expect("poisoned");
-        let status = if token < *highest { "409 Conflict" } else { "200 OK" };
+        let status = if token < *highest {
+            "409 Conflict"
+        } else {
+            "200 OK"
+        };
         *highest = token.max(*highest);
         drop(highest);
-        record.line(&format!("platform: {path} of {holder}, number {token}: {body} -> {status}"));
+        record.line(&format!(
+            "platform: {path} of {holder}, number {token}: {body} -> {status}"
+        ));
         if path == "/usage" && status == "200 OK" {
             // {"window_id":W,"counts":{...}}
-            let window = body.split([':', ',']).nth(1).and_then(|w| w.trim().parse().ok());
-            let counts = body.split_once("\"counts\":").map_or("", |(_, c)| c).to_owned();
+            let window = body
+                .split([':', ','])
+                .nth(1)
+                .and_then(|w| w.trim().parse().ok());
+            let counts = body
+                .split_once("\"counts\":")
+                .map_or("", |(_, c)| c)
+                .to_owned();
             let window = window.unwrap_or(0);
-            let report = Report { holder, window, counts };
+            let report = Report {
+                holder,
+                window,
+                counts,
+            };
             self.accepted.lock().expect("poisoned").push(report);
         }
         status
@@ -188,7 +224,8 @@
         for report in &accepted {
             by_window.entry(report.window).or_default().push(report);
         }
-        let differs = |reports: &&Vec<&Report>| reports.iter().any(|r| r.counts != reports[0].counts);
+        let differs =
+            |reports: &&Vec<&Report>| reports.iter().any(|r| r.counts != reports[0].counts);
         let broken = by_window.values().filter(differs);
         let broken = broken.inspect(|reports| record.line(&format!("broken: {reports:?}")));
         broken.count()
