--- a/review/standin/cut_stream.rs
+++ b/review/standin/cut_stream.rs
@@ -1,4 +1,5 @@
-//! A runner that drains crashes while it writes streams without a length.
+//! A runner is taken away a short time after its notice, while it writes streams without a
+//! length.
 
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
@@ -17,10 +18,16 @@
 use crate::unframed::EVENTS;
 use crate::{Outcome, Run};
 
-const CLIENTS: usize = 24;
+const CLIENTS: usize = 64;
 
-/// Time from the report of `draining` to the crash; the runner would serve longer.
-const CRASH_AFTER: Duration = Duration::from_millis(1500);
+/// Time from the notice, with which the runner reports `draining`, until it is gone.
+const GONE_AFTER: Duration = Duration::from_secs(2);
+
+/// Time from then until another runner comes.
+const REPLACED_AFTER: Duration = Duration::from_secs(4);
+
+/// Time between the starts of two clients.
+const CLIENT_OFFSET: Duration = Duration::from_millis(65);
 
 const ENTRIES: [EntryHost; 2] = [
     EntryHost {
@@ -42,6 +49,9 @@
     ("i-4", "127.0.0.24", "heredia-a"),
 ];
 
+/// The runner that comes for the one that is gone.
+const REPLACEMENT: (&str, &str, &str) = ("i-5", "127.0.0.25", "heredia-a");
+
 /// A runner's process, killed when this is dropped.
 struct Runner(Child);
 
@@ -65,28 +75,10 @@
     let mut deployment = Deployment::start(&run.dir, &ENTRIES)?;
     let mut runners = Vec::new();
     let mut entries = Vec::new();
-    for (id, host, zone) in ENGINES {
-        let port = process::free_ports(&[host], 1).ok_or(io::ErrorKind::AddrInUse)?;
-        let addr: SocketAddr = format!("{host}:{port}").parse().map_err(io::Error::other)?;
-        let log = fs::File::create(run.dir.join(format!("{id}.log")))?;
-        let child = Command::new(std::env::current_exe()?)
-            .args(["runner", id, &addr.to_string()])
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()?;
-        let pids = run.dir.join("pids");
-        let mut pids = OpenOptions::new().create(true).append(true).open(pids)?;
-        writeln!(pids, "{}", child.id())?;
-        runners.push(Runner(child));
-        deployment.start_sidecar(addr)?;
-        entries.push(RunnerEntry {
-            id: id.to_owned(),
-            service: "modelo-pool",
-            addr,
-            zone,
-            slots: 64,
-            born_ms: deployment::unix_ms(),
-        });
+    for engine in ENGINES {
+        let (runner, entry) = start_runner(run, &mut deployment, engine)?;
+        runners.push(runner);
+        entries.push(entry);
     }
     let beats = Heartbeats::start(Arc::clone(&deployment.store), entries);
     deployment.write_config(
@@ -107,25 +99,31 @@
         .map(|n| {
             let addr = deployment.callers[n % 2];
             let (ended, record) = (Arc::clone(&ended), Arc::clone(record));
-            thread::spawn(move || client(n, addr, &ended, &record))
+            thread::spawn(move || {
+                thread::sleep(CLIENT_OFFSET * n as u32);
+                client(n, addr, &ended, &record)
+            })
         })
         .collect();
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(Duration::from_secs(8));
     if run.trouble {
-        // Each of the two disruptions can be played alone.
+        // `ONLY=notice` leaves out the loss of the runner, `ONLY=crash` the notice.
         let only = std::env::var("ONLY").unwrap_or_default();
         if only != "crash" {
             record.line("runner i-1 reports that it drains");
             beats.set_state("i-1", Some("draining"));
-            thread::sleep(CRASH_AFTER);
         }
-        if only != "drain" {
+        thread::sleep(GONE_AFTER);
+        if only != "notice" {
             record.line("runner i-1 is killed");
             drop(runners.remove(0));
         }
-        thread::sleep(Duration::from_secs(3));
+        thread::sleep(REPLACED_AFTER);
         beats.set_state("i-1", None);
-        record.line("runner i-1 is no longer listed");
+        let (runner, entry) = start_runner(run, &mut deployment, REPLACEMENT)?;
+        runners.push(runner);
+        beats.add(entry);
+        record.line("runner i-1 is no longer listed; runner i-5 has started");
     }
     thread::sleep(Duration::from_secs(6));
     ended.store(true, Ordering::SeqCst);
@@ -161,6 +159,35 @@
     Ok(Outcome::from_breaks(broken + usize::from(!running)))
 }
 
+/// Starts a runner's process and the sidecar beside it.
+fn start_runner(
+    run: &Run,
+    deployment: &mut Deployment,
+    (id, host, zone): (&'static str, &'static str, &'static str),
+) -> io::Result<(Runner, RunnerEntry)> {
+    let port = process::free_ports(&[host], 1).ok_or(io::ErrorKind::AddrInUse)?;
+    let addr: SocketAddr = format!("{host}:{port}").parse().map_err(io::Error::other)?;
+    let log = fs::File::create(run.dir.join(format!("{id}.log")))?;
+    let child = Command::new(std::env::current_exe()?)
+        .args(["runner", id, &addr.to_string()])
+        .stdin(Stdio::null())
+        .stdout(log)
+        .spawn()?;
+    let pids = run.dir.join("pids");
+    let mut pids = OpenOptions::new().create(true).append(true).open(pids)?;
+    writeln!(pids, "{}", child.id())?;
+    deployment.start_sidecar(addr)?;
+    let entry = RunnerEntry {
+        id: id.to_owned(),
+        service: "modelo-pool",
+        addr,
+        zone,
+        slots: 64,
+        born_ms: deployment::unix_ms(),
+    };
+    Ok((Runner(child), entry))
+}
+
 /// Asks for streams one after the other until `ended`.
 fn client(n: usize, addr: SocketAddr, ended: &AtomicBool, record: &Record) -> Vec<Seen> {
     let mut all = Vec::new();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -279,6 +279,12 @@
         }
     }
 
+    /// Adds a runner that has started; it reports itself within an interval.
+    pub fn add(&self, runner: RunnerEntry) {
+        let mut runners = self.runners.lock().expect("the runners are poisoned");
+        runners.push((runner, Some("ready"), 0));
+    }
+
     /// Reports another state of a runner at once; without one its entry is removed.
     pub fn set_state(&self, id: &str, new: Option<&'static str>) {
         let mut runners = self.runners.lock().expect("the runners are poisoned");
