--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,9 +7,20 @@
     exit 2
 fi
 dir=$(mktemp -d) || exit 2
-# Ends the processes that the stand-in started, if it was killed itself.
-trap 'while read -r pid; do kill -9 "$pid"; done < "$dir/pids" 2> /dev/null; rm -rf "$dir"' EXIT
-timeout -k 1 110 target/review/standin "$1" "$2" "$dir"
+
+# An orderly run ends its own processes and removes the list of them.
+clean_up() {
+    if [ -f "$dir/pids" ]; then
+        while read -r pid; do kill -9 "$pid"; done < "$dir/pids"
+    fi 2> /dev/null
+    rm -rf "$dir"
+}
+trap clean_up EXIT
+
+timeout -k 1 110 target/review/standin "$1" "$2" "$dir" &
+child=$!
+trap 'kill "$child"' TERM INT
+wait "$child"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -80,6 +80,8 @@
         "usage-twice" => usage_twice::run(&run),
         _ => Ok(Outcome::NotRun("no such case".to_owned())),
     };
+    // All processes have been ended by now.
+    let _ = std::fs::remove_file(run.dir.join("pids"));
     let (text, code) = match outcome {
         Ok(Outcome::Held) => ("the rule held".to_owned(), 0),
         Ok(Outcome::Broken) => ("the rule was broken".to_owned(), 1),
