--- a/review/standin/cut_stream.rs
+++ b/review/standin/cut_stream.rs
@@ -15,19 +15,25 @@
 use crate::process;
 use crate::record::Record;
 use crate::store::{Heartbeats, RunnerEntry};
-use crate::unframed::EVENTS;
+use crate::unframed::{EVENTS, START_PATH};
 use crate::{Outcome, Run};
 
-const CLIENTS: usize = 64;
+const CLIENTS: usize = 200;
 
 /// Time from the notice, with which the runner reports `draining`, until it is gone.
 const GONE_AFTER: Duration = Duration::from_secs(2);
 
+/// Time before the notice at which some answers begin to have no length.
+const UNFRAMED_BEFORE: Duration = Duration::from_secs(3);
+
+/// Half of the runners, whose answers do.
+const UNFRAMED_RUNNERS: usize = 2;
+
 /// Time from then until another runner comes.
 const REPLACED_AFTER: Duration = Duration::from_secs(4);
 
 /// Time between the starts of two clients.
-const CLIENT_OFFSET: Duration = Duration::from_millis(65);
+const CLIENT_OFFSET: Duration = Duration::from_millis(21);
 
 const ENTRIES: [EntryHost; 2] = [
     EntryHost {
@@ -80,6 +86,7 @@
         runners.push(runner);
         entries.push(entry);
     }
+    let addrs: Vec<SocketAddr> = entries.iter().map(|e| e.addr).collect();
     let beats = Heartbeats::start(Arc::clone(&deployment.store), entries);
     deployment.write_config(
         r#"{"name":"bid-stream","hostname":"h.example","path_prefix":"/bid/",
@@ -105,8 +112,13 @@
             })
         })
         .collect();
-    thread::sleep(Duration::from_secs(8));
+    thread::sleep(Duration::from_secs(6));
     if run.trouble {
+        for addr in addrs.iter().take(UNFRAMED_RUNNERS) {
+            Connection::open(*addr)?.call(&format!("POST {START_PATH}"), "Host: r\r\n", b"")?;
+        }
+        record.line("some answers of runners i-1 and i-2 have no length from now on");
+        thread::sleep(UNFRAMED_BEFORE);
         // `ONLY=notice` leaves out the loss of the runner, `ONLY=crash` the notice.
         let only = std::env::var("ONLY").unwrap_or_default();
         if only != "crash" {
@@ -116,6 +128,7 @@
         thread::sleep(GONE_AFTER);
         if only != "notice" {
             record.line("runner i-1 is killed");
+            beats.silence("i-1");
             drop(runners.remove(0));
         }
         thread::sleep(REPLACED_AFTER);
--- a/review/standin/late_refusal.rs
+++ b/review/standin/late_refusal.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::deployment::{self, Deployment, EntryHost};
 use crate::http::{self, Connection, Message};
@@ -24,6 +24,9 @@
 const EXTRA: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
+/// How long it does so, from its first answer.
+const SPOILT_TIME: Duration = Duration::from_secs(5);
+
 const WORK: Duration = Duration::from_millis(30);
 
 const RUNNERS: [(&str, &str, &str); 3] = [
@@ -52,6 +55,8 @@
     posts: Mutex<BTreeMap<String, u32>>,
     /// Answers of the faulty runner, and those with additional bytes.
     spoilt: Mutex<(u32, u32)>,
+    /// When the faulty runner began to spoil answers.
+    began: OnceLock<Instant>,
 }
 
 pub fn run(run: &Run) -> io::Result<Outcome> {
@@ -212,7 +217,8 @@
         let headers = format!("X-Request-Id: {id}\r\nX-Response-Seal: {own}.{id}\r\n");
         http::respond(&mut stream, "200 OK", &headers, b"done")?;
         answered = true;
-        if faulty {
+        let began = ledger.began.get_or_init(Instant::now);
+        if faulty && began.elapsed() < SPOILT_TIME {
             ledger.spoilt.lock().expect("poisoned").0 += 1;
         }
     }
@@ -221,6 +227,9 @@
 
 /// Whether the faulty runner sends additional bytes now, within its share.
 fn take_spoilt(ledger: &Ledger) -> bool {
+    if ledger.began.get_or_init(Instant::now).elapsed() >= SPOILT_TIME {
+        return false;
+    }
     let mut spoilt = ledger.spoilt.lock().expect("poisoned");
     let (answers, count) = *spoilt;
     let within = f64::from(count + 1) <= f64::from(answers) * SPOILT_SHARE;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -60,6 +60,10 @@
         self.changed.notify_all();
     }
 
+    fn is_away(&self) -> bool {
+        self.state.lock().expect("the store is poisoned").away
+    }
+
     /// Replaces the store by a copy made at `copied_at`. Records of operators and runners
     /// that the copy lacks are written again; those of the system are gone.
     pub fn restore(&self, copied_at: Instant) {
@@ -268,7 +272,18 @@
         beats
     }
 
+    /// Ends the reports of a runner; its entry stays for now.
+    pub fn silence(&self, id: &str) {
+        let mut runners = self.runners.lock().expect("the runners are poisoned");
+        for (_, state, _) in runners.iter_mut().filter(|(r, ..)| r.id == id) {
+            *state = None;
+        }
+    }
+
     fn write_all(&self) {
+        if self.store.is_away() {
+            return;
+        }
         let mut runners = self.runners.lock().expect("the runners are poisoned");
         for (runner, state, seq) in runners.iter_mut() {
             if let Some(state) = state {
