Log the rank of a call and where it waits for an engine

A call that waited for admission until its deadline was logged as waited with server=- and nothing else, so that the hypotheses of the incident could not be told apart. 'send failed' and 'call refused' now have the call's rank and the number of sidecars that were asked; 'send failed' has the engine at which the call waited and whether it had to be admitted there. Sidecars log rank and forced with each decision, and 'waiting call withdrawn' with the time that the call had waited. No decision has changed.

--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -64,6 +64,11 @@
     request_id: String,
     /// Id of the engine incarnation that the call is for.
     server: String,
+    /// When it was queued.
+    since: Instant,
+    rank: u8,
+    /// Whether it must be admitted.
+    forced: bool,
 }
 
 impl GrantResponder {
@@ -196,8 +201,10 @@
                 let event = Duration::from_micros(u64::from(event_us));
                 state.grants.record_event_time(now, event);
                 let pause = Duration::from_millis(u64::from(pause_ms));
+                if let Some(call) = state.waiting_calls.remove(&id) {
+                    log_withdrawn(&state.grants, now, &call);
+                }
                 state.grants.call_ended(now, id, pause);
-                state.waiting_calls.remove(&id);
             }
         }
         self.grant_waiting();
@@ -281,7 +288,8 @@
             waiting, flying, running, pace_ns = estimates.pace_ns, fetch_ns = estimates.fetch_ns,
             base_us = estimates.base_us, window = estimates.window, gap_percent = estimates.gap_percent,
             stream_gap_ms = millis(state.grants.expected_gap(now)),
-            workspace = workspace_label(admission.workspace).as_str(), share_level = level
+            workspace = workspace_label(admission.workspace).as_str(), share_level = level,
+            rank = admission.priority, forced = admission.forced
             });
         }
         if label == "queued" {
@@ -289,8 +297,11 @@
                 addr: from,
                 request_id: admission.request_id,
                 server: admission.server,
+                since: now,
+                rank: admission.priority,
+                forced: admission.forced,
             };
-            state.waiting_calls.insert(id, call);
+            state.waiting_calls.entry(id).or_insert(call);
         }
         drop(state);
         let verdict = match decision {
@@ -451,6 +462,18 @@
     }
 }
 
+/// Logs that an entry no longer waits for a queued call.
+fn log_withdrawn(grants: &GrantController, now: Instant, call: &WaitingCall) {
+    let (waiting, flying, running) = grants.counts();
+    info!("waiting call withdrawn", kv: {
+        id = call.request_id.as_str(),
+        rank = call.rank,
+        forced = call.forced,
+        waited_ms = millis(now.saturating_duration_since(call.since)),
+        waiting, flying, running
+    });
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -29,6 +29,7 @@
 use spdlog::info;
 
 use continuation::Backup;
+use placement::AdmissionTrace;
 use response::is_valid_success;
 
 use crate::crashes::{self, BrokenCall, CallIdentity};
@@ -81,6 +82,8 @@
     fingerprint: OnceCell<Fingerprint>,
     /// The latest attempt.
     attempt: Cell<Attempt>,
+    /// How the latest search for an engine went.
+    admission: RefCell<AdmissionTrace>,
     /// The copy of its KV cache at a second engine, if one was asked for.
     backup: RefCell<Option<Backup>>,
     /// The software version that its stream is bound to: the one that began it, known with
@@ -216,6 +219,7 @@
             billing: Cell::new(BillingState::NotStarted),
             fingerprint: OnceCell::new(),
             attempt: Cell::new(Attempt::new(incoming.received_at)),
+            admission: RefCell::default(),
             backup: RefCell::default(),
             version: OnceCell::new(),
             route,
@@ -433,6 +437,7 @@
             }
             metrics::counter!("pimentocart_sends_failed_total", "cause" => error.label())
                 .increment(1);
+            let admission = self.admission.borrow().clone();
             info!("send failed", kv: {
                 id = self.request_id(),
                 route = self.route.name.as_str(),
@@ -440,7 +445,11 @@
                 server = tried.last().map_or("-", |s| &**s),
                 cause = error.label(),
                 detail = format!("{error:?}").as_str(),
-                ms = self.age_ms()
+                ms = self.age_ms(),
+                rank = self.rank(),
+                asked = admission.asked,
+                waited_at = admission.engine.as_deref().unwrap_or("-"),
+                forced = admission.forced
             });
             let may_retry = error.not_run() || self.route.kind.repeatable();
             let is_final = error.is_final();
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -68,6 +68,17 @@
     }
 }
 
+/// How a search for an engine went, for logs.
+#[derive(Debug, Clone, Default)]
+pub(super) struct AdmissionTrace {
+    /// Number of admission requests.
+    pub(super) asked: u32,
+    /// The engine that was asked last; the call waits there if it is queued.
+    pub(super) engine: Option<Rc<str>>,
+    /// Whether that engine had to admit the call.
+    pub(super) forced: bool,
+}
+
 /// Where a call is sent.
 #[derive(Debug)]
 pub(super) struct Placement {
@@ -137,6 +148,7 @@
         excluded: &[Rc<str>],
         start: StartPoint,
     ) -> Result<Option<Placement>, SendError> {
+        self.admission.take();
         let mut lowest: Option<(Duration, ServerRecord)> = None;
         let mut holder = PrefixHolder::default();
         let candidates = self.candidates(now, phase, excluded);
@@ -308,6 +320,11 @@
         terms: AdmissionTerms,
         holder: &PrefixHolder,
     ) -> AdmissionDecision {
+        self.admission.replace_with(|trace| AdmissionTrace {
+            asked: trace.asked + 1,
+            engine: Some(Rc::clone(&server.id)),
+            forced: terms == AdmissionTerms::Forced,
+        });
         let now = self.state.clock.now();
         let age = now.saturating_duration_since(self.received_at);
         let left = self.deadline.saturating_duration_since(now);
@@ -408,6 +425,8 @@
             patience_ms = self.parsed_headers.caller_timeout.map_or(0, millis),
             timeout_ms = millis(self.route.call_timeout),
             returned = self.is_retry(),
+            rank = self.rank(),
+            asked = self.admission.borrow().asked,
             after_ms = millis(after)
         });
         SendError::TooLate(after)
