Add failing tests of urgent calls at full engines

Callers of urgent calls get 503 though engines would take the call. The first test: three engines of eight are asked, the others would admit the call at once. The second: an engine that has to admit the call does not keep the time that it named, and the call stays there until its deadline while the others admit every call.

--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -12,4 +12,5 @@
 mod shares;
 mod streams;
 mod suspects;
+mod urgent;
 mod usage;
