Ask further engines for urgent calls, and leave engines that overstay

Callers of guest-reply (second tier) got 503, or nothing until they left after 2.4 s, while engines began dossier-digest (third tier).

Cause: rank orders the calls of one engine only. An entry asked three engines, the two homes of the prompt's prefix and one of the other partition, refused the call or forced it on the one of them that named the least time, and let it wait there until its deadline. Class of fault: an order that holds in one place is taken for one of the whole.

--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use policy::balance::{Partition, ServerQuery, ServerRecord, Strategy};
+use policy::engine_search::{AdmissionTerms, EngineSearch};
 use policy::grants::fetch;
 use policy::pools::Phase;
 use policy::rendezvous;
-use policy::urgency::CallTiming;
+use policy::urgency::{self, CallTiming};
 use policy::wait_estimate::{self, CallDeadline, Decision};
 use rand::RngExt;
 use spdlog::info;
@@ -16,7 +17,9 @@
 
 use super::{Call, StartPoint};
 use crate::exchange::SendError;
-use crate::grants::{AdmissionDecision, CachedPrefix, Grant, SidecarClient};
+use crate::grants::{
+    AdmissionDecision, CachedPrefix, Grant, QueueOutcome, QueuedCall, SidecarClient,
+};
 use crate::platform;
 use crate::relay::millis;
 
@@ -33,21 +36,18 @@
 /// within it.
 const MAX_SILENCE: Duration = Duration::from_millis(1200);
 
+/// A queued call looks for another engine when it has waited for this multiple
+/// of the time that its engine named.
+const OVERSTAY_RATIO: f64 = 2.0;
+
+/// A queued call moves to an engine that names at most this part of the time
+/// that it has waited.
+const MOVE_SHARE: f64 = 0.5;
+
 /// Engines in the call's own partition that are asked for admission, by the
 /// prompt's shared prefix: its home and the next one.
 const HOME_ENGINES: usize = 2;
 
-/// How an engine is asked for admission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AdmissionTerms {
-    /// It is the home of the prompt's shared prefix.
-    Home,
-    /// It is not the home and has to prefill the shared prefix.
-    Spill,
-    /// It has to admit the call.
-    Forced,
-}
-
 /// The engine with the longest cached prefix of the prompt.
 #[derive(Debug, Default)]
 struct PrefixHolder {
@@ -79,6 +79,17 @@
     pub(super) forced: bool,
 }
 
+/// The search of a call for an engine that admits it.
+#[derive(Debug)]
+struct GrantSearch<'a> {
+    engines: EngineSearch,
+    /// The engine with the longest cached prefix among those that have refused.
+    holder: PrefixHolder,
+    /// Servers that may not take the call.
+    excluded: &'a [Rc<str>],
+    start: StartPoint,
+}
+
 /// Where a call is sent.
 #[derive(Debug)]
 pub(super) struct Placement {
@@ -149,38 +160,33 @@
         start: StartPoint,
     ) -> Result<Option<Placement>, SendError> {
         self.admission.take();
-        let mut lowest: Option<(Duration, ServerRecord)> = None;
-        let mut holder = PrefixHolder::default();
         let candidates = self.candidates(now, phase, excluded);
-        for (n, server) in candidates.iter().enumerate() {
-            let terms = if n == 0 {
-                AdmissionTerms::Home
-            } else {
-                AdmissionTerms::Spill
-            };
-            let asked = self.ask_sidecar(sidecars, server, start, terms, &holder);
-            match asked.await {
-                AdmissionDecision::Granted(grant, held) => {
-                    let asked = &candidates[..=n];
-                    let fetch_from = self
-                        .fetch_source(sidecars, &grant, held, holder, asked)
-                        .await;
-                    return Ok(self.granted_placement(server, grant, fetch_from));
-                }
-                AdmissionDecision::NoResponse => return Ok(None),
-                AdmissionDecision::ServerGone => self.mark_replaced(now, server),
-                AdmissionDecision::Leaving => self.mark_leaving(server),
+        let high_tier = phase == Phase::Prefill && urgency::is_high_tier(self.route.tier);
+        let mut search = GrantSearch {
+            engines: EngineSearch::new(candidates, high_tier),
+            holder: PrefixHolder::default(),
+            excluded,
+            start,
+        };
+        while let Some((server, terms)) = self.next_engine(sidecars, &mut search) {
+            match self.ask_sidecar(sidecars, &server, terms, &search).await {
                 AdmissionDecision::Refused(expected, held) => {
-                    holder.record(held.tokens, server);
-                    if lowest.as_ref().is_none_or(|(e, _)| expected < *e) {
-                        lowest = Some((expected, server.clone()));
-                    }
+                    search.holder.record(held.tokens, &server);
+                    search.engines.refused(&server, expected);
+                }
+                AdmissionDecision::ServerGone => self.mark_replaced(now, &server),
+                AdmissionDecision::Leaving => self.mark_leaving(&server),
+                decision => {
+                    return self
+                        .conclude(sidecars, &server, decision, &mut search)
+                        .await;
                 }
             }
         }
-        let Some((expected, server)) = lowest else {
+        let Some((expected, server)) = search.engines.lowest() else {
             return Ok(None);
         };
+        let server = server.clone();
         let left = self
             .deadline
             .saturating_duration_since(self.state.clock.now());
@@ -188,16 +194,60 @@
         if !forced {
             return Err(self.refuse_late(&server, expected));
         }
-        let asked = self.ask_sidecar(sidecars, &server, start, AdmissionTerms::Forced, &holder);
-        match asked.await {
+        let terms = AdmissionTerms::Forced;
+        let decision = self.ask_sidecar(sidecars, &server, terms, &search).await;
+        self.conclude(sidecars, &server, decision, &mut search)
+            .await
+    }
+
+    /// The next engine that a search asks, and how.
+    fn next_engine(
+        &self,
+        sidecars: &SidecarClient,
+        search: &mut GrantSearch<'_>,
+    ) -> Option<(ServerRecord, AdmissionTerms)> {
+        if let Some(preferred) = search.engines.next_preferred() {
+            return Some(preferred);
+        }
+        let now = self.state.clock.now();
+        let engines = self.all_engines(now, search.excluded);
+        let waits = sidecars.waits.borrow();
+        let next = search
+            .engines
+            .next_further(now, &waits, self.rank(), &engines);
+        next.map(|server| (server, AdmissionTerms::Spill))
+    }
+
+    /// All engines that may take the call.
+    fn all_engines(&self, now: Instant, excluded: &[Rc<str>]) -> Vec<ServerRecord> {
+        let query = ServerQuery {
+            strategy: Strategy::TwoChoices,
+            ..self.server_query(Partition::All, excluded)
+        };
+        self.state.balancer.borrow_mut().ranked(now, &query)
+    }
+
+    /// Acts on the decision of the sidecar next to `server`, and waits there if
+    /// the call is queued.
+    async fn conclude(
+        &self,
+        sidecars: &Rc<SidecarClient>,
+        server: &ServerRecord,
+        decision: AdmissionDecision,
+        search: &mut GrantSearch<'_>,
+    ) -> Result<Option<Placement>, SendError> {
+        let (server, decision) = match decision {
+            AdmissionDecision::Queued(queued) => self.wait_queued(sidecars, queued, search).await,
+            decision => (server.clone(), decision),
+        };
+        match decision {
             AdmissionDecision::Granted(grant, held) => {
-                let fetch_from = self.fetch_source(sidecars, &grant, held, holder, &candidates);
-                let fetch_from = fetch_from.await;
+                let fetch_from = self.fetch_source(sidecars, &grant, held, search).await;
                 Ok(self.granted_placement(&server, grant, fetch_from))
             }
-            AdmissionDecision::NoResponse => Ok(None),
+            AdmissionDecision::Queued(_) | AdmissionDecision::NoResponse => Ok(None),
             AdmissionDecision::ServerGone => {
-                self.mark_replaced(now, &server);
+                self.mark_replaced(self.state.clock.now(), &server);
                 Ok(None)
             }
             AdmissionDecision::Leaving => {
@@ -208,6 +258,62 @@
         }
     }
 
+    /// Waits for the decision on a queued call. A call that has waited for longer
+    /// than it may take moves to an engine that takes it sooner. Returns the
+    /// engine that has decided, with its decision.
+    async fn wait_queued(
+        &self,
+        sidecars: &Rc<SidecarClient>,
+        mut queued: Box<QueuedCall>,
+        search: &GrantSearch<'_>,
+    ) -> (ServerRecord, AdmissionDecision) {
+        let mut since = self.state.clock.now();
+        loop {
+            let server = queued.server().clone();
+            queued = match queued.wait(self.state.clock.now()).await {
+                QueueOutcome::Decided(decision) => return (server, decision),
+                QueueOutcome::Waiting(queued) => queued,
+            };
+            let now = self.state.clock.now();
+            let waited = now.saturating_duration_since(since);
+            if waited < queued.expected().mul_f64(OVERSTAY_RATIO) {
+                continue;
+            }
+            let Some(other) = self.sooner_engine(sidecars, waited, &server, search) else {
+                continue;
+            };
+            let terms = match queued.is_forced() {
+                true => AdmissionTerms::Forced,
+                false => AdmissionTerms::Spill,
+            };
+            match self.ask_sidecar(sidecars, &other, terms, search).await {
+                AdmissionDecision::Queued(moved) => {
+                    queued = moved;
+                    since = now;
+                }
+                decision @ AdmissionDecision::Granted(..) => return (other, decision),
+                _ => {}
+            }
+        }
+    }
+
+    /// An engine that takes the call much sooner than `server`, where it has
+    /// waited for `waited`.
+    fn sooner_engine(
+        &self,
+        sidecars: &SidecarClient,
+        waited: Duration,
+        server: &ServerRecord,
+        search: &GrantSearch<'_>,
+    ) -> Option<ServerRecord> {
+        let now = self.state.clock.now();
+        let limit = waited.mul_f64(MOVE_SHARE);
+        let engines = self.all_engines(now, search.excluded);
+        let others = engines.iter().filter(|s| s.id != server.id);
+        let waits = sidecars.waits.borrow();
+        waits.shortest(now, self.rank(), limit, others).cloned()
+    }
+
     /// The engine from which the engine of `grant`, which has cached `held`,
     /// should fetch more of the prompt: one that has reported a longer prefix
     /// when it refused, or a home of the shared prefix. If none is found, the
@@ -217,8 +323,7 @@
         sidecars: &Rc<SidecarClient>,
         grant: &Grant,
         held: CachedPrefix,
-        holder: PrefixHolder,
-        asked: &[ServerRecord],
+        search: &mut GrantSearch<'_>,
     ) -> Option<SocketAddr> {
         let min_tokens = held.tokens.saturating_add(fetch::MIN_FETCH_TOKENS);
         let shared_parts = self
@@ -232,10 +337,11 @@
         if !held.prefer_fetch || shared_tokens < min_tokens {
             return None;
         }
+        let holder = std::mem::take(&mut search.holder);
         let known = holder.tokens >= min_tokens;
         let holder = match known {
             true => holder,
-            false => self.find_holder(sidecars, asked).await,
+            false => self.find_holder(sidecars, search.engines.asked()).await,
         };
         let found = holder.tokens >= min_tokens;
         if found && !known {
@@ -316,9 +422,8 @@
         &self,
         sidecars: &Rc<SidecarClient>,
         server: &ServerRecord,
-        start: StartPoint,
         terms: AdmissionTerms,
-        holder: &PrefixHolder,
+        search: &GrantSearch<'_>,
     ) -> AdmissionDecision {
         self.admission.replace_with(|trace| AdmissionTrace {
             asked: trace.asked + 1,
@@ -326,9 +431,8 @@
             forced: terms == AdmissionTerms::Forced,
         });
         let now = self.state.clock.now();
-        let age = now.saturating_duration_since(self.received_at);
         let left = self.deadline.saturating_duration_since(now);
-        let allowed = self.call_timing(start).latency_limit(age, left);
+        let allowed = self.latency_limit(search.start);
         let ms = |duration: Duration| u32::try_from(duration.as_millis()).unwrap_or(u32::MAX);
         let request = grants::AdmissionRequest {
             request_id: self.request_id().to_owned(),
@@ -346,7 +450,7 @@
             priority: self.rank(),
             is_home: terms == AdmissionTerms::Home,
             forced: terms == AdmissionTerms::Forced,
-            remote_tokens: holder.tokens,
+            remote_tokens: search.holder.tokens,
             copy_ns: self.copy_ns(),
             workspace: self
                 .workspace
@@ -458,6 +562,15 @@
         (self.route.latency_target * SILENCE_FACTOR).clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
+    /// The longest time to the first event with which an engine may be asked to
+    /// admit the call now.
+    fn latency_limit(&self, start: StartPoint) -> Duration {
+        let now = self.state.clock.now();
+        let age = now.saturating_duration_since(self.received_at);
+        let left = self.deadline.saturating_duration_since(now);
+        self.call_timing(start).latency_limit(age, left)
+    }
+
     /// The call's times, from which its latency limit follows.
     fn call_timing(&self, start: StartPoint) -> CallTiming {
         CallTiming {
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -12,6 +12,7 @@
 
 use base::ids::Incarnation;
 use policy::balance::ServerRecord;
+use policy::engine_search::EngineWaits;
 use policy::paces::PaceTable;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
@@ -65,6 +66,8 @@
     free_tokens: RefCell<HashMap<IpAddr, (Instant, u32)>>,
     /// The paces of engines that their sidecars have stated.
     pub(crate) paces: RefCell<PaceTable>,
+    /// Expected times to the first event that sidecars have stated.
+    pub(crate) waits: RefCell<EngineWaits>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -78,6 +81,8 @@
 pub enum AdmissionDecision {
     /// The call may be sent.
     Granted(Grant, CachedPrefix),
+    /// The call waits at the engine.
+    Queued(Box<QueuedCall>),
     /// The call may not be sent; its first event would take this long.
     Refused(Duration, CachedPrefix),
     /// The addressed incarnation of the engine has ended.
@@ -88,6 +93,77 @@
     NoResponse,
 }
 
+/// A call that waits for admission at one engine. Dropping it gives up its place.
+#[derive(Debug)]
+pub struct QueuedCall {
+    server: ServerRecord,
+    grant: Grant,
+    request: AdmissionRequest,
+    answers: UnboundedReceiver<GrantResponse>,
+    /// The time to its first event that the sidecar named.
+    expected: Duration,
+    /// Requests sent since the last answer.
+    unanswered: u32,
+}
+
+/// The state of a queued call after a wait.
+#[derive(Debug)]
+pub enum QueueOutcome {
+    /// It is still queued.
+    Waiting(Box<QueuedCall>),
+    /// The sidecar has decided, or does not respond any more.
+    Decided(AdmissionDecision),
+}
+
+impl QueuedCall {
+    /// The engine at which the call waits.
+    #[must_use]
+    pub fn server(&self) -> &ServerRecord {
+        &self.server
+    }
+
+    /// The time to its first event that the sidecar named when it was queued.
+    #[must_use]
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
+    /// Whether the engine has to admit the call.
+    #[must_use]
+    pub fn is_forced(&self) -> bool {
+        self.request.forced
+    }
+
+    /// Waits for the decision for [`QUEUED_TIMEOUT`], then repeats the request:
+    /// the decision may have been lost, and a sidecar that restarts has lost its
+    /// queue.
+    pub async fn wait(mut self: Box<Self>, now: Instant) -> QueueOutcome {
+        let period_end = tokio::time::Instant::now() + QUEUED_TIMEOUT;
+        loop {
+            match tokio::time::timeout_at(period_end, self.answers.recv()).await {
+                Ok(Some(answer)) if is_queued(&answer) => self.unanswered = 0,
+                Ok(Some(answer)) => {
+                    let sidecars = Rc::clone(&self.grant.sidecars);
+                    let decision = sidecars.decide(now, &self.server, self.grant, answer);
+                    return QueueOutcome::Decided(decision);
+                }
+                Ok(None) => return QueueOutcome::Decided(AdmissionDecision::NoResponse),
+                Err(_) => break,
+            }
+        }
+        if self.unanswered >= MAX_ATTEMPTS {
+            let host = self.server.addr.ip();
+            self.grant.sidecars.start_backoff(now, host);
+            return QueueOutcome::Decided(AdmissionDecision::NoResponse);
+        }
+        self.unanswered += 1;
+        let repeated = RequestKind::Admission(self.request.clone());
+        let Grant { to, number, .. } = self.grant;
+        self.grant.sidecars.send(to, number, repeated);
+        QueueOutcome::Waiting(self)
+    }
+}
+
 /// The cached prefix of a call's prompt at an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CachedPrefix {
@@ -210,12 +286,13 @@
             backoffs: RefCell::default(),
             free_tokens: RefCell::default(),
             paces: RefCell::default(),
+            waits: RefCell::default(),
         });
         actix_rt::spawn(Rc::clone(&sidecars).receive());
         Ok(sidecars)
     }
 
-    /// Asks the sidecar next to `server` to admit a call and waits for its decision.
+    /// Asks the sidecar next to `server` to admit a call.
     pub async fn request_admission(
         self: &Rc<Self>,
         now: Instant,
@@ -241,32 +318,84 @@
             max_gap: Cell::default(),
             gaps: RefCell::default(),
         };
-        let Some(answer) = self.await_decision(&grant, &request, &mut answers).await else {
+        let Some(answer) = self.await_answer(&grant, &request, &mut answers).await else {
             self.start_backoff(now, host);
             return AdmissionDecision::NoResponse;
         };
         self.backoffs.borrow_mut().remove(&host);
-        if answer.free_tokens > 0 {
-            let mut known = self.free_tokens.borrow_mut();
-            known.insert(host, (now, answer.free_tokens));
+        self.record_wait(now, server, &request, &answer);
+        if is_queued(&answer) {
+            self.record_facts(now, server, &answer);
+            return AdmissionDecision::Queued(Box::new(QueuedCall {
+                server: server.clone(),
+                grant,
+                request,
+                answers,
+                expected: stated_wait(&answer),
+                unanswered: 0,
+            }));
         }
-        let event = Duration::from_micros(u64::from(answer.event_us));
-        self.paces.borrow_mut().record(now, server.number(), event);
+        self.decide(now, server, grant, answer)
+    }
+
+    /// The decision in an answer that is final.
+    fn decide(
+        &self,
+        now: Instant,
+        server: &ServerRecord,
+        grant: Grant,
+        answer: GrantResponse,
+    ) -> AdmissionDecision {
+        self.record_facts(now, server, &answer);
         let cached = CachedPrefix {
             tokens: answer.cached_tokens,
             prefer_fetch: answer.prefer_fetch,
         };
         match answer.verdict {
             Verdict::Granted => AdmissionDecision::Granted(grant, cached),
-            Verdict::Refused(ms) | Verdict::Queued(ms) => {
+            Verdict::Refused(ms) => {
                 AdmissionDecision::Refused(Duration::from_millis(u64::from(ms)), cached)
             }
             Verdict::ServerGone => AdmissionDecision::ServerGone,
             Verdict::Leaving => AdmissionDecision::Leaving,
-            Verdict::Acknowledged | Verdict::Utilization(_) => AdmissionDecision::NoResponse,
+            Verdict::Queued(_) | Verdict::Acknowledged | Verdict::Utilization(_) => {
+                AdmissionDecision::NoResponse
+            }
         }
     }
 
+    /// Records how long calls of a rank take at an engine, as its sidecar says.
+    fn record_wait(
+        &self,
+        now: Instant,
+        server: &ServerRecord,
+        request: &AdmissionRequest,
+        answer: &GrantResponse,
+    ) {
+        let is_known = match answer.verdict {
+            // An engine that has to admit a call does so whatever it takes.
+            Verdict::Granted => !request.forced && request.max_gap_ms.is_none(),
+            Verdict::Queued(_) | Verdict::Refused(_) => true,
+            _ => false,
+        };
+        if !is_known {
+            return;
+        }
+        let expected = stated_wait(answer);
+        let mut waits = self.waits.borrow_mut();
+        waits.record(now, &server.id, request.priority, expected);
+    }
+
+    /// Records what an answer says about the engine.
+    fn record_facts(&self, now: Instant, server: &ServerRecord, answer: &GrantResponse) {
+        if answer.free_tokens > 0 {
+            let mut known = self.free_tokens.borrow_mut();
+            known.insert(server.addr.ip(), (now, answer.free_tokens));
+        }
+        let event = Duration::from_micros(u64::from(answer.event_us));
+        self.paces.borrow_mut().record(now, server.number(), event);
+    }
+
     /// The KV cache tokens of the engine on `host` that no call holds or will need,
     /// as its sidecar reported with an admission a moment ago.
     #[must_use]
@@ -323,37 +452,22 @@
         (number, answers)
     }
 
-    /// Sends the admission request until the sidecar has decided; none if it does not
+    /// Sends the admission request until the sidecar answers; none if it does not
     /// respond.
-    async fn await_decision(
+    async fn await_answer(
         &self,
         grant: &Grant,
         request: &AdmissionRequest,
         answers: &mut UnboundedReceiver<GrantResponse>,
     ) -> Option<GrantResponse> {
-        let mut wait = ANSWER_TIMEOUT;
-        let mut attempts = 0;
-        while attempts < MAX_ATTEMPTS {
+        for _ in 0..MAX_ATTEMPTS {
             self.send(
                 grant.to,
                 grant.number,
                 RequestKind::Admission(request.clone()),
             );
-            attempts += 1;
-            match tokio::time::timeout(wait, answers.recv()).await {
-                Err(_) => {}
-                Ok(Some(answer)) if is_queued(&answer) => {
-                    wait = QUEUED_TIMEOUT;
-                    attempts = 0;
-                    // The next message is the final decision, unless the timeout
-                    // passes and the request is sent again.
-                    match tokio::time::timeout(wait, answers.recv()).await {
-                        Err(_) => {}
-                        Ok(Some(answer)) if is_queued(&answer) => {}
-                        Ok(decision) => return decision,
-                    }
-                }
-                Ok(decision) => return decision,
+            if let Ok(answer) = tokio::time::timeout(ANSWER_TIMEOUT, answers.recv()).await {
+                return answer;
             }
         }
         None
@@ -414,6 +528,15 @@
     }
 }
 
+/// The time to a call's first event that an answer states; zero if the call is
+/// admitted.
+fn stated_wait(answer: &GrantResponse) -> Duration {
+    match answer.verdict {
+        Verdict::Queued(ms) | Verdict::Refused(ms) => Duration::from_millis(u64::from(ms)),
+        _ => Duration::ZERO,
+    }
+}
+
 fn is_queued(answer: &GrantResponse) -> bool {
     matches!(answer.verdict, Verdict::Queued(_))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`routes`]: which route a call takes and who may use it.
 //! - [`balance`]: which backend server gets a call.
 //! - [`pools`]: which engines prefill prompts and which decode answers.
+//! - [`engine_search`]: which engines a call asks, and when it leaves one for another.
 //! - [`paces`]: which engines of a service are fast or slow.
 //! - [`moves`]: which streams move away from an engine that leaves, and how.
 //! - [`pauses`]: how long prefill pauses the streams at the same engine.
@@ -55,6 +56,7 @@
 pub mod caches;
 pub mod discovery;
 pub mod duty;
+pub mod engine_search;
 pub mod estimate;
 pub mod fleet_time;
 pub mod grants;
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -47,6 +47,13 @@
     tier.0.saturating_mul(RANKS_PER_TIER).saturating_add(within)
 }
 
+/// Whether calls of a route's tier wait for engines rather than being refused
+/// as late.
+#[must_use]
+pub fn is_high_tier(route: Tier) -> bool {
+    route.0 < FIRST_LOW_TIER
+}
+
 /// The properties of a call that decide its limits.
 #[derive(Debug, Clone, Copy)]
 pub struct CallTiming {
@@ -93,6 +100,6 @@
     #[must_use]
     pub fn must_accept(&self, expected: Duration, left: Duration) -> bool {
         !self.first_attempt
-            || self.tier < FIRST_LOW_TIER && expected <= left.mul_f64(HIGH_TIER_SHARE)
+            || is_high_tier(Tier(self.tier)) && expected <= left.mul_f64(HIGH_TIER_SHARE)
     }
 }
