Refuse urgent calls that engines would take after their callers have left

Callers of guest-reply that no engine could serve soon got nothing for 2.4 s, their patience for a first event, and had 1.6 s left for their one return.

Cause: a high-tier call is accepted if its first event is expected within 0.6 of the time to its deadline. For a timeout of 4 s that is 2.4 s, when the caller has just left; the time after which callers leave a stream without an event was not known to the entry. It is now part of the route, and the limit is 0.6 of the time until the caller leaves.

Test: an engine that names 1 s is refused for a caller that leaves after 1.5 s. Without the change the call is accepted (the case without a known time).

--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -187,9 +187,7 @@
             return Ok(None);
         };
         let server = server.clone();
-        let left = self
-            .deadline
-            .saturating_duration_since(self.state.clock.now());
+        let left = self.time_to_first_event(self.state.clock.now());
         let forced = phase == Phase::Decode || self.call_timing(start).must_accept(expected, left);
         if !forced {
             return Err(self.refuse_late(&server, expected));
@@ -571,6 +569,13 @@
         self.call_timing(start).latency_limit(age, left)
     }
 
+    /// The time after which the caller leaves without a first event.
+    fn time_to_first_event(&self, now: Instant) -> Duration {
+        let leaves_at = self.route.event_timeout.map(|t| self.received_at + t);
+        let until = leaves_at.map_or(self.deadline, |at| at.min(self.deadline));
+        until.saturating_duration_since(now)
+    }
+
     /// The call's times, from which its latency limit follows.
     fn call_timing(&self, start: StartPoint) -> CallTiming {
         CallTiming {
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -328,6 +328,8 @@
     pub(crate) attempts: u32,
     pub(crate) timeout: Duration,
     pub(crate) target: Duration,
+    /// When callers leave a stream without an event.
+    pub(crate) event_timeout: Option<Duration>,
     pub(crate) keys: bool,
     /// Whether full services are shared fairly between workspaces.
     pub(crate) fair_shares: bool,
@@ -361,6 +363,7 @@
             attempts,
             timeout: Duration::from_secs(5),
             target: Duration::from_millis(100),
+            event_timeout: None,
             keys: false,
             fair_shares: false,
             tier: 1,
@@ -535,6 +538,7 @@
         call_timeout: plan.timeout,
         latency_target: plan.target,
         max_gap: None,
+        event_timeout: plan.event_timeout,
         tier: Tier(plan.tier),
         split: services.iter().map(|name| (Rc::from(*name), 1)).collect(),
         max_attempts: plan.attempts,
--- a/crates/forward/tests/calls/urgent.rs
+++ b/crates/forward/tests/calls/urgent.rs
@@ -7,6 +7,7 @@
 
 use forward::grants::SidecarClient;
 use policy::routes::CallKind;
+use rstest::rstest;
 use tokio::net::UdpSocket;
 use wire::grants::{
     AdmissionRequest, GrantRequest, GrantResponse, MAX_DATAGRAM_BYTES, RequestKind, Verdict,
@@ -116,3 +117,26 @@
     };
     assert_eq!(status(&answer), "200");
 }
+
+/// Guards against accepting an urgent call that an engine would take after its caller has
+/// left: the caller gets nothing in all that time, and no refusal with a time to return.
+#[rstest]
+#[case::stays(None, "200")]
+#[case::leaves_later(Some(Duration::from_secs(4)), "200")]
+#[case::leaves_before(Some(Duration::from_millis(1_500)), "503")]
+#[actix_rt::test]
+async fn urgent_call_accepted_after_its_caller_leaves(
+    #[case] event_timeout: Option<Duration>,
+    #[case] expected: &str,
+) {
+    let plan = Plan {
+        event_timeout,
+        ..Plan::new(CallKind::Once, 1, &[])
+    };
+    let entry = start(plan, |admission| match admission.forced {
+        true => Verdict::Granted,
+        false => Verdict::Refused(1_000),
+    })
+    .await;
+    assert_eq!(status(&entry.call(PROMPT_CALL).await), expected);
+}
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -46,6 +46,9 @@
     /// Target for the longest gap between two events of a stream.
     #[serde(rename = "gap")]
     pub max_gap: Option<Duration>,
+    /// Time without an event after which callers leave a stream, also before its
+    /// first one; none if they do not.
+    pub event_timeout: Option<Duration>,
     /// Priority among the routes; a workspace's own tier takes precedence.
     pub tier: Tier,
     /// Services with their traffic weights; at least one.
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -17,6 +17,7 @@
         call_timeout: Duration::from_secs(1),
         latency_target: Duration::from_millis(100),
         max_gap: None,
+        event_timeout: None,
         tier: Tier(1),
         split: vec![(Rc::from("app"), 1)],
         max_attempts: 2,
