Close engines that take no calls at their sidecars

Cause: a call that its engine rejects, or cannot be reached for, ended at the sidecar like one that was served. The engine had nothing to read and looked idle, so the sidecar admitted the next call at once, and calls that full engines had refused went there. Each of 26 entries had to see three rejections of its own for each engine. Class of fault: no news of work taken for spare capacity.

Entries now tell the sidecar that the engine did not take a call. After three in a row it answers that the engine is closed, for 0.3 s at first and at most 3 s, also to the calls that wait; entries ask another engine in its place, whatever the tier, and leave the closed one out. A first event opens it again.

--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -9,6 +9,7 @@
 
 use base::clock::Clock;
 use base::stop::StopSignal;
+use policy::grants::availability::EngineAvailability;
 use policy::grants::incarnations::{IncarnationStatus, Incarnations};
 use policy::grants::{CallId, EngineReport, GrantController, GrantDecision, GrantRequest};
 use spdlog::{info, warn};
@@ -48,6 +49,8 @@
     grants: GrantController,
     /// The current and the ended incarnations of the engine.
     incarnations: Incarnations,
+    /// Whether the engine takes calls.
+    availability: EngineAvailability,
     /// The calls that wait for a grant.
     waiting_calls: HashMap<CallId, WaitingCall>,
     /// Whether the engine's last report failed. Nothing can be fetched from an
@@ -195,7 +198,12 @@
             RequestKind::ServerGone { server, started_ms } => {
                 self.handle_server_gone(&server, started_ms)
             }
-            RequestKind::FirstEvent => self.state.borrow_mut().grants.record_first_event(now, id),
+            RequestKind::FirstEvent => {
+                let mut state = self.state.borrow_mut();
+                state.availability.call_started();
+                state.grants.record_first_event(now, id);
+            }
+            RequestKind::Rejected => self.handle_rejected(now),
             RequestKind::Ended { pause_ms, event_us } => {
                 let mut state = self.state.borrow_mut();
                 let event = Duration::from_micros(u64::from(event_us));
@@ -219,7 +227,11 @@
         let rejection = match incarnation {
             IncarnationStatus::Gone => Some(("gone", grants::Verdict::ServerGone)),
             IncarnationStatus::Leaving => Some(("leaving", grants::Verdict::Leaving)),
-            IncarnationStatus::Current | IncarnationStatus::New => None,
+            IncarnationStatus::Current => {
+                let left = state.availability.closed_for(now);
+                left.map(|left| ("closed", grants::Verdict::Closed(millis(left))))
+            }
+            IncarnationStatus::New => None,
         };
         if let Some((label, verdict)) = rejection {
             drop(state);
@@ -240,6 +252,7 @@
             info!("new engine incarnation", kv: { server = admission.server.as_str() });
             // A new incarnation has an empty KV cache.
             state.grants.reset_engine();
+            state.availability = EngineAvailability::default();
         }
         let from_ms = |ms: u32| Duration::from_millis(u64::from(ms));
         let request = GrantRequest {
@@ -329,6 +342,19 @@
         }
     }
 
+    /// Records that the engine did not take an admitted call. Calls that wait for
+    /// an engine that is closed go to others.
+    fn handle_rejected(&self, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        if !state.availability.call_rejected(now) {
+            return;
+        }
+        let left = state.availability.closed_for(now).unwrap_or_default();
+        warn!("engine takes no calls", kv: { closed_ms = millis(left) });
+        let waiting: Vec<CallId> = state.waiting_calls.keys().copied().collect();
+        self.reject_calls(&mut state, waiting, grants::Verdict::Closed(millis(left)));
+    }
+
     /// Records that an incarnation of the engine has ended.
     fn handle_server_gone(&self, server: &str, started_ms: Option<u64>) {
         let mut state = self.state.borrow_mut();
@@ -362,13 +388,18 @@
 
     /// Answers all calls that wait for incarnation `server` with `verdict`.
     fn reject_waiting(&self, state: &mut State, server: &str, verdict: grants::Verdict) {
-        let now = self.clock.now();
         let rejected: Vec<CallId> = {
             let waiting_calls = state.waiting_calls.iter();
             let same_server = waiting_calls.filter(|(_, call)| call.server == server);
             same_server.map(|(id, _)| *id).collect()
         };
-        for id in rejected {
+        self.reject_calls(state, rejected, verdict);
+    }
+
+    /// Answers calls that wait with `verdict`.
+    fn reject_calls(&self, state: &mut State, calls: Vec<CallId>, verdict: grants::Verdict) {
+        let now = self.clock.now();
+        for id in calls {
             state.grants.call_ended(now, id, Duration::ZERO);
             if let Some(call) = state.waiting_calls.remove(&id) {
                 self.send(call.addr, id, verdict, 0, false);
--- a/crates/admission/tests/responder.rs
+++ b/crates/admission/tests/responder.rs
@@ -354,3 +354,53 @@
     let granted = entry.request_server("s", 3, 3_000, Some(2_000)).await;
     assert_eq!(granted, Verdict::Granted);
 }
+
+/// Guards against an engine that takes no calls looking idle: its sidecar would admit
+/// every call, and each entry would find out by calls of its own.
+#[actix_rt::test]
+async fn rejecting_engine_admits_calls() {
+    let (_responder, entry) = start().await;
+    for number in 0..3 {
+        assert_eq!(entry.request(number, 1_000).await, Verdict::Granted);
+    }
+    for number in 0..3 {
+        entry.send(number, RequestKind::Rejected).await;
+        let ended = RequestKind::Ended {
+            pause_ms: 0,
+            event_us: 0,
+        };
+        entry.send(number, ended).await;
+    }
+    assert!(matches!(entry.request(3, 1_000).await, Verdict::Closed(ms) if ms > 0));
+}
+
+/// Guards against calls waiting for an engine that takes none.
+#[actix_rt::test]
+async fn call_waits_for_rejecting_engine() {
+    let (_responder, entry) = start().await;
+    for number in 0..3 {
+        assert_eq!(entry.request(number, 1_000).await, Verdict::Granted);
+    }
+    assert_eq!(entry.request(3, 30_000).await, Verdict::Granted);
+    assert!(matches!(entry.request(4, 3_000).await, Verdict::Queued(_)));
+    for number in 0..3 {
+        entry.send(number, RequestKind::Rejected).await;
+    }
+    let response = entry.receive().await;
+    assert_eq!(response.call_number, 4);
+    assert!(matches!(response.verdict, Verdict::Closed(_)));
+}
+
+/// Guards against closing an engine that serves calls because of a few that it rejects.
+#[actix_rt::test]
+async fn serving_engine_closed_by_single_rejections() {
+    let (_responder, entry) = start().await;
+    for number in 0..9 {
+        assert_eq!(entry.request(number, 100).await, Verdict::Granted);
+        let told = match number % 3 {
+            0 => RequestKind::FirstEvent,
+            _ => RequestKind::Rejected,
+        };
+        entry.send(number, told).await;
+    }
+}
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -176,6 +176,10 @@
                 }
                 AdmissionDecision::ServerGone => self.mark_replaced(now, &server),
                 AdmissionDecision::Leaving => self.mark_leaving(&server),
+                AdmissionDecision::Closed(left) => {
+                    self.mark_closed(&server, left);
+                    search.engines.replace();
+                }
                 decision => {
                     return self
                         .conclude(sidecars, &server, decision, &mut search)
@@ -218,13 +222,24 @@
 
     /// All engines that may take the call.
     fn all_engines(&self, now: Instant, excluded: &[Rc<str>]) -> Vec<ServerRecord> {
+        let part = match self.phase {
+            Some(Phase::Decode) => self.partition(now),
+            _ => Partition::All,
+        };
         let query = ServerQuery {
             strategy: Strategy::TwoChoices,
-            ..self.server_query(Partition::All, excluded)
+            ..self.server_query(part, excluded)
         };
         self.state.balancer.borrow_mut().ranked(now, &query)
     }
 
+    /// Sends no calls to `server` for a while, as its sidecar has stated.
+    fn mark_closed(&self, server: &ServerRecord, left: Duration) {
+        let now = self.state.clock.now();
+        let mut balancer = self.state.balancer.borrow_mut();
+        balancer.close_server(now, &server.id, left);
+    }
+
     /// Acts on the decision of the sidecar next to `server`, and waits there if
     /// the call is queued.
     async fn conclude(
@@ -252,6 +267,10 @@
                 self.mark_leaving(&server);
                 Ok(None)
             }
+            AdmissionDecision::Closed(left) => {
+                self.mark_closed(&server, left);
+                Ok(None)
+            }
             AdmissionDecision::Refused(expected, _) => Err(self.refuse_late(&server, expected)),
         }
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -234,7 +234,13 @@
     let sent_at = state.clock.now();
     let sent = tokio::time::timeout_at(deadline.into(), deliver(state, server, request)).await;
     let (response, mut conn) = match sent {
-        Ok(sent) => sent?,
+        Ok(Ok(sent)) => sent,
+        Ok(Err(error)) => {
+            if let (SendError::NeverSent(_), Some(grant)) = (&error, &grant) {
+                grant.report_rejected();
+            }
+            return Err(error);
+        }
         Err(_) => return Err(SendError::TimedOut),
     };
     let status = response.status().as_u16();
@@ -264,6 +270,9 @@
             drain_refusal(state, server, response, conn).await;
         }
         if !parsed_headers.wrong_server {
+            if let Some(grant) = &grant {
+                grant.report_rejected();
+            }
             return Err(SendError::NotRun(status));
         }
         if let Some(grant) = &grant {
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -89,6 +89,8 @@
     ServerGone,
     /// The engine is draining and accepts no new calls.
     Leaving,
+    /// The engine takes no calls for this time.
+    Closed(Duration),
     /// The sidecar did not respond.
     NoResponse,
 }
@@ -220,6 +222,13 @@
         self.sidecars.send(self.to, self.number, gone);
     }
 
+    /// Tells the sidecar that the engine has rejected the call, or could not be
+    /// reached.
+    pub fn report_rejected(&self) {
+        self.sidecars
+            .send(self.to, self.number, RequestKind::Rejected);
+    }
+
     /// Records the gap between two events of the call's stream.
     pub fn record_gap(&self, gap: Duration) {
         self.max_gap.set(self.max_gap.get().max(gap));
@@ -358,6 +367,7 @@
             }
             Verdict::ServerGone => AdmissionDecision::ServerGone,
             Verdict::Leaving => AdmissionDecision::Leaving,
+            Verdict::Closed(ms) => AdmissionDecision::Closed(Duration::from_millis(u64::from(ms))),
             Verdict::Queued(_) | Verdict::Acknowledged | Verdict::Utilization(_) => {
                 AdmissionDecision::NoResponse
             }
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -137,6 +137,7 @@
             | RequestKind::Lookup(_)
             | RequestKind::Fetching(_)
             | RequestKind::ServerGone { .. }
+            | RequestKind::Rejected
             | RequestKind::Utilization => {}
         }
     }
--- a/crates/forward/tests/calls/urgent.rs
+++ b/crates/forward/tests/calls/urgent.rs
@@ -140,3 +140,29 @@
     .await;
     assert_eq!(status(&entry.call(PROMPT_CALL).await), expected);
 }
+
+/// Guards against a call being lost to engines that take none: others are asked in their
+/// place, also for a call of a low tier.
+#[rstest]
+#[case::high_tier(1)]
+#[case::low_tier(2)]
+#[actix_rt::test]
+async fn closed_engines_use_up_the_search(#[case] tier: u8) {
+    let plan = Plan {
+        tier,
+        ..Plan::new(CallKind::Once, 1, &[])
+    };
+    let closed = RefCell::new(BTreeSet::new());
+    let entry = start(plan, move |admission| {
+        let mut closed = closed.borrow_mut();
+        if closed.len() < 6 {
+            closed.insert(admission.server.clone());
+        }
+        match closed.contains(&admission.server) {
+            true => Verdict::Closed(300),
+            false => Verdict::Granted,
+        }
+    })
+    .await;
+    assert_eq!(status(&entry.call(PROMPT_CALL).await), "200");
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -31,6 +31,7 @@
 use name_order::NameOrder;
 use retained::RetainedFeedback;
 
+pub use cooldown::failure_cooldown;
 pub use copies::CopyQuery;
 pub use feedback::{FeedbackChange, FeedbackCounts, ServerFeedback};
 pub use rate_limit::TurnSchedule;
--- a/crates/policy/src/balance/cooldown.rs
+++ b/crates/policy/src/balance/cooldown.rs
@@ -33,7 +33,7 @@
     pub fn connect_failed(&mut self, now: Instant, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.connect_failures = server.connect_failures.saturating_add(1);
-            server.cooldown_until = Some(now + cooldown(server.connect_failures));
+            server.cooldown_until = Some(now + failure_cooldown(server.connect_failures));
         }
     }
 
@@ -44,6 +44,14 @@
         self.call_failed(now, id);
     }
 
+    /// Starts a cooldown of this length, as the sidecar of a server that takes no
+    /// calls has stated it.
+    pub fn close_server(&mut self, now: Instant, id: &str, span: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.cooldown_until = server.cooldown_until.max(Some(now + span));
+        }
+    }
+
     /// How long it is until the first cooldown of a server of `service` ends,
     /// if all available servers are in one.
     #[must_use]
@@ -62,14 +70,15 @@
             server.failed_calls = server.failed_calls.saturating_add(1);
             if server.failed_calls >= FAILED_CALL_LIMIT {
                 server.cooldown_until =
-                    Some(now + cooldown(server.failed_calls - FAILED_CALL_LIMIT + 1));
+                    Some(now + failure_cooldown(server.failed_calls - FAILED_CALL_LIMIT + 1));
             }
         }
     }
 }
 
 /// The cooldown after this number of failures.
-fn cooldown(failures: u32) -> Duration {
+#[must_use]
+pub fn failure_cooldown(failures: u32) -> Duration {
     let doubled =
         FIRST_COOLDOWN.saturating_mul(2u32.saturating_pow(failures.saturating_sub(1).min(8)));
     doubled.min(MAX_COOLDOWN)
--- a/crates/policy/src/engine_search.rs
+++ b/crates/policy/src/engine_search.rs
@@ -148,16 +148,25 @@
         rank: u8,
         engines: &[ServerRecord],
     ) -> Option<ServerRecord> {
-        let (lowest, _) = self.lowest.as_ref()?;
         self.further_left = self.further_left.checked_sub(1)?;
+        let lowest = self
+            .lowest
+            .as_ref()
+            .map_or(Duration::MAX, |(least, _)| *least);
         let not_asked = |s: &&ServerRecord| self.asked.iter().all(|asked| asked.id != s.id);
         let mut engines = engines.iter().filter(not_asked);
-        let known = waits.shortest(now, rank, *lowest, engines.clone());
+        let known = waits.shortest(now, rank, lowest, engines.clone());
         let next = known.or_else(|| engines.next())?.clone();
         self.asked.push(next.clone());
         Some(next)
     }
 
+    /// Records that an engine takes no calls at all, so that another one may be
+    /// asked in its place.
+    pub fn replace(&mut self) {
+        self.further_left += 1;
+    }
+
     /// Records that an engine has refused the call and named this time.
     pub fn refused(&mut self, engine: &ServerRecord, expected: Duration) {
         if self
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -10,6 +10,7 @@
 //! queues the rest by priority and due time, and refuses at once any call that
 //! would miss its limit. See docs/DECISIONS/0603-grants.md.
 //!
+//! - [`availability`]: whether the engine takes calls at all.
 //! - [`call`]: requests, decisions and engine reports.
 //! - [`parts`]: which prompt parts the engine's cache should hold.
 //! - [`fetch`]: the time to copy prompt tokens from another engine.
@@ -22,6 +23,7 @@
 //! - `room`: whether the engine has slots, memory and time for a call.
 //! - `displace`: queued calls that are refused when others go ahead of them.
 
+pub mod availability;
 pub mod call;
 mod displace;
 pub mod fetch;
--- a/crates/wire/src/grants.rs
+++ b/crates/wire/src/grants.rs
@@ -67,6 +67,9 @@
     /// Asks for the utilization of the engine; unrelated to a call.
     #[serde(rename = "Busy")]
     Utilization,
+    /// The engine did not take the admitted call: it rejected it, or could not be
+    /// reached.
+    Rejected,
 }
 
 /// A request to admit a call to the engine.
@@ -173,6 +176,9 @@
     Utilization(u32),
     /// The engine is shutting down and accepts no new calls.
     Leaving,
+    /// The engine takes no calls now; the value is the time until it is tried
+    /// again, in milliseconds.
+    Closed(u32),
 }
 
 /// Encodes a datagram.
