Add a failing test of urgent calls while servers ask for backoff

All servers ask for 0.3 s. A call may wait for half of its route's target: the less urgent one with a target of 4 s is served, the urgent one with 0.2 s gets 503.

Also a test that an urgent prompt which waits for streams is not held up by less urgent ones that pass it, suspected in reading next_startable: it passes, the suspicion does not hold.

--- a/crates/forward/tests/calls/feedback.rs
+++ b/crates/forward/tests/calls/feedback.rs
@@ -1,5 +1,7 @@
 //! Feedback that servers give about themselves in their responses.
 
+use std::time::Duration;
+
 use policy::routes::CallKind;
 use rstest::rstest;
 
@@ -142,3 +144,23 @@
         (2, 2)
     );
 }
+
+/// Guards against refusing an urgent call, whose target is short, while a less urgent one
+/// waits for servers that have asked for backoff, and is served.
+#[rstest]
+#[case::urgent(0, 200)]
+#[case::less_urgent(2, 4_000)]
+#[actix_rt::test]
+async fn urgent_call_refused_while_less_urgent_waits(#[case] tier: u8, #[case] target_ms: u64) {
+    let refusal = "HTTP/1.1 503 Full\r\ncall-id: {id}\r\nnot-run: 1\r\nrest-ms: 300\r\n\
+                   Content-Length: 0\r\n\r\n";
+    let actions = [Action::Send(refusal), Action::Send(refusal)];
+    let entry = Entry::start(Plan {
+        tier,
+        target: Duration::from_millis(target_ms),
+        ..Plan::new(CallKind::Once, 2, &actions)
+    })
+    .await;
+    assert_eq!(status(&entry.call(ID).await), "503");
+    assert_eq!(status(&entry.call(ID).await), "200");
+}
--- a/crates/policy/tests/grants/gaps.rs
+++ b/crates/policy/tests/grants/gaps.rs
@@ -319,6 +319,39 @@
     assert_eq!(admit_waiting(&mut grants, now + ms(1_500)), vec![id(2)]);
 }
 
+/// Guards against an urgent prompt that waits for streams being held up by less urgent ones
+/// that pass it: each of them is prefilled beside the streams, which are not left alone.
+#[rstest]
+#[case::few(1_000)]
+#[case::many(9_000)]
+fn urgent_prompt_held_up_by_passing_ones(#[case] passing_tokens: u32) {
+    let start = Instant::now();
+    let mut grants = beside_stream(start);
+    let urgent = GrantRequest {
+        forced: true,
+        rank: 4,
+        ttft_limit: ms(1_500),
+        ..prompt(2, 30_000)
+    };
+    assert!(matches!(
+        grants.request(start + ms(400), urgent),
+        GrantDecision::Queued(_)
+    ));
+    for number in 3..40 {
+        let now = start + ms(400 + u64::from(number) * 60);
+        grants.request(now, prompt(number, passing_tokens));
+        let admitted = admit_waiting(&mut grants, now + ms(1));
+        if admitted.contains(&id(2)) {
+            return;
+        }
+        for passed in admitted {
+            grants.record_first_event(now + ms(50), passed);
+            grants.call_ended(now + ms(55), passed, Duration::ZERO);
+        }
+    }
+    panic!("the urgent prompt was passed for over a second");
+}
+
 /// Prompts that are always too long are served where enough streams were in
 /// time: otherwise they would never be where streams always run.
 #[test]
