Let urgent calls wait for resting servers as long as less urgent ones

Callers of a route with a target of 0.2 s got 503 while a less urgent call with a target of 4 s waited for the same servers and was served.

Cause: while all servers ask for backoff or a lower rate, a call may wait for half of its route's target, and urgent routes have the shortest targets. Class of fault: a limit derived from the target grows with it, and so puts urgent calls behind. Calls of the high tiers may now wait until 0.6 of the time until their caller leaves, as they may for engines.

The test failed before. In which order calls that wait go on is still unknown to rank.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -20,10 +20,6 @@
 /// the loss of some hosts a region still has others.
 const MAX_CONNECTS: usize = 4;
 
-/// The share of its latency target that a call may wait for its turn when all
-/// servers have asked for a lower rate.
-const TURN_SHARE: f64 = 0.5;
-
 /// Other engines that have, or get, parts of the call's KV cache.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct CacheSources<'a> {
@@ -165,7 +161,9 @@
     /// once or twice, so a short wait serves more of them than a refusal.
     fn may_wait(&self, now: Instant, wait: Duration) -> bool {
         let age = now.saturating_duration_since(self.received_at);
-        age + wait <= self.route.latency_target.mul_f64(TURN_SHARE)
+        let patience = self.time_to_first_event(self.received_at);
+        let timing = self.call_timing(StartPoint::Beginning);
+        age + wait <= timing.turn_limit(patience)
     }
 
     /// Marks `server` as missing because another server has its address now.
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -588,15 +588,15 @@
         self.call_timing(start).latency_limit(age, left)
     }
 
-    /// The time after which the caller leaves without a first event.
-    fn time_to_first_event(&self, now: Instant) -> Duration {
+    /// The time from `now` until the caller leaves without a first event.
+    pub(super) fn time_to_first_event(&self, now: Instant) -> Duration {
         let leaves_at = self.route.event_timeout.map(|t| self.received_at + t);
         let until = leaves_at.map_or(self.deadline, |at| at.min(self.deadline));
         until.saturating_duration_since(now)
     }
 
     /// The call's times, from which its latency limit follows.
-    fn call_timing(&self, start: StartPoint) -> CallTiming {
+    pub(super) fn call_timing(&self, start: StartPoint) -> CallTiming {
         CallTiming {
             tier: self.route.tier.0,
             target: self.route.latency_target,
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -32,6 +32,10 @@
 /// limit.
 const LATE_SHARE: f64 = 0.3;
 
+/// Fraction of its target that a call may wait for servers that have all asked
+/// for a lower rate.
+const TURN_SHARE: f64 = 0.5;
+
 /// Fraction of its time left that the expected latency of a high-tier call may
 /// take.
 const HIGH_TIER_SHARE: f64 = 0.6;
@@ -95,6 +99,18 @@
         allowed.min(left)
     }
 
+    /// How long after its arrival a call may still wait for servers that have all
+    /// asked for a lower rate, if its caller leaves `patience` after the arrival.
+    /// Urgent calls have the shortest targets, but are not refused for being late.
+    #[must_use]
+    pub fn turn_limit(&self, patience: Duration) -> Duration {
+        let limit = self.target.mul_f64(TURN_SHARE);
+        match is_high_tier(Tier(self.tier)) {
+            true => limit.max(patience.mul_f64(HIGH_TIER_SHARE)),
+            false => limit,
+        }
+    }
+
     /// Whether an engine must admit a prefill call that all engines have
     /// refused, when its first event takes at least `expected`.
     #[must_use]
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -102,3 +102,22 @@
         assert!(open < urgency::rank(Some(Tier(low)), Tier(0)));
     }
 }
+
+/// Guards against urgent calls waiting less long for resting servers than others, whose
+/// targets are longer.
+#[rstest]
+#[case::highest(0, 200, 1_200)]
+#[case::high(1, 400, 1_200)]
+#[case::high_with_long_target(1, 4_000, 2_000)]
+#[case::low(2, 1_500, 750)]
+fn wait_for_resting_servers(#[case] tier: u8, #[case] target_ms: u64, #[case] limit_ms: u64) {
+    let timing = CallTiming {
+        tier,
+        target: Duration::from_millis(target_ms),
+        timeout: Duration::from_secs(6),
+        caller_timeout: None,
+        first_attempt: true,
+    };
+    let limit = timing.turn_limit(Duration::from_secs(2));
+    assert_eq!(limit, Duration::from_millis(limit_ms));
+}
