Ask the next engine for a call that is refused from a queue

A call that an engine has queued and then refuses, since it would wait for streams for too long or was displaced, got 503. Found while reading the diff.

--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -90,6 +90,17 @@
     start: StartPoint,
 }
 
+/// What follows from the decision of an engine's sidecar.
+enum Conclusion {
+    /// The call may be sent there, or has to be placed by the entry's own state
+    /// because the sidecar does not respond.
+    Placed(Option<Placement>),
+    /// The engine would take this long.
+    Refused(ServerRecord, Duration),
+    /// The engine takes no calls.
+    Unavailable,
+}
+
 /// Where a call is sent.
 #[derive(Debug)]
 pub(super) struct Placement {
@@ -169,22 +180,10 @@
             start,
         };
         while let Some((server, terms)) = self.next_engine(sidecars, &mut search) {
-            match self.ask_sidecar(sidecars, &server, terms, &search).await {
-                AdmissionDecision::Refused(expected, held) => {
-                    search.holder.record(held.tokens, &server);
-                    search.engines.refused(&server, expected);
-                }
-                AdmissionDecision::ServerGone => self.mark_replaced(now, &server),
-                AdmissionDecision::Leaving => self.mark_leaving(&server),
-                AdmissionDecision::Closed(left) => {
-                    self.mark_closed(&server, left);
-                    search.engines.replace();
-                }
-                decision => {
-                    return self
-                        .conclude(sidecars, &server, decision, &mut search)
-                        .await;
-                }
+            let decided = self.decision(sidecars, server, terms, &search).await;
+            match self.conclude(sidecars, decided, &mut search).await {
+                Conclusion::Placed(placement) => return Ok(placement),
+                Conclusion::Refused(..) | Conclusion::Unavailable => {}
             }
         }
         let Some((expected, server)) = search.engines.lowest() else {
@@ -197,9 +196,12 @@
             return Err(self.refuse_late(&server, expected));
         }
         let terms = AdmissionTerms::Forced;
-        let decision = self.ask_sidecar(sidecars, &server, terms, &search).await;
-        self.conclude(sidecars, &server, decision, &mut search)
-            .await
+        let decided = self.decision(sidecars, server, terms, &search).await;
+        match self.conclude(sidecars, decided, &mut search).await {
+            Conclusion::Placed(placement) => Ok(placement),
+            Conclusion::Refused(server, expected) => Err(self.refuse_late(&server, expected)),
+            Conclusion::Unavailable => Ok(None),
+        }
     }
 
     /// The next engine that a search asks, and how.
@@ -240,39 +242,49 @@
         balancer.close_server(now, &server.id, left);
     }
 
-    /// Acts on the decision of the sidecar next to `server`, and waits there if
-    /// the call is queued.
+    /// Asks the sidecar next to `server`, and waits there if the call is queued.
+    /// Returns the engine that has decided, with its decision.
+    async fn decision(
+        &self,
+        sidecars: &Rc<SidecarClient>,
+        server: ServerRecord,
+        terms: AdmissionTerms,
+        search: &GrantSearch<'_>,
+    ) -> (ServerRecord, AdmissionDecision) {
+        match self.ask_sidecar(sidecars, &server, terms, search).await {
+            AdmissionDecision::Queued(queued) => self.wait_queued(sidecars, queued, search).await,
+            decision => (server, decision),
+        }
+    }
+
+    /// Acts on the decision of an engine's sidecar, and records it in the search.
     async fn conclude(
         &self,
         sidecars: &Rc<SidecarClient>,
-        server: &ServerRecord,
-        decision: AdmissionDecision,
+        (server, decision): (ServerRecord, AdmissionDecision),
         search: &mut GrantSearch<'_>,
-    ) -> Result<Option<Placement>, SendError> {
-        let (server, decision) = match decision {
-            AdmissionDecision::Queued(queued) => self.wait_queued(sidecars, queued, search).await,
-            decision => (server.clone(), decision),
-        };
+    ) -> Conclusion {
         match decision {
             AdmissionDecision::Granted(grant, held) => {
                 let fetch_from = self.fetch_source(sidecars, &grant, held, search).await;
-                Ok(self.granted_placement(&server, grant, fetch_from))
+                return Conclusion::Placed(self.granted_placement(&server, grant, fetch_from));
             }
-            AdmissionDecision::Queued(_) | AdmissionDecision::NoResponse => Ok(None),
-            AdmissionDecision::ServerGone => {
-                self.mark_replaced(self.state.clock.now(), &server);
-                Ok(None)
+            AdmissionDecision::Queued(_) | AdmissionDecision::NoResponse => {
+                return Conclusion::Placed(None);
             }
-            AdmissionDecision::Leaving => {
-                self.mark_leaving(&server);
-                Ok(None)
+            AdmissionDecision::Refused(expected, held) => {
+                search.holder.record(held.tokens, &server);
+                search.engines.refused(&server, expected);
+                return Conclusion::Refused(server, expected);
             }
+            AdmissionDecision::ServerGone => self.mark_replaced(self.state.clock.now(), &server),
+            AdmissionDecision::Leaving => self.mark_leaving(&server),
             AdmissionDecision::Closed(left) => {
                 self.mark_closed(&server, left);
-                Ok(None)
+                search.engines.replace();
             }
-            AdmissionDecision::Refused(expected, _) => Err(self.refuse_late(&server, expected)),
         }
+        Conclusion::Unavailable
     }
 
     /// Waits for the decision on a queued call. A call that has waited for longer
--- a/crates/forward/tests/calls/urgent.rs
+++ b/crates/forward/tests/calls/urgent.rs
@@ -166,3 +166,31 @@
     .await;
     assert_eq!(status(&entry.call(PROMPT_CALL).await), "200");
 }
+
+/// Guards against refusing a call because the engine at which it was queued refuses it after
+/// all: the next engine is asked, as after a refusal at once.
+#[rstest]
+#[case::high_tier(1)]
+#[case::low_tier(2)]
+#[actix_rt::test]
+async fn call_refused_from_queue_is_lost(#[case] tier: u8) {
+    let plan = Plan {
+        tier,
+        ..Plan::new(CallKind::Once, 1, &[])
+    };
+    let first = RefCell::new(None);
+    let requests = Cell::new(0);
+    let entry = start(plan, move |admission| {
+        let mut first = first.borrow_mut();
+        if *first.get_or_insert_with(|| admission.server.clone()) != admission.server {
+            return Verdict::Granted;
+        }
+        requests.set(requests.get() + 1);
+        match requests.get() {
+            1 => Verdict::Queued(50),
+            _ => Verdict::Refused(TOO_LONG_MS),
+        }
+    })
+    .await;
+    assert_eq!(status(&entry.call(PROMPT_CALL).await), "200");
+}
