Take only a response with the request ID for the answer to a call

Cause: a response with a foreign ID was discarded, but one without an ID was taken for the answer. Bytes that a faulty server sends after a complete answer arrive when the next call has been sent on that connection; a refusal among them ended that call as not run.

Servers return the ID in all answers, refusals included, so that a response without it cannot be assigned to a call. The outcome is then unknown (502, no second server for calls that may not be repeated), and the connection is dropped, since the right answer is still to come.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use policy::balance::{ServerFeedback, ServerRecord};
 use rand::RngExt;
-use spdlog::info;
+use spdlog::{info, warn};
 
 use crate::crashes;
 use crate::grants::Grant;
@@ -255,12 +255,21 @@
         apply_feedback(state, server, sent_at, &parsed_headers.feedback);
     }
 
-    // A server may send a second response to an earlier call late, which then
-    // arrives in place of the response to this one. The request ID shows it.
-    // The connection is not used again, since the right response may still
-    // arrive.
-    if parsed_headers.request_id.is_some() && parsed_headers.request_id.as_deref() != id {
-        return Err(SendError::Unknown("response to another request".to_owned()));
+    // A server may send a second response to an earlier call, or bytes that belong to no
+    // call, late, which then arrive in place of the response to this one. Only a response
+    // with the request ID is the response to this call. The connection is not used again,
+    // since the right response may still arrive.
+    let received_id = parsed_headers.request_id.as_deref();
+    if received_id != id {
+        let cause = match received_id {
+            Some(_) => "response to another request",
+            None => "response without the request ID",
+        };
+        metrics::counter!("pimentocart_foreign_responses_total").increment(1);
+        warn!("response discarded", kv: {
+            id = id.unwrap_or("-"), server = &*server.id, status, cause
+        });
+        return Err(SendError::Unknown(cause.to_owned()));
     }
     let reusable = !parsed_headers.close && !parsed_headers.feedback.leaving;
     if parsed_headers.not_run {
--- a/crates/forward/tests/calls/retries.rs
+++ b/crates/forward/tests/calls/retries.rs
@@ -207,6 +207,28 @@
     }
 }
 
+/// A refusal that arrives late from a faulty server must not be taken for the answer to
+/// the next call on the connection, which that server runs.
+#[rstest]
+#[case::rejected("HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::wrong_server(
+    "HTTP/1.1 421 Other\r\nnot-run: 1\r\nelsewhere: 1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::failed("HTTP/1.1 500 Failed\r\nseal: s\r\nContent-Length: 3\r\n\r\nbad")]
+#[actix_rt::test]
+async fn refusal_without_id_is_no_refusal(#[case] refusal: &'static str) {
+    let actions = [Action::Send(OK), Action::Send(refusal)];
+    let entry = Entry::start(Plan::new(CallKind::Once, 2, &actions)).await;
+    assert_eq!(status(&entry.call(ID).await), "200");
+    let answer = entry.call(ID).await;
+    assert_eq!(status(&answer), "502");
+    assert!(header(&answer, "seal").is_none());
+    assert_eq!(entry.servers.requests().len(), 2);
+    // The connection is not used again.
+    assert_eq!(status(&entry.call(ID).await), "200");
+    assert!(entry.servers.accepted() >= 2);
+}
+
 /// A server closes idle connections. Non-idempotent calls must be sent on new
 /// ones, and none may fail.
 #[actix_rt::test]
