Let all entries tell which usage windows are finalized

Cause: the record in the store was the only memory of which windows were reported that a process has when it starts. A store that is restored from an older copy has such windows open again. The other entries know better, but only the holder of the duties told it, and an entry on the host that the record names claims the duties at once.

Every entry now tells with its counts which windows it knows to be finalized, and a holder catches up with that right before it finalizes windows, for which it waits until all entries have sent their counts. A number beyond the current window is ignored.

--- a/crates/forward/src/duties/election.rs
+++ b/crates/forward/src/duties/election.rs
@@ -99,9 +99,7 @@
                 .windows()
                 .containing(self.fleet_time());
             let mut usage = kept.map_or_else(|| UsageState::starting_at(window), |k| k.usage);
-            for window in usage.catch_up(self.next_window.get(), &self.usage.borrow()) {
-                warn!("finalized usage window missing from the duty record", kv: { window = window });
-            }
+            log_lost(&usage.catch_up(self.next_window.get(), &self.usage.borrow()));
             *self.usage.borrow_mut() = usage;
             self.stored_windows.borrow_mut().clear();
         }
@@ -145,6 +143,21 @@
         self.send_holder_notice(token, false);
     }
 
+    /// Records that all windows before `next` were finalized. A process that has just
+    /// started knows only the duty record, and a store that was restored from an old copy
+    /// shows reported windows as open; the other entries know better.
+    pub(super) fn observe_finalized(&self, next: u64) {
+        let current = self
+            .counter
+            .borrow()
+            .windows()
+            .containing(self.fleet_time());
+        // No entry finalizes a window before its end.
+        if next <= current + 1 {
+            self.next_window.set(self.next_window.get().max(next));
+        }
+    }
+
     /// Finalizes the counts of windows that can be reported; returns whether there were
     /// any.
     fn finalize_windows(&self) -> bool {
@@ -160,6 +173,8 @@
         let held_for = now.saturating_duration_since(held_since);
         let counter = self.counter.borrow();
         let mut usage = self.usage.borrow_mut();
+        // Another entry may have told since the claim that a window was finalized.
+        log_lost(&usage.catch_up(self.next_window.get(), &UsageState::default()));
         let before = usage.finalized.len();
         let missed = counter.finalize(time, held_for, gathered, &mut usage);
         for window in missed {
@@ -192,3 +207,10 @@
         }
     }
 }
+
+/// Logs the finalized windows whose counts are lost.
+fn log_lost(windows: &[u64]) {
+    for window in windows {
+        warn!("finalized usage window missing from the duty record", kv: { window = *window });
+    }
+}
--- a/crates/forward/src/duties/messages.rs
+++ b/crates/forward/src/duties/messages.rs
@@ -77,7 +77,8 @@
             .collect();
         targets.extend(self.holder.get().filter(|holder| !targets.contains(holder)));
         for counts in own_counts {
-            self.send(&targets, &Message::Counts(counts_message(counts)));
+            let message = counts_message(counts, self.next_window.get());
+            self.send(&targets, &Message::Counts(message));
         }
     }
 
@@ -105,6 +106,7 @@
     }
 
     fn apply_counts(&self, from: SocketAddr, counts: UsageCounts) {
+        self.observe_finalized(counts.next_window);
         let now = self.clock.now_boottime();
         if let Some(peer) = self.peers.borrow_mut().get_mut(&from) {
             peer.last_counts = Some(now);
@@ -132,15 +134,16 @@
                 peer = from.to_string().as_str(), token = notice.fencing_token, released = notice.released
             });
         }
-        self.next_window
-            .set(self.next_window.get().max(notice.next_window));
+        drop(candidate);
+        self.observe_finalized(notice.next_window);
     }
 }
 
-fn counts_message(counts: WindowCounts) -> UsageCounts {
+fn counts_message(counts: WindowCounts, next_window: u64) -> UsageCounts {
     UsageCounts {
         incarnation: counts.incarnation,
         closed_before: counts.closed_before,
+        next_window,
         window: counts.window,
         total: counts.total,
         counts: counts.counts.into_iter().collect(),
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -239,35 +239,50 @@
             platform,
             entries,
         };
-        for (n, entry) in fleet.entries.iter().enumerate() {
-            let others = (0..count).filter(|other| usize::from(*other) != n);
-            let others: Vec<_> = others
-                .map(|other| settings(fleet_number, other, kinds))
-                .collect();
-            let (duties, end) = (Rc::clone(&entry.duties), entry.end.clone());
-            let ends: Vec<StopSignal> = fleet.entries.iter().map(|e| e.end.clone()).collect();
-            actix_rt::spawn(async move {
-                while !end.is_triggered() {
-                    for settings in &others {
-                        let number = usize::from(entry_number(settings) - 1);
-                        if !ends[number].is_triggered() {
-                            let rank =
-                                Rank::new(1, settings.gossip, u32::from(entry_number(settings)));
-                            duties.observe_peer(
-                                settings.gossip,
-                                rank,
-                                PEER_TTL,
-                                SystemClock.wall_ms(),
-                            );
-                        }
-                    }
-                    tokio::time::sleep(PEER_TTL / 5).await;
-                }
-            });
+        for observer in 0..fleet.entries.len() {
+            for peer in (0..fleet.entries.len()).filter(|peer| *peer != observer) {
+                fleet.announce(peer, observer);
+            }
         }
         fleet
     }
 
+    /// Makes an entry known to another one until either of them ends.
+    fn announce(&self, peer: usize, observer: usize) {
+        let (peer, observer) = (&self.entries[peer], &self.entries[observer]);
+        let settings = peer.state.settings.clone();
+        let rank = Rank::new(1, settings.gossip, u32::from(entry_number(&settings)));
+        let duties = Rc::clone(&observer.duties);
+        let ends = [peer.end.clone(), observer.end.clone()];
+        actix_rt::spawn(async move {
+            while !ends.iter().any(StopSignal::is_triggered) {
+                let wall_ms = SystemClock.wall_ms();
+                duties.observe_peer(settings.gossip, rank, PEER_TTL, wall_ms);
+                tokio::time::sleep(PEER_TTL / 5).await;
+            }
+        });
+    }
+
+    /// Starts a killed entry again on its host, as a new incarnation.
+    pub(crate) async fn restart(&mut self, number: usize) {
+        let killed = &self.entries[number];
+        assert!(killed.end.is_triggered(), "the entry runs");
+        let settings = killed.state.settings.clone();
+        let port_free = || std::net::UdpSocket::bind(settings.duty_addr()).is_ok();
+        // Ends with the last task that holds the socket of the killed entry.
+        let killed = self.entries.remove(number);
+        drop(killed);
+        until("the duty port is free", port_free).await;
+        let started = entry(settings, &self.store, &self.platform).await;
+        self.entries.insert(number, started);
+        for other in (0..self.entries.len()).filter(|other| *other != number) {
+            if !self.entries[other].end.is_triggered() {
+                self.announce(number, other);
+                self.announce(other, number);
+            }
+        }
+    }
+
     /// The entry that holds the duties, with its fencing token.
     pub(crate) fn holder(&self) -> Option<(usize, u64)> {
         let entries = self.entries.iter().enumerate();
--- a/crates/forward/tests/duties/main.rs
+++ b/crates/forward/tests/duties/main.rs
@@ -95,6 +95,30 @@
     until("all is reported", || fleet.reported_requests() == 23).await;
 }
 
+/// Guards against reporting a window twice with different counts. The store is restored
+/// from a copy in which the window is not finalized yet, and the holder restarts on its
+/// host at the same time and takes the duties back at once.
+#[actix_rt::test]
+async fn store_rewound_while_holder_restarts() {
+    let mut fleet = Fleet::start(3).await;
+    until("an entry holds the duties", || fleet.holder().is_some()).await;
+    let copy = fleet.store.kept();
+    let (first, _) = fleet.holder().expect("a holder");
+    fleet.count_requests(first, "mairie", 5);
+    fleet.count_requests((first + 1) % 3, "ecole", 11);
+    until("all is reported", || fleet.reported_requests() == 16).await;
+    until("the store keeps no unreported window", || {
+        fleet.store.kept().usage.finalized.is_empty()
+    })
+    .await;
+    fleet.kill(first);
+    fleet.store.rewind(copy);
+    fleet.restart(first).await;
+    until("an entry holds them", || fleet.holder().is_some()).await;
+    fleet.count_requests(first, "mairie", 7);
+    until("all is reported", || fleet.reported_requests() == 23).await;
+}
+
 #[actix_rt::test]
 async fn store_unavailable() {
     // The store is unavailable while a window ends. Counts that it does not keep are not
--- a/crates/wire/src/duties.rs
+++ b/crates/wire/src/duties.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, Snafu};
 
 /// First byte of each datagram. Datagrams of another version are rejected.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Maximum size of a datagram, in bytes, such that it fits one IP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -34,6 +34,9 @@
     /// All windows before this one are closed at the entry.
     #[serde(rename = "closed")]
     pub closed_before: u64,
+    /// The sender knows that all windows before this one are finalized.
+    #[serde(rename = "next")]
+    pub next_window: u64,
     /// The window of the counts.
     pub window: u64,
     /// Total of the window's counts, including those in other datagrams.
