Truncate long values in log lines

A record of another writer may be 256 KB long, and error messages repeat parts of it. One such line filled the log buffer of 64 KB, so that it and the lines beside it were dropped; a value of control characters grew to several times its length.

Values are cut after 512 characters, at the one place where all lines are formatted. `KeyValue` is public, so that tests can read the lines of a sink of their own.

base/tests/logging.rs `long_value_truncated`: the four cases (256 KB plain, control characters, wide characters, spaces) failed before and pass now.

--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -102,7 +102,7 @@
 
 /// Formats a record as one line: `time=… level=… event="…" key=value …`.
 #[derive(Debug, Clone)]
-struct KeyValue;
+pub struct KeyValue;
 
 impl Formatter for KeyValue {
     fn format(
@@ -132,10 +132,18 @@
     }
 }
 
+/// Maximum length of a value in a line, in characters. Text of other systems may be of any
+/// length, and one line must not fill the buffer.
+const MAX_VALUE_CHARS: usize = 512;
+
 /// Formats a value for a log line. Anything but a single plain word is quoted
-/// and escaped, so that text from callers cannot inject line breaks or keys.
+/// and escaped, so that text from callers cannot inject line breaks or keys. A
+/// long value is truncated.
 fn quote_value(value: &str) -> String {
     let plain = |c: char| c.is_ascii_graphic() && c != '"' && c != '=';
+    if let Some((end, _)) = value.char_indices().nth(MAX_VALUE_CHARS) {
+        return format!("{:?}", format!("{}...", &value[..end]));
+    }
     if !value.is_empty() && value.chars().all(plain) {
         return value.to_owned();
     }
--- a/crates/base/tests/logging.rs
+++ b/crates/base/tests/logging.rs
@@ -2,11 +2,15 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use base::logging::KeyValue;
 use base::logging::bounded::BoundedWriter;
 use base::timeline::{LogLine, request_timeline};
 use rstest::rstest;
+use spdlog::sink::WriteSink;
+use spdlog::{LevelFilter, Logger};
 
 /// A writer that blocks until the test lets it continue.
 struct BlockedWriter {
@@ -136,3 +140,44 @@
 fn value_of_key(#[case] key: &str, #[case] expected: Option<&str>) {
     assert_eq!(lines()[2].get(key), expected);
 }
+
+/// Collects the lines that a sink writes.
+#[derive(Clone, Default)]
+struct SharedWriter(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("mutex poisoned").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against text of another system that fills the log buffer, or that breaks a line
+/// in two.
+#[rstest]
+#[case::plain("x".repeat(256 << 10))]
+#[case::control_characters("\n\u{0}".repeat(128 << 10))]
+#[case::wide_characters("\u{fffd}\u{10ffff}".repeat(64 << 10))]
+#[case::spaces(" ".repeat(256 << 10))]
+fn long_value_truncated(#[case] value: String) {
+    let written = SharedWriter::default();
+    let sink = WriteSink::builder()
+        .formatter(KeyValue)
+        .target(written.clone())
+        .build();
+    let logger = Logger::builder()
+        .sink(Arc::new(sink.expect("a sink")))
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .expect("a logger");
+    spdlog::warn!(logger: logger, "invalid record", kv: { text = value.as_str(), last = 1 });
+    let written = written.0.lock().expect("mutex poisoned").clone();
+    let text = String::from_utf8(written).expect("text");
+    assert!(text.len() < 8 << 10, "{} bytes", text.len());
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.ends_with(" last=1\n"), "{text}");
+}
