Limit log lines about datagrams that cannot be decoded

Each undecodable datagram was one line, at the gossip, duty and grant ports and at the sidecars. Another program that sends to one of them, or many entries of another version, displaced all other lines from the log.

`LineLimiter` lets one line through in 10 s and counts the others, whose number stands in the next line (`unlogged`). The error counters count all of them; they did not count undecodable datagrams before.

--- a/crates/admission/src/responder.rs
+++ b/crates/admission/src/responder.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use base::clock::Clock;
+use base::logging::limiter::LineLimiter;
 use base::stop::StopSignal;
 use policy::grants::availability::EngineAvailability;
 use policy::grants::incarnations::{IncarnationStatus, Incarnations};
@@ -33,6 +34,8 @@
     state: RefCell<State>,
     /// What the answers say about the engine.
     engine: Cell<EngineFacts>,
+    /// Limits lines about datagrams that could not be decoded.
+    undecoded: LineLimiter,
 }
 
 /// What answers say about the engine.
@@ -98,6 +101,7 @@
             clock,
             state: RefCell::new(state),
             engine: Cell::default(),
+            undecoded: LineLimiter::default(),
         })
     }
 
@@ -177,9 +181,13 @@
         let request: grants::GrantRequest = match grants::decode(bytes) {
             Ok(request) => request,
             Err(e) => {
-                warn!("undecodable datagram ignored", kv: {
-                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
-                });
+                metrics::counter!("pimentocart_grant_errors_total").increment(1);
+                if let Some(unlogged) = self.undecoded.record(self.clock.now()) {
+                    warn!("undecodable datagram ignored", kv: {
+                        peer = from.to_string().as_str(), cause = e.to_string().as_str(),
+                        unlogged = unlogged
+                    });
+                }
                 return;
             }
         };
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,11 +1,13 @@
 //! Structured logs: each event is one line of key=value pairs.
 //!
 //! - [`bounded`]: a non-blocking log writer with a bounded buffer.
+//! - [`limiter`]: limits lines about events that another process causes.
 //!
 //! Call sites use the macros of spdlog-rs with `kv` pairs, as in
 //! `info!("bundle accepted", kv: { sequence = 7, operator = "awa" })`.
 
 pub mod bounded;
+pub mod limiter;
 
 use std::fmt::Write as _;
 use std::io;
--- a/crates/base/tests/logging.rs
+++ b/crates/base/tests/logging.rs
@@ -3,10 +3,11 @@
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::logging::KeyValue;
 use base::logging::bounded::BoundedWriter;
+use base::logging::limiter::LineLimiter;
 use base::timeline::{LogLine, request_timeline};
 use rstest::rstest;
 use spdlog::sink::WriteSink;
@@ -141,6 +142,15 @@
     assert_eq!(lines()[2].get(key), expected);
 }
 
+/// Guards against a line for each event that another process causes.
+#[test]
+fn frequent_events_are_counted() {
+    let limiter = LineLimiter::default();
+    let start = Instant::now();
+    let logged = (0..3000).filter_map(|n| limiter.record(start + Duration::from_millis(10 * n)));
+    assert_eq!(logged.collect::<Vec<u64>>(), [0, 999, 999]);
+}
+
 /// Collects the lines that a sink writes.
 #[derive(Clone, Default)]
 struct SharedWriter(Arc<Mutex<Vec<u8>>>);
--- a/crates/forward/src/duties/messages.rs
+++ b/crates/forward/src/duties/messages.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::logging::limiter::LineLimiter;
 use base::stop::StopSignal;
 use policy::usage::WindowCounts;
 use spdlog::{info, warn};
@@ -38,6 +39,7 @@
 /// Receives and applies the messages of other entries.
 pub async fn receive(duties: Rc<Duties>) {
     let mut buffer = vec![0; duties::MAX_DATAGRAM_BYTES + 1];
+    let limiter = LineLimiter::default();
     loop {
         let (length, from) = match duties.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -54,9 +56,15 @@
         match duties::decode(&buffer[..length]) {
             Ok(Message::Counts(counts)) => duties.apply_counts(from, counts),
             Ok(Message::Holder(notice)) => duties.apply_notice(from, notice),
-            Err(e) => warn!("duty message not decoded", kv: {
-                peer = from.to_string().as_str(), cause = e.to_string().as_str()
-            }),
+            Err(e) => {
+                metrics::counter!("pimentocart_duty_errors_total").increment(1);
+                if let Some(unlogged) = limiter.record(duties.clock.now()) {
+                    warn!("duty message not decoded", kv: {
+                        peer = from.to_string().as_str(), cause = e.to_string().as_str(),
+                        unlogged = unlogged
+                    });
+                }
+            }
         }
     }
 }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use base::ids::Incarnation;
+use base::logging::limiter::LineLimiter;
 use base::stop::StopSignal;
 pub(crate) use convert::service_number;
 use convert::{
@@ -221,6 +222,7 @@
 
     async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0; gossip::MAX_DATAGRAM_BYTES];
+        let limiter = LineLimiter::default();
         loop {
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
@@ -238,9 +240,15 @@
                 Ok(Message::Load(load)) => self.handle_load(from, &load),
                 Ok(Message::Membership(membership)) => self.handle_membership(from, &membership),
                 Ok(Message::Origins(message)) => origins::handle(&self.state, from, message),
-                Err(e) => warn!("gossip message not decoded", kv: {
-                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
-                }),
+                Err(e) => {
+                    metrics::counter!("pimentocart_gossip_errors_total").increment(1);
+                    if let Some(unlogged) = limiter.record(self.state.clock.now()) {
+                        warn!("gossip message not decoded", kv: {
+                            peer = from.to_string().as_str(), cause = e.to_string().as_str(),
+                            unlogged = unlogged
+                        });
+                    }
+                }
             }
         }
     }
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use base::ids::Incarnation;
+use base::logging::limiter::LineLimiter;
 use policy::balance::ServerRecord;
 use policy::engine_search::EngineWaits;
 use policy::paces::PaceTable;
@@ -510,6 +511,7 @@
 
     async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0; grants::MAX_DATAGRAM_BYTES];
+        let limiter = LineLimiter::default();
         loop {
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
@@ -530,9 +532,15 @@
                         let _ = sender.send(answer);
                     }
                 }
-                Err(e) => warn!("grant response not decoded", kv: {
-                    peer = from.to_string().as_str(), cause = e.to_string().as_str()
-                }),
+                Err(e) => {
+                    metrics::counter!("pimentocart_grant_errors_total").increment(1);
+                    if let Some(unlogged) = limiter.record(tokio::time::Instant::now().into_std()) {
+                        warn!("grant response not decoded", kv: {
+                            peer = from.to_string().as_str(), cause = e.to_string().as_str(),
+                            unlogged = unlogged
+                        });
+                    }
+                }
             }
         }
     }
