Keep sums over numbers of other processes from overflowing

Engines report how many calls they run and how many tokens they hold, and entries report counts of calls and entries. One with numbers at the limit of their type made the sums with them overflow: a panic in a debug build, which ends the task that polls the engine or receives gossip, and in a release build a small number, so that a full engine looks empty.

--- a/crates/forward/src/gossip/convert.rs
+++ b/crates/forward/src/gossip/convert.rs
@@ -90,15 +90,24 @@
     groups.into_iter().collect()
 }
 
+/// A quantity on the wire. One that is no number, infinite or negative counts as zero: it
+/// would make all sums with it useless.
+fn quantity(value: f32) -> f64 {
+    match value.is_finite() && value > 0.0 {
+        true => f64::from(value),
+        false => 0.0,
+    }
+}
+
 /// Converts a load report from the wire.
 pub(super) fn decode_load(load: &EntryLoad) -> peer_load::LoadReport {
     let demand = |s: &gossip::ServiceLoad| {
         let demand = ServiceDemand {
-            prefill_rate: f64::from(s.prefill_rate),
-            decode_calls: f64::from(s.decoding_calls),
-            prefill_pace: f64::from(s.prefill_pace),
+            prefill_rate: quantity(s.prefill_rate),
+            decode_calls: quantity(s.decoding_calls),
+            prefill_pace: quantity(s.prefill_pace),
             pace_entries: s.pace_sources,
-            stream_pause: f64::from(s.pause),
+            stream_pause: quantity(s.pause),
         };
         (s.service_number, demand)
     };
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -218,7 +218,7 @@
 
     /// Open calls of all entries at the server.
     fn open_calls(&self) -> u32 {
-        self.own_calls.open + self.remote_calls.open
+        self.own_calls.open.saturating_add(self.remote_calls.open)
     }
 
     /// Whether its feedback allows a call from this entry now.
@@ -244,7 +244,8 @@
 
     /// Calls of all entries that wait for their first event at the server.
     fn waiting_calls(&self) -> u32 {
-        self.own_calls.waiting + self.remote_calls.waiting
+        let remote = self.remote_calls.waiting;
+        self.own_calls.waiting.saturating_add(remote)
     }
 }
 
@@ -721,7 +722,7 @@
 
 /// Open calls above which a server counts as overloaded.
 fn overload_limit(candidates: &[&Server]) -> u32 {
-    let open: u32 = candidates.iter().map(|s| s.open_calls()).sum();
-    let mean = f64::from(open) / candidates.len().max(1) as f64;
-    (mean * OVERLOAD_RATIO).ceil() as u32 + OVERLOAD_MIN_CALLS
+    let open: f64 = candidates.iter().map(|s| f64::from(s.open_calls())).sum();
+    let mean = open / candidates.len().max(1) as f64;
+    ((mean * OVERLOAD_RATIO).ceil() as u32).saturating_add(OVERLOAD_MIN_CALLS)
 }
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -605,7 +605,7 @@
 
     /// Seconds until a slot is free behind `calls` others.
     fn slot_wait(&self, now: Instant, calls: u32) -> f64 {
-        let needed = self.used_slots(now) + calls + 1;
+        let needed = self.used_slots(now).saturating_add(calls).saturating_add(1);
         let excess = needed.saturating_sub(self.prefill_slots(now));
         let hold_time = self.hold_time.get().unwrap_or(HOLD_TIME_PRIOR);
         f64::from(excess) * hold_time / f64::from(self.slots.max(1))
--- a/crates/policy/src/grants/room.rs
+++ b/crates/policy/src/grants/room.rs
@@ -79,10 +79,11 @@
         if self.gaps.is_some() {
             let own = u64::from(cost.missing) + u64::from(cost.output);
             return report.total_tokens == 0
-                || self.needed_tokens(now, report) + own <= usable_tokens(report);
+                || self.needed_tokens(now, report).saturating_add(own) <= usable_tokens(report);
         }
         let incoming = sum_tokens(self.pending.values().map(|call| call.cost.missing));
-        let used = report.used_tokens + u64::from(incoming) + u64::from(cost.missing);
+        let needed = u64::from(incoming) + u64::from(cost.missing);
+        let used = report.used_tokens.saturating_add(needed);
         report.total_tokens == 0 || used as f64 <= report.total_tokens as f64 * MEMORY_SHARE
     }
 
@@ -117,7 +118,8 @@
             let produced = (age / token_time.max(f64::MIN_POSITIVE)) as u32;
             call.output_tokens.saturating_sub(produced)
         });
-        report.used_tokens + incoming.chain(remaining).map(u64::from).sum::<u64>()
+        let needed: u64 = incoming.chain(remaining).map(u64::from).sum();
+        report.used_tokens.saturating_add(needed)
     }
 
     /// Slots that calls dominated by prefill may take.
--- a/crates/policy/src/peer_load.rs
+++ b/crates/policy/src/peer_load.rs
@@ -318,26 +318,26 @@
 impl LoadTotal {
     /// Adds a report that was received at a given time.
     fn add(&mut self, now: Instant, (at, report): &(Instant, LoadReport)) {
-        self.entries += report.entries;
+        self.entries = self.entries.saturating_add(report.entries);
         for (service, load) in &report.services {
             let existing = self.services.entry(*service).or_default();
             *existing = existing.combined(load);
         }
         for (server, calls) in &report.calls {
             let sum = self.calls.entry(*server).or_default();
-            sum.open += calls.open;
-            sum.waiting += calls.waiting;
+            sum.open = sum.open.saturating_add(calls.open);
+            sum.waiting = sum.waiting.saturating_add(calls.waiting);
         }
         let elapsed = now.saturating_duration_since(*at);
         for crash in &report.crashes {
             let aged = || CrashReport {
-                age: crash.age + elapsed,
+                age: crash.age.saturating_add(elapsed),
                 ..crash.clone()
             };
             self.crashes.entry(crash.crash).or_insert_with(aged);
         }
         for (part, age) in &report.sound_parts {
-            let age = *age + elapsed;
+            let age = age.saturating_add(elapsed);
             let least = self.sound_parts.entry(*part).or_insert(age);
             *least = age.min(*least);
         }
@@ -357,7 +357,7 @@
     pub fn add_paces(&mut self, paces: &[(u16, Duration)]) {
         for (server, event) in paces {
             let (sum, count) = self.paces.entry(*server).or_default();
-            *sum += *event;
+            *sum = sum.saturating_add(*event);
             *count += 1;
         }
     }
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -154,7 +154,7 @@
     /// The sum of two demands.
     #[must_use]
     pub fn combined(&self, other: &Self) -> Self {
-        let pace_entries = self.pace_entries + other.pace_entries;
+        let pace_entries = self.pace_entries.saturating_add(other.pace_entries);
         let known = |demand: &Self| demand.prefill_pace * f64::from(demand.pace_entries);
         Self {
             prefill_rate: self.prefill_rate + other.prefill_rate,
@@ -297,7 +297,7 @@
         // The mean over all entries: with its own few samples, each entry
         // would split differently and mix one entry's streams with another's
         // prompts.
-        let pace_entries = own.pace_entries + remote.pace_entries;
+        let pace_entries = own.pace_entries.saturating_add(remote.pace_entries);
         let sum = own.prefill_pace * f64::from(own.pace_entries)
             + remote.prefill_pace * f64::from(remote.pace_entries);
         let pace = match pace_entries {
--- a/crates/policy/tests/grants/room.rs
+++ b/crates/policy/tests/grants/room.rs
@@ -119,3 +119,30 @@
     }
     assert!(refused(grants.request(now, prompt(9, 3_000))));
 }
+
+/// Guards against sums that overflow when an engine reports absurd numbers. No more calls
+/// are sent to it, and those that must be admitted still are.
+#[test]
+fn absurd_report_does_not_overflow() {
+    let mut grants = GrantController::default();
+    grants.enable_paces();
+    let now = Instant::now();
+    let report = EngineReport {
+        running_calls: u32::MAX,
+        unread_calls: u32::MAX,
+        used_tokens: u64::MAX,
+        total_tokens: u64::MAX,
+        started_at: Some(u64::MAX),
+    };
+    assert!(granted(grants.request(now, stream(1, 150))));
+    grants.update_report(now, report);
+    assert!(refused(grants.request(now, prompt(2, 20_000))));
+    assert!(refused(grants.request(now, stream(3, 150))));
+    let forced = GrantRequest {
+        forced: true,
+        ..stream(4, 150)
+    };
+    assert!(granted(grants.request(now, forced)));
+    let _ = (grants.free_tokens(now), grants.utilization(now));
+    grants.grant_waiting(now + ms(600));
+}
--- a/crates/policy/tests/peer_load.rs
+++ b/crates/policy/tests/peer_load.rs
@@ -1,8 +1,9 @@
 //! Tests how often entries report their load to each other.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use policy::peer_load::Intervals;
+use policy::peer_load::{CallCounts, Intervals, LoadReport, PeerLoads, Scope};
+use policy::pools::ServiceDemand;
 use rstest::rstest;
 
 /// Bytes of a datagram with its headers.
@@ -43,3 +44,45 @@
     assert!(sent <= SEND_BUDGET, "{sent}");
     assert!((same_zone + other_zones) as f64 > SEND_BUDGET);
 }
+
+/// Guards against totals that overflow when one report has absurd numbers: the entry would
+/// hear of no other entry any more.
+#[test]
+fn absurd_report_does_not_overflow_totals() {
+    let now = Instant::now();
+    let report = |incarnation, scope| LoadReport {
+        incarnation,
+        seq: u32::MAX,
+        scope,
+        entries: u32::MAX,
+        interval: Duration::from_millis(u64::from(u32::MAX)),
+        services: vec![(
+            1,
+            ServiceDemand {
+                pace_entries: u32::MAX,
+                ..ServiceDemand::default()
+            },
+        )],
+        calls: vec![(
+            1,
+            CallCounts {
+                open: u32::MAX,
+                waiting: u32::MAX,
+            },
+        )],
+        paces: vec![(1, Duration::MAX), (1, Duration::MAX)],
+        ..LoadReport::default()
+    };
+    let mut loads = PeerLoads::default();
+    for (incarnation, scope) in [(1, Scope::Own), (2, Scope::Own), (3, Scope::Zone)] {
+        loads.observe(now, report(incarnation, scope));
+    }
+    loads.expire(now);
+    let own = report(4, Scope::Own);
+    let total = loads.sum(now, &own);
+    assert_eq!(total.entries, u32::MAX);
+    assert_eq!(total.calls[&1].open, u32::MAX);
+    assert!(!total.mean_paces().is_empty());
+    assert_eq!(loads.sum_zone(now, &own).entries, u32::MAX);
+    assert_eq!(loads.sum_all(now, &own).entries, u32::MAX);
+}
