Accept a server's earlier start when it lasts

A record with an earlier start than the one in use was ignored for ever. If the clock of a server's host went back before it restarted under its name, or another writer left a record with a start in the future under the name, the server's own records counted as late ones of an earlier incarnation: no call went to it, or calls went to the other record's address, until the entry was restarted. A draining server that came back so stayed draining.

A late record of an earlier incarnation is followed by one of the present one within about a second. The balancer therefore remembers the ignored record, and it is accepted as a restart when it is still the newest of its server after 5 s. As before, a late one never applies at once.

--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -9,7 +9,7 @@
 use policy::replica::{Records, Replica};
 use policy::routes::Catalog;
 use policy::suspects::CrashRecord;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::sync::Notify;
 use wire::tables::ChangesRequest;
 
@@ -160,6 +160,13 @@
             None => mark_missing(state, now, &id, usable_until),
         }
     }
+    let earlier = state.balancer.borrow_mut().accept_earlier_starts(now);
+    for record in earlier {
+        warn!("server has an earlier start than before", kv: {
+            server = &*record.id, born = record.started_ms.unwrap_or(0)
+        });
+        record_server(state, now, record, true);
+    }
     forget_missing(state, now);
     state.tables.servers_read(now);
     state.servers_loaded.set(true);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -45,6 +45,11 @@
 /// two of them can meet at one server by chance.
 const OVERLOAD_MIN_CALLS: u32 = 1;
 
+/// How long a record with an earlier start must be the newest of its server until it is
+/// accepted. A late record of an earlier incarnation is followed by one of the present
+/// incarnation within a few reports, which servers send about every second.
+pub const EARLIER_START_WAIT: Duration = Duration::from_secs(5);
+
 /// The rendezvous key by which all entries order servers before they partition
 /// them.
 const PARTITION_KEY: u64 = 0x706f_6f6c;
@@ -188,6 +193,9 @@
     missing: Option<(Instant, Instant)>,
     /// What it has reported in its answers.
     feedback: FeedbackState,
+    /// Its newest record, if that has an earlier start than the one in use, and when a
+    /// record with that start arrived first.
+    earlier: Option<(Instant, ServerRecord)>,
 }
 
 /// Sorts servers by when they started: by their own start time, then by the
@@ -269,8 +277,9 @@
     ///
     /// A server that has restarted under its name counts as new. With the
     /// cooldown of its earlier incarnation it would stand idle for seconds.
-    /// Records of an earlier incarnation may arrive late and are ignored, since
-    /// they could keep calls from a healthy server.
+    /// Records of an earlier incarnation may arrive late and are not applied at once,
+    /// since they could keep calls from a healthy server; see
+    /// [`Self::accept_earlier_starts`].
     pub fn upsert(&mut self, now: Instant, record: ServerRecord) -> RecordChange {
         let first_seen = self.name_order.position(now, &record.id);
         let addr = record.addr;
@@ -283,7 +292,7 @@
             (Rc::clone(service), Rc::clone(version))
         };
         let before = self.servers.get(&id).map(version);
-        let change = self.upsert_record(record, first_seen);
+        let change = self.upsert_record(now, record, first_seen);
         let after = self.servers.get(&id).map(version);
         if before != after {
             if let Some((service, version)) = after {
@@ -303,10 +312,22 @@
         change
     }
 
-    fn upsert_record(&mut self, record: ServerRecord, first_seen: u64) -> RecordChange {
+    fn upsert_record(
+        &mut self,
+        now: Instant,
+        record: ServerRecord,
+        first_seen: u64,
+    ) -> RecordChange {
         match self.servers.get_mut(&record.id) {
-            Some(server) if record.started_ms < server.record.started_ms => RecordChange::Unchanged,
+            Some(server) if record.started_ms < server.record.started_ms => {
+                let known = server.earlier.take();
+                let known = known.filter(|(_, r)| r.started_ms == record.started_ms);
+                let since = known.map_or(now, |(since, _)| since);
+                server.earlier = Some((since, record));
+                RecordChange::Unchanged
+            }
             Some(server) => {
+                server.earlier = None;
                 let restarted = server.record.started_ms < record.started_ms;
                 let returned = server.missing.take().is_some();
                 let same = server.record == record;
@@ -336,6 +357,7 @@
                     cooldown_until: None,
                     last_received: None,
                     missing: None,
+                    earlier: None,
                     feedback: self.retained.take(&record),
                     record,
                 };
@@ -345,6 +367,20 @@
         }
     }
 
+    /// Returns the records that lasted although they have an earlier start than the ones in
+    /// use, for [`Self::upsert`], which accepts them from then on: the server's clock went
+    /// back before it restarted, or the record in use was not its own.
+    pub fn accept_earlier_starts(&mut self, now: Instant) -> Vec<ServerRecord> {
+        let lasting = |at: Instant| now >= at + EARLIER_START_WAIT;
+        let servers = self.servers.values_mut();
+        let accepted = servers.filter_map(|server| {
+            let (_, record) = server.earlier.take_if(|(since, _)| lasting(*since))?;
+            server.record.started_ms = None;
+            Some(record)
+        });
+        accepted.collect()
+    }
+
     /// Determines which of the servers at an address owns it now: the one that
     /// started last or, without start times, whose name was seen last.
     ///
@@ -380,6 +416,7 @@
         match self.servers.get_mut(id) {
             Some(server) if server.missing.is_none() => {
                 server.missing = Some((now, until));
+                server.earlier = None;
                 let addr = server.record.addr;
                 self.update_replaced(addr);
                 true
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -6,12 +6,14 @@
 use std::time::{Duration, Instant};
 
 use policy::balance::{
-    Balancer, Partition, RecordChange, ServerFeedback, ServerQuery, ServerRecord, Strategy,
+    Balancer, EARLIER_START_WAIT, Partition, RecordChange, ServerFeedback, ServerQuery,
+    ServerRecord, Strategy,
 };
 use policy::peer_load::CallCounts;
 use policy::rendezvous;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 
 /// A server with open calls that sends nothing for this long counts as silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -350,6 +352,64 @@
     assert!(balancer.accepts_calls("s0"));
 }
 
+/// Guards against a server that is never called again: its clock went back before it
+/// restarted under its name, or another writer left a record of a later start under its
+/// name. Its own records go on saying the earlier start.
+#[rstest]
+#[case::clock_went_back(Some(2_000), Some(1_000))]
+#[case::start_in_the_future(Some(253_402_300_799_999), Some(1_000))]
+#[case::no_start_any_more(Some(2_000), None)]
+fn earlier_start_that_lasts_is_accepted(#[case] first: Option<u64>, #[case] second: Option<u64>) {
+    let now = Instant::now();
+    let mut balancer = balancer(0);
+    let record = |started_ms, port| ServerRecord {
+        started_ms,
+        addr: SocketAddr::from(([10, 0, 0, 1], port)),
+        leaving: started_ms == first,
+        ..record("s0", "a")
+    };
+    balancer.upsert(now, record(first, 1));
+    balancer.upsert(now, record(second, 2));
+    assert!(
+        balancer
+            .accept_earlier_starts(now + EARLIER_START_WAIT / 2)
+            .is_empty()
+    );
+    assert!(!balancer.accepts_calls("s0"));
+    let accepted = balancer.accept_earlier_starts(now + EARLIER_START_WAIT);
+    let changes = accepted
+        .into_iter()
+        .map(|record| balancer.upsert(now, record));
+    let changes: Vec<RecordChange> = changes.collect();
+    assert!(matches!(
+        changes[..],
+        [RecordChange::Restarted | RecordChange::Updated]
+    ));
+    let server = balancer.choose(now, &query(None)).expect("a server");
+    assert_eq!((server.started_ms, server.addr.port()), (second, 2));
+    let later = now + EARLIER_START_WAIT * 2;
+    assert!(balancer.accept_earlier_starts(later).is_empty());
+}
+
+/// A late record of an earlier incarnation is followed by one of the present incarnation,
+/// after which it does not count.
+#[test]
+fn earlier_start_that_is_replaced_is_not_accepted() {
+    let now = Instant::now();
+    let mut balancer = balancer(0);
+    let incarnation = |started_ms| ServerRecord {
+        started_ms: Some(started_ms),
+        ..record("s0", "a")
+    };
+    balancer.upsert(now, incarnation(2_000));
+    balancer.upsert(now, incarnation(1_000));
+    balancer.upsert(now + EARLIER_START_WAIT / 2, incarnation(2_000));
+    let later = now + EARLIER_START_WAIT * 2;
+    assert!(balancer.accept_earlier_starts(later).is_empty());
+    balancer.upsert(later, incarnation(1_000));
+    assert!(balancer.accept_earlier_starts(later).is_empty());
+}
+
 /// A record of a server named `id` at the address of `s0`.
 fn record_at_s0(id: &str) -> ServerRecord {
     ServerRecord {
