Limit the idle timeout that a server states

`Keep-Alive: timeout=` made the entry add a duration to the time that no `Instant` can hold: the task of the call panicked when it returned the connection. Idle timeouts count as one hour at most.

forward/tests/calls/feedback.rs `longest_idle_timeout_is_usable`, `longest_caller_timeout_is_usable`.

--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -42,6 +42,10 @@
 /// Buffer size for a response's header, in bytes; a longer header is an error.
 const READ_BUFFER: usize = 64 << 10;
 
+/// Longest idle timeout of a server that is used. A longer one cannot always be added to
+/// the time.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Idle connections, by the ID of the server.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
@@ -71,6 +75,7 @@
 impl Connection {
     /// Sets the idle timeout from the one that the server has stated.
     pub fn set_idle_timeout(&mut self, idle_timeout: Duration) {
+        let idle_timeout = idle_timeout.min(MAX_IDLE_TIMEOUT);
         self.idle_timeout = idle_timeout.mul_f64(IDLE_TIMEOUT_SHARE);
     }
 }
--- a/crates/forward/tests/calls/feedback.rs
+++ b/crates/forward/tests/calls/feedback.rs
@@ -1,9 +1,12 @@
 //! Feedback that servers give about themselves in their responses.
 
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use forward::pool::ConnectionPool;
 use policy::routes::CallKind;
 use rstest::rstest;
+use tokio::net::TcpListener;
 
 use crate::common::{Action, Entry, Plan, header, status};
 
@@ -164,3 +167,32 @@
     assert_eq!(status(&entry.call(ID).await), "503");
     assert_eq!(status(&entry.call(ID).await), "200");
 }
+
+/// Guards against an idle timeout that overflows when it is added to the time: the task of
+/// the call would end before the connection is returned.
+#[actix_rt::test]
+async fn longest_idle_timeout_is_usable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    let (now, id) = (Instant::now(), Rc::from("s1"));
+    let pool = ConnectionPool::default();
+    let connected = ConnectionPool::connect(now, addr).await;
+    let mut conn = connected.expect("a connection");
+    conn.set_idle_timeout(Duration::from_secs(u64::MAX));
+    pool.put(now, &id, conn);
+    pool.remove_expired(now + Duration::from_secs(60));
+    assert!(pool.take(now, &id).is_some());
+}
+
+/// Guards against a caller's timeout that overflows when it is added to the time.
+#[rstest]
+#[case::idempotent(CallKind::Idempotent)]
+#[case::once(CallKind::Once)]
+#[actix_rt::test]
+async fn longest_caller_timeout_is_usable(#[case] kind: CallKind) {
+    let entry = Entry::start(Plan::new(kind, 2, &[])).await;
+    let headers = format!("{ID}patience-ms: {}\r\n", u64::MAX);
+    for _ in 0..2 {
+        assert_eq!(status(&entry.call(&headers).await), "200");
+    }
+}
