Keep the versions that a service recently had in the platform's store

Callers got streams joined of two software versions, answered 200 and complete, after all entries were lost at once: an entry that starts knows only the versions in the server table, and took the only one that it found for the only one that there was.

A version now has a record in the topic keyed.versions before the first event of any of its streams is passed on, until no such stream can be taken up. An entry goes on with an unknown stream only if the records and the server table together have one version, and if it has read the records since the call arrived or all entries that may know more have answered. No wall clock is compared: the order is the store's, and ended versions are kept for a time that the entry that deletes them has watched itself.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -126,6 +126,15 @@
         newest.insert((topic.to_owned(), key.to_owned()), value.to_owned());
     }
 
+    /// Number of servers that the store lists.
+    pub(crate) fn listed_servers(&self) -> usize {
+        let newest = self.newest.lock().expect("mutex poisoned");
+        let listed = |((topic, _), value): &(&(String, String), &String)| {
+            topic == "keyed.servers" && !value.is_empty()
+        };
+        newest.iter().filter(listed).count()
+    }
+
     /// Restores the store from a backup that lacks the newest `count` records of
     /// each topic. After `pause`, the latest values of the lost keys are written
     /// again, as operators and servers would do.
@@ -254,19 +263,30 @@
                     &records.unwrap_or_default(),
                 );
             } else {
-                self.append(&topic, &body);
+                let at = query("at").and_then(|at| at.parse().ok());
+                let status = match self.append(&topic, at, &body) {
+                    true => "200 OK",
+                    false => "412 Precondition Failed",
+                };
                 let era = self.era.load(Ordering::SeqCst);
                 answer(
                     &mut stream,
-                    &with_era("200 OK", era),
+                    &with_era(status, era),
                     b"{\"offset\":0,\"end\":1}",
                 );
             }
         }
     }
 
-    /// Appends the length-prefixed records in a request body.
-    fn append(&self, topic: &str, mut body: &[u8]) {
+    /// Appends the length-prefixed records in a request body, if the topic ends at the
+    /// offset `at` or none is given; returns whether it did.
+    fn append(&self, topic: &str, at: Option<usize>, mut body: &[u8]) -> bool {
+        let topics = self.topics.lock().expect("mutex poisoned");
+        let end = topics.get(topic).map_or(0, Vec::len);
+        drop(topics);
+        if at.is_some_and(|at| at != end) {
+            return false;
+        }
         while let Some((length, rest)) = body.split_first_chunk::<4>() {
             let (record, rest) = rest.split_at(u32::from_be_bytes(*length) as usize);
             let (key, value) = record[1..].split_at(usize::from(record[0]));
@@ -274,6 +294,7 @@
             self.write(topic, &text(key), &text(value));
             body = rest;
         }
+        true
     }
 
     /// The latest value of each key of a topic, and the era of the store.
@@ -454,6 +475,11 @@
         self.stopped.load(Ordering::SeqCst)
     }
 
+    /// The version of its software.
+    pub(crate) fn version(&self) -> &'static str {
+        self.version
+    }
+
     /// Starts another server of the same service on the same host.
     pub(crate) fn replacement(&self) -> Self {
         self.platform
--- a/crates/cli/tests/forward/versions.rs
+++ b/crates/cli/tests/forward/versions.rs
@@ -2,6 +2,7 @@
 //! up at another entry. What two versions write must not be joined.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -24,8 +25,12 @@
 
 impl Versions {
     fn start(name: &str) -> Self {
+        Self::start_at_versions(name, ["v1", "v1.1", "v1", "v1.1"])
+    }
+
+    fn start_at_versions(name: &str, versions: [&'static str; 4]) -> Self {
         let (platform, store) = Platform::start();
-        let servers = ["v1", "v1.1", "v1", "v1.1"].map(|v| platform.stream_server(v));
+        let servers = versions.map(|v| platform.stream_server(v));
         let entries: Vec<Entry> = (0..3)
             .map(|n| Entry::start(&format!("versions-{name}-{n}"), store, None))
             .collect();
@@ -42,6 +47,13 @@
 
     /// Begins streams at the first entry, whose callers get two events each.
     fn begin(&self) -> Vec<StreamRead> {
+        let streams = self.begin_at_any_version();
+        let v1 = |s: &&StreamRead| s.events[0].1 == "v1";
+        assert!((1..STREAMS).contains(&streams.iter().filter(v1).count()));
+        streams
+    }
+
+    fn begin_at_any_version(&self) -> Vec<StreamRead> {
         let begin = |n: usize| {
             let mut stream = StreamRead::default();
             let id = format!("first-{n}");
@@ -49,10 +61,37 @@
             assert_eq!(stream.events.len(), 2, "{stream:?}");
             stream
         };
-        let streams: Vec<StreamRead> = (0..STREAMS).map(begin).collect();
-        let v1 = |s: &&StreamRead| s.events[0].1 == "v1";
-        assert!((1..STREAMS).contains(&streams.iter().filter(v1).count()));
-        streams
+        (0..STREAMS).map(begin).collect()
+    }
+
+    /// Kills all entries and waits until they have ended.
+    fn kill_entries(&mut self) {
+        for entry in &mut self.entries {
+            entry.signal(Signal::SIGKILL);
+        }
+        for entry in &mut self.entries {
+            entry.wait();
+        }
+    }
+
+    /// Starts all entries again and waits until they know the servers.
+    fn restart_entries(&mut self) {
+        self.entries.iter_mut().for_each(|entry| entry.restart());
+        let servers = self.servers.len() as u64;
+        wait_until("all know each other and the servers again", || {
+            let known = |e: &Entry| e.status("entries") == 2 && e.status("servers") == servers;
+            self.entries.iter().all(|e| e.ready() && known(e))
+        });
+    }
+
+    /// Removes the servers of a version, which leave.
+    fn remove_version(&mut self, version: &str) {
+        let (leaving, left) = std::mem::take(&mut self.servers)
+            .into_iter()
+            .partition(|server| server.version() == version);
+        self.servers = left;
+        let leaving: Vec<Server> = leaving;
+        leaving.into_iter().for_each(Server::leave);
     }
 
     /// Takes the streams up at another entry; returns how many went on to their end. A
@@ -134,3 +173,86 @@
     let whole = fleet.take_up(1, &mut streams);
     assert_eq!(whole, expected);
 }
+
+/// What happens to the servers between the loss of all entries and their next start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    None,
+    /// The servers of the older version leave, those of the newer one stay.
+    OldVersionLeaves,
+    /// The servers of the only version are replaced by others of a new version.
+    OnlyVersionReplaced,
+}
+
+/// Guards against streams of a version that left while no entry ran being joined with the
+/// events of another version by the entries that start, which know of that one only.
+#[rstest]
+#[case::both_stay(Change::None)]
+#[case::old_version_leaves(Change::OldVersionLeaves)]
+#[case::only_version_replaced(Change::OnlyVersionReplaced)]
+fn stream_joined_after_all_entries_were_lost(#[case] change: Change) {
+    let name = format!("lost-{change:?}");
+    let (mut fleet, mut streams) = match change {
+        Change::None | Change::OldVersionLeaves => {
+            let fleet = Versions::start(&name);
+            let streams = fleet.begin();
+            (fleet, streams)
+        }
+        Change::OnlyVersionReplaced => {
+            let fleet = Versions::start_at_versions(&name, ["v1"; 4]);
+            let streams = fleet.begin_at_any_version();
+            (fleet, streams)
+        }
+    };
+    fleet.kill_entries();
+    match change {
+        Change::None => {}
+        Change::OldVersionLeaves => fleet.remove_version("v1"),
+        Change::OnlyVersionReplaced => {
+            let new = [0; 2].map(|_| fleet.platform.stream_server("v1.1"));
+            fleet.servers.extend(new);
+            fleet.remove_version("v1");
+        }
+    }
+    // Servers that leave are deleted from the table first.
+    wait_until("the servers have left", || {
+        fleet.platform.listed_servers() == fleet.servers.len()
+    });
+    fleet.restart_entries();
+    fleet.take_up(1, &mut streams);
+}
+
+/// Guards against a version being inferred by entries that cannot read which versions there
+/// were: the store is away when they start, or shortly after.
+#[test]
+fn stream_joined_while_store_is_away() {
+    let mut fleet = Versions::start("store-away");
+    let mut streams = fleet.begin();
+    fleet.kill_entries();
+    fleet.remove_version("v1");
+    wait_until("the servers have left", || {
+        fleet.platform.listed_servers() == fleet.servers.len()
+    });
+    fleet.platform.down.store(true, Ordering::SeqCst);
+    fleet.entries.iter_mut().for_each(|entry| entry.restart());
+    thread::sleep(Duration::from_millis(500));
+    fleet.take_up(1, &mut streams);
+    fleet.platform.down.store(false, Ordering::SeqCst);
+    // The first entry that knows servers is asked, whatever else it knows.
+    wait_until("an entry knows the servers", || {
+        fleet.entries[1].ready() && fleet.entries[1].status("servers") > 0
+    });
+    fleet.platform.down.store(true, Ordering::SeqCst);
+    fleet.take_up(1, &mut streams);
+}
+
+/// Guards against refusing streams after all entries were lost although their service has
+/// had one version only.
+#[test]
+fn stream_of_only_version_refused_after_all_entries_were_lost() {
+    let mut fleet = Versions::start_at_versions("only-version", ["v1"; 4]);
+    let mut streams = fleet.begin_at_any_version();
+    fleet.kill_entries();
+    fleet.restart_entries();
+    assert_eq!(fleet.take_up(1, &mut streams), STREAMS);
+}
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -38,6 +38,7 @@
 use crate::platform::CallHeaders;
 use crate::reply::{LocalReply, Reply};
 use crate::state::{OpenCall, State};
+use crate::versions;
 
 /// Retry-After when no server takes the call. Servers that replace lost ones
 /// are known after about this time.
@@ -493,7 +494,7 @@
 
     /// Binds the call to the version of the server that has sent its first event, and
     /// records it for callers that take the stream up elsewhere.
-    fn bind_version(&self, server: &ServerRecord) {
+    async fn bind_version(&self, server: &ServerRecord) {
         if self.version.set(Rc::clone(&server.version)).is_err() {
             return;
         }
@@ -501,6 +502,7 @@
         let Some(request_id) = request_id.filter(|_| self.route.kind == CallKind::Resumable) else {
             return;
         };
+        versions::wait_for_record(&self.state, &self.service, &server.version, self.deadline).await;
         let caller_timeout = self.parsed_headers.caller_timeout;
         let stream = NewStream {
             request_id,
--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -39,7 +39,7 @@
             let first_bytes = first_bytes.map_err(|e| self.response_broken(&response.body, e))?;
             let first_bytes = first_bytes.unwrap_or_default();
             self.record_first_event(&response);
-            self.bind_version(&response.body.server);
+            self.bind_version(&response.body.server).await;
             self.record_usage();
             if let Some(resumes) = &self.parsed_headers.resumes {
                 info!("stream taken up", kv: {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -658,7 +658,7 @@
 }
 
 /// Whether this entry reads from the store, for itself or for others.
-fn reads_store(state: &State, now: Instant) -> bool {
+pub(crate) fn reads_store(state: &State, now: Instant) -> bool {
     state
         .zone_readers
         .borrow_mut()
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -13,12 +13,16 @@
 use policy::replica::{Records, Replica, Update, UpdateKind};
 use policy::routes::Catalog;
 use policy::suspects::CrashRecord;
+use policy::versions::records::VersionRecord;
 use spdlog::{info, warn};
 
 use crate::crashes;
 use crate::platform::{Changes, Source, SourceError};
 use crate::state::State;
-use crate::tables::{CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, apply_catalogs, apply_servers};
+use crate::tables::{
+    CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, VERSIONS_TABLE, apply_catalogs, apply_servers,
+};
+use crate::versions;
 
 /// How long the store may hold a long-poll request while there is no new catalog. A
 /// request lost with its connection delays a new catalog by this time, which must be well
@@ -37,6 +41,9 @@
 /// others by gossip until the store has it.
 const CRASHES_WAIT: Duration = Duration::from_secs(8);
 
+/// [`CATALOG_WAIT`] for software versions, which change with releases only.
+const VERSIONS_WAIT: Duration = Duration::from_secs(20);
+
 /// Delay after the first failed request. It is short, since the store may recover at any
 /// time.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -181,6 +188,30 @@
     }
 }
 
+/// Follows the records of software versions.
+pub async fn versions<S: Source<Item = VersionRecord>>(state: Rc<State>, source: S) {
+    let mut reader = TableReader::new(VERSIONS_TABLE, source);
+    loop {
+        wait_for_store(&state).await;
+        // A neighbour sends new versions at once. One that may lack some is not relied on:
+        // `versions::read_for_calls` reads from the store.
+        let now = state.clock.now();
+        if !crashes::reads_store(&state, now) || !state.discovery.borrow().is_settled(now) {
+            tokio::time::sleep(AGE_CHECK_INTERVAL).await;
+            continue;
+        }
+        let position = state.tables.versions.borrow().position();
+        let replica = &state.tables.versions;
+        let Some(update) = reader.next_update(&state, replica, VERSIONS_WAIT).await else {
+            tokio::time::sleep(reader.retry_delay(&state)).await;
+            continue;
+        };
+        let snapshot = update.kind != UpdateKind::Delta;
+        let changes = reader.apply(&mut state.tables.versions.borrow_mut(), update, position);
+        versions::apply_changes(&state, state.clock.now(), changes, snapshot);
+    }
+}
+
 /// Keeps the leaving mark of servers that were known to be leaving before the store was
 /// restored from a copy without it.
 fn preserve_leaving(state: &State, records: &mut Records<ServerRecord>) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
 //! - [`origins`]: which software version began a stream that a caller takes up.
+//! - [`versions`]: records in the store which software versions each service has.
 //! - [`moves`]: moves streams away from engines that leave.
 //! - [`events`]: splits a stream into its numbered events.
 //! - [`reply`]: answers to callers.
@@ -50,6 +51,7 @@
 pub mod state;
 pub mod status;
 pub mod tables;
+pub mod versions;
 
 use std::io;
 use std::rc::Rc;
@@ -117,6 +119,17 @@
         platform.crashes(),
         end.clone(),
     ));
+    actix_rt::spawn(follow::versions(Rc::clone(&state), platform.versions()));
+    actix_rt::spawn(versions::read_for_calls(
+        Rc::clone(&state),
+        platform.versions(),
+        end.clone(),
+    ));
+    actix_rt::spawn(versions::write_to_store(
+        Rc::clone(&state),
+        platform.versions(),
+        end.clone(),
+    ));
     let endpoint = GossipEndpoint::new(Rc::clone(&state), socket);
     actix_rt::spawn(Rc::clone(&endpoint).run(end.clone()));
     actix_rt::spawn(discovery::run(
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -18,8 +18,10 @@
 use crate::crashes;
 use crate::state::State;
 use crate::tables::{
-    CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, apply_catalogs, apply_servers, forget_missing,
+    CATALOG_TABLE, CRASHES_TABLE, SERVERS_TABLE, VERSIONS_TABLE, apply_catalogs, apply_servers,
+    forget_missing,
 };
+use crate::versions;
 
 /// How long a neighbour may hold a long-poll request. Its answer also refreshes the age of
 /// the copies, so a longer wait without changes would make them older.
@@ -150,6 +152,7 @@
         catalog: state.tables.catalog.borrow().position(),
         servers: state.tables.servers.borrow().position(),
         crashes: state.tables.crashes.borrow().position(),
+        versions: state.tables.versions.borrow().position(),
         wait_ms: millis(wait),
     }
 }
@@ -197,6 +200,16 @@
         )?;
         crashes::apply_changes(state, now, changes, delta.snapshot);
     }
+    if let Some(delta) = answer.versions {
+        let changes = merge(
+            VERSIONS_TABLE,
+            &mut state.tables.versions.borrow_mut(),
+            now,
+            client,
+            &delta,
+        )?;
+        versions::apply_changes(state, now, changes, delta.snapshot);
+    }
     Ok(age)
 }
 
@@ -289,6 +302,7 @@
             catalog: table_delta(&tables.catalog.borrow(), now, request.catalog),
             servers: table_delta(&tables.servers.borrow(), now, request.servers),
             crashes: table_delta(&tables.crashes.borrow(), now, request.crashes),
+            versions: table_delta(&tables.versions.borrow(), now, request.versions),
             settling_ms: millis(tables.settling_left(now)),
         }
     }
@@ -299,6 +313,7 @@
         catalog: None,
         servers: None,
         crashes: None,
+        versions: None,
         settling_ms: 0,
     }
 }
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use policy::origins::{
-    self, KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable,
+    self, KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable, QueryScope,
 };
 use policy::versions::version_number;
 use tokio::net::UdpSocket;
@@ -18,6 +18,7 @@
 
 use crate::gossip::service_number;
 use crate::state::State;
+use crate::versions;
 
 /// Time after which entries that have not answered are asked again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
@@ -186,11 +187,11 @@
     resumes: Option<&str>,
     deadline: Instant,
 ) -> Continuation {
-    let now = state.clock.now();
+    let called_at = state.clock.now();
     let stream = resumes.map(origins::stream_key);
-    let recorded = stream.and_then(|s| state.origins.table.borrow().origin(now, s));
+    let recorded = stream.and_then(|s| state.origins.table.borrow().origin(called_at, s));
     if let Some(origin) = recorded {
-        return Continuation::from_origin(state, now, service, origin);
+        return Continuation::from_origin(state, called_at, service, origin);
     }
     let mut peers = members(state).asked(stream.unwrap_or_default());
     peers.retain(|peer| *peer != state.settings.gossip);
@@ -201,19 +202,45 @@
     let now = state.clock.now();
     let began = answers.iter().find_map(|answer| match answer {
         OriginAnswer::Began(origin) => Some(*origin),
-        OriginAnswer::SeveralVersions | OriginAnswer::Unknown => None,
+        OriginAnswer::SeveralVersions | OriginAnswer::Unknown | OriginAnswer::Unsettled => None,
     });
     if let Some(origin) = began {
         return Continuation::from_origin(state, now, service, origin);
     }
-    let known = known_versions(state, now, service);
-    let outdated = state.store_lost.get() && !peers.is_empty();
-    match origins::infer_version(&known, &answers, outdated) {
+    let scope = QueryScope {
+        asked: peers.len(),
+        entries_known: state.discovery.borrow().entries_known(now),
+        settled: versions::is_settled(state),
+    };
+    match infer_version(state, service, &answers, scope, called_at, deadline).await {
         Some(version) => Continuation::AtVersion(version),
         None => Continuation::Nowhere,
     }
 }
 
+/// The version of a stream that no entry knows, if it is clear. Reads the recorded versions
+/// if the answers are not conclusive: the stream began before `called_at`, and its version
+/// was recorded before that.
+async fn infer_version(
+    state: &State,
+    service: &Rc<str>,
+    answers: &[OriginAnswer],
+    scope: QueryScope,
+    called_at: Instant,
+    deadline: Instant,
+) -> Option<Rc<str>> {
+    let infer = |proven| {
+        let known = known_versions(state, state.clock.now(), service);
+        origins::infer_version(&known, answers, proven)
+    };
+    if scope.is_conclusive(answers) {
+        return infer(true);
+    }
+    // The records are not read if they could not help.
+    infer(true)?;
+    infer(versions::read_since(state, called_at, deadline).await)
+}
+
 impl Continuation {
     fn from_origin(state: &State, now: Instant, service: &str, origin: Origin) -> Self {
         if origin.service != service_number(service) {
@@ -309,6 +336,7 @@
                 KnownOrigin::Began(origin) => OriginAnswer::Began(from_wire(origin)),
                 KnownOrigin::SeveralVersions => OriginAnswer::SeveralVersions,
                 KnownOrigin::Unknown => OriginAnswer::Unknown,
+                KnownOrigin::Unsettled => OriginAnswer::Unsettled,
             };
             let query = own.queries.borrow().get(&query).cloned();
             if let Some(query) = query
@@ -329,10 +357,20 @@
     let balancer = state.balancer.borrow();
     let mut services = balancer.known_services();
     let service = services.find(|name| service_number(name) == service);
-    let versions = service.map_or(0, |s| balancer.recent_versions(now, s).len());
-    match versions {
-        0 | 1 => KnownOrigin::Unknown,
-        _ => KnownOrigin::SeveralVersions,
+    let service = service.map(Rc::clone);
+    let known = service.map(|s| {
+        KnownVersions::of(
+            &balancer.recent_versions(now, &s),
+            &state.versions.of_service(&s),
+        )
+    });
+    match known {
+        Some(KnownVersions::Several) => KnownOrigin::SeveralVersions,
+        _ if versions::is_settled(state) => KnownOrigin::Unknown,
+        _ => {
+            state.versions.request_read();
+            KnownOrigin::Unsettled
+        }
     }
 }
 
@@ -341,7 +379,8 @@
 }
 
 fn known_versions(state: &State, now: Instant, service: &str) -> KnownVersions {
-    KnownVersions::of(&state.balancer.borrow().recent_versions(now, service))
+    let seen = state.balancer.borrow().recent_versions(now, service);
+    KnownVersions::of(&seen, &state.versions.of_service(service))
 }
 
 fn to_wire(origin: Origin) -> gossip::Origin {
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -12,6 +12,7 @@
 use policy::scaling;
 use policy::suspects::{CrashRecord, RecordKey};
 use policy::usage::{UsageState, WorkspaceCounts};
+use policy::versions::records::{VersionKey, VersionRecord};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -25,6 +26,8 @@
     type Directory: Directory + 'static;
     /// The table of servers that have crashed under calls.
     type Crashes: CrashTable + 'static;
+    /// The table of the software versions that each service has.
+    type Versions: VersionTable + 'static;
     /// The store of the duty record.
     type DutyStore: DutyStore + 'static;
     /// The client of the duty API.
@@ -44,6 +47,9 @@
     /// Opens the table of servers that have crashed under calls.
     fn crashes(&self) -> Self::Crashes;
 
+    /// Opens the table of the software versions that each service has.
+    fn versions(&self) -> Self::Versions;
+
     /// Opens the store of the duty record.
     fn duty_store(&self) -> Self::DutyStore;
 
@@ -197,6 +203,24 @@
     ) -> impl Future<Output = Result<(), SourceError>>;
 }
 
+/// The store's table of the software versions that each service has or recently had.
+pub trait VersionTable: Source<Item = VersionRecord> {
+    /// Writes some records, all or none.
+    fn write(
+        &self,
+        records: &[(VersionKey, VersionRecord)],
+    ) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Writes a record if the table still ends at position `at`; a record without a value
+    /// is deleted.
+    fn replace(
+        &self,
+        at: u64,
+        key: VersionKey,
+        record: Option<&VersionRecord>,
+    ) -> impl Future<Output = WriteOutcome>;
+}
+
 /// The stored state of the duties, which one daemon holds at a time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyRecord {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -35,6 +35,7 @@
 use crate::pool::ConnectionPool;
 use crate::settings::Settings;
 use crate::tables::TableReplicas;
+use crate::versions::VersionTracker;
 
 /// Interval at which expired connections are closed. It is not critical: a connection
 /// that has expired is not used in any case.
@@ -82,6 +83,8 @@
     pub copies: RefCell<CopyTable>,
     /// The software versions that began streams.
     pub origins: Origins,
+    /// The recorded software versions of each service.
+    pub versions: VersionTracker,
     /// Asks the sidecars next to engines, if there are any.
     pub sidecars: RefCell<Option<Rc<SidecarClient>>>,
     /// The fleet-wide duties, if any are configured and their port could be bound.
@@ -142,6 +145,7 @@
             entry_count: RefCell::default(),
             workspace_rates: RefCell::default(),
             repeat_budget: RefCell::new(RepeatBudget::new(clock.now(), settings.repeat_limit())),
+            versions: VersionTracker::new(clock.now()),
             dialect,
             clock,
             catalog: RefCell::default(),
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -39,6 +39,9 @@
     pub open_calls: usize,
     /// Streams of which the software version that began them is known.
     pub origins: usize,
+    /// Software versions that are recorded in the store.
+    #[serde(rename = "versions")]
+    pub recorded_versions: usize,
     /// Moves of streams in progress, if moves are enabled.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub moves: Option<usize>,
@@ -65,6 +68,7 @@
             accused_parts: state.crashes.accused_parts(),
             open_calls: state.open_calls.get(),
             origins: state.origins.count(),
+            recorded_versions: state.versions.count(),
             moves: state.settings.moves.then(|| state.moves.in_progress()),
             duties: state.duties.borrow().as_ref().map(|d| d.status()),
         }
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -9,6 +9,7 @@
 use policy::replica::{Records, Replica};
 use policy::routes::Catalog;
 use policy::suspects::CrashRecord;
+use policy::versions::records::VersionRecord;
 use spdlog::info;
 use tokio::sync::Notify;
 use wire::tables::ChangesRequest;
@@ -32,6 +33,7 @@
 pub(crate) const CATALOG_TABLE: &str = "catalog";
 pub(crate) const SERVERS_TABLE: &str = "servers";
 pub(crate) const CRASHES_TABLE: &str = "crashes";
+pub(crate) const VERSIONS_TABLE: &str = "versions";
 
 /// Maximum number of changed servers that get a log line each. On a small host, logging a
 /// table of hundreds of servers would take longer than applying it.
@@ -46,6 +48,8 @@
     pub servers: RefCell<Replica<ServerRecord>>,
     /// Servers that crashed during calls, and parts of prompts that are known to be sound.
     pub crashes: RefCell<Replica<CrashRecord>>,
+    /// The software versions that each service has or recently had.
+    pub versions: RefCell<Replica<VersionRecord>>,
     /// Notified when any table has changed.
     pub changed: Notify,
     /// Number of times that the store was found to be restored from an old copy.
@@ -87,7 +91,9 @@
     pub(crate) fn has_changes_since(&self, request: &ChangesRequest) -> bool {
         let catalog = self.catalog.borrow().has_changes_since(request.catalog);
         let servers = self.servers.borrow().has_changes_since(request.servers);
-        catalog || servers || self.crashes.borrow().has_changes_since(request.crashes)
+        let crashes = self.crashes.borrow().has_changes_since(request.crashes);
+        let versions = self.versions.borrow().has_changes_since(request.versions);
+        catalog || servers || crashes || versions
     }
 
     /// Records that the servers were read.
@@ -163,6 +169,7 @@
     forget_missing(state, now);
     state.tables.servers_read(now);
     state.servers_loaded.set(true);
+    state.versions.servers_changed();
 }
 
 /// Drops the servers that have been missing for longer than [`REREGISTRATION_TIME`].
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -12,9 +12,12 @@
 use forward::platform::{AddedHeaders, CallHeaders, Dialect, PromptPart, ResponseHeaders};
 use forward::settings::Settings;
 use forward::state::State;
+use forward::versions;
 use http::{HeaderMap, HeaderValue};
 use policy::balance::{ServerFeedback, ServerRecord};
+use policy::replica::{Update, UpdateKind};
 use policy::routes::{CallKind, CallerLimits, Catalog, Engine, Route, Service, Workspace};
+use policy::versions::records::{VersionKey, VersionRecord, VersionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -414,6 +417,7 @@
         };
         let state = State::new(settings, Rc::new(TestDialect), Rc::clone(&plan.clock));
         state.copies.borrow_mut().set_entries(1);
+        record_versions(&state, &records);
         for record in records {
             let mut balancer = state.balancer.borrow_mut();
             balancer.upsert(Instant::now(), record);
@@ -499,6 +503,26 @@
     }
 }
 
+/// Lets the entry know the versions of these servers as recorded in the store.
+fn record_versions(state: &State, servers: &[ServerRecord]) {
+    let now = state.clock.now();
+    let record = |server: &ServerRecord| {
+        let key = VersionKey::new(&server.service, &server.version);
+        let record = VersionRecord::unnamed(VersionState::Active);
+        (Rc::from(key.to_string()), Some(record))
+    };
+    let update = Update {
+        records: servers.iter().map(record).collect(),
+        kind: UpdateKind::Snapshot,
+        position: 1,
+        as_of: now,
+    };
+    let mut replica = state.tables.versions.borrow_mut();
+    let changes = replica.apply_store_update(update, None);
+    drop(replica);
+    versions::apply_changes(state, now, changes, true);
+}
+
 /// A request with a body of four bytes.
 pub(crate) fn request(headers: &str, more: &str) -> String {
     format!(
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -27,6 +27,7 @@
 use crate::peer_load::CallCounts;
 use crate::rendezvous::{hash_name, score, weighted_score};
 use crate::versions::VersionHistory;
+use crate::versions::records::KnownVersion;
 use feedback::FeedbackState;
 use name_order::NameOrder;
 use retained::RetainedFeedback;
@@ -463,6 +464,12 @@
         self.versions.recent(now, service).cloned().collect()
     }
 
+    /// The software versions of all services that have or recently had servers.
+    #[must_use]
+    pub fn known_versions(&self, now: Instant) -> Vec<KnownVersion<'_>> {
+        self.versions.all(now)
+    }
+
     /// The names of the services of which any server is or was known.
     pub fn known_services(&self) -> impl Iterator<Item = &Rc<str>> {
         self.versions.services()
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -59,9 +59,12 @@
     SeveralVersions,
     /// Nothing.
     Unknown,
+    /// Nothing, and it has not read the recorded versions since it started.
+    Unsettled,
 }
 
-/// The versions of a service as an entry itself knows them.
+/// The versions of a service as an entry itself knows them, from the server table and from
+/// the store's records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KnownVersions {
     /// No server of it is known.
@@ -73,35 +76,57 @@
 }
 
 impl KnownVersions {
-    /// Summarizes versions that have been seen recently.
+    /// Summarizes the versions that have been seen recently, and the hashes of those that
+    /// are recorded. A recorded version without known servers has no name.
     #[must_use]
-    pub fn of(versions: &[Rc<str>]) -> Self {
-        match versions {
-            [] => Self::None,
-            [one] => Self::One(Rc::clone(one)),
-            _ => Self::Several,
+    pub fn of(seen: &[Rc<str>], recorded: &[u64]) -> Self {
+        let hashes = seen.iter().map(|version| hash_name(version));
+        let all: BTreeSet<u64> = hashes.chain(recorded.iter().copied()).collect();
+        match (seen, all.len()) {
+            (_, 2..) => Self::Several,
+            ([one], _) => Self::One(Rc::clone(one)),
+            _ => Self::None,
         }
     }
 }
 
-/// The version of a stream without a record, if it is clear. `answers` are those of the
-/// entries that were asked.
-///
-/// An entry that is cut off from the store may not know of a new version. If it is, so that
-/// its table is `outdated`, it takes the only version it knows for the stream's only when
-/// another entry knows no more.
+/// What an entry knows of the entries that it has asked for a stream, and of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueryScope {
+    /// Number of entries that were asked.
+    pub asked: usize,
+    /// Whether this entry has found the others, or there are none.
+    pub entries_known: bool,
+    /// Whether this entry has read the recorded versions since it started.
+    pub settled: bool,
+}
+
+impl QueryScope {
+    /// Whether the answers show that no entry knows of another version. If an entry that may
+    /// know more has not answered, only the store can show it.
+    #[must_use]
+    pub fn is_conclusive(&self, answers: &[OriginAnswer]) -> bool {
+        let all = answers.len() >= self.asked;
+        let unknown = answers.iter().all(|a| *a == OriginAnswer::Unknown);
+        self.settled && self.entries_known && all && unknown
+    }
+}
+
+/// The version of a stream without a record, if it is clear: if `known` is the only version
+/// that the service can have had since the stream began. `answers` are those of the entries
+/// that were asked. `proven` says whether `known` covers that time: the recorded versions
+/// were read after the call had arrived, or the answers are conclusive.
 #[must_use]
 pub fn infer_version(
     known: &KnownVersions,
     answers: &[OriginAnswer],
-    outdated: bool,
+    proven: bool,
 ) -> Option<Rc<str>> {
     let KnownVersions::One(version) = known else {
         return None;
     };
     let several = answers.contains(&OriginAnswer::SeveralVersions);
-    let confirmed = !answers.is_empty() || !outdated;
-    (confirmed && !several).then(|| Rc::clone(version))
+    (proven && !several).then(|| Rc::clone(version))
 }
 
 /// The entries that may be told of streams.
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -1,9 +1,15 @@
 //! The software versions of each service's servers, now and recently.
+//!
+//! - [`records`]: the versions as all entries record them in the platform's store.
+
+pub mod records;
 
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use records::KnownVersion;
+
 /// Time for which a version counts as recent after its last server was removed. No stream
 /// that such a server began is taken up later.
 pub const RECENT: Duration = Duration::from_secs(120);
@@ -72,6 +78,22 @@
             .map(|v| &v.version)
     }
 
+    /// All versions that have or recently had servers.
+    #[must_use]
+    pub fn all(&self, now: Instant) -> Vec<KnownVersion<'_>> {
+        let versions = self.services.iter();
+        let versions =
+            versions.flat_map(|(service, known)| known.iter().map(move |v| (service, v)));
+        let recent = versions.filter(|(_, v)| v.is_recent(now));
+        recent
+            .map(|(service, v)| KnownVersion {
+                service,
+                version: &v.version,
+                listed: v.ended_at.is_none(),
+            })
+            .collect()
+    }
+
     /// The services of which any server is or was known.
     pub fn services(&self) -> impl Iterator<Item = &Rc<str>> {
         self.services.keys()
--- a/crates/policy/tests/origins.rs
+++ b/crates/policy/tests/origins.rs
@@ -6,8 +6,10 @@
 use std::time::{Duration, Instant};
 
 use policy::origins::{
-    KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable, infer_version,
+    KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable, QueryScope,
+    infer_version,
 };
+use policy::rendezvous::hash_name;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -139,25 +141,55 @@
 }
 
 /// Guards against going on at the only known version while another entry knows of several,
-/// or while neither the store nor another entry answers.
+/// while the store has a record of another one, or while nothing shows that there was none.
 #[rstest]
-#[case::up_to_date(&["v1"], &[], false, Some("v1"))]
-#[case::confirmed(&["v1"], &[OriginAnswer::Unknown], true, Some("v1"))]
-#[case::no_answer(&["v1"], &[], true, None)]
-#[case::others_know_several(&["v1"], &[OriginAnswer::Unknown, OriginAnswer::SeveralVersions], true, None)]
-#[case::several(&["v1", "v2"], &[OriginAnswer::Unknown], true, None)]
-#[case::none(&[], &[], false, None)]
+#[case::proven(&["v1"], &[], &[], true, Some("v1"))]
+#[case::recorded(&["v1"], &["v1"], &[OriginAnswer::Unknown], true, Some("v1"))]
+#[case::unproven(&["v1"], &["v1"], &[OriginAnswer::Unknown], false, None)]
+#[case::no_answer(&["v1"], &["v1"], &[], false, None)]
+#[case::others_know_several(&["v1"], &["v1"], &[OriginAnswer::Unknown, OriginAnswer::SeveralVersions], true, None)]
+#[case::several(&["v1", "v2"], &["v1", "v2"], &[OriginAnswer::Unknown], true, None)]
+#[case::another_recorded(&["v2"], &["v1", "v2"], &[OriginAnswer::Unknown], true, None)]
+#[case::only_another_recorded(&["v2"], &["v1"], &[OriginAnswer::Unknown], true, None)]
+#[case::no_servers(&[], &["v1"], &[], true, None)]
+#[case::none(&[], &[], &[], true, None)]
 fn version_inferred(
-    #[case] known: &[&str],
+    #[case] seen: &[&str],
+    #[case] recorded: &[&str],
     #[case] answers: &[OriginAnswer],
-    #[case] outdated: bool,
+    #[case] proven: bool,
     #[case] expected: Option<&str>,
 ) {
-    let known: Vec<Rc<str>> = known.iter().map(|v| Rc::from(*v)).collect();
-    let inferred = infer_version(&KnownVersions::of(&known), answers, outdated);
+    let seen: Vec<Rc<str>> = seen.iter().map(|v| Rc::from(*v)).collect();
+    let recorded: Vec<u64> = recorded.iter().map(|v| hash_name(v)).collect();
+    let inferred = infer_version(&KnownVersions::of(&seen, &recorded), answers, proven);
     assert_eq!(inferred.as_deref(), expected);
 }
 
+/// Guards against taking answers for a proof while an entry that may know more is missing
+/// among them, has just started, or was not asked.
+#[rstest]
+#[case::all_answered(2, true, true, &[OriginAnswer::Unknown, OriginAnswer::Unknown], true)]
+#[case::alone(0, true, true, &[], true)]
+#[case::one_missing(2, true, true, &[OriginAnswer::Unknown], false)]
+#[case::other_unsettled(2, true, true, &[OriginAnswer::Unknown, OriginAnswer::Unsettled], false)]
+#[case::own_start(2, true, false, &[OriginAnswer::Unknown, OriginAnswer::Unknown], false)]
+#[case::others_not_found(0, false, true, &[], false)]
+fn answers_are_conclusive(
+    #[case] asked: usize,
+    #[case] entries_known: bool,
+    #[case] settled: bool,
+    #[case] answers: &[OriginAnswer],
+    #[case] expected: bool,
+) {
+    let scope = QueryScope {
+        asked,
+        entries_known,
+        settled,
+    };
+    assert_eq!(scope.is_conclusive(answers), expected);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -84,6 +84,8 @@
     SeveralVersions,
     /// Nothing.
     Unknown,
+    /// Nothing; the sender has not read the recorded versions since it started.
+    Unsettled,
 }
 
 /// The load of one entry, or the aggregate over several entries.
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -21,7 +21,7 @@
 
 /// Version of the record encoding. A neighbour with another version is skipped
 /// for a while, during which the asking entry reads the store instead.
-pub const FORMAT_VERSION: u8 = 5;
+pub const FORMAT_VERSION: u8 = 6;
 
 /// The calls that an entry serves to its neighbours.
 #[tarpc::service]
@@ -42,6 +42,9 @@
     /// Position in the table of servers that crashed while running a call;
     /// `None` requests a snapshot.
     pub crashes: Option<u64>,
+    /// Position in the table of recorded software versions; `None` requests a
+    /// snapshot.
+    pub versions: Option<u64>,
     /// Maximum wait for the first change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -55,6 +58,8 @@
     pub servers: Option<TableDelta>,
     /// Changes of the table of crashed servers; `None` as above.
     pub crashes: Option<TableDelta>,
+    /// Changes of the table of recorded software versions; `None` as above.
+    pub versions: Option<TableDelta>,
     /// Time for which live servers may still be missing from the table because
     /// the store has just recovered, in milliseconds.
     pub settling_ms: u32,
