Kill all entries at once in the soak while versions change

Adds tests of streams that wait for the record of their version, and of unknown streams at entries that have read no records or old ones. A failed read ends the wait of first events too.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -2,8 +2,8 @@
 //! occur in any order and overlap: processes are stopped, paused, killed and
 //! restarted; servers leave and crash; the store goes down and is restored,
 //! also from an old backup; servers set rate limits or ask for backoff; servers of
-//! several software versions replace each other; and configurations are published
-//! one after another.
+//! several software versions replace each other, also while no entry runs; and
+//! configurations are published one after another.
 //!
 //! `SOAK_SEEDS=100-149` runs those seeds instead of the few default ones.
 
@@ -106,7 +106,9 @@
     let mut sidecar_rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 70 | 1);
     let mut platform_rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 71 | 1);
     let mut version_rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 72 | 1);
+    let mut loss_rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1 << 76 | 1);
     for _ in 0..STEPS {
+        loss_of_entries(&mut loss_rng, &platform, &mut stream_servers, &mut entries);
         version_fault(&mut version_rng, &platform, &mut stream_servers);
         process_fault(&mut rng, &platform, &mut servers, &mut entries);
         sidecar_fault(&mut sidecar_rng, &mut sidecar);
@@ -253,6 +255,34 @@
     }
 }
 
+/// In 1 of 12 cases kills all entries at once, replaces servers of resumable streams
+/// meanwhile, and starts the entries again.
+fn loss_of_entries(
+    rng: &mut Pcg64Mcg,
+    platform: &Arc<Platform>,
+    servers: &mut Vec<Server>,
+    entries: &mut [Entry],
+) {
+    let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
+    let (replaced, ms) = (rng.random_range(0..4), rng.random_range(0..3000));
+    if rng.random_range(0..12) > 0 {
+        return;
+    }
+    println!("  all entries killed, {replaced} servers replaced by {version}, {ms} ms");
+    for entry in &mut *entries {
+        if entry.running() {
+            entry.signal(Signal::SIGKILL);
+        }
+        entry.wait();
+    }
+    for _ in 0..replaced {
+        servers.push(platform.stream_server(version));
+        servers.remove(0).leave();
+    }
+    thread::sleep(Duration::from_millis(ms));
+    entries.iter_mut().for_each(|entry| entry.restart());
+}
+
 /// The streams of one caller.
 #[derive(Debug, Default)]
 struct StreamCounts {
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -206,6 +206,7 @@
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
+        state.versions.store_answered();
         let snapshot = update.kind != UpdateKind::Delta;
         let changes = reader.apply(&mut state.tables.versions.borrow_mut(), update, position);
         versions::apply_changes(&state, state.clock.now(), changes, snapshot);
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -65,8 +65,8 @@
     recorded: RefCell<RecordedVersions>,
     /// When the entry started.
     started_at: Instant,
-    /// Whether the latest write failed. Streams do not wait for records meanwhile.
-    write_failed: Cell<bool>,
+    /// Whether the latest read or write failed. Streams do not wait for records meanwhile.
+    store_failed: Cell<bool>,
     /// Wakes the writer.
     write_needed: Notify,
     /// Wakes the task that reads the records for calls.
@@ -82,7 +82,7 @@
         Self {
             recorded: RefCell::default(),
             started_at,
-            write_failed: Cell::new(false),
+            store_failed: Cell::new(false),
             write_needed: Notify::new(),
             read_needed: Notify::new(),
             changed: Notify::new(),
@@ -106,6 +106,11 @@
         self.read_needed.notify_one();
     }
 
+    /// Records that the store has answered.
+    pub(crate) fn store_answered(&self) {
+        self.store_failed.set(false);
+    }
+
     /// Wakes the writer, after the server table has changed.
     pub(crate) fn servers_changed(&self) {
         self.write_needed.notify_one();
@@ -164,7 +169,7 @@
         if own.is_active(key) {
             break true;
         }
-        if own.write_failed.get() || state.clock.now() >= until {
+        if own.store_failed.get() || state.clock.now() >= until {
             break false;
         }
         let changed = own.changed.notified();
@@ -226,9 +231,13 @@
             continue;
         }
         match read(&state, &source).await {
-            Ok(()) => failures = 0,
+            Ok(()) => {
+                failures = 0;
+                state.versions.store_answered();
+            }
             Err(e) => {
                 failures += 1;
+                state.versions.store_failed.set(true);
                 if failures == 1 {
                     warn!("reading recorded versions failed", kv: { cause = e.to_string().as_str() });
                 }
@@ -303,7 +312,6 @@
             continue;
         }
         failures = 0;
-        state.versions.write_failed.set(false);
         let now = state.clock.now();
         match (due_writes(&state).ended, end_at) {
             (None, _) => end_at = None,
@@ -383,7 +391,7 @@
             failures + 1
         }
     };
-    state.versions.write_failed.set(failures > 0);
+    state.versions.store_failed.set(failures > 0);
     state.versions.changed.notify_waiters();
     failures
 }
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -14,3 +14,4 @@
 mod suspects;
 mod urgent;
 mod usage;
+mod versions;
