Refuse answers of plain services that end before their length

The sidecar's HTTP client takes the end of a connection for the end of a body, so that an answer with a length that was cut off after its head was passed on as a whole, short or empty one. The length is checked now.

answer_with_length_cut_at_each_byte failed before at 38 bytes (the head alone gave an empty body) and passes. answer_in_chunks_cut_at_each_byte fails still: the client does not show whether the last chunk arrived.

--- a/crates/clients/src/plain.rs
+++ b/crates/clients/src/plain.rs
@@ -97,6 +97,7 @@
                 status: 405,
             })?;
 
+        let has_body = method != awc::http::Method::HEAD;
         let mut request = self
             .http
             .request(method, format!("http://{peer}{path}"))
@@ -115,11 +116,17 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or("")
             .to_owned();
+        let length = response.headers().get(awc::http::header::CONTENT_LENGTH);
+        let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
         let body = response
             .body()
             .limit(RESPONSE_LIMIT)
             .await
             .map_err(|e| no_response(e.to_string()))?;
+        // The HTTP client takes the end of the connection for the end of the body.
+        if has_body && length.is_some_and(|length| length != body.len()) {
+            return Err(no_response("connection closed inside the body".to_owned()));
+        }
         Ok(ServiceResponse {
             status,
             content_type,
