Require proof that a server lives after an answer without a length ends

Callers got streams and answers without a length or chunks as complete that were cut off because their server was killed: when it had announced that it leaves, when another process served at its address by then, when it did not answer in time. Only a refused connection counted as a crash, and for a leaving server none was tried. The kernel ends the connections of a killed process as a server ends them itself, and an open port says nothing of the process that had it before.

Such an answer now counts as whole only if its server, asked after the end on a new connection at the service's health path, names the ID that the call was sent to, with any status (a leaving server answers 503). Otherwise a stream goes on as after a broken connection or is cut, and another answer is a failure with an unknown outcome. A stream that begins and ends at once without a length is a failure. The crash accounting is as for a broken connection, except that a leaving server may have written all and exited.

Bodies with a transfer coding other than chunks counted as framed by it, although they end with their connection; so did those with a length beside it. The length that the HTTP client goes by decides now.

Evidence: - crates/forward/tests/calls/ends.rs and moves.rs.

The test servers answer the health path now; unframed_stream and unframed_answer_is_whole expect what they did.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod connections;
+mod ends;
 mod fatal;
 mod fatal_part;
 mod fleet;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -109,7 +109,7 @@
         };
         let mut resumable = route("resume", "streaming", "text", 2);
         resumable["resumable"] = true.into();
-        let config = json!({"version": version, "services": [{"name": "app"}, {"name": "text"},
+        let config = json!({"version": version, "services": [{"name": "app", "health_path": "/health"}, {"name": "text"},
             {"name": "llm", "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 1}}],
             "routes": [route("once", "unsafe", "app", 1), route("safe", "safe", "app", 2),
                 route("stream", "streaming", "app", 1),
@@ -118,7 +118,7 @@
     }
 
     /// Appends a record; an empty value deletes the key.
-    fn write(&self, topic: &str, key: &str, value: &str) {
+    pub(crate) fn write(&self, topic: &str, key: &str, value: &str) {
         let mut topics = self.topics.lock().expect("mutex poisoned");
         let records = topics.entry(topic.to_owned()).or_default();
         records.push((key.to_owned(), value.to_owned()));
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -30,6 +30,7 @@
 
 use continuation::Backup;
 use placement::AdmissionTrace;
+pub(crate) use response::UNPROVEN_END;
 use response::is_valid_success;
 
 use crate::crashes::{self, BrokenCall, CallIdentity};
@@ -317,6 +318,14 @@
         crashes::connection_broken(&self.state, server, call);
     }
 
+    /// Records that nothing proves that an answer of `server` ended whole. A server that
+    /// leaves may have written all of it before it exited.
+    pub(crate) fn record_unproven_end(&self, server: &ServerRecord) {
+        if !self.state.balancer.borrow().is_leaving(server) {
+            self.record_broken(server);
+        }
+    }
+
     /// The parts of the prompt that other calls may share: all but the last one.
     pub(crate) fn shared_parts(&self) -> Vec<u64> {
         let parts = self.parsed_headers.prompt_parts.split_last();
@@ -470,7 +479,7 @@
     }
 
     /// Whether the caller takes up a stream that an earlier attempt began.
-    fn takes_up_stream(&self) -> bool {
+    pub(crate) fn takes_up_stream(&self) -> bool {
         let headers = &self.parsed_headers;
         let continues = headers.resumes.is_some() || headers.last_event.is_some();
         continues && self.route.kind == CallKind::Resumable
--- a/crates/forward/src/call/response.rs
+++ b/crates/forward/src/call/response.rs
@@ -18,6 +18,9 @@
 /// with a few kilobytes, and an entry has about 100 MB of memory in all.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
+/// Why an answer without a length or chunks does not count as whole.
+pub(crate) const UNPROVEN_END: &str = "server not shown to be alive after the answer's end";
+
 impl Call {
     /// Processes a response whose head has arrived.
     pub(super) async fn accept(
@@ -37,7 +40,10 @@
             let first_bytes = first_bytes
                 .inspect_err(|_| self.record_timeout(response.sent_at, response.waiting_calls))?;
             let first_bytes = first_bytes.map_err(|e| self.response_broken(&response.body, e))?;
-            let first_bytes = first_bytes.unwrap_or_default();
+            let first_bytes = match first_bytes {
+                Some(bytes) => bytes,
+                None => self.accept_empty(&mut response.body).await?,
+            };
             self.record_first_event(&response);
             self.bind_version(&response.body.server);
             self.record_usage();
@@ -121,11 +127,28 @@
             }
             all.extend_from_slice(&bytes);
         }
-        if self.before_deadline(body.ended_by_crash()).await? {
-            let cause = "server crashed before the end of its answer".to_owned();
+        self.check_whole(body).await?;
+        Ok(all.into())
+    }
+
+    /// Returns the first bytes of a stream that has none. Only one that the caller takes up
+    /// may have had its last event before.
+    async fn accept_empty(&self, body: &mut ResponseBody) -> Result<Bytes, SendError> {
+        if !body.framed && !self.takes_up_stream() {
+            let cause = "stream ended before its first event".to_owned();
             return Err(self.response_broken(body, cause));
         }
-        Ok(all.into())
+        self.check_whole(body).await?;
+        Ok(Bytes::new())
+    }
+
+    /// Fails if nothing proves that a response that has ended is whole.
+    async fn check_whole(&self, body: &mut ResponseBody) -> Result<(), SendError> {
+        if self.before_deadline(body.is_whole()).await? {
+            return Ok(());
+        }
+        self.record_unproven_end(&body.server);
+        Err(SendError::Unknown(UNPROVEN_END.to_owned()))
     }
 
     /// Records that the connection broke during the response.
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -370,22 +370,6 @@
     });
 }
 
-/// Whether `server` has crashed, by a connection to it, which replaces the one that ended
-/// with an answer. A server that leaves ends its connections without a crash.
-pub(crate) async fn has_crashed(state: &State, server: &ServerRecord) -> bool {
-    if state.balancer.borrow().is_leaving(server) {
-        return false;
-    }
-    let now = state.clock.now();
-    match ConnectionPool::connect(now, server.addr).await {
-        Ok(conn) => {
-            state.connection_pool.put(now, &server.id, conn);
-            false
-        }
-        Err(e) => e.kind() == io::ErrorKind::ConnectionRefused,
-    }
-}
-
 /// The parts of a prompt for log lines.
 fn format_parts(parts: &[u64]) -> String {
     let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use policy::balance::{ServerFeedback, ServerRecord};
 use rand::RngExt;
 use spdlog::info;
 
-use crate::crashes;
 use crate::grants::Grant;
+use crate::liveness;
 use crate::platform::ResponseHeaders;
 use crate::pool::{Connection, ConnectionPool};
 use crate::relay::millis;
@@ -118,6 +118,8 @@
     /// Whether its end is marked by a length or by chunks, not just by the end
     /// of the connection.
     pub framed: bool,
+    /// Whether it has ended and was shown to be whole.
+    proven: bool,
     /// Whether no byte of it has arrived.
     waiting: bool,
     /// The sidecar's grant, which ends with the response.
@@ -185,10 +187,12 @@
             .bytes_received(now, &self.server.id);
     }
 
-    /// Whether a response that has ended did so because its server crashed. The end of one
-    /// without a length or chunks does not show it.
-    pub(crate) async fn ended_by_crash(&self) -> bool {
-        !self.framed && crashes::has_crashed(&self.state, &self.server).await
+    /// Whether a response that has ended is whole. The end of one without a length or chunks
+    /// does not show it, only its server can: it is alive, and has not been cut off.
+    pub(crate) async fn is_whole(&mut self) -> bool {
+        self.proven =
+            self.proven || self.framed || liveness::is_alive(&self.state, &self.server).await;
+        self.proven
     }
 
     /// Closes the connection before the response's end.
@@ -267,7 +271,7 @@
         // The body is of no use, but the connection can be reused once it is
         // read.
         if reusable {
-            drain_refusal(state, server, response, conn).await;
+            keep_connection(state, server, response, conn).await;
         }
         if !parsed_headers.wrong_server {
             if let Some(grant) = &grant {
@@ -281,8 +285,7 @@
         return Err(SendError::WrongServer);
     }
     let (parts, incoming) = response.into_parts();
-    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    let framed = framing.iter().any(|m| parts.headers.contains_key(m));
+    let framed = incoming.size_hint().exact().is_some() || is_chunked(&parts.headers);
     in_flight.hand_over();
     let body = ResponseBody {
         state: Rc::clone(state),
@@ -290,6 +293,7 @@
         incoming,
         reusable,
         framed,
+        proven: false,
         waiting: true,
         conn: Some(conn),
         grant,
@@ -304,6 +308,18 @@
     })
 }
 
+/// Whether the body ends with its last chunk. One with another transfer coding ends with its
+/// connection, even if a length is given too.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let codings = last.and_then(|value| value.to_str().ok());
+    let coding = codings.and_then(|codings| codings.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Applies the feedback in a server's response to a call that was sent at
 /// `sent_at`.
 pub(crate) fn apply_feedback(
@@ -406,15 +422,16 @@
     }
 }
 
-/// Reads the short body of a refusal so that the connection can be reused.
-async fn drain_refusal(
-    state: &Rc<State>,
+/// Reads the short body of a response that is of no use, so that the connection can be
+/// reused.
+pub(crate) async fn keep_connection(
+    state: &State,
     server: &ServerRecord,
     response: Response<Incoming>,
     conn: Connection,
 ) {
     let read = response.into_body().collect();
-    let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await;
+    let read = tokio::time::timeout(SHORT_BODY_TIMEOUT, read).await;
     if matches!(read, Ok(Ok(_))) {
         state
             .connection_pool
@@ -422,8 +439,8 @@
     }
 }
 
-/// How long to wait for the body of a refusal, which is a few bytes.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+/// How long to wait for such a body, which is a few bytes.
+const SHORT_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Formats an error and its causes on one line.
 fn describe(e: &hyper::Error) -> String {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`crashes`]: server crashes, and the calls that may have caused them.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
+//! - `liveness`: whether the server that ended an answer is still alive.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
 //! - [`origins`]: which software version began a stream that a caller takes up.
 //! - [`moves`]: moves streams away from engines that leave.
@@ -37,6 +38,7 @@
 pub mod gossip;
 pub mod grants;
 pub mod http;
+mod liveness;
 pub mod moves;
 pub mod neighbours;
 pub mod origins;
--- /dev/null
+++ b/crates/forward/src/liveness.rs
@@ -0,0 +1,131 @@
+//! Whether the incarnation of a backend server that sent an answer is still alive.
+//!
+//! The end of an answer without a length or chunks is the end of its connection, and the
+//! kernel ends the connections of a killed process in the same way. Such an answer counts as
+//! whole only if its server states afterwards, on a new connection, that it is the same
+//! incarnation. An open port proves nothing: another incarnation may listen there by then.
+//! See docs/design/ends-of-answers.md.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Full;
+use policy::balance::ServerRecord;
+use spdlog::info;
+
+use crate::exchange;
+use crate::pool::ConnectionPool;
+use crate::state::State;
+
+/// Longest wait for the proof. The caller waits for the end of the answer, or for another
+/// server to continue it.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Maximum number of times that a server is asked. One at its limit of connections resets
+/// further ones.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Time before a server is asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// What a server answered when it was asked for its incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// It is the expected incarnation.
+    Same,
+    /// It is another incarnation.
+    Other,
+    /// No process listens at the address.
+    Refused,
+    /// The answer does not name an incarnation.
+    Unnamed,
+    /// There was no answer.
+    NoAnswer,
+    /// There was no answer in time.
+    TimedOut,
+    /// The service declares no path for the question.
+    NoPath,
+}
+
+impl Evidence {
+    /// Whether asking again cannot change it.
+    fn is_final(self) -> bool {
+        !matches!(self, Self::Unnamed | Self::NoAnswer)
+    }
+
+    /// A short name for logs and metric labels.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Other => "other",
+            Self::Refused => "refused",
+            Self::Unnamed => "unnamed",
+            Self::NoAnswer => "no_answer",
+            Self::TimedOut => "timed_out",
+            Self::NoPath => "no_path",
+        }
+    }
+}
+
+/// Asks `server` whether it is still the same incarnation. An answer that it has ended
+/// before this call was then not cut off by its crash.
+pub(crate) async fn is_alive(state: &State, server: &ServerRecord) -> bool {
+    let asked = tokio::time::timeout(PROOF_TIMEOUT, ask(state, server)).await;
+    let evidence = asked.unwrap_or(Evidence::TimedOut);
+    let outcome = evidence.label();
+    metrics::counter!("pimentocart_unframed_ends_total", "server" => outcome).increment(1);
+    info!("answer without length ended", kv: { server = &*server.id, outcome });
+    evidence == Evidence::Same
+}
+
+async fn ask(state: &State, server: &ServerRecord) -> Evidence {
+    let catalog = state.catalog.borrow().clone();
+    let service = catalog.as_ref().and_then(|c| c.service(&server.service));
+    let Some(path) = service.and_then(|s| s.health_path.as_deref()) else {
+        return Evidence::NoPath;
+    };
+    let mut evidence = ask_once(state, server, path).await;
+    for _ in 1..MAX_ATTEMPTS {
+        if evidence.is_final() {
+            break;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+        evidence = ask_once(state, server, path).await;
+    }
+    evidence
+}
+
+/// Asks once, on a new connection. On one from before the end, an answer could be a late one
+/// from before it too.
+async fn ask_once(state: &State, server: &ServerRecord, path: &str) -> Evidence {
+    let request = Request::get(path)
+        .header(header::HOST, server.addr.to_string())
+        .body(Full::<Bytes>::default());
+    let Ok(request) = request else {
+        return Evidence::NoPath;
+    };
+    let mut conn = match ConnectionPool::connect(state.clock.now(), server.addr).await {
+        Ok(conn) => conn,
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return Evidence::Refused,
+        Err(_) => return Evidence::NoAnswer,
+    };
+    metrics::counter!("pimentocart_dials_total").increment(1);
+    let Ok(response) = conn.sender.send_request(request).await else {
+        return Evidence::NoAnswer;
+    };
+    let status = response.status().as_u16();
+    let parsed = state.dialect.parse_response(status, response.headers());
+    match parsed.server {
+        Some(id) if *id == *server.id => {
+            if !parsed.close && !parsed.feedback.leaving {
+                exchange::keep_connection(state, server, response, conn).await;
+            }
+            Evidence::Same
+        }
+        Some(_) => Evidence::Other,
+        None if parsed.wrong_server => Evidence::Other,
+        None => Evidence::Unnamed,
+    }
+}
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -139,6 +139,8 @@
 pub struct ResponseHeaders {
     /// The ID of the request that the response belongs to.
     pub request_id: Option<String>,
+    /// The ID of the server incarnation that sent the response, if it states it.
+    pub server: Option<String>,
     /// Whether the response carries the server's seal, which shows that the
     /// server made it and not an intermediary.
     pub sealed: bool,
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 use spdlog::info;
 
-use crate::call::Call;
+use crate::call::{Call, UNPROVEN_END};
 use crate::events::EventSplitter;
 use crate::exchange::ResponseBody;
 use crate::moves::{self, MovableStream};
@@ -139,19 +139,14 @@
                 }
             };
             match next {
-                Err(_) => {
-                    return TimedOutSnafu {
-                        server: self.server(),
-                    }
-                    .fail();
-                }
+                Err(_) => return Err(self.timed_out()),
                 Ok(Ok(Some(bytes))) => self.splitter.push(&bytes),
                 Ok(Ok(None)) if self.splitter.pending_len() == 0 => {
-                    if self.body.ended_by_crash().await {
-                        self.fail_over("server crashed between two events").await?;
-                        continue;
+                    if self.is_whole().await? {
+                        return Ok(None);
                     }
-                    return Ok(None);
+                    self.call.record_unproven_end(&self.body.server);
+                    self.resume(UNPROVEN_END).await?;
                 }
                 // The response is complete by its framing, even if its last
                 // bytes are no complete event. After a resumption only complete
@@ -165,6 +160,19 @@
         }
     }
 
+    /// Whether the stream, which has ended after a complete event, is whole.
+    async fn is_whole(&mut self) -> Result<bool, StreamError> {
+        let deadline: Instant = self.call.deadline;
+        let proof = self.body.is_whole();
+        let proven = tokio::time::timeout_at(deadline.into(), proof).await;
+        proven.map_err(|_| self.timed_out())
+    }
+
+    fn timed_out(&self) -> StreamError {
+        let server = self.server();
+        TimedOutSnafu { server }.build()
+    }
+
     /// Takes the events that are complete so far, as one chunk.
     fn complete_events(&mut self) -> Result<Option<Bytes>, StreamError> {
         let mut chunk = Vec::new();
@@ -239,15 +247,20 @@
         self.fail_over(cause).await
     }
 
+    /// Resumes the stream after its connection broke.
+    async fn fail_over(&mut self, cause: &str) -> Result<(), StreamError> {
+        self.call.record_broken(&self.body.server);
+        self.resume(cause).await
+    }
+
     /// Resumes the stream after the last complete event: at another server, if
     /// its route allows that, or at the engine with its copy.
-    async fn fail_over(&mut self, cause: &str) -> Result<(), StreamError> {
+    async fn resume(&mut self, cause: &str) -> Result<(), StreamError> {
         let broken = |server: String, cause: &str| StreamError::Broken {
             server,
             cause: cause.to_owned(),
         };
         let failed = self.server();
-        self.call.record_broken(&self.body.server);
         self.call
             .state
             .balancer
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -85,6 +85,7 @@
     fn parse_response(&self, _status: u16, headers: &HeaderMap) -> ResponseHeaders {
         ResponseHeaders {
             request_id: text(headers, ID),
+            server: text(headers, "instance"),
             sealed: headers.contains_key("seal"),
             not_run: headers.contains_key("not-run"),
             wrong_server: headers.contains_key("elsewhere"),
@@ -145,6 +146,47 @@
     Early(&'static str),
 }
 
+/// What a server does when it is asked for its incarnation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Health {
+    /// It is the listed one.
+    #[default]
+    Same,
+    /// It is the listed one, which leaves.
+    Leaving,
+    /// It is another one.
+    Other,
+    /// It rejects the call as one meant for another server.
+    Rejected,
+    /// It answers without an ID.
+    Unnamed,
+    /// It sends nothing.
+    Silent,
+    /// It closes the connection without an answer.
+    Closed,
+    /// It resets the connection in the middle of the head.
+    Reset,
+}
+
+impl Health {
+    /// What the server `id` does.
+    fn action(self, id: &str) -> (String, bool) {
+        let answer = |status: &str, id: &str| {
+            format!("HTTP/1.1 {status}\r\ninstance: {id}\r\nContent-Length: 0\r\n\r\n")
+        };
+        match self {
+            Self::Same => (answer("200 OK", id), true),
+            Self::Leaving => (answer("503 Leaving", id), true),
+            Self::Other => (answer("200 OK", "another"), true),
+            Self::Rejected => (WRONG_SERVER.to_owned(), true),
+            Self::Unnamed => (OK.to_owned(), true),
+            Self::Silent => (String::new(), true),
+            Self::Closed => (String::new(), false),
+            Self::Reset => (answer("200 OK", id)[..30].to_owned(), false),
+        }
+    }
+}
+
 /// A sealed success response.
 pub(crate) const OK: &str =
     "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nContent-Length: 5\r\n\r\nhello";
@@ -177,6 +219,12 @@
     accepted: Cell<usize>,
     /// Connections that the other side has closed.
     closed: Cell<usize>,
+    /// Servers that listen.
+    listening: Cell<usize>,
+    /// What they do when they are asked for their incarnation.
+    health: Cell<Health>,
+    /// Number of times that they were asked.
+    probes: Cell<usize>,
     /// Tells the servers to reset their connections.
     reset: Notify,
 }
@@ -190,6 +238,16 @@
         self.inner.accepted.get()
     }
 
+    /// Sets what the servers do when they are asked for their incarnation.
+    pub(crate) fn set_health(&self, health: Health) {
+        self.inner.health.set(health);
+    }
+
+    /// Number of times that the servers were asked for their incarnation.
+    pub(crate) fn probes(&self) -> usize {
+        self.inner.probes.get()
+    }
+
     /// Resets the connections on which the servers wait for a request.
     pub(crate) fn reset_connections(&self) {
         self.inner.reset.notify_waiters();
@@ -206,16 +264,19 @@
         let listener = TcpListener::bind((host, 0)).await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
         let servers = self.clone();
+        let number = self.inner.listening.get() + 1;
+        self.inner.listening.set(number);
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 servers.inner.accepted.set(servers.inner.accepted.get() + 1);
-                actix_rt::spawn(servers.clone().serve(stream));
+                let id = format!("s{number}");
+                actix_rt::spawn(servers.clone().serve(id, stream));
             }
         });
         addr
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve(self, server: String, mut stream: TcpStream) {
         let mut all = Vec::new();
         loop {
             let early = match self.inner.actions.borrow().first() {
@@ -233,6 +294,20 @@
             let Some(request) = request else {
                 break;
             };
+            if request.starts_with("GET /health ") {
+                self.inner.probes.set(self.inner.probes.get() + 1);
+                let health = self.inner.health.get();
+                let (bytes, open) = health.action(&server);
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                if open {
+                    continue;
+                }
+                if health == Health::Reset {
+                    let linger = Some(Duration::ZERO);
+                    let _ = socket2::SockRef::from(&stream).set_linger(linger);
+                }
+                return;
+            }
             let id = header(&request, ID).unwrap_or_default();
             self.inner.requests.borrow_mut().push(request);
             let action = {
@@ -547,6 +622,7 @@
     let service = |name: &str| Service {
         name: Rc::from(name),
         max_connections: 10,
+        health_path: Some(Rc::from("/health")),
         engine: plan.engine.then_some(Engine {
             slots: 4,
             memory_tokens: 100_000,
--- /dev/null
+++ b/crates/forward/tests/calls/ends.rs
@@ -0,0 +1,411 @@
+//! How the bytes of an answer end, and what proves to the caller that it is whole. See
+//! docs/design/ends-of-answers.md; the ends of moved streams are in `moves`.
+
+use std::time::Duration;
+
+use policy::balance::ServerRecord;
+use policy::routes::CallKind;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::common::{Action, Entry, Health, OK, Plan, Servers, listed, status};
+use crate::streams::PARTIAL;
+
+const ID: &str = "call-id: 1\r\n";
+
+/// A caller that has received event 1 of a stream.
+const TAKES_UP: &str = "call-id: 2\r\nresumes: 1\r\nlast-event: 1\r\n";
+
+/// A stream for which a copy is worth its cost.
+const LIVE: &str = "call-id: 1\r\nprompt: 715\r\noutput: 280\r\n";
+
+/// The beginning of all heads.
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n";
+
+/// The event after event 1.
+const EVENT: &str = "id: 2\ndata: b\n\n";
+
+/// The kind of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Plain,
+    Stream,
+    /// Resumed at another server by the entry.
+    Resumed,
+    /// Taken up by the caller.
+    TakenUp,
+    /// Continued at the server with its copy.
+    Continued,
+}
+
+/// How an answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Length,
+    Chunks,
+    /// Without a length or chunks.
+    Closed,
+    /// As [`End::Closed`], with a transfer coding other than chunks.
+    ClosedCoding,
+    /// As [`End::Closed`], but reset.
+    Reset,
+    /// After a part of its chunks, with the connection open.
+    Silence,
+    InsideHead,
+    /// In the middle of an event.
+    InsideEvent,
+    /// As [`End::InsideEvent`], with a length.
+    InsideLength,
+    /// After a whole event, but without the last chunk.
+    BetweenEvents,
+}
+
+impl End {
+    /// A server's answer of one event that ends in this way.
+    fn action(self) -> Action {
+        let chunk = format!("f\r\n{EVENT}\r\n");
+        let chunked = "Transfer-Encoding: chunked\r\n";
+        let body = match self {
+            Self::Length => format!("Content-Length: 15\r\n\r\n{EVENT}"),
+            Self::Chunks => format!("{chunked}\r\n{chunk}0\r\n\r\n"),
+            Self::Closed | Self::Reset => format!("\r\n{EVENT}"),
+            Self::ClosedCoding => format!("Transfer-Encoding: x\r\n\r\n{EVENT}"),
+            Self::Silence | Self::BetweenEvents => format!("{chunked}\r\n{chunk}"),
+            Self::InsideHead => "Conte".to_owned(),
+            Self::InsideEvent => format!("{chunked}\r\n{}", &chunk[..12]),
+            Self::InsideLength => format!("Content-Length: 15\r\n\r\n{}", &EVENT[..9]),
+        };
+        let bytes = format!("{HEAD}{body}").leak();
+        match self {
+            Self::Length | Self::Chunks | Self::Silence => Action::Send(bytes),
+            Self::Reset => Action::SendReset(bytes),
+            _ => Action::SendClose(bytes),
+        }
+    }
+}
+
+impl Kind {
+    /// An entry whose call is answered with `last`, after what precedes it.
+    async fn start(self, last: Action) -> Entry {
+        let broken = Action::SendReset(PARTIAL);
+        let plan = match self {
+            Self::Plain => Plan::new(CallKind::Once, 1, &[last]),
+            Self::Stream => Plan::new(CallKind::Stream, 1, &[last]),
+            Self::Resumed => Plan::new(CallKind::Resumable, 2, &[broken, last]),
+            Self::TakenUp => Plan::new(CallKind::Resumable, 1, &[last]),
+            Self::Continued => Plan {
+                engine: true,
+                backups: true,
+                declared: true,
+                ..Plan::new(CallKind::Stream, 3, &[broken, last])
+            },
+        };
+        Entry::start(Plan {
+            timeout: Duration::from_secs(3),
+            ..plan
+        })
+        .await
+    }
+
+    fn headers(self) -> &'static str {
+        match self {
+            Self::TakenUp => TAKES_UP,
+            Self::Continued => LIVE,
+            _ => ID,
+        }
+    }
+
+    /// Whether the caller got the whole answer as a complete one.
+    fn is_whole(self, answer: &str) -> bool {
+        let whole = match self {
+            Self::Plain => answer.ends_with(EVENT),
+            _ => answer.ends_with("0\r\n\r\n"),
+        };
+        whole && status(answer) == "200" && answer.contains("data: b")
+    }
+
+    /// Checks that the caller saw that the answer was cut off.
+    fn assert_cut(self, answer: &str) {
+        match self {
+            Self::Plain => assert!(["502", "504"].contains(&status(answer)), "{answer}"),
+            _ => {
+                let complete = status(answer) == "200" && answer.ends_with("0\r\n\r\n");
+                assert!(
+                    !complete && !answer.contains("Content-Length: 0"),
+                    "{answer}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against passing on an answer as whole that was cut off, and against cutting one that
+/// was not.
+#[rstest]
+#[case::length(End::Length, true)]
+#[case::chunks(End::Chunks, true)]
+#[case::closed(End::Closed, true)]
+#[case::closed_coding(End::ClosedCoding, true)]
+#[case::reset(End::Reset, false)]
+#[case::silence(End::Silence, false)]
+#[case::inside_head(End::InsideHead, false)]
+#[case::inside_event(End::InsideEvent, false)]
+#[case::inside_length(End::InsideLength, false)]
+#[case::between_events(End::BetweenEvents, false)]
+#[actix_rt::test]
+async fn answer_ends(
+    #[values(
+        Kind::Plain,
+        Kind::Stream,
+        Kind::Resumed,
+        Kind::TakenUp,
+        Kind::Continued
+    )]
+    kind: Kind,
+    #[case] end: End,
+    #[case] whole: bool,
+) {
+    let entry = kind.start(end.action()).await;
+    let answer = entry.call(kind.headers()).await;
+    assert_eq!(kind.is_whole(&answer), whole, "{answer}");
+    if !whole {
+        kind.assert_cut(&answer);
+    }
+    let probed = [End::Closed, End::ClosedCoding].contains(&end);
+    assert_eq!(entry.servers.probes(), usize::from(probed));
+}
+
+/// Guards against taking the end of a connection for the end of an answer without a length or
+/// chunks, although nothing shows that its server is still alive.
+#[rstest]
+#[case::same(Health::Same, true)]
+#[case::leaving(Health::Leaving, true)]
+#[case::other(Health::Other, false)]
+#[case::rejected(Health::Rejected, false)]
+#[case::unnamed(Health::Unnamed, false)]
+#[case::silent(Health::Silent, false)]
+#[case::closed(Health::Closed, false)]
+#[case::reset(Health::Reset, false)]
+#[actix_rt::test]
+async fn end_without_length(
+    #[values(
+        Kind::Plain,
+        Kind::Stream,
+        Kind::Resumed,
+        Kind::TakenUp,
+        Kind::Continued
+    )]
+    kind: Kind,
+    #[values(End::Closed, End::ClosedCoding)] end: End,
+    #[case] health: Health,
+    #[case] whole: bool,
+) {
+    let entry = kind.start(end.action()).await;
+    entry.servers.set_health(health);
+    let answer = entry.call(kind.headers()).await;
+    assert_eq!(kind.is_whole(&answer), whole, "{answer}");
+    if !whole {
+        kind.assert_cut(&answer);
+    }
+}
+
+/// Guards against cutting a stream off that another server of its version can resume.
+#[rstest]
+#[case::other(Health::Other)]
+#[case::silent(Health::Silent)]
+#[actix_rt::test]
+async fn unproven_end_resumed(#[case] health: Health) {
+    let first = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n";
+    let actions = [Action::SendClose(first), End::Chunks.action()];
+    let entry = Entry::start(Plan::new(CallKind::Resumable, 2, &actions)).await;
+    entry.servers.set_health(health);
+    let answer = entry.call(ID).await;
+    assert!(
+        answer.contains("data: a") && answer.contains("data: b"),
+        "{answer}"
+    );
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+/// A server that answers one call with `bytes` and exits, while it leaves or not: it closes
+/// its connection and accepts no others.
+async fn exiting_server(bytes: &'static str) -> ServerRecord {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1 << 12];
+        let _ = stream.read(&mut request).await;
+        let _ = stream
+            .write_all(bytes.replace("{id}", "1").as_bytes())
+            .await;
+        drop(listener);
+    });
+    listed("s1", addr)
+}
+
+/// Guards against passing on an answer as whole whose server announced that it leaves and was
+/// killed before its end.
+#[rstest]
+#[case::stream(
+    CallKind::Stream,
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\n\r\nid: 1\ndata: a\n\n"
+)]
+#[case::plain(
+    CallKind::Once,
+    "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\nleaving: 1\r\n\r\nhel"
+)]
+#[actix_rt::test]
+async fn leaving_server_killed(#[case] kind: CallKind, #[case] bytes: &'static str) {
+    let server = exiting_server(bytes).await;
+    let entry = Entry::start_with(Plan::new(kind, 1, &[]), Servers::default(), vec![server]);
+    let entry = entry.await;
+    let answer = entry.call(ID).await;
+    match kind {
+        CallKind::Once => assert_eq!(status(&answer), "502"),
+        _ => assert!(!answer.ends_with("0\r\n\r\n"), "{answer}"),
+    }
+    assert_eq!(entry.state.crashes.count(), 0);
+}
+
+/// Guards against passing on a stream as whole that ends at once.
+#[rstest]
+#[case::length(Kind::Stream, "Content-Length: 0\r\n\r\n", Health::Other, true)]
+#[case::chunks(
+    Kind::Stream,
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    Health::Other,
+    true
+)]
+#[case::unframed(Kind::Stream, "\r\n", Health::Same, false)]
+#[case::unframed_replaced(Kind::Stream, "\r\n", Health::Other, false)]
+#[case::no_chunk(
+    Kind::Stream,
+    "Transfer-Encoding: chunked\r\n\r\n",
+    Health::Same,
+    false
+)]
+#[case::resumed_chunks(
+    Kind::Resumed,
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    Health::Other,
+    true
+)]
+#[case::resumed(Kind::Resumed, "\r\n", Health::Same, true)]
+#[case::resumed_replaced(Kind::Resumed, "\r\n", Health::Other, false)]
+#[case::taken_up(Kind::TakenUp, "\r\n", Health::Same, true)]
+#[case::taken_up_replaced(Kind::TakenUp, "\r\n", Health::Other, false)]
+#[case::taken_up_no_chunk(
+    Kind::TakenUp,
+    "Transfer-Encoding: chunked\r\n\r\n",
+    Health::Same,
+    false
+)]
+#[case::continued(Kind::Continued, "\r\n", Health::Same, true)]
+#[case::continued_replaced(Kind::Continued, "\r\n", Health::Other, false)]
+#[actix_rt::test]
+async fn stream_ends_at_once(
+    #[case] kind: Kind,
+    #[case] rest: &str,
+    #[case] health: Health,
+    #[case] whole: bool,
+) {
+    let bytes = format!("{HEAD}{rest}").leak();
+    let entry = kind.start(Action::SendClose(bytes)).await;
+    entry.servers.set_health(health);
+    let answer = entry.call(kind.headers()).await;
+    let complete = status(&answer) == "200" && answer.ends_with("0\r\n\r\n");
+    assert_eq!(complete, whole, "{answer}");
+    if rest == "\r\n" && whole {
+        assert_eq!(entry.servers.probes(), 1);
+    }
+}
+
+/// The whole of an answer, up to its last byte.
+const FRAMED: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\ncall-id: 1\r\nseal: s\r\nContent-Length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    "HTTP/1.1 200 OK\r\ncall-id: 1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+     f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+];
+
+/// Guards against passing on an answer with a length or chunks as whole that was cut at any
+/// byte, also inside its head or a chunk's size.
+#[rstest]
+#[case::plain(CallKind::Once)]
+#[case::stream(CallKind::Stream)]
+#[actix_rt::test]
+async fn framed_answer_cut_at_each_byte(
+    #[case] kind: CallKind,
+    #[values(0, 1)] framing: usize,
+    #[values(false, true)] reset: bool,
+) {
+    let answer: &'static str = FRAMED[framing];
+    for length in 0..answer.len() {
+        let action = match reset {
+            true => Action::SendReset(&answer[..length]),
+            false => Action::SendClose(&answer[..length]),
+        };
+        let entry = Entry::start(Plan::new(kind, 1, &[action])).await;
+        let seen = entry.call(ID).await;
+        let complete =
+            status(&seen) == "200" && (kind == CallKind::Once || seen.ends_with("0\r\n\r\n"));
+        assert!(!complete, "{length} bytes: {seen}");
+        assert_eq!(entry.servers.probes(), 0);
+    }
+}
+
+/// Guards against passing on the end of a connection inside a head without a length or chunks
+/// as an empty answer.
+#[rstest]
+#[case::plain(CallKind::Once)]
+#[case::stream(CallKind::Stream)]
+#[actix_rt::test]
+async fn unframed_head_cut_at_each_byte(
+    #[case] kind: CallKind,
+    #[values(false, true)] reset: bool,
+) {
+    let head = "HTTP/1.1 200 OK\r\ncall-id: 1\r\nseal: s\r\n\r\n";
+    for length in 0..head.len() {
+        let action = match reset {
+            true => Action::SendReset(&head[..length]),
+            false => Action::SendClose(&head[..length]),
+        };
+        let entry = Entry::start(Plan::new(kind, 1, &[action])).await;
+        assert_eq!(status(&entry.call(ID).await), "502", "{length} bytes");
+    }
+}
+
+/// Guards against passing on an answer whose length is not certain.
+#[rstest]
+#[case::two_lengths("Content-Length: 5\r\nContent-Length: 15\r\n\r\nhello")]
+#[case::list_of_lengths("Content-Length: 5, 15\r\n\r\nhello")]
+#[case::negative_length("Content-Length: -5\r\n\r\nhello")]
+#[case::folded_length("Content-Length:\r\n 5\r\n\r\nhello")]
+#[case::folded_line("more: a\r\n b\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::space_before_colon("Content-Length : 5\r\n\r\nhello")]
+#[case::chunk_without_size("Transfer-Encoding: chunked\r\n\r\n\r\nhello\r\n0\r\n\r\n")]
+#[case::chunk_size_too_large(
+    "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nhello\r\n0\r\n\r\n"
+)]
+#[case::chunk_size_too_small("Transfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n")]
+#[actix_rt::test]
+async fn uncertain_length(#[case] rest: &str) {
+    let bytes = format!("{HEAD}{rest}").leak();
+    let entry = Entry::start(Plan::new(CallKind::Once, 1, &[Action::SendClose(bytes)])).await;
+    assert_eq!(status(&entry.call(ID).await), "502");
+}
+
+/// Guards against giving the caller a cut answer where another server may repeat the call.
+#[actix_rt::test]
+async fn unproven_answer_repeated() {
+    let cut = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\nhel";
+    let actions = [Action::SendClose(cut), Action::Send(OK)];
+    let entry = Entry::start(Plan::new(CallKind::Idempotent, 2, &actions)).await;
+    entry.servers.set_health(Health::Other);
+    let answer = entry.call(ID).await;
+    assert!(
+        status(&answer) == "200" && answer.ends_with("hello"),
+        "{answer}"
+    );
+}
--- a/crates/forward/tests/calls/engines.rs
+++ b/crates/forward/tests/calls/engines.rs
@@ -40,6 +40,24 @@
     Freeze,
 }
 
+/// How the stream of a continued run ends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// With its last chunk.
+    #[default]
+    LastChunk,
+    /// With its connection; it has no chunks.
+    Closed,
+    /// Without its last chunk.
+    BetweenEvents,
+    /// In the middle of an event.
+    InsideEvent,
+    /// Never; its connection stays open.
+    Silence,
+    /// In the middle of the head.
+    InsideHead,
+}
+
 /// A call to copy a run, as it arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct CopyCall {
@@ -74,6 +92,12 @@
     in_progress: RefCell<Vec<(SocketAddr, SocketAddr)>>,
     most: Cell<(usize, usize)>,
     released_copies: Cell<bool>,
+    /// How continued streams end.
+    end: Cell<StreamEnd>,
+    /// Engines in the order in which they began to listen.
+    listening: RefCell<Vec<SocketAddr>>,
+    /// Whether another incarnation than the listed one answers for each engine.
+    replaced: Cell<bool>,
     changed: Notify,
 }
 
@@ -110,6 +134,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
         let engines = self.clone();
+        self.0.listening.borrow_mut().push(addr);
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 if !engines.is_dead(addr) {
@@ -120,6 +145,26 @@
         addr
     }
 
+    /// Sets how continued streams end, and whether their engines are replaced at that time.
+    pub(crate) fn end_continuations(&self, end: StreamEnd, replaced: bool) {
+        self.0.end.set(end);
+        self.0.replaced.set(replaced);
+    }
+
+    /// Answers with the ID of the incarnation that runs at `engine`.
+    async fn answer_health(&self, engine: SocketAddr, stream: &mut TcpStream) {
+        let at = self.0.listening.borrow().iter().position(|e| *e == engine);
+        let id = match self.0.replaced.get() {
+            true => "another".to_owned(),
+            false => format!("e{}", at.expect("an engine")),
+        };
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ninstance: {id}\r\nconnection: close\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+
     /// Sets what the next copy calls do; later ones act by the protocol.
     pub(crate) fn script(&self, scripts: &[Script]) {
         self.0.scripts.borrow_mut().extend(scripts);
@@ -217,6 +262,10 @@
                 Ok(length) if length > 0 => request.extend_from_slice(&part[..length]),
                 _ => return,
             }
+            if request.starts_with(b"GET /health ") {
+                self.answer_health(engine, &mut stream).await;
+                return;
+            }
         }
         let request = String::from_utf8_lossy(&request).into_owned();
         let id = header(&request, "call-id").expect("an ID");
@@ -251,7 +300,8 @@
         }
         // The connection of a frozen run stays open until the other side closes it.
         let frozen = self.0.runs.borrow()[&id].state == RunState::Frozen;
-        if frozen && !continued {
+        let silent = continued && self.0.end.get() == StreamEnd::Silence;
+        if frozen && !continued || silent {
             let _ = stream.read(&mut [0; 64]).await;
         }
     }
@@ -309,14 +359,28 @@
             true => "leaving: 1\r\n",
             false => "",
         };
+        let end = match continued {
+            true => self.0.end.get(),
+            false => StreamEnd::LastChunk,
+        };
+        let framing = match end {
+            StreamEnd::Closed => "",
+            _ => "Transfer-Encoding: chunked\r\n",
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: {first}\r\n\
-             {leaving}connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+             {leaving}connection: close\r\n{framing}\r\n"
         );
+        if end == StreamEnd::InsideHead {
+            return stream.write_all(&head.as_bytes()[..30]).await;
+        }
         stream.write_all(head.as_bytes()).await?;
-        let (pause, end) = match continued {
-            true => (EVENTS, EVENTS),
-            false => (FIRST_EVENTS, EVENTS),
+        if end == StreamEnd::Closed {
+            return stream.write_all(events(first, EVENTS).as_bytes()).await;
+        }
+        let pause = match continued {
+            true => EVENTS,
+            false => FIRST_EVENTS,
         };
         send_chunk(stream, &events(first, pause)).await?;
         if !continued {
@@ -341,9 +405,13 @@
                 send_chunk(stream, &events(next, next)).await?;
                 return send_chunk(stream, &format!("id: {}\nda", next + 1)).await;
             }
-            send_chunk(stream, &events(pause + 1, end)).await?;
+            send_chunk(stream, &events(pause + 1, EVENTS)).await?;
+        }
+        match end {
+            StreamEnd::BetweenEvents | StreamEnd::Silence => Ok(()),
+            StreamEnd::InsideEvent => send_chunk(stream, "id: 9\nda").await,
+            _ => stream.write_all(b"0\r\n\r\n").await,
         }
-        stream.write_all(b"0\r\n\r\n").await
     }
 
     /// Carries out a call that copies a run.
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -4,6 +4,7 @@
 mod backups;
 mod callers;
 mod common;
+mod ends;
 mod engines;
 mod feedback;
 mod grants;
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -15,7 +15,7 @@
 use rstest::rstest;
 
 use crate::common::{Entry, Plan, Servers, header, listed, status};
-use crate::engines::{EVENTS, Engines, Script, events};
+use crate::engines::{EVENTS, Engines, Script, StreamEnd, events};
 use crate::suspects;
 
 /// An entry with scripted engines.
@@ -113,9 +113,14 @@
 
     /// Starts a call with a long answer and waits until its stream has begun.
     async fn call(&self, id: &str) -> actix_rt::task::JoinHandle<String> {
+        self.call_with(id, "").await
+    }
+
+    /// As [`Fleet::call`], with further headers.
+    async fn call_with(&self, id: &str, more: &str) -> actix_rt::task::JoinHandle<String> {
         let state = Rc::clone(&self.entry.state);
         let open = state.moves.stream_count();
-        let call = self.start_call(id);
+        let call = self.start_call_with(id, more);
         let begun = |_: &Engines| state.moves.stream_count() > open;
         self.engines.wait_until(begun).await;
         call
@@ -123,9 +128,13 @@
 
     /// Starts a call with a long answer.
     fn start_call(&self, id: &str) -> actix_rt::task::JoinHandle<String> {
+        self.start_call_with(id, "")
+    }
+
+    fn start_call_with(&self, id: &str, more: &str) -> actix_rt::task::JoinHandle<String> {
         let entry = Rc::clone(&self.entry);
         let headers =
-            format!("call-id: {id}\r\nparts: 7:50,9:50\r\nprompt: 100\r\noutput: 4000\r\n");
+            format!("call-id: {id}\r\nparts: 7:50,9:50\r\nprompt: 100\r\noutput: 4000\r\n{more}");
         actix_rt::spawn(async move { entry.call(&headers).await })
     }
 
@@ -571,3 +580,35 @@
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(fleet.engines.continuations(), []);
 }
+
+/// Guards against passing a moved stream on as whole that was cut off at its new engine, and
+/// against cutting one that was not.
+#[rstest]
+#[case::chunks(StreamEnd::LastChunk, false, true)]
+#[case::closed(StreamEnd::Closed, false, true)]
+#[case::closed_by_crash(StreamEnd::Closed, true, false)]
+#[case::inside_head(StreamEnd::InsideHead, false, false)]
+#[case::inside_event(StreamEnd::InsideEvent, false, false)]
+#[case::between_events(StreamEnd::BetweenEvents, false, false)]
+#[case::silence(StreamEnd::Silence, false, false)]
+#[actix_rt::test]
+async fn moved_stream_ends(#[case] end: StreamEnd, #[case] replaced: bool, #[case] whole: bool) {
+    let fleet = Fleet::start(3).await;
+    fleet.engines.end_continuations(end, replaced);
+    let call = fleet.call_with("1", "patience-ms: 4000\r\n").await;
+    fleet.leave(fleet.engines.engine_of("1")).await;
+    let answer = call.await.expect("an answer");
+    match whole {
+        true => assert_whole(&answer),
+        false => {
+            let sent = if end == StreamEnd::InsideHead {
+                3
+            } else {
+                EVENTS
+            };
+            assert_eq!(body(&answer), events(1, sent));
+            assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+        }
+    }
+    fleet.engines.assert_single_runs();
+}
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -408,6 +408,7 @@
     let service = Service {
         name: Rc::from("app"),
         max_connections: 10,
+        health_path: None,
         engine: None,
         scaling: Some(scaling::ScalingLimits {
             min_servers: 1,
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -96,6 +96,9 @@
     /// Maximum number of connections to one server from all callers.
     #[serde(rename = "connections")]
     pub max_connections: u32,
+    /// The path at which its servers answer with the ID of their incarnation.
+    #[serde(default)]
+    pub health_path: Option<Rc<str>>,
     /// Set for model engines.
     pub engine: Option<Engine>,
     /// Set if the number of its servers can be scaled.
