Check the first event of a stream that a caller takes up

A caller that takes a stream up after its last event got what the server sent first, if its number was higher: a missing event was joined unseen. A resumed stream was checked already. The first event must be the next one now; otherwise the stream is cut before any of its events is passed on.

Whether a service numbers its events by one isn't known at a take-up, since the entry has not seen the stream: it goes by the latest whole stream of the service that it relayed, and expects steps of one before there is any.

stream_taken_up_at_another_event failed before for a gap (a repetition was cut already); taken_up_where_numbers_have_gaps guards the other side. The largest event number no longer overflows.

--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -26,9 +26,12 @@
     first_bytes: Option<Bytes>,
     /// The number of the last event sent to the caller.
     last_event: Option<u64>,
-    /// Whether each event's number was one more than the one before.
+    /// Whether each event's number was one more than the one before. For a stream that the
+    /// caller takes up, of which the entry has seen nothing: whether it was so in the latest
+    /// whole stream of its service.
     consecutive: bool,
-    /// Whether the next event is the first from another server.
+    /// Whether the next event is the first from another server, or of a stream that the
+    /// caller takes up.
     just_resumed: bool,
     /// Whether any part of the stream came from another server.
     resumed: bool,
@@ -78,15 +81,16 @@
         tried: Vec<Rc<str>>,
         open: OpenCall,
     ) -> Self {
+        let last_event = call.parsed_headers.last_event;
         Self {
-            last_event: call.parsed_headers.last_event,
+            last_event,
             movable: MovableStream::register(&call, &body, 0),
             body,
             splitter: EventSplitter::default(),
             first_bytes: Some(first),
             event_count: 0,
-            consecutive: true,
-            just_resumed: false,
+            consecutive: last_event.is_none() || !call.state.skips_numbers(&call.service),
+            just_resumed: last_event.is_some(),
             resumed: false,
             last_sent: call.received_at,
             first_delay: Duration::ZERO,
@@ -110,6 +114,10 @@
                     if relay.event_count > 1 && !relay.resumed {
                         relay.call.record_pause(relay.max_pause);
                     }
+                    if relay.event_count > 1 {
+                        let skips = !relay.consecutive;
+                        relay.call.state.record_numbers(&relay.call.service, skips);
+                    }
                     relay.call.record_completed();
                     relay.call.record_sound();
                     relay.call.record_copy_freed();
@@ -195,9 +203,10 @@
     /// anyway, the caller would get a stream with a missing or duplicate event
     /// that looks complete. Within one server's stream the numbers only have to
     /// increase; if they increased by one so far, the next server has to
-    /// continue by one as well.
+    /// continue by one as well, and so has the server at which a caller takes a
+    /// stream up.
     fn check_sequence(&mut self, last: u64, number: u64) -> Result<(), StreamError> {
-        let next = number == last + 1;
+        let next = last.checked_add(1) == Some(number);
         let gap = std::mem::take(&mut self.just_resumed) && self.consecutive && !next;
         if number <= last || gap {
             let cause = format!("event {number} after {last}");
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,7 +2,7 @@
 //! and the calls in progress.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -82,6 +82,8 @@
     pub copies: RefCell<CopyTable>,
     /// The software versions that began streams.
     pub origins: Origins,
+    /// The services whose latest whole stream had gaps in the numbers of its events.
+    skipping_services: RefCell<BTreeSet<Rc<str>>>,
     /// Asks the sidecars next to engines, if there are any.
     pub sidecars: RefCell<Option<Rc<SidecarClient>>>,
     /// The fleet-wide duties, if any are configured and their port could be bound.
@@ -120,6 +122,20 @@
 }
 
 impl State {
+    /// Whether the numbers of events in streams of `service` have gaps.
+    pub(crate) fn skips_numbers(&self, service: &str) -> bool {
+        self.skipping_services.borrow().contains(service)
+    }
+
+    /// Records whether the numbers of events in a whole stream of `service` had gaps.
+    pub(crate) fn record_numbers(&self, service: &Rc<str>, skips: bool) {
+        let mut skipping = self.skipping_services.borrow_mut();
+        match skips {
+            true => skipping.insert(Rc::clone(service)),
+            false => skipping.remove(service),
+        };
+    }
+
     /// Creates the state of a starting entry, without a catalog and servers.
     #[must_use]
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Rc<dyn Clock>) -> Rc<Self> {
@@ -147,6 +163,7 @@
             catalog: RefCell::default(),
             copies: RefCell::new(CopyTable::new(&settings.name)),
             origins: Origins::default(),
+            skipping_services: RefCell::default(),
             sidecars: RefCell::default(),
             duties: RefCell::default(),
             crashes: CrashTracker::default(),
--- a/crates/forward/tests/calls/ends.rs
+++ b/crates/forward/tests/calls/ends.rs
@@ -322,6 +322,46 @@
     }
 }
 
+/// Guards against joining events to a stream that the caller takes up where one is missing or
+/// comes twice.
+#[rstest]
+#[case::next("1", "id: 2\ndata: b\n\n", true)]
+#[case::gap("1", "id: 3\ndata: c\n\n", false)]
+#[case::repeated("1", "id: 1\ndata: a\n\n", false)]
+#[case::earlier("2", "id: 1\ndata: a\n\n", false)]
+#[case::largest("18446744073709551615", "id: 2\ndata: b\n\n", false)]
+#[actix_rt::test]
+async fn stream_taken_up_at_another_event(
+    #[case] last: &str,
+    #[case] event: &str,
+    #[case] passed: bool,
+) {
+    let bytes = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\nf\r\n{event}\r\n0\r\n\r\n").leak();
+    let entry = Entry::start(Plan::new(CallKind::Resumable, 1, &[Action::Send(bytes)])).await;
+    let headers = format!("call-id: 2\r\nresumes: 1\r\nlast-event: {last}\r\n");
+    let answer = entry.call(&headers).await;
+    assert_eq!(answer.contains("data: "), passed, "{answer}");
+    assert_eq!(answer.ends_with("0\r\n\r\n"), passed, "{answer}");
+}
+
+/// Guards against cutting off a stream that the caller takes up at a service whose events are
+/// not numbered by one.
+#[actix_rt::test]
+async fn taken_up_where_numbers_have_gaps() {
+    let chunked = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\
+        Transfer-Encoding: chunked\r\n\r\n";
+    let whole = format!("{chunked}1e\r\nid: 1\ndata: a\n\nid: 5\ndata: b\n\n\r\n0\r\n\r\n").leak();
+    let rest = format!("{chunked}f\r\nid: 5\ndata: b\n\n\r\n0\r\n\r\n").leak();
+    let actions = [Action::Send(whole), Action::Send(rest)];
+    let entry = Entry::start(Plan::new(CallKind::Resumable, 1, &actions)).await;
+    entry.call(ID).await;
+    let answer = entry.call(TAKES_UP).await;
+    assert!(
+        answer.contains("data: b") && answer.ends_with("0\r\n\r\n"),
+        "{answer}"
+    );
+}
+
 /// The whole of an answer, up to its last byte.
 const FRAMED: [&str; 2] = [
     "HTTP/1.1 200 OK\r\ncall-id: 1\r\nseal: s\r\nContent-Length: 15\r\n\r\nid: 2\ndata: b\n\n",
