--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`crashes`]: server crashes, and the calls that may have caused them.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
+//! - `liveness`: whether the server that ended an answer is still alive.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
 //! - [`origins`]: which software version began a stream that a caller takes up.
 //! - [`versions`]: records in the store which software versions each service has.
@@ -38,6 +39,7 @@
 pub mod gossip;
 pub mod grants;
 pub mod http;
+mod liveness;
 pub mod moves;
 pub mod neighbours;
 pub mod origins;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 use spdlog::info;
 
-use crate::call::Call;
+use crate::call::{Call, UNPROVEN_END};
 use crate::events::EventSplitter;
 use crate::exchange::ResponseBody;
 use crate::moves::{self, MovableStream};
@@ -26,9 +26,12 @@
     first_bytes: Option<Bytes>,
     /// The number of the last event sent to the caller.
     last_event: Option<u64>,
-    /// Whether each event's number was one more than the one before.
+    /// Whether each event's number was one more than the one before. For a stream that the
+    /// caller takes up, of which the entry has seen nothing: whether it was so in the latest
+    /// whole stream of its service.
     consecutive: bool,
-    /// Whether the next event is the first from another server.
+    /// Whether the next event is the first from another server, or of a stream that the
+    /// caller takes up.
     just_resumed: bool,
     /// Whether any part of the stream came from another server.
     resumed: bool,
@@ -78,15 +81,16 @@
         tried: Vec<Rc<str>>,
         open: OpenCall,
     ) -> Self {
+        let last_event = call.parsed_headers.last_event;
         Self {
-            last_event: call.parsed_headers.last_event,
+            last_event,
             movable: MovableStream::register(&call, &body, 0),
             body,
             splitter: EventSplitter::default(),
             first_bytes: Some(first),
             event_count: 0,
-            consecutive: true,
-            just_resumed: false,
+            consecutive: last_event.is_none() || !call.state.skips_numbers(&call.service),
+            just_resumed: last_event.is_some(),
             resumed: false,
             last_sent: call.received_at,
             first_delay: Duration::ZERO,
@@ -110,6 +114,10 @@
                     if relay.event_count > 1 && !relay.resumed {
                         relay.call.record_pause(relay.max_pause);
                     }
+                    if relay.event_count > 1 {
+                        let skips = !relay.consecutive;
+                        relay.call.state.record_numbers(&relay.call.service, skips);
+                    }
                     relay.call.record_completed();
                     relay.call.record_sound();
                     relay.call.record_copy_freed();
@@ -139,19 +147,14 @@
                 }
             };
             match next {
-                Err(_) => {
-                    return TimedOutSnafu {
-                        server: self.server(),
-                    }
-                    .fail();
-                }
+                Err(_) => return Err(self.timed_out()),
                 Ok(Ok(Some(bytes))) => self.splitter.push(&bytes),
                 Ok(Ok(None)) if self.splitter.pending_len() == 0 => {
-                    if self.body.ended_by_crash().await {
-                        self.fail_over("server crashed between two events").await?;
-                        continue;
+                    if self.is_whole().await? {
+                        return Ok(None);
                     }
-                    return Ok(None);
+                    self.call.record_unproven_end(&self.body.server);
+                    self.resume(UNPROVEN_END).await?;
                 }
                 // The response is complete by its framing, even if its last
                 // bytes are no complete event. After a resumption only complete
@@ -165,6 +168,19 @@
         }
     }
 
+    /// Whether the stream, which has ended after a complete event, is whole.
+    async fn is_whole(&mut self) -> Result<bool, StreamError> {
+        let deadline: Instant = self.call.deadline;
+        let proof = self.body.is_whole();
+        let proven = tokio::time::timeout_at(deadline.into(), proof).await;
+        proven.map_err(|_| self.timed_out())
+    }
+
+    fn timed_out(&self) -> StreamError {
+        let server = self.server();
+        TimedOutSnafu { server }.build()
+    }
+
     /// Takes the events that are complete so far, as one chunk.
     fn complete_events(&mut self) -> Result<Option<Bytes>, StreamError> {
         let mut chunk = Vec::new();
@@ -187,9 +203,10 @@
     /// anyway, the caller would get a stream with a missing or duplicate event
     /// that looks complete. Within one server's stream the numbers only have to
     /// increase; if they increased by one so far, the next server has to
-    /// continue by one as well.
+    /// continue by one as well, and so has the server at which a caller takes a
+    /// stream up.
     fn check_sequence(&mut self, last: u64, number: u64) -> Result<(), StreamError> {
-        let next = number == last + 1;
+        let next = last.checked_add(1) == Some(number);
         let gap = std::mem::take(&mut self.just_resumed) && self.consecutive && !next;
         if number <= last || gap {
             let cause = format!("event {number} after {last}");
@@ -239,15 +256,20 @@
         self.fail_over(cause).await
     }
 
+    /// Resumes the stream after its connection broke.
+    async fn fail_over(&mut self, cause: &str) -> Result<(), StreamError> {
+        self.call.record_broken(&self.body.server);
+        self.resume(cause).await
+    }
+
     /// Resumes the stream after the last complete event: at another server, if
     /// its route allows that, or at the engine with its copy.
-    async fn fail_over(&mut self, cause: &str) -> Result<(), StreamError> {
+    async fn resume(&mut self, cause: &str) -> Result<(), StreamError> {
         let broken = |server: String, cause: &str| StreamError::Broken {
             server,
             cause: cause.to_owned(),
         };
         let failed = self.server();
-        self.call.record_broken(&self.body.server);
         self.call
             .state
             .balancer
