Soak streams from engines that are killed, return, leave and copy their runs

Callers saw streams that ended as complete before their last event when an engine was killed while it wrote streams without a length. The soak had no such streams, no engine that returns at its address, and no copies and moves.

Engines of the new part copy runs to each other and move them; some streams have no length; engines are killed and return at once, later or elsewhere, leave with a short notice and are replaced by a newer version; entries are killed, stopped and paused and the store goes down. Engines end as the kernel ends a killed process: connections first, then the listener.

--- a/crates/cli/tests/forward/caller.rs
+++ b/crates/cli/tests/forward/caller.rs
@@ -75,6 +75,18 @@
     /// Makes one call for the stream that the call `first` began, which is `id` itself for a
     /// new stream, and reads until `count` events have arrived in all or the answer ends.
     pub(crate) fn read(&mut self, at: SocketAddr, id: &str, first: &str, count: usize) {
+        self.read_at(at, "/resume/x", id, first, count);
+    }
+
+    /// Like [`read`](Self::read), for streams of another path.
+    pub(crate) fn read_at(
+        &mut self,
+        at: SocketAddr,
+        path: &str,
+        id: &str,
+        first: &str,
+        count: usize,
+    ) {
         (self.status, self.complete) = (0, false);
         let Ok(mut stream) = TcpStream::connect(at) else {
             return;
@@ -85,8 +97,9 @@
             None => String::new(),
         };
         let request = format!(
-            "POST /resume/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: 6000\r\n{resumes}Connection: close\r\nContent-Length: 4\r\n\r\nbody"
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 6000\r\nX-Token-Count: 715,280\r\n{resumes}Connection: close\r\n\
+             Content-Length: 4\r\n\r\nbody"
         );
         if stream.write_all(request.as_bytes()).is_err() {
             return;
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod connections;
+mod engines;
 mod fatal;
 mod fatal_part;
 mod fleet;
@@ -14,4 +15,5 @@
 mod signals;
 mod soak;
 mod soak_parts;
+mod soak_streams;
 mod versions;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -109,16 +109,20 @@
         };
         let mut resumable = route("resume", "streaming", "text", 2);
         resumable["resumable"] = true.into();
+        let mut talk = route("talk", "streaming", "llm", 2);
+        talk["resumable"] = true.into();
         let config = json!({"version": version, "services": [{"name": "app"}, {"name": "text"},
-            {"name": "llm", "engine": {"slots": 8, "kv_capacity": 100_000, "stride": 1}}],
+            {"name": "llm", "health_path": "/health", "engine": {"slots": 8,
+                "kv_capacity": 100_000, "stride": 1, "kv_token_bytes": 18432,
+                "link_mbps": 280_000.0, "moves": true, "backups": true}}],
             "routes": [route("once", "unsafe", "app", 1), route("safe", "safe", "app", 2),
                 route("stream", "streaming", "app", 1),
-                route("engine", "streaming", "llm", 1), resumable]});
+                route("engine", "streaming", "llm", 1), resumable, talk]});
         self.write("keyed.op", "config", &config.to_string());
     }
 
     /// Appends a record; an empty value deletes the key.
-    fn write(&self, topic: &str, key: &str, value: &str) {
+    pub(crate) fn write(&self, topic: &str, key: &str, value: &str) {
         let mut topics = self.topics.lock().expect("mutex poisoned");
         let records = topics.entry(topic.to_owned()).or_default();
         records.push((key.to_owned(), value.to_owned()));
@@ -482,7 +486,7 @@
 }
 
 /// Reads one message with its body; `None` at the end of the connection.
-fn read(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+pub(crate) fn read(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if reader.read_line(&mut head).ok()? == 0 {
@@ -495,7 +499,7 @@
     Some((head, body))
 }
 
-fn answer(stream: &mut TcpStream, status: &str, body: &[u8]) {
+pub(crate) fn answer(stream: &mut impl Write, status: &str, body: &[u8]) {
     let head = format!(
         "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
         body.len()
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -149,6 +149,15 @@
         Self::start_at(unique_ip(), name, store, grants)
     }
 
+    /// Starts an entry that moves streams and has engines copy them.
+    pub(crate) fn start_with_copies(name: &str, store: SocketAddr) -> Self {
+        let ip = unique_ip();
+        let mut settings = settings(ip, name, store, None);
+        settings["moves"] = true.into();
+        settings["backups"] = true.into();
+        Self::start_with(ip, name, &settings)
+    }
+
     /// Starts an entry while the returned listener holds the port on which the
     /// entry would serve its peers.
     pub(crate) fn start_with_peer_port_taken(name: &str, store: SocketAddr) -> (Self, TcpListener) {
@@ -158,16 +167,14 @@
     }
 
     fn start_at(ip: Ipv4Addr, name: &str, store: SocketAddr, grants: Option<u16>) -> Self {
-        let addr = |port| SocketAddr::from((ip, port));
-        let (listen, ready) = (addr(LISTEN), addr(READY));
-        let settings = json!({"name": name, "zone": "a", "listen": listen, "ready": ready,
-            "ready_path": "/ready", "gossip": addr(GOSSIP), "grants": grants.map(addr),
-            "store": store, "grace_s": 6.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
-            "ask_every": "100ms"});
+        Self::start_with(ip, name, &settings(ip, name, store, grants))
+    }
+
+    fn start_with(ip: Ipv4Addr, name: &str, settings: &serde_json::Value) -> Self {
         Self {
-            process: Process::start("forward", name, &settings),
-            listen,
-            ready,
+            process: Process::start("forward", name, settings),
+            listen: SocketAddr::from((ip, LISTEN)),
+            ready: SocketAddr::from((ip, READY)),
         }
     }
 
@@ -202,9 +209,18 @@
     }
 }
 
+/// The settings of an entry.
+fn settings(ip: Ipv4Addr, name: &str, store: SocketAddr, grants: Option<u16>) -> serde_json::Value {
+    let addr = |port| SocketAddr::from((ip, port));
+    json!({"name": name, "zone": "a", "listen": addr(LISTEN), "ready": addr(READY),
+        "ready_path": "/ready", "gossip": addr(GOSSIP), "grants": grants.map(addr),
+        "store": store, "grace_s": 6.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
+        "ask_every": "100ms"})
+}
+
 /// A loopback address that no other entry uses, so that all its ports are free.
 /// On a shared address, another test could take a free port before it is used.
-fn unique_ip() -> Ipv4Addr {
+pub(crate) fn unique_ip() -> Ipv4Addr {
     static COUNT: AtomicU8 = AtomicU8::new(0);
     let [_, _, a, b] = std::process::id().to_be_bytes();
     let number = COUNT.fetch_add(1, Ordering::SeqCst) % 250 + 1;
