Add a failing test of streams taken up at an entry that has restarted

A caller that does not name the call that began its stream (no Resumes) takes it up at an entry that started after the last server of the stream's version had left. The entry asks no other entry, as there is no call to ask for, and takes the only version that it knows. No other entry has to be lost for this.

The test fails until the versions that a service recently had are known to an entry that starts.

--- a/crates/cli/tests/forward/caller.rs
+++ b/crates/cli/tests/forward/caller.rs
@@ -73,7 +73,7 @@
 
 impl StreamRead {
     /// Makes one call for the stream that the call `first` began, which is `id` itself for a
-    /// new stream, and reads until `count` events have arrived in all or the answer ends.
+    /// new stream and empty if it is not named, and reads until `count` events have arrived in all or the answer ends.
     pub(crate) fn read(&mut self, at: SocketAddr, id: &str, first: &str, count: usize) {
         self.read_at(at, "/resume/x", id, first, count);
     }
@@ -93,6 +93,7 @@
         };
         let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
         let resumes = match self.events.last() {
+            Some((last, _)) if first.is_empty() => format!("Last-Event-Id: {last}\r\n"),
             Some((last, _)) => format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"),
             None => String::new(),
         };
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -16,4 +16,5 @@
 mod soak;
 mod soak_parts;
 mod soak_streams;
+mod unnamed;
 mod versions;
