--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod connections;
 mod ends;
+mod engines;
 mod fatal;
 mod fatal_part;
 mod fleet;
@@ -15,4 +16,6 @@
 mod signals;
 mod soak;
 mod soak_parts;
+mod soak_streams;
+mod unnamed;
 mod versions;
