Play odd records and datagrams against processes

Two process tests, with callers that call all the time: another writer leaves odd records of all kinds in the store beside good ones (values that no server writes, keys that are no names, odd configurations), and single records that a server might have written but that nothing listens for, or that name another server's address. Entries and the sidecar must stay up, answer each call with 200, follow a later configuration and a later server, log little, and an entry that starts then must serve. The other test sends 4,000 datagrams of random bytes to the ports of an entry and a sidecar.

A crash record with an odd key was logged a second time by each entry that applied it and by each of its neighbours, without a limit; now only where the store is read.

The stand-in's pages end after 1 MB as the store's do, and it reads `after`.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod platform;
 mod process;
+mod records;
 mod signals;
 mod soak;
 mod soak_parts;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -29,6 +29,9 @@
 /// Time for which a server prepares an answer to such a call.
 const FATAL_DELAY: Duration = Duration::from_millis(20);
 
+/// Size from which on a response of the store ends, in bytes.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// Number of events in a stream.
 pub(crate) const STREAM_EVENTS: u32 = 6;
 
@@ -117,8 +120,13 @@
         self.write("keyed.op", "config", &config.to_string());
     }
 
+    /// The version of the newest configuration.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.version.load(Ordering::SeqCst).into()
+    }
+
     /// Appends a record; an empty value deletes the key.
-    fn write(&self, topic: &str, key: &str, value: &str) {
+    pub(crate) fn write(&self, topic: &str, key: &str, value: &str) {
         let mut topics = self.topics.lock().expect("mutex poisoned");
         let records = topics.entry(topic.to_owned()).or_default();
         records.push((key.to_owned(), value.to_owned()));
@@ -238,7 +246,8 @@
             };
             let topic = query("topic").unwrap_or_default();
             if line.contains("log-newest") {
-                let (era, page) = self.newest(&topic);
+                let after = query("after").map(|after| percent_decode(&after));
+                let (era, page) = self.newest(&topic, after.as_deref());
                 answer(&mut stream, &with_era("200 OK", era), page.as_bytes());
             } else if line.contains("log-read") {
                 let from = query("from").and_then(|f| f.parse().ok()).unwrap_or(0);
@@ -276,16 +285,25 @@
         }
     }
 
-    /// The latest value of each key of a topic, and the era of the store.
-    fn newest(&self, topic: &str) -> (u32, String) {
+    /// A page with the latest value of the keys of a topic that follow `after`, and the era
+    /// of the store.
+    fn newest(&self, topic: &str, after: Option<&str>) -> (u32, String) {
         let topics = self.topics.lock().expect("mutex poisoned");
         let era = self.era.load(Ordering::SeqCst);
         let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
         let newest: BTreeMap<_, _> = records.iter().map(|(k, v)| (k, v)).collect();
-        let live = newest.into_iter().filter(|(_, v)| !v.is_empty());
-        let item = |(k, v): (&String, &String)| json!({"key": k, "value": STANDARD.encode(v)});
-        let items: Vec<_> = live.map(item).collect();
-        let page = json!({"items": items, "more": false, "end": records.len()});
+        let follows = |key: &str| after.is_none_or(|after| key > after);
+        let mut live = newest
+            .into_iter()
+            .filter(|(k, v)| follows(k) && !v.is_empty())
+            .peekable();
+        let (mut items, mut size) = (Vec::new(), 0);
+        while let Some((key, value)) = live.next_if(|_| size < PAGE_BYTES) {
+            size += value.len();
+            items.push(json!({"key": key, "value": STANDARD.encode(value)}));
+        }
+        let more = live.peek().is_some();
+        let page = json!({"items": items, "more": more, "end": records.len()});
         (era, page.to_string())
     }
 
@@ -302,6 +320,9 @@
         };
         let mut all = vec![0; 16];
         for (key, value) in records {
+            if all.len() > PAGE_BYTES {
+                break;
+            }
             let length = u32::try_from(1 + key.len() + value.len()).expect("record too long");
             all.extend_from_slice(&length.to_be_bytes());
             all.push(u8::try_from(key.len()).expect("record too long"));
@@ -443,6 +464,11 @@
         hints.insert(self.id.clone(), hint);
     }
 
+    /// The address that the server listens on.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Number of calls that the server has received.
     pub(crate) fn received(&self) -> u32 {
         let received = self.platform.received.lock().expect("mutex poisoned");
@@ -503,6 +529,19 @@
     let _ = stream.write_all(&[head.as_bytes(), body].concat());
 }
 
+/// Decodes the percent-encoded value of a query.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut parts = text.split('%');
+    bytes.extend_from_slice(parts.next().unwrap_or("").as_bytes());
+    for part in parts {
+        let (digits, rest) = part.split_at(part.len().min(2));
+        bytes.extend(u8::from_str_radix(digits, 16));
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Appends the header with the store's era to a status line.
 fn with_era(status: &str, era: u32) -> String {
     format!("{status}\r\nStore-Era: {era}")
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -200,6 +200,11 @@
     pub(crate) fn addr(&self) -> SocketAddr {
         self.listen
     }
+
+    /// The address on which the entry receives datagrams of other entries.
+    pub(crate) fn gossip(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.ip(), GOSSIP)
+    }
 }
 
 /// A loopback address that no other entry uses, so that all its ports are free.
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -563,6 +563,8 @@
     for (key, record) in changes {
         let key = match key.parse::<RecordKey>() {
             Ok(key) => key,
+            // The reader of the store has logged the record that made the key known.
+            Err(_) if record.is_none() => continue,
             Err(cause) => {
                 warn!("invalid crash record skipped", kv: { key = &*key, cause = cause.as_str() });
                 continue;
