Order servers also beside a zone that the platform refuses

One server record with an availability zone that the platform does not know made the holder of the duties order servers there too. The refusal ended the orders of the service, so that the zones behind it by name got none, and counted as an unreachable platform: the holder gave the duties up, and so did each one after it.

A refusal as invalid (400, 404, 422) concerns its zone only. All other refusals end the round as before.

--- a/crates/forward/src/duties/scale.rs
+++ b/crates/forward/src/duties/scale.rs
@@ -109,10 +109,13 @@
                 .order(&self.name, &service.name, &order, token)
                 .await;
             self.record_order(&service.name, &order, zones.get(&order.zone), &outcome);
-            if outcome != DutyOutcome::Accepted {
-                return outcome.is_conclusive();
+            match outcome {
+                DutyOutcome::Accepted => scaler.mark_accepted(state.clock.now(), &order),
+                // A record may name a zone that the platform does not know. That says
+                // nothing of the other zones.
+                DutyOutcome::Refused(400 | 404 | 422) => {}
+                outcome => return outcome.is_conclusive(),
             }
-            scaler.mark_accepted(state.clock.now(), &order);
             tokio::time::sleep(self.call_interval()).await;
         }
         true
--- a/crates/forward/tests/calls/feedback.rs
+++ b/crates/forward/tests/calls/feedback.rs
@@ -179,6 +179,8 @@
     let connected = ConnectionPool::connect(now, addr).await;
     let mut conn = connected.expect("a connection");
     conn.set_idle_timeout(Duration::from_secs(u64::MAX));
+    // Lets the task of the connection run, before which it is not ready.
+    tokio::task::yield_now().await;
     pool.put(now, &id, conn);
     pool.remove_expired(now + Duration::from_secs(60));
     assert!(pool.take(now, &id).is_some());
--- a/crates/forward/tests/duties/common.rs
+++ b/crates/forward/tests/duties/common.rs
@@ -159,6 +159,9 @@
     }
 }
 
+/// An availability zone that the platform does not know; it comes first by name.
+pub(crate) const UNKNOWN_ZONE: &str = "0";
+
 struct PlatformApi(Rc<Platform>);
 
 impl DutyApi for PlatformApi {
@@ -193,6 +196,9 @@
             Ok(accepted) => accepted,
             Err(outcome) => return outcome,
         };
+        if &*order.zone == UNKNOWN_ZONE {
+            return DutyOutcome::Refused(404);
+        }
         self.0.orders.borrow_mut().push(AcceptedOrder {
             token,
             zone: order.zone.to_string(),
@@ -283,6 +289,13 @@
         }
     }
 
+    /// Adds a server of the service in an availability zone to what an entry knows.
+    pub(crate) fn add_server(&self, entry: usize, zone: &str) {
+        let state = &self.entries[entry].state;
+        let mut balance = state.balancer.borrow_mut();
+        balance.upsert(state.clock.now(), server(zone));
+    }
+
     /// Adds a service to what an entry knows: a server of four slots with `calls` open
     /// calls in each of two availability zones. Up to eight servers may be ordered.
     pub(crate) fn add_service(&self, entry: usize, calls: u32) {
@@ -420,7 +433,11 @@
 
 /// The server in an availability zone; its id is the zone's name.
 fn server(zone: &str) -> ServerRecord {
-    let host = u8::from(zone == "b") + 1;
+    let host = match zone {
+        "a" => 1,
+        "b" => 2,
+        _ => 3,
+    };
     ServerRecord {
         id: Rc::from(zone),
         service: Rc::from("app"),
--- a/crates/forward/tests/duties/main.rs
+++ b/crates/forward/tests/duties/main.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use common::{AcceptedOrder, Fleet, until};
+use common::{AcceptedOrder, Fleet, UNKNOWN_ZONE, until};
 
 #[actix_rt::test]
 async fn usage_reported() {
@@ -132,6 +132,23 @@
     assert!(orders.iter().map(|o| o.token).is_sorted(), "{orders:?}");
 }
 
+/// Guards against a server record with a zone that the platform does not know, whose refused
+/// orders keep all other zones from being ordered.
+#[actix_rt::test]
+async fn unknown_zone_does_not_hold_up_orders() {
+    let fleet = Fleet::start(2).await;
+    for entry in 0..2 {
+        fleet.add_service(entry, 4);
+        fleet.add_server(entry, UNKNOWN_ZONE);
+    }
+    until("more are ordered in both zones", || {
+        zones(&fleet.platform.orders()).len() == 2
+    })
+    .await;
+    assert_eq!(zones(&fleet.platform.orders()), ["a", "b"]);
+    assert!(fleet.holder().is_some());
+}
+
 #[actix_rt::test]
 async fn idle_service_unchanged() {
     // There have been no calls yet. The servers that operators have set up are left as
