Limit the parts that a crash record can name

A record in the table of crashes may be 256 KB long and name some 100,000 parts of prompts. Each part took memory in the evidence of each entry for as long as the crash counted: about 15 MB a record by the sizes of the types (not measured), with 128 MB for a daemon. The first 64 parts are read; a prompt has about three.

policy/tests/suspects.rs `parts_of_long_record_limited` (not run on the unchanged code, which has no limit).

--- a/crates/policy/src/suspects/records.rs
+++ b/crates/policy/src/suspects/records.rs
@@ -39,6 +39,10 @@
     }
 }
 
+/// Maximum number of parts that are read from a record; a prompt has about three. Each takes
+/// memory for as long as the crash counts.
+const MAX_PARTS: usize = 64;
+
 /// Marks a call whose answer had just begun.
 const BEGAN_MARK: &str = "began";
 
@@ -80,7 +84,8 @@
         let seen_ms = fields.next().and_then(|f| f.parse().ok()).ok_or_else(bad)?;
         let run_ms = fields.next().unwrap_or("0").parse().map_err(|_| bad())?;
         let parts = fields.next().unwrap_or("").split(',');
-        let parts = parts.filter(|part| !part.is_empty()).map(parse_part);
+        let parts = parts.filter(|part| !part.is_empty()).take(MAX_PARTS);
+        let parts = parts.map(parse_part);
         let shared_parts = parts.collect::<Result<_, _>>()?;
         let just_began = match fields.next() {
             None => false,
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use policy::suspects::{
-    CRASH_LIMIT, CRASH_TTL, Crash, CrashReport, CrashSuspects, Fingerprint, MAX_CRASHES,
+    CRASH_LIMIT, CRASH_TTL, Crash, CrashRecord, CrashReport, CrashSuspects, Fingerprint,
+    MAX_CRASHES,
 };
 use rstest::rstest;
 
@@ -200,3 +201,14 @@
     }
     assert!(crashed <= 6, "{crashed} servers crashed");
 }
+
+/// Guards against a record of another writer that takes memory for each of thousands of
+/// parts.
+#[test]
+fn parts_of_long_record_limited() {
+    let parts: Vec<String> = (0..100_000).map(|part| format!("{part:x}")).collect();
+    let text = format!("1790000000123 40 {} began", parts.join(","));
+    let record: CrashRecord = text.parse().expect("a record");
+    assert!(record.just_began && record.shared_parts.len() <= 64);
+    assert_eq!(record.shared_parts[..3], [0, 1, 2]);
+}
