--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod platform;
 mod process;
+mod records;
 mod signals;
 mod soak;
 mod soak_parts;
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -207,6 +207,11 @@
     pub(crate) fn addr(&self) -> SocketAddr {
         self.listen
     }
+
+    /// The address on which the entry receives datagrams of other entries.
+    pub(crate) fn gossip(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.ip(), GOSSIP)
+    }
 }
 
 /// The settings of an entry.
