--- a/crates/cli/tests/forward/engines.rs
+++ b/crates/cli/tests/forward/engines.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -12,6 +12,10 @@
 use serde_json::{Value, json};
 
 use crate::platform::{Platform, answer, header, read, wait_until};
+use crate::process::own_ip;
+
+/// Number of the host of all engines, which no entry uses.
+const HOST: u8 = 251;
 
 /// Number of events in a stream, and the time between two of them.
 pub(crate) const EVENTS: u32 = 40;
@@ -72,9 +76,9 @@
         })
     }
 
-    /// Starts an engine on a host of its own and registers it.
-    pub(crate) fn start(self: &Arc<Self>, host: Ipv4Addr, version: &'static str) -> Arc<Engine> {
-        self.start_at(SocketAddr::from((host, 0)), version)
+    /// Starts an engine at a new address and registers it.
+    pub(crate) fn start(self: &Arc<Self>, version: &'static str) -> Arc<Engine> {
+        self.start_at(SocketAddr::from((own_ip(HOST), 0)), version)
     }
 
     fn start_at(self: &Arc<Self>, addr: SocketAddr, version: &'static str) -> Arc<Engine> {
@@ -146,14 +150,6 @@
         self.engines.start_at(self.addr, self.version)
     }
 
-    /// The host of the engine.
-    pub(crate) fn host(&self) -> Ipv4Addr {
-        match self.addr {
-            SocketAddr::V4(addr) => *addr.ip(),
-            SocketAddr::V6(_) => Ipv4Addr::LOCALHOST,
-        }
-    }
-
     fn listen(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming().flatten() {
             let mut connections = self.connections.lock().expect("mutex poisoned");
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -6,7 +6,7 @@
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
@@ -20,6 +20,9 @@
 const READY: u16 = 7102;
 const GOSSIP: u16 = 7103;
 
+/// Number of addresses that entries use in turn.
+const ENTRY_HOSTS: u32 = 250;
+
 /// A daemon that runs as a child process. It writes its log to a file beside its
 /// settings, which stays after the test.
 pub(crate) struct Process {
@@ -220,9 +223,14 @@
 
 /// A loopback address that no other entry uses, so that all its ports are free.
 /// On a shared address, another test could take a free port before it is used.
-pub(crate) fn unique_ip() -> Ipv4Addr {
-    static COUNT: AtomicU8 = AtomicU8::new(0);
+fn unique_ip() -> Ipv4Addr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, Ordering::SeqCst) % ENTRY_HOSTS + 1;
+    own_ip(u8::try_from(number).expect("number out of range"))
+}
+
+/// A loopback address of this process.
+pub(crate) fn own_ip(number: u8) -> Ipv4Addr {
     let [_, _, a, b] = std::process::id().to_be_bytes();
-    let number = COUNT.fetch_add(1, Ordering::SeqCst) % 250 + 1;
     Ipv4Addr::new(127, a.max(1), b, number)
 }
--- a/crates/cli/tests/forward/soak_streams.rs
+++ b/crates/cli/tests/forward/soak_streams.rs
@@ -20,7 +20,7 @@
 use crate::caller::StreamRead;
 use crate::engines::{EVENTS, Engine, Engines, UNFRAMED};
 use crate::platform::{Platform, wait_until};
-use crate::process::{Entry, unique_ip, wait_all_ready};
+use crate::process::{Entry, wait_all_ready};
 
 const ENTRIES: usize = 3;
 const ENGINES: usize = 4;
@@ -63,9 +63,7 @@
 fn run_seed(seed: u64) -> Vec<String> {
     let (platform, store) = Platform::start();
     let engines = Engines::new(Arc::clone(&platform));
-    let mut serving: Vec<Arc<Engine>> = (0..ENGINES)
-        .map(|_| engines.start(unique_ip(), VERSIONS[0]))
-        .collect();
+    let mut serving: Vec<Arc<Engine>> = (0..ENGINES).map(|_| engines.start(VERSIONS[0])).collect();
     let mut entries: Vec<Entry> = (0..ENTRIES)
         .map(|i| Entry::start_with_copies(&format!("soak-streams-{seed}-{i}"), store))
         .collect();
@@ -124,10 +122,11 @@
 
 /// Injects a fault in one engine.
 fn engine_fault(rng: &mut Pcg64Mcg, engines: &Arc<Engines>, serving: &mut [Arc<Engine>]) {
-    let engine = &mut serving[rng.random_range(0..ENGINES)];
+    let which = rng.random_range(0..ENGINES);
+    let engine = &mut serving[which];
     let (fault, version) = (rng.random_range(0..7), rng.random_range(0..VERSIONS.len()));
     let after = Duration::from_millis(rng.random_range(0..300));
-    println!("  engine={} fault={fault}", engine.host());
+    println!("  engine={which} fault={fault}");
     match fault {
         0 | 1 => {
             engine.kill(SILENCE);
@@ -138,10 +137,10 @@
         }
         2 => {
             engine.kill(SILENCE);
-            *engine = engines.start(unique_ip(), VERSIONS[version]);
+            *engine = engines.start(VERSIONS[version]);
         }
         3 | 4 => {
-            let new = engines.start(unique_ip(), VERSIONS[version]);
+            let new = engines.start(VERSIONS[version]);
             std::mem::replace(engine, new).leave(after * 8);
         }
         _ => {}
@@ -150,14 +149,15 @@
 
 /// Injects a fault in one entry, or ends one.
 fn entry_fault(rng: &mut Pcg64Mcg, entries: &mut [Entry]) {
-    let entry = &mut entries[rng.random_range(0..ENTRIES)];
+    let which = rng.random_range(0..ENTRIES);
+    let entry = &mut entries[which];
     let (fault, pause) = (rng.random_range(0..6), rng.random_range(50..400));
     if !entry.running() {
         entry.wait();
         entry.restart();
         return;
     }
-    println!("  entry={} fault={fault}", entry.addr().ip());
+    println!("  entry={which} fault={fault}");
     match fault {
         0 => entry.signal(Signal::SIGKILL),
         1 => entry.signal(Signal::SIGTERM),
