--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -15,3 +15,4 @@
 mod soak;
 mod soak_parts;
 mod versions;
+mod versions_restart;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -35,6 +35,9 @@
 /// Keyed topics of the store: key and value of each record, in append order.
 type Topics = HashMap<String, Vec<(String, String)>>;
 
+/// Prefix of the names of keyed topics.
+const KEYED_PREFIX: &str = "keyed.";
+
 /// Waits until a condition holds.
 pub(crate) fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
     for _ in 0..MAX_POLLS {
@@ -61,6 +64,8 @@
 #[derive(Default)]
 pub(crate) struct Platform {
     topics: Mutex<Topics>,
+    /// The records of the other topics, by topic and partition.
+    logs: Mutex<HashMap<(String, usize), Vec<Vec<u8>>>>,
     /// Latest value written for each topic and key, including writes that the
     /// store has lost since.
     newest: Mutex<BTreeMap<(String, String), String>>,
@@ -138,6 +143,11 @@
                 lost.extend(tail.into_iter().map(|(key, _)| (topic.clone(), key)));
             }
         }
+        let mut logs = self.logs.lock().expect("mutex poisoned");
+        for records in logs.values_mut() {
+            records.truncate(records.len().saturating_sub(count));
+        }
+        drop(logs);
         self.era.fetch_add(1, Ordering::SeqCst);
         drop(topics);
         self.pending_restores.fetch_add(1, Ordering::SeqCst);
@@ -237,6 +247,14 @@
                 after.split(['&', ' ']).next().map(str::to_owned)
             };
             let topic = query("topic").unwrap_or_default();
+            if !topic.starts_with(KEYED_PREFIX) {
+                let number = |key: &str| query(key).and_then(|n| n.parse().ok()).unwrap_or(0);
+                let era = self.era.load(Ordering::SeqCst);
+                let log = (topic, number("part"));
+                let (status, found) = self.serve_log(&line, log, number("from"), &body);
+                answer(&mut stream, &with_era(status, era), &found);
+                continue;
+            }
             if line.contains("log-newest") {
                 let (era, page) = self.newest(&topic);
                 answer(&mut stream, &with_era("200 OK", era), page.as_bytes());
@@ -265,6 +283,39 @@
         }
     }
 
+    /// Serves a request to a partition of a topic without keys.
+    fn serve_log(
+        &self,
+        line: &str,
+        log: (String, usize),
+        from: usize,
+        mut body: &[u8],
+    ) -> (&'static str, Vec<u8>) {
+        let mut logs = self.logs.lock().expect("mutex poisoned");
+        let records = logs.entry(log).or_default();
+        if line.contains("log-read") {
+            let Some(found) = records.get(from..) else {
+                return ("410 Gone", b"{\"first\":0}".to_vec());
+            };
+            let mut all = (records.len() as u64).to_be_bytes().to_vec();
+            all.extend_from_slice(&[0; 8]);
+            for record in found {
+                let length = u32::try_from(record.len()).expect("record too long");
+                all.extend_from_slice(&length.to_be_bytes());
+                all.extend_from_slice(record);
+            }
+            return ("200 OK", all);
+        }
+        let first = records.len();
+        while let Some((length, rest)) = body.split_first_chunk::<4>() {
+            let (record, rest) = rest.split_at(u32::from_be_bytes(*length) as usize);
+            records.push(record.to_vec());
+            body = rest;
+        }
+        let end = json!({"offset": first, "end": records.len()});
+        ("200 OK", end.to_string().into_bytes())
+    }
+
     /// Appends the length-prefixed records in a request body.
     fn append(&self, topic: &str, mut body: &[u8]) {
         while let Some((length, rest)) = body.split_first_chunk::<4>() {
--- a/crates/cli/tests/forward/versions.rs
+++ b/crates/cli/tests/forward/versions.rs
@@ -13,17 +13,17 @@
 use crate::process::Entry;
 
 /// Streams of each test.
-const STREAMS: usize = 24;
+pub(crate) const STREAMS: usize = 24;
 
 /// Entries, and servers of two versions.
-struct Versions {
+pub(crate) struct Versions {
     platform: Arc<Platform>,
-    entries: Vec<Entry>,
-    servers: Vec<Server>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) servers: Vec<Server>,
 }
 
 impl Versions {
-    fn start(name: &str) -> Self {
+    pub(crate) fn start(name: &str) -> Self {
         let (platform, store) = Platform::start();
         let servers = ["v1", "v1.1", "v1", "v1.1"].map(|v| platform.stream_server(v));
         let entries: Vec<Entry> = (0..3)
@@ -41,7 +41,7 @@
     }
 
     /// Begins streams at the first entry, whose callers get two events each.
-    fn begin(&self) -> Vec<StreamRead> {
+    pub(crate) fn begin(&self) -> Vec<StreamRead> {
         let begin = |n: usize| {
             let mut stream = StreamRead::default();
             let id = format!("first-{n}");
@@ -57,13 +57,20 @@
 
     /// Takes the streams up at another entry; returns how many went on to their end. A
     /// caller that is refused comes back once.
-    fn take_up(&self, entry: usize, streams: &mut [StreamRead]) -> usize {
+    pub(crate) fn take_up(&self, entry: usize, streams: &mut [StreamRead]) -> usize {
+        self.take_up_to(entry, streams, usize::MAX);
+        let whole = |s: &&StreamRead| s.complete && s.events.len() == STREAM_EVENTS as usize;
+        streams.iter().filter(whole).count()
+    }
+
+    /// Takes the streams up at another entry until each caller has `events` events in all.
+    pub(crate) fn take_up_to(&self, entry: usize, streams: &mut [StreamRead], events: usize) {
         // In another order, so that entries with like choices do not choose alike.
         for (n, stream) in streams.iter_mut().enumerate().rev() {
             for attempt in 0..2 {
-                let id = format!("again-{n}-{attempt}");
+                let id = format!("again-{n}-{attempt}-{entry}");
                 let first = format!("first-{n}");
-                stream.read(self.entries[entry].addr(), &id, &first, usize::MAX);
+                stream.read(self.entries[entry].addr(), &id, &first, events);
                 if stream.status != 503 {
                     break;
                 }
@@ -72,8 +79,6 @@
         }
         let mixed: Vec<_> = streams.iter().filter(|s| !s.is_consistent()).collect();
         assert!(mixed.is_empty(), "{} streams: {mixed:?}", mixed.len());
-        let whole = |s: &&StreamRead| s.complete && s.events.len() == STREAM_EVENTS as usize;
-        streams.iter().filter(whole).count()
     }
 }
 
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -497,7 +497,9 @@
         if self.version.set(Rc::clone(&server.version)).is_err() {
             return;
         }
-        let request_id = self.parsed_headers.request_id.as_deref();
+        // A stream that goes on at another service keeps the ID by which callers name it.
+        let headers = &self.parsed_headers;
+        let request_id = headers.resumes.as_deref().or(headers.request_id.as_deref());
         let Some(request_id) = request_id.filter(|_| self.route.kind == CallKind::Resumable) else {
             return;
         };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
 //! - [`relay`]: passes a stream on, and resumes it at another server.
 //! - [`origins`]: which software version began a stream that a caller takes up.
+//! - [`origin_log`]: writes these versions to the store, and reads them at the start.
 //! - [`moves`]: moves streams away from engines that leave.
 //! - [`events`]: splits a stream into its numbered events.
 //! - [`reply`]: answers to callers.
@@ -39,6 +40,7 @@
 pub mod http;
 pub mod moves;
 pub mod neighbours;
+pub mod origin_log;
 pub mod origins;
 pub mod platform;
 pub mod pool;
@@ -117,6 +119,16 @@
         platform.crashes(),
         end.clone(),
     ));
+    actix_rt::spawn(origin_log::load(
+        Rc::clone(&state),
+        platform.origins(),
+        end.clone(),
+    ));
+    actix_rt::spawn(origin_log::write(
+        Rc::clone(&state),
+        platform.origins(),
+        end.clone(),
+    ));
     let endpoint = GossipEndpoint::new(Rc::clone(&state), socket);
     actix_rt::spawn(Rc::clone(&endpoint).run(end.clone()));
     actix_rt::spawn(discovery::run(
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -17,6 +17,7 @@
 use wire::gossip::{self, KnownOrigin, MAX_ORIGINS, Message, OriginMessage, StreamOrigin};
 
 use crate::gossip::service_number;
+use crate::origin_log::{self, LogState};
 use crate::state::State;
 
 /// Time after which entries that have not answered are asked again.
@@ -37,6 +38,8 @@
     /// Queries that wait for answers, by number.
     queries: RefCell<HashMap<u32, Rc<Query>>>,
     next_query: Cell<u32>,
+    /// The log in the store.
+    pub log: LogState,
 }
 
 /// A query for one stream.
@@ -78,6 +81,15 @@
         self.queries.borrow().len()
     }
 
+    /// Records streams of which nothing is known here; returns their number.
+    pub(crate) fn insert_missing(
+        &self,
+        now: Instant,
+        records: impl Iterator<Item = OriginRecord>,
+    ) -> usize {
+        self.table.borrow_mut().insert_missing(now, records)
+    }
+
     /// Opens a query to `peers`.
     fn open_query(&self, peers: &[SocketAddr]) -> OpenQuery<'_> {
         let number = self.next_query.get();
@@ -147,6 +159,7 @@
     if untold.is_empty() {
         return;
     }
+    store(state, &untold);
     let members = members(state);
     let mut by_home: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
     for record in untold {
@@ -160,6 +173,20 @@
     }
 }
 
+/// Passes own streams to the entry that writes them to the store.
+fn store(state: &State, streams: &[OriginRecord]) {
+    let own = &state.origins;
+    let writer = origin_log::role(state).writer;
+    if writer == state.settings.gossip {
+        own.log.push(state.clock.wall_ms(), streams);
+        return;
+    }
+    for part in streams.chunks(MAX_ORIGINS) {
+        let streams = part.iter().map(record_to_wire).collect();
+        own.send(writer, OriginMessage::Unstored(streams));
+    }
+}
+
 /// Asks an entry that was just found for the records that this one may have lost.
 pub(crate) fn ask_for_missing(state: &State, peer: SocketAddr) {
     if state.roster.borrow().common_members().contains(&peer) {
@@ -188,11 +215,23 @@
 ) -> Continuation {
     let now = state.clock.now();
     let stream = resumes.map(origins::stream_key);
-    let recorded = stream.and_then(|s| state.origins.table.borrow().origin(now, s));
-    if let Some(origin) = recorded {
+    let recorded = |now| stream.and_then(|s| state.origins.table.borrow().origin(now, s));
+    if let Some(origin) = recorded(now) {
         return Continuation::from_origin(state, now, service, origin);
     }
+    if stream.is_some() && state.origins.log.is_loading() {
+        state.origins.log.wait_until_loaded(now, deadline).await;
+        let now = state.clock.now();
+        if let Some(origin) = recorded(now) {
+            return Continuation::from_origin(state, now, service, origin);
+        }
+    }
     let mut peers = members(state).asked(stream.unwrap_or_default());
+    // The writer has read the log.
+    let writer = origin_log::role(state).writer;
+    if !peers.contains(&writer) {
+        peers.push(writer);
+    }
     peers.retain(|peer| *peer != state.settings.gossip);
     let answers = match stream {
         Some(stream) => ask(state, service, stream, &peers, deadline).await,
@@ -209,11 +248,38 @@
     let known = known_versions(state, now, service);
     let outdated = state.store_lost.get() && !peers.is_empty();
     match origins::infer_version(&known, &answers, outdated) {
-        Some(version) => Continuation::AtVersion(version),
+        Some(version) => {
+            remember_inferred(state, service, stream, &version, deadline);
+            Continuation::AtVersion(version)
+        }
         None => Continuation::Nowhere,
     }
 }
 
+/// Records a version that was inferred, as for a stream that begins here: the stream may
+/// break again once there is a second version.
+fn remember_inferred(
+    state: &State,
+    service: &Rc<str>,
+    stream: Option<u64>,
+    version: &str,
+    deadline: Instant,
+) {
+    let Some(stream) = stream else {
+        return;
+    };
+    let now = state.clock.now();
+    let record = OriginRecord {
+        stream,
+        origin: Origin {
+            service: service_number(service),
+            version: version_number(version),
+        },
+        ttl: deadline.saturating_duration_since(now) + TTL_MARGIN,
+    };
+    state.origins.table.borrow_mut().began(now, service, record);
+}
+
 impl Continuation {
     fn from_origin(state: &State, now: Instant, service: &str, origin: Origin) -> Self {
         if origin.service != service_number(service) {
@@ -292,6 +358,10 @@
                 table.insert(now, record_from_wire(&origin));
             }
         }
+        OriginMessage::Unstored(origins) => {
+            let records: Vec<OriginRecord> = origins.iter().map(record_from_wire).collect();
+            own.log.push(state.clock.wall_ms(), &records);
+        }
         OriginMessage::Missing => {
             let records = own.table.borrow().records_for(now, from, &members(state));
             own.send_records(from, &records);
@@ -302,6 +372,10 @@
             service_number,
         } => {
             let origin = known_origin(state, now, stream, service_number);
+            // The sender asks again, and the log may name the version then.
+            if own.log.is_loading() && !matches!(origin, KnownOrigin::Began(_)) {
+                return;
+            }
             own.send(from, OriginMessage::Reply { query, origin });
         }
         OriginMessage::Reply { query, origin } => {
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -8,6 +8,7 @@
 use policy::balance::{ServerFeedback, ServerRecord};
 use policy::duty::{Term, WriteOutcome};
 use policy::moves::CopyOutcome;
+use policy::origin_log::OriginBatch;
 use policy::routes::Catalog;
 use policy::scaling;
 use policy::suspects::{CrashRecord, RecordKey};
@@ -25,6 +26,8 @@
     type Directory: Directory + 'static;
     /// The table of servers that have crashed under calls.
     type Crashes: CrashTable + 'static;
+    /// The log of the software versions that began streams.
+    type Origins: OriginLog + 'static;
     /// The store of the duty record.
     type DutyStore: DutyStore + 'static;
     /// The client of the duty API.
@@ -44,6 +47,9 @@
     /// Opens the table of servers that have crashed under calls.
     fn crashes(&self) -> Self::Crashes;
 
+    /// Opens the log of the software versions that began streams.
+    fn origins(&self) -> Self::Origins;
+
     /// Opens the store of the duty record.
     fn duty_store(&self) -> Self::DutyStore;
 
@@ -197,6 +203,39 @@
     ) -> impl Future<Output = Result<(), SourceError>>;
 }
 
+/// The store's log of the software versions that began streams. Positions only grow, even
+/// when the store is restored from an old copy.
+pub trait OriginLog {
+    /// Appends a batch to a partition; returns the position after it.
+    fn append(
+        &self,
+        partition: u32,
+        batch: &OriginBatch,
+    ) -> impl Future<Output = Result<u64, SourceError>>;
+
+    /// Reads a page of a partition, from the position `from` or from the first batch that the
+    /// store has.
+    fn read(
+        &self,
+        partition: u32,
+        from: Option<u64>,
+    ) -> impl Future<Output = Result<OriginPage, SourceError>>;
+
+    /// Deletes the batches of a partition before a position.
+    fn trim(&self, partition: u32, before: u64) -> impl Future<Output = Result<(), SourceError>>;
+}
+
+/// A page of the log of stream origins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginPage {
+    /// The valid batches, in the order in which they were written.
+    pub batches: Vec<OriginBatch>,
+    /// The position from which to continue.
+    pub next: u64,
+    /// The end of the partition when it was read.
+    pub end: u64,
+}
+
 /// The stored state of the duties, which one daemon holds at a time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyRecord {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -46,6 +46,12 @@
     pub grants: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Writes per second that the store takes from all daemons together.
+    #[serde(default = "store_writes_per_s")]
+    pub store_writes_per_s: f64,
+    /// Number of partitions of a topic in the store.
+    #[serde(default = "store_parts")]
+    pub store_parts: u32,
     /// Capacity of the host's network link in Mbit/s. Without it the link counts as
     /// never congested.
     #[serde(default)]
@@ -158,6 +164,14 @@
     3000
 }
 
+fn store_writes_per_s() -> f64 {
+    400.0
+}
+
+fn store_parts() -> u32 {
+    1
+}
+
 fn ask_every() -> HumanDuration {
     HumanDuration::secs(1)
 }
@@ -175,6 +189,11 @@
         check("grace_s", self.grace_s, positive(self.grace_s), hint)?;
         let window = self.repeat_window_s;
         check("repeat_window_s", window, positive(window), hint)?;
+        let writes = self.store_writes_per_s;
+        let hint = "writes per second above zero";
+        check("store_writes_per_s", writes, positive(writes), hint)?;
+        let parts = self.store_parts;
+        check("store_parts", parts, parts > 0, "a number above zero")?;
         if let Some(link) = self.link_mbps {
             check(
                 "link_mbps",
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -39,6 +39,8 @@
     pub open_calls: usize,
     /// Streams of which the software version that began them is known.
     pub origins: usize,
+    /// Streams of which this entry has written that to the store since its start.
+    pub streams_stored: u64,
     /// Moves of streams in progress, if moves are enabled.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub moves: Option<usize>,
@@ -65,6 +67,7 @@
             accused_parts: state.crashes.accused_parts(),
             open_calls: state.open_calls.get(),
             origins: state.origins.count(),
+            streams_stored: state.origins.log.stored_count(),
             moves: state.settings.moves.then(|| state.moves.in_progress()),
             duties: state.duties.borrow().as_ref().map(|d| d.status()),
         }
--- a/crates/forward/tests/tables/main.rs
+++ b/crates/forward/tests/tables/main.rs
@@ -5,3 +5,4 @@
 mod entry_count;
 mod follow;
 mod neighbours;
+mod origin_log;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 //! - [`repeat_budget`]: how many calls may be repeated at a second server.
 //! - [`versions`]: the software versions of each service's servers.
 //! - [`origins`]: which software version began a stream that a caller takes up.
+//! - [`origin_log`]: the log in the store of the versions that began streams.
 //! - [`backup`]: which streams have a copy at a second engine.
 //! - [`suspects`]: which requests crash the servers that run them.
 //! - [`rendezvous`]: rendezvous hashing of servers.
@@ -68,6 +69,7 @@
 pub mod membership;
 pub mod moves;
 pub mod offer;
+pub mod origin_log;
 pub mod origins;
 pub mod outlier;
 pub mod paces;
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -189,6 +189,22 @@
         }
     }
 
+    /// Records streams of which nothing is known here; returns their number.
+    pub fn insert_missing(
+        &mut self,
+        now: Instant,
+        records: impl Iterator<Item = OriginRecord>,
+    ) -> usize {
+        let mut inserted = 0;
+        for record in records {
+            if self.origin(now, record.stream).is_none() {
+                self.insert(now, record);
+                inserted += 1;
+            }
+        }
+        inserted
+    }
+
     /// Where a stream began, if known.
     #[must_use]
     pub fn origin(&self, now: Instant, stream: u64) -> Option<Origin> {
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -19,6 +19,12 @@
     rapidhash_v3(name.as_bytes())
 }
 
+/// Hashes bytes, as a checksum.
+#[must_use]
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    rapidhash_v3(bytes)
+}
+
 /// The score of a server whose share of all keys is proportional to `weight`,
 /// which is positive. If a weight changes, keys move to or from this server
 /// only.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -53,6 +53,8 @@
         /// What the sender knows of the stream.
         origin: KnownOrigin,
     },
+    /// Streams that the recipient is to write to the store; at most [`MAX_ORIGINS`].
+    Unstored(Vec<StreamOrigin>),
 }
 
 /// Where a stream began.
