--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -394,6 +394,10 @@
         let mut start = StartPoint::Beginning;
         if self.takes_up_stream() {
             if !self.bind_taken_up_stream().await {
+                info!("stream not taken up", kv: {
+                    id = self.request_id(),
+                    resumes = self.parsed_headers.resumes.as_deref().unwrap_or("-")
+                });
                 let after = self.retry_after(NO_SERVER_RETRY);
                 return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
             }
--- a/crates/policy/src/origin_log.rs
+++ b/crates/policy/src/origin_log.rs
@@ -19,7 +19,7 @@
 
 /// Shortest interval between two writes. What began since the last one is lost with the
 /// entries.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Longest interval between two writes.
 const MAX_WRITE_INTERVAL: Duration = Duration::from_secs(10);
