Test that an inferred version is recorded, and describe the settings

streams::inferred_version_forgotten fails (0 records instead of 1) when the record of an inferred version is taken out: a stream that was taken up while one version served would be refused when it breaks again after a second one has come.

--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -35,6 +35,9 @@
 /// Keyed topics of the store: key and value of each record, in append order.
 type Topics = HashMap<String, Vec<(String, String)>>;
 
+/// The records of the other topics, by topic and partition.
+type Logs = HashMap<(String, usize), Vec<Vec<u8>>>;
+
 /// Prefix of the names of keyed topics.
 const KEYED_PREFIX: &str = "keyed.";
 
@@ -64,8 +67,8 @@
 #[derive(Default)]
 pub(crate) struct Platform {
     topics: Mutex<Topics>,
-    /// The records of the other topics, by topic and partition.
-    logs: Mutex<HashMap<(String, usize), Vec<Vec<u8>>>>,
+    /// The topics without keys.
+    logs: Mutex<Logs>,
     /// Latest value written for each topic and key, including writes that the
     /// store has lost since.
     newest: Mutex<BTreeMap<(String, String), String>>,
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -127,6 +127,23 @@
     assert_eq!(entry.servers.requests().len(), requests);
 }
 
+/// Guards against refusing a stream that was taken up while one version served and breaks
+/// again once there are two: its version must be recorded under the ID that callers name.
+#[actix_rt::test]
+async fn inferred_version_forgotten() {
+    let entry = Entry::start(Plan::new(
+        CallKind::Resumable,
+        1,
+        &[Action::Send(REMAINDER)],
+    ))
+    .await;
+    let answer = entry
+        .call("call-id: 2\r\nresumes: 1\r\nlast-event: 1\r\n")
+        .await;
+    assert_eq!(status(&answer), "200");
+    assert_eq!(entry.state.origins.count(), 1);
+}
+
 /// Guards against a stream being taken up at another service of a split route, where its
 /// version means nothing.
 #[actix_rt::test]
