--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -20,3 +20,4 @@
 mod soak_streams;
 mod unnamed;
 mod versions;
+mod versions_restart;
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -404,6 +404,10 @@
         let mut start = StartPoint::Beginning;
         if self.takes_up_stream() {
             if !self.bind_taken_up_stream().await {
+                info!("stream not taken up", kv: {
+                    id = self.request_id(),
+                    resumes = self.parsed_headers.resumes.as_deref().unwrap_or("-")
+                });
                 let after = self.retry_after(NO_SERVER_RETRY);
                 return Reply::Local(LocalReply::refused(Refusal::VersionUnknown, after));
             }
@@ -507,7 +511,9 @@
         if self.version.set(Rc::clone(&server.version)).is_err() {
             return;
         }
-        let request_id = self.parsed_headers.request_id.as_deref();
+        // A stream that goes on at another service keeps the ID by which callers name it.
+        let headers = &self.parsed_headers;
+        let request_id = headers.resumes.as_deref().or(headers.request_id.as_deref());
         let Some(request_id) = request_id.filter(|_| self.route.kind == CallKind::Resumable) else {
             return;
         };
--- a/crates/forward/src/status.rs
+++ b/crates/forward/src/status.rs
@@ -42,6 +42,8 @@
     /// Software versions that are recorded in the store.
     #[serde(rename = "versions")]
     pub recorded_versions: usize,
+    /// Streams of which this entry has written that to the store since its start.
+    pub streams_stored: u64,
     /// Moves of streams in progress, if moves are enabled.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub moves: Option<usize>,
@@ -69,6 +71,7 @@
             open_calls: state.open_calls.get(),
             origins: state.origins.count(),
             recorded_versions: state.versions.count(),
+            streams_stored: state.origins.log.stored_count(),
             moves: state.settings.moves.then(|| state.moves.in_progress()),
             duties: state.duties.borrow().as_ref().map(|d| d.status()),
         }
--- a/crates/forward/tests/tables/main.rs
+++ b/crates/forward/tests/tables/main.rs
@@ -5,4 +5,5 @@
 mod entry_count;
 mod follow;
 mod neighbours;
+mod origin_log;
 mod versions;
