Let callers of the soak wait for entries, so that streams outlast the loss of all

A caller now repeats calls without an answer for about its timeout, and half of the losses leave one version.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -32,6 +32,12 @@
 /// Versions of the servers of resumable streams, in the order of their releases.
 const VERSIONS: [&str; 4] = ["v1", "v1.1", "v1.2", "v1.3"];
 const STEPS: u32 = 14;
+/// Time after which a server that leaves is gone, in milliseconds.
+const LEAVING_MS: u64 = 2600;
+/// Calls without an answer that such a caller repeats for one stream, and the delay between
+/// them: about as long as it waits for the whole stream.
+const MAX_UNANSWERED: u32 = 100;
+const UNANSWERED_DELAY: Duration = Duration::from_millis(50);
 
 /// Seeds that failed before. 16: a process exited after the last step due to an
 /// earlier SIGTERM, and the harness did not restart it as the platform does.
@@ -255,8 +261,8 @@
     }
 }
 
-/// In 1 of 12 cases kills all entries at once, replaces servers of resumable streams
-/// meanwhile, and starts the entries again.
+/// In 1 of 12 cases kills all entries at once and starts them again. Meanwhile servers of
+/// resumable streams are replaced, in half of the cases all of them by those of one version.
 fn loss_of_entries(
     rng: &mut Pcg64Mcg,
     platform: &Arc<Platform>,
@@ -264,7 +270,16 @@
     entries: &mut [Entry],
 ) {
     let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
-    let (replaced, ms) = (rng.random_range(0..4), rng.random_range(0..3000));
+    let (replaced, ms) = match rng.random_range(0..2) {
+        0 => (
+            servers.len(),
+            rng.random_range(LEAVING_MS..LEAVING_MS + 600),
+        ),
+        _ => (
+            rng.random_range(0..servers.len()),
+            rng.random_range(0..1000),
+        ),
+    };
     if rng.random_range(0..12) > 0 {
         return;
     }
@@ -304,12 +319,18 @@
         }
         let first = format!("resume-{seed}-{caller}-{i}");
         let (mut stream, mut id) = (StreamRead::default(), first.clone());
-        for again in 0..STREAM_CALLS {
+        let (mut again, mut unanswered) = (0, 0);
+        while again < STREAM_CALLS {
             let addr = addrs[rng.random_range(0..addrs.len())];
             let count = rng.random_range(1..=STREAM_EVENTS as usize);
             let before = stream.events.len();
             stream.read(addr, &id, &first, before + count);
             let more = stream.events.len() > before;
+            if stream.status == 0 && before > 0 && unanswered < MAX_UNANSWERED {
+                unanswered += 1;
+                thread::sleep(UNANSWERED_DELAY);
+                continue;
+            }
             match before {
                 0 => {
                     counts.tried += 1;
@@ -324,6 +345,7 @@
                 break;
             }
             id = format!("{first}-{again}");
+            again += 1;
         }
         if !stream.is_consistent() {
             counts.errors.push(format!("{first}: {stream:?}"));
