Accept a rejection of another server at the address without the request ID

A server that has taken over an address names itself in its rejection, but not always the request. One that names another server is accepted again; test replaced_server_without_request_id_gets_no_calls.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -261,10 +261,17 @@
 
     // A server may send a second response to an earlier call, or bytes that belong to no
     // call, late, which then arrive in place of the response to this one. Only a response
-    // with the request ID is the response to this call. The connection is not used again,
-    // since the right response may still arrive.
+    // with the request ID is the response to this call, or one of another server at the
+    // address, which names itself. The connection is not used again, since the right
+    // response may still arrive.
     let received_id = parsed_headers.request_id.as_deref();
-    if received_id != id {
+    let from_other = parsed_headers.wrong_server
+        && received_id.is_none()
+        && parsed_headers
+            .server
+            .as_ref()
+            .is_some_and(|s| **s != *server.id);
+    if received_id != id && !from_other {
         let cause = match received_id {
             Some(_) => "response to another request",
             None => "response without the request ID",
--- a/crates/forward/tests/calls/retries.rs
+++ b/crates/forward/tests/calls/retries.rs
@@ -111,6 +111,21 @@
     );
 }
 
+/// The same if that server states its own ID but not that of the request.
+#[actix_rt::test]
+async fn replaced_server_without_request_id_gets_no_calls() {
+    let other = "HTTP/1.1 421 Other\r\nnot-run: 1\r\nelsewhere: 1\r\ninstance: new\r\n\
+        Content-Length: 0\r\n\r\n";
+    let entry = Entry::start(Plan::new(CallKind::Once, 1, &[Action::Send(other)])).await;
+    for _ in 0..6 {
+        assert_eq!(status(&entry.call(ID).await), "200");
+    }
+    let requests = entry.servers.requests();
+    let old = header(&requests[0], "server");
+    let to_old = requests.iter().filter(|r| header(r, "server") == old);
+    assert_eq!(to_old.count(), 1);
+}
+
 /// Many servers were replaced at once and the retry budget is exhausted. A call
 /// rejected by a server that has taken over the address did reach a server, so
 /// sending it on would be an uncounted retry. The caller must be told that it
