Read recorded versions to their end, and refuse unnamed streams of split routes

- A response with a part of the changes counted as all of them, so that a take-up went on at one version while the store had a record of another.
- A caller that does not name the call that began its stream was placed anew on a split route: 12 of 20 streams were joined of two services.
Such a call is refused.
- One failed read made all later streams pass without waiting for the record of their version.
A failure now counts for two seconds.
- A key spelled in another way stood for the same version, and its deletion removed that.
- Deleted odd keys were logged; reads were repeated without a longer delay after failures, and failed writes at the same rate whatever the number of entries.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -494,8 +494,12 @@
     /// binds the call to it; returns whether the stream may go on.
     async fn bind_taken_up_stream(&self) -> bool {
         let resumes = self.parsed_headers.resumes.as_deref();
-        let found =
-            origins::find_continuation(&self.state, &self.service, resumes, self.deadline).await;
+        // Of a split route, only the ID of the call that began the stream tells the service.
+        let found = if resumes.is_none() && self.route.split.len() > 1 {
+            Continuation::Nowhere
+        } else {
+            origins::find_continuation(&self.state, &self.service, resumes, self.deadline).await
+        };
         let (outcome, may_go_on) = match found {
             Continuation::AtVersion(version) => ("known", self.version.set(version).is_ok()),
             Continuation::Anywhere => ("other_service", true),
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -26,6 +26,12 @@
 /// Longest wait of a stream's first event for the record of its version.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time after a failed read or write within which streams do not wait for records.
+const FAILURE_TTL: Duration = Duration::from_secs(2);
+
+/// Maximum number of responses that are read at once.
+const MAX_RESPONSES: usize = 64;
+
 /// Longest wait of a call for a read of the records, besides [`MAX_READ_DELAY`]. A caller
 /// that is refused may ask another entry.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
@@ -65,8 +71,8 @@
     recorded: RefCell<RecordedVersions>,
     /// When the entry started.
     started_at: Instant,
-    /// Whether the latest read or write failed. Streams do not wait for records meanwhile.
-    store_failed: Cell<bool>,
+    /// When a read or write failed last, unless the store has answered since.
+    failed_at: Cell<Option<Instant>>,
     /// Wakes the writer.
     write_needed: Notify,
     /// Wakes the task that reads the records for calls.
@@ -82,7 +88,7 @@
         Self {
             recorded: RefCell::default(),
             started_at,
-            store_failed: Cell::new(false),
+            failed_at: Cell::new(None),
             write_needed: Notify::new(),
             read_needed: Notify::new(),
             changed: Notify::new(),
@@ -108,7 +114,14 @@
 
     /// Records that the store has answered.
     pub(crate) fn store_answered(&self) {
-        self.store_failed.set(false);
+        self.failed_at.set(None);
+    }
+
+    /// Whether a read or write failed a moment ago. Streams do not wait for records then.
+    fn is_failing(&self, now: Instant) -> bool {
+        self.failed_at
+            .get()
+            .is_some_and(|at| now < at + FAILURE_TTL)
     }
 
     /// Wakes the writer, after the server table has changed.
@@ -169,7 +182,8 @@
         if own.is_active(key) {
             break true;
         }
-        if own.store_failed.get() || state.clock.now() >= until {
+        let now = state.clock.now();
+        if own.is_failing(now) || now >= until {
             break false;
         }
         let changed = own.changed.notified();
@@ -198,6 +212,8 @@
     for (key, record) in changes {
         match key.parse::<VersionKey>() {
             Ok(key) => recorded.apply(now, key, record),
+            // A deleted record that was invalid is of no concern.
+            Err(_) if record.is_none() => {}
             Err(cause) => {
                 warn!("invalid version record skipped", kv: { key = &*key, cause = cause.as_str() });
             }
@@ -237,7 +253,7 @@
             }
             Err(e) => {
                 failures += 1;
-                state.versions.store_failed.set(true);
+                state.versions.failed_at.set(Some(state.clock.now()));
                 if failures == 1 {
                     warn!("reading recorded versions failed", kv: { cause = e.to_string().as_str() });
                 }
@@ -245,7 +261,11 @@
             }
         }
         metrics::counter!("pimentocart_version_reads_total").increment(1);
-        tokio::time::sleep(read_delay(&state)).await;
+        let delay = match failures {
+            0 => read_delay(&state),
+            _ => retry_delay(failures).max(read_delay(&state)),
+        };
+        tokio::time::sleep(delay).await;
     }
 }
 
@@ -260,7 +280,7 @@
         Some(from) => source.changes(from, Duration::ZERO).await,
         None => source.snapshot().await,
     };
-    let (changes, kind) = match read {
+    let (mut changes, kind) = match read {
         Ok(changes) if position.is_some() => (changes, UpdateKind::Delta),
         Ok(changes) => (changes, UpdateKind::Snapshot),
         Err(SourceError::Expired { .. } | SourceError::Rewound { .. }) => {
@@ -270,6 +290,24 @@
         }
         Err(e) => return Err(e),
     };
+    // A response may hold a part of the changes only. One that has none shows the end.
+    let mut more = true;
+    for _ in 0..MAX_RESPONSES {
+        let next = source.changes(changes.next, Duration::ZERO).await?;
+        more = next.next != changes.next;
+        changes.records.extend(next.records);
+        changes.next = next.next;
+        if !more {
+            break;
+        }
+    }
+    if more {
+        return Err(SourceError::Unavailable {
+            step: "read-versions",
+            peer: state.settings.store.to_string(),
+            cause: "no end of the changes".to_owned(),
+        });
+    }
     let records = changes.records.into_iter();
     let update = Update {
         records: records.map(|(key, r)| (Rc::from(key), r)).collect(),
@@ -333,7 +371,8 @@
 
 /// Waits before a failed write is repeated: until the store answers again, if it is away.
 async fn wait_to_retry(state: &State, failures: u32) {
-    tokio::time::sleep(retry_delay(failures)).await;
+    let per_entry = END_DELAY_PER_ENTRY.saturating_mul(entry_count(state));
+    tokio::time::sleep(retry_delay(failures).max(per_entry)).await;
     while state.store_lost.get() && !state.stopping.is_triggered() {
         tokio::time::sleep(OUTAGE_CHECK_INTERVAL).await;
     }
@@ -391,7 +430,7 @@
             failures + 1
         }
     };
-    state.versions.store_failed.set(failures > 0);
+    state.versions.failed_at.set((failures > 0).then_some(now));
     state.versions.changed.notify_waiters();
     failures
 }
--- a/crates/forward/tests/calls/streams.rs
+++ b/crates/forward/tests/calls/streams.rs
@@ -167,6 +167,22 @@
     assert!(servers.iter().any(|s| *s != servers[0]));
 }
 
+/// Guards against a stream of a split route being taken up at another service, where its
+/// caller does not name the call that began it.
+#[actix_rt::test]
+async fn unnamed_stream_of_split_route_is_not_placed() {
+    let plan = Plan {
+        services: &["app", "other"],
+        ..Plan::new(CallKind::Resumable, 1, &[])
+    };
+    let entry = Entry::start(plan).await;
+    for id in 1..=20 {
+        let again = format!("call-id: {id}-2\r\nlast-event: 1\r\n");
+        assert_eq!(status(&entry.call(&again).await), "503");
+    }
+    assert!(entry.servers.requests().is_empty());
+}
+
 /// Guards against a call without an event being bound to the version of its first server.
 #[actix_rt::test]
 async fn retry_before_first_event_needs_no_version() {
--- a/crates/policy/src/versions/records.rs
+++ b/crates/policy/src/versions/records.rs
@@ -57,7 +57,12 @@
         let hashes = parts.and_then(|(service, version)| Some((hash(service)?, hash(version)?)));
         let (service, version) =
             hashes.ok_or_else(|| format!("invalid key, expected SERVICE-VERSION: {text:?}"))?;
-        Ok(Self { service, version })
+        let key = Self { service, version };
+        // Another spelling would stand for the same version in another record.
+        match key.to_string() == text {
+            true => Ok(key),
+            false => Err(format!("invalid key, expected {key}: {text:?}")),
+        }
     }
 }
 
