--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -627,7 +627,7 @@
     }
 }
 
-fn catalog(plan: &Plan) -> Catalog {
+pub(crate) fn catalog(plan: &Plan) -> Catalog {
     let services: BTreeSet<&str> = plan.services.iter().copied().collect();
     let route = Route {
         name: "r".to_owned(),
--- a/crates/forward/tests/calls/main.rs
+++ b/crates/forward/tests/calls/main.rs
@@ -9,6 +9,7 @@
 mod feedback;
 mod grants;
 mod moves;
+mod partial_tables;
 mod retries;
 mod shares;
 mod streams;
