--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -15,9 +15,11 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::clock::{Clock, SystemClock};
 use base::stop::StopSignal;
+use base::task::supervise;
 use spdlog::info;
 use tokio::net::UdpSocket;
 
@@ -51,17 +53,32 @@
     if settings.paced_streams {
         responder.enable_paces();
     }
-    actix_rt::spawn(poller::poll_engine(
-        Rc::clone(&responder),
-        engine,
-        settings.report_every.0,
-        end.clone(),
-    ));
-    actix_rt::spawn(Rc::clone(&responder).poll_waiting(end.clone()));
-    actix_rt::spawn(Rc::clone(&responder).listen());
+    start_tasks(&responder, engine, settings.report_every.0, &end);
     stop.wait().await;
     let waiting = responder.grant_all().await;
     info!("sidecar stopped", kv: { name = settings.name.as_str(), waiting });
     end.trigger();
     Ok(())
 }
+
+/// Starts the tasks that decide on calls, until `end`.
+fn start_tasks<E: Engine + 'static>(
+    responder: &Rc<GrantResponder>,
+    engine: E,
+    interval: Duration,
+    end: &StopSignal,
+) {
+    let engine = Rc::new(engine);
+    let (own, stop) = (Rc::clone(responder), end.clone());
+    supervise("poll engine", end.clone(), move || {
+        poller::poll_engine(Rc::clone(&own), Rc::clone(&engine), interval, stop.clone())
+    });
+    let (own, stop) = (Rc::clone(responder), end.clone());
+    supervise("poll waiting calls", end.clone(), move || {
+        Rc::clone(&own).poll_waiting(stop.clone())
+    });
+    let own = Rc::clone(responder);
+    supervise("answer entries", end.clone(), move || {
+        Rc::clone(&own).listen()
+    });
+}
--- a/crates/admission/src/poller.rs
+++ b/crates/admission/src/poller.rs
@@ -12,7 +12,7 @@
 /// Polls the engine at `interval` while there are calls, until `end`.
 pub(crate) async fn poll_engine<E: Engine>(
     responder: Rc<GrantResponder>,
-    engine: E,
+    engine: Rc<E>,
     interval: Duration,
     end: StopSignal,
 ) {
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`admin`]: the admin address with health, status and metrics.
 //! - [`http`]: serving an actix-web application on the daemon's thread.
 //! - [`stop`]: a shared signal for graceful shutdown and settings reload.
+//! - [`task`]: background tasks that are restarted when they fail.
 
 pub mod admin;
 pub mod clock;
@@ -23,6 +24,7 @@
 pub mod reason;
 pub mod settings;
 pub mod stop;
+pub mod task;
 pub mod telemetry;
 pub mod timeline;
 pub use listen::listen;
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -18,7 +18,9 @@
 use serde::{Deserialize, Serialize};
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::sink::{Sink, StdStreamSink, WriteSink};
-use spdlog::{LevelFilter, Record, StringBuf};
+use spdlog::{LevelFilter, Record, StringBuf, error};
+
+use crate::task::panic_message;
 
 /// The least severe level that is logged.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +88,18 @@
     spdlog::default_logger().set_level_filter(level.filter());
 }
 
+/// Logs each panic of the process as one line, in place of the message on standard error,
+/// whose reader could block the process.
+pub fn log_panics() {
+    std::panic::set_hook(Box::new(|info| {
+        let cause = panic_message(info.payload());
+        let location = info.location().map(ToString::to_string);
+        error!("panic", kv: {
+            cause = cause.as_str(), location = location.as_deref().unwrap_or("-")
+        });
+    }));
+}
+
 /// Flushes buffered log lines. Call it before the process ends.
 pub fn flush() {
     spdlog::default_logger().flush();
--- a/crates/cli/src/commands/daemons.rs
+++ b/crates/cli/src/commands/daemons.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+use base::task::supervise;
 use base::{logging, settings};
 use bpaf::Bpaf;
 use forward::reload::SettingsReloader;
@@ -69,7 +70,10 @@
                 store: settings.store,
             };
             let reload = SettingsReloader::new(self.settings, &settings);
-            actix_rt::spawn(reload.watch(stop.clone()));
+            let end = stop.clone();
+            supervise("reload settings", stop.clone(), move || {
+                reload.clone().watch(end.clone())
+            });
             forward::run(settings, Rc::new(HeaderCodec), client, stop).await
         })
     }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -14,6 +14,7 @@
 use base::ids::Incarnation;
 use base::logging::limiter::LineLimiter;
 use base::stop::StopSignal;
+use base::task::supervise;
 pub(crate) use convert::service_number;
 use convert::{
     decode_crash, decode_load, decode_sound, encode_crash, encode_load, encode_sound, millis,
@@ -86,7 +87,18 @@
 
     /// Sends reports and receives messages until `end`.
     pub async fn run(self: Rc<Self>, end: StopSignal) {
-        actix_rt::spawn(Rc::clone(&self).receive());
+        let own = Rc::clone(&self);
+        supervise("receive gossip", end.clone(), move || {
+            Rc::clone(&own).receive()
+        });
+        let (own, stop) = (Rc::clone(&self), end.clone());
+        supervise("send gossip", end.clone(), move || {
+            Rc::clone(&own).send_reports(stop.clone())
+        });
+        end.wait().await;
+    }
+
+    async fn send_reports(self: Rc<Self>, end: StopSignal) {
         let mut other_zones_due = self.state.clock.now();
         while !end.is_triggered() {
             let now = self.state.clock.now();
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -12,6 +12,8 @@
 
 use base::ids::Incarnation;
 use base::logging::limiter::LineLimiter;
+use base::stop::StopSignal;
+use base::task::supervise;
 use policy::balance::ServerRecord;
 use policy::engine_search::EngineWaits;
 use policy::paces::PaceTable;
@@ -298,7 +300,10 @@
             paces: RefCell::default(),
             waits: RefCell::default(),
         });
-        actix_rt::spawn(Rc::clone(&sidecars).receive());
+        let own = Rc::clone(&sidecars);
+        supervise("receive grants", StopSignal::new(), move || {
+            Rc::clone(&own).receive()
+        });
         Ok(sidecars)
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`follow`]: reads the platform's tables from the store.
 //! - [`neighbours`]: copies the tables from a peer, and serves peers that ask.
 //! - [`tables`]: applies changes of the tables.
+//! - `tasks`: the background tasks of an entry.
 //! - [`state`]: the catalog in force, the known servers and the calls in progress.
 //! - [`grants`]: asks the sidecars next to engines for admission.
 //! - [`discovery`]: discovers the other entries.
@@ -55,6 +56,7 @@
 pub mod state;
 pub mod status;
 pub mod tables;
+mod tasks;
 pub mod versions;
 
 use std::io;
@@ -71,6 +73,7 @@
 
 pub use settings::Settings;
 use state::State;
+use tasks::Tasks;
 
 /// Runs an entry for routed calls until `stop` is triggered and all calls in progress
 /// have ended.
@@ -78,7 +81,7 @@
 /// # Errors
 ///
 /// Returns the error when the entry cannot listen.
-pub async fn run<P: Platform>(
+pub async fn run<P: Platform + 'static>(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
     platform: P,
@@ -110,53 +113,19 @@
     }
 
     let end = StopSignal::new();
-    if let Some(duties) = duties {
-        start_duties(&state, duties, &platform, &end);
-    }
     actix_rt::spawn(neighbours::bind_and_answer(Rc::clone(&state), end.clone()));
-    actix_rt::spawn(neighbours::follow(Rc::clone(&state), end.clone()));
-    actix_rt::spawn(follow::catalogs(Rc::clone(&state), platform.catalogs()));
-    actix_rt::spawn(follow::servers(Rc::clone(&state), platform.servers()));
-    actix_rt::spawn(follow::crashes(Rc::clone(&state), platform.crashes()));
-    actix_rt::spawn(crashes::write_to_store(
-        Rc::clone(&state),
-        platform.crashes(),
-        end.clone(),
-    ));
-    actix_rt::spawn(follow::versions(Rc::clone(&state), platform.versions()));
-    actix_rt::spawn(versions::read_for_calls(
-        Rc::clone(&state),
-        platform.versions(),
-        end.clone(),
-    ));
-    actix_rt::spawn(versions::write_to_store(
-        Rc::clone(&state),
-        platform.versions(),
-        end.clone(),
-    ));
-    actix_rt::spawn(origin_log::load(
-        Rc::clone(&state),
-        platform.origins(),
-        end.clone(),
-    ));
-    actix_rt::spawn(origin_log::write(
-        Rc::clone(&state),
-        platform.origins(),
-        end.clone(),
-    ));
-    let endpoint = GossipEndpoint::new(Rc::clone(&state), socket);
-    actix_rt::spawn(Rc::clone(&endpoint).run(end.clone()));
-    actix_rt::spawn(discovery::run(
-        Rc::clone(&state),
-        endpoint,
-        platform.directory(),
-        end.clone(),
-    ));
-    if state.settings.moves {
-        let control = platform.engine_control();
-        actix_rt::spawn(moves::run(Rc::clone(&state), control, end.clone()));
+    let tasks = Tasks {
+        state: Rc::clone(&state),
+        platform: Rc::new(platform),
+        end: end.clone(),
+    };
+    if let Some(duties) = duties {
+        *state.duties.borrow_mut() = Some(Rc::clone(&duties));
+        tasks.perform_duties(&duties);
     }
-    actix_rt::spawn(state::sweep(Rc::clone(&state), end.clone()));
+    tasks.start_tables();
+    tasks.start_gossip(GossipEndpoint::new(Rc::clone(&state), socket));
+    tasks.start_upkeep();
     for listener in [Some(ready), metrics].into_iter().flatten() {
         actix_rt::spawn(http::serve_operators(
             listener,
@@ -179,39 +148,3 @@
     end.trigger();
     Ok(())
 }
-
-/// Starts the tasks that elect the holder of the duties and perform them, until `end`.
-fn start_duties<P: Platform>(
-    state: &Rc<State>,
-    duties: Rc<Duties>,
-    platform: &P,
-    end: &StopSignal,
-) {
-    *state.duties.borrow_mut() = Some(Rc::clone(&duties));
-    let (records, duty_api) = (
-        platform.duty_store(),
-        platform.duty_api(duties.platform_addr()),
-    );
-    actix_rt::spawn(duties::scale::run(
-        Rc::clone(state),
-        Rc::clone(&duties),
-        platform.duty_api(duties.platform_addr()),
-        end.clone(),
-    ));
-    actix_rt::spawn(duties::messages::receive(Rc::clone(&duties)));
-    actix_rt::spawn(duties::messages::send_counts(
-        Rc::clone(&duties),
-        end.clone(),
-    ));
-    actix_rt::spawn(duties::report::run(
-        Rc::clone(&duties),
-        duty_api,
-        end.clone(),
-    ));
-    actix_rt::spawn(duties::election::run(
-        Rc::clone(state),
-        duties,
-        records,
-        end.clone(),
-    ));
-}
--- a/crates/forward/src/reload.rs
+++ b/crates/forward/src/reload.rs
@@ -13,7 +13,7 @@
 use crate::Settings;
 
 /// Reloads the settings of an entry on request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct SettingsReloader {
     path: PathBuf,
     current: Settings,
--- a/crates/sidecar/src/cache_events.rs
+++ b/crates/sidecar/src/cache_events.rs
@@ -15,11 +15,10 @@
 /// events late anyway.
 const FETCH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Follows the events until `stop` is triggered. Returns at once for a plain
-/// service, which has none.
+/// Follows the events until `stop` is triggered. A plain service has none.
 pub async fn follow(state: Rc<State>, stop: StopSignal) {
     let BackendClient::Engine(engine) = &state.backend else {
-        return;
+        return stop.wait().await;
     };
     while !stop.is_triggered() {
         fetch(&state, engine).await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,6 +30,7 @@
 use actix::Actor;
 use base::clock::{Clock, SystemClock};
 use base::stop::StopSignal;
+use base::task::supervise;
 use base::{admin, listen};
 use spdlog::info;
 
@@ -59,12 +60,21 @@
         let listener = listen("operators", addr).await?;
         actix_rt::spawn(admin::serve(listener, Rc::clone(&state), end.clone()));
     }
-    actix_rt::spawn(sweep(Rc::clone(&state), end.clone()));
+    let (own, stop_tasks) = (Rc::clone(&state), end.clone());
+    supervise("sweep", end.clone(), move || {
+        sweep(Rc::clone(&own), stop_tasks.clone())
+    });
     if let Some(orders) = state.settings.orders.clone() {
         orders::ReconcileLoop::new(Rc::clone(&state), orders).start();
     }
-    actix_rt::spawn(health::monitor(Rc::clone(&state), end.clone()));
-    actix_rt::spawn(cache_events::follow(Rc::clone(&state), end.clone()));
+    let (own, stop_tasks) = (Rc::clone(&state), end.clone());
+    supervise("monitor backend", end.clone(), move || {
+        health::monitor(Rc::clone(&own), stop_tasks.clone())
+    });
+    let (own, stop_tasks) = (Rc::clone(&state), end.clone());
+    supervise("follow cache events", end.clone(), move || {
+        cache_events::follow(Rc::clone(&own), stop_tasks.clone())
+    });
     // Entries may have to reconnect during a drain to get their responses, so
     // connections are accepted until the process ends.
     let service = service::Service::new(Rc::clone(&state));
