Hold back signals until their handlers are installed

A daemon that got SIGHUP in its first milliseconds was ended by it, and SIGTERM was reported as a killed process: the handlers were installed by a spawned task, after the settings had been read and the ports bound. Operators reload and restart in series, so that a reload hits a process that has just started.

The first statement of `main` now blocks SIGTERM, SIGINT and SIGHUP; they are delivered once the runtime has its handlers, before the daemon's own start. Commands that are no daemons release them after the arguments are parsed. An error at the end no longer panics when nobody reads standard error.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod daemon;
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use bpaf::{Bpaf, ParseFailure};
@@ -38,11 +39,25 @@
     Standin(#[bpaf(external(commands::standin::standin))] commands::standin::Standin),
 }
 
+impl Command {
+    /// Whether the command runs a daemon, which handles signals.
+    fn is_daemon(&self) -> bool {
+        matches!(
+            self,
+            Self::Entry(_) | Self::Sidecar(_) | Self::Forward(_) | Self::Admission(_)
+        )
+    }
+}
+
 fn main() -> ExitCode {
+    daemon::hold_signals();
     let command = match command().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
         Err(failure) => return report_parse_failure(&failure),
     };
+    if !command.is_daemon() {
+        daemon::release_signals();
+    }
     let result = match command {
         Command::Entry(c) => c.run(),
         Command::Sidecar(c) => c.run(),
@@ -59,7 +74,8 @@
         Command::Status(c) => c.run(),
     };
     result.unwrap_or_else(|e| {
-        eprintln!("pimentocart: {e}");
+        // `eprintln` would panic if the reader of standard error is gone.
+        let _ = writeln!(io::stderr(), "pimentocart: {e}");
         ExitCode::from(BAD_INPUT)
     })
 }
