Keep recorded versions that a restored table lacks

All entries were lost, those that started had read four recorded versions, and the store was then restored from a copy without them. One version was left in the server table and was taken for the version of the stream.

A record that is missing in a restored table was not deleted by an entry, so it proves nothing. Such records now stay in force, count as not stored (first events wait for them) and are written again, also those of versions without servers. A table whose positions went back, of a store that was set up anew, is treated alike.

read_records_outlast_restored_table fails with the old sources in both cases (timed out).

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -207,9 +207,9 @@
             continue;
         };
         state.versions.store_answered();
-        let snapshot = update.kind != UpdateKind::Delta;
+        let kind = versions::change_kind(update.kind, position, update.position);
         let changes = reader.apply(&mut state.tables.versions.borrow_mut(), update, position);
-        versions::apply_changes(&state, state.clock.now(), changes, snapshot);
+        versions::apply_changes(&state, state.clock.now(), changes, kind);
     }
 }
 
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -201,6 +201,7 @@
         crashes::apply_changes(state, now, changes, delta.snapshot);
     }
     if let Some(delta) = answer.versions {
+        let kind = update_kind(&state.tables.versions.borrow(), &delta);
         let changes = merge(
             VERSIONS_TABLE,
             &mut state.tables.versions.borrow_mut(),
@@ -208,7 +209,7 @@
             client,
             &delta,
         )?;
-        versions::apply_changes(state, now, changes, delta.snapshot);
+        versions::apply_changes(state, now, changes, kind);
     }
     Ok(age)
 }
@@ -240,15 +241,20 @@
     }
     Ok(replica.apply_peer_update(Update {
         records,
-        kind: match delta.snapshot {
-            true => UpdateKind::of_snapshot(replica.position(), delta.position),
-            false => UpdateKind::Delta,
-        },
+        kind: update_kind(replica, delta),
         position: delta.position,
         as_of: now.checked_sub(age).unwrap_or(now),
     }))
 }
 
+/// The kind of a neighbour's update of `replica`.
+fn update_kind<T: Clone + PartialEq>(replica: &Replica<T>, delta: &TableDelta) -> UpdateKind {
+    match delta.snapshot {
+        true => UpdateKind::of_snapshot(replica.position(), delta.position),
+        false => UpdateKind::Delta,
+    }
+}
+
 /// Serves the tables to neighbours.
 #[derive(Clone)]
 struct TableServer(Rc<State>);
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -201,15 +201,26 @@
     }
 }
 
-/// Applies changes of the records; `snapshot` says whether the replica was replaced.
-pub fn apply_changes(state: &State, now: Instant, changes: Records<VersionRecord>, snapshot: bool) {
+/// Applies changes of the records, which come from an update of the given kind.
+///
+/// A table that was restored from an old copy proves nothing of the time before: records that
+/// it lacks stay in force and are written again.
+pub fn apply_changes(
+    state: &State,
+    now: Instant,
+    changes: Records<VersionRecord>,
+    kind: UpdateKind,
+) {
     state.versions.changed.notify_waiters();
-    if changes.is_empty() && !snapshot {
+    if changes.is_empty() && kind == UpdateKind::Delta {
         return;
     }
     state.tables.changed.notify_waiters();
     let mut recorded = state.versions.recorded.borrow_mut();
     for (key, record) in changes {
+        if record.is_none() && kind == UpdateKind::RestoredSnapshot {
+            continue;
+        }
         match key.parse::<VersionKey>() {
             Ok(key) => recorded.apply(now, key, record),
             // A deleted record that was invalid is of no concern.
@@ -219,7 +230,7 @@
             }
         }
     }
-    if snapshot {
+    if kind != UpdateKind::Delta {
         let (_, records) = state
             .tables
             .versions
@@ -228,7 +239,12 @@
             .unwrap_or((UpdateKind::Snapshot, Vec::new()));
         let keys = records.iter().filter_map(|(key, _)| key.parse().ok());
         let keys: HashSet<VersionKey> = keys.collect();
-        recorded.retain(|key| keys.contains(key));
+        if kind == UpdateKind::RestoredSnapshot {
+            let lost = recorded.mark_lost(|key| keys.contains(key));
+            info!("version records lost with a restored table", kv: { lost });
+        } else {
+            recorded.retain(|key| keys.contains(key));
+        }
     }
     metrics::gauge!("pimentocart_versions_recorded").set(recorded.len() as f64);
     state.versions.write_needed.notify_one();
@@ -315,14 +331,26 @@
         position: changes.next,
         as_of,
     };
+    let change = change_kind(kind, position, update.position);
     let snapshot = kind != UpdateKind::Delta;
     let mut replica = state.tables.versions.borrow_mut();
     let changes = replica.apply_store_update(update, position.filter(|_| snapshot));
     drop(replica);
-    apply_changes(state, state.clock.now(), changes, snapshot);
+    apply_changes(state, state.clock.now(), changes, change);
     Ok(())
 }
 
+/// The kind of an update for [`apply_changes`]: a whole table that ends at `next`, before the
+/// position `known`, is of a store that was set up anew, and may lack records as well.
+pub(crate) fn change_kind(kind: UpdateKind, known: Option<u64>, next: u64) -> UpdateKind {
+    match kind {
+        UpdateKind::Snapshot if known.is_some_and(|known| next < known) => {
+            UpdateKind::RestoredSnapshot
+        }
+        _ => kind,
+    }
+}
+
 /// Delay between two reads for calls.
 fn read_delay(state: &State) -> Duration {
     let delay = READ_DELAY_PER_ENTRY.saturating_mul(entry_count(state));
@@ -338,11 +366,11 @@
     let mut failures = 0;
     let mut end_at: Option<Instant> = None;
     while !end.is_triggered() {
-        if !due_writes(&state).active.is_empty() {
+        if !due_writes(&state).missing.is_empty() {
             tokio::time::sleep(write_delay(&state)).await;
-            let active = due_writes(&state).active;
-            if !active.is_empty() {
-                failures = write_active(&state, &table, &active, failures).await;
+            let missing = due_writes(&state).missing;
+            if !missing.is_empty() {
+                failures = write_missing(&state, &table, &missing, failures).await;
             }
             if failures > 0 {
                 wait_to_retry(&state, failures).await;
@@ -403,8 +431,8 @@
     }
 }
 
-/// Records versions that have servers; returns the number of consecutive failures.
-async fn write_active<T: VersionTable>(
+/// Writes records that the store lacks; returns the number of consecutive failures.
+async fn write_missing<T: VersionTable>(
     state: &State,
     table: &T,
     records: &[(VersionKey, VersionRecord)],
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -595,7 +595,7 @@
     let mut replica = state.tables.versions.borrow_mut();
     let changes = replica.apply_store_update(update, None);
     drop(replica);
-    versions::apply_changes(state, now, changes, true);
+    versions::apply_changes(state, now, changes, UpdateKind::Snapshot);
 }
 
 /// A request with a body of four bytes.
--- a/crates/forward/tests/calls/partial_tables.rs
+++ b/crates/forward/tests/calls/partial_tables.rs
@@ -60,7 +60,7 @@
     let mut replica = state.tables.versions.borrow_mut();
     let changes = replica.apply_store_update(update, None);
     drop(replica);
-    versions::apply_changes(state, now, changes, false);
+    versions::apply_changes(state, now, changes, UpdateKind::Delta);
 }
 
 /// Guards against a stream going on at the only known version when a response held only a
@@ -84,7 +84,7 @@
     let mut replica = Replica::default();
     let changes = replica.apply_peer_update(outdated);
     *state.tables.versions.borrow_mut() = replica;
-    versions::apply_changes(state, now, changes, true);
+    versions::apply_changes(state, now, changes, UpdateKind::Snapshot);
     let log = ["v1", "v2"].map(|v| VersionKey::new("app", v).to_string());
     let table = OneByOne(log.into());
     let reads = versions::read_for_calls(Rc::clone(state), table, StopSignal::new());
--- a/crates/forward/tests/calls/versions.rs
+++ b/crates/forward/tests/calls/versions.rs
@@ -107,7 +107,7 @@
     let entry = Entry::start(plan).await;
     let state = &entry.state;
     *state.tables.versions.borrow_mut() = Replica::default();
-    versions::apply_changes(state, state.clock.now(), Vec::new(), true);
+    versions::apply_changes(state, state.clock.now(), Vec::new(), UpdateKind::Snapshot);
     actix_rt::spawn(versions::write_to_store(
         Rc::clone(state),
         table.clone(),
@@ -214,7 +214,7 @@
         .versions
         .borrow_mut()
         .apply_store_update(update, None);
-    versions::apply_changes(state, now, changes, true);
+    versions::apply_changes(state, now, changes, UpdateKind::Snapshot);
     let answer = entry.call("call-id: 2\r\nresumes: 1\r\nlast-event: 0\r\n");
     assert_eq!(status(&answer.await), "503");
 }
--- a/crates/forward/tests/tables/versions.rs
+++ b/crates/forward/tests/tables/versions.rs
@@ -14,8 +14,11 @@
 use forward::{follow, versions};
 use policy::balance::ServerRecord;
 use policy::duty::WriteOutcome;
+use policy::replica::OFFSET_BITS;
 use policy::versions::records::{VersionKey, VersionRecord, VersionState};
 
+use rstest::rstest;
+
 use crate::common::{NoCallsDialect, wait_until};
 
 /// The table of versions in a store that all entries share.
@@ -28,6 +31,17 @@
     unavailable: Cell<bool>,
     writes: Cell<u32>,
     failures: Cell<u32>,
+    /// Number of restores of which the store tells its readers.
+    era: Cell<u64>,
+}
+
+/// How a store that lost its newest records tells so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    /// It counts the restore.
+    Restored,
+    /// Its positions go back.
+    SetUpAnew,
 }
 
 impl Table {
@@ -44,6 +58,26 @@
         self.0.log.borrow_mut().truncate(next);
     }
 
+    /// Loses all records.
+    fn lose_all(&self, loss: Loss) {
+        self.restore(0);
+        if loss == Loss::Restored {
+            self.0.era.set(self.0.era.get() + 1);
+        }
+    }
+
+    /// The position at the end of the log.
+    fn end(&self) -> u64 {
+        self.0.era.get() << OFFSET_BITS | self.0.log.borrow().len() as u64
+    }
+
+    /// Writes the record of an active version.
+    fn insert(&self, version: &str) {
+        let record = VersionRecord::unnamed(VersionState::Active);
+        let key = VersionKey::new("llm", version);
+        self.0.log.borrow_mut().push((key, Some(record)));
+    }
+
     fn check(&self) -> Result<(), SourceError> {
         if !self.0.unavailable.get() {
             return Ok(());
@@ -62,7 +96,7 @@
         let records = self.records().into_iter();
         Ok(Changes {
             records: records.map(|(key, r)| (key.to_string(), Some(r))).collect(),
-            next: self.0.log.borrow().len() as u64,
+            next: self.end(),
         })
     }
 
@@ -73,15 +107,19 @@
     ) -> Result<Changes<VersionRecord>, SourceError> {
         tokio::time::sleep(Duration::from_millis(5)).await;
         self.check()?;
+        let (step, peer) = ("read", "store".to_owned());
+        if from >> OFFSET_BITS != self.0.era.get() {
+            return Err(SourceError::Rewound { step, peer });
+        }
+        let offset = from & ((1 << OFFSET_BITS) - 1);
         let log = self.0.log.borrow();
-        let Some(records) = log.get(usize::try_from(from).expect("short")..) else {
-            let (step, peer) = ("read", "store".to_owned());
+        let Some(records) = log.get(usize::try_from(offset).expect("short")..) else {
             return Err(SourceError::Expired { step, peer });
         };
         let text = |(key, r): &(VersionKey, Option<VersionRecord>)| (key.to_string(), r.clone());
         Ok(Changes {
             records: records.iter().map(text).collect(),
-            next: log.len() as u64,
+            next: self.end(),
         })
     }
 }
@@ -102,7 +140,7 @@
         record: Option<&VersionRecord>,
     ) -> WriteOutcome {
         let mut log = self.0.log.borrow_mut();
-        if log.len() as u64 != at {
+        if (self.0.era.get() << OFFSET_BITS | log.len() as u64) != at {
             return WriteOutcome::Conflict;
         }
         log.push((key, record.cloned()));
@@ -200,3 +238,28 @@
     table.restore(0);
     wait_until("the version is recorded again", || is_active(&table, "v1")).await;
 }
+
+/// Guards against an entry that forgets the versions it has read when the store is restored
+/// from a copy without them: none of them may have servers any more that would tell.
+#[rstest]
+#[case::restored(Loss::Restored)]
+#[case::set_up_anew(Loss::SetUpAnew)]
+#[actix_rt::test]
+async fn read_records_outlast_restored_table(#[case] loss: Loss) {
+    let table = Table::default();
+    table.insert("v1");
+    table.insert("v2");
+    let entry = start_entry(&table);
+    let known = || entry.versions.of_service("llm").len();
+    wait_until("the records are read", || known() == 2).await;
+    table.lose_all(loss);
+    list_server(&entry, "v2");
+    let fewest = Cell::new(2);
+    wait_until("the records are written again", || {
+        fewest.set(fewest.get().min(known()));
+        table.records().len() == 2
+    })
+    .await;
+    assert_eq!(fewest.get(), 2);
+    assert!(is_active(&table, "v1") && is_active(&table, "v2"));
+}
--- a/crates/policy/src/versions/records.rs
+++ b/crates/policy/src/versions/records.rs
@@ -129,8 +129,9 @@
 /// The writes that the store lacks.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DueWrites {
-    /// Versions with servers that are not recorded. Their streams wait.
-    pub active: Vec<(VersionKey, VersionRecord)>,
+    /// Versions with servers that are not recorded, whose streams wait, and records that the
+    /// store has lost.
+    pub missing: Vec<(VersionKey, VersionRecord)>,
     /// The next version that has ended, or whose record is not needed any more.
     pub ended: Option<(VersionKey, Option<VersionRecord>)>,
 }
@@ -149,6 +150,8 @@
     seen_at: Instant,
     /// Since when no server of the version is known.
     unlisted_at: Option<Instant>,
+    /// Whether the store has it, as far as this entry knows.
+    stored: bool,
 }
 
 impl RecordedVersions {
@@ -164,12 +167,14 @@
                     known.seen_at = now;
                 }
                 known.record = record;
+                known.stored = true;
             }
             None => {
                 let known = Known {
                     record,
                     seen_at: now,
                     unlisted_at: None,
+                    stored: true,
                 };
                 self.records.insert(key, known);
             }
@@ -181,11 +186,18 @@
         self.records.retain(|key, _| contained(key));
     }
 
-    /// Whether a version is recorded as having servers.
+    /// Marks the records that a restored table lacks, so that they are written again; returns
+    /// their number. They stay in force: their streams may still be taken up.
+    pub fn mark_lost(&mut self, contained: impl Fn(&VersionKey) -> bool) -> usize {
+        let lost = self.records.iter_mut().filter(|(key, _)| !contained(key));
+        lost.map(|(_, known)| known.stored = false).count()
+    }
+
+    /// Whether the store has a version recorded as having servers.
     #[must_use]
     pub fn is_active(&self, key: VersionKey) -> bool {
         let known = self.records.get(&key);
-        known.is_some_and(|known| known.record.state == VersionState::Active)
+        known.is_some_and(|known| known.stored && known.record.state == VersionState::Active)
     }
 
     /// Hashes of the recorded versions of a service, with those that have ended.
@@ -221,9 +233,14 @@
         let unrecorded = listed.filter(|v| !self.is_active(v.key()));
         let active = unrecorded.map(|v| (v.key(), v.record(VersionState::Active)));
         let mut due = DueWrites {
-            active: active.collect(),
+            missing: active.collect(),
             ended: None,
         };
+        let is_listed = |key: VersionKey| versions.iter().any(|v| v.listed && v.key() == key);
+        let lost = self.records.iter().filter(|(_, known)| !known.stored);
+        let lost = lost.filter(|(key, _)| !is_listed(**key));
+        due.missing
+            .extend(lost.map(|(key, known)| (*key, known.record.clone())));
         // A restored store may lack the records of versions that have just ended.
         let missing = versions.iter().filter(|v| !v.listed);
         let missing = missing.filter(|v| !self.records.contains_key(&v.key()));
@@ -231,13 +248,13 @@
             .map(|v| (v.key(), Some(v.record(VersionState::Ended))))
             .next();
         for (key, known) in &mut self.records {
-            let is_listed = versions.iter().any(|v| v.listed && v.key() == *key);
-            let since = match is_listed || !in_touch {
+            let since = match is_listed(*key) || !in_touch {
                 true => None,
                 false => Some(known.unlisted_at.unwrap_or(now)),
             };
             known.unlisted_at = since;
-            let change = since.and_then(|since| known.due_change(now, since));
+            let change = since.filter(|_| known.stored);
+            let change = change.and_then(|since| known.due_change(now, since));
             if let Some(change) = change {
                 due.ended.get_or_insert((*key, change));
             }
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -1,7 +1,7 @@
 //! The versions of each service's servers, as the server table tells them and as they are
 //! recorded in the store.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -86,7 +86,7 @@
 fn ended_version_keeps_record() {
     let (mut recorded, mut now) = (RecordedVersions::default(), Instant::now());
     let due = recorded.due_writes(now, &[known("v1", true)], true);
-    let [(new, record)] = &due.active[..] else {
+    let [(new, record)] = &due.missing[..] else {
         panic!("{due:?}");
     };
     assert_eq!((*new, record.state), (key("v1"), VersionState::Active));
@@ -143,6 +143,33 @@
     assert_eq!(record.map(|r| r.state), Some(VersionState::Ended));
 }
 
+/// Guards against forgetting a recorded version without servers when the store is restored
+/// from a copy without its record.
+#[test]
+fn lost_record_of_unlisted_version() {
+    let (mut recorded, now) = (RecordedVersions::default(), Instant::now());
+    let record = VersionRecord::unnamed(VersionState::Ended);
+    recorded.apply(now, key("v1"), Some(record.clone()));
+    assert_eq!(recorded.mark_lost(|_| false), 1);
+    assert_eq!(recorded.of_service("llm").len(), 1);
+    let due = recorded.due_writes(now, &[], false);
+    assert_eq!(due.missing, [(key("v1"), record.clone())]);
+    recorded.apply(now, key("v1"), Some(record));
+    assert_eq!(recorded.due_writes(now, &[], false), DueWrites::default());
+}
+
+/// Guards against streams of a version that begin while the store has lost its record.
+#[test]
+fn lost_record_counts_as_stored() {
+    let (mut recorded, now) = (RecordedVersions::default(), Instant::now());
+    let record = VersionRecord::unnamed(VersionState::Active);
+    recorded.apply(now, key("v1"), Some(record));
+    recorded.mark_lost(|_| false);
+    assert!(!recorded.is_active(key("v1")));
+    let due = recorded.due_writes(now, &[known("v1", true)], true);
+    assert_eq!(due.missing.len(), 1);
+}
+
 /// Guards against records that are lost on the way through the store.
 #[rstest]
 #[case::short("llm", "v1")]
@@ -169,6 +196,8 @@
     now: Instant,
     /// The log of the recorded versions.
     log: Vec<(VersionKey, Option<VersionRecord>)>,
+    /// Number of times that the store was restored from a copy.
+    era: u32,
     /// The versions that have servers.
     listed: BTreeSet<usize>,
     entries: Vec<Entry>,
@@ -179,6 +208,7 @@
     balancer: Balancer,
     recorded: RecordedVersions,
     position: usize,
+    era: u32,
 }
 
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
@@ -188,6 +218,7 @@
         let mut fleet = Self {
             now: Instant::now(),
             log: Vec::new(),
+            era: 0,
             listed: BTreeSet::from([0]),
             entries: Vec::new(),
         };
@@ -203,6 +234,7 @@
             balancer: Balancer::new("a"),
             recorded: RecordedVersions::default(),
             position: 0,
+            era: self.era,
         };
         self.read_records(&mut entry);
         self.read_servers(&mut entry);
@@ -223,6 +255,15 @@
     }
 
     fn read_records(&self, entry: &mut Entry) {
+        if entry.era != self.era {
+            let newest: BTreeMap<_, _> = self.log.iter().cloned().collect();
+            let contained = |key: &VersionKey| matches!(newest.get(key), Some(Some(_)));
+            entry.recorded.mark_lost(contained);
+            for (key, record) in newest.iter().filter(|(_, record)| record.is_some()) {
+                entry.recorded.apply(self.now, *key, record.clone());
+            }
+            (entry.era, entry.position) = (self.era, self.log.len());
+        }
         for (key, record) in &self.log[entry.position..] {
             entry.recorded.apply(self.now, *key, record.clone());
         }
@@ -235,7 +276,7 @@
         let entry = &mut self.entries[entry];
         let versions = entry.balancer.known_versions(self.now);
         let due = entry.recorded.due_writes(self.now, &versions, true);
-        let active = due.active.into_iter().map(|(k, r)| (k, Some(r)));
+        let active = due.missing.into_iter().map(|(k, r)| (k, Some(r)));
         self.log.extend(active);
         if let Some(ended) = due
             .ended
@@ -245,6 +286,19 @@
         }
     }
 
+    /// Restores the store from a copy without the newest `lost` records. The running entries
+    /// notice it.
+    fn restore(&mut self, lost: usize) {
+        self.log.truncate(self.log.len().saturating_sub(lost));
+        self.era += 1;
+        for entry in 0..self.entries.len() {
+            let mut reader = self.entries.remove(entry);
+            self.read_records(&mut reader);
+            self.entries.insert(entry, reader);
+            self.write(entry);
+        }
+    }
+
     /// Begins a stream at an entry; returns its version, if it is recorded.
     fn begin(&mut self, entry: usize) -> Option<&'static str> {
         let entry = &self.entries[entry];
@@ -269,11 +323,11 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
 
-    /// Guards against any order of releases, losses of entries and late reads after which an
-    /// unknown stream goes on at another version than its own.
+    /// Guards against any order of releases, losses of entries, late reads and restores of the
+    /// store after which an unknown stream goes on at another version than its own.
     #[test]
     fn inferred_version_is_never_another(
-        steps in proptest::collection::vec((0usize..3, 0usize..3, 0u32..11, 1u64..60_000), 1..300),
+        steps in proptest::collection::vec((0usize..3, 0usize..3, 0u32..12, 1u64..60_000), 1..300),
     ) {
         let mut fleet = Fleet::start();
         let mut streams: Vec<(&str, Instant)> = Vec::new();
@@ -296,6 +350,7 @@
                     fleet.entries.insert(entry, taken);
                 }
                 6 => fleet.write(entry),
+                9 => fleet.restore(usize::try_from(ms % 6).expect("small")),
                 7 | 8 => fleet.now += Duration::from_millis(ms),
                 _ => {
                     let mut taken = fleet.entries.remove(entry);
