Add settings for memory and descriptors, and failing tests of both

Six tests fail, with real processes: 100 and 200 callers that have sent 1.0 MB of a body of 1.05 MB (peak memory 157 MB and 303 MB, debug build), 60 callers that do not read an answer of 6 MB (513 MB), and callers or operators' connections that take all of 64 descriptors, after which the readiness page does not answer.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod connections;
+mod descriptors;
 mod ends;
 mod engines;
 mod fatal;
@@ -11,6 +12,7 @@
 mod fleet;
 mod hints;
 mod limits;
+mod memory;
 mod platform;
 mod process;
 mod records;
--- /dev/null
+++ b/crates/cli/tests/forward/memory.rs
@@ -0,0 +1,192 @@
+//! Callers that make the entry hold many bytes for them.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{self, JoinHandle};
+
+use rstest::rstest;
+
+use crate::caller::{Outcome, READ_TIMEOUT, call};
+use crate::platform::{Platform, header, wait_until};
+use crate::process::Entry;
+
+/// Memory that the host allows the entry, in megabytes, as on a small host.
+const MEMORY_MB: u32 = 110;
+
+/// Descriptors that the host allows the entry.
+const MAX_FDS: u32 = 4100;
+
+/// Size of a large request body, in bytes.
+const BODY: usize = 1_050_000;
+
+/// Bytes of it that a slow caller sends before it waits.
+const FIRST_PART: usize = 1_000_000;
+
+/// Bytes of memory in a megabyte.
+const MEGABYTE: usize = 1_000_000;
+
+/// A caller that sends the first part of its body and waits for a sign to send the rest.
+struct SlowCaller {
+    proceed: Sender<()>,
+    thread: JoinHandle<Option<String>>,
+}
+
+impl SlowCaller {
+    fn start(at: SocketAddr, id: &str, sent: Sender<()>) -> Self {
+        let (proceed, wait) = channel();
+        let id = id.to_owned();
+        let thread = thread::spawn(move || send_body(at, &id, &sent, &wait));
+        Self { proceed, thread }
+    }
+
+    /// Sends the rest of the body; returns the head of the answer, if there is one.
+    fn finish(self) -> Option<String> {
+        let _ = self.proceed.send(());
+        self.thread.join().expect("caller thread panicked")
+    }
+}
+
+fn send_body(at: SocketAddr, id: &str, sent: &Sender<()>, wait: &Receiver<()>) -> Option<String> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    let head = format!(
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+         Connection: close\r\nContent-Length: {BODY}\r\n\r\n"
+    );
+    // A caller that is refused may find its connection closed while it sends.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(&vec![b'x'; FIRST_PART]);
+    let _ = sent.send(());
+    let _ = wait.recv();
+    let _ = stream.write_all(&vec![b'x'; BODY - FIRST_PART]);
+    let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    answer
+        .split_once("\r\n\r\n")
+        .map(|(head, _)| head.to_owned())
+}
+
+/// Whether the head is that of a refusal that says when to come back.
+fn refused(head: &str) -> bool {
+    head.starts_with("HTTP/1.1 503") && header(head, "retry-after").is_some()
+}
+
+fn start(
+    name: &str,
+) -> (
+    std::sync::Arc<Platform>,
+    Vec<crate::platform::Server>,
+    Entry,
+) {
+    let (platform, store) = Platform::start();
+    let servers = vec![platform.server(), platform.server()];
+    let entry = Entry::start_limited(name, store, MEMORY_MB, MAX_FDS);
+    wait_until("the entry is ready", || entry.ready());
+    (platform, servers, entry)
+}
+
+/// Guards against a process that is killed for its memory because callers send large bodies
+/// slowly, and against refusing everybody meanwhile.
+#[rstest]
+#[case::some(100)]
+#[case::many(200)]
+fn slow_bodies_stay_within_memory(#[case] callers: usize) {
+    let (_platform, _servers, mut entry) = start(&format!("slow-bodies-{callers}"));
+    let (sent, all_sent) = channel();
+    let slow: Vec<_> = (0..callers)
+        .map(|n| SlowCaller::start(entry.addr(), &format!("slow-{n}"), sent.clone()))
+        .collect();
+    for _ in 0..callers {
+        all_sent.recv().expect("caller thread ended");
+    }
+    let other = call(entry.addr(), "/safe/x", "other");
+    assert!(matches!(other, Outcome::Complete(200, _)), "{other:?}");
+    assert!(entry.ready(), "the readiness page fails");
+
+    let heads: Vec<_> = slow.into_iter().map(SlowCaller::finish).collect();
+    let peak = entry.peak_memory();
+    assert!(
+        peak < MEMORY_MB as usize * MEGABYTE,
+        "peak memory is {peak} bytes"
+    );
+    let served = |head: &&Option<String>| {
+        let head = head.as_deref().unwrap_or_default();
+        head.starts_with("HTTP/1.1 200")
+    };
+    let count = heads.iter().filter(served).count();
+    assert!(count > 0, "no slow caller was served");
+    for head in heads.iter().filter(|head| !served(head)) {
+        let head = head.as_deref().unwrap_or("no answer");
+        assert!(refused(head), "{head}");
+    }
+    assert!(entry.running());
+}
+
+/// Guards against refusing callers whose bodies fit together.
+#[test]
+fn large_bodies_within_memory_are_served() {
+    let (_platform, _servers, mut entry) = start("large-bodies");
+    let (sent, all_sent) = channel();
+    let slow: Vec<_> = (0..20)
+        .map(|n| SlowCaller::start(entry.addr(), &format!("large-{n}"), sent.clone()))
+        .collect();
+    for _ in 0..slow.len() {
+        all_sent.recv().expect("caller thread ended");
+    }
+    for caller in slow {
+        let head = caller.finish().unwrap_or_default();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    }
+    assert!(entry.running());
+}
+
+/// Guards against a process that is killed for its memory because callers do not read large
+/// answers, and against answers of other callers that wait for them.
+#[test]
+fn unread_answers_stay_within_memory() {
+    let (_platform, _servers, mut entry) = start("unread-answers");
+    let unread: Vec<_> = (0..UNREAD)
+        .filter_map(|n| request_large(entry.addr(), &format!("unread-{n}")))
+        .collect();
+    for n in 0..4 {
+        let mut stream = request_large(entry.addr(), &format!("read-{n}")).expect("no connection");
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        assert!(
+            answer.starts_with(b"HTTP/1.1 200"),
+            "{:?}",
+            String::from_utf8_lossy(&answer[..answer.len().min(80)])
+        );
+        assert!(answer.len() > LARGE_ANSWER);
+    }
+    assert!(entry.ready(), "the readiness page fails");
+    let peak = entry.peak_memory();
+    assert!(
+        peak < MEMORY_MB as usize * MEGABYTE,
+        "peak memory is {peak} bytes"
+    );
+    for stream in unread {
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+    assert!(entry.running());
+}
+
+/// Callers that do not read their answers.
+const UNREAD: usize = 60;
+
+/// Size of a large answer, in bytes.
+const LARGE_ANSWER: usize = 6_000_000;
+
+/// Asks for a large answer, on a connection of its own.
+fn request_large(at: SocketAddr, id: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let head = format!(
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+         X-Answer-Bytes: {LARGE_ANSWER}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    Some(stream)
+}
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -481,13 +481,11 @@
             let resumable = head.starts_with("POST /resume/");
             let streams = ["POST /stream/", "POST /engine/", "POST /resume/"];
             if !streams.iter().any(|path| head.starts_with(path)) {
-                let body = format!("answer to {id}");
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\n{marks}Content-Length: {}\r\n\r\n",
-                    body.len()
-                );
+                let size = header(&head, "x-answer-bytes").and_then(|n| n.parse().ok());
+                let body = format!("answer to {id}{}", "x".repeat(size.unwrap_or(0)));
                 thread::sleep(Duration::from_millis(3));
-                let _ = out.write_all((head + &body).as_bytes());
+                let status = format!("200 OK\r\n{}", marks.trim_end());
+                answer(&mut out, &status, body.as_bytes());
                 continue;
             }
             let received = header(&head, "last-event-id").and_then(|n| n.parse().ok());
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -29,10 +29,21 @@
     child: Option<Child>,
     subcommand: &'static str,
     settings: PathBuf,
+    /// Soft limit on its descriptors, if it is not that of the test.
+    soft_fds: Option<u32>,
 }
 
 impl Process {
     fn start(subcommand: &'static str, name: &str, settings: &serde_json::Value) -> Self {
+        Self::start_with_fds(subcommand, name, settings, None)
+    }
+
+    fn start_with_fds(
+        subcommand: &'static str,
+        name: &str,
+        settings: &serde_json::Value,
+        soft_fds: Option<u32>,
+    ) -> Self {
         let dir = std::env::temp_dir().join(format!("pimentocart-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("cannot create the directory");
         let path = dir.join("settings.json");
@@ -41,6 +52,7 @@
             child: None,
             subcommand,
             settings: path,
+            soft_fds,
         };
         process.restart();
         process
@@ -48,7 +60,16 @@
 
     /// Starts the process again after the previous one has ended.
     pub(crate) fn restart(&mut self) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_pimentocart"));
+        let program = env!("CARGO_BIN_EXE_pimentocart");
+        let mut command = match self.soft_fds {
+            Some(fds) => {
+                let mut shell = Command::new("sh");
+                let limit = format!("ulimit -S -n {fds}; exec \"$0\" \"$@\"");
+                shell.args(["-c", limit.as_str(), program]);
+                shell
+            }
+            None => Command::new(program),
+        };
         let command = command
             .args([self.subcommand, "--settings"])
             .arg(&self.settings);
@@ -85,6 +106,19 @@
         log.lines().filter(|line| line.contains(text)).count()
     }
 
+    /// The most memory that the process has had resident since its start, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let child = self.child.as_ref().expect("process is not running");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("cannot read the process status");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|l| l.trim().strip_suffix(" kB"));
+        let kilobytes: usize = kilobytes
+            .and_then(|n| n.parse().ok())
+            .expect("process status has no peak");
+        kilobytes << 10
+    }
+
     pub(crate) fn running(&mut self) -> bool {
         let child = self.child.as_mut();
         child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
@@ -161,6 +195,24 @@
         Self::start_with(ip, name, &settings)
     }
 
+    /// Starts an entry that may use this much memory, in megabytes, and this number of
+    /// descriptors.
+    pub(crate) fn start_limited(name: &str, store: SocketAddr, memory: u32, fds: u32) -> Self {
+        let ip = unique_ip();
+        let mut settings = settings(ip, name, store, None);
+        settings["memory_mb"] = memory.into();
+        settings["max_fds"] = fds.into();
+        Self::start_with(ip, name, &settings)
+    }
+
+    /// Starts an entry with this soft limit on its descriptors.
+    pub(crate) fn start_with_fds(name: &str, store: SocketAddr, fds: u32) -> Self {
+        let ip = unique_ip();
+        let settings = settings(ip, name, store, None);
+        let process = Process::start_with_fds("forward", name, &settings, Some(fds));
+        Self::at(ip, process)
+    }
+
     /// Starts an entry while the returned listener holds the port on which the
     /// entry would serve its peers.
     pub(crate) fn start_with_peer_port_taken(name: &str, store: SocketAddr) -> (Self, TcpListener) {
@@ -174,8 +226,12 @@
     }
 
     fn start_with(ip: Ipv4Addr, name: &str, settings: &serde_json::Value) -> Self {
+        Self::at(ip, Process::start("forward", name, settings))
+    }
+
+    fn at(ip: Ipv4Addr, process: Process) -> Self {
         Self {
-            process: Process::start("forward", name, settings),
+            process,
             listen: SocketAddr::from((ip, LISTEN)),
             ready: SocketAddr::from((ip, READY)),
         }
@@ -211,6 +267,11 @@
         self.listen
     }
 
+    /// The address of the readiness page and the status.
+    pub(crate) fn operators(&self) -> SocketAddr {
+        self.ready
+    }
+
     /// The address on which the entry receives datagrams of other entries.
     pub(crate) fn gossip(&self) -> SocketAddr {
         SocketAddr::new(self.listen.ip(), GOSSIP)
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -12,6 +12,10 @@
 /// entry has waited for the calls in progress.
 const CLOSE_FRACTION: f64 = 0.06;
 
+/// Descriptors that an entry needs at least: its sockets, the store, and a few callers with
+/// a backend server each.
+const MIN_FDS: usize = 64;
+
 /// Settings of an entry for routed calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +60,14 @@
     /// never congested.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in MB (10^6 bytes). Without it the bytes held for
+    /// callers are not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<f64>,
+    /// File descriptors that the process may use. Without it the soft limit of the process
+    /// applies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_fds: Option<usize>,
     /// Time from the request to stop until the process is killed, in seconds.
     pub grace_s: f64,
     /// Allowed repeats to other servers per call, over all entries together.
@@ -202,6 +214,14 @@
                 "a rate above zero",
             )?;
         }
+        if let Some(memory) = self.memory_mb {
+            let hint = "megabytes above zero";
+            check("memory_mb", memory, positive(memory), hint)?;
+        }
+        if let Some(fds) = self.max_fds {
+            let hint = "at least 64 descriptors";
+            check("max_fds", fds, fds >= MIN_FDS, hint)?;
+        }
         self.duties.as_ref().map_or(Ok(()), DutySettings::check)?;
         let ratio = self.repeat_ratio;
         let valid = (0.0..=1.0).contains(&ratio);
