Test that no answer is lost in an entry's grace period

Callers that use open connections until the process is gone see theirs closed without an answer when the grace period is short. The processes also end 0.06 to 0.6 s after their grace period, so that the platform kills them.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -18,6 +18,7 @@
 mod soak;
 mod soak_parts;
 mod soak_streams;
+mod stops;
 mod unnamed;
 mod versions;
 mod versions_restart;
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -152,6 +152,20 @@
         Self::start_at(unique_ip(), name, store, grants)
     }
 
+    /// Starts an entry with this grace period and interval of the readiness probes.
+    pub(crate) fn start_with_grace(
+        name: &str,
+        store: SocketAddr,
+        grace_s: f64,
+        probe_interval: &str,
+    ) -> Self {
+        let ip = unique_ip();
+        let mut settings = settings(ip, name, store, None);
+        settings["grace_s"] = grace_s.into();
+        settings["ask_every"] = probe_interval.into();
+        Self::start_with(ip, name, &settings)
+    }
+
     /// Starts an entry that moves streams and has engines copy them.
     pub(crate) fn start_with_copies(name: &str, store: SocketAddr) -> Self {
         let ip = unique_ip();
