Soak the ends of processes and of answers with real processes

Four entries and three sidecars with the settings of a deployment are stopped, killed, paused, reloaded, replaced while they drain and crowded by slow callers, while sockets of other programs hold their ports and the store is slow, resets connections, loses answers or is down. Callers keep connections open, send some requests right behind others, and leave. No process may end by itself, exceed the memory of its host, or close a connection with a request that it read before it was told to stop, or that has reached a server, without an answer.

--- /dev/null
+++ b/crates/cli/tests/forward/hosts.rs
@@ -0,0 +1,282 @@
+//! Hosts whose processes are restarted after each end, as the platform does.
+
+use std::fs;
+use std::net::{SocketAddr, UdpSocket};
+use std::ops::{Deref, DerefMut};
+use std::os::unix::process::ExitStatusExt;
+use std::process::{Child, ExitStatus};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use socket2::{Domain, Socket, Type};
+
+use crate::process::Process;
+
+/// Interval of the checks whether processes have ended.
+const WATCH_INTERVAL: Duration = Duration::from_millis(4);
+
+/// Bit of SIGHUP in the masks of signals of a process.
+const HANGUP_BIT: u64 = 1 << (Signal::SIGHUP as u64 - 1);
+
+/// What happened to a host's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Event {
+    Signal(Signal),
+    /// Its end was noticed, due to a signal that asks for it or else as a fault.
+    End {
+        fault: bool,
+    },
+}
+
+/// A host with one process, and a predecessor of it that has not ended yet.
+pub(crate) struct Host<P> {
+    process: P,
+    name: String,
+    /// The TCP and the UDP ports that the process needs.
+    ports: [Vec<SocketAddr>; 2],
+    grace: Duration,
+    predecessors: Vec<(Child, Instant)>,
+    /// When it is killed, after SIGTERM.
+    kill_at: Option<Instant>,
+    /// When its successor starts.
+    start_at: Option<Instant>,
+    /// When it goes on, after SIGSTOP.
+    wake_at: Option<Instant>,
+    /// Signal that the next process gets as soon as it handles SIGHUP.
+    first_signal: Option<Signal>,
+    pub(crate) events: Vec<(Instant, Event)>,
+    pub(crate) errors: Vec<String>,
+    pub(crate) starts: u32,
+    /// Processes that were killed at the end of the grace period.
+    pub(crate) overdue: u32,
+    /// Peaks of memory in bytes and of descriptors.
+    pub(crate) memory: u64,
+    pub(crate) files: usize,
+}
+
+impl<P: DerefMut + Deref<Target = Process>> Host<P> {
+    pub(crate) fn new(
+        name: String,
+        (process, ports): (P, [Vec<SocketAddr>; 2]),
+        grace: Duration,
+    ) -> Self {
+        Self {
+            process,
+            name,
+            ports,
+            grace,
+            predecessors: Vec::new(),
+            kill_at: None,
+            start_at: None,
+            wake_at: None,
+            first_signal: None,
+            events: Vec::new(),
+            errors: Vec::new(),
+            starts: 1,
+            overdue: 0,
+            memory: 0,
+            files: 0,
+        }
+    }
+
+    pub(crate) fn process(&self) -> &P {
+        &self.process
+    }
+
+    /// Whether the process runs and was not told to stop.
+    pub(crate) fn serves(&self) -> bool {
+        self.process.id().is_some() && self.kill_at.is_none() && self.start_at.is_none()
+    }
+
+    /// Notices an end, starts the next process and sends signals that are due. A process
+    /// that has ended is started again after `delay`.
+    pub(crate) fn watch(&mut self, delay: Duration) {
+        let now = Instant::now();
+        self.sample();
+        if let Some(status) = self.process.ended() {
+            self.check_end(status);
+            (self.kill_at, self.wake_at) = (None, None);
+            self.start_at.get_or_insert(now + delay);
+        }
+        let overdue = |at: &mut Instant| *at <= now;
+        if self.wake_at.take_if(overdue).is_some() {
+            self.send(Signal::SIGCONT);
+        }
+        if self.first_signal.is_some() && self.serves() && self.handles_hangup() {
+            let signal = self.first_signal.take();
+            signal.into_iter().for_each(|signal| self.send(signal));
+        }
+        if self.kill_at.take_if(overdue).is_some() {
+            self.overdue += 1;
+            self.send(Signal::SIGKILL);
+        }
+        self.end_predecessors(now);
+        if self.start_at.take_if(overdue).is_some() {
+            let kill_at = self.kill_at.take().unwrap_or(now);
+            let old = self.process.detach();
+            self.predecessors.extend(old.map(|child| (child, kill_at)));
+            self.wake();
+            self.process.restart();
+            self.starts += 1;
+        }
+    }
+
+    /// Lets a process that stands still go on.
+    pub(crate) fn wake(&mut self) {
+        if self.wake_at.take().is_some() {
+            self.send(Signal::SIGCONT);
+        }
+    }
+
+    /// Sends a signal, if the process runs. SIGHUP is sent only to a process that has begun
+    /// to handle it.
+    pub(crate) fn send(&mut self, signal: Signal) {
+        if self.process.id().is_none() || signal == Signal::SIGHUP && !self.handles_hangup() {
+            return;
+        }
+        self.events.push((Instant::now(), Event::Signal(signal)));
+        self.process.signal(signal);
+        if signal == Signal::SIGTERM {
+            self.kill_at.get_or_insert(Instant::now() + self.grace);
+        }
+    }
+
+    /// Stops the process for this time.
+    pub(crate) fn freeze(&mut self, time: Duration) {
+        self.send(Signal::SIGSTOP);
+        self.wake_at = Some(Instant::now() + time);
+    }
+
+    /// Starts the successor after `delay`, whether or not the process has ended by then.
+    pub(crate) fn replace(&mut self, delay: Duration) {
+        self.send(Signal::SIGTERM);
+        self.start_at = Some(Instant::now() + delay);
+    }
+
+    /// Kills the process, and sends `signal` to the next one while it starts.
+    pub(crate) fn restart_with(&mut self, signal: Signal) {
+        self.send(Signal::SIGKILL);
+        self.first_signal = Some(signal);
+    }
+
+    /// Kills the process, and has a connection or datagram socket of another program hold
+    /// one of its ports for this time.
+    pub(crate) fn take_port(&mut self, number: usize, time: Duration) {
+        self.send(Signal::SIGKILL);
+        let ports = self.ports.clone();
+        thread::spawn(move || {
+            let index = number % (ports[0].len() + ports[1].len());
+            let held = match ports[0].get(index) {
+                Some(addr) => hold(*addr).map(Box::new).map(|s| s as Box<dyn Send>),
+                None => UdpSocket::bind(ports[1][index - ports[0].len()])
+                    .ok()
+                    .map(|socket| Box::new(socket) as Box<dyn Send>),
+            };
+            thread::sleep(time);
+            drop(held);
+        });
+    }
+
+    fn handles_hangup(&self) -> bool {
+        let status = self.status();
+        let masks = ["SigCgt:", "SigIgn:"];
+        let lines = status.lines().filter_map(|line| {
+            let value = masks.iter().find_map(|mask| line.strip_prefix(mask))?;
+            u64::from_str_radix(value.trim(), 16).ok()
+        });
+        lines.fold(0, |all, mask| all | mask) & HANGUP_BIT != 0
+    }
+
+    fn status(&self) -> String {
+        let path = self.process.id().map(|id| format!("/proc/{id}/status"));
+        path.and_then(|path| fs::read_to_string(path).ok())
+            .unwrap_or_default()
+    }
+
+    /// Records the peaks of memory and descriptors.
+    fn sample(&mut self) {
+        let status = self.status();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kb = peak.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        self.memory = self.memory.max(kb.unwrap_or(0) << 10);
+        let files = self.process.id().map(|id| format!("/proc/{id}/fd"));
+        let files = files.and_then(|path| fs::read_dir(path).ok());
+        self.files = self.files.max(files.map_or(0, Iterator::count));
+    }
+
+    fn end_predecessors(&mut self, now: Instant) {
+        let mut ended = Vec::new();
+        let (events, overdue) = (&mut self.events, &mut self.overdue);
+        self.predecessors.retain_mut(|(child, kill_at)| {
+            if *kill_at <= now {
+                events.push((now, Event::Signal(Signal::SIGKILL)));
+                *overdue += 1;
+                *kill_at += Duration::from_secs(3600);
+                let _ = child.kill();
+            }
+            let status = child.try_wait().expect("cannot wait for the process");
+            ended.extend(status);
+            status.is_none()
+        });
+        for status in ended {
+            self.check_end(status);
+        }
+    }
+
+    /// Checks that a process ended due to a signal that asks for it.
+    fn check_end(&mut self, status: ExitStatus) {
+        let sent = |signal| self.events.iter().any(|(_, e)| *e == Event::Signal(signal));
+        let expected = match (status.code(), status.signal()) {
+            (Some(0), _) => sent(Signal::SIGTERM),
+            (None, Some(number)) => [Signal::SIGKILL, Signal::SIGTERM]
+                .into_iter()
+                .any(|signal| signal as i32 == number && sent(signal)),
+            _ => false,
+        };
+        let end = Event::End { fault: !expected };
+        self.events.push((Instant::now(), end));
+        if !expected {
+            let (name, starts) = (&self.name, self.starts);
+            let error = format!("{name}: start {starts} ended by itself: {status}");
+            self.errors.push(error);
+        }
+    }
+}
+
+impl<P> Drop for Host<P> {
+    fn drop(&mut self) {
+        for (child, _) in &mut self.predecessors {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Watches hosts for `time`, and starts processes that have ended again after `delay`.
+pub(crate) fn watch_all<P, Q>(
+    entries: &mut [Host<P>],
+    sidecars: &mut [Host<Q>],
+    time: Duration,
+    delay: Duration,
+) where
+    P: DerefMut + Deref<Target = Process>,
+    Q: DerefMut + Deref<Target = Process>,
+{
+    let end = Instant::now() + time;
+    loop {
+        entries.iter_mut().for_each(|host| host.watch(delay));
+        sidecars.iter_mut().for_each(|host| host.watch(delay));
+        if Instant::now() >= end {
+            return;
+        }
+        thread::sleep(WATCH_INTERVAL);
+    }
+}
+
+/// A socket that holds a TCP port as the local end of an outgoing connection does.
+fn hold(addr: SocketAddr) -> Option<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+    socket.bind(&addr.into()).ok()?;
+    Some(socket)
+}
--- /dev/null
+++ b/crates/cli/tests/forward/kept.rs
@@ -0,0 +1,311 @@
+//! Callers that keep their connections open until the entry is gone, and slow callers.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::caller::READ_TIMEOUT;
+use crate::platform::header;
+use crate::soak::{SeedResult, check_answer};
+
+const KINDS: [&str; 4] = ["once", "safe", "stream", "engine"];
+
+/// Largest body that the entries accept, less some room, in bytes.
+const BIG_BODY: usize = 1_000_000;
+
+/// What a slow caller announces and sends of its body, in bytes.
+const SLOW_BODY: usize = 1_048_576;
+const SLOW_SENT: usize = 1_000_000;
+
+/// A request that was sent whole and that has no complete answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Lost {
+    pub(crate) entry: usize,
+    pub(crate) id: String,
+    pub(crate) opened: Instant,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    pub(crate) end: End,
+    /// Whether it was sent before the answer to the request before it.
+    pub(crate) pipelined: bool,
+}
+
+/// How the answer to a request that was sent whole ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The connection was closed before the answer began.
+    Closed,
+    /// The answer is cut off.
+    Cut,
+    /// There was no answer for [`READ_TIMEOUT`].
+    Late,
+}
+
+/// What callers have seen.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    pub(crate) result: SeedResult,
+    pub(crate) lost: Vec<Lost>,
+}
+
+impl Seen {
+    pub(crate) fn add(&mut self, other: Self) {
+        self.result.answers += other.result.answers;
+        self.result.refused.extend(other.result.refused);
+        self.result.errors.extend(other.result.errors);
+        self.lost.extend(other.lost);
+    }
+}
+
+/// A connection that is used for one request after another.
+struct Kept {
+    reader: BufReader<TcpStream>,
+    entry: usize,
+    opened: Instant,
+}
+
+impl Kept {
+    fn open(entry: usize, addr: SocketAddr) -> Option<Self> {
+        let opened = Instant::now();
+        let stream = TcpStream::connect(addr).ok()?;
+        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+        stream.set_write_timeout(Some(READ_TIMEOUT)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Self {
+            reader: BufReader::new(stream),
+            entry,
+            opened,
+        })
+    }
+
+    /// Sends requests in one write and reads their answers; returns whether the connection
+    /// can be used again.
+    fn call(&mut self, ids: &[(&str, String)], body: usize, seen: &mut Seen) -> bool {
+        let requests: Vec<u8> = ids
+            .iter()
+            .flat_map(|(k, id)| request(k, id, body))
+            .collect();
+        if self.reader.get_mut().write_all(&requests).is_err() {
+            return false;
+        }
+        let sent = Instant::now();
+        // Also after an answer that closes the connection, answers may follow.
+        let mut open = Ok(true);
+        for (n, (kind, id)) in ids.iter().enumerate() {
+            let answer = match open {
+                Ok(_) => self.read_answer(),
+                Err(_) => Err(End::Closed),
+            };
+            open = answer.as_ref().map(|a| a.keeps).map_err(|end| *end);
+            match answer {
+                Ok(Answer {
+                    status: 200, body, ..
+                }) => {
+                    seen.result.answers += 1;
+                    check_answer(kind, id, &body, &mut seen.result);
+                }
+                Ok(Answer {
+                    status: 408 | 421 | 429 | 503,
+                    ..
+                }) => {
+                    seen.result.refused.push(id.clone());
+                }
+                Ok(Answer {
+                    status: 502 | 504, ..
+                }) => {}
+                Ok(Answer { status, .. }) => {
+                    seen.result.errors.push(format!("{id}: status {status}"));
+                }
+                Err(end) => seen.lost.push(Lost {
+                    entry: self.entry,
+                    id: id.clone(),
+                    opened: self.opened,
+                    sent,
+                    ended: Instant::now(),
+                    end,
+                    pipelined: n > 0,
+                }),
+            }
+        }
+        open == Ok(true)
+    }
+
+    /// Reads one answer to its end.
+    fn read_answer(&mut self) -> Result<Answer, End> {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            match self.reader.read_line(&mut head) {
+                Ok(1..) => {}
+                Err(e) if is_timeout(&e) => return Err(End::Late),
+                _ if head.is_empty() => return Err(End::Closed),
+                _ => return Err(End::Cut),
+            }
+        }
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+        let status = status.ok_or(End::Cut)?;
+        let body = match header(&head, "content-length").and_then(|l| l.parse().ok()) {
+            Some(length) => self.read_bytes(length)?,
+            None => self.read_chunks()?,
+        };
+        let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        Ok(Answer {
+            status,
+            body: String::from_utf8_lossy(&body).into_owned(),
+            keeps: !closes,
+        })
+    }
+
+    fn read_chunks(&mut self) -> Result<Vec<u8>, End> {
+        let mut body = Vec::new();
+        loop {
+            let mut line = String::new();
+            self.reader.read_line(&mut line).map_err(|e| cut(&e))?;
+            let length = usize::from_str_radix(line.trim_end(), 16).map_err(|_| End::Cut)?;
+            let chunk = self.read_bytes(length + 2)?;
+            if length == 0 {
+                return Ok(body);
+            }
+            body.extend_from_slice(&chunk[..length]);
+        }
+    }
+
+    fn read_bytes(&mut self, length: usize) -> Result<Vec<u8>, End> {
+        let mut bytes = vec![0; length];
+        self.reader.read_exact(&mut bytes).map_err(|e| cut(&e))?;
+        Ok(bytes)
+    }
+}
+
+/// A complete answer.
+struct Answer {
+    status: u16,
+    body: String,
+    /// Whether the connection stays open.
+    keeps: bool,
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{TimedOut, WouldBlock};
+    matches!(error.kind(), TimedOut | WouldBlock)
+}
+
+fn cut(error: &std::io::Error) -> End {
+    match is_timeout(error) {
+        true => End::Late,
+        false => End::Cut,
+    }
+}
+
+/// The bytes of a request with a body of this size.
+pub(crate) fn request(kind: &str, id: &str, body: usize) -> Vec<u8> {
+    let mut request = format!(
+        "POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 6000\r\nX-Token-Count: 1000,40\r\nContent-Length: {body}\r\n\r\n"
+    )
+    .into_bytes();
+    request.resize(request.len() + body, b'b');
+    request
+}
+
+/// Sends requests on connections to any entry until `end` is set. Some are sent right
+/// after each other, some have a large body, and some callers leave without an answer.
+pub(crate) fn call_until(seed: u64, caller: u64, addrs: &[SocketAddr], end: &AtomicBool) -> Seen {
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 16 | u128::from(caller) << 1 | 1);
+    let mut seen = Seen::default();
+    let mut kept: Option<Kept> = None;
+    for n in 0.. {
+        if end.load(Ordering::SeqCst) {
+            break;
+        }
+        let entry = rng.random_range(0..addrs.len());
+        let mut ids = vec![numbered(seed, caller, n, rng.random_range(0..KINDS.len()))];
+        if rng.random_range(0..8) == 0 {
+            ids.push(numbered(seed, caller, n, KINDS.len()));
+        }
+        let body = match rng.random_range(0..16) {
+            0 => rng.random_range(0..BIG_BODY),
+            _ => 4,
+        };
+        let (pause, leaves) = (rng.random_range(0..30), rng.random_range(0..24) == 0);
+        kept = kept.or_else(|| Kept::open(entry, addrs[entry]));
+        let Some(connection) = &mut kept else {
+            thread::sleep(Duration::from_millis(5));
+            continue;
+        };
+        if leaves {
+            let (kind, id) = &ids[0];
+            let _ = connection.reader.get_mut().write_all(&request(kind, id, 4));
+            thread::sleep(Duration::from_millis(pause));
+            kept = None;
+            continue;
+        }
+        if !connection.call(&ids, body, &mut seen) {
+            kept = None;
+        }
+        thread::sleep(Duration::from_millis(pause));
+    }
+    seen
+}
+
+/// Makes one call on each of `count` new connections to one entry.
+pub(crate) fn burst(
+    seed: u64,
+    caller: u64,
+    count: u64,
+    entry: usize,
+    addr: SocketAddr,
+) -> Vec<thread::JoinHandle<Seen>> {
+    let call = move |n: u64| {
+        let mut seen = Seen::default();
+        if let Some(mut kept) = Kept::open(entry, addr) {
+            let id = numbered(seed, caller, n, n as usize % KINDS.len());
+            kept.call(&[id], 4, &mut seen);
+        }
+        seen
+    };
+    (0..count).map(|n| thread::spawn(move || call(n))).collect()
+}
+
+/// The kind and the ID of a request. A further kind is one that may be repeated, under an
+/// ID of its own.
+fn numbered(seed: u64, caller: u64, n: u64, kind: usize) -> (&'static str, String) {
+    let (kind, part) = match KINDS.get(kind) {
+        Some(kind) => (*kind, "a"),
+        None => ("safe", "b"),
+    };
+    (kind, format!("{kind}-{seed}-{caller}-{n}{part}"))
+}
+
+/// Opens `count` connections, sends most of a large request on each of them and waits for
+/// `time` or until `end` is set.
+pub(crate) fn crowd(
+    count: usize,
+    addr: SocketAddr,
+    time: Duration,
+    end: Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        let bytes = request("safe", "slow", SLOW_BODY);
+        let bytes = &bytes[..SLOW_SENT];
+        let mut open: Vec<(TcpStream, usize)> = (0..count)
+            .filter_map(|_| TcpStream::connect(addr).ok())
+            .filter(|stream| stream.set_nonblocking(true).is_ok())
+            .map(|stream| (stream, 0))
+            .collect();
+        let leave_at = Instant::now() + time;
+        while Instant::now() < leave_at && !end.load(Ordering::SeqCst) {
+            for (stream, sent) in &mut open {
+                if let Ok(count) = stream.write(&bytes[*sent..]) {
+                    *sent += count;
+                }
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    })
+}
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -215,7 +215,7 @@
         self.start_server("text", "127.0.0.1", version)
     }
 
-    fn start_server(
+    pub(crate) fn start_server(
         self: &Arc<Self>,
         service: &'static str,
         host: &'static str,
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, ToSocketAddrs, UdpSocket};
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use nix::sys::signal::{self, Signal};
@@ -19,6 +19,8 @@
 const LISTEN: u16 = 7101;
 const READY: u16 = 7102;
 const GOSSIP: u16 = 7103;
+const GRANTS: u16 = 7108;
+const METRICS: u16 = 7109;
 
 /// Number of addresses that entries use in turn.
 const ENTRY_HOSTS: u32 = 250;
@@ -78,6 +80,24 @@
         status.and_then(|s| s.code())
     }
 
+    /// Its process ID; `None` once its end was noticed.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// How it has ended; `None` while it runs and once its end was noticed.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let child = self.child.as_mut()?;
+        let status = child.try_wait().expect("cannot wait for the process");
+        self.child.take_if(|_| status.is_some());
+        status
+    }
+
+    /// Gives up the running process, so that its successor can start beside it.
+    pub(crate) fn detach(&mut self) -> Option<Child> {
+        self.child.take()
+    }
+
     /// Number of lines of its log, over all starts, that contain `text`.
     pub(crate) fn log_lines(&self, text: &str) -> usize {
         let log = std::fs::read_to_string(self.settings.with_file_name("log"));
@@ -217,6 +237,42 @@
     }
 }
 
+/// Starts an entry with the settings of a deployment; returns it with the TCP ports and the
+/// UDP ports that it needs.
+pub(crate) fn deployed_entry(
+    name: &str,
+    store: SocketAddr,
+    grace_s: f64,
+) -> (Entry, [Vec<SocketAddr>; 2]) {
+    let ip = unique_ip();
+    let mut settings = settings(ip, name, store, Some(GRANTS));
+    let addr = |port| SocketAddr::from((ip, port));
+    let deployed = json!({"metrics": addr(METRICS), "moves": true, "backups": true,
+        "link_mbps": 1000.0, "store_writes_per_s": 400.0, "repeat_slack": 54.0,
+        "grace_s": grace_s, "ask_every": "1s"});
+    for (key, value) in deployed.as_object().expect("an object") {
+        settings[key] = value.clone();
+    }
+    let ports = [
+        [LISTEN, READY, METRICS].map(addr).into(),
+        [GOSSIP, GRANTS].map(addr).into(),
+    ];
+    (Entry::start_with(ip, name, &settings), ports)
+}
+
+/// Starts a sidecar with the settings of a deployment beside the engine at `engine`;
+/// returns it with the TCP ports and the UDP ports that it needs.
+pub(crate) fn deployed_sidecar(
+    name: &str,
+    engine: SocketAddr,
+) -> (Box<Process>, [Vec<SocketAddr>; 2]) {
+    let [listen, metrics] = [GRANTS, METRICS].map(|port| SocketAddr::new(engine.ip(), port));
+    let settings = json!({"name": name, "listen": listen, "engine": engine,
+        "paced_streams": true, "fair_shares": true, "metrics": metrics});
+    let process = Process::start("admission", name, &settings);
+    (Box::new(process), [vec![metrics], vec![listen]])
+}
+
 /// The settings of an entry.
 fn settings(ip: Ipv4Addr, name: &str, store: SocketAddr, grants: Option<u16>) -> serde_json::Value {
     let addr = |port| SocketAddr::from((ip, port));
@@ -228,7 +284,7 @@
 
 /// A loopback address that no other entry uses, so that all its ports are free.
 /// On a shared address, another test could take a free port before it is used.
-fn unique_ip() -> Ipv4Addr {
+pub(crate) fn unique_ip() -> Ipv4Addr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let number = COUNT.fetch_add(1, Ordering::SeqCst) % ENTRY_HOSTS + 1;
     own_ip(u8::try_from(number).expect("number out of range"))
--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -50,10 +50,10 @@
 
 /// Results of one seed.
 #[derive(Debug, Default)]
-struct SeedResult {
-    answers: u32,
-    refused: Vec<String>,
-    errors: Vec<String>,
+pub(crate) struct SeedResult {
+    pub(crate) answers: u32,
+    pub(crate) refused: Vec<String>,
+    pub(crate) errors: Vec<String>,
 }
 
 #[test]
@@ -385,7 +385,7 @@
 }
 
 /// Checks that a successful answer is complete and belongs to this call.
-fn check_answer(kind: &str, id: &str, body: &str, result: &mut SeedResult) {
+pub(crate) fn check_answer(kind: &str, id: &str, body: &str, result: &mut SeedResult) {
     let valid = match kind {
         "stream" | "engine" => {
             let numbers: Vec<String> = (1..=STREAM_EVENTS).map(|n| format!("id: {n}")).collect();
@@ -404,7 +404,7 @@
 
 /// Checks that unrepeatable calls ran at most once, and that calls that were
 /// refused as not executed never ran.
-fn check_runs(runs: &BTreeMap<String, u32>, result: &mut SeedResult) {
+pub(crate) fn check_runs(runs: &BTreeMap<String, u32>, result: &mut SeedResult) {
     for (id, count) in runs {
         let repeatable = ["safe", "resume"].iter().any(|kind| id.starts_with(kind));
         if *count > 1 && !repeatable {
