--- a/crates/cli/tests/forward/hosts.rs
+++ b/crates/cli/tests/forward/hosts.rs
@@ -113,10 +113,10 @@
         }
         self.end_predecessors(now);
         if self.start_at.take_if(overdue).is_some() {
+            self.wake();
             let kill_at = self.kill_at.take().unwrap_or(now);
             let old = self.process.detach();
             self.predecessors.extend(old.map(|child| (child, kill_at)));
-            self.wake();
             self.process.restart();
             self.starts += 1;
         }
--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -123,6 +123,7 @@
     fn wait_ready(&mut self) {
         let no_time = Duration::ZERO;
         wait_until("all entries are ready", || {
+            self.entries.iter_mut().for_each(Host::wake);
             self.watch(no_time, no_time);
             let ready = |host: &Host<Entry>| host.serves() && host.process().ready();
             self.entries.iter().all(ready)
