Add a failing test of requests behind an answer that closes the connection

While an entry drains, or its link is congested, its answers say "connection: close". The HTTP library goes on with requests that it has already read from the connection: it executes them and writes their answers behind the closing one. A caller that follows RFC 9112, section 9.6, stops reading at the closing answer: its second request ran (also one that must not run twice) and has no answer. The section forbids the server to process further requests.

--- a/crates/cli/tests/forward/connections.rs
+++ b/crates/cli/tests/forward/connections.rs
@@ -1,9 +1,16 @@
 //! Many new connections at one entry.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 
-use crate::caller::{Outcome, call};
+use nix::sys::signal::Signal;
+use rstest::rstest;
+
+use crate::caller::{Outcome, READ_TIMEOUT, call};
 use crate::fleet::{Fleet, served};
+use crate::kept::request;
+use crate::platform::wait_until;
 
 /// Connections that are opened at the same time, each for one call.
 const CONNECTIONS: usize = 300;
@@ -28,3 +35,33 @@
     let others: Vec<_> = outcomes.iter().filter(|outcome| !served(outcome)).collect();
     assert!(count * 4 >= CONNECTIONS * 3, "{count} served; {others:?}");
 }
+
+/// Guards against executing a request that was sent right behind another one whose answer
+/// closes the connection: its caller stops reading there and never gets the answer.
+#[rstest]
+#[case::once("once")]
+#[case::safe("safe")]
+#[case::stream("stream")]
+fn request_behind_a_closing_answer(#[case] kind: &str) {
+    let fleet = Fleet::start(&format!("closing-{kind}"), 1);
+    let entry = &fleet.entries[0];
+    entry.signal(Signal::SIGTERM);
+    wait_until("the entry drains", || !entry.ready());
+    let mut stream = TcpStream::connect(entry.addr()).expect("cannot connect");
+    let timeout = stream.set_read_timeout(Some(READ_TIMEOUT));
+    timeout.expect("cannot set the timeout");
+    let requests = [request(kind, "first", 4), request("once", "second", 4)].concat();
+    stream.write_all(&requests).expect("cannot send");
+    let mut answers = String::new();
+    let read = stream.read_to_string(&mut answers);
+    read.expect("the connection is not closed");
+    assert!(answers.starts_with("HTTP/1.1 200 "), "{answers}");
+    let closes = answers.to_ascii_lowercase().contains("connection: close");
+    let ran = fleet
+        .platform
+        .runs
+        .lock()
+        .expect("mutex poisoned")
+        .contains_key("second");
+    assert!(!(closes && ran), "{answers}");
+}
