Answer requests that are arriving when a server closes its connections

Callers saw connections closed without an answer at a shutdown: those that waited in the accept queue with their request, kept connections on which a request had just arrived, and heads of which a part had been read. A caller that read slowly got a truncated answer, and one whose request was answered before its body was read (413, 404) lost the answer.

A connection's shutdown signal was already triggered when the HTTP service began to read it, and the service then drops what it has read of the next request. And connections were closed with unread bytes, for which the kernel resets them and discards what it has not yet sent.

Each connection now has a signal of its own, which waits until no request is arriving, for 200 ms at most; the kernel is asked for unread bytes. A close shuts down the writing side first and discards what arrives for a second at most, until the caller closes.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -5,6 +5,8 @@
 //! connections itself and passes them to the HTTP service of actix. See
 //! docs/DECISIONS/0001-one-thread.md.
 
+mod connection;
+
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::stop::StopSignal;
+use connection::{CallerStream, LINGER_TIMEOUT, NewSocket, Socket};
 
 /// A new connection on which no request arrives is closed after this time.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,10 +27,10 @@
 /// An idle connection stays open for this time for the caller's next request.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
-/// How long connections opened just before the shutdown may still send their
-/// first request. If they were closed at once, a caller could not tell whether
-/// the request it just sent was executed.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
+/// How long a request that is arriving when the shutdown begins may take to arrive. If its
+/// connection were closed at once, a caller could not tell whether the request it just sent
+/// was executed.
+const REQUEST_GRACE: Duration = Duration::from_millis(200);
 
 /// Pause before accepting again after `accept` failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -109,11 +112,8 @@
         > + 'static,
     B: MessageBody + 'static,
 {
-    let closing = stop.clone();
-    let closing = move || {
-        let closing = closing.clone();
-        async move { closing.wait().await }
-    };
+    let (new_socket, closing) = (NewSocket::default(), stop.clone());
+    let sockets = new_socket.clone();
     let factory = HttpService::build()
         .client_request_timeout(REQUEST_TIMEOUT)
         .keep_alive(KEEP_ALIVE)
@@ -121,10 +121,12 @@
         // connection stayed half open, its request would keep waiting and
         // running unused. Dropping the handler cancels it down to the engine.
         .h1_allow_half_closed(false)
+        // Also applies to a response that is sent before its request's body was read. The
+        // caller may still be sending that body.
+        .client_disconnect_timeout(LINGER_TIMEOUT)
         // Closes idle connections at once, others after the current response.
-        .graceful_shutdown_signal(closing)
-        .h1(map_config(app, |()| AppConfig::default()))
-        .tcp();
+        .graceful_shutdown_signal(move || sockets.closing(closing.clone()))
+        .h1(map_config(app, |()| AppConfig::default()));
     let service = factory.new_service(()).await;
     let service = Rc::new(service.map_err(|()| io::Error::other("step=start_http"))?);
 
@@ -135,10 +137,15 @@
         let _ = stream.set_nodelay(true);
         let (service, stop, connections) =
             (Rc::clone(&service), stop.clone(), Rc::clone(&connections));
+        let new_socket = new_socket.clone();
         actix_rt::spawn(async move {
             if has_request(&stream, &stop).await {
+                let peer = stream.peer_addr().ok();
+                let socket = Socket::new(stream);
+                new_socket.set(&socket);
+                let served = service.call((CallerStream::new(socket), peer));
                 // An error only ends this connection, which the caller notices.
-                let _ = service.call(stream).await;
+                let _ = served.await;
             }
             drop(connections);
         });
@@ -176,6 +183,6 @@
         readable = readable => return matches!(readable, Ok(Ok(()))),
         () = stop.wait() => {}
     }
-    let readable = tokio::time::timeout(FIRST_REQUEST_GRACE, stream.readable()).await;
+    let readable = tokio::time::timeout(REQUEST_GRACE, stream.readable()).await;
     matches!(readable, Ok(Ok(())))
 }
