Answer all calls before an entry's grace period ends

With a grace period of 3 s and probes each second, callers saw their connection closed without an answer although a server had run their call. The entry waited 2.5 s for the load balancer and sent calls to servers until then, had 0.32 s left for them, and ended in their middle. With 2 s it did not even end before it was killed.

Calls are sent to servers in its first half; later ones are refused with 503, not run. New connections are accepted for the two and a half probe intervals as before, but not past the end of the calls. Shortly before the grace period ends, calls in progress are answered: 503 if they were sent to no server, 502 with unknown outcome otherwise. With a grace period of at least five probe intervals no call is refused that was served before.

--- a/crates/cli/tests/forward/stops.rs
+++ b/crates/cli/tests/forward/stops.rs
@@ -140,7 +140,8 @@
     loop {
         let id = format!("{seed}-{caller}-{}", ended.len());
         let route = ["safe", "once"][random.random_range(0..2)];
-        let path = format!("/{route}/{}", random.random_range(5..900));
+        let most = if random.random_bool(0.1) { 4000 } else { 900 };
+        let path = format!("/{route}/{}", random.random_range(5..most));
         let mut sent_at = Instant::now();
         let Some(mut conn) = open.take().or_else(|| Connection::open(at)) else {
             let (end, ended_at) = (End::Refused, Instant::now());
@@ -244,8 +245,10 @@
     assert_eq!(entry.wait(), Some(0), "seed {seed}: exit code");
     let ended = stopped.elapsed();
     let grace = Duration::from_secs_f64(grace_s);
-    let mut verdict = Verdict::default();
-    verdict.late = ended.saturating_sub(grace);
+    let mut verdict = Verdict {
+        late: ended.saturating_sub(grace),
+        ..Verdict::default()
+    };
     for caller in callers {
         for call in caller.join().expect("caller thread panicked") {
             let runs = runs.lock().expect("mutex poisoned");
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -2,11 +2,13 @@
 //!
 //! - `attempt`: sending the call to a chosen server.
 //! - `continuation`: continuing a stream from a copy of its KV cache.
+//! - `outcome`: whether the call may have run, its charge, and its end when the entry stops.
 //! - `placement`: choosing a server and getting admission to it.
 //! - `response`: processing the server's response.
 
 mod attempt;
 mod continuation;
+mod outcome;
 mod placement;
 mod response;
 
@@ -29,6 +31,8 @@
 use spdlog::info;
 
 use continuation::Backup;
+pub(crate) use outcome::draining_refusal;
+use outcome::{BillingState, Execution};
 use placement::AdmissionTrace;
 pub(crate) use response::UNPROVEN_END;
 use response::is_valid_success;
@@ -80,6 +84,8 @@
     phase: Option<Phase>,
     /// Whether its workspace was charged for it.
     billing: Cell<BillingState>,
+    /// Whether a server may have run it.
+    execution: Cell<Execution>,
     /// The fingerprint, computed on first use.
     fingerprint: OnceCell<Fingerprint>,
     /// The latest attempt.
@@ -112,19 +118,6 @@
     }
 }
 
-/// Whether a backend server has started the call. A workspace is charged for
-/// each call that was started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BillingState {
-    /// No server has started it.
-    NotStarted,
-    /// It was sent to a service without an engine, which starts calls soon and
-    /// does not report it.
-    MaybeStarted,
-    /// A server has started it, and it was charged.
-    Counted,
-}
-
 /// An attempt to have a server run the call.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
@@ -219,6 +212,7 @@
             deadline: incoming.received_at + route.call_timeout.min(caller_timeout),
             phase,
             billing: Cell::new(BillingState::NotStarted),
+            execution: Cell::new(Execution::NotSent),
             fingerprint: OnceCell::new(),
             attempt: Cell::new(Attempt::new(incoming.received_at)),
             admission: RefCell::default(),
@@ -568,36 +562,6 @@
         }
     }
 
-    /// Charges the call to its workspace. Later calls of this method do
-    /// nothing.
-    fn record_usage(&self) {
-        if self.billing.replace(BillingState::Counted) == BillingState::Counted {
-            return;
-        }
-        let duties = self.state.duties.borrow();
-        if let (Some(duties), Some(workspace)) = (&*duties, &self.workspace) {
-            duties.count_request(&workspace.name);
-        }
-    }
-
-    /// Records that the call is being sent to a server.
-    fn record_sent(&self) {
-        if self.phase.is_none() && self.billing.get() == BillingState::NotStarted {
-            self.billing.set(BillingState::MaybeStarted);
-        }
-    }
-
-    /// Clears the mark of a possible start if the failure shows that the call
-    /// has not run.
-    fn record_failed(&self, error: &SendError) {
-        if error.not_run() {
-            self.discard_backup();
-        }
-        if self.billing.get() == BillingState::MaybeStarted && error.not_run() {
-            self.billing.set(BillingState::NotStarted);
-        }
-    }
-
     /// Takes one retry from the retry budget, if one is left.
     fn take_retry(&self) -> bool {
         self.state.take_retry(self.request_id(), &self.service)
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -16,7 +16,7 @@
 use spdlog::info;
 use tokio::net::TcpListener;
 
-use crate::call::{Call, IncomingRequest};
+use crate::call::{Call, IncomingRequest, draining_refusal};
 use crate::reply::{LocalReply, Reply};
 use crate::state::State;
 use crate::status::Status;
@@ -42,7 +42,13 @@
     let state = Rc::clone(&state);
     let received_at = state.clock.now();
     let limit = state.catalog.borrow().as_ref().map(|c| c.limits.max_body);
-    let reply = match read_body(payload, limit.unwrap_or_default().max(1 << 20)).await {
+    let limit = limit.unwrap_or_default().max(1 << 20);
+    let body = tokio::select! {
+        body = read_body(payload, limit) => body,
+        () = state.cutoff.wait() => Err(draining_refusal()),
+    };
+    let reply = match body {
+        Ok(_) if state.refusing.get() => Reply::Local(draining_refusal()),
         Ok(body) => match convert_request(&request, count_body(&state, body), received_at) {
             Some(incoming) => run_call(&state, incoming).await,
             None => Reply::Local(LocalReply::denied(400, Refusal::BadRequest)),
@@ -70,7 +76,7 @@
             return Reply::Local(reply);
         }
     };
-    let reply = Rc::clone(&call).run().await;
+    let reply = Rc::clone(&call).run_until_cutoff().await;
     let status = match &reply {
         Reply::Buffered { status, .. } => *status,
         Reply::Stream { .. } => 200,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -12,6 +12,10 @@
 /// entry has waited for the calls in progress.
 const CLOSE_FRACTION: f64 = 0.06;
 
+/// Fraction of the grace period in which a stopping entry still sends calls to servers. The
+/// rest is left for these calls, so that a later one is refused before it has run.
+const SEND_FRACTION: f64 = 0.5;
+
 /// Settings of an entry for routed calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -244,17 +248,31 @@
         }
     }
 
-    /// Time until the load balancer sends no new connections to a stopping entry: two
-    /// probe intervals, plus half of one for connections that are being opened.
+    /// Time for which a stopping entry accepts new connections. The load balancer sends none
+    /// after two probe intervals, plus half of one for connections that are being opened.
     #[must_use]
     pub fn deregistration_delay(&self) -> Duration {
-        self.probe_interval.0 * 5 / 2
+        let delay = self.probe_interval.0 * 5 / 2;
+        delay.min(self.cutoff_time())
+    }
+
+    /// Time for which a stopping entry sends calls to servers.
+    #[must_use]
+    pub fn sending_time(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s * SEND_FRACTION)
+    }
+
+    /// Time after which a stopping entry ends the calls in progress.
+    #[must_use]
+    pub fn cutoff_time(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s * (1.0 - CLOSE_FRACTION))
     }
 
-    /// Maximum wait for calls in progress once no new connections are accepted.
+    /// Maximum wait for answers once no new connections are accepted. Half of the time that is
+    /// reserved for closing is left for the end of the process.
     #[must_use]
     pub fn drain_timeout(&self) -> Duration {
-        let grace = Duration::from_secs_f64(self.grace_s * (1.0 - CLOSE_FRACTION));
-        grace.saturating_sub(self.deregistration_delay())
+        let closing = Duration::from_secs_f64(self.grace_s * CLOSE_FRACTION / 2.0);
+        self.cutoff_time() + closing - self.deregistration_delay()
     }
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -111,6 +111,10 @@
     pub servers_loaded: Cell<bool>,
     /// Triggered when the entry starts to drain.
     pub stopping: StopSignal,
+    /// Whether calls are refused because the grace period is too short for them.
+    pub refusing: Cell<bool>,
+    /// Triggered shortly before the grace period ends; ends the calls in progress.
+    pub cutoff: StopSignal,
     /// Number of calls whose answers have not been sent completely.
     pub open_calls: Cell<usize>,
 }
@@ -180,6 +184,8 @@
             link_load: RefCell::new(settings.link_mbps.map(LinkLoad::new)),
             servers_loaded: Cell::new(false),
             stopping: StopSignal::new(),
+            refusing: Cell::new(false),
+            cutoff: StopSignal::new(),
             open_calls: Cell::new(0),
             settings,
         })
