Test calls that are open at the end of an entry's grace period

A call that a server runs gets 502, one whose body has not arrived 503, and one that waits for leave to send its body is served. A caller that closes its sending side gets no answer: on the socket it looks like one that has gone, whose work is to end. The answers of ended calls have a time of their own that begins when the calls have been ended, not at the stop, so that a process that was late for the one is not too late for the other.

--- a/crates/cli/tests/forward/stops.rs
+++ b/crates/cli/tests/forward/stops.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 use nix::sys::signal::Signal;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 use serde_json::json;
 
 use crate::caller::READ_TIMEOUT;
@@ -279,3 +280,80 @@
     }
     assert!(errors.is_empty(), "{errors:#?}");
 }
+
+/// Starts an entry with a grace period in seconds and its probe interval, and one server.
+fn start(name: &str, grace_s: f64, probes: &str) -> (Entry, Runs) {
+    let (platform, store) = Platform::start();
+    let runs = Runs::default();
+    start_server(&platform, &runs);
+    let entry = Entry::start_with_grace(name, store, grace_s, probes);
+    wait_until("the entry knows the server", || {
+        entry.ready() && entry.status("servers") == 1
+    });
+    (entry, runs)
+}
+
+/// A request with the method and these further header lines, without its body of four bytes.
+fn head(path: &str, id: &str, more: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n{more}\
+         X-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\n"
+    )
+}
+
+/// Guards against callers that wait for an answer when the process ends: their call was sent
+/// to a server, or its body has not arrived.
+#[rstest]
+#[case::at_work("body", 502, 1)]
+#[case::without_body("", 503, 0)]
+#[case::with_half_a_body("bo", 503, 0)]
+fn call_open_at_end_of_grace(#[case] body: &str, #[case] status: u16, #[case] count: u32) {
+    let (mut entry, runs) = start(&format!("cutoff-{}", body.len()), 1.0, "100ms");
+    let mut caller = Connection::open(entry.addr()).expect("cannot connect");
+    let request = head("/once/5000", "open", "") + body;
+    let sent = caller.reader.get_mut().write_all(request.as_bytes());
+    sent.expect("cannot send the request");
+    let ran = || {
+        let runs = runs.lock().expect("mutex poisoned");
+        runs.get("open").copied().unwrap_or(0)
+    };
+    wait_until("the call runs", || ran() == count);
+    entry.signal(Signal::SIGTERM);
+    assert_eq!(caller.receive(), (End::Answered(status), false));
+    assert_eq!(entry.wait(), Some(0));
+    assert_eq!(ran(), count);
+}
+
+/// Guards against a caller that waits for leave to send its body, and gets none, because the
+/// entry is stopping.
+#[test]
+fn expect_continue_while_stopping() {
+    let (mut entry, _runs) = start("expect", 6.0, "1s");
+    let mut caller = Connection::open(entry.addr()).expect("cannot connect");
+    entry.signal(Signal::SIGTERM);
+    wait_until("the entry is not ready", || !entry.ready());
+    let request = head("/once/5", "expect", "Expect: 100-continue\r\n");
+    let sent = caller.reader.get_mut().write_all(request.as_bytes());
+    sent.expect("cannot send the head");
+    assert_eq!(caller.receive(), (End::Answered(100), true));
+    let sent = caller.reader.get_mut().write_all(b"body");
+    sent.expect("cannot send the body");
+    assert_eq!(caller.receive(), (End::Answered(200), false));
+    assert_eq!(entry.wait(), Some(0));
+}
+
+/// Guards against work for a caller that has closed its connection: a caller that closes only
+/// its sending side looks the same, and its call ends too.
+#[test]
+fn half_closed_connection_ends_call() {
+    let (entry, runs) = start("half", 6.0, "1s");
+    let mut caller = Connection::open(entry.addr()).expect("cannot connect");
+    caller.send("/once/3000", "half").expect("cannot send");
+    wait_until("the call runs", || {
+        runs.lock().expect("mutex poisoned").contains_key("half")
+    });
+    let closed = caller.reader.get_ref().shutdown(Shutdown::Write);
+    closed.expect("cannot close the sending side");
+    assert_eq!(caller.receive(), (End::Closed, false));
+    wait_until("the call has ended", || entry.status("open") == 0);
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -170,11 +170,15 @@
         listen = state.settings.listen.to_string().as_str()
     });
 
-    let closed = StopSignal::new();
-    actix_rt::spawn(drain::drain(Rc::clone(&state), stop, closed.clone()));
+    let (closed, ended) = (StopSignal::new(), StopSignal::new());
+    let drain = drain::drain(Rc::clone(&state), stop, closed.clone(), ended.clone());
+    actix_rt::spawn(drain);
     let app = http::app(Rc::clone(&state));
-    let drain_timeout = state.settings.drain_timeout();
-    base::http::serve_and_drain(listener, app, closed, drain_timeout).await?;
+    let grace = state.settings.grace();
+    tokio::select! {
+        served = base::http::serve_and_drain(listener, app, closed, grace) => served?,
+        () = ended.wait() => {}
+    }
     info!("entry stopped", kv: { name = state.settings.name.as_str(), open = state.open_calls.get() });
     end.trigger();
     Ok(())
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -259,20 +259,25 @@
     /// Time for which a stopping entry sends calls to servers.
     #[must_use]
     pub fn sending_time(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_s * SEND_FRACTION)
+        self.grace().mul_f64(SEND_FRACTION)
     }
 
     /// Time after which a stopping entry ends the calls in progress.
     #[must_use]
     pub fn cutoff_time(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_s * (1.0 - CLOSE_FRACTION))
+        self.grace().mul_f64(1.0 - CLOSE_FRACTION)
     }
 
-    /// Maximum wait for answers once no new connections are accepted. Half of the time that is
-    /// reserved for closing is left for the end of the process.
+    /// Time for which the answers of ended calls are written. Half of the time that is reserved
+    /// for closing is left for the end of the process.
     #[must_use]
-    pub fn drain_timeout(&self) -> Duration {
-        let closing = Duration::from_secs_f64(self.grace_s * CLOSE_FRACTION / 2.0);
-        self.cutoff_time() + closing - self.deregistration_delay()
+    pub fn close_time(&self) -> Duration {
+        self.grace().mul_f64(CLOSE_FRACTION / 2.0)
+    }
+
+    /// Time from the request to stop until the process is killed.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
     }
 }
