Wait for ports that are in use when a daemon starts

A daemon ended with code 2 when one of its ports was the local port of an outgoing connection, was held by a datagram socket, or by its predecessor with the same settings; for datagram ports the message named neither key nor address. Kernels pick local ports from the range that settings files use too, so this happens once in many restarts, and to a restart beside a predecessor that still drains it always happens. The ports of the duties were given up for the life of the process, and the calls of such an entry were never reported.

`base::listen::Binder` binds TCP and UDP for forward, admission, entry and sidecar. Failures that pass by themselves (`BindFailure`: address in use, address not there yet, no descriptors, no memory) are waited for, with an attempt every 100 ms, a log line at once and every 10 s that names key, address, cause and a hint, and one when it is bound. SIGTERM ends the wait with code 0. Other failures (permission, an address that can never be used) end the process as before, now for all ports with key, address and hint. There is no bound on the wait: a process that ended would be started again and meet the same port.

Ports that callers do not need are bound in the background while the daemon serves: readiness, metrics, tables and duties of `forward`, metrics of `admission`, operators of `entry` and `sidecar`. A listener that fails is bound again. `forward` binds the callers' port last, so that connections are refused rather than accepted by the kernel while another port is waited for. Duties count requests while their port is waited for, as long as the window can still be reported.

The test `listen_address_in_use` asserted that a process ends when its port is in use, which was the fault; `unusable_address` makes the same assertions (code 2, key, address, hint) for all daemons and ports with an address that can never be bound, and `port_in_use` asserts the line, the wait and the service afterwards.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -17,11 +17,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::admin;
 use base::clock::{Clock, SystemClock};
+use base::listen::Binder;
 use base::stop::StopSignal;
 use base::task::supervise;
 use spdlog::info;
-use tokio::net::UdpSocket;
 
 use engine::Engine;
 use responder::GrantResponder;
@@ -31,18 +32,22 @@
 ///
 /// # Errors
 ///
-/// Returns an error when a listening address cannot be bound.
+/// Returns an error when a listening address can never be bound.
 pub async fn run<E: Engine + 'static>(
     settings: Settings,
     engine: E,
     stop: StopSignal,
 ) -> io::Result<()> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let socket = UdpSocket::bind(settings.listen).await?;
+    let binder = Binder::new(Rc::clone(&clock), stop.clone());
+    let Some(socket) = binder.udp("listen", settings.listen).await? else {
+        return Ok(());
+    };
     let end = StopSignal::new();
     if let Some(addr) = settings.metrics {
-        let listener = base::listen("metrics", addr).await?;
-        actix_rt::spawn(base::admin::serve_metrics(listener, end.clone()));
+        let (binder, end) = (Binder::new(Rc::clone(&clock), end.clone()), end.clone());
+        let serve = move |listener| admin::serve_metrics(listener, end.clone());
+        binder.serve_in_background("metrics", addr, serve).await?;
     }
     info!("sidecar started", kv: {
         name = settings.name.as_str(),
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`logging`]: structured logs, one line of key=value pairs per event.
 //! - [`timeline`]: the events of one request, collected from logs.
 //! - [`telemetry`]: the metrics recorder of one daemon.
-//! - [`mod@listen`]: binding a listener to an address from the settings.
+//! - [`mod@listen`]: binding sockets to addresses from the settings.
 //! - [`admin`]: the admin address with health, status and metrics.
 //! - [`http`]: serving an actix-web application on the daemon's thread.
 //! - [`stop`]: a shared signal for graceful shutdown and settings reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,9 +40,10 @@
 use std::time::Duration;
 
 use actix::Actor;
+use base::admin;
 use base::clock::{Clock, SystemClock};
+use base::listen::Binder;
 use base::stop::StopSignal;
-use base::{admin, listen};
 use bundle::Bundle;
 use spdlog::info;
 
@@ -72,9 +73,12 @@
         (None, None) => return Err(io::Error::other(NO_BUNDLE)),
     };
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let listener = listen("listen", settings.listen).await?;
+    let binder = Binder::new(Rc::clone(&clock), stop.clone());
+    let Some(listener) = binder.tcp("listen", settings.listen).await? else {
+        return Ok(());
+    };
     let operators = settings.operators;
-    let state = State::new(settings, bundle_sync, clock);
+    let state = State::new(settings, bundle_sync, Rc::clone(&clock));
     actix_rt::spawn(bundle_sync::fetch_initial_bundle(Rc::clone(&state)));
     membership::MembershipActor::new(Rc::clone(&state)).start();
 
@@ -82,12 +86,10 @@
     // drain can be monitored.
     let admin_stop = StopSignal::new();
     if let Some(addr) = operators {
-        let listener = listen("operators", addr).await?;
-        actix_rt::spawn(admin::serve(
-            listener,
-            Rc::clone(&state),
-            admin_stop.clone(),
-        ));
+        let binder = Binder::new(clock, admin_stop.clone());
+        let (own, stop) = (Rc::clone(&state), admin_stop.clone());
+        let serve = move |listener| admin::serve(listener, Rc::clone(&own), stop.clone());
+        binder.serve_in_background("operators", addr, serve).await?;
     }
 
     info!("entry ready", kv: {
--- a/crates/forward/src/duties.rs
+++ b/crates/forward/src/duties.rs
@@ -11,7 +11,7 @@
 pub mod report;
 pub mod scale;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -20,6 +20,7 @@
 
 use base::clock::Clock;
 use base::ids::Incarnation;
+use base::listen::Binder;
 use policy::duty::Candidate;
 use policy::fleet_time::FleetTime;
 use policy::readers::Rank;
@@ -40,7 +41,11 @@
     clock: Rc<dyn Clock>,
     /// Address for messages from other entries.
     addr: SocketAddr,
-    socket: UdpSocket,
+    /// The socket for these messages, once it is bound.
+    socket: OnceCell<UdpSocket>,
+    /// Until when requests are counted without a socket. Their windows can be reported
+    /// only if the other entries get the counts before the report is due.
+    count_until: Instant,
     candidate: RefCell<Candidate>,
     counter: RefCell<UsageCounter>,
     fleet_time: RefCell<FleetTime>,
@@ -83,19 +88,12 @@
 }
 
 impl Duties {
-    /// Creates the state for the configured duties and binds their port; none if no
-    /// duties are configured.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error when the port cannot be bound.
-    pub async fn bind(own: &Settings, clock: Rc<dyn Clock>) -> io::Result<Option<Rc<Self>>> {
+    /// Creates the state for the configured duties; none if no duties are configured.
+    #[must_use]
+    pub fn new(own: &Settings, clock: Rc<dyn Clock>) -> Option<Rc<Self>> {
         let has_duties = |d: &settings::DutySettings| d.reports_usage() || d.autoscales();
-        let Some(settings) = own.duties.clone().filter(has_duties) else {
-            return Ok(None);
-        };
+        let settings = own.duties.clone().filter(has_duties)?;
         let addr = own.duty_addr();
-        let socket = UdpSocket::bind(addr).await?;
         let now = clock.now_boottime();
         let incarnation = Incarnation::random();
         let host = addr.ip().to_string();
@@ -104,10 +102,12 @@
             length: Duration::from_secs_f64(settings.window_s),
             deadline: Duration::from_secs_f64(settings.due_s),
         };
-        Ok(Some(Rc::new(Self {
+        let unbound = windows.length.saturating_add(windows.deadline);
+        Some(Rc::new(Self {
             name: own.name.clone(),
             addr,
-            socket,
+            socket: OnceCell::new(),
+            count_until: now.checked_add(unbound).unwrap_or(now),
             candidate: RefCell::new(Candidate::new(
                 now,
                 &incarnation.to_string(),
@@ -127,7 +127,25 @@
             peers: RefCell::default(),
             settings,
             clock,
-        })))
+        }))
+    }
+
+    /// Binds the port for messages from other entries; returns whether it is bound, or the
+    /// entry was stopped before that.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error when the port can never be bound.
+    pub async fn bind(&self, binder: &Binder) -> io::Result<bool> {
+        let Some(socket) = binder.udp("duties", self.addr).await? else {
+            return Ok(false);
+        };
+        Ok(self.socket.set(socket).is_ok())
+    }
+
+    /// The socket for messages from other entries.
+    fn socket(&self) -> Option<&UdpSocket> {
+        self.socket.get()
     }
 
     /// Address of the platform API for duties.
@@ -144,6 +162,9 @@
         }
         let time = self.fleet_time();
         let now = self.clock.now_boottime();
+        if self.socket().is_none() && now >= self.count_until {
+            return;
+        }
         self.counter
             .borrow_mut()
             .count_request(now, time, workspace);
--- a/crates/forward/src/duties/messages.rs
+++ b/crates/forward/src/duties/messages.rs
@@ -36,12 +36,15 @@
     }
 }
 
-/// Receives and applies the messages of other entries.
+/// Receives and applies the messages of other entries, once the port is bound.
 pub async fn receive(duties: Rc<Duties>) {
     let mut buffer = vec![0; duties::MAX_DATAGRAM_BYTES + 1];
     let limiter = LineLimiter::default();
+    let Some(socket) = duties.socket() else {
+        return;
+    };
     loop {
-        let (length, from) = match duties.socket.recv_from(&mut buffer).await {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(e) => {
                 // The ICMP error of an unreachable peer surfaces here; it does not
@@ -105,10 +108,13 @@
     }
 
     fn send(&self, targets: &[SocketAddr], message: &Message) {
+        let Some(socket) = self.socket() else {
+            return;
+        };
         for bytes in duties::encode(message) {
             for target in targets {
                 // A datagram that cannot be sent is treated like one that is lost.
-                let _ = self.socket.try_send_to(&bytes, *target);
+                let _ = socket.try_send_to(&bytes, *target);
             }
         }
     }
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -283,15 +283,12 @@
 }
 
 impl SidecarClient {
-    /// Binds to `addr`; the sidecars listen on the same port.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error when the address cannot be used.
-    pub async fn bind(addr: SocketAddr) -> io::Result<Rc<Self>> {
+    /// Creates a client that asks on `socket` the sidecars that listen on `port`.
+    #[must_use]
+    pub fn new(socket: UdpSocket, port: u16) -> Rc<Self> {
         let sidecars = Rc::new(Self {
-            socket: UdpSocket::bind(addr).await?,
-            port: addr.port(),
+            socket,
+            port,
             incarnation: Incarnation::random().0,
             next_number: Cell::new(0),
             pending: RefCell::default(),
@@ -304,7 +301,7 @@
         supervise("receive grants", StopSignal::new(), move || {
             Rc::clone(&own).receive()
         });
-        Ok(sidecars)
+        sidecars
     }
 
     /// Asks the sidecar next to `server` to admit a call.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -63,13 +63,13 @@
 use std::rc::Rc;
 
 use base::clock::{Clock, SystemClock};
-use base::listen;
+use base::listen::Binder;
 use base::stop::StopSignal;
-use duties::Duties;
 use gossip::GossipEndpoint;
+use grants::SidecarClient;
 use platform::{Dialect, Platform};
-use spdlog::{info, warn};
-use tokio::net::UdpSocket;
+use spdlog::info;
+use tokio::net::{TcpListener, UdpSocket};
 
 pub use settings::Settings;
 use state::State;
@@ -80,7 +80,7 @@
 ///
 /// # Errors
 ///
-/// Returns the error when the entry cannot listen.
+/// Returns the error when an address of the settings can never be bound.
 pub async fn run<P: Platform + 'static>(
     settings: Settings,
     dialect: Rc<dyn Dialect>,
@@ -88,51 +88,27 @@
     stop: StopSignal,
 ) -> io::Result<()> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let listener = listen("listen", settings.listen).await?;
-    let ready = listen("ready", settings.ready).await?;
-    let metrics = match settings.metrics {
-        Some(addr) => Some(listen("metrics", addr).await?),
-        None => None,
+    let binder = Binder::new(Rc::clone(&clock), stop.clone());
+    let Some(sockets) = Sockets::bind(&settings, &binder).await? else {
+        return Ok(());
     };
-    let socket = UdpSocket::bind(settings.gossip).await?;
-    let duties = match Duties::bind(&settings, Rc::clone(&clock)).await {
-        Ok(duties) => duties,
-        // Other entries can perform the duties; this one can still serve callers.
-        Err(e) => {
-            let addr = settings.duty_addr().to_string();
-            warn!("duty port not bound; duties left to other entries", kv: {
-                step = "bind", addr = addr.as_str(), cause = e.to_string().as_str()
-            });
-            None
-        }
-    };
-    let state = State::new(settings, dialect, clock);
-    if let Some(addr) = state.settings.grants {
-        let sidecars = grants::SidecarClient::bind(addr).await?;
-        *state.sidecars.borrow_mut() = Some(sidecars);
-    }
+    let state = State::new(settings, dialect, Rc::clone(&clock));
+    let sidecars = sockets.grants.zip(state.settings.grants);
+    *state.sidecars.borrow_mut() =
+        sidecars.map(|(socket, addr)| SidecarClient::new(socket, addr.port()));
 
     let end = StopSignal::new();
-    actix_rt::spawn(neighbours::bind_and_answer(Rc::clone(&state), end.clone()));
+    let binder = Binder::new(Rc::clone(&clock), end.clone());
     let tasks = Tasks {
         state: Rc::clone(&state),
         platform: Rc::new(platform),
         end: end.clone(),
     };
-    if let Some(duties) = duties {
-        *state.duties.borrow_mut() = Some(Rc::clone(&duties));
-        tasks.perform_duties(&duties);
-    }
+    tasks.start_duties(clock, &binder);
     tasks.start_tables();
-    tasks.start_gossip(GossipEndpoint::new(Rc::clone(&state), socket));
+    tasks.start_gossip(GossipEndpoint::new(Rc::clone(&state), sockets.gossip));
     tasks.start_upkeep();
-    for listener in [Some(ready), metrics].into_iter().flatten() {
-        actix_rt::spawn(http::serve_operators(
-            listener,
-            Rc::clone(&state),
-            end.clone(),
-        ));
-    }
+    serve_peers_and_operators(&state, &binder, &end).await?;
     info!("entry started", kv: {
         name = state.settings.name.as_str(),
         zone = state.settings.zone.as_str(),
@@ -143,8 +119,72 @@
     actix_rt::spawn(drain::drain(Rc::clone(&state), stop, closed.clone()));
     let app = http::app(Rc::clone(&state));
     let drain_timeout = state.settings.drain_timeout();
-    base::http::serve_and_drain(listener, app, closed, drain_timeout).await?;
+    base::http::serve_and_drain(sockets.callers, app, closed, drain_timeout).await?;
     info!("entry stopped", kv: { name = state.settings.name.as_str(), open = state.open_calls.get() });
     end.trigger();
     Ok(())
 }
+
+/// The sockets without which an entry cannot serve callers.
+struct Sockets {
+    gossip: UdpSocket,
+    grants: Option<UdpSocket>,
+    callers: TcpListener,
+}
+
+impl Sockets {
+    /// Binds the sockets, and waits for those that are in use. Returns `None` when the
+    /// entry is stopped before that.
+    ///
+    /// Callers' connections are accepted by the kernel as soon as their port is bound, so
+    /// it comes last. Until then they are refused and can go to another entry.
+    async fn bind(settings: &Settings, binder: &Binder) -> io::Result<Option<Self>> {
+        let Some(gossip) = binder.udp("gossip", settings.gossip).await? else {
+            return Ok(None);
+        };
+        let mut grants = None;
+        if let Some(addr) = settings.grants {
+            grants = binder.udp("grants", addr).await?;
+        }
+        let callers = binder.tcp("listen", settings.listen).await?;
+        Ok(callers.map(|callers| Self {
+            gossip,
+            grants,
+            callers,
+        }))
+    }
+}
+
+/// Serves neighbours and operators until `end`, as soon as their ports can be bound.
+///
+/// Another process may have a port for some time. An entry that waited for it would serve
+/// no callers in the meantime. Neighbours skip an entry that does not answer, and the load
+/// balancer uses it once the readiness port answers.
+async fn serve_peers_and_operators(
+    state: &Rc<State>,
+    binder: &Binder,
+    end: &StopSignal,
+) -> io::Result<()> {
+    let (own, stop) = (Rc::clone(state), end.clone());
+    let answer = move |listener| {
+        let answered = neighbours::answer_requests(listener, Rc::clone(&own), stop.clone());
+        async move {
+            answered.await;
+            Ok(())
+        }
+    };
+    let addr = state.settings.gossip;
+    binder.serve_in_background("gossip", addr, answer).await?;
+
+    let operators = [
+        ("ready", Some(state.settings.ready)),
+        ("metrics", state.settings.metrics),
+    ];
+    for (key, addr) in operators {
+        let Some(addr) = addr else { continue };
+        let (own, stop) = (Rc::clone(state), end.clone());
+        let serve = move |listener| http::serve_operators(listener, Rc::clone(&own), stop.clone());
+        binder.serve_in_background(key, addr, serve).await?;
+    }
+    Ok(())
+}
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -45,9 +45,6 @@
 /// Delay between two requests, which batches several changes.
 const POLL_DELAY: Duration = Duration::from_millis(50);
 
-/// Delay before binding the port for neighbours is retried.
-const BIND_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// Interval of checks for a neighbour to ask.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -253,34 +250,12 @@
 #[derive(Clone)]
 struct TableServer(Rc<State>);
 
-/// Answers the requests of neighbours on `listener` until `end`.
+/// Answers the requests of neighbours on `listener` until `end`. Its port has the same
+/// number as the gossip port.
 pub async fn answer_requests(listener: TcpListener, state: Rc<State>, end: StopSignal) {
     tables::serve_tables(listener, TableServer(state), end).await;
 }
 
-/// Binds the port for neighbours, which has the same number as the gossip port, and answers
-/// their requests until `end`.
-///
-/// Another process may have the port. An entry that stopped because of that would serve no
-/// callers in the meantime. Without the port it serves all callers, and its neighbours skip
-/// it and ask the next one.
-pub(crate) async fn bind_and_answer(state: Rc<State>, end: StopSignal) {
-    let mut warned = false;
-    while !end.is_triggered() {
-        match base::listen("tables", state.settings.gossip).await {
-            Ok(listener) => return answer_requests(listener, state, end).await,
-            Err(e) if !warned => {
-                warn!("port for neighbours not bound; retrying", kv: {
-                    cause = e.to_string().as_str()
-                });
-                warned = true;
-            }
-            Err(_) => {}
-        }
-        tokio::time::sleep(BIND_RETRY_DELAY).await;
-    }
-}
-
 impl tables::TableSync for TableServer {
     async fn fetch_changes(self, _: Context, request: ChangesRequest) -> TableChanges {
         let Self(state) = self;
--- a/crates/forward/src/tasks.rs
+++ b/crates/forward/src/tasks.rs
@@ -2,8 +2,11 @@
 
 use std::rc::Rc;
 
+use base::clock::Clock;
+use base::listen::Binder;
 use base::stop::StopSignal;
 use base::task::supervise;
+use spdlog::error;
 
 use crate::duties::{self, Duties};
 use crate::gossip::GossipEndpoint;
@@ -71,8 +74,30 @@
         self.start("sweep", |state, _, end| state::sweep(state, end));
     }
 
+    /// Starts the configured duties, if there are any, as soon as their port can be bound.
+    pub(crate) fn start_duties(&self, clock: Rc<dyn Clock>, binder: &Binder) {
+        let Some(duties) = Duties::new(&self.state.settings, clock) else {
+            return;
+        };
+        *self.state.duties.borrow_mut() = Some(Rc::clone(&duties));
+        let (own, binder) = (self.clone(), binder.clone());
+        actix_rt::spawn(async move {
+            match duties.bind(&binder).await {
+                Ok(true) => own.perform_duties(&duties),
+                Ok(false) => {}
+                // Other entries can perform the duties; this one can still serve callers.
+                Err(e) => {
+                    *own.state.duties.borrow_mut() = None;
+                    error!("duty port not bound; duties left to other entries", kv: {
+                        step = "bind", cause = e.to_string().as_str()
+                    });
+                }
+            }
+        });
+    }
+
     /// Starts the tasks that elect the holder of the duties and perform them.
-    pub(crate) fn perform_duties(&self, duties: &Rc<Duties>) {
+    fn perform_duties(&self, duties: &Rc<Duties>) {
         let own = Rc::clone(duties);
         self.start("scale servers", move |state, platform, end| {
             let api = platform.duty_api(own.platform_addr());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,10 +28,11 @@
 use std::time::Duration;
 
 use actix::Actor;
+use base::admin;
 use base::clock::{Clock, SystemClock};
+use base::listen::Binder;
 use base::stop::StopSignal;
 use base::task::supervise;
-use base::{admin, listen};
 use spdlog::info;
 
 pub use settings::Settings;
@@ -48,17 +49,22 @@
 pub async fn run(settings: Settings, stop: StopSignal) -> io::Result<()> {
     settings.check().map_err(io::Error::other)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let listener = listen("listen", settings.listen).await?;
+    let binder = Binder::new(Rc::clone(&clock), stop.clone());
+    let Some(listener) = binder.tcp("listen", settings.listen).await? else {
+        return Ok(());
+    };
     let operators = settings.operators;
     info!("sidecar ready", kv: { name = settings.name.as_str(), listen = settings.listen.to_string().as_str() });
 
-    let state = State::new(settings, clock);
+    let state = State::new(settings, Rc::clone(&clock));
     // The operators' address is served until the process ends, so that a drain
     // can be observed.
     let end = StopSignal::new();
     if let Some(addr) = operators {
-        let listener = listen("operators", addr).await?;
-        actix_rt::spawn(admin::serve(listener, Rc::clone(&state), end.clone()));
+        let (binder, end) = (Binder::new(clock, end.clone()), end.clone());
+        let own = Rc::clone(&state);
+        let serve = move |listener| admin::serve(listener, Rc::clone(&own), end.clone());
+        binder.serve_in_background("operators", addr, serve).await?;
     }
     let (own, stop_tasks) = (Rc::clone(&state), end.clone());
     supervise("sweep", end.clone(), move || {
