Keep outgoing connections from holding the ports of starting processes

A process that restarts finds its port in use when a connection of any process of its host has it as its local port, also for a minute after the connection was closed (TIME_WAIT). Our own daemons connect again and again: to the store, to servers, to each other, and while one of these is away to a port on which nobody listens. The kernel then also picks this very port as the local one, and the connection reaches itself: a caller's request would be read back as an answer, and the process that owns the port cannot start.

`base::connect` sets SO_REUSEADDR on outgoing sockets, so that a listener may bind their local port while they are open and afterwards, and treats a connection to itself as refused, closed without TIME_WAIT.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`logging`]: structured logs, one line of key=value pairs per event.
 //! - [`timeline`]: the events of one request, collected from logs.
 //! - [`telemetry`]: the metrics recorder of one daemon.
+//! - [`mod@connect`]: outgoing TCP connections.
 //! - [`mod@listen`]: binding sockets to addresses from the settings.
 //! - [`admin`]: the admin address with health, status and metrics.
 //! - [`http`]: serving an actix-web application on the daemon's thread.
@@ -17,6 +18,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod connect;
 pub mod http;
 pub mod ids;
 pub mod listen;
--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -8,6 +8,7 @@
 
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
+use base::connect::HttpConnector;
 use base::ids::{RequestId, Tier};
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -206,6 +207,7 @@
         // either end noticing, and a request lost on it may or may not have been
         // executed. If a new connection fails, the request was certainly not sent.
         let connector = awc::Connector::new()
+            .connector(HttpConnector)
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(Duration::ZERO)
             .limit(0);
--- a/crates/clients/src/log.rs
+++ b/crates/clients/src/log.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use awc::http::StatusCode;
+use base::connect::HttpConnector;
 use base::ids::Offset;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -124,7 +125,10 @@
     /// Creates a client for the log at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let connector = awc::Connector::new().timeout(RESPONSE_TIMEOUT).limit(0);
+        let connector = awc::Connector::new()
+            .connector(HttpConnector)
+            .timeout(RESPONSE_TIMEOUT)
+            .limit(0);
         let http = awc::Client::builder()
             .connector(connector)
             .timeout(RESPONSE_TIMEOUT)
--- a/crates/clients/src/orders.rs
+++ b/crates/clients/src/orders.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use awc::http::StatusCode;
+use base::connect::HttpConnector;
 use base::ids::Offset;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -114,7 +115,9 @@
     /// Creates a client for the engine that accepts orders at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let connector = awc::Connector::new().conn_keep_alive(Duration::ZERO);
+        let connector = awc::Connector::new()
+            .connector(HttpConnector)
+            .conn_keep_alive(Duration::ZERO);
         let http = awc::Client::builder()
             .connector(connector)
             .timeout(RESPONSE_TIMEOUT)
--- a/crates/clients/src/plain.rs
+++ b/crates/clients/src/plain.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::connect::{HttpConnector, connect};
 use base::ids::RequestId;
 use bytes::Bytes;
 
@@ -43,6 +44,7 @@
     #[must_use]
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
         let connector = awc::Connector::new()
+            .connector(HttpConnector)
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(IDLE_TIMEOUT)
             .limit(0);
@@ -60,7 +62,7 @@
     /// Returns [`Error`] when no connection can be opened.
     pub async fn probe(&self) -> Result<(), Error> {
         let peer = self.addr;
-        let connected = tokio::net::TcpStream::connect(peer);
+        let connected = connect(peer);
         match tokio::time::timeout(CONNECT_TIMEOUT, connected).await {
             Ok(Ok(_)) => Ok(()),
             _ => Err(Error::Connect {
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -12,12 +12,12 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use base::connect::connect;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 
 /// Idle timeout of a connection when the server does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -125,7 +125,7 @@
     /// Returns the error when no connection could be made in time. Nothing was
     /// sent in that case.
     pub async fn connect(now: Instant, addr: SocketAddr) -> io::Result<Connection> {
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(addr)).await;
         let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use base::connect::connect;
 use base::ids::RequestId;
 use base::stop::StopSignal;
 
@@ -384,8 +385,7 @@
     }
 
     async fn connect(&self) -> io::Result<Connection> {
-        let connected =
-            tokio::time::timeout(self.timeouts.connect, TcpStream::connect(self.addr)).await;
+        let connected = tokio::time::timeout(self.timeouts.connect, connect(self.addr)).await;
         let stream = connected.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
 
--- a/crates/wire/src/tables.rs
+++ b/crates/wire/src/tables.rs
@@ -12,8 +12,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use tarpc::client::RpcError;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
+use base::connect::connect;
 use base::stop::StopSignal;
 
 use crate::peer::codec;
@@ -126,7 +127,7 @@
     ///
     /// Returns an error when no connection is established within `timeout`.
     pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Self, Error> {
-        let connected = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
+        let connected = tokio::time::timeout(timeout, connect(addr)).await;
         let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = stream.and_then(|s| s.set_nodelay(true).map(|()| s));
         let stream = stream.context(DialSnafu { peer: addr })?;
