Ask at least one entry before answers count as a proof

Callers could see a stream go on at another software version when they took it up at an entry that had been out of step during a release: one that was cut off from the others, or stood still, for so long that it had dropped them (30 s, or 8 s where relays are used). Nobody was left to ask, so no answer was missing, and the only version in its own old table counted as proven, without a read of the records and also while the store was away.

Answers are conclusive now only if at least one was given. Otherwise the records are read, as for answers that are missing. An entry that is alone pays one read for a stream that it does not know; those that began at it are in its own table.

The case alone of answers_are_conclusive asserted the fault. Entries of the tests of calls have a store now that answers reads.

--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -12,16 +12,15 @@
 use forward::platform::{AddedHeaders, CallHeaders, Dialect, PromptPart, ResponseHeaders};
 use forward::settings::Settings;
 use forward::state::State;
-use forward::versions;
 use http::{HeaderMap, HeaderValue};
 use policy::balance::{ServerFeedback, ServerRecord};
-use policy::replica::{Update, UpdateKind};
 use policy::routes::{CallKind, CallerLimits, Catalog, Engine, Route, Service, Workspace};
-use policy::versions::records::{VersionKey, VersionRecord, VersionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::records;
+
 /// The host of the engines and their sidecar.
 pub(crate) const ENGINES: &str = "127.0.0.2";
 
@@ -429,6 +428,8 @@
     pub(crate) moves_enabled: bool,
     /// The software version of each server.
     pub(crate) versions: &'static [&'static str],
+    /// Whether the store answers reads of the recorded versions.
+    pub(crate) store_answers: bool,
     /// The service of each server; calls are split equally between services.
     pub(crate) services: &'static [&'static str],
     pub(crate) actions: Vec<Action>,
@@ -453,6 +454,7 @@
             moves: false,
             moves_enabled: false,
             versions: &["", ""],
+            store_answers: true,
             services: &["app"; 4],
             actions: actions.to_vec(),
         }
@@ -492,7 +494,7 @@
         };
         let state = State::new(settings, Rc::new(TestDialect), Rc::clone(&plan.clock));
         state.copies.borrow_mut().set_entries(1);
-        record_versions(&state, &records);
+        records::record_versions(&state, &records, plan.store_answers);
         for record in records {
             let mut balancer = state.balancer.borrow_mut();
             balancer.upsert(Instant::now(), record);
@@ -578,26 +580,6 @@
     }
 }
 
-/// Lets the entry know the versions of these servers as recorded in the store.
-fn record_versions(state: &State, servers: &[ServerRecord]) {
-    let now = state.clock.now();
-    let record = |server: &ServerRecord| {
-        let key = VersionKey::new(&server.service, &server.version);
-        let record = VersionRecord::unnamed(VersionState::Active);
-        (Rc::from(key.to_string()), Some(record))
-    };
-    let update = Update {
-        records: servers.iter().map(record).collect(),
-        kind: UpdateKind::Snapshot,
-        position: 1,
-        as_of: now,
-    };
-    let mut replica = state.tables.versions.borrow_mut();
-    let changes = replica.apply_store_update(update, None);
-    drop(replica);
-    versions::apply_changes(state, now, changes, UpdateKind::Snapshot);
-}
-
 /// A request with a body of four bytes.
 pub(crate) fn request(headers: &str, more: &str) -> String {
     format!(
--- a/crates/forward/tests/calls/partial_tables.rs
+++ b/crates/forward/tests/calls/partial_tables.rs
@@ -70,6 +70,7 @@
     let plan = Plan {
         versions: &["v1"],
         seeds: vec!["127.0.0.3:1".parse().expect("an address")],
+        store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(REMAINDER)])
     };
     let entry = Entry::start(plan).await;
--- a/crates/forward/tests/calls/versions.rs
+++ b/crates/forward/tests/calls/versions.rs
@@ -128,6 +128,7 @@
     let table = Table::new(Access::Held, &[]);
     let plan = Plan {
         versions: &["v1"],
+        store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(EVENT)])
     };
     let entry = start(plan, &table).await;
@@ -154,6 +155,7 @@
     let table = Table::new(Access::Refused, &[]);
     let plan = Plan {
         versions: &["v1"],
+        store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(EVENT)])
     };
     let entry = start(plan, &table).await;
@@ -176,6 +178,7 @@
     let table = Table::new(access, recorded);
     let plan = Plan {
         versions: &["v1"],
+        store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(EVENT)])
     };
     let entry = start(plan, &table).await;
@@ -197,6 +200,7 @@
     let plan = Plan {
         versions: &["v1"],
         seeds: vec!["127.0.0.3:1".parse().expect("an address")],
+        store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(EVENT)])
     };
     let entry = start(plan, &table).await;
--- a/crates/policy/src/origins.rs
+++ b/crates/policy/src/origins.rs
@@ -103,12 +103,13 @@
 
 impl QueryScope {
     /// Whether the answers show that no entry knows of another version. If an entry that may
-    /// know more has not answered, only the store can show it.
+    /// know more has not answered, only the store can show it. An entry that has been cut off,
+    /// or stood still, has dropped the others: then no answer is missing, and none was given.
     #[must_use]
     pub fn is_conclusive(&self, answers: &[OriginAnswer]) -> bool {
         let all = answers.len() >= self.asked;
         let unknown = answers.iter().all(|a| *a == OriginAnswer::Unknown);
-        self.settled && self.entries_known && all && unknown
+        self.settled && self.entries_known && self.asked > 0 && all && unknown
     }
 }
 
--- a/crates/policy/tests/origins.rs
+++ b/crates/policy/tests/origins.rs
@@ -170,7 +170,8 @@
 /// among them, has just started, or was not asked.
 #[rstest]
 #[case::all_answered(2, true, true, &[OriginAnswer::Unknown, OriginAnswer::Unknown], true)]
-#[case::alone(0, true, true, &[], true)]
+#[case::one_answered(1, true, true, &[OriginAnswer::Unknown], true)]
+#[case::all_dropped(0, true, true, &[], false)]
 #[case::one_missing(2, true, true, &[OriginAnswer::Unknown], false)]
 #[case::other_unsettled(2, true, true, &[OriginAnswer::Unknown, OriginAnswer::Unsettled], false)]
 #[case::own_start(2, true, false, &[OriginAnswer::Unknown, OriginAnswer::Unknown], false)]
