--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -41,9 +41,6 @@
 /// Grace periods of deployments, in seconds.
 const GRACE_S: [f64; 2] = [8.0, 3.0];
 
-/// Longest time between SIGTERM and the end of a process, which may stand still meanwhile.
-const MAX_GRACE: Duration = Duration::from_secs(10);
-
 /// Memory of the host of an entry and of a sidecar, in bytes.
 const ENTRY_MEMORY: u64 = 110 << 20;
 const SIDECAR_MEMORY: u64 = 192 << 20;
@@ -134,15 +131,16 @@
     fn judge(&self, lost: &Lost, ran: bool) -> Option<String> {
         let events = &self.entries[lost.entry].events;
         let stopped = |at: &Instant| lost.sent <= *at + NOTICE && *at <= lost.ended;
-        // The kernel closes the sockets of a killed process before its end is noticed.
+        // Whether the connection may be one of the process that got a signal at this time. The
+        // kernel closes the sockets of a process before its end is noticed.
+        let concerned = |at: &Instant| {
+            let is_end =
+                |(end, event): &&(Instant, Event)| matches!(event, Event::End { .. }) && end >= at;
+            let end = events.iter().find(is_end).map(|(end, _)| *end);
+            *at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
+        };
         let killed = |(at, event): &(Instant, Event)| match event {
-            Event::Signal(Signal::SIGKILL) => {
-                let is_end = |(end, event): &&(Instant, Event)| {
-                    matches!(event, Event::End { .. }) && end >= at
-                };
-                let end = events.iter().find(is_end).map(|(end, _)| *end);
-                *at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
-            }
+            Event::Signal(Signal::SIGKILL) => concerned(at),
             Event::End { fault: true } => lost.opened <= *at && *at <= lost.ended + NOTICE,
             _ => false,
         };
@@ -151,9 +149,7 @@
         }
         // A request after SIGTERM may cross the close of its connection.
         let told = |(at, event): &(Instant, Event)| {
-            *event == Event::Signal(Signal::SIGTERM)
-                && lost.opened < *at + MAX_GRACE
-                && *at < lost.sent
+            *event == Event::Signal(Signal::SIGTERM) && concerned(at) && *at < lost.sent
         };
         let early = !lost.pipelined && !events.iter().any(told);
         if !ran && !early {
