--- a/crates/cli/tests/forward/hosts.rs
+++ b/crates/cli/tests/forward/hosts.rs
@@ -11,7 +11,7 @@
 use nix::sys::signal::Signal;
 use socket2::{Domain, Socket, Type};
 
-use crate::process::Process;
+use crate::process::{Process, memory_peak};
 
 /// Interval of the checks whether processes have ended.
 const WATCH_INTERVAL: Duration = Duration::from_millis(4);
@@ -43,7 +43,7 @@
     start_at: Option<Instant>,
     /// When it goes on, after SIGSTOP.
     wake_at: Option<Instant>,
-    /// Signal that the next process gets as soon as it handles SIGHUP.
+    /// Signal that the next process gets as soon as it holds back or handles SIGHUP.
     first_signal: Option<Signal>,
     pub(crate) events: Vec<(Instant, Event)>,
     pub(crate) errors: Vec<String>,
@@ -51,7 +51,7 @@
     /// Processes that were killed at the end of the grace period.
     pub(crate) overdue: u32,
     /// Peaks of memory in bytes and of descriptors.
-    pub(crate) memory: u64,
+    pub(crate) memory: usize,
     pub(crate) files: usize,
 }
 
@@ -129,8 +129,8 @@
         }
     }
 
-    /// Sends a signal, if the process runs. SIGHUP is sent only to a process that has begun
-    /// to handle it.
+    /// Sends a signal, if the process runs. SIGHUP is sent only to a process that holds it
+    /// back or handles it.
     pub(crate) fn send(&mut self, signal: Signal) {
         if self.process.id().is_none() || signal == Signal::SIGHUP && !self.handles_hangup() {
             return;
@@ -180,7 +180,7 @@
 
     fn handles_hangup(&self) -> bool {
         let status = self.status();
-        let masks = ["SigCgt:", "SigIgn:"];
+        let masks = ["SigCgt:", "SigBlk:", "SigIgn:"];
         let lines = status.lines().filter_map(|line| {
             let value = masks.iter().find_map(|mask| line.strip_prefix(mask))?;
             u64::from_str_radix(value.trim(), 16).ok()
@@ -197,9 +197,7 @@
     /// Records the peaks of memory and descriptors.
     fn sample(&mut self) {
         let status = self.status();
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        let kb = peak.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
-        self.memory = self.memory.max(kb.unwrap_or(0) << 10);
+        self.memory = self.memory.max(memory_peak(&status).unwrap_or(0));
         let files = self.process.id().map(|id| format!("/proc/{id}/fd"));
         let files = files.and_then(|path| fs::read_dir(path).ok());
         self.files = self.files.max(files.map_or(0, Iterator::count));
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod connections;
+mod descriptors;
 mod ends;
 mod engines;
 mod fatal;
@@ -13,6 +14,7 @@
 mod hosts;
 mod kept;
 mod limits;
+mod memory;
 mod platform;
 mod process;
 mod records;
@@ -21,6 +23,7 @@
 mod soak_ends;
 mod soak_parts;
 mod soak_streams;
+mod stops;
 mod store_link;
 mod unnamed;
 mod versions;
--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -25,7 +25,9 @@
 use crate::hosts::{Event, Host, watch_all};
 use crate::kept::{End, Lost, Seen, burst, call_until, crowd};
 use crate::platform::{Platform, Server, wait_until};
-use crate::process::{Entry, Process, deployed_entry, deployed_sidecar, unique_ip};
+use crate::process::{
+    ENTRY_MEMORY_MB, Entry, Process, deployed_entry, deployed_sidecar, unique_ip,
+};
 use crate::soak::check_runs;
 use crate::store_link::{Answers, StoreLink};
 
@@ -42,8 +44,8 @@
 const GRACE_S: [f64; 2] = [8.0, 3.0];
 
 /// Memory of the host of an entry and of a sidecar, in bytes.
-const ENTRY_MEMORY: u64 = 110 << 20;
-const SIDECAR_MEMORY: u64 = 192 << 20;
+const ENTRY_MEMORY: usize = ENTRY_MEMORY_MB << 20;
+const SIDECAR_MEMORY: usize = 192 << 20;
 
 /// Time for which a server that leaves goes on serving.
 const LEAVING: Duration = Duration::from_millis(2500);
