--- a/crates/cli/tests/forward/hosts.rs
+++ b/crates/cli/tests/forward/hosts.rs
@@ -19,9 +19,22 @@
 /// Bit of SIGHUP in the masks of signals of a process.
 const HANGUP_BIT: u64 = 1 << (Signal::SIGHUP as u64 - 1);
 
-/// What happened to a host's process.
+/// First line of the status file of a process that runs the program. Just before, a new
+/// process still shows the memory and the descriptors of the test.
+const NAME_LINE: &str = "Name:\tpimentocart\n";
+
+/// Something that happened to a process of a host.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Event {
+    pub(crate) at: Instant,
+    /// Number of the start of the process.
+    pub(crate) start: u32,
+    pub(crate) kind: EventKind,
+}
+
+/// What happened to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Event {
+pub(crate) enum EventKind {
     Signal(Signal),
     /// Its end was noticed, due to a signal that asks for it or else as a fault.
     End {
@@ -29,6 +42,13 @@
     },
 }
 
+/// A process whose successor has started.
+struct Predecessor {
+    child: Child,
+    start: u32,
+    kill_at: Option<Instant>,
+}
+
 /// A host with one process, and a predecessor of it that has not ended yet.
 pub(crate) struct Host<P> {
     process: P,
@@ -36,7 +56,7 @@
     /// The TCP and the UDP ports that the process needs.
     ports: [Vec<SocketAddr>; 2],
     grace: Duration,
-    predecessors: Vec<(Child, Instant)>,
+    predecessors: Vec<Predecessor>,
     /// When it is killed, after SIGTERM.
     kill_at: Option<Instant>,
     /// When its successor starts.
@@ -45,7 +65,7 @@
     wake_at: Option<Instant>,
     /// Signal that the next process gets as soon as it holds back or handles SIGHUP.
     first_signal: Option<Signal>,
-    pub(crate) events: Vec<(Instant, Event)>,
+    pub(crate) events: Vec<Event>,
     pub(crate) errors: Vec<String>,
     pub(crate) starts: u32,
     /// Processes that were killed at the end of the grace period.
@@ -95,7 +115,7 @@
         let now = Instant::now();
         self.sample();
         if let Some(status) = self.process.ended() {
-            self.check_end(status);
+            self.check_end(self.starts, status);
             (self.kill_at, self.wake_at) = (None, None);
             self.start_at.get_or_insert(now + delay);
         }
@@ -114,9 +134,13 @@
         self.end_predecessors(now);
         if self.start_at.take_if(overdue).is_some() {
             self.wake();
-            let kill_at = self.kill_at.take().unwrap_or(now);
-            let old = self.process.detach();
-            self.predecessors.extend(old.map(|child| (child, kill_at)));
+            let (start, kill_at) = (self.starts, self.kill_at.take());
+            let old = self.process.detach().map(|child| Predecessor {
+                child,
+                start,
+                kill_at,
+            });
+            self.predecessors.extend(old);
             self.process.restart();
             self.starts += 1;
         }
@@ -135,7 +159,7 @@
         if self.process.id().is_none() || signal == Signal::SIGHUP && !self.handles_hangup() {
             return;
         }
-        self.events.push((Instant::now(), Event::Signal(signal)));
+        self.record(self.starts, EventKind::Signal(signal));
         self.process.signal(signal);
         if signal == Signal::SIGTERM {
             self.kill_at.get_or_insert(Instant::now() + self.grace);
@@ -188,9 +212,12 @@
         lines.fold(0, |all, mask| all | mask) & HANGUP_BIT != 0
     }
 
+    /// The status file of the process; empty before it runs the program.
     fn status(&self) -> String {
         let path = self.process.id().map(|id| format!("/proc/{id}/status"));
-        path.and_then(|path| fs::read_to_string(path).ok())
+        let status = path.and_then(|path| fs::read_to_string(path).ok());
+        status
+            .filter(|s| s.starts_with(NAME_LINE))
             .unwrap_or_default()
     }
 
@@ -198,33 +225,42 @@
     fn sample(&mut self) {
         let status = self.status();
         self.memory = self.memory.max(memory_peak(&status).unwrap_or(0));
-        let files = self.process.id().map(|id| format!("/proc/{id}/fd"));
-        let files = files.and_then(|path| fs::read_dir(path).ok());
+        let id = self.process.id().filter(|_| !status.is_empty());
+        let files = id.and_then(|id| fs::read_dir(format!("/proc/{id}/fd")).ok());
         self.files = self.files.max(files.map_or(0, Iterator::count));
     }
 
     fn end_predecessors(&mut self, now: Instant) {
-        let mut ended = Vec::new();
-        let (events, overdue) = (&mut self.events, &mut self.overdue);
-        self.predecessors.retain_mut(|(child, kill_at)| {
-            if *kill_at <= now {
-                events.push((now, Event::Signal(Signal::SIGKILL)));
-                *overdue += 1;
-                *kill_at += Duration::from_secs(3600);
-                let _ = child.kill();
+        let (mut killed, mut ended) = (Vec::new(), Vec::new());
+        self.predecessors.retain_mut(|old| {
+            if old.kill_at.take_if(|at| *at <= now).is_some() {
+                killed.push(old.start);
+                let _ = old.child.kill();
             }
-            let status = child.try_wait().expect("cannot wait for the process");
-            ended.extend(status);
+            let status = old.child.try_wait().expect("cannot wait for the process");
+            ended.extend(status.map(|status| (old.start, status)));
             status.is_none()
         });
-        for status in ended {
-            self.check_end(status);
+        for start in killed {
+            self.overdue += 1;
+            self.record(start, EventKind::Signal(Signal::SIGKILL));
+        }
+        for (start, status) in ended {
+            self.check_end(start, status);
         }
     }
 
+    fn record(&mut self, start: u32, kind: EventKind) {
+        let at = Instant::now();
+        self.events.push(Event { at, start, kind });
+    }
+
     /// Checks that a process ended due to a signal that asks for it.
-    fn check_end(&mut self, status: ExitStatus) {
-        let sent = |signal| self.events.iter().any(|(_, e)| *e == Event::Signal(signal));
+    fn check_end(&mut self, start: u32, status: ExitStatus) {
+        let sent = |signal| {
+            let mut own = self.events.iter().filter(|e| e.start == start);
+            own.any(|e| e.kind == EventKind::Signal(signal))
+        };
         let expected = match (status.code(), status.signal()) {
             (Some(0), _) => sent(Signal::SIGTERM),
             (None, Some(number)) => [Signal::SIGKILL, Signal::SIGTERM]
@@ -232,11 +268,10 @@
                 .any(|signal| signal as i32 == number && sent(signal)),
             _ => false,
         };
-        let end = Event::End { fault: !expected };
-        self.events.push((Instant::now(), end));
+        self.record(start, EventKind::End { fault: !expected });
         if !expected {
-            let (name, starts) = (&self.name, self.starts);
-            let error = format!("{name}: start {starts} ended by itself: {status}");
+            let name = &self.name;
+            let error = format!("{name}: start {start} ended by itself: {status}");
             self.errors.push(error);
         }
     }
@@ -244,9 +279,9 @@
 
 impl<P> Drop for Host<P> {
     fn drop(&mut self) {
-        for (child, _) in &mut self.predecessors {
-            let _ = child.kill();
-            let _ = child.wait();
+        for old in &mut self.predecessors {
+            let _ = old.child.kill();
+            let _ = old.child.wait();
         }
     }
 }
--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -22,7 +22,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::caller::{Outcome, call};
-use crate::hosts::{Event, Host, watch_all};
+use crate::hosts::{Event, EventKind, Host, watch_all};
 use crate::kept::{End, Lost, Seen, burst, call_until, crowd};
 use crate::platform::{Platform, Server, wait_until};
 use crate::process::{
@@ -133,32 +133,35 @@
     fn judge(&self, lost: &Lost, ran: bool) -> Option<String> {
         let events = &self.entries[lost.entry].events;
         let stopped = |at: &Instant| lost.sent <= *at + NOTICE && *at <= lost.ended;
-        // Whether the connection may be one of the process that got a signal at this time. The
-        // kernel closes the sockets of a process before its end is noticed.
-        let concerned = |at: &Instant| {
+        // Whether the connection may be one of the process with which this happened. The kernel
+        // closes the sockets of a process before its end is noticed.
+        let concerned = |event: &Event| {
             let is_end =
-                |(end, event): &&(Instant, Event)| matches!(event, Event::End { .. }) && end >= at;
-            let end = events.iter().find(is_end).map(|(end, _)| *end);
-            *at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
+                |e: &&Event| e.start == event.start && matches!(e.kind, EventKind::End { .. });
+            let end = events.iter().find(is_end).map(|e| e.at);
+            event.at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
         };
-        let killed = |(at, event): &(Instant, Event)| match event {
-            Event::Signal(Signal::SIGKILL) => concerned(at),
-            Event::End { fault: true } => lost.opened <= *at && *at <= lost.ended + NOTICE,
+        let killed = |event: &Event| match event.kind {
+            EventKind::Signal(Signal::SIGKILL) => concerned(event),
+            EventKind::End { fault: true } => {
+                lost.opened <= event.at && event.at <= lost.ended + NOTICE
+            }
             _ => false,
         };
         if lost.end == End::Late || events.iter().any(killed) || self.stops.iter().any(stopped) {
             return None;
         }
         // A request after SIGTERM may cross the close of its connection.
-        let told = |(at, event): &(Instant, Event)| {
-            *event == Event::Signal(Signal::SIGTERM) && concerned(at) && *at < lost.sent
+        let told = |event: &Event| {
+            let is_stop = event.kind == EventKind::Signal(Signal::SIGTERM);
+            is_stop && concerned(event) && event.at < lost.sent
         };
         let early = !lost.pipelined && !events.iter().any(told);
         if !ran && !early {
             return None;
         }
-        let recent = events.iter().rev().find(|(at, _)| *at <= lost.ended);
-        let recent = recent.map(|(at, event)| (lost.ended - *at, *event));
+        let recent = events.iter().rev().find(|e| e.at <= lost.ended);
+        let recent = recent.map(|e| (lost.ended - e.at, e.kind));
         let time = lost.ended - lost.sent;
         Some(format!(
             "{}: {:?} {time:?} after it was sent to entry {}, ran={ran}, last event {recent:?}",
