--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -22,6 +22,9 @@
 const GRANTS: u16 = 7108;
 const METRICS: u16 = 7109;
 
+/// Memory of the hosts of deployed entries, in megabytes.
+pub(crate) const ENTRY_MEMORY_MB: usize = 110;
+
 /// Number of addresses that entries use in turn.
 const ENTRY_HOSTS: u32 = 250;
 
@@ -131,12 +134,7 @@
         let child = self.child.as_ref().expect("process is not running");
         let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
         let status = status.expect("cannot read the process status");
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        let kilobytes = peak.and_then(|l| l.trim().strip_suffix(" kB"));
-        let kilobytes: usize = kilobytes
-            .and_then(|n| n.parse().ok())
-            .expect("process status has no peak");
-        kilobytes << 10
+        memory_peak(&status).expect("process status has no peak")
     }
 
     pub(crate) fn running(&mut self) -> bool {
@@ -154,6 +152,13 @@
     }
 }
 
+/// The peak of resident memory in bytes in the status file of a process.
+pub(crate) fn memory_peak(status: &str) -> Option<usize> {
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+    let kilobytes: usize = peak.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(kilobytes << 10)
+}
+
 /// Starts a sidecar beside the engines; returns it and its port, which the
 /// entries must use on their own addresses too.
 pub(crate) fn sidecar(name: &str) -> (Process, u16) {
@@ -324,7 +329,7 @@
     let addr = |port| SocketAddr::from((ip, port));
     let deployed = json!({"metrics": addr(METRICS), "moves": true, "backups": true,
         "link_mbps": 1000.0, "store_writes_per_s": 400.0, "repeat_slack": 54.0,
-        "grace_s": grace_s, "ask_every": "1s"});
+        "grace_s": grace_s, "ask_every": "1s", "memory_mb": ENTRY_MEMORY_MB, "max_fds": 4100});
     for (key, value) in deployed.as_object().expect("an object") {
         settings[key] = value.clone();
     }
--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -22,10 +22,12 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::caller::{Outcome, call};
-use crate::hosts::{Event, Host, watch_all};
+use crate::hosts::{Event, EventKind, Host, watch_all};
 use crate::kept::{End, Lost, Seen, burst, call_until, crowd};
 use crate::platform::{Platform, Server, wait_until};
-use crate::process::{Entry, Process, deployed_entry, deployed_sidecar, unique_ip};
+use crate::process::{
+    ENTRY_MEMORY_MB, Entry, Process, deployed_entry, deployed_sidecar, unique_ip,
+};
 use crate::soak::check_runs;
 use crate::store_link::{Answers, StoreLink};
 
@@ -41,12 +43,9 @@
 /// Grace periods of deployments, in seconds.
 const GRACE_S: [f64; 2] = [8.0, 3.0];
 
-/// Longest time between SIGTERM and the end of a process, which may stand still meanwhile.
-const MAX_GRACE: Duration = Duration::from_secs(10);
-
 /// Memory of the host of an entry and of a sidecar, in bytes.
-const ENTRY_MEMORY: u64 = 110 << 20;
-const SIDECAR_MEMORY: u64 = 192 << 20;
+const ENTRY_MEMORY: usize = ENTRY_MEMORY_MB << 20;
+const SIDECAR_MEMORY: usize = 192 << 20;
 
 /// Time for which a server that leaves goes on serving.
 const LEAVING: Duration = Duration::from_millis(2500);
@@ -134,33 +133,35 @@
     fn judge(&self, lost: &Lost, ran: bool) -> Option<String> {
         let events = &self.entries[lost.entry].events;
         let stopped = |at: &Instant| lost.sent <= *at + NOTICE && *at <= lost.ended;
-        // The kernel closes the sockets of a killed process before its end is noticed.
-        let killed = |(at, event): &(Instant, Event)| match event {
-            Event::Signal(Signal::SIGKILL) => {
-                let is_end = |(end, event): &&(Instant, Event)| {
-                    matches!(event, Event::End { .. }) && end >= at
-                };
-                let end = events.iter().find(is_end).map(|(end, _)| *end);
-                *at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
+        // Whether the connection may be one of the process with which this happened. The kernel
+        // closes the sockets of a process before its end is noticed.
+        let concerned = |event: &Event| {
+            let is_end =
+                |e: &&Event| e.start == event.start && matches!(e.kind, EventKind::End { .. });
+            let end = events.iter().find(is_end).map(|e| e.at);
+            event.at <= lost.ended && end.is_none_or(|end| lost.opened <= end)
+        };
+        let killed = |event: &Event| match event.kind {
+            EventKind::Signal(Signal::SIGKILL) => concerned(event),
+            EventKind::End { fault: true } => {
+                lost.opened <= event.at && event.at <= lost.ended + NOTICE
             }
-            Event::End { fault: true } => lost.opened <= *at && *at <= lost.ended + NOTICE,
             _ => false,
         };
         if lost.end == End::Late || events.iter().any(killed) || self.stops.iter().any(stopped) {
             return None;
         }
         // A request after SIGTERM may cross the close of its connection.
-        let told = |(at, event): &(Instant, Event)| {
-            *event == Event::Signal(Signal::SIGTERM)
-                && lost.opened < *at + MAX_GRACE
-                && *at < lost.sent
+        let told = |event: &Event| {
+            let is_stop = event.kind == EventKind::Signal(Signal::SIGTERM);
+            is_stop && concerned(event) && event.at < lost.sent
         };
         let early = !lost.pipelined && !events.iter().any(told);
         if !ran && !early {
             return None;
         }
-        let recent = events.iter().rev().find(|(at, _)| *at <= lost.ended);
-        let recent = recent.map(|(at, event)| (lost.ended - *at, *event));
+        let recent = events.iter().rev().find(|e| e.at <= lost.ended);
+        let recent = recent.map(|e| (lost.ended - e.at, e.kind));
         let time = lost.ended - lost.sent;
         Some(format!(
             "{}: {:?} {time:?} after it was sent to entry {}, ran={ran}, last event {recent:?}",
