Keep an answer in progress until the late call is refused

drain::stop_entry_with_running_answer failed beside load because the late call's connection was closed without an answer. The close without an answer is guarded by shutdown_with_requests_in_accept_queue, which needs no load.

--- a/crates/demo/tests/failures/drain.rs
+++ b/crates/demo/tests/failures/drain.rs
@@ -190,6 +190,8 @@
         fleet.ledger.counts("long").output_tokens > 0
     })
     .await;
+    // The answer must not end, and the entry with it, before the late call is refused.
+    fleet.pace(SLOWDOWN);
     fleet.ask("entry-0");
     let lingering = fleet.call(0, "lingering", 3).await;
     assert_eq!(text(&lingering), expected("lingering", 3));
@@ -202,6 +204,7 @@
     assert_eq!(late.body["error"]["type"], "draining");
     assert_eq!(late.body["error"]["ran"], "no");
 
+    fleet.pace(1.0);
     let long = long.await.unwrap();
     assert_eq!(text(&long), expected("long", LONG));
     fleet.ended("entry-0").await;
