Reserve at least 0.2 s for closing before a short grace period ends

Beside load an entry with a grace period of 1 or 2 s ended up to 33 ms after it, so that its platform would have killed it: 0.06 of such a period is too little for a process that runs late. The reserve is now at least 0.2 s, but no more than the last sixth. Grace periods of 3.4 s and more are divided as before.

--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -12,6 +12,10 @@
 /// entry has waited for the calls in progress.
 const CLOSE_FRACTION: f64 = 0.06;
 
+/// Least time that is reserved for this, if it is at most a sixth of the grace period. A busy
+/// host runs the process late, and its platform kills it at the end of the grace period.
+const MIN_CLOSE_RESERVE: Duration = Duration::from_millis(200);
+
 /// Fraction of the grace period in which a stopping entry still sends calls to servers. The
 /// rest is left for these calls, so that a later one is refused before it has run.
 const SEND_FRACTION: f64 = 0.5;
@@ -265,14 +269,19 @@
     /// Time after which a stopping entry ends the calls in progress.
     #[must_use]
     pub fn cutoff_time(&self) -> Duration {
-        self.grace().mul_f64(1.0 - CLOSE_FRACTION)
+        self.grace() - self.close_reserve()
     }
 
     /// Time for which the answers of ended calls are written. Half of the time that is reserved
     /// for closing is left for the end of the process.
     #[must_use]
     pub fn close_time(&self) -> Duration {
-        self.grace().mul_f64(CLOSE_FRACTION / 2.0)
+        self.close_reserve() / 2
+    }
+
+    fn close_reserve(&self) -> Duration {
+        let least = MIN_CLOSE_RESERVE.min(self.grace() / 6);
+        self.grace().mul_f64(CLOSE_FRACTION).max(least)
     }
 
     /// Time from the request to stop until the process is killed.
