--- a/crates/cli/tests/starts/main.rs
+++ b/crates/cli/tests/starts/main.rs
@@ -1,6 +1,7 @@
 //! Starts of all daemons as separate processes: ports that are not available yet, addresses
-//! that never are, and signals that arrive while a process starts.
+//! that never are, signals that arrive while a process starts, and output that nobody reads.
 
+mod output;
 mod ports;
 mod process;
 mod signals;
--- a/crates/cli/tests/starts/process.rs
+++ b/crates/cli/tests/starts/process.rs
@@ -1,7 +1,7 @@
 //! Starts the daemons as child processes, and holds the ports that they need.
 
 use std::fs::File;
-use std::io::{Read, Write};
+use std::io::{PipeWriter, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -178,11 +178,19 @@
     }
 }
 
-/// A daemon that runs as a child process. Its output goes to a file beside its settings,
-/// which stays after the test.
+/// Who reads the output of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Output {
+    /// It goes to a file beside the settings, which stays after the test.
+    Log,
+    /// The readers have closed their ends.
+    Closed,
+}
+
+/// A daemon that runs as a child process.
 pub(crate) struct Process {
     child: Child,
-    log: PathBuf,
+    settings: PathBuf,
     pub(crate) daemon: Daemon,
     pub(crate) ip: Ipv4Addr,
 }
@@ -193,46 +201,69 @@
         Self::start_with(daemon, ip, &daemon.settings(ip))
     }
 
+    /// Starts a daemon with settings of a test.
     pub(crate) fn start_with(daemon: Daemon, ip: Ipv4Addr, settings: &Value) -> Self {
-        let dir = new_dir(daemon);
-        let path = dir.join("settings.json");
+        let path = new_dir(daemon).join("settings.json");
         std::fs::write(&path, settings.to_string()).expect("cannot write the settings");
-        Self::spawn(daemon, ip, &dir, &path, Stdio::null())
+        Self::spawn(daemon, ip, path.clone(), &path, Output::Log)
+    }
+
+    /// Starts a daemon whose standard output and error nobody reads.
+    pub(crate) fn start_unread(daemon: Daemon, ip: Ipv4Addr, settings: &Value) -> Self {
+        let path = new_dir(daemon).join("settings.json");
+        std::fs::write(&path, settings.to_string()).expect("cannot write the settings");
+        Self::spawn(daemon, ip, path.clone(), &path, Output::Closed)
     }
 
     /// Starts a daemon that reads its settings from standard input.
     pub(crate) fn start_reading(daemon: Daemon, ip: Ipv4Addr) -> Self {
-        let dir = new_dir(daemon);
-        Self::spawn(daemon, ip, &dir, Path::new("/dev/stdin"), Stdio::piped())
+        let path = new_dir(daemon).join("settings.json");
+        Self::spawn(daemon, ip, path, Path::new("/dev/stdin"), Output::Log)
     }
 
-    fn spawn(daemon: Daemon, ip: Ipv4Addr, dir: &Path, settings: &Path, input: Stdio) -> Self {
-        let log = dir.join("log");
-        let open = || File::options().create(true).append(true).open(&log);
+    fn spawn(
+        daemon: Daemon,
+        ip: Ipv4Addr,
+        settings: PathBuf,
+        argument: &Path,
+        output: Output,
+    ) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_pimentocart"));
         command
             .arg(daemon.command())
             .arg("--settings")
-            .arg(settings);
+            .arg(argument)
+            .stdin(Stdio::piped());
         if daemon == Daemon::Entry {
-            let bundle = dir.join("bundle.json");
+            let bundle = settings.with_file_name("bundle.json");
             std::fs::write(&bundle, include_str!("../processes/bundle.json"))
                 .expect("cannot write the bundle");
             command.arg("--bundle").arg(bundle);
         }
-        let child = command
-            .stdin(input)
-            .stdout(open().expect("cannot open the log"))
-            .stderr(open().expect("cannot open the log"))
-            .spawn();
+        match output {
+            Output::Log => {
+                let log = File::create(settings.with_file_name("log"));
+                let log = log.expect("cannot open the log");
+                let errors = log.try_clone().expect("cannot clone the log");
+                command.stdout(log).stderr(errors);
+            }
+            Output::Closed => {
+                command.stdout(closed_pipe()).stderr(closed_pipe());
+            }
+        }
         Self {
-            child: child.expect("cannot start the program"),
-            log,
+            child: command.spawn().expect("cannot start the program"),
+            settings,
             daemon,
             ip,
         }
     }
 
+    /// Replaces the settings file.
+    pub(crate) fn write_settings(&self, text: &str) {
+        std::fs::write(&self.settings, text).expect("cannot write the settings");
+    }
+
     /// Writes to the standard input of the process.
     pub(crate) fn write(&mut self, text: &str) {
         let input = self.child.stdin.as_mut().expect("no standard input");
@@ -265,7 +296,7 @@
 
     /// The output of the process.
     pub(crate) fn output(&self) -> String {
-        std::fs::read_to_string(&self.log).expect("cannot read the log")
+        std::fs::read_to_string(self.settings.with_file_name("log")).expect("cannot read the log")
     }
 
     /// Waits until the process has written a line that contains all of `texts`.
@@ -312,6 +343,13 @@
     }
 }
 
+/// The writing end of a pipe whose reading end is closed.
+fn closed_pipe() -> PipeWriter {
+    let (reader, writer) = std::io::pipe().expect("cannot open a pipe");
+    drop(reader);
+    writer
+}
+
 /// A loopback address that no other process uses, so that all its ports are free.
 pub(crate) fn unique_ip() -> Ipv4Addr {
     static COUNT: AtomicU8 = AtomicU8::new(1);
--- a/crates/cli/tests/starts/signals.rs
+++ b/crates/cli/tests/starts/signals.rs
@@ -89,3 +89,19 @@
     let output = process.output();
     assert!(output.contains("step=parse_settings"), "{output}");
 }
+
+/// Guards against a reload that applies a partially written file, or ends the process.
+#[test]
+fn reload_of_partial_settings() {
+    let mut process = Process::start(Daemon::Forward, unique_ip());
+    process.wait_until_serving();
+    let settings = process.daemon.settings(process.ip).to_string();
+    process.write_settings(&settings[..settings.len() / 2]);
+    process.signal(Signal::SIGHUP);
+    process.wait_for_line(&["event=\"settings reload failed\""]);
+
+    process.write_settings(&settings);
+    process.signal(Signal::SIGHUP);
+    process.wait_for_line(&["event=\"settings read\" same=true"]);
+    process.wait_until_serving();
+}
