--- a/crates/clients/src/hosts.rs
+++ b/crates/clients/src/hosts.rs
@@ -11,6 +11,7 @@
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use awc::http::header::{ETAG, IF_NONE_MATCH};
+use base::connect::HttpConnector;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -115,7 +116,11 @@
     /// Creates a client that requests the hosts of `region` from `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr, region: &str) -> Self {
-        let http = awc::Client::builder().timeout(RESPONSE_TIMEOUT).finish();
+        let connector = awc::Connector::new().connector(HttpConnector);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .timeout(RESPONSE_TIMEOUT)
+            .finish();
         Self {
             addr,
             region: region.to_owned(),
--- a/crates/clients/src/weights.rs
+++ b/crates/clients/src/weights.rs
@@ -6,6 +6,7 @@
 
 use awc::http::StatusCode;
 use awc::http::header::RETRY_AFTER;
+use base::connect::HttpConnector;
 
 /// Timeout of a call.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,7 +34,11 @@
     /// Creates a client for the store at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let http = awc::Client::builder().timeout(RESPONSE_TIMEOUT).finish();
+        let connector = awc::Connector::new().connector(HttpConnector);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .timeout(RESPONSE_TIMEOUT)
+            .finish();
         Self { addr, http }
     }
 
