Reject settings whose periods cannot be represented

`grace_s`, `repeat_window_s`, `duties.window_s` or `duties.due_s` above 1.8e19 passed the check of the settings and panicked in the conversion to a Duration; the process ended with code 101 after it had started. With a `duties.rate` near zero only the task that reports usage panicked: the entry went on and reported nothing. Periods are now at most 1e8 seconds, which also keeps them addable to an Instant; anything else ends the start with code 2, key, value and hint.

--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -12,6 +12,12 @@
 /// entry has waited for the calls in progress.
 const CLOSE_FRACTION: f64 = 0.06;
 
+/// Longest period of the settings, in seconds.
+const MAX_PERIOD: f64 = 1e8;
+
+/// Which periods are valid.
+const PERIOD_HINT: &str = "seconds above zero, up to 100000000";
+
 /// Settings of an entry for routed calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -139,15 +145,26 @@
     fn check(&self) -> Result<(), base::settings::Error> {
         use base::settings::check;
         let positive = |n: f64| n.is_finite() && n > 0.0;
-        let hint = "seconds above zero";
         let window = self.window_s;
-        check("duties.window_s", window, positive(window), hint)?;
-        check("duties.due_s", self.due_s, positive(self.due_s), hint)?;
+        check("duties.window_s", window, is_period(window), PERIOD_HINT)?;
+        check(
+            "duties.due_s",
+            self.due_s,
+            is_period(self.due_s),
+            PERIOD_HINT,
+        )?;
         let hint = "calls per second above zero";
-        check("duties.rate", self.rate, positive(self.rate), hint)
+        let valid = positive(self.rate) && is_period(1.0 / self.rate);
+        check("duties.rate", self.rate, valid, hint)
     }
 }
 
+/// Whether a number of seconds can be used as a period. Far longer ones cannot be
+/// represented, or added to the time.
+fn is_period(seconds: f64) -> bool {
+    seconds > 0.0 && seconds <= MAX_PERIOD
+}
+
 fn call_rate() -> f64 {
     1.0
 }
@@ -185,10 +202,14 @@
     pub fn check(&self) -> Result<(), base::settings::Error> {
         use base::settings::check;
         let positive = |s: f64| s.is_finite() && s > 0.0;
-        let hint = "seconds above zero";
-        check("grace_s", self.grace_s, positive(self.grace_s), hint)?;
+        check(
+            "grace_s",
+            self.grace_s,
+            is_period(self.grace_s),
+            PERIOD_HINT,
+        )?;
         let window = self.repeat_window_s;
-        check("repeat_window_s", window, positive(window), hint)?;
+        check("repeat_window_s", window, is_period(window), PERIOD_HINT)?;
         let writes = self.store_writes_per_s;
         let hint = "writes per second above zero";
         check("store_writes_per_s", writes, positive(writes), hint)?;
