Date recorded versions by their request, not by a late response

Callers could see a stream go on at another software version at an entry that stood still, or whose responses were delayed, during a release. The entry had asked the store for the records after the call arrived, and took another response for the answer: one that was written before the stream began and read after the call had arrived. A neighbour's copy was dated by the time at which its answer was read, and a long poll of the store that took 20 s by the time at which it would have ended, whenever its response was written.

Recorded versions are now as fresh as the request that brought them, so that only a request that was sent after a call arrived proves anything for it. The other tables keep their estimate, which serves to choose a source.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -202,10 +202,13 @@
         }
         let position = state.tables.versions.borrow().position();
         let replica = &state.tables.versions;
-        let Some(update) = reader.next_update(&state, replica, VERSIONS_WAIT).await else {
+        let sent = state.clock.now();
+        let Some(mut update) = reader.next_update(&state, replica, VERSIONS_WAIT).await else {
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
+        // A late response may have been written at any time since its request.
+        update.as_of = sent;
         state.versions.store_answered();
         let kind = versions::change_kind(update.kind, position, update.position);
         let changes = reader.apply(&mut state.tables.versions.borrow_mut(), update, position);
@@ -458,8 +461,8 @@
     }
 }
 
-/// The time at which an answer is known to have been complete: when the request was sent,
-/// or the end of `wait` if the store held the request that long.
+/// The time at which an answer is likely to have been complete: when the request was sent,
+/// or the end of `wait` if it took that long. An answer that was delayed is older.
 fn complete_at(sent: Instant, wait: Duration, answered: Instant) -> Instant {
     let waited_fully = answered.saturating_duration_since(sent) >= wait;
     if waited_fully { sent + wait } else { sent }
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -128,10 +128,11 @@
         Some(client) => client,
         None => NeighbourClient::connect(addr, CONNECT_TIMEOUT).await?,
     };
+    let sent = state.clock.now();
     let answer = client
         .fetch_changes(changes_request(state), ANSWER_MARGIN)
         .await?;
-    let age = apply_answer(state, &client, answer)?;
+    let age = apply_answer(state, &client, answer, sent)?;
     Ok((client, age))
 }
 
@@ -157,12 +158,13 @@
     }
 }
 
-/// Applies a neighbour's answer; returns the age of its older copy, or `None` if it lacks
-/// one.
+/// Applies a neighbour's answer to a request that was `sent` at this time; returns the age of
+/// its older copy, or `None` if it lacks one.
 fn apply_answer(
     state: &Rc<State>,
     client: &NeighbourClient,
     answer: TableChanges,
+    sent: Instant,
 ) -> Result<Option<Duration>, Error> {
     let now = state.clock.now();
     let settling = Duration::from_millis(u64::from(answer.settling_ms));
@@ -205,7 +207,9 @@
         let changes = merge(
             VERSIONS_TABLE,
             &mut state.tables.versions.borrow_mut(),
-            now,
+            // A late answer may have been written at any time since its request, and streams
+            // are bound to versions by what this table proves.
+            sent,
             client,
             &delta,
         )?;
@@ -215,11 +219,11 @@
 }
 
 /// Applies a neighbour's changes of a table to the replica; returns the records that
-/// changed.
+/// changed. The answer counts as written at `written`.
 fn merge<T>(
     table: &'static str,
     replica: &mut Replica<T>,
-    now: Instant,
+    written: Instant,
     client: &NeighbourClient,
     delta: &TableDelta,
 ) -> Result<Records<T>, Error>
@@ -243,7 +247,7 @@
         records,
         kind: update_kind(replica, delta),
         position: delta.position,
-        as_of: now.checked_sub(age).unwrap_or(now),
+        as_of: written.checked_sub(age).unwrap_or(written),
     }))
 }
 
--- a/crates/forward/tests/calls/out_of_step.rs
+++ b/crates/forward/tests/calls/out_of_step.rs
@@ -2,15 +2,23 @@
 //! the others or from the store, or stood still.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::clock::ManualClock;
 use base::stop::StopSignal;
 use forward::platform::{Changes, Source, SourceError};
-use forward::versions;
+use forward::state::State;
+use forward::{follow, neighbours, versions};
+use policy::readers::{MIN_SHARING_ENTRIES, Rank};
+use policy::replica::UpdateKind;
 use policy::routes::CallKind;
 use policy::versions::records::{VersionKey, VersionRecord, VersionState};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use crate::common::{Action, Entry, Plan, status};
 
@@ -21,6 +29,9 @@
 /// A call that takes up a stream of which no entry knows.
 const TAKES_UP: &str = "call-id: 2\r\nresumes: 1\r\nlast-event: 1\r\n";
 
+/// Time that passes between two events of a test.
+const STEP: Duration = Duration::from_millis(100);
+
 /// The records of versions in the store, each as one step of its log.
 #[derive(Clone, Default)]
 struct Table(Rc<Inner>);
@@ -45,6 +56,13 @@
         self.0.log.borrow_mut().push(key);
     }
 
+    /// Waits until a request has arrived.
+    async fn wait_for_request(&self) {
+        while self.0.requests.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     fn read(&self, from: u64) -> Result<Changes<VersionRecord>, SourceError> {
         self.0.requests.set(self.0.requests.get() + 1);
         if self.0.unavailable.get() {
@@ -75,11 +93,26 @@
 
 /// An entry that has read the record of `v1`, its only version, some time ago.
 async fn start(table: &Table) -> Entry {
-    let plan = Plan {
+    start_with(plan(), table).await
+}
+
+fn plan() -> Plan {
+    Plan {
         versions: &["v1"],
         store_answers: false,
         ..Plan::new(CallKind::Resumable, 1, &[Action::Send(REMAINDER)])
-    };
+    }
+}
+
+/// A plan for an entry with this clock.
+fn plan_with(clock: &ManualClock) -> Plan {
+    Plan {
+        clock: Rc::new(clock.clone()),
+        ..plan()
+    }
+}
+
+async fn start_with(plan: Plan, table: &Table) -> Entry {
     let entry = Entry::start(plan).await;
     actix_rt::spawn(versions::read_for_calls(
         Rc::clone(&entry.state),
@@ -108,3 +141,153 @@
     let ran = usize::from(expected == "200");
     assert_eq!(entry.servers.requests().len(), ran);
 }
+
+/// Guards against a copy that a neighbour wrote before the call arrived, and that was delayed
+/// on its way, counting as read after it.
+#[actix_rt::test]
+async fn delayed_copy_taken_for_fresh() {
+    let (clock, table) = (ManualClock::new(), Table::new(&["v1"]));
+    table.0.unavailable.set(true);
+    let entry = start_with(plan_with(&clock), &table).await;
+    let state = &entry.state;
+    let copies = DelayedCopies::start(state).await;
+    actix_rt::spawn(neighbours::follow(Rc::clone(state), StopSignal::new()));
+    copies.written.notified().await;
+    clock.advance(STEP);
+    let call = entry.call(TAKES_UP);
+    tokio::pin!(call);
+    let released = async {
+        table.wait_for_request().await;
+        clock.advance(STEP);
+        copies.release.notify_one();
+        copies.sent.notified().await;
+        end_waits(&clock, state).await;
+    };
+    tokio::select! {
+        answer = &mut call => assert_eq!(status(&answer), "503"),
+        () = released => {}
+    }
+}
+
+/// Lets time pass until the waits of calls have ended.
+async fn end_waits(clock: &ManualClock, state: &State) {
+    loop {
+        clock.advance(STEP);
+        let nothing = Vec::new();
+        versions::apply_changes(state, state.clock.now(), nothing, UpdateKind::Delta);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A neighbour whose first answer is delayed.
+struct DelayedCopies {
+    /// Notified when the answer has been written.
+    written: Rc<Notify>,
+    /// Lets it through.
+    release: Rc<Notify>,
+    /// Notified when it has been passed on.
+    sent: Rc<Notify>,
+}
+
+impl DelayedCopies {
+    /// Starts a neighbour that has read the record of `v1`, and that `entry` prefers to the
+    /// store. No time passes for it.
+    async fn start(entry: &State) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let server = Entry::start(plan_with(&ManualClock::new())).await;
+        let inner = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let inner_addr = inner.local_addr().expect("an address");
+        let answers =
+            neighbours::answer_requests(inner, Rc::clone(&server.state), StopSignal::new());
+        actix_rt::spawn(answers);
+        let expires_at = entry.clock.now() + Duration::from_secs(60);
+        let mut readers = entry.zone_readers.borrow_mut();
+        readers.observe(addr, Rank::new(0, addr, u32::MAX), expires_at);
+        readers.set_copy_age(entry.clock.now(), addr, Duration::ZERO);
+        for n in 2..=MIN_SHARING_ENTRIES {
+            let n = u8::try_from(n).expect("a few");
+            let silent = SocketAddr::from(([127, 0, 0, n], 1));
+            readers.observe(silent, Rank::new(0, silent, 0), expires_at);
+        }
+        let copies = Self {
+            written: Rc::default(),
+            release: Rc::default(),
+            sent: Rc::default(),
+        };
+        let (written, release) = (Rc::clone(&copies.written), Rc::clone(&copies.release));
+        let sent = Rc::clone(&copies.sent);
+        actix_rt::spawn(async move {
+            let (caller, _) = listener.accept().await.expect("a connection");
+            let server = TcpStream::connect(inner_addr).await.expect("a connection");
+            let (mut requests, mut answered) = caller.into_split();
+            let (mut answers, mut asked) = server.into_split();
+            let forwarded = async move { tokio::io::copy(&mut requests, &mut asked).await };
+            actix_rt::spawn(forwarded);
+            let mut first = vec![0; 1 << 16];
+            let length = answers.read(&mut first).await.expect("an answer");
+            written.notify_one();
+            release.notified().await;
+            answered.write_all(&first[..length]).await.expect("sent");
+            sent.notify_one();
+            let _ = tokio::io::copy(&mut answers, &mut answered).await;
+        });
+        copies
+    }
+}
+
+/// Guards against a response that the store wrote before the call arrived counting as held
+/// until after it, since it was read late.
+#[actix_rt::test]
+async fn delayed_response_taken_for_fresh() {
+    let (clock, table) = (ManualClock::new(), Table::new(&["v1"]));
+    table.0.unavailable.set(true);
+    let entry = start_with(plan_with(&clock), &table).await;
+    let state = &entry.state;
+    let held = Held::default();
+    actix_rt::spawn(follow::versions(Rc::clone(state), held.clone()));
+    held.0.arrived.notified().await;
+    clock.advance(POLL_WAIT);
+    let call = entry.call(TAKES_UP);
+    tokio::pin!(call);
+    let released = async {
+        table.wait_for_request().await;
+        held.0.release.notify_one();
+        held.0.arrived.notified().await;
+        end_waits(&clock, state).await;
+    };
+    tokio::select! {
+        answer = &mut call => assert_eq!(status(&answer), "503"),
+        () = released => {}
+    }
+}
+
+/// Longest time for which the store holds a request for versions.
+const POLL_WAIT: Duration = Duration::from_secs(20);
+
+/// A store that has written its response, which arrives late.
+#[derive(Clone, Default)]
+struct Held(Rc<Response>);
+
+#[derive(Default)]
+struct Response {
+    arrived: Notify,
+    release: Notify,
+}
+
+impl Source for Held {
+    type Item = VersionRecord;
+
+    async fn snapshot(&self) -> Result<Changes<VersionRecord>, SourceError> {
+        self.changes(0, Duration::ZERO).await
+    }
+
+    async fn changes(&self, from: u64, _: Duration) -> Result<Changes<VersionRecord>, SourceError> {
+        self.0.arrived.notify_one();
+        self.0.release.notified().await;
+        Ok(Changes {
+            records: Vec::new(),
+            next: from,
+        })
+    }
+}
