Take no proof from a table that was just restored

The store had been restored from a copy that lacked the record of v1.1 and its servers. All entries had just started, read only what the copy held, and answered each other that they knew of no other version; or the records were read after the call had arrived, and had one version. Half a second later the servers of v1.1 had registered again.

A table that was just restored proves nothing of the time before. For 3 s after a restore a read of the records binds no stream. An entry that has read them for less than that before the restore, or that reads a restored table first, says for 3 s that it is unsettled. An entry that ran before keeps what it has read and answers as ever. The position of the table counts restores, so that a store that never was restored costs nobody a refusal.

--- a/crates/cli/tests/forward/soak.rs
+++ b/crates/cli/tests/forward/soak.rs
@@ -46,7 +46,9 @@
 /// first of which lacked it. 31: an entry withheld the configuration that its
 /// peer's copy had lacked, or refused calls until its next read of the servers.
 /// 9132: an entry refused a call after a store outage, as it knew a dead server only.
-const REGRESSION_SEEDS: [u64; 5] = [16, 31, 508, 3638, 9132];
+/// 9449: entries that had just started took the versions in a restored table for all that
+/// there had been, and dropped those that they had read before.
+const REGRESSION_SEEDS: [u64; 6] = [16, 31, 508, 3638, 9132, 9449];
 
 /// Results of one seed.
 #[derive(Debug, Default)]
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -444,7 +444,7 @@
     });
     match known {
         Some(KnownVersions::Several) => KnownOrigin::SeveralVersions,
-        _ if versions::is_settled(state) => KnownOrigin::Unknown,
+        _ if versions::is_complete(state) => KnownOrigin::Unknown,
         _ => {
             state.versions.request_read();
             KnownOrigin::Unsettled
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -27,7 +27,7 @@
 
 /// Time after a recovery of the store during which records that expired in the outage may
 /// be reported as deleted.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_secs(3);
 
 /// Names of the tables, in log lines and metrics.
 pub(crate) const CATALOG_TABLE: &str = "catalog";
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -10,7 +10,7 @@
 
 use base::stop::StopSignal;
 use policy::duty::WriteOutcome;
-use policy::replica::{Records, Update, UpdateKind};
+use policy::replica::{OFFSET_BITS, Records, Update, UpdateKind};
 use policy::versions::records::{
     DueWrites, RecordedVersions, VersionKey, VersionRecord, VersionState,
 };
@@ -22,6 +22,7 @@
 use crate::follow::retry_delay;
 use crate::platform::{Source, SourceError, VersionTable};
 use crate::state::State;
+use crate::tables::SETTLING_TIME;
 
 /// Longest wait of a stream's first event for the record of its version.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
@@ -71,6 +72,13 @@
     recorded: RefCell<RecordedVersions>,
     /// When the entry started.
     started_at: Instant,
+    /// When the records were first read.
+    first_read: Cell<Option<Instant>>,
+    /// When the store was last found to be restored from an old copy.
+    restored_at: Cell<Option<Instant>>,
+    /// Until when the records may lack versions that a restored store has lost, and that this
+    /// entry has not read before.
+    partial_until: Cell<Option<Instant>>,
     /// When a read or write failed last, unless the store has answered since.
     failed_at: Cell<Option<Instant>>,
     /// Wakes the writer.
@@ -88,6 +96,9 @@
         Self {
             recorded: RefCell::default(),
             started_at,
+            first_read: Cell::new(None),
+            restored_at: Cell::new(None),
+            partial_until: Cell::new(None),
             failed_at: Cell::new(None),
             write_needed: Notify::new(),
             read_needed: Notify::new(),
@@ -129,6 +140,35 @@
         self.write_needed.notify_one();
     }
 
+    /// Records that a whole table was read, which ends at `position`.
+    ///
+    /// A table proves nothing of the time before a restore until servers have registered and
+    /// entries have recorded their versions again. An entry that read the records for some time
+    /// before it has kept them.
+    fn table_read(&self, now: Instant, position: u64, restored: bool) {
+        let settled_at = now + SETTLING_TIME;
+        if restored {
+            self.restored_at.set(Some(now));
+        }
+        let first = self.first_read.get().unwrap_or(now);
+        self.first_read.set(Some(first));
+        let started = now < first + SETTLING_TIME || self.may_lack_versions(now);
+        if started && position >> OFFSET_BITS > 0 && (restored || first == now) {
+            self.partial_until.set(Some(settled_at));
+        }
+    }
+
+    /// Whether the records may lack versions that a restored store has lost.
+    fn may_lack_versions(&self, now: Instant) -> bool {
+        self.partial_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Whether the store was found to be restored a moment ago.
+    fn is_restored(&self, now: Instant) -> bool {
+        let restored_at = self.restored_at.get();
+        restored_at.is_some_and(|at| now < at + SETTLING_TIME)
+    }
+
     fn is_active(&self, key: VersionKey) -> bool {
         self.recorded.borrow().is_active(key)
     }
@@ -144,13 +184,25 @@
     read_at(state).is_some_and(|at| at >= state.versions.started_at)
 }
 
+/// Whether the records that this entry has read show all versions, for entries that ask it.
+pub(crate) fn is_complete(state: &State) -> bool {
+    is_settled(state) && !state.versions.may_lack_versions(state.clock.now())
+}
+
+/// Whether the records were read at `since` or later, and show all versions before that.
+fn is_proven(state: &State, since: Instant) -> bool {
+    let (own, now) = (&state.versions, state.clock.now());
+    let restored = own.may_lack_versions(now) || own.is_restored(now);
+    !restored && read_at(state).is_some_and(|at| at >= since)
+}
+
 /// Waits until the records are known as of `since` or later; returns whether they are. The
 /// wait ends before the caller's `deadline`.
 pub(crate) async fn read_since(state: &State, since: Instant, deadline: Instant) -> bool {
     let timeout = READ_TIMEOUT + read_delay(state);
     let until = (state.clock.now() + timeout).min(deadline);
     loop {
-        if read_at(state).is_some_and(|at| at >= since) {
+        if is_proven(state, since) {
             return true;
         }
         if state.clock.now() >= until {
@@ -231,6 +283,11 @@
         }
     }
     if kind != UpdateKind::Delta {
+        let position = state.tables.versions.borrow().position();
+        let restored = kind == UpdateKind::RestoredSnapshot;
+        state
+            .versions
+            .table_read(now, position.unwrap_or(0), restored);
         let (_, records) = state
             .tables
             .versions
@@ -239,7 +296,7 @@
             .unwrap_or((UpdateKind::Snapshot, Vec::new()));
         let keys = records.iter().filter_map(|(key, _)| key.parse().ok());
         let keys: HashSet<VersionKey> = keys.collect();
-        if kind == UpdateKind::RestoredSnapshot {
+        if restored {
             let lost = recorded.mark_lost(|key| keys.contains(key));
             info!("version records lost with a restored table", kv: { lost });
         } else {
--- a/crates/forward/tests/calls/out_of_step.rs
+++ b/crates/forward/tests/calls/out_of_step.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::clock::ManualClock;
+use base::clock::{Clock, ManualClock};
 use base::stop::StopSignal;
 use forward::platform::{Changes, Source, SourceError};
 use forward::state::State;
 use forward::{follow, neighbours, versions};
 use policy::readers::{MIN_SHARING_ENTRIES, Rank};
-use policy::replica::UpdateKind;
+use policy::replica::{OFFSET_BITS, Update, UpdateKind};
 use policy::routes::CallKind;
 use policy::versions::records::{VersionKey, VersionRecord, VersionState};
 use rstest::rstest;
@@ -40,6 +40,8 @@
 struct Inner {
     log: RefCell<Vec<String>>,
     unavailable: Cell<bool>,
+    /// Number of restores from an old copy.
+    era: Cell<u64>,
     /// Requests that have arrived.
     requests: Cell<u32>,
 }
@@ -71,10 +73,11 @@
         }
         let log = self.0.log.borrow();
         let record = VersionRecord::unnamed(VersionState::Active);
-        let new = log.iter().skip(usize::try_from(from).expect("short"));
+        let offset = from & ((1 << OFFSET_BITS) - 1);
+        let new = log.iter().skip(usize::try_from(offset).expect("short"));
         Ok(Changes {
             records: new.map(|key| (key.clone(), Some(record.clone()))).collect(),
-            next: log.len() as u64,
+            next: self.0.era.get() << OFFSET_BITS | log.len() as u64,
         })
     }
 }
@@ -262,6 +265,37 @@
     }
 }
 
+/// Guards against an entry that has started when the store was restored, and takes a read of
+/// the restored table for a proof: versions that the copy lacks are recorded again later.
+#[actix_rt::test]
+async fn restored_table_taken_for_proof() {
+    let (clock, table) = (ManualClock::new(), Table::new(&["v1"]));
+    let entry = start_with(plan_with(&clock), &table).await;
+    let state = &entry.state;
+    table.0.era.set(1);
+    let key = VersionKey::new("app", "v1").to_string();
+    let record = VersionRecord::unnamed(VersionState::Active);
+    let kind = UpdateKind::RestoredSnapshot;
+    let update = Update {
+        records: vec![(Rc::from(key), Some(record))],
+        kind,
+        position: 1 << OFFSET_BITS | 1,
+        as_of: clock.now(),
+    };
+    let mut replica = state.tables.versions.borrow_mut();
+    let changes = replica.apply_store_update(update, Some(1));
+    drop(replica);
+    versions::apply_changes(state, clock.now(), changes, kind);
+    assert_eq!(status(&entry.call(TAKES_UP).await), "503");
+    assert!(table.0.requests.get() > 0);
+    clock.advance(SETTLING_TIME);
+    let again = "call-id: 3\r\nresumes: 1\r\nlast-event: 1\r\n";
+    assert_eq!(status(&entry.call(again).await), "200");
+}
+
+/// Time within which versions that a restored store has lost are recorded again.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// Longest time for which the store holds a request for versions.
 const POLL_WAIT: Duration = Duration::from_secs(20);
 
