Count the waits of calls in turns of the event loop

A caller could get events of a version without a record, and another one a refusal, where an entry stood still. The 400 ms for which the first event of a stream waits for the record of its version, the 150 ms for the answers of other entries and the 450 ms for a read of the records had passed when the process went on, while the responses were unread in its sockets. The first of these passes a stream on that no record tells of, although the store works: an entry that is cut off from the others may infer another version.

A wait passes by at most 40 ms in one turn, whatever the clock says, and ends before the caller's deadline as before. Unanswered queries are repeated at the same interval.

event_passed_on_after_stand_still fails with the old sources (no record when the event arrives).

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod status;
 pub mod tables;
 pub mod versions;
+mod wait;
 
 use std::io;
 use std::rc::Rc;
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -20,9 +20,7 @@
 use crate::origin_log::{self, LogState};
 use crate::state::State;
 use crate::versions;
-
-/// Time after which entries that have not answered are asked again.
-const RESEND_INTERVAL: Duration = Duration::from_millis(40);
+use crate::wait::Wait;
 
 /// Longest wait for answers. A caller that is refused may ask another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -218,7 +216,7 @@
     let stream = resumes.map(origins::stream_key);
     let recorded = |now| stream.and_then(|s| state.origins.table.borrow().origin(now, s));
     if let Some(origin) = recorded(called_at) {
-        return Continuation::from_origin(state, called_at, service, origin);
+        return Continuation::from_origin(state, state.clock.now(), service, origin);
     }
     if stream.is_some() && state.origins.log.is_loading() {
         state
@@ -228,7 +226,7 @@
             .await;
         let now = state.clock.now();
         if let Some(origin) = recorded(now) {
-            return Continuation::from_origin(state, now, service, origin);
+            return Continuation::from_origin(state, state.clock.now(), service, origin);
         }
     }
     let mut peers = members(state).asked(stream.unwrap_or_default());
@@ -242,17 +240,16 @@
         Some(stream) => ask(state, service, stream, &peers, deadline).await,
         None => Vec::new(),
     };
-    let now = state.clock.now();
     let began = answers.iter().find_map(|answer| match answer {
         OriginAnswer::Began(origin) => Some(*origin),
         OriginAnswer::SeveralVersions | OriginAnswer::Unknown | OriginAnswer::Unsettled => None,
     });
     if let Some(origin) = began {
-        return Continuation::from_origin(state, now, service, origin);
+        return Continuation::from_origin(state, state.clock.now(), service, origin);
     }
     let scope = QueryScope {
         asked: peers.len(),
-        entries_known: state.discovery.borrow().entries_known(now),
+        entries_known: state.discovery.borrow().entries_known(state.clock.now()),
         settled: versions::is_settled(state),
     };
     match infer_version(state, service, &answers, scope, called_at, deadline).await {
@@ -340,23 +337,18 @@
         stream,
         service_number: service_number(service),
     };
-    let until = (state.clock.now() + ANSWER_TIMEOUT).min(deadline);
-    while !query.is_settled() {
-        let now = state.clock.now();
-        if now >= until {
-            break;
-        }
+    let mut wait = Wait::new(ANSWER_TIMEOUT, deadline);
+    while !query.is_settled() && !wait.is_over(state.clock.now()) {
         for peer in query.missing() {
             state.origins.send(peer, message.clone());
         }
-        let resend_at = (now + RESEND_INTERVAL).min(until);
         let settled = async {
             while !query.is_settled() {
                 query.answered.notified().await;
             }
         };
-        // Those that have not answered are asked again after the timeout.
-        let _ = tokio::time::timeout_at(resend_at.into(), settled).await;
+        // Those that have not answered are asked again.
+        wait.step(&*state.clock, settled).await;
     }
     let answers = query.answers.borrow();
     answers.values().copied().flatten().collect()
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -23,6 +23,7 @@
 use crate::platform::{Source, SourceError, VersionTable};
 use crate::state::State;
 use crate::tables::SETTLING_TIME;
+use crate::wait::Wait;
 
 /// Longest wait of a stream's first event for the record of its version.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
@@ -199,19 +200,19 @@
 /// Waits until the records are known as of `since` or later; returns whether they are. The
 /// wait ends before the caller's `deadline`.
 pub(crate) async fn read_since(state: &State, since: Instant, deadline: Instant) -> bool {
-    let timeout = READ_TIMEOUT + read_delay(state);
-    let until = (state.clock.now() + timeout).min(deadline);
+    let mut wait = Wait::new(READ_TIMEOUT + read_delay(state), deadline);
+    state.versions.request_read();
     loop {
+        let changed = state.versions.changed.notified();
         if is_proven(state, since) {
             return true;
         }
-        if state.clock.now() >= until {
+        if wait.is_over(state.clock.now()) {
             return false;
         }
-        let changed = state.versions.changed.notified();
-        state.versions.request_read();
-        // The records are checked again after a timeout as well as a change.
-        let _ = tokio::time::timeout_at(until.into(), changed).await;
+        if wait.step(&*state.clock, changed).await {
+            state.versions.request_read();
+        }
     }
 }
 
@@ -229,22 +230,23 @@
     if own.is_active(key) {
         return;
     }
-    let until = (state.clock.now() + RECORD_TIMEOUT).min(deadline);
+    let mut wait = Wait::new(RECORD_TIMEOUT, deadline);
+    own.write_needed.notify_one();
     let recorded = loop {
+        let changed = own.changed.notified();
         if own.is_active(key) {
             break true;
         }
         let now = state.clock.now();
-        if own.is_failing(now) || now >= until {
+        if own.is_failing(now) || wait.is_over(now) {
             break false;
         }
-        let changed = own.changed.notified();
         if read_at(state).is_none() {
             own.request_read();
         }
-        own.write_needed.notify_one();
-        // The record is checked again after a timeout as well as a change.
-        let _ = tokio::time::timeout_at(until.into(), changed).await;
+        if wait.step(&*state.clock, changed).await {
+            own.write_needed.notify_one();
+        }
     };
     let outcome = if recorded { "recorded" } else { "unrecorded" };
     metrics::counter!("pimentocart_version_waits_total", "outcome" => outcome).increment(1);
--- a/crates/forward/tests/calls/versions.rs
+++ b/crates/forward/tests/calls/versions.rs
@@ -149,6 +149,45 @@
     assert_eq!(table.0.log.borrow().len(), 1);
 }
 
+/// Guards against an event that is passed on before the record of its version, since the
+/// process stood still while it was written.
+#[actix_rt::test]
+async fn event_passed_on_after_stand_still() {
+    let table = Table::new(Access::Held, &[]);
+    let plan = Plan {
+        versions: &["v1"],
+        store_answers: false,
+        ..Plan::new(CallKind::Resumable, 1, &[Action::Send(EVENT)])
+    };
+    let entry = start(plan, &table).await;
+    let call = entry.call("call-id: 1\r\n");
+    tokio::pin!(call);
+    let written = async {
+        while table.0.arrived.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        std::thread::sleep(STAND_STILL);
+        // The expired timers are handled before the store's response.
+        for _ in 0..TURNS {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        table.0.release.notify_one();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        biased;
+        answer = &mut call => assert_eq!(status(&answer), "200"),
+        () = written => {}
+    }
+    assert_eq!(table.0.log.borrow().len(), 1);
+}
+
+/// Time for which the process stands still, longer than any wait of a call.
+const STAND_STILL: Duration = Duration::from_secs(1);
+
+/// Turns of the event loop between the end of the stand-still and the store's response.
+const TURNS: u32 = 5;
+
 /// Guards against streams that are not passed on while the store cannot be written.
 #[actix_rt::test]
 async fn event_held_back_without_store() {
