Number queries for streams at random

An entry that started again numbered its queries from 0. The reply of an entry that had stood still, to a query of the previous start, matched a query for another stream then, whose version it would have named. Found by reading; not reproduced, and there is no test.

--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -2,7 +2,7 @@
 //! other entries of the streams that begin here. `policy::origins` decides whom to tell and
 //! to ask and what follows from the answers.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +12,7 @@
     self, KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable, QueryScope,
 };
 use policy::versions::version_number;
+use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use wire::gossip::{self, KnownOrigin, MAX_ORIGINS, Message, OriginMessage, StreamOrigin};
@@ -36,7 +37,6 @@
     socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Queries that wait for answers, by number.
     queries: RefCell<HashMap<u32, Rc<Query>>>,
-    next_query: Cell<u32>,
     /// The log in the store.
     pub log: LogState,
 }
@@ -91,8 +91,8 @@
 
     /// Opens a query to `peers`.
     fn open_query(&self, peers: &[SocketAddr]) -> OpenQuery<'_> {
-        let number = self.next_query.get();
-        self.next_query.set(number.wrapping_add(1));
+        // A late reply to a query of the entry's previous start must not match.
+        let number = rand::rng().random();
         let query = Rc::new(Query {
             answers: RefCell::new(peers.iter().map(|peer| (*peer, None)).collect()),
             answered: Notify::new(),
