Read the servers before a stream of a known version is refused

Callers were refused with version_unknown where an entry had stood still or had been cut off while servers of a new version joined: it learned the version of the stream from the entries that knew it, and had no server of that version in its own old table.

The call asks for a read of the servers and waits for it, 600 ms at most and not while the store is away. A read that was made after the call had arrived and shows no server of the version refuses the stream as before.

version_refused_before_servers_are_read does not pass with the old sources.

--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -26,6 +26,9 @@
 /// Longest wait for answers. A caller that is refused may ask another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Longest wait for a read of the servers, for a stream whose version has none that is known.
+const SERVERS_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time beyond the caller's timeout for which its streams are remembered.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
@@ -216,7 +219,7 @@
     let stream = resumes.map(origins::stream_key);
     let recorded = |now| stream.and_then(|s| state.origins.table.borrow().origin(now, s));
     if let Some(origin) = recorded(called_at) {
-        return Continuation::from_origin(state, state.clock.now(), service, origin);
+        return continue_at(state, called_at, service, origin, deadline).await;
     }
     if stream.is_some() && state.origins.log.is_loading() {
         state
@@ -226,7 +229,7 @@
             .await;
         let now = state.clock.now();
         if let Some(origin) = recorded(now) {
-            return Continuation::from_origin(state, state.clock.now(), service, origin);
+            return continue_at(state, called_at, service, origin, deadline).await;
         }
     }
     let mut peers = members(state).asked(stream.unwrap_or_default());
@@ -245,7 +248,7 @@
         OriginAnswer::SeveralVersions | OriginAnswer::Unknown | OriginAnswer::Unsettled => None,
     });
     if let Some(origin) = began {
-        return Continuation::from_origin(state, state.clock.now(), service, origin);
+        return continue_at(state, called_at, service, origin, deadline).await;
     }
     let scope = QueryScope {
         asked: peers.len(),
@@ -261,6 +264,31 @@
     }
 }
 
+/// Where a stream of known `origin` may go on. Its version may have come while this entry was
+/// cut off or stood still: then the server table is read first.
+async fn continue_at(
+    state: &State,
+    called_at: Instant,
+    service: &Rc<str>,
+    origin: Origin,
+    deadline: Instant,
+) -> Continuation {
+    let mut wait = Wait::new(SERVERS_TIMEOUT, deadline);
+    loop {
+        let changed = state.tables.changed.notified();
+        let now = state.clock.now();
+        let found = Continuation::from_origin(state, now, service, origin);
+        let read_at = state.tables.servers.borrow().fresh_at();
+        let is_read = read_at.is_none_or(|at| at >= called_at);
+        let given_up = is_read || state.store_lost.get() || wait.is_over(now);
+        if found != Continuation::Nowhere || given_up {
+            return found;
+        }
+        state.servers_wanted.notify_one();
+        wait.step(&*state.clock, changed).await;
+    }
+}
+
 /// The version of a stream that no entry knows, if it is clear. Reads the recorded versions
 /// if the answers are not conclusive: the stream began before `called_at`, and its version
 /// was recorded before that.
--- a/crates/forward/tests/calls/out_of_step.rs
+++ b/crates/forward/tests/calls/out_of_step.rs
@@ -8,17 +8,23 @@
 
 use base::clock::{Clock, ManualClock};
 use base::stop::StopSignal;
+use forward::gossip::GossipEndpoint;
 use forward::platform::{Changes, Source, SourceError};
 use forward::state::State;
 use forward::{follow, neighbours, versions};
+use policy::balance::ServerRecord;
+use policy::origins::stream_key;
 use policy::readers::{MIN_SHARING_ENTRIES, Rank};
+use policy::rendezvous::hash_name;
 use policy::replica::{OFFSET_BITS, Update, UpdateKind};
 use policy::routes::CallKind;
 use policy::versions::records::{VersionKey, VersionRecord, VersionState};
+use policy::versions::version_number;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
+use wire::gossip::{self, Message, Origin, OriginMessage, StreamOrigin};
 
 use crate::common::{Action, Entry, Plan, status};
 
@@ -296,6 +302,61 @@
 /// Time within which versions that a restored store has lost are recorded again.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
+/// Guards against refusing a stream whose version came while the entry stood still: it knows
+/// the version from the entry at which the stream began, and has no server of it listed yet.
+#[actix_rt::test]
+async fn version_refused_before_servers_are_read() {
+    let entry = start(&Table::new(&["v1", "v2"])).await;
+    let state = &entry.state;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let gossip = socket.local_addr().expect("an address");
+    let endpoint = GossipEndpoint::new(Rc::clone(state), socket);
+    actix_rt::spawn(endpoint.run(StopSignal::new()));
+    // The servers were read before the call.
+    let update = Update {
+        records: Vec::new(),
+        kind: UpdateKind::Snapshot,
+        position: 1,
+        as_of: state.clock.now(),
+    };
+    let servers = &state.tables.servers;
+    servers.borrow_mut().apply_store_update(update, None);
+    let home = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let began = StreamOrigin {
+        stream: stream_key("1"),
+        origin: Origin {
+            service_number: hash_name("app") as u32,
+            version: version_number("v2"),
+        },
+        ttl_ms: 20_000,
+    };
+    let message = Message::Origins(OriginMessage::Records(vec![began]));
+    let sent = home.send_to(&gossip::encode(message), gossip).await;
+    sent.expect("a datagram");
+    while state.origins.count() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let call = entry.call(TAKES_UP);
+    let read = async {
+        state.servers_wanted.notified().await;
+        let serving = state.balancer.borrow().serving("app");
+        let (older, _) = serving.into_iter().next().expect("a server");
+        let newer = ServerRecord {
+            id: Rc::from("newer"),
+            version: Rc::from("v2"),
+            ..older
+        };
+        let now = state.clock.now();
+        state.balancer.borrow_mut().upsert(now, newer);
+        state.tables.changed.notify_waiters();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        answer = call => assert_eq!(status(&answer), "200"),
+        () = read => {}
+    }
+}
+
 /// Longest time for which the store holds a request for versions.
 const POLL_WAIT: Duration = Duration::from_secs(20);
 
