--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -2,7 +2,7 @@
 //! other entries of the streams that begin here. `policy::origins` decides whom to tell and
 //! to ask and what follows from the answers.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +12,7 @@
     self, KnownVersions, Members, Origin, OriginAnswer, OriginRecord, OriginTable, QueryScope,
 };
 use policy::versions::version_number;
+use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use wire::gossip::{self, KnownOrigin, MAX_ORIGINS, Message, OriginMessage, StreamOrigin};
@@ -20,13 +21,14 @@
 use crate::origin_log::{self, LogState};
 use crate::state::State;
 use crate::versions;
-
-/// Time after which entries that have not answered are asked again.
-const RESEND_INTERVAL: Duration = Duration::from_millis(40);
+use crate::wait::Wait;
 
 /// Longest wait for answers. A caller that is refused may ask another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Longest wait for a read of the servers, for a stream whose version has none that is known.
+const SERVERS_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time beyond the caller's timeout for which its streams are remembered.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
@@ -38,7 +40,6 @@
     socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Queries that wait for answers, by number.
     queries: RefCell<HashMap<u32, Rc<Query>>>,
-    next_query: Cell<u32>,
     /// The log in the store.
     pub log: LogState,
 }
@@ -93,8 +94,8 @@
 
     /// Opens a query to `peers`.
     fn open_query(&self, peers: &[SocketAddr]) -> OpenQuery<'_> {
-        let number = self.next_query.get();
-        self.next_query.set(number.wrapping_add(1));
+        // A late reply to a query of the entry's previous start must not match.
+        let number = rand::rng().random();
         let query = Rc::new(Query {
             answers: RefCell::new(peers.iter().map(|peer| (*peer, None)).collect()),
             answered: Notify::new(),
@@ -218,7 +219,7 @@
     let stream = resumes.map(origins::stream_key);
     let recorded = |now| stream.and_then(|s| state.origins.table.borrow().origin(now, s));
     if let Some(origin) = recorded(called_at) {
-        return Continuation::from_origin(state, called_at, service, origin);
+        return continue_at(state, called_at, service, origin, deadline).await;
     }
     if stream.is_some() && state.origins.log.is_loading() {
         state
@@ -228,7 +229,7 @@
             .await;
         let now = state.clock.now();
         if let Some(origin) = recorded(now) {
-            return Continuation::from_origin(state, now, service, origin);
+            return continue_at(state, called_at, service, origin, deadline).await;
         }
     }
     let mut peers = members(state).asked(stream.unwrap_or_default());
@@ -242,17 +243,16 @@
         Some(stream) => ask(state, service, stream, &peers, deadline).await,
         None => Vec::new(),
     };
-    let now = state.clock.now();
     let began = answers.iter().find_map(|answer| match answer {
         OriginAnswer::Began(origin) => Some(*origin),
         OriginAnswer::SeveralVersions | OriginAnswer::Unknown | OriginAnswer::Unsettled => None,
     });
     if let Some(origin) = began {
-        return Continuation::from_origin(state, now, service, origin);
+        return continue_at(state, called_at, service, origin, deadline).await;
     }
     let scope = QueryScope {
         asked: peers.len(),
-        entries_known: state.discovery.borrow().entries_known(now),
+        entries_known: state.discovery.borrow().entries_known(state.clock.now()),
         settled: versions::is_settled(state),
     };
     match infer_version(state, service, &answers, scope, called_at, deadline).await {
@@ -264,6 +264,31 @@
     }
 }
 
+/// Where a stream of known `origin` may go on. Its version may have come while this entry was
+/// cut off or stood still: then the server table is read first.
+async fn continue_at(
+    state: &State,
+    called_at: Instant,
+    service: &Rc<str>,
+    origin: Origin,
+    deadline: Instant,
+) -> Continuation {
+    let mut wait = Wait::new(SERVERS_TIMEOUT, deadline);
+    loop {
+        let changed = state.tables.changed.notified();
+        let now = state.clock.now();
+        let found = Continuation::from_origin(state, now, service, origin);
+        let read_at = state.tables.servers.borrow().fresh_at();
+        let is_read = read_at.is_none_or(|at| at >= called_at);
+        let given_up = is_read || state.store_lost.get() || wait.is_over(now);
+        if found != Continuation::Nowhere || given_up {
+            return found;
+        }
+        state.servers_wanted.notify_one();
+        wait.step(&*state.clock, changed).await;
+    }
+}
+
 /// The version of a stream that no entry knows, if it is clear. Reads the recorded versions
 /// if the answers are not conclusive: the stream began before `called_at`, and its version
 /// was recorded before that.
@@ -340,23 +365,18 @@
         stream,
         service_number: service_number(service),
     };
-    let until = (state.clock.now() + ANSWER_TIMEOUT).min(deadline);
-    while !query.is_settled() {
-        let now = state.clock.now();
-        if now >= until {
-            break;
-        }
+    let mut wait = Wait::new(ANSWER_TIMEOUT, deadline);
+    while !query.is_settled() && !wait.is_over(state.clock.now()) {
         for peer in query.missing() {
             state.origins.send(peer, message.clone());
         }
-        let resend_at = (now + RESEND_INTERVAL).min(until);
         let settled = async {
             while !query.is_settled() {
                 query.answered.notified().await;
             }
         };
-        // Those that have not answered are asked again after the timeout.
-        let _ = tokio::time::timeout_at(resend_at.into(), settled).await;
+        // Those that have not answered are asked again.
+        wait.step(&*state.clock, settled).await;
     }
     let answers = query.answers.borrow();
     answers.values().copied().flatten().collect()
@@ -444,7 +464,7 @@
     });
     match known {
         Some(KnownVersions::Several) => KnownOrigin::SeveralVersions,
-        _ if versions::is_settled(state) => KnownOrigin::Unknown,
+        _ if versions::is_complete(state) => KnownOrigin::Unknown,
         _ => {
             state.versions.request_read();
             KnownOrigin::Unsettled
