--- a/crates/cli/tests/forward/soak_ends.rs
+++ b/crates/cli/tests/forward/soak_ends.rs
@@ -77,6 +77,7 @@
     entries: Vec<Host<Entry>>,
     sidecars: Vec<Host<Box<Process>>>,
     addrs: Vec<SocketAddr>,
+    grace: Duration,
 }
 
 impl Deployment {
@@ -109,6 +110,7 @@
             entries,
             sidecars,
             addrs,
+            grace,
         };
         deployment.wait_ready();
         deployment
@@ -151,6 +153,14 @@
         if lost.end == End::Late || events.iter().any(killed) || self.stops.iter().any(stopped) {
             return None;
         }
+        // A process may end calls that still run at the end of its grace period.
+        let too_long = |event: &Event| {
+            let is_stop = event.kind == EventKind::Signal(Signal::SIGTERM);
+            is_stop && concerned(event) && event.at + self.grace * 5 / 6 <= lost.ended
+        };
+        if ran && events.iter().any(too_long) {
+            return None;
+        }
         // A request after SIGTERM may cross the close of its connection.
         let told = |event: &Event| {
             let is_stop = event.kind == EventKind::Signal(Signal::SIGTERM);
