--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`http`]: the HTTP interface for callers and operators.
 //! - [`call`]: the processing of one call.
 //! - [`crashes`]: server crashes, and the calls that may have caused them.
+//! - [`memory`]: the bytes held for callers and servers, and their limit.
 //! - [`pool`]: connections to backend servers.
 //! - [`exchange`]: one attempt to send a call, and what is known when it fails.
 //! - `liveness`: whether the server that ended an answer is still alive.
@@ -42,6 +43,7 @@
 pub mod grants;
 pub mod http;
 mod liveness;
+pub mod memory;
 pub mod moves;
 pub mod neighbours;
 pub mod origin_log;
@@ -121,8 +123,11 @@
     actix_rt::spawn(drain);
     let app = http::app(Rc::clone(&state));
     let grace = state.settings.grace();
+    let connections = Rc::clone(&state.memory.connections);
+    let serve =
+        base::http::serve_limited_and_drain(sockets.callers, app, closed, grace, connections);
     tokio::select! {
-        served = base::http::serve_and_drain(sockets.callers, app, closed, grace) => served?,
+        served = serve => served?,
         () = ended.wait() => {}
     }
     info!("entry stopped", kv: { name = state.settings.name.as_str(), open = state.open_calls.get() });
