Wake bodies that wait for memory, and let small ones past large ones

In one of three runs beside other work, a small call of slow_bodies_stay_within_memory got no answer for 8 s. A body that was chosen to give way could hold no bytes yet; its end released nothing, and the body that waited for it was not woken. Only bodies that hold bytes give way now. In another run the small call was refused: an older large body chose it as the newest. A body does not give way to a much larger one any more.

A stream took four times its event, so that 21 streams with events of 0.9 MB waited for each other. It takes the event once, and twice the bytes that arrive; copies exist for one stream at a time. It releases both at the end of each event, and the reserve for answers with them.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -198,7 +198,7 @@
         .h1_allow_half_closed(false)
         // Closes idle connections at once, others after the current response.
         .graceful_shutdown_signal(closing)
-        .on_connect_ext(|stream: &CountedStream, data: &mut Extensions| {
+        .on_connect_ext(|stream: &CountedStream<TcpStream>, data: &mut Extensions| {
             data.insert(Rc::clone(stream.connection()));
         })
         .h1(map_config(app, |()| AppConfig::default()));
--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -266,7 +266,7 @@
     }
 
     /// Passes the connection's bytes on and counts them.
-    pub(super) fn count_bytes(&self, stream: TcpStream) -> CountedStream {
+    pub(super) fn count_bytes<T>(&self, stream: T) -> CountedStream<T> {
         CountedStream {
             stream,
             clock: Rc::clone(&self.table.clock),
@@ -342,22 +342,22 @@
 }
 
 /// A connection's socket, which counts the bytes that the caller makes the process hold.
-pub(super) struct CountedStream {
-    stream: TcpStream,
+pub(super) struct CountedStream<T> {
+    stream: T,
     clock: Rc<dyn Clock>,
     connection: Rc<Connection>,
     /// Bytes read since the HTTP library last had a turn.
     burst: usize,
 }
 
-impl CountedStream {
+impl<T> CountedStream<T> {
     /// The connection, for request handlers.
     pub(super) fn connection(&self) -> &Rc<Connection> {
         &self.connection
     }
 }
 
-impl AsyncRead for CountedStream {
+impl<T: AsyncRead + Unpin> AsyncRead for CountedStream<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -387,7 +387,7 @@
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<T: AsyncWrite + Unpin> AsyncWrite for CountedStream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/base/src/memory.rs
+++ b/crates/base/src/memory.rs
@@ -70,12 +70,6 @@
 }
 
 impl Held {
-    /// Bytes held by this.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-
     /// Holds `bytes` in all if `reserve` bytes remain free; returns whether it does. Fewer
     /// bytes than now are not refused.
     pub fn try_set(&mut self, bytes: usize, reserve: usize) -> bool {
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -51,6 +51,8 @@
 
 #[derive(Debug)]
 struct BodyState {
+    /// Bytes held.
+    taken: Cell<usize>,
     /// The declared length, or the bytes held if that is more.
     size: Cell<usize>,
     active_at: Cell<Instant>,
@@ -60,6 +62,11 @@
 }
 
 impl BodyState {
+    /// Whether others gain memory if the body is refused.
+    fn may_give_way(&self) -> bool {
+        self.taken.get() > 0 && !self.refused.get()
+    }
+
     fn progress(&self, number: u64) -> BodyProgress {
         BodyProgress {
             number,
@@ -99,6 +106,7 @@
         let number = self.next_body.get();
         self.next_body.set(number + 1);
         let state = Rc::new(BodyState {
+            taken: Cell::new(0),
             size: Cell::new(declared.unwrap_or(0)),
             active_at: Cell::new(now),
             refused: Cell::new(false),
@@ -147,7 +155,7 @@
         };
         let others = bodies
             .iter()
-            .filter(|(number, state)| **number != own && !state.refused.get());
+            .filter(|(number, state)| **number != own && state.may_give_way());
         let others = others.map(|(number, state)| state.progress(*number));
         let victim = choose_victim(now, asking.progress(own), others);
         let Some(state) = victim.and_then(|victim| bodies.get(&victim.number)) else {
@@ -210,6 +218,7 @@
                 return false;
             }
             if held.try_set(bytes, memory.body_reserve(bytes)) {
+                state.taken.set(bytes);
                 return true;
             }
             let found = memory.awaits_refused()
@@ -274,30 +283,32 @@
 }
 
 impl AnswerHold {
-    /// Bytes that it holds.
-    pub(crate) fn bytes(&self) -> usize {
-        self.held.bytes()
+    /// Releases all bytes. Another answer may use those that are kept free.
+    pub(crate) fn release(&mut self) {
+        self.reserve = None;
+        self.held.set(0);
     }
 
-    /// Waits until there is memory for `bytes` in all; fewer than now are released. One answer at a time may use the bytes
+    /// Waits until there is memory for `bytes` in all. One answer at a time may use the bytes
     /// that are kept free, and needs no others: it always ends.
     pub(crate) async fn grow(&mut self, bytes: usize) {
         loop {
             let released = self.memory.account.released();
-            let free = self.reserve.is_none() && self.memory.reserve_taken.get().is_none();
-            let reserve = self.memory.reserve() + self.memory.account.limit() / BODY_PART;
-            if self.reserve.is_none() && self.held.try_set(bytes, reserve) {
-                return;
-            }
-            if free {
-                let taken = Rc::clone(&self.memory.reserve_taken);
-                self.reserve = Some(ReserveGuard(taken));
-            }
             if let Some(reserve) = &self.reserve {
                 reserve.0.set(Some(bytes));
                 self.held.set(bytes);
                 return;
             }
+            let reserve = self.memory.reserve() + self.memory.account.limit() / BODY_PART;
+            if self.held.try_set(bytes, reserve) {
+                return;
+            }
+            let taken = &self.memory.reserve_taken;
+            if taken.get().is_none() {
+                taken.set(Some(bytes));
+                self.reserve = Some(ReserveGuard(Rc::clone(taken)));
+                continue;
+            }
             metrics::counter!("pimentocart_answer_memory_waits_total").increment(1);
             // Callers that have stopped reading would keep the others waiting.
             while self.memory.connections.close_blocked(STALLED_TIME) {}
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -185,16 +185,19 @@
         }
     }
 
-    /// Waits until there is memory for the current event with `more` bytes: in the buffer, as a
-    /// copy for the caller, and in the buffers of the connection to the server.
+    /// Waits until there is memory for the current event with `more` bytes, and for the buffers
+    /// of the connection to the server.
     async fn hold_memory(&mut self, more: usize) -> Result<(), StreamError> {
+        if self.splitter.pending_len() == 0 {
+            // The caller has taken the events before.
+            self.held.release();
+        }
         let event = self.splitter.pending_len() + more;
-        let bytes = 2 * (event + more);
-        if event <= SMALL_EVENT_BYTES && self.held.bytes() == 0 {
+        if event <= SMALL_EVENT_BYTES {
             return Ok(());
         }
         let deadline: Instant = self.call.deadline;
-        let hold = self.held.grow(bytes);
+        let hold = self.held.grow(event + 2 * more);
         let held = tokio::time::timeout_at(deadline.into(), hold).await;
         held.map_err(|_| self.timed_out())
     }
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -77,7 +77,8 @@
 
 /// Chooses the body that gives way when there is no memory for another part of `own`: the
 /// one that has been stalled longest, or the newest of those that are much larger, or else
-/// the newest of all, so that the older ones can end. Returns `None` if that is `own`.
+/// the newest that is not much smaller, so that the older ones can end. Returns `None` if
+/// that is `own`.
 #[must_use]
 pub fn choose_victim(
     now: Instant,
@@ -86,15 +87,15 @@
 ) -> Option<BodyProgress> {
     let idle = |body: &BodyProgress| now.saturating_duration_since(body.active_at);
     let stalled = others.clone().filter(|body| idle(body) >= STALLED_TIME);
-    let larger = |body: &BodyProgress| body.size / SMALLER_FACTOR > own.size;
-    let larger = others.clone().filter(larger);
+    let larger = others.clone().filter(|body| is_smaller(&own, body));
+    let newer = others.filter(|body| body.number > own.number && !is_smaller(body, &own));
     stalled
         .max_by_key(idle)
         .or_else(|| larger.max_by_key(|body| body.number))
-        .or_else(|| others.max_by_key(|body| body.number))
-        .filter(|body| idle(body) >= STALLED_TIME || larger_or_newer(body, &own))
+        .or_else(|| newer.max_by_key(|body| body.number))
 }
 
-fn larger_or_newer(body: &BodyProgress, own: &BodyProgress) -> bool {
-    body.size / SMALLER_FACTOR > own.size || body.number > own.number
+/// Whether `body` is much smaller than `other`.
+fn is_smaller(body: &BodyProgress, other: &BodyProgress) -> bool {
+    other.size / SMALLER_FACTOR > body.size
 }
