--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -198,9 +198,11 @@
         .h1_allow_half_closed(false)
         // Closes idle connections at once, others after the current response.
         .graceful_shutdown_signal(move || sockets.closing(closing.clone()))
-        .on_connect_ext(|stream: &CountedStream, data: &mut Extensions| {
-            data.insert(Rc::clone(stream.connection()));
-        })
+        .on_connect_ext(
+            |stream: &CountedStream<CallerStream>, data: &mut Extensions| {
+                data.insert(Rc::clone(stream.connection()));
+            },
+        )
         .h1(map_config(app, |()| AppConfig::default()));
     let service = factory.new_service(()).await;
     let service = Rc::new(service.map_err(|()| io::Error::other("step=start_http"))?);
