Test streams taken up at an entry that stood still during a release

Three entries as processes, four servers of one version; the second entry is stopped, four servers of another version join, and 24 streams begin at the first entry. The callers take them up at the second one when it goes on. Its socket is filled with other datagrams in three cases, so that it hears nothing of the streams; the other entries serve, are killed or are stopped.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod hints;
 mod limits;
+mod out_of_step;
 mod platform;
 mod process;
 mod records;
--- a/crates/cli/tests/forward/versions.rs
+++ b/crates/cli/tests/forward/versions.rs
@@ -28,7 +28,7 @@
         Self::start_at_versions(name, ["v1", "v1.1", "v1", "v1.1"])
     }
 
-    fn start_at_versions(name: &str, versions: [&'static str; 4]) -> Self {
+    pub(crate) fn start_at_versions(name: &str, versions: [&'static str; 4]) -> Self {
         let (platform, store) = Platform::start();
         let servers = versions.map(|v| platform.stream_server(v));
         let entries: Vec<Entry> = (0..3)
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Starts further servers of a version.
+    pub(crate) fn add_servers(&mut self, version: &'static str, count: usize) {
+        let new = (0..count).map(|_| self.platform.stream_server(version));
+        self.servers.extend(new);
+    }
+
     /// Begins streams at the first entry, whose callers get two events each.
     pub(crate) fn begin(&self) -> Vec<StreamRead> {
         let streams = self.begin_at_any_version();
