--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod kept;
 mod limits;
 mod memory;
+mod out_of_step;
 mod platform;
 mod process;
 mod records;
