--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod tables;
 mod tasks;
 pub mod versions;
+mod wait;
 
 use std::io;
 use std::rc::Rc;
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -12,6 +12,10 @@
 /// entry has waited for the calls in progress.
 const CLOSE_FRACTION: f64 = 0.06;
 
+/// Least time that is reserved for this, if it is at most a sixth of the grace period. A busy
+/// host runs the process late, and its platform kills it at the end of the grace period.
+const MIN_CLOSE_RESERVE: Duration = Duration::from_millis(200);
+
 /// Descriptors that an entry needs at least: its sockets, the store, and a few callers with
 /// a backend server each.
 const MIN_FDS: usize = 64;
@@ -20,6 +24,12 @@
 /// rest is left for these calls, so that a later one is refused before it has run.
 const SEND_FRACTION: f64 = 0.5;
 
+/// Longest period of the settings, in seconds.
+const MAX_PERIOD: f64 = 1e8;
+
+/// Which periods are valid.
+const PERIOD_HINT: &str = "seconds above zero, up to 100000000";
+
 /// Settings of an entry for routed calls.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -155,15 +165,26 @@
     fn check(&self) -> Result<(), base::settings::Error> {
         use base::settings::check;
         let positive = |n: f64| n.is_finite() && n > 0.0;
-        let hint = "seconds above zero";
         let window = self.window_s;
-        check("duties.window_s", window, positive(window), hint)?;
-        check("duties.due_s", self.due_s, positive(self.due_s), hint)?;
+        check("duties.window_s", window, is_period(window), PERIOD_HINT)?;
+        check(
+            "duties.due_s",
+            self.due_s,
+            is_period(self.due_s),
+            PERIOD_HINT,
+        )?;
         let hint = "calls per second above zero";
-        check("duties.rate", self.rate, positive(self.rate), hint)
+        let valid = positive(self.rate) && is_period(1.0 / self.rate);
+        check("duties.rate", self.rate, valid, hint)
     }
 }
 
+/// Whether a number of seconds can be used as a period. Far longer ones cannot be
+/// represented, or added to the time.
+fn is_period(seconds: f64) -> bool {
+    seconds > 0.0 && seconds <= MAX_PERIOD
+}
+
 fn call_rate() -> f64 {
     1.0
 }
@@ -201,10 +222,14 @@
     pub fn check(&self) -> Result<(), base::settings::Error> {
         use base::settings::check;
         let positive = |s: f64| s.is_finite() && s > 0.0;
-        let hint = "seconds above zero";
-        check("grace_s", self.grace_s, positive(self.grace_s), hint)?;
+        check(
+            "grace_s",
+            self.grace_s,
+            is_period(self.grace_s),
+            PERIOD_HINT,
+        )?;
         let window = self.repeat_window_s;
-        check("repeat_window_s", window, positive(window), hint)?;
+        check("repeat_window_s", window, is_period(window), PERIOD_HINT)?;
         let writes = self.store_writes_per_s;
         let hint = "writes per second above zero";
         check("store_writes_per_s", writes, positive(writes), hint)?;
@@ -285,14 +310,19 @@
     /// Time after which a stopping entry ends the calls in progress.
     #[must_use]
     pub fn cutoff_time(&self) -> Duration {
-        self.grace().mul_f64(1.0 - CLOSE_FRACTION)
+        self.grace() - self.close_reserve()
     }
 
     /// Time for which the answers of ended calls are written. Half of the time that is reserved
     /// for closing is left for the end of the process.
     #[must_use]
     pub fn close_time(&self) -> Duration {
-        self.grace().mul_f64(CLOSE_FRACTION / 2.0)
+        self.close_reserve() / 2
+    }
+
+    fn close_reserve(&self) -> Duration {
+        let least = MIN_CLOSE_RESERVE.min(self.grace() / 6);
+        self.grace().mul_f64(CLOSE_FRACTION).max(least)
     }
 
     /// Time from the request to stop until the process is killed.
