Answer or refuse requests that were read behind another one

Callers that send a request right behind another one lost it in two ways when an entry was stopped.

The library closes a connection that drains after the response in progress, whatever it has read behind it. The signal to close now waits until the connection has no call; the request behind is begun in the same turn and answered, and its answer announces the close. A request behind an announced close is not executed.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -225,8 +225,8 @@
                 if has_request(&stream, &stop).await {
                     let peer = stream.peer_addr().ok();
                     let socket = Socket::new(stream);
-                    new_socket.set(&socket);
-                    let stream = open.count_bytes(CallerStream::new(socket));
+                    let stream = open.count_bytes(CallerStream::new(Rc::clone(&socket)));
+                    new_socket.set(&socket, stream.connection());
                     // An error only ends this connection, which the caller notices.
                     let _ = service.call((stream, peer)).await;
                 }
--- a/crates/base/src/http/connection.rs
+++ b/crates/base/src/http/connection.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use super::limits::Connection;
 use super::{CLOSE_POLL, REQUEST_GRACE};
 use crate::stop::StopSignal;
 
@@ -54,23 +55,28 @@
     }
 }
 
-/// Hands each new connection's socket to the signal that closes it, which the HTTP service
-/// creates without an argument.
+/// Hands each new connection to the signal that closes it, which the HTTP service creates
+/// without an argument.
 #[derive(Debug, Clone, Default)]
-pub(super) struct NewSocket(Rc<RefCell<Option<Rc<Socket>>>>);
+pub(super) struct NewSocket(Rc<RefCell<Option<Opened>>>);
+
+/// A new connection: its socket, and its calls.
+type Opened = (Rc<Socket>, Rc<Connection>);
 
 impl NewSocket {
-    pub(super) fn set(&self, socket: &Rc<Socket>) {
-        *self.0.borrow_mut() = Some(Rc::clone(socket));
+    pub(super) fn set(&self, socket: &Rc<Socket>, connection: &Rc<Connection>) {
+        *self.0.borrow_mut() = Some((Rc::clone(socket), Rc::clone(connection)));
     }
 
     /// Completes when the connection whose socket was set last takes no further request:
-    /// after `stop`, once no request is arriving.
+    /// after `stop`, once no call is in progress and no request is arriving. A request that
+    /// was read during a call would get no answer otherwise.
     pub(super) fn closing(&self, stop: StopSignal) -> impl Future<Output = ()> + use<> {
-        let socket = self.0.borrow_mut().take();
+        let opened = self.0.borrow_mut().take();
         async move {
             stop.wait().await;
-            if let Some(socket) = socket {
+            if let Some((socket, connection)) = opened {
+                connection.wait_without_calls().await;
                 socket.wait_quiet().await;
             }
         }
--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -84,6 +84,10 @@
     unread: Cell<usize>,
     /// Whether the rest of a request is being discarded.
     discards: Cell<bool>,
+    /// Whether an answer has announced that the connection closes.
+    closing: Cell<bool>,
+    /// Signalled when a call ends.
+    call_ended: Notify,
     /// Wakes the reader when unread bytes are taken.
     reader: RefCell<Option<Waker>>,
     held: RefCell<Held>,
@@ -163,6 +167,8 @@
             blocked_at: Cell::new(None),
             unread: Cell::new(0),
             discards: Cell::new(false),
+            closing: Cell::new(false),
+            call_ended: Notify::new(),
             reader: RefCell::default(),
             held: RefCell::new(held),
             cost: self.cost,
@@ -307,6 +313,30 @@
         self.take_unread(usize::MAX);
     }
 
+    /// Records that an answer announces the close of the connection. Its caller reads no
+    /// answer behind that one, so later requests must not be executed.
+    pub fn announce_close(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether an answer has announced that the connection closes.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Waits until no call is in progress. The HTTP library begins the next request that it
+    /// has read as soon as the answer to the one before is written.
+    pub(super) async fn wait_without_calls(&self) {
+        loop {
+            let ended = self.call_ended.notified();
+            if self.calls.get() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Whether it can be closed without loss of a call or an answer.
     fn is_idle(&self) -> bool {
         self.calls.get() == 0 && self.blocked_at.get().is_none()
@@ -335,6 +365,7 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.0.calls.set(self.0.calls.get().saturating_sub(1));
+        self.0.call_ended.notify_waiters();
         if let Some(reader) = self.0.reader.take() {
             reader.wake();
         }
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -53,6 +53,10 @@
     let received_at = state.clock.now();
     let connection = request.conn_data::<Rc<Connection>>();
     let call = connection.map(Connection::begin_call);
+    if let Some(connection) = connection.filter(|connection| connection.is_closing()) {
+        connection.discard();
+        return Reply::Local(draining_refusal()).into_response(true);
+    }
     let mut held = None;
     let body = tokio::select! {
         body = read_body(&state, payload, connection, declared_length(&request)) => body,
@@ -77,6 +81,9 @@
     // A caller whose connection is closed opens the next one elsewhere. This
     // relieves an entry that is stopping or whose link is congested.
     let close = state.stopping.is_triggered() || state.is_congested();
+    if let Some(connection) = connection.filter(|_| close) {
+        connection.announce_close();
+    }
     let response = reply.into_response(close);
     response.map_body(|_, body| GuardedBody::new(body, (call, held)).boxed())
 }
