--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use policy::balance::ServerRecord;
+use policy::memory::ANSWER_RESERVE;
 use snafu::Snafu;
 use spdlog::info;
 
@@ -17,8 +18,9 @@
 use crate::moves::{self, MovableStream};
 use crate::state::OpenCall;
 
-/// Longest event of a stream, in bytes. A longer one is a fault of the server.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Longest event of a stream, in bytes. One of this size fits into the bytes that are kept free
+/// for answers; a longer one is a fault of the server.
+const MAX_EVENT_BYTES: usize = ANSWER_RESERVE / 2;
 
 /// Events up to this size, in bytes, are covered by the cost of the caller's connection.
 const SMALL_EVENT_BYTES: usize = 8 << 10;
