--- a/crates/forward/tests/calls/out_of_step.rs
+++ b/crates/forward/tests/calls/out_of_step.rs
@@ -288,9 +288,11 @@
         position: 1 << OFFSET_BITS | 1,
         as_of: clock.now(),
     };
-    let mut replica = state.tables.versions.borrow_mut();
-    let changes = replica.apply_store_update(update, Some(1));
-    drop(replica);
+    let changes = state
+        .tables
+        .versions
+        .borrow_mut()
+        .apply_store_update(update, Some(1));
     versions::apply_changes(state, clock.now(), changes, kind);
     assert_eq!(status(&entry.call(TAKES_UP).await), "503");
     assert!(table.0.requests.get() > 0);
