Ask for large answers of plain servers only in the soak of ends

The simulated servers now add the bytes that a request asks for to each event of a stream as well, up to 12 MB.

--- a/crates/cli/tests/forward/kept.rs
+++ b/crates/cli/tests/forward/kept.rs
@@ -271,6 +271,11 @@
         event_ms,
         ..
     } = manner;
+    let answer = if KINDS[..2].contains(&kind) {
+        answer
+    } else {
+        0
+    };
     let mut request = format!(
         "POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
          X-Deadline-Ms: 6000\r\nX-Token-Count: 1000,40\r\nX-Answer-Bytes: {answer}\r\n\
