Keep connections with unread requests when others give way

With as many connections as may be open, a new one closes the one that has been idle longest. The kernel is asked now; a connection with unread bytes does not give way, and if no other does, the new one is refused with 503.

While eight connections were being refused, the listener waited for the end of a refusal, up to a second, even if there was room again meanwhile. It goes on as soon as a connection closes.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -213,18 +213,14 @@
     }
 
     let connections = Rc::new(());
-    let spawn_connection = |stream: TcpStream, open: OpenConnection| {
-        // Streamed chunks are small and urgent; with Nagle's algorithm they
-        // would wait for the acknowledgement of the previous chunk.
-        let _ = stream.set_nodelay(true);
+    let spawn_connection = |socket: Rc<Socket>, open: OpenConnection| {
         let (service, stop, connections) =
             (Rc::clone(&service), stop.clone(), Rc::clone(&connections));
         let new_socket = new_socket.clone();
         actix_rt::spawn(async move {
             let serve = async {
-                if has_request(&stream, &stop).await {
-                    let peer = stream.peer_addr().ok();
-                    let socket = Socket::new(stream);
+                if has_request(&socket, &stop).await {
+                    let peer = socket.peer();
                     let stream = open.count_bytes(CallerStream::new(Rc::clone(&socket)));
                     new_socket.set(&socket, stream.connection());
                     // An error only ends this connection, which the caller notices.
@@ -235,7 +231,7 @@
                 () = serve => {}
                 () = open.closed() => {}
             }
-            drop((connections, open));
+            drop((connections, socket, open));
         });
     };
     loop {
@@ -244,16 +240,15 @@
             () = stop.wait() => break,
         };
         match accepted {
-            Ok((stream, _)) => match table.admit() {
-                Some(open) => {
-                    spawn_connection(stream, open);
+            Ok((stream, _)) => {
+                if let Some((socket, open)) = table.admit_or_refuse(stream).await {
+                    spawn_connection(socket, open);
                     // A connection that gave way closes before the next one is accepted.
                     if table.is_full() {
                         tokio::task::yield_now().await;
                     }
                 }
-                None => table.refuse(stream).await,
-            },
+            }
             // For example out of file descriptors, until other connections close.
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -266,9 +261,8 @@
     while let Ok((stream, _)) = listener.accept() {
         stream.set_nonblocking(true)?;
         let stream = TcpStream::from_std(stream)?;
-        match table.admit() {
-            Some(open) => spawn_connection(stream, open),
-            None => table.refuse(stream).await,
+        if let Some((socket, open)) = table.admit_or_refuse(stream).await {
+            spawn_connection(socket, open);
         }
     }
     Ok(connections)
@@ -277,13 +271,13 @@
 /// Waits for the first bytes of a connection and returns whether they arrived.
 /// Without this check, actix keeps a connection that has sent nothing open for
 /// the entire request timeout, even during shutdown.
-async fn has_request(stream: &TcpStream, stop: &StopSignal) -> bool {
-    let readable = tokio::time::timeout(REQUEST_TIMEOUT, stream.readable());
+async fn has_request(socket: &Socket, stop: &StopSignal) -> bool {
+    let readable = tokio::time::timeout(REQUEST_TIMEOUT, socket.readable());
     tokio::select! {
         biased;
         readable = readable => return matches!(readable, Ok(Ok(()))),
         () = stop.wait() => {}
     }
-    let readable = tokio::time::timeout(REQUEST_GRACE, stream.readable()).await;
+    let readable = tokio::time::timeout(REQUEST_GRACE, socket.readable()).await;
     matches!(readable, Ok(Ok(())))
 }
--- a/crates/base/src/http/connection.rs
+++ b/crates/base/src/http/connection.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -32,10 +32,28 @@
 
 impl Socket {
     pub(super) fn new(stream: TcpStream) -> Rc<Self> {
+        // Streamed chunks are small and urgent; with Nagle's algorithm they
+        // would wait for the acknowledgement of the previous chunk.
+        let _ = stream.set_nodelay(true);
         let answered = Cell::new(false);
         Rc::new(Self { stream, answered })
     }
 
+    /// Waits until bytes have arrived, or the caller has closed its side.
+    pub(super) async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    /// The caller's address, while it is connected.
+    pub(super) fn peer(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
+    /// The connection, if nobody else uses it.
+    pub(super) fn into_stream(self: Rc<Self>) -> Option<TcpStream> {
+        Rc::into_inner(self).map(|socket| socket.stream)
+    }
+
     /// Waits until no request is arriving, for at most [`REQUEST_GRACE`].
     async fn wait_quiet(&self) {
         let quiet = async {
@@ -46,12 +64,16 @@
         let _ = tokio::time::timeout(REQUEST_GRACE, quiet).await;
     }
 
-    /// Whether all that has arrived was read and answered, at least in part. The kernel is
-    /// asked, since the runtime may not have seen the latest bytes.
+    /// Whether all that has arrived was read and answered, at least in part.
     fn is_quiet(&self) -> bool {
+        self.answered.get() && !self.has_unread()
+    }
+
+    /// Whether bytes have arrived that were not read. The kernel is asked, since the runtime
+    /// may not have seen the latest ones.
+    pub(super) fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let unread = SockRef::from(&self.stream).peek(&mut byte);
-        self.answered.get() && !matches!(unread, Ok(1..))
+        matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(1..))
     }
 }
 
--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::connection::Socket;
 use crate::clock::{Clock, SystemClock};
 use crate::logging::limiter::LineLimiter;
 use crate::memory::{Account, Held};
@@ -34,6 +35,9 @@
 /// The longest head of a request that the HTTP library accepts, in bytes.
 const MAX_HEAD: usize = 128 << 10;
 
+/// Idle connections that are looked at for one that can close. Each look is a system call.
+const MAX_IDLE_CHECKS: usize = 16;
+
 /// Connections that are refused at the same time. More of them wait in the accept queue.
 const MAX_REFUSALS: usize = 8;
 
@@ -57,7 +61,8 @@
     open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     next: Cell<u64>,
     refusals: Cell<usize>,
-    refusal_ended: Notify,
+    /// Signalled when a connection closes or a refusal ends.
+    changed: Notify,
     full_log: LineLimiter,
 }
 
@@ -93,6 +98,8 @@
     held: RefCell<Held>,
     /// Bytes that the connection takes at least.
     cost: usize,
+    /// Its socket, while it is open.
+    socket: Weak<Socket>,
 }
 
 /// Counts a call on its connection until it is dropped.
@@ -111,7 +118,7 @@
             open: RefCell::default(),
             next: Cell::new(0),
             refusals: Cell::new(0),
-            refusal_ended: Notify::new(),
+            changed: Notify::new(),
             full_log: LineLimiter::default(),
         })
     }
@@ -151,8 +158,8 @@
     }
 
     /// Admits a new connection, if need be in place of the one that has been idle longest.
-    /// Returns `None` if all of them have calls in progress.
-    pub(super) fn admit(self: &Rc<Self>) -> Option<OpenConnection> {
+    /// Returns `None` if all of them have calls in progress or requests that were not read.
+    fn admit(self: &Rc<Self>, socket: &Rc<Socket>) -> Option<OpenConnection> {
         if self.is_full() && !self.close_idle() {
             return None;
         }
@@ -172,6 +179,7 @@
             reader: RefCell::default(),
             held: RefCell::new(held),
             cost: self.cost,
+            socket: Rc::downgrade(socket),
         });
         let opened = Rc::clone(&connection);
         self.open.borrow_mut().insert(number, opened);
@@ -182,12 +190,18 @@
         })
     }
 
-    /// Closes the connection that has been idle longest; returns whether there was one.
+    /// Closes the connection that has been idle longest, unless a request has arrived on it;
+    /// returns whether there was one.
     fn close_idle(&self) -> bool {
         let open = self.open.borrow();
         let idle = open.iter().filter(|(_, connection)| connection.is_idle());
-        let oldest = idle.min_by_key(|(_, connection)| connection.active_at.get());
-        let oldest = oldest.map(|(number, _)| *number);
+        let mut idle: Vec<_> = idle
+            .map(|(number, connection)| (connection.active_at.get(), *number))
+            .collect();
+        idle.sort_unstable();
+        let mut checked = idle.into_iter().take(MAX_IDLE_CHECKS);
+        let oldest = checked.find(|(_, number)| !open[number].has_unread());
+        let oldest = oldest.map(|(_, number)| number);
         drop(open);
         metrics::counter!("pimentocart_idle_connections_closed_total")
             .increment(u64::from(oldest.is_some()));
@@ -217,24 +231,41 @@
         })
     }
 
-    /// Refuses a connection for which there is no room, once a place among those that are
-    /// being refused is free.
-    pub(super) async fn refuse(self: &Rc<Self>, stream: TcpStream) {
+    /// Admits a new connection, or refuses it if there is no room. While many are being
+    /// refused, it waits for room or until it can be refused.
+    pub(super) async fn admit_or_refuse(
+        self: &Rc<Self>,
+        stream: TcpStream,
+    ) -> Option<(Rc<Socket>, OpenConnection)> {
+        let socket = Socket::new(stream);
+        loop {
+            let changed = self.changed.notified();
+            if let Some(open) = self.admit(&socket) {
+                return Some((socket, open));
+            }
+            if self.refusals.get() < MAX_REFUSALS {
+                break;
+            }
+            changed.await;
+        }
+        self.refuse(socket.into_stream()?);
+        None
+    }
+
+    /// Refuses a connection for which there is no room.
+    fn refuse(self: &Rc<Self>, stream: TcpStream) {
         if let Some(unlogged) = self.full_log.record(self.clock.now()) {
             warn!("connection refused: all connections have calls", kv: {
                 limit = self.max, unlogged
             });
         }
         telemetry::count_refusal(Refusal::Overloaded, Executed::No);
-        while self.refusals.get() >= MAX_REFUSALS {
-            self.refusal_ended.notified().await;
-        }
         self.refusals.set(self.refusals.get() + 1);
         let table = Rc::clone(self);
         actix_rt::spawn(async move {
             let _ = tokio::time::timeout(REFUSAL_TIMEOUT, answer_refusal(stream)).await;
             table.refusals.set(table.refusals.get() - 1);
-            table.refusal_ended.notify_one();
+            table.changed.notify_waiters();
         });
     }
 }
@@ -285,6 +316,7 @@
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.table.open.borrow_mut().remove(&self.number);
+        self.table.changed.notify_waiters();
     }
 }
 
@@ -337,6 +369,13 @@
         }
     }
 
+    /// Whether bytes have arrived that were not read.
+    fn has_unread(&self) -> bool {
+        self.socket
+            .upgrade()
+            .is_some_and(|socket| socket.has_unread())
+    }
+
     /// Whether it can be closed without loss of a call or an answer.
     fn is_idle(&self) -> bool {
         self.calls.get() == 0 && self.blocked_at.get().is_none()
--- a/crates/base/tests/http.rs
+++ b/crates/base/tests/http.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, web};
-use base::http::serve_and_drain;
+use base::clock::SystemClock;
+use base::http::limits::Connections;
+use base::http::{serve_and_drain, serve_limited};
+use base::memory::Account;
 use base::stop::StopSignal;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -290,3 +293,57 @@
     let answer = read_all(&mut caller).await;
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer:?}");
 }
+
+// Guards against a kept connection on which a request has just arrived giving way to a new one.
+#[actix_rt::test]
+async fn idle_connection_closed_with_unread_request() {
+    const KEPT: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let app = App::new().route("/small", web::get().to(|| async { "small" }));
+    let table = Connections::new(KEPT, 0, Account::new(usize::MAX), Rc::new(SystemClock));
+    let stop = StopSignal::new();
+    actix_rt::spawn(serve_limited(listener, app, stop.clone(), table));
+
+    let mut kept = send_unseen(addr, &[SMALL_REQUEST; KEPT]);
+    for caller in &mut kept {
+        assert!(read_answer(caller).await.ends_with("small"));
+    }
+    let newcomers = send_unseen(addr, &[SMALL_REQUEST; KEPT]);
+    for caller in &kept {
+        assert_eq!(
+            caller.try_write(SMALL_REQUEST).unwrap(),
+            SMALL_REQUEST.len()
+        );
+    }
+    for caller in &mut kept {
+        assert!(read_answer(caller).await.ends_with("small"));
+    }
+    for mut caller in newcomers {
+        let answer = read_answer(&mut caller).await;
+        assert!(answer.ends_with("small") || answer.starts_with("HTTP/1.1 503 "));
+    }
+    stop.trigger();
+}
+
+/// Reads one answer with a length.
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let read = async {
+        loop {
+            let text = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                let length = head.split("content-length: ").nth(1);
+                let length = length.and_then(|text| text.lines().next()?.parse::<usize>().ok());
+                if length.is_none_or(|length| body.len() >= length) {
+                    break;
+                }
+            }
+            if stream.read_buf(&mut answer).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, read).await.unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
