Read bodies in small chunks to their end

Callers that sent a body in small chunks got no answer: the entry stopped reading their connection in the middle of the body, for ever. The limit on bytes that are read ahead of a call counted what arrived against the parts that the handler took, which lack the framing of the chunks. After 32 KB of framing (6 bytes a chunk) the connection counted as full with nothing left to take. A body with a declared length was not affected.

A part that is taken now clears the count; the HTTP library bounds what waits for the handler.

--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -289,13 +289,15 @@
     pub fn begin_call(self: &Rc<Self>) -> CallGuard {
         self.calls.set(self.calls.get() + 1);
         self.discards.set(false);
-        self.take_unread(usize::MAX);
+        self.take_unread();
         CallGuard(Rc::clone(self))
     }
 
-    /// Records that a handler has taken `bytes` bytes of a body.
-    pub fn take_unread(&self, bytes: usize) {
-        self.unread.set(self.unread.get().saturating_sub(bytes));
+    /// Records that a handler has taken a part of what was received. The received bytes are not
+    /// counted against the part's length, since the framing of chunks is never taken. The HTTP
+    /// library bounds the parts that wait for the handler.
+    pub fn take_unread(&self) {
+        self.unread.set(0);
         self.held.borrow_mut().set(self.cost);
         if let Some(reader) = self.reader.take() {
             reader.wake();
@@ -305,7 +307,7 @@
     /// Records that the rest of the current request is discarded.
     pub fn discard(&self) {
         self.discards.set(true);
-        self.take_unread(usize::MAX);
+        self.take_unread();
     }
 
     /// Whether it can be closed without loss of a call or an answer.
--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -154,6 +154,27 @@
     assert!(entry.running());
 }
 
+/// Guards against a body that is never read to its end because its chunks are small: the bytes
+/// between them must not count as unread for ever.
+#[rstest]
+#[case::one_byte(1, 60_000)]
+#[case::hundred_bytes(100, 9_000)]
+fn body_in_small_chunks_is_served(#[case] size: usize, #[case] count: usize) {
+    let (_platform, _servers, entry) = start(&format!("chunks-{size}"));
+    let mut stream = TcpStream::connect(entry.addr()).expect("cannot connect");
+    let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let head = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: chunks\r\n\
+                Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+    let request = format!("{head}{}0\r\n\r\n", chunk.repeat(count));
+    let _ = stream.set_write_timeout(Some(READ_TIMEOUT));
+    let _ = stream.write_all(request.as_bytes());
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
 /// Guards against a process that is killed for its memory because callers do not read large
 /// answers, and against other callers that are not served meanwhile.
 #[rstest]
--- a/crates/forward/src/http.rs
+++ b/crates/forward/src/http.rs
@@ -170,7 +170,7 @@
         let now = state.clock.now();
         hold.record_bytes(now);
         if let Some(connection) = connection {
-            connection.take_unread(part.len());
+            connection.take_unread();
         }
         let needed = all.len() + part.len();
         if needed > limit {
