Keep to the descriptors of the process where the settings name more

The readiness page did not answer, and calls failed, where callers held all descriptors of an entry whose `max_fds` was above its soft limit: the limit on connections was computed from the settings alone. It now follows the smaller of the two.

--- a/crates/cli/tests/forward/descriptors.rs
+++ b/crates/cli/tests/forward/descriptors.rs
@@ -68,6 +68,28 @@
     assert!(entry.running());
 }
 
+/// Guards against settings that promise more descriptors than the process has: callers take
+/// all of them.
+#[rstest]
+#[case::silent(Hold::Silent)]
+#[case::half_head(Hold::HalfHead)]
+fn settings_promise_more_descriptors(#[case] hold: Hold) {
+    let (platform, store) = Platform::start();
+    let _servers = [platform.server(), platform.server()];
+    let name = format!("promised-{hold:?}");
+    let mut entry = Entry::start_with_promised_fds(&name, store, 4096, MAX_FDS);
+    wait_until("the entry is ready", || entry.ready());
+
+    let held: Vec<_> = (0..CONNECTIONS)
+        .filter_map(|_| open(entry.addr(), hold))
+        .collect();
+    assert!(entry.ready(), "the readiness page fails");
+    let outcome = call(entry.addr(), "/safe/x", "other");
+    assert!(matches!(outcome, Outcome::Complete(200, _)), "{outcome:?}");
+    drop(held);
+    assert!(entry.running());
+}
+
 /// Guards against connections to the operators' address that keep the load balancer from
 /// reading the readiness page.
 #[test]
--- a/crates/cli/tests/forward/process.rs
+++ b/crates/cli/tests/forward/process.rs
@@ -252,6 +252,21 @@
         Self::at(ip, process)
     }
 
+    /// Starts an entry whose settings name this number of descriptors, with another soft
+    /// limit.
+    pub(crate) fn start_with_promised_fds(
+        name: &str,
+        store: SocketAddr,
+        promised: u32,
+        fds: u32,
+    ) -> Self {
+        let ip = unique_ip();
+        let mut settings = settings(ip, name, store, None);
+        settings["max_fds"] = promised.into();
+        let process = Process::start_with_fds("forward", name, &settings, Some(fds));
+        Self::at(ip, process)
+    }
+
     /// Starts an entry while the returned listener holds the port on which the
     /// entry would serve its peers.
     pub(crate) fn start_with_peer_port_taken(name: &str, store: SocketAddr) -> (Self, TcpListener) {
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -73,7 +73,9 @@
     /// Creates the account that the settings allow.
     #[must_use]
     pub fn new(settings: &Settings, clock: Rc<dyn Clock>) -> Self {
-        let fds = settings.max_fds.unwrap_or_else(descriptors::soft_limit);
+        // The settings may name more than the process was given.
+        let fds = settings.max_fds.unwrap_or(usize::MAX);
+        let fds = fds.min(descriptors::soft_limit());
         let limits = HostLimits::new(settings.memory_mb, fds);
         let account = Account::new(limits.held_bytes);
         let connections =
