Keep connections on which a request has arrived when a new one needs room

Callers saw a kept connection reset without an answer to the request that they had just sent, where as many connections were open as may be: a new connection closes the one that has been idle longest, and one whose request was unread in the kernel, or whose caller was still sending a refused body and had not read its answer, counted as idle. The more a process is late, or after it stood still, the more connections are in this state.

The kernel is asked for unread bytes before a connection is closed, and one that discards a body is left alone for a second after its last bytes. A new connection is refused only after the other connections had a turn, as one with unread bytes may be idle once they are read.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -218,11 +218,12 @@
         let (service, stop, connections) =
             (Rc::clone(&service), stop.clone(), Rc::clone(&connections));
         let new_socket = new_socket.clone();
+        let socket = Socket::new(stream);
+        open.set_socket(&socket);
         actix_rt::spawn(async move {
             let serve = async {
-                if has_request(&stream, &stop).await {
-                    let peer = stream.peer_addr().ok();
-                    let socket = Socket::new(stream);
+                if has_request(socket.stream(), &stop).await {
+                    let peer = socket.stream().peer_addr().ok();
                     new_socket.set(&socket);
                     let stream = open.count_bytes(CallerStream::new(socket));
                     // An error only ends this connection, which the caller notices.
@@ -242,7 +243,7 @@
             () = stop.wait() => break,
         };
         match accepted {
-            Ok((stream, _)) => match table.admit() {
+            Ok((stream, _)) => match table.admit_in_turn().await {
                 Some(open) => {
                     spawn_connection(stream, open);
                     // A connection that gave way closes before the next one is accepted.
@@ -264,7 +265,7 @@
     while let Ok((stream, _)) = listener.accept() {
         stream.set_nonblocking(true)?;
         let stream = TcpStream::from_std(stream)?;
-        match table.admit() {
+        match table.admit_in_turn().await {
             Some(open) => spawn_connection(stream, open),
             None => table.refuse(stream).await,
         }
--- a/crates/base/src/http/connection.rs
+++ b/crates/base/src/http/connection.rs
@@ -45,12 +45,21 @@
         let _ = tokio::time::timeout(REQUEST_GRACE, quiet).await;
     }
 
-    /// Whether all that has arrived was read and answered, at least in part. The kernel is
-    /// asked, since the runtime may not have seen the latest bytes.
+    /// Whether all that has arrived was read and answered, at least in part.
     fn is_quiet(&self) -> bool {
+        self.answered.get() && !self.has_unread()
+    }
+
+    /// Whether bytes have arrived that were not read. The kernel is asked, since the runtime
+    /// may not have seen the latest ones.
+    pub(super) fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let unread = SockRef::from(&self.stream).peek(&mut byte);
-        self.answered.get() && !matches!(unread, Ok(1..))
+        matches!(unread, Ok(1..))
+    }
+
+    pub(super) const fn stream(&self) -> &TcpStream {
+        &self.stream
     }
 }
 
--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::connection::CallerStream;
+use super::connection::{CallerStream, LINGER_TIMEOUT, Socket};
 use crate::clock::{Clock, SystemClock};
 use crate::logging::limiter::LineLimiter;
 use crate::memory::{Account, Held};
@@ -74,6 +74,7 @@
 /// One connection, as its request handlers and the listener see it.
 #[derive(Debug)]
 pub struct Connection {
+    socket: RefCell<Weak<Socket>>,
     /// Wakes its task when it has to close.
     close: Notify,
     active_at: Cell<Instant>,
@@ -158,6 +159,7 @@
         let number = self.next.get();
         self.next.set(number + 1);
         let connection = Rc::new(Connection {
+            socket: RefCell::default(),
             close: Notify::new(),
             active_at: Cell::new(self.clock.now()),
             calls: Cell::new(0),
@@ -177,12 +179,29 @@
         })
     }
 
+    /// Like [`admit`](Self::admit), after the tasks of the connections had a turn if it is
+    /// necessary: one that has unread bytes may be idle once they are read.
+    pub(super) async fn admit_in_turn(self: &Rc<Self>) -> Option<OpenConnection> {
+        if let Some(open) = self.admit() {
+            return Some(open);
+        }
+        tokio::task::yield_now().await;
+        self.admit()
+    }
+
     /// Closes the connection that has been idle longest; returns whether there was one.
     fn close_idle(&self) -> bool {
+        let now = self.clock.now();
         let open = self.open.borrow();
-        let idle = open.iter().filter(|(_, connection)| connection.is_idle());
-        let oldest = idle.min_by_key(|(_, connection)| connection.active_at.get());
-        let oldest = oldest.map(|(number, _)| *number);
+        let idle = open
+            .iter()
+            .filter(|(_, connection)| connection.is_idle(now));
+        let idle = idle.map(|(number, connection)| (connection.active_at.get(), *number));
+        let mut idle: Vec<(Instant, u64)> = idle.collect();
+        idle.sort_unstable();
+        // A request that has arrived unread would be lost.
+        let oldest = idle.iter().find(|(_, number)| !open[number].has_unread());
+        let oldest = oldest.map(|(_, number)| *number);
         drop(open);
         metrics::counter!("pimentocart_idle_connections_closed_total")
             .increment(u64::from(oldest.is_some()));
@@ -261,6 +280,11 @@
 }
 
 impl OpenConnection {
+    /// Names the socket of the connection.
+    pub(super) fn set_socket(&self, socket: &Rc<Socket>) {
+        *self.connection.socket.borrow_mut() = Rc::downgrade(socket);
+    }
+
     /// Completes when the connection has to close.
     pub(super) async fn closed(&self) {
         self.connection.close.notified().await;
@@ -310,9 +334,17 @@
         self.take_unread();
     }
 
-    /// Whether it can be closed without loss of a call or an answer.
-    fn is_idle(&self) -> bool {
-        self.calls.get() == 0 && self.blocked_at.get().is_none()
+    /// Whether it can be closed without loss of a call or an answer, if no bytes are unread.
+    fn is_idle(&self, now: Instant) -> bool {
+        // A caller that still sends what is discarded has not read its answer.
+        let discards = self.discards.get()
+            && now.saturating_duration_since(self.active_at.get()) < LINGER_TIMEOUT;
+        self.calls.get() == 0 && self.blocked_at.get().is_none() && !discards
+    }
+
+    fn has_unread(&self) -> bool {
+        let socket = self.socket.borrow().upgrade();
+        socket.is_some_and(|socket| socket.has_unread())
     }
 
     /// Counts received bytes.
--- a/crates/base/tests/http.rs
+++ b/crates/base/tests/http.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, web};
-use base::http::serve_and_drain;
+use base::clock::SystemClock;
+use base::http::limits::Connections;
+use base::http::{serve_and_drain, serve_limited_and_drain};
+use base::memory::Account;
 use base::stop::StopSignal;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -290,3 +293,54 @@
     let answer = read_all(&mut caller).await;
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer:?}");
 }
+
+/// Serves `/small` on at most `max` connections; returns its address.
+async fn start_limited(stop: &StopSignal, max: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let app = App::new().route("/small", web::get().to(async || "small"));
+    let (limit, clock) = (TEST_TIMEOUT * 10, Rc::new(SystemClock));
+    let table = Connections::new(max, 0, Account::new(usize::MAX), clock);
+    let served = serve_limited_and_drain(listener, app, stop.clone(), limit, table);
+    actix_rt::spawn(served);
+    addr
+}
+
+// Guards against a kept connection that counts as idle, although a request has arrived on it,
+// and is closed without an answer to make room for a new one.
+#[actix_rt::test]
+async fn full_table_with_request_on_kept_connection() {
+    let stop = StopSignal::new();
+    let addr = start_limited(&stop, 1).await;
+    let mut kept = TcpStream::connect(addr).await.unwrap();
+    kept.write_all(SMALL_REQUEST).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"small") {
+        assert!(kept.read_buf(&mut answer).await.unwrap() > 0);
+    }
+    // The server sees the new connection first, and the request on the kept one is unread.
+    let mut callers = send_unseen(addr, &[SMALL_REQUEST]);
+    kept.try_write(SMALL_REQUEST).unwrap();
+    answer.clear();
+    while !answer.ends_with(b"small") {
+        assert!(kept.read_buf(&mut answer).await.unwrap() > 0);
+    }
+    let mut status = [0; 9];
+    callers[0].read_exact(&mut status).await.unwrap();
+    assert_eq!(status, *b"HTTP/1.1 ");
+}
+
+// Guards against a burst of callers of which the first are closed without an answer to make
+// room for the last.
+#[actix_rt::test]
+async fn burst_above_the_limit() {
+    let stop = StopSignal::new();
+    let addr = start_limited(&stop, 4).await;
+    tokio::task::yield_now().await;
+    for mut caller in send_unseen(addr, &[SMALL_REQUEST; 40]) {
+        let mut status = [0; 9];
+        let read = tokio::time::timeout(TEST_TIMEOUT, caller.read_exact(&mut status));
+        read.await.expect("an answer in time").unwrap();
+        assert_eq!(status, *b"HTTP/1.1 ");
+    }
+}
