Make room only by refusing bodies that hold memory

A caller got no answer where the memory for bodies was full and others had announced a large body and sent nothing of it: these had been stalled longest, gave way one after the other, and released nothing, so that the waiting body was not even woken before the refused connection closed 2 s later. The callers that gave way were refused for nothing. A body of which nothing has arrived is no candidate any more.

--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -154,6 +154,43 @@
     assert!(entry.running());
 }
 
+/// Guards against an entry that makes room by refusing callers that hold nothing, one after the
+/// other, while a caller waits for the memory.
+#[test]
+fn unsent_bodies_delay_nobody() {
+    let (_platform, _servers, entry) = start("unsent-bodies");
+    let unsent: Vec<_> = (0..60)
+        .map(|n| {
+            let mut stream = TcpStream::connect(entry.addr()).expect("cannot connect");
+            let head = format!(
+                "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: unsent-{n}\r\n\
+                 Content-Length: {BODY}\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes());
+            stream
+        })
+        .collect();
+    let (sent, all_sent) = channel();
+    let slow: Vec<_> = (0..30)
+        .map(|n| SlowCaller::start(entry.addr(), &format!("slow-{n}"), sent.clone()))
+        .collect();
+    for _ in 0..slow.len() {
+        all_sent.recv().expect("caller thread ended");
+    }
+    // It is refused until the others count as stalled.
+    wait_until("a large body is served", || {
+        let (sent, _all_sent) = channel();
+        let head = SlowCaller::start(entry.addr(), "other", sent).finish();
+        let head = head.expect("no answer");
+        assert!(refused(&head) || head.starts_with("HTTP/1.1 200"), "{head}");
+        head.starts_with("HTTP/1.1 200")
+    });
+    drop(unsent);
+    for caller in slow {
+        caller.finish();
+    }
+}
+
 /// Guards against a body that is never read to its end because its chunks are small: the bytes
 /// between them must not count as unread for ever.
 #[rstest]
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -54,6 +54,8 @@
     /// The declared length, or the bytes held if that is more.
     size: Cell<usize>,
     active_at: Cell<Instant>,
+    /// Bytes that it holds.
+    held: Cell<usize>,
     /// Whether the body has to give way to others.
     refused: Cell<bool>,
     refusal: Notify,
@@ -103,6 +105,7 @@
         let state = Rc::new(BodyState {
             size: Cell::new(declared.unwrap_or(0)),
             active_at: Cell::new(now),
+            held: Cell::new(0),
             refused: Cell::new(false),
             refusal: Notify::new(),
         });
@@ -147,9 +150,10 @@
         let Some(asking) = bodies.get(&own) else {
             return false;
         };
-        let others = bodies
-            .iter()
-            .filter(|(number, state)| **number != own && !state.refused.get());
+        // A body of which nothing has arrived has nothing to release.
+        let others = bodies.iter().filter(|(number, state)| {
+            **number != own && !state.refused.get() && state.held.get() > 0
+        });
         let others = others.map(|(number, state)| state.progress(*number));
         let victim = choose_victim(now, asking.progress(own), others);
         let Some(state) = victim.and_then(|victim| bodies.get(&victim.number)) else {
@@ -212,6 +216,7 @@
                 return false;
             }
             if held.try_set(bytes, memory.body_reserve(bytes)) {
+                state.held.set(bytes);
                 return true;
             }
             let found = memory.awaits_refused()
