Release the memory of an event before the next one arrives

Streams whose callers read were cut at the deadline of their calls where events were large: a relayed stream kept the memory of an event that it had passed on until bytes of the next one arrived, and with it, if it had it, the right to the bytes that are kept free for answers, for as long as the stream lasted. The others, each with a part of an event, waited for both.

A stream that has passed its events on now drops its buffer and releases all that it holds. Chunks are passed on in parts of 16 KB, like whole answers, so that the copy in the HTTP library does not keep their size.

--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -257,6 +257,34 @@
     Some(stream)
 }
 
+/// Guards against streams that keep the memory of an event while they wait for the next one, so
+/// that others whose callers read wait for it in vain.
+#[test]
+fn large_events_with_pauses_reach_all_readers() {
+    let (_platform, _servers, entry) = start("paused-events");
+    let at = entry.addr();
+    let readers: Vec<_> = (0..60)
+        .map(|n| {
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(at).expect("cannot connect");
+                let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+                let head = format!(
+                    "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: paused-{n}\r\n\
+                     X-Answer-Bytes: 400000\r\nX-Event-Ms: 700\r\nConnection: close\r\n\
+                     Content-Length: 4\r\n\r\nbody"
+                );
+                let _ = stream.write_all(head.as_bytes());
+                let mut answer = Vec::new();
+                let _ = stream.read_to_end(&mut answer);
+                answer.ends_with(b"0\r\n\r\n")
+            })
+        })
+        .collect();
+    let whole = readers.into_iter().map(|reader| reader.join());
+    let whole = whole.filter(|whole| matches!(whole, Ok(true))).count();
+    assert_eq!(whole, 60);
+}
+
 /// Guards against a process that is killed for its memory because callers do not read streams
 /// with large events, and against streams of other callers that wait for them.
 #[rstest]
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -286,8 +286,14 @@
         self.held.bytes()
     }
 
-    /// Waits until there is memory for `bytes` in all; fewer than now are released. One answer at a time may use the bytes
-    /// that are kept free, and needs no others: it always ends.
+    /// Releases all of its bytes, and the right to use those that are kept free.
+    pub(crate) fn release(&mut self) {
+        self.reserve = None;
+        self.held.set(0);
+    }
+
+    /// Waits until there is memory for `bytes` in all; fewer than now are released. One answer
+    /// at a time may use the bytes that are kept free, and needs no others: it always ends.
     pub(crate) async fn grow(&mut self, bytes: usize) {
         loop {
             let released = self.memory.account.released();
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use policy::balance::ServerRecord;
 use snafu::Snafu;
 use spdlog::info;
@@ -15,6 +15,7 @@
 use crate::exchange::ResponseBody;
 use crate::memory::AnswerHold;
 use crate::moves::{self, MovableStream};
+use crate::reply::SLICE_BYTES;
 use crate::state::OpenCall;
 
 /// Longest event of a stream, in bytes. A longer one is a fault of the server.
@@ -115,7 +116,7 @@
     /// with an error, which closes the caller's connection instead of ending
     /// the response.
     pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, StreamError>> {
-        futures_util::stream::unfold(Some(Box::new(self)), |relay| async {
+        let chunks = futures_util::stream::unfold(Some(Box::new(self)), |relay| async {
             let mut relay = relay?;
             match relay.next_chunk().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
@@ -139,11 +140,13 @@
                     Some((Err(error), None))
                 }
             }
-        })
+        });
+        chunks.flat_map(|chunk| futures_util::stream::iter(parts(chunk)))
     }
 
     /// Returns the next bytes for the caller, or `None` at the end.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, StreamError> {
+        self.release_memory();
         loop {
             if let Some(bytes) = self.complete_events()? {
                 return Ok(Some(bytes));
@@ -199,6 +202,16 @@
         held.map_err(|_| self.timed_out())
     }
 
+    /// Releases the memory of an event that was passed on. The next one may be long in coming,
+    /// and others wait for the memory.
+    fn release_memory(&mut self) {
+        if self.held.bytes() > 0 && self.splitter.pending_len() == 0 {
+            // Its buffer keeps the size of the largest event.
+            self.splitter = EventSplitter::default();
+            self.held.release();
+        }
+    }
+
     /// Whether the stream, which has ended after a complete event, is whole.
     async fn is_whole(&mut self) -> Result<bool, StreamError> {
         let deadline: Instant = self.call.deadline;
@@ -379,3 +392,16 @@
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// A chunk in parts of which the HTTP library copies one at a time to its own buffer.
+fn parts(chunk: Result<Bytes, StreamError>) -> impl Iterator<Item = Result<Bytes, StreamError>> {
+    let (mut rest, error) = match chunk {
+        Ok(bytes) => (bytes, None),
+        Err(error) => (Bytes::new(), Some(error)),
+    };
+    let bytes = std::iter::from_fn(move || {
+        let part = rest.split_to(rest.len().min(SLICE_BYTES));
+        (!part.is_empty()).then_some(Ok(part))
+    });
+    bytes.chain(error.map(Err))
+}
--- a/crates/forward/src/reply.rs
+++ b/crates/forward/src/reply.rs
@@ -16,8 +16,8 @@
 use crate::memory::AnswerHold;
 use crate::relay::Relay;
 
-/// Bytes of a whole answer that are passed on at a time.
-const SLICE_BYTES: usize = 16 << 10;
+/// Bytes of an answer that are passed on at a time.
+pub(crate) const SLICE_BYTES: usize = 16 << 10;
 
 /// Hop-by-hop headers of a server's response, and those that the HTTP library
 /// sets itself.
