--- a/crates/base/src/http/limits.rs
+++ b/crates/base/src/http/limits.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::connection::Socket;
+use super::connection::{LINGER_TIMEOUT, Socket};
 use crate::clock::{Clock, SystemClock};
 use crate::logging::limiter::LineLimiter;
 use crate::memory::{Account, Held};
@@ -193,8 +193,11 @@
     /// Closes the connection that has been idle longest, unless a request has arrived on it;
     /// returns whether there was one.
     fn close_idle(&self) -> bool {
+        let now = self.clock.now();
         let open = self.open.borrow();
-        let idle = open.iter().filter(|(_, connection)| connection.is_idle());
+        let idle = open
+            .iter()
+            .filter(|(_, connection)| connection.is_idle(now));
         let mut idle: Vec<_> = idle
             .map(|(number, connection)| (connection.active_at.get(), *number))
             .collect();
@@ -243,6 +246,11 @@
             if let Some(open) = self.admit(&socket) {
                 return Some((socket, open));
             }
+            // One that has unread bytes may be idle once they are read.
+            tokio::task::yield_now().await;
+            if let Some(open) = self.admit(&socket) {
+                return Some((socket, open));
+            }
             if self.refusals.get() < MAX_REFUSALS {
                 break;
             }
@@ -326,13 +334,15 @@
     pub fn begin_call(self: &Rc<Self>) -> CallGuard {
         self.calls.set(self.calls.get() + 1);
         self.discards.set(false);
-        self.take_unread(usize::MAX);
+        self.take_unread();
         CallGuard(Rc::clone(self))
     }
 
-    /// Records that a handler has taken `bytes` bytes of a body.
-    pub fn take_unread(&self, bytes: usize) {
-        self.unread.set(self.unread.get().saturating_sub(bytes));
+    /// Records that a handler has taken a part of what was received. The received bytes are not
+    /// counted against the part's length, since the framing of chunks is never taken. The HTTP
+    /// library bounds the parts that wait for the handler.
+    pub fn take_unread(&self) {
+        self.unread.set(0);
         self.held.borrow_mut().set(self.cost);
         if let Some(reader) = self.reader.take() {
             reader.wake();
@@ -342,7 +352,7 @@
     /// Records that the rest of the current request is discarded.
     pub fn discard(&self) {
         self.discards.set(true);
-        self.take_unread(usize::MAX);
+        self.take_unread();
     }
 
     /// Records that an answer announces the close of the connection. Its caller reads no
@@ -376,9 +386,12 @@
             .is_some_and(|socket| socket.has_unread())
     }
 
-    /// Whether it can be closed without loss of a call or an answer.
-    fn is_idle(&self) -> bool {
-        self.calls.get() == 0 && self.blocked_at.get().is_none()
+    /// Whether it can be closed without loss of a call or an answer, if no bytes are unread.
+    fn is_idle(&self, now: Instant) -> bool {
+        // A caller that still sends what is discarded has not read its answer.
+        let discards = self.discards.get()
+            && now.saturating_duration_since(self.active_at.get()) < LINGER_TIMEOUT;
+        self.calls.get() == 0 && self.blocked_at.get().is_none() && !discards
     }
 
     /// Counts received bytes.
--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -154,6 +154,64 @@
     assert!(entry.running());
 }
 
+/// Guards against an entry that makes room by refusing callers that hold nothing, one after the
+/// other, while a caller waits for the memory.
+#[test]
+fn unsent_bodies_delay_nobody() {
+    let (_platform, _servers, entry) = start("unsent-bodies");
+    let unsent: Vec<_> = (0..60)
+        .map(|n| {
+            let mut stream = TcpStream::connect(entry.addr()).expect("cannot connect");
+            let head = format!(
+                "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: unsent-{n}\r\n\
+                 Content-Length: {BODY}\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes());
+            stream
+        })
+        .collect();
+    let (sent, all_sent) = channel();
+    let slow: Vec<_> = (0..30)
+        .map(|n| SlowCaller::start(entry.addr(), &format!("slow-{n}"), sent.clone()))
+        .collect();
+    for _ in 0..slow.len() {
+        all_sent.recv().expect("caller thread ended");
+    }
+    // It is refused until the others count as stalled.
+    wait_until("a large body is served", || {
+        let (sent, _all_sent) = channel();
+        let head = SlowCaller::start(entry.addr(), "other", sent).finish();
+        let head = head.expect("no answer");
+        assert!(refused(&head) || head.starts_with("HTTP/1.1 200"), "{head}");
+        head.starts_with("HTTP/1.1 200")
+    });
+    drop(unsent);
+    for caller in slow {
+        caller.finish();
+    }
+}
+
+/// Guards against a body that is never read to its end because its chunks are small: the bytes
+/// between them must not count as unread for ever.
+#[rstest]
+#[case::one_byte(1, 60_000)]
+#[case::hundred_bytes(100, 9_000)]
+fn body_in_small_chunks_is_served(#[case] size: usize, #[case] count: usize) {
+    let (_platform, _servers, entry) = start(&format!("chunks-{size}"));
+    let mut stream = TcpStream::connect(entry.addr()).expect("cannot connect");
+    let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let head = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: chunks\r\n\
+                Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+    let request = format!("{head}{}0\r\n\r\n", chunk.repeat(count));
+    let _ = stream.set_write_timeout(Some(READ_TIMEOUT));
+    let _ = stream.write_all(request.as_bytes());
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
 /// Guards against a process that is killed for its memory because callers do not read large
 /// answers, and against other callers that are not served meanwhile.
 #[rstest]
@@ -199,6 +257,34 @@
     Some(stream)
 }
 
+/// Guards against streams that keep the memory of an event while they wait for the next one, so
+/// that others whose callers read wait for it in vain.
+#[test]
+fn large_events_with_pauses_reach_all_readers() {
+    let (_platform, _servers, entry) = start("paused-events");
+    let at = entry.addr();
+    let readers: Vec<_> = (0..60)
+        .map(|n| {
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(at).expect("cannot connect");
+                let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+                let head = format!(
+                    "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: paused-{n}\r\n\
+                     X-Answer-Bytes: 400000\r\nX-Event-Ms: 700\r\nConnection: close\r\n\
+                     Content-Length: 4\r\n\r\nbody"
+                );
+                let _ = stream.write_all(head.as_bytes());
+                let mut answer = Vec::new();
+                let _ = stream.read_to_end(&mut answer);
+                answer.ends_with(b"0\r\n\r\n")
+            })
+        })
+        .collect();
+    let whole = readers.into_iter().map(|reader| reader.join());
+    let whole = whole.filter(|whole| matches!(whole, Ok(true))).count();
+    assert_eq!(whole, 60);
+}
+
 /// Guards against a process that is killed for its memory because callers do not read streams
 /// with large events, and against streams of other callers that wait for them.
 #[rstest]
--- a/crates/forward/src/memory.rs
+++ b/crates/forward/src/memory.rs
@@ -80,7 +80,9 @@
     /// Creates the account that the settings allow.
     #[must_use]
     pub fn new(settings: &Settings, clock: Rc<dyn Clock>) -> Self {
-        let fds = settings.max_fds.unwrap_or_else(descriptors::soft_limit);
+        // The settings may name more than the process was given.
+        let fds = settings.max_fds.unwrap_or(usize::MAX);
+        let fds = fds.min(descriptors::soft_limit());
         let limits = HostLimits::new(settings.memory_mb, fds);
         let account = Account::new(limits.held_bytes);
         let connections =
@@ -283,14 +285,19 @@
 }
 
 impl AnswerHold {
+    /// Bytes held.
+    pub(crate) fn bytes(&self) -> usize {
+        self.held.bytes()
+    }
+
     /// Releases all bytes. Another answer may use those that are kept free.
     pub(crate) fn release(&mut self) {
         self.reserve = None;
         self.held.set(0);
     }
 
-    /// Waits until there is memory for `bytes` in all. One answer at a time may use the bytes
-    /// that are kept free, and needs no others: it always ends.
+    /// Waits until there is memory for `bytes` in all; fewer than now are released. One answer
+    /// at a time may use the bytes that are kept free, and needs no others: it always ends.
     pub(crate) async fn grow(&mut self, bytes: usize) {
         loop {
             let released = self.memory.account.released();
