--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -180,15 +180,14 @@
     // It is refused until the others count as stalled.
     wait_until("a large body is served", || {
         let (sent, _all_sent) = channel();
-        let head = SlowCaller::start(entry.addr(), "other", sent).finish();
+        let other = SlowCaller::start(entry.addr(), "other", sent);
+        let head = SlowCaller::finish(vec![other]).pop().flatten();
         let head = head.expect("no answer");
         assert!(refused(&head) || head.starts_with("HTTP/1.1 200"), "{head}");
         head.starts_with("HTTP/1.1 200")
     });
     drop(unsent);
-    for caller in slow {
-        caller.finish();
-    }
+    SlowCaller::finish(slow);
 }
 
 /// Guards against a body that is never read to its end because its chunks are small: the bytes
