--- a/crates/cli/tests/forward/memory.rs
+++ b/crates/cli/tests/forward/memory.rs
@@ -188,6 +188,7 @@
     });
     drop(unsent);
     SlowCaller::finish(slow);
+    wait_until("all memory is released", || entry.status("held") == 0);
 }
 
 /// Guards against a body that is never read to its end because its chunks are small: the bytes
@@ -282,6 +283,7 @@
     let whole = readers.into_iter().map(|reader| reader.join());
     let whole = whole.filter(|whole| matches!(whole, Ok(true))).count();
     assert_eq!(whole, 60);
+    wait_until("all memory is released", || entry.status("held") == 0);
 }
 
 /// Guards against a process that is killed for its memory because callers do not read streams
