--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -274,7 +274,10 @@
         slots: 64,
         copy_ns: 104_858,
     };
-    let runners = [d.runner("i-1", kind)?, d.runner("i-2", kind)?, d.runner("i-3", kind)?];
+    let mut runners = Vec::new();
+    for number in 1..=4 {
+        runners.push(d.runner(&format!("i-{number}"), kind)?);
+    }
     let entry = d.entry("front-a-1", "a")?;
     let record = d.record.clone();
     sleep_ms(3000);
@@ -285,8 +288,8 @@
     }
     let call = Call {
         id: "x1".to_owned(),
-        tokens: "28000,400".to_owned(),
-        prefix: "5c1e07a2:13300,91bd3f06:14700".to_owned(),
+        tokens: "33000,400".to_owned(),
+        prefix: "5c1e07a2:13300,91bd3f06:19700".to_owned(),
         events: EVENTS,
         gap_ms: 100,
         ..Call::default()
@@ -299,6 +302,7 @@
     let find = |id: &str| runners.iter().find(|r| r.id == id).expect("a known runner");
     let mut leaving = None;
     if trouble {
+        let drained = Instant::now();
         d.drain(find(&source));
         if !wait_until(|| runner_line(&record, " move x1 ").is_some()) {
             return Ok((record, Verdict::NotShown("no move".to_owned())));
@@ -308,7 +312,7 @@
             runner_line(&record, &moved).is_some()
         });
         let to = to.expect("a known destination");
-        sleep_ms(200);
+        sleep_ms(1000u64.saturating_sub(drained.elapsed().as_millis() as u64));
         leaving = Some((to.id.clone(), d.drain(to)));
     }
     let answer = join(answer);
