review: a stream continues at its copy while its engine still runs it

The end of a connection counts as the end of the run, although a server may lose an answer and work on.

--- a/review/standin-2/caller.rs
+++ b/review/standin-2/caller.rs
@@ -28,6 +28,8 @@
     pub gap_ms: u64,
     /// Whether the answer has a length.
     pub framed: bool,
+    /// The events after which the first answer is lost, if it is.
+    pub lost_after: Option<u64>,
     pub body: Vec<u8>,
 }
 
@@ -42,6 +44,7 @@
             events: 3,
             gap_ms: 30,
             framed: true,
+            lost_after: None,
             body: b"prompt".to_vec(),
         }
     }
@@ -51,11 +54,12 @@
     /// The bytes of its head.
     pub fn head(&self) -> Vec<u8> {
         let framing = if self.framed { "chunked" } else { "none" };
+        let lost = self.lost_after.map_or_else(String::new, |n| format!("Test-Lost-After: {n}\r\n"));
         format!(
             "POST {} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Model-Name: m\r\n\
              X-Token-Count: {}\r\nX-Prefix-Hash: {}\r\nX-Deadline-Ms: {}\r\nX-Api-Key: key1\r\n\
              Test-Events: {}\r\nTest-Gap-Ms: {}\r\nTest-Framing: {framing}\r\n\
-             Content-Length: {}\r\n\r\n",
+             {lost}Content-Length: {}\r\n\r\n",
             self.path,
             self.id,
             self.tokens,
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -14,6 +14,9 @@
 /// `drain_ms` of the installation.
 const DRAIN_MS: u64 = 2000;
 
+/// How long the runner before may work on after a request has gone on elsewhere.
+const OVERLAP_MS: u64 = 400;
+
 /// How long a condition is waited for.
 const WAIT: Duration = Duration::from_secs(10);
 
@@ -38,6 +41,8 @@
     MoveDrain,
     /// A request is uploaded slowly to an entry that stops.
     SlowUpload,
+    /// The answer of a stream is lost while its runner works on.
+    LostAnswer,
 }
 
 impl Case {
@@ -47,6 +52,7 @@
             "queued-drain" => Some(Self::QueuedDrain),
             "move-drain" => Some(Self::MoveDrain),
             "slow-upload" => Some(Self::SlowUpload),
+            "lost-answer" => Some(Self::LostAnswer),
             _ => None,
         }
     }
@@ -59,6 +65,7 @@
         Case::QueuedDrain => queued_drain(trouble),
         Case::MoveDrain => move_drain(trouble),
         Case::SlowUpload => slow_upload(trouble),
+        Case::LostAnswer => lost_answer(trouble),
     }
 }
 
@@ -389,3 +396,50 @@
     };
     Ok((record, verdict))
 }
+
+/// The answer of a stream that may run once only is lost in the middle, and its runner works on.
+/// The entry lets the request go on at the runner that has the backup of its memory.
+fn lost_answer(trouble: bool) -> io::Result<(Record, Verdict)> {
+    let mut d = Deployment::start(&config(64, CHAT, 1_100_000.0))?;
+    let kind = RunnerKind {
+        service: "llm",
+        slots: 64,
+        copy_ns: 2_383,
+    };
+    let _runners = [d.runner("i-1", kind)?, d.runner("i-2", kind)?];
+    let entry = d.entry("front-a-1", "a")?;
+    let record = d.record.clone();
+    sleep_ms(3000);
+    // A second run draws on the budget that calls add to.
+    for number in 0..10 {
+        let id = format!("short{number}");
+        join(start(&entry, Call { id, ..Call::default() }, &record).0);
+    }
+    let call = Call {
+        id: "x1".to_owned(),
+        events: 30,
+        gap_ms: 100,
+        lost_after: trouble.then_some(8),
+        ..Call::default()
+    };
+    join(start(&entry, call, &record).0);
+    sleep_ms(3000);
+    let runs: Vec<(u64, String)> = record
+        .lines()
+        .into_iter()
+        .filter(|(_, line)| line.contains(" began x1 "))
+        .collect();
+    let Some((second_at, second)) = runs.get(1) else {
+        return Ok((record, Verdict::Held));
+    };
+    let first = runs[0].1.split(' ').nth(1).unwrap_or("-");
+    let ended = runner_line(&record, &format!("{first} ended x1 ")).map_or(u64::MAX, |(at, _)| at);
+    let verdict = match ended > second_at + OVERLAP_MS {
+        true => Verdict::Broken(format!(
+            "{second}: {} ms later {first} still worked on the request",
+            ended - second_at
+        )),
+        false => Verdict::Held,
+    };
+    Ok((record, verdict))
+}
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -2,11 +2,13 @@
 //!
 //! Headers that a caller sends, and that the system forwards, say what to answer:
 //! `Test-Events`, the events of a stream; `Test-Gap-Ms`, the time between two of them;
-//! `Test-Framing: none`, an answer without a length that ends with its channel.
+//! `Test-Framing: none`, an answer without a length that ends with its channel;
+//! `Test-Lost-After`, the events after which a request's first answer is lost: its channel
+//! closes, and the runner works on.
 
 use std::collections::{HashMap, HashSet};
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -194,6 +196,10 @@
             return Ok(true);
         }
         self.begin(request, &id);
+        if let Some(backup) = request.header("x-kv-backup").and_then(|addr| addr.parse().ok()) {
+            let copied = http::call(backup, "POST /standin/copy", id.as_bytes());
+            self.log("backup", &id, &format!("to={backup} copied={}", copied.is_ok()));
+        }
         let answered = self.stream(request, &id, out);
         let mut state = self.state.lock().unwrap();
         state.running.remove(&id);
@@ -233,6 +239,8 @@
         let gap = Duration::from_millis(request.number("test-gap-ms").unwrap_or(20));
         let framed = request.header("test-framing") != Some("none");
         let first = request.number("last-event-id").unwrap_or(0) + 1;
+        let continued = request.header("kv-from").is_some();
+        let lost_after = request.number("test-lost-after").filter(|_| !continued);
         let framing = match framed {
             true => "Transfer-Encoding: chunked\r\n",
             false => "Connection: close\r\n",
@@ -248,6 +256,13 @@
             if self.state.lock().unwrap().stopped.contains(id) {
                 return Err(io::Error::other("stopped by a move"));
             }
+            if lost_after == Some(number - 1) {
+                self.log("lost", id, "the channel closes, the run goes on");
+                out.shutdown(Shutdown::Both)?;
+            }
+            if lost_after.is_some_and(|after| number > after) {
+                continue;
+            }
             let event = format!("id: {number}\ndata: {id} event {number} of {events}\n\n");
             let written = match framed {
                 true => format!("{:x}\r\n{event}\r\n", event.len()),
@@ -258,10 +273,10 @@
                 run.events = number;
             }
         }
-        if framed {
+        if framed && lost_after.is_none() {
             out.write_all(b"0\r\n\r\n")?;
         }
-        Ok(framed)
+        Ok(framed && lost_after.is_none())
     }
 }
 
