--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -14,6 +14,9 @@
 /// `drain_ms` of the installation.
 const DRAIN_MS: u64 = 2000;
 
+/// When a runner that leaves exits, after its report or the removal of its entry.
+const EXIT_MS: u64 = 3100;
+
 /// How long the runner before may work on after a request has gone on elsewhere.
 const OVERLAP_MS: u64 = 400;
 
@@ -204,7 +207,7 @@
         slots: 4,
         copy_ns: 2_383,
     };
-    let runners = [d.runner("i-1", kind)?, d.runner("i-2", kind)?];
+    let mut runners = [d.runner("i-1", kind)?, d.runner("i-2", kind)?];
     let entry = d.entry("front-a-1", "a")?;
     let record = d.record.clone();
     sleep_ms(3000);
@@ -243,25 +246,28 @@
     }
     sleep_ms(500);
     for number in 0..4 {
-        let short = review(format!("short{number}"), &first, 3, 30);
+        let short = review(format!("short{number}"), &first, 8, 100);
         answers.push(start(&entry, short, &record).0);
         sleep_ms(10);
     }
     sleep_ms(200);
-    let home = &runners[0];
+    let home = &mut runners[0];
     let mut acknowledged = u64::MAX / 2;
     if trouble {
         acknowledged = d.remove_entry(home);
+        sleep_ms(EXIT_MS);
+        d.exit(home);
     }
     let answers: Vec<Answer> = answers.into_iter().map(join).collect();
     let served = answers.iter().filter(|a| a.complete && a.status == 200).count();
-    record.note(&format!("{served} of {} requests were served", answers.len()));
+    let outcome = format!("{served} of {} requests were served", answers.len());
+    record.note(&outcome);
     let late = late_arrivals(&record, &home.id, acknowledged);
     let verdict = match late.is_empty() {
         true => Verdict::Held,
         false => Verdict::Broken(format!(
             "{} requests reached {} later than {DRAIN_MS} ms after the store had acknowledged \
-             that it is gone: {}",
+             that it is gone: {}; {outcome}",
             late.len(),
             home.id,
             late.join(", ")
@@ -306,24 +312,29 @@
         return Ok((record, Verdict::NotShown("no stream".to_owned())));
     }
     let (_, source) = runner_line(&record, "began x1").expect("the stream runs");
-    let find = |id: &str| runners.iter().find(|r| r.id == id).expect("a known runner");
     let mut leaving = None;
     if trouble {
         let drained = Instant::now();
-        d.drain(find(&source));
+        d.drain(runners.iter().find(|r| r.id == source).expect("a known runner"));
         if !wait_until(|| runner_line(&record, " move x1 ").is_some()) {
             return Ok((record, Verdict::NotShown("no move".to_owned())));
         }
-        let to = runners.iter().find(|r| {
+        let to = runners.iter_mut().find(|r| {
             let moved = format!(" move x1 to={}", r.addr);
             runner_line(&record, &moved).is_some()
         });
         let to = to.expect("a known destination");
         sleep_ms(1000u64.saturating_sub(drained.elapsed().as_millis() as u64));
         leaving = Some((to.id.clone(), d.drain(to)));
+        sleep_ms(EXIT_MS);
+        d.exit(to);
     }
     let answer = join(answer);
-    record.note(&format!("the stream is complete: {}", answer.complete));
+    let outcome = match answer.complete {
+        true => "the stream was complete",
+        false => "the stream was cut",
+    };
+    record.note(outcome);
     let Some((id, acknowledged)) = leaving else {
         return Ok((record, Verdict::Held));
     };
@@ -332,7 +343,7 @@
         true => Verdict::Held,
         false => Verdict::Broken(format!(
             "a request reached {id} later than {DRAIN_MS} ms after the store had acknowledged \
-             that it is draining: {}",
+             that it is draining: {}; {outcome}",
             late.join(", ")
         )),
     };
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -295,6 +295,14 @@
         unix_ms()
     }
 
+    /// Ends a runner that leaves.
+    pub fn exit(&self, runner: &mut Runner) {
+        *runner.state.lock().unwrap() = None;
+        runner.process = None;
+        self.store.put("keyed.servers", &runner.id, "");
+        self.record.note(&format!("runner {} has exited", runner.id));
+    }
+
     /// Removes a runner's entry from the store; returns when that was acknowledged.
     pub fn remove_entry(&self, runner: &Runner) -> u64 {
         *runner.state.lock().unwrap() = None;
