--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case "slow-upload"; see claim.txt. Exits with 1 if the rule was broken, with 0 if it held
+# Plays the case "queued-drain"; see claim.txt. Exits with 1 if the rule was broken, with 0 if it held
 # and with 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
@@ -9,4 +9,4 @@
         exit 2
     fi
 done
-exec target/review-2/main slow-upload "$here/record.txt"
+exec target/review-2/main queued-drain "$here/record.txt"
--- a/review/standin-2/caller.rs
+++ b/review/standin-2/caller.rs
@@ -54,7 +54,9 @@
     /// The bytes of its head.
     pub fn head(&self) -> Vec<u8> {
         let framing = if self.framed { "chunked" } else { "none" };
-        let lost = self.lost_after.map_or_else(String::new, |n| format!("Test-Lost-After: {n}\r\n"));
+        let lost = self
+            .lost_after
+            .map_or_else(String::new, |n| format!("Test-Lost-After: {n}\r\n"));
         format!(
             "POST {} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nX-Model-Name: m\r\n\
              X-Token-Count: {}\r\nX-Prefix-Hash: {}\r\nX-Deadline-Ms: {}\r\nX-Api-Key: key1\r\n\
