Continue a stream elsewhere only after its run was shown to have ended

Cause: the end of a connection was taken for the end of the run. The record of the case shows no call to the first engine between the break and the continuation, and that the engine itself closed the connection, which rules out a connection that the entry kept open and a report that was out of date.

The entry now tells the first engine to stop the run with its last copy. The same rule holds in the states of a move, whose copies were used while the source could still run the request, after a continuation that may have run, and for resumable streams, which now go on from the lost run's memory before a new run is begun.

Two expectations of policy/tests/moves.rs were the fault itself: that a stream continues after an unanswered stop once its connection has ended. The tests now require the proof in any order of events, and at most one stop after the close. The engines of backups.rs and ends.rs, which simulate crashes, now say that they run nothing; before, nobody asked them.

--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -3,11 +3,14 @@
 //!
 //! The engine with the copy continues the same run, so that this is allowed on
 //! routes whose calls may run once only. Nothing is ever sent there without
-//! naming the copy, which would be a second run. `policy::backup` decides which
-//! streams have a copy and where.
+//! naming the copy, which would be a second run, nor before the first engine was
+//! shown not to run the call any more. `policy::backup` decides which streams
+//! have a copy and where.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use policy::backup::{CopyPlace, NewStream};
 use policy::balance::{CopyQuery, ServerRecord};
@@ -19,9 +22,13 @@
 use super::response::is_valid_success;
 use super::{Call, StartPoint};
 use crate::exchange::{self, ResponseBody, SendError, ServerResponse};
+use crate::liveness;
 use crate::platform::KvCopy;
 use crate::state::State;
 
+/// Longest wait for the end of a run whose stream may be resumed as a new one.
+const LOST_RUN_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The copy of a stream at a second engine. Dropping it ends its count.
 #[derive(Debug)]
 pub(super) struct Backup {
@@ -132,7 +139,7 @@
     /// as well before it looks for a copy.
     pub(crate) async fn continue_stream(
         &self,
-        from: &str,
+        from: &ServerRecord,
         last: Option<u64>,
         cause: &str,
     ) -> Option<ResponseBody> {
@@ -142,23 +149,50 @@
 
     /// Sends the call to the engine with its copy, once at most; `None` if it has
     /// no copy or does not continue there.
-    async fn continue_at_copy(&self, from: &str, last: u64, cause: &str) -> Option<ServerResponse> {
+    async fn continue_at_copy(
+        &self,
+        from: &ServerRecord,
+        last: u64,
+        cause: &str,
+    ) -> Option<ServerResponse> {
         let server = {
             let backup = self.backup.borrow();
             let backup = backup.as_ref().filter(|b| b.usable.take())?;
             backup.place.server.clone()
         };
-        if let Err((outcome, detail)) = self.may_continue_at(&server) {
+        let unusable = |(outcome, detail): (&'static str, &str)| {
             count(outcome);
             self.log_unusable(outcome, detail);
+        };
+        let id = self.parsed_headers.request_id.as_deref()?;
+        self.check_copy_host(&server).map_err(unusable).ok()?;
+        let moved = match self.end_run(from, id, server.addr).await {
+            Ok(moved) => moved,
+            Err(cause) => {
+                unusable(("still_running", &cause));
+                return None;
+            }
+        };
+        // The proof may have taken a while.
+        if let Err(cause) = self.take_continuation(&server) {
+            unusable(cause);
+            self.free_moved(from, moved);
             return None;
         }
-        let handle = self.parsed_headers.request_id.as_deref()?;
-        let copy = KvCopy {
-            addr: server.addr,
-            handle,
+        let copy = match &moved {
+            Some(handle) => KvCopy {
+                addr: from.addr,
+                handle,
+            },
+            None => KvCopy {
+                addr: server.addr,
+                handle: id,
+            },
         };
         let sent = self.send_to_copy(&server, last, copy).await;
+        if sent.as_ref().is_err_and(SendError::not_run) {
+            self.free_moved(from, moved);
+        }
         let outcome = match &sent {
             Ok(response) if is_valid_success(response) => "continued",
             Ok(_) => "failed",
@@ -170,7 +204,7 @@
             Ok(response) if outcome == "continued" => {
                 info!("stream continued", kv: {
                     id = self.request_id(),
-                    from,
+                    from = &*from.id,
                     at = &*server.id,
                     after = last,
                     cause
@@ -191,10 +225,98 @@
         }
     }
 
-    /// Checks that the call may be sent to the engine with its copy now, and
-    /// takes a retry and the entry's turn there. Otherwise returns the outcome
-    /// and its reason.
-    fn may_continue_at(&self, server: &ServerRecord) -> Result<(), (&'static str, &'static str)> {
+    /// Continues a stream that other engines may resume, if the engine `from` still works on
+    /// it although its connection has broken: stops the run there and continues from its
+    /// memory at another engine. Returns `None` if the stream has to be resumed as a new run.
+    pub(crate) async fn move_lost_run(
+        &self,
+        from: &ServerRecord,
+        last: u64,
+        tried: &mut Vec<Rc<str>>,
+    ) -> Option<ResponseBody> {
+        let id = self.parsed_headers.request_id.as_deref()?;
+        if !self.engine_moves() || tried.len() >= self.route.max_attempts as usize {
+            return None;
+        }
+        let to = self.resumption_server(tried)?;
+        let ended = self.end_run(from, id, to.addr);
+        // A new run is allowed, so that the caller need not wait for the proof.
+        let ended = tokio::time::timeout(LOST_RUN_TIMEOUT, ended).await;
+        let handle = ended.ok()?.ok()??;
+        let sent = match self.take_continuation(&to) {
+            Ok(()) => {
+                let copy = KvCopy {
+                    addr: from.addr,
+                    handle: &handle,
+                };
+                self.continue_at(&to, copy, last).await
+            }
+            Err((_, detail)) => Err(SendError::NeverSent(detail.to_owned())),
+        };
+        info!("lost run moved", kv: {
+            id = self.request_id(),
+            from = &*from.id,
+            to = &*to.id,
+            after = last,
+            outcome = sent.as_ref().err().map_or("continued", SendError::label)
+        });
+        match sent {
+            Ok(body) => {
+                tried.push(Rc::clone(&to.id));
+                Some(body)
+            }
+            Err(error) => {
+                match error.not_run() {
+                    true => self.free_moved(from, Some(handle)),
+                    false => tried.push(Rc::clone(&to.id)),
+                }
+                None
+            }
+        }
+    }
+
+    /// Ends the run of the call at the engine `from`, whose connection has broken. Returns
+    /// the name of the copy that the engine has made at `to`, if it still worked on the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if nothing shows that the run has ended.
+    async fn end_run(
+        &self,
+        from: &ServerRecord,
+        id: &str,
+        to: SocketAddr,
+    ) -> Result<Option<String>, String> {
+        let ended = async {
+            if self.engine_moves() {
+                return self.state.moves.end_run(from, id, to).await;
+            }
+            match liveness::has_ended(&self.state, from).await {
+                true => Ok(None),
+                false => Err("the engine is alive and cannot be told to stop".to_owned()),
+            }
+        };
+        let ended = tokio::time::timeout_at(self.deadline.into(), ended).await;
+        ended.unwrap_or_else(|_| Err("the deadline has passed".to_owned()))
+    }
+
+    /// Whether the engines of the call's service stop runs when they are asked to.
+    fn engine_moves(&self) -> bool {
+        let catalog = self.state.catalog.borrow().clone();
+        let service = catalog.as_ref().and_then(|c| c.service(&self.service));
+        service.and_then(|s| s.engine).is_some_and(|e| e.moves)
+    }
+
+    /// Frees the copy that the engine `from` has made of a stopped run.
+    fn free_moved(&self, from: &ServerRecord, moved: Option<String>) {
+        if let Some(handle) = moved {
+            self.state.moves.free(from, handle);
+        }
+    }
+
+    /// Checks that the call may be sent to the engine with its copy now. Otherwise returns
+    /// the outcome and its reason.
+    fn check_copy_host(&self, server: &ServerRecord) -> Result<(), (&'static str, &'static str)> {
         let now = self.state.clock.now();
         if now >= self.deadline {
             return Err(("late", "the deadline has passed"));
@@ -205,9 +327,17 @@
         if !self.state.balancer.borrow().is_current(now, server) {
             return Err(("gone", "the engine with the copy has left"));
         }
+        Ok(())
+    }
+
+    /// Like [`check_copy_host`](Self::check_copy_host), right before the call is sent: takes
+    /// a retry and the entry's turn there.
+    fn take_continuation(&self, server: &ServerRecord) -> Result<(), (&'static str, &'static str)> {
+        self.check_copy_host(server)?;
         if !self.take_retry() {
             return Err(("no_retry", "the retry budget is exhausted"));
         }
+        let now = self.state.clock.now();
         if !self.state.balancer.borrow_mut().take_turn(now, &server.id) {
             return Err(("gone", "the engine with the copy takes no calls"));
         }
@@ -228,7 +358,7 @@
             ..CacheSources::default()
         };
         let request = self.build_request(now, server, StartPoint::After(Some(last)), sources);
-        let id = Some(copy.handle);
+        let id = self.parsed_headers.request_id.as_deref();
         self.begin_attempt(now);
         let sent = exchange::send(&self.state, server, request, id, self.deadline, None).await;
         if sent.as_ref().is_err_and(|e| *e == SendError::WrongServer) {
@@ -249,12 +379,26 @@
     ///
     /// # Errors
     ///
-    /// Returns why the stream does not continue there, and whether it may have run.
+    /// Returns why the stream does not continue there, and whether it may have run. If it
+    /// may, the stream does not continue from its backup either.
     pub(crate) async fn continue_at(
         &self,
         server: &ServerRecord,
         copy: KvCopy<'_>,
         last: u64,
+    ) -> Result<ResponseBody, SendError> {
+        let sent = self.send_continuation(server, copy, last).await;
+        if sent.as_ref().is_err_and(|e| !e.not_run()) {
+            self.forgo_backup();
+        }
+        sent
+    }
+
+    async fn send_continuation(
+        &self,
+        server: &ServerRecord,
+        copy: KvCopy<'_>,
+        last: u64,
     ) -> Result<ResponseBody, SendError> {
         let now = self.state.clock.now();
         if now >= self.deadline {
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -222,6 +222,12 @@
         next.map(|server| (server, AdmissionTerms::Spill))
     }
 
+    /// The engine at which a stream goes on from the memory of its run.
+    pub(super) fn resumption_server(&self, tried: &[Rc<str>]) -> Option<ServerRecord> {
+        let engines = self.all_engines(self.state.clock.now(), tried);
+        engines.into_iter().next()
+    }
+
     /// All engines that may take the call.
     fn all_engines(&self, now: Instant, excluded: &[Rc<str>]) -> Vec<ServerRecord> {
         let part = match self.phase {
--- a/crates/forward/src/liveness.rs
+++ b/crates/forward/src/liveness.rs
@@ -39,6 +39,8 @@
     Other,
     /// No process listens at the address.
     Refused,
+    /// Its host cannot be reached.
+    Unreachable,
     /// The answer does not name an incarnation.
     Unnamed,
     /// There was no answer.
@@ -50,9 +52,20 @@
 }
 
 impl Evidence {
+    /// What a connection that could not be made shows.
+    fn of_failure(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => Self::Unreachable,
+            _ => Self::NoAnswer,
+        }
+    }
+
     /// Whether asking again cannot change it.
     fn is_final(self) -> bool {
-        !matches!(self, Self::Unnamed | Self::NoAnswer)
+        !matches!(self, Self::Unnamed | Self::NoAnswer | Self::Unreachable)
     }
 
     /// A short name for logs and metric labels.
@@ -61,6 +74,7 @@
             Self::Same => "same",
             Self::Other => "other",
             Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
             Self::Unnamed => "unnamed",
             Self::NoAnswer => "no_answer",
             Self::TimedOut => "timed_out",
@@ -80,6 +94,28 @@
     evidence == Evidence::Same
 }
 
+/// Whether the process of `server` has ended or its host cannot be reached. Without either, it
+/// may still work on a call whose connection has broken.
+pub(crate) async fn has_ended(state: &State, server: &ServerRecord) -> bool {
+    let asked = tokio::time::timeout(PROOF_TIMEOUT, ask(state, server)).await;
+    let evidence = asked.unwrap_or(Evidence::TimedOut);
+    info!("broken call's server asked", kv: {
+        server = &*server.id, outcome = evidence.label()
+    });
+    matches!(
+        evidence,
+        Evidence::Other | Evidence::Refused | Evidence::Unreachable
+    )
+}
+
+/// Whether a process accepts connections at the address of `server`.
+pub(crate) async fn is_reachable(state: &State, server: &ServerRecord) -> bool {
+    let connected = ConnectionPool::connect(state.clock.now(), server.addr).await;
+    metrics::counter!("pimentocart_dials_total").increment(1);
+    let evidence = connected.as_ref().err().map(Evidence::of_failure);
+    !matches!(evidence, Some(Evidence::Refused | Evidence::Unreachable))
+}
+
 async fn ask(state: &State, server: &ServerRecord) -> Evidence {
     let catalog = state.catalog.borrow().clone();
     let service = catalog.as_ref().and_then(|c| c.service(&server.service));
@@ -108,8 +144,7 @@
     };
     let mut conn = match ConnectionPool::connect(state.clock.now(), server.addr).await {
         Ok(conn) => conn,
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return Evidence::Refused,
-        Err(_) => return Evidence::NoAnswer,
+        Err(e) => return Evidence::of_failure(&e),
     };
     metrics::counter!("pimentocart_dials_total").increment(1);
     let Ok(response) = conn.sender.send_request(request).await else {
--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -1,7 +1,8 @@
 //! Moves open streams away from engines that leave. [`policy::moves`] decides which streams
 //! move, where to and what happens next; this module keeps the streams by engine and makes
-//! the calls.
+//! the calls. It also stops runs whose connections have broken.
 
+mod stop;
 mod stream;
 
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,7 @@
 use crate::platform::{CopyRequest, EngineControl};
 use crate::state::State;
 
+use stop::StopRequest;
 use stream::OpenStream;
 pub use stream::{MovableStream, read};
 
@@ -52,7 +54,12 @@
     checks: Cell<u64>,
     /// Copies to be freed, each with the engine that made it.
     unused: RefCell<Vec<(ServerRecord, String)>>,
-    /// Notified when an engine leaves, a move ends or a copy is to be freed.
+    /// Runs to be stopped for calls.
+    stops: RefCell<Vec<StopRequest>>,
+    /// Streams in a move whose runs are to be stopped again.
+    unconfirmed: RefCell<Vec<Rc<OpenStream>>>,
+    /// Notified when an engine leaves, a move ends, a run is to be stopped or a copy is to be
+    /// freed.
     changed: Notify,
 }
 
@@ -120,19 +127,35 @@
         }
     }
 
-    fn free(&self, source: &ServerRecord, handle: String) {
+    /// Stops the run of a moving stream again.
+    fn stop_again(&self, stream: &Rc<OpenStream>) {
+        self.unconfirmed.borrow_mut().push(Rc::clone(stream));
+        self.changed.notify_one();
+    }
+
+    /// Frees a copy that is not used.
+    pub(crate) fn free(&self, source: &ServerRecord, handle: String) {
         self.unused.borrow_mut().push((source.clone(), handle));
         self.changed.notify_one();
     }
 }
 
-/// Moves streams away from engines that leave, until `end`.
+/// Moves streams away from engines that leave, and stops runs whose connections have broken,
+/// until `end`.
 pub async fn run<C: EngineControl + 'static>(state: Rc<State>, control: C, end: StopSignal) {
     let control = Rc::new(control);
     while !end.is_triggered() {
         for (source, handle) in state.moves.unused.take() {
             actix_rt::spawn(free_copy(Rc::clone(&control), source, handle));
         }
+        for request in state.moves.stops.take() {
+            let (state, control) = (Rc::clone(&state), Rc::clone(&control));
+            actix_rt::spawn(stop::serve(state, control, request));
+        }
+        for stream in state.moves.unconfirmed.take() {
+            let (state, control) = (Rc::clone(&state), Rc::clone(&control));
+            actix_rt::spawn(copy(state, control, stream, true));
+        }
         start_moves(&state, &control);
         state.moves.checks.set(state.moves.checks.get() + 1);
         let interval = match state.moves.leaving.borrow().is_empty() {
@@ -195,7 +218,7 @@
             if stream.state.borrow_mut().begin().is_some() {
                 in_progress += 1;
                 let stream = Rc::clone(stream);
-                actix_rt::spawn(copy(Rc::clone(state), Rc::clone(control), stream));
+                actix_rt::spawn(copy(Rc::clone(state), Rc::clone(control), stream, false));
             }
         }
     }
@@ -260,9 +283,14 @@
     found
 }
 
-/// Makes the copy calls of one move; what the relay has to do is left to it.
-async fn copy<C: EngineControl>(state: Rc<State>, control: Rc<C>, stream: Rc<OpenStream>) {
-    let mut last = false;
+/// Makes the copy calls of one move, from the one that stops the run on if `last` is set;
+/// what the relay has to do is left to it.
+async fn copy<C: EngineControl>(
+    state: Rc<State>,
+    control: Rc<C>,
+    stream: Rc<OpenStream>,
+    mut last: bool,
+) {
     loop {
         let Some(destination) = stream.destination.borrow().clone() else {
             break;
@@ -272,7 +300,12 @@
             to: destination.addr,
             last,
         };
-        let outcome = control.copy_run(stream.source.addr, &request).await;
+        // Once its connection has ended, the stream can go on only if the run has ended too.
+        let proof_needed = last && stream.state.borrow().is_closed();
+        let outcome = match proof_needed {
+            true => stop::stop(&state, &*control, &stream.source, &request).await,
+            false => control.copy_run(stream.source.addr, &request).await,
+        };
         log_copy(&stream, &destination, last, &outcome);
         let mut action = stream.apply(&state, Event::Answered(outcome));
         if action == Some(Action::CopyElsewhere) {
--- a/crates/forward/src/moves/stream.rs
+++ b/crates/forward/src/moves/stream.rs
@@ -280,6 +280,7 @@
                         return Some((body, next));
                     }
                 }
+                Some(Action::Stop) => state.moves.stop_again(stream),
                 Some(Action::End { .. }) => return None,
                 Some(_) => {}
                 None => {
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -326,13 +326,11 @@
         }
         self.splitter.take_pending();
         let resumed = match resumable {
-            true => {
-                let call = Rc::clone(&self.call);
-                call.resume(self.last_event, &mut self.tried).await
-            }
+            true => self.resume_elsewhere().await,
             false => {
                 let last = self.last_event;
-                self.call.continue_stream(&failed, last, cause).await
+                let from = self.body.server.clone();
+                self.call.continue_stream(&from, last, cause).await
             }
         };
         let Some(body) = resumed else {
@@ -355,6 +353,20 @@
         Ok(())
     }
 
+    /// Resumes a stream of a route that allows it: from the memory of its run, if its engine
+    /// still works on that, or else as a new run.
+    async fn resume_elsewhere(&mut self) -> Option<ResponseBody> {
+        let from = self.body.server.clone();
+        if let Some(last) = self.last_event {
+            let moved = self.call.move_lost_run(&from, last, &mut self.tried);
+            if let Some(body) = moved.await {
+                return Some(body);
+            }
+        }
+        let call = Rc::clone(&self.call);
+        call.resume(self.last_event, &mut self.tried).await
+    }
+
     fn server(&self) -> String {
         let ServerRecord { id, .. } = &self.body.server;
         id.to_string()
--- a/crates/forward/src/tasks.rs
+++ b/crates/forward/src/tasks.rs
@@ -66,7 +66,8 @@
 
     /// Starts the tasks that keep the state of servers and streams up to date.
     pub(crate) fn start_upkeep(&self) {
-        if self.state.settings.moves {
+        // A stream that continues from its backup is stopped at its first engine.
+        if self.state.settings.moves || self.state.settings.backups {
             self.start("move streams", |state, platform, end| {
                 moves::run(state, platform.engine_control(), end)
             });
--- a/crates/forward/tests/calls/backups.rs
+++ b/crates/forward/tests/calls/backups.rs
@@ -7,12 +7,13 @@
 use base::clock::{Clock, ManualClock};
 use policy::backup::MIN_TIME_LEFT;
 use policy::balance::{ServerFeedback, ServerRecord};
+use policy::moves::CopyOutcome;
 use policy::routes::CallKind;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::common::{
-    Action, Entry, FAILED, NOT_RUN, OK, Plan, WRONG_SERVER, header, request, status,
+    Action, Entry, FAILED, Health, NOT_RUN, OK, Plan, WRONG_SERVER, header, request, status,
 };
 
 /// A live stream, for which a copy is worth its cost.
@@ -51,12 +52,13 @@
 const REPEATED_EVENT: &str = "HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: two\r\n\
     Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
-/// Two engines that declare backups, and an entry with the setting.
+/// Two engines that declare backups and moves, and an entry with the setting for backups.
 fn plan(actions: &[Action]) -> Plan {
     Plan {
         engine: true,
         backups: true,
         declared: true,
+        moves: true,
         ..Plan::new(CallKind::Stream, 3, actions)
     }
 }
@@ -104,6 +106,18 @@
     assert!(header(&requests[0], "backup").is_none());
 }
 
+fn copied(handle: &str) -> CopyOutcome {
+    CopyOutcome::Copied {
+        handle: handle.to_owned(),
+        events: 1,
+    }
+}
+
+fn refused(handle: Option<&str>) -> CopyOutcome {
+    let handle = handle.map(str::to_owned);
+    CopyOutcome::Refused { handle }
+}
+
 /// The record of an engine that serves calls.
 fn serving(entry: &Entry, id: &str) -> ServerRecord {
     let serving = entry.state.balancer.borrow().serving("app");
@@ -156,6 +170,79 @@
     assert_eq!(entry.servers.requests().len(), 1);
 }
 
+/// Guards against two engines at work on a stream whose answer is lost while its engine goes
+/// on with it: the engine must have said that it does not run it before another one gets it.
+#[rstest]
+#[case::stopped(copied("h"), Some("h"))]
+#[case::stopped_without_room(refused(Some("h")), Some("1"))]
+#[case::ended(CopyOutcome::NoRun, Some("1"))]
+#[case::refused(refused(None), None)]
+#[case::busy(CopyOutcome::Busy, None)]
+#[case::silent(CopyOutcome::NoAnswer("timeout".to_owned()), None)]
+#[actix_rt::test]
+async fn lost_answer_continues_beside_its_run(
+    #[case] answer: CopyOutcome,
+    #[case] copy: Option<&str>,
+    #[values(false, true)] moves_enabled: bool,
+) {
+    let entry = Entry::start(Plan {
+        moves_enabled,
+        ..plan(&[Action::SendReset(PARTIAL), Action::Send(REMAINDER)])
+    })
+    .await;
+    entry.servers.set_stop_answer(answer);
+    let caller = entry.call(LIVE).await;
+    let requests = entry.servers.requests();
+    let addr = |request: &str, name: &str| header(request, name).expect("a header");
+    let engine = serving(&entry, &addr(&requests[0], "server")).addr;
+    let backup = addr(&requests[0], "backup");
+    assert!(
+        entry
+            .servers
+            .stops()
+            .iter()
+            .all(|stop| *stop == (engine, 1))
+    );
+    assert!(!entry.servers.stops().is_empty());
+    let Some(copy) = copy else {
+        assert_eq!(events(&caller), (vec!["a"], false));
+        assert_eq!(requests.len(), 1);
+        return;
+    };
+    assert_eq!(events(&caller), (vec!["a", "b"], true));
+    let from = match copy {
+        "h" => format!("{engine}/h"),
+        own => format!("{backup}/{own}"),
+    };
+    assert_eq!(header(&requests[1], "kv-from"), Some(from));
+}
+
+/// Guards against two engines at work where engines can't be told to stop a run: another one
+/// may go on only if the first was shown to have ended.
+#[rstest]
+#[case::alive(Health::Same, false)]
+#[case::alive_and_leaving(Health::Leaving, false)]
+#[case::unnamed(Health::Unnamed, false)]
+#[case::closed(Health::Closed, false)]
+#[case::silent(Health::Silent, false)]
+#[case::replaced(Health::Other, true)]
+#[actix_rt::test]
+async fn lost_answer_continues_beside_unstoppable_run(
+    #[case] health: Health,
+    #[case] continues: bool,
+) {
+    let entry = Entry::start(Plan {
+        moves: false,
+        ..plan(&[Action::SendReset(PARTIAL), Action::Send(REMAINDER)])
+    })
+    .await;
+    entry.servers.set_health(health);
+    let answer = entry.call(LIVE).await;
+    let expected = if continues { vec!["a", "b"] } else { vec!["a"] };
+    assert_eq!(events(&answer), (expected, continues));
+    assert_eq!(entry.servers.stops(), []);
+}
+
 /// The engine with the copy does not continue the stream. It must end as without
 /// a copy, visibly incomplete, and no third request may run it again.
 #[rstest]
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -9,11 +9,15 @@
 use base::clock::{Clock, SystemClock};
 use base::ids::Tier;
 use base::stop::StopSignal;
-use forward::platform::{AddedHeaders, CallHeaders, Dialect, PromptPart, ResponseHeaders};
+use forward::platform::{
+    AddedHeaders, CallHeaders, CopyRequest, Dialect, EngineControl, EngineError, PromptPart,
+    ResponseHeaders,
+};
 use forward::settings::Settings;
 use forward::state::State;
 use http::{HeaderMap, HeaderValue};
 use policy::balance::{ServerFeedback, ServerRecord};
+use policy::moves::CopyOutcome;
 use policy::routes::{CallKind, CallerLimits, Catalog, Engine, Route, Service, Workspace};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -227,6 +231,10 @@
     health: Cell<Health>,
     /// Number of times that they were asked.
     probes: Cell<usize>,
+    /// Their answer when they are told to stop a run; they run none by default.
+    stop_answer: RefCell<Option<CopyOutcome>>,
+    /// The servers that were told to stop a run, and the number of requests before.
+    stops: RefCell<Vec<(SocketAddr, usize)>>,
     /// Tells the servers to reset their connections.
     reset: Notify,
 }
@@ -250,6 +258,16 @@
         self.inner.probes.get()
     }
 
+    /// Sets what the servers answer when they are told to stop a run.
+    pub(crate) fn set_stop_answer(&self, answer: CopyOutcome) {
+        *self.inner.stop_answer.borrow_mut() = Some(answer);
+    }
+
+    /// The servers that were told to stop a run, and the number of requests before.
+    pub(crate) fn stops(&self) -> Vec<(SocketAddr, usize)> {
+        self.inner.stops.borrow().clone()
+    }
+
     /// Resets the connections on which the servers wait for a request.
     pub(crate) fn reset_connections(&self) {
         self.inner.reset.notify_waiters();
@@ -348,6 +366,20 @@
     }
 }
 
+impl EngineControl for Servers {
+    async fn copy_run(&self, engine: SocketAddr, request: &CopyRequest<'_>) -> CopyOutcome {
+        assert!(request.last, "only calls that stop a run are expected");
+        let requests = self.inner.requests.borrow().len();
+        self.inner.stops.borrow_mut().push((engine, requests));
+        let answer = self.inner.stop_answer.borrow().clone();
+        answer.unwrap_or(CopyOutcome::NoRun)
+    }
+
+    async fn drop_copy(&self, _engine: SocketAddr, _handle: &str) -> Result<(), EngineError> {
+        Ok(())
+    }
+}
+
 /// Reads one request with its body, or returns `None` when the other side has
 /// closed the connection. Sends `early` as soon as the head has arrived. Bytes
 /// of the next request stay in `all`.
@@ -474,7 +506,13 @@
                 ..record
             });
         }
-        Self::start_with(plan, servers, records).await
+        let (backups, control) = (plan.backups, servers.clone());
+        let entry = Self::start_with(plan, servers, records).await;
+        if backups {
+            let state = Rc::clone(&entry.state);
+            actix_rt::spawn(forward::moves::run(state, control, StopSignal::new()));
+        }
+        entry
     }
 
     /// Starts an entry that knows the servers of `records`.
--- a/crates/forward/tests/calls/ends.rs
+++ b/crates/forward/tests/calls/ends.rs
@@ -98,6 +98,8 @@
                 engine: true,
                 backups: true,
                 declared: true,
+                // The first engine has crashed and says that it runs nothing.
+                moves: true,
                 ..Plan::new(CallKind::Stream, 3, &[broken, last])
             },
         };
--- a/crates/forward/tests/calls/engines.rs
+++ b/crates/forward/tests/calls/engines.rs
@@ -107,6 +107,8 @@
     Released,
     Stopped,
     Frozen,
+    /// Its connection is closed, and the engine works on.
+    Lost,
 }
 
 #[derive(Debug)]
@@ -196,6 +198,11 @@
         self.set_state(id, RunState::Stopped);
     }
 
+    /// Closes a run's connection, while the engine works on until the run is stopped.
+    pub(crate) fn lose_answer(&self, id: &str) {
+        self.set_state(id, RunState::Lost);
+    }
+
     pub(crate) fn calls(&self) -> Vec<CopyCall> {
         self.0.calls.borrow().clone()
     }
@@ -291,7 +298,11 @@
         };
         let continued = first > 1;
         let sent = self.send_events(&id, &mut stream, first, continued).await;
-        if let Some(run) = self.0.runs.borrow_mut().get_mut(&id) {
+        // A run whose answer is lost goes on until a copy call stops it.
+        let lost = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionAborted;
+        if !sent.as_ref().is_err_and(lost)
+            && let Some(run) = self.0.runs.borrow_mut().get_mut(&id)
+        {
             run.at_work -= 1;
         }
         self.0.changed.notify_waiters();
@@ -386,10 +397,12 @@
         if !continued {
             let stopped = loop {
                 let changed = self.0.changed.notified();
-                match self.0.runs.borrow()[id].state {
+                let state = self.0.runs.borrow()[id].state;
+                match state {
                     RunState::Waiting => {}
                     RunState::Released => break false,
                     RunState::Stopped | RunState::Frozen => break true,
+                    RunState::Lost => return Err(std::io::ErrorKind::ConnectionAborted.into()),
                 }
                 let mut byte = [0];
                 let left = std::pin::pin!(stream.read(&mut byte));
@@ -421,6 +434,11 @@
             return CopyOutcome::NoRun;
         }
         if request.last {
+            if let Some(run) = self.0.runs.borrow_mut().get_mut(request.id)
+                && run.state == RunState::Lost
+            {
+                run.at_work -= 1;
+            }
             self.set_state(request.id, RunState::Stopped);
         }
         let mut copies = self.0.copies.borrow_mut();
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -385,6 +385,46 @@
     fleet.engines.wait_until(|e| e.freed().len() == 1).await;
 }
 
+/// Guards against two engines at work on a stream that moves: its connection ends during one
+/// of the copy calls, and its engine goes on with the run until it is stopped.
+#[rstest]
+#[case::during_first_copy(&[Script::Hold], 1)]
+#[case::during_stop(&[Script::Obey, Script::Lose], 2)]
+#[actix_rt::test]
+async fn lost_answer_continues_beside_moving_run(#[case] scripts: &[Script], #[case] calls: usize) {
+    let fleet = Fleet::start(3).await;
+    fleet.engines.script(scripts);
+    let (call, source) = fleet.call_and_leave("1").await;
+    fleet.engines.wait_until(|e| e.calls().len() == calls).await;
+    fleet.engines.lose_answer("1");
+    fleet.engines.release_copies();
+    assert_whole(&call.await.expect("an answer"));
+    let continuations = fleet.engines.continuations();
+    assert_eq!(continuations.len(), 1);
+    assert_ne!(continuations[0].0, source);
+    fleet.engines.assert_single_runs();
+}
+
+/// Guards against a second run of a stream beside the first one, whose answer is lost: it goes
+/// on from the first run's memory, also where a new run is allowed.
+#[actix_rt::test]
+async fn lost_answer_runs_again() {
+    let plan = Plan {
+        moves: true,
+        moves_enabled: true,
+        ..Plan::new(CallKind::Resumable, 2, &[])
+    };
+    let fleet = Fleet::start_plan(3, plan).await;
+    let call = fleet.call("1").await;
+    let source = fleet.engines.engine_of("1");
+    fleet.engines.lose_answer("1");
+    assert_whole(&call.await.expect("an answer"));
+    let continuations = fleet.engines.continuations();
+    assert_eq!(continuations.len(), 1);
+    assert_ne!(continuations[0].0, source);
+    fleet.engines.assert_single_runs();
+}
+
 /// Many streams leave at once. No more copies than the limits may be in progress for one
 /// source or destination, and all streams must move.
 #[actix_rt::test]
--- a/crates/policy/src/moves/machine.rs
+++ b/crates/policy/src/moves/machine.rs
@@ -29,6 +29,8 @@
         /// Name of the memory that the source keeps of a run that it has stopped.
         handle: Option<String>,
     },
+    /// The engine's process has ended, or its host cannot be reached.
+    EngineGone,
     /// There was no valid answer, for this cause; the call may have been carried out.
     NoAnswer(String),
 }
@@ -42,15 +44,28 @@
             Self::NoRun => "no_run",
             Self::Busy => "busy",
             Self::Refused { .. } => "refused",
+            Self::EngineGone => "engine_gone",
             Self::NoAnswer(_) => "no_answer",
         }
     }
 
-    fn handle(self) -> Option<String> {
+    /// Whether it shows that the run has ended, if the call was to stop it.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        match self {
+            Self::Copied { .. } | Self::NoRun | Self::EngineGone => true,
+            Self::Refused { handle } => handle.is_some(),
+            Self::Busy | Self::NoAnswer(_) => false,
+        }
+    }
+
+    /// Name of a copy that is to be freed if it is not used.
+    #[must_use]
+    pub fn handle(self) -> Option<String> {
         match self {
             Self::Copied { handle, .. } => Some(handle),
             Self::Refused { handle } => handle,
-            Self::NoRun | Self::Busy | Self::NoAnswer(_) => None,
+            Self::NoRun | Self::Busy | Self::EngineGone | Self::NoAnswer(_) => None,
         }
     }
 }
@@ -84,7 +99,7 @@
     Copy,
     /// Choose another destination and copy the run there.
     CopyElsewhere,
-    /// Copy what is new and stop the run.
+    /// Copy what is new and stop the run; also after the source's connection has ended.
     Stop,
     /// The run has stopped: pass on what its connection still delivers, and close the
     /// connection if it does not end soon.
@@ -152,7 +167,7 @@
     /// The run has stopped and is to continue there once its connection has ended.
     Stopped(Site),
     /// It is unknown whether the run stops. The stream goes on as long as its connection,
-    /// and the first copy is kept.
+    /// and the first copy is kept. The run is stopped again once that has ended.
     Unconfirmed,
     /// The request was sent again.
     Continuing(Site),
@@ -167,8 +182,9 @@
 
 /// One move of a stream from an engine that leaves.
 ///
-/// The stream continues elsewhere only after the source's connection has ended, so that two
-/// engines never run it. A handle is used again only after an engine has refused it.
+/// The stream continues elsewhere only after the source's connection has ended and the source
+/// was shown not to run it any more: a run can outlive its connection. A handle is used again
+/// only after an engine has refused it.
 #[derive(Debug, Clone)]
 pub struct Move {
     phase: Phase,
@@ -176,6 +192,10 @@
     closed: bool,
     /// Whether a copy call waits for its answer.
     calling: bool,
+    /// Whether the latest call to stop the run began after the connection had ended.
+    stopped_late: bool,
+    /// Whether the source was shown not to run the request any more.
+    run_ended: bool,
     /// Name of the latest copy.
     copy: Option<String>,
 }
@@ -186,6 +206,8 @@
             phase: Phase::Idle,
             closed: false,
             calling: false,
+            stopped_late: false,
+            run_ended: false,
             copy: None,
         }
     }
@@ -203,6 +225,12 @@
         Some(Action::Copy)
     }
 
+    /// Whether the source's connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// The state.
     #[must_use]
     pub fn phase(&self) -> Phase {
@@ -271,15 +299,11 @@
     }
 
     fn answered(&mut self, outcome: CopyOutcome) -> Option<Action> {
+        self.run_ended |= self.phase == Phase::Stopping && outcome.is_certain();
         match (self.phase, outcome) {
             (Phase::Copying(_), CopyOutcome::Copied { handle, .. }) => {
                 self.copy = Some(handle);
-                if self.closed {
-                    return self.continue_at(Site::Destination);
-                }
-                self.phase = Phase::Stopping;
-                self.calling = true;
-                Some(Action::Stop)
+                self.stop()
             }
             (Phase::Copying(attempt), CopyOutcome::Refused { .. } | CopyOutcome::NoAnswer(_))
                 if attempt < MAX_COPIES && !self.closed =>
@@ -302,7 +326,11 @@
                 self.copy = Some(handle);
                 self.stopped(Site::Source)
             }
-            (Phase::Stopping, _) if self.closed => self.continue_at(Site::Destination),
+            (Phase::Stopping, _) if self.closed && self.run_ended => {
+                self.continue_at(Site::Destination)
+            }
+            (Phase::Stopping, _) if self.closed && !self.stopped_late => self.stop(),
+            (Phase::Stopping, _) if self.closed => self.lose(),
             (Phase::Stopping, _) => {
                 self.phase = Phase::Unconfirmed;
                 Some(Action::Stay)
@@ -322,7 +350,8 @@
             // The answer decides where the stream continues.
             Phase::Copying(_) | Phase::Stopping => None,
             Phase::Stopped(site) => self.continue_at(site),
-            Phase::Unconfirmed => self.continue_at(Site::Destination),
+            Phase::Unconfirmed if self.run_ended => self.continue_at(Site::Destination),
+            Phase::Unconfirmed => self.stop(),
             Phase::Continuing(_) | Phase::Done(_) => None,
             Phase::Idle | Phase::GivenUp(_) => Some(Action::End { unused: None }),
         }
@@ -340,6 +369,13 @@
         self.copy.take().map(|handle| Action::Free { handle })
     }
 
+    fn stop(&mut self) -> Option<Action> {
+        self.phase = Phase::Stopping;
+        self.calling = true;
+        self.stopped_late = self.closed;
+        Some(Action::Stop)
+    }
+
     fn stopped(&mut self, site: Site) -> Option<Action> {
         if self.closed {
             return self.continue_at(site);
--- a/crates/policy/tests/moves.rs
+++ b/crates/policy/tests/moves.rs
@@ -200,6 +200,19 @@
     Some(Action::Free { handle: "h".to_owned() }), Outcome::Ended)]
 #[case::source_dies_during_copy(
     vec![Event::SourceClosed, no_answer()], Some(Action::End { unused: None }), Outcome::Refused)]
+#[case::run_outlives_connection(
+    vec![Event::SourceClosed, copied("h"), copied("h"), Event::Continued], None, Outcome::Moved)]
+#[case::run_ends_with_connection(
+    vec![copied("h"), Event::SourceClosed, no_answer(), Event::Answered(CopyOutcome::NoRun),
+        Event::Continued],
+    None, Outcome::Moved)]
+#[case::engine_gone(
+    vec![copied("h"), Event::SourceClosed, Event::Answered(CopyOutcome::EngineGone),
+        Event::Continued],
+    None, Outcome::Moved)]
+#[case::end_of_run_not_shown(
+    vec![copied("h"), Event::SourceClosed, no_answer(), no_answer()],
+    Some(Action::End { unused: Some("h".to_owned()) }), Outcome::Lost)]
 fn move_ends(#[case] events: Vec<Event>, #[case] last: Option<Action>, #[case] outcome: Outcome) {
     let mut moving = Move::default();
     assert_eq!(moving.begin(), Some(Action::Copy));
@@ -209,8 +222,8 @@
     assert!(!moving.in_progress());
 }
 
-/// Guards against a continuation while the source may still deliver events: without an
-/// answer to the stop, only the end of its connection allows it.
+/// Guards against a continuation while the source may still run the request: the end of its
+/// connection is awaited, and then the run is stopped again.
 #[test]
 fn unanswered_stop_waits_for_close() {
     let mut moving = Move::default();
@@ -218,7 +231,8 @@
     moving.apply(copied("h"));
     assert_eq!(moving.apply(no_answer()), Some(Action::Stay));
     assert_eq!(moving.phase(), Phase::Unconfirmed);
-    let action = moving.apply(Event::SourceClosed);
+    assert_eq!(moving.apply(Event::SourceClosed), Some(Action::Stop));
+    let action = moving.apply(Event::Answered(CopyOutcome::NoRun));
     assert_eq!(action, at(Site::Destination, "h"));
 }
 
@@ -228,8 +242,13 @@
     /// Whether the source's connection has ended or the stream is over.
     closed: bool,
     ended: bool,
-    /// Whether a copy call waits for its answer.
+    /// Whether a copy call waits for its answer, and whether it is to stop the run.
     calling: bool,
+    stopping: bool,
+    /// Calls to stop the run that began after the close.
+    late_stops: usize,
+    /// Whether the source was shown not to run the request any more.
+    run_ended: bool,
     /// The continuation that waits for its answer.
     continuing: Option<String>,
     /// Whether the stream runs again after it was closed.
@@ -256,6 +275,7 @@
                 no_answer(),
                 Event::Answered(CopyOutcome::NoRun),
                 Event::Answered(CopyOutcome::Busy),
+                Event::Answered(CopyOutcome::EngineGone),
             ]);
         }
         if !self.closed && !self.ended {
@@ -278,6 +298,7 @@
         match event {
             Event::Answered(outcome) => {
                 self.calling = false;
+                self.run_ended |= std::mem::take(&mut self.stopping) && outcome.is_certain();
                 self.handles += 1;
                 if let CopyOutcome::Copied { handle, .. } = outcome {
                     self.copy = Some(handle.clone());
@@ -298,13 +319,21 @@
     fn perform(&mut self, action: Option<Action>) {
         match action {
             None => {}
-            Some(Action::Copy | Action::CopyElsewhere | Action::Stop) => {
+            Some(Action::Copy | Action::CopyElsewhere) => {
                 assert!(!self.calling, "two copy calls at a time");
                 assert!(!self.closed && !self.ended, "copied after the stream's end");
                 self.calling = true;
             }
+            Some(Action::Stop) => {
+                assert!(!self.calling, "two copy calls at a time");
+                assert!(!self.ended, "stopped after the stream's end");
+                self.late_stops += usize::from(self.closed);
+                assert!(self.late_stops <= 1, "calls again after the close");
+                (self.calling, self.stopping) = (true, true);
+            }
             Some(Action::Continue { handle, .. }) => {
                 assert!(self.closed, "continued while the source delivers events");
+                assert!(self.run_ended, "continued while the source may run it");
                 assert!(!self.ended, "continued after the end");
                 assert!(
                     !self.running && self.continuing.is_none(),
@@ -366,9 +395,6 @@
             // Every call ends by its timeout at the latest, and every stream by its deadline.
             while world.calling {
                 world.step(&mut moving, no_answer());
-                if world.calling && world.closed {
-                    panic!("calls again after the close");
-                }
             }
             if world.continuing.is_some() && !world.ended {
                 world.step(&mut moving, Event::ContinueFailed);
