Ask one rule whether a server takes calls, right before each send

Cause: the belief that a server takes calls had several versions. The choice of a server excludes those that the list lacks, but a grant after a wait was checked by accepts_calls and take_turn, which look at draining only, and take_turn allowed servers that are not known at all. The removal itself was noticed in time: calls that were not queued were not affected.

Balancer::may_send is now the one rule, asked last by every path that sends: attempts, grants, resumptions and continuations from backups.

--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -74,9 +74,9 @@
                 fetch_from,
             } = place;
             let now = self.state.clock.now();
-            if !self.state.balancer.borrow_mut().take_turn(now, &server.id) {
+            if !self.take_turn(now, &server) {
                 // Another call took the turn during placement, or the server
-                // has asked for backoff or announced that it is leaving.
+                // has asked for backoff, is leaving or was removed from the list.
                 error = self.next_turn(now).map_or(error, SendError::ServersBusy);
                 continue;
             }
@@ -134,6 +134,14 @@
         Err(error)
     }
 
+    /// Takes the entry's turn at a server, right before the call is sent there; returns
+    /// whether it may be sent. The server may have left since it was chosen.
+    pub(super) fn take_turn(&self, now: Instant, server: &ServerRecord) -> bool {
+        let mut balancer = self.state.balancer.borrow_mut();
+        let version = self.version.get().map(|v| &**v);
+        balancer.may_send(now, &server.id, version) && balancer.take_turn(now, &server.id)
+    }
+
     /// Fails if servers crash while they run the call, unless it may be a trial.
     fn check_crashes(&self) -> Result<(), SendError> {
         match self.blocked_for() {
--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -338,7 +338,7 @@
             return Err(("no_retry", "the retry budget is exhausted"));
         }
         let now = self.state.clock.now();
-        if !self.state.balancer.borrow_mut().take_turn(now, &server.id) {
+        if !self.take_turn(now, server) {
             return Err(("gone", "the engine with the copy takes no calls"));
         }
         Ok(())
--- a/crates/forward/src/call/placement.rs
+++ b/crates/forward/src/call/placement.rs
@@ -273,7 +273,11 @@
         match decision {
             AdmissionDecision::Granted(grant, held) => {
                 let fetch_from = self.fetch_source(sidecars, &grant, held, search).await;
-                return Conclusion::Placed(self.granted_placement(&server, grant, fetch_from));
+                if self.may_send(&server) {
+                    let placement = self.granted_placement(server, grant, fetch_from);
+                    return Conclusion::Placed(Some(placement));
+                }
+                search.engines.replace();
             }
             AdmissionDecision::Queued(_) | AdmissionDecision::NoResponse => {
                 return Conclusion::Placed(None);
@@ -285,6 +289,7 @@
             }
             AdmissionDecision::ServerGone => self.mark_replaced(self.state.clock.now(), &server),
             AdmissionDecision::Leaving => self.mark_leaving(&server),
+            AdmissionDecision::Unlisted => search.engines.replace(),
             AdmissionDecision::Closed(left) => {
                 self.mark_closed(&server, left);
                 search.engines.replace();
@@ -309,6 +314,12 @@
                 QueueOutcome::Decided(decision) => return (server, decision),
                 QueueOutcome::Waiting(queued) => queued,
             };
+            if !self.may_send(&server) {
+                info!("queued call leaves its server", kv: {
+                    id = self.request_id(), server = &*server.id
+                });
+                return (server, AdmissionDecision::Unlisted);
+            }
             let now = self.state.clock.now();
             let waited = now.saturating_duration_since(since);
             if waited < queued.expected().mul_f64(OVERSTAY_RATIO) {
@@ -534,21 +545,28 @@
         u32::try_from(copy.as_nanos()).ok()
     }
 
-    /// The placement for a grant; `None` if the server has left since.
+    /// Whether the call may be sent to a server now.
+    fn may_send(&self, server: &ServerRecord) -> bool {
+        let version = self.version.get().map(|v| &**v);
+        let now = self.state.clock.now();
+        let balancer = self.state.balancer.borrow();
+        balancer.may_send(now, &server.id, version)
+    }
+
+    /// The placement for a grant.
     fn granted_placement(
         &self,
-        server: &ServerRecord,
+        server: ServerRecord,
         grant: Grant,
         fetch_from: Option<SocketAddr>,
-    ) -> Option<Placement> {
-        let balance = self.state.balancer.borrow();
-        let waiting_calls = balance.waiting_calls(&server.id);
-        balance.accepts_calls(&server.id).then(|| Placement {
-            server: server.clone(),
+    ) -> Placement {
+        let waiting_calls = self.state.balancer.borrow().waiting_calls(&server.id);
+        Placement {
+            server,
             waiting_calls,
             grant: Some(grant),
             fetch_from,
-        })
+        }
     }
 
     fn refuse_late(&self, server: &ServerRecord, expected: Duration) -> SendError {
--- a/crates/forward/src/grants.rs
+++ b/crates/forward/src/grants.rs
@@ -92,6 +92,8 @@
     ServerGone,
     /// The engine is draining and accepts no new calls.
     Leaving,
+    /// The engine was removed from the list or replaced while the call waited there.
+    Unlisted,
     /// The engine takes no calls for this time.
     Closed(Duration),
     /// The sidecar did not respond.
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -255,6 +255,66 @@
     assert!(!requests[0].contains(&format!("server: {}", admission.server)));
 }
 
+/// How the table of servers loses an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Removal {
+    /// It lacks the engine, which may be called for a while if there is no other.
+    Missing,
+    /// The engine was missing for so long that it is forgotten.
+    Forgotten,
+}
+
+impl Removal {
+    fn apply(self, entry: &Entry, id: &str) {
+        let now = entry.state.clock.now();
+        let mut balancer = entry.state.balancer.borrow_mut();
+        balancer.mark_missing(now, id, now + Duration::from_secs(60));
+        if self == Self::Forgotten {
+            balancer.forget_missing(now, Duration::ZERO);
+        }
+    }
+}
+
+/// Guards against a call that waits at an engine reaching it after the engine was removed from
+/// the list: whether it is admitted then or goes on waiting, it is sent to another one.
+#[rstest]
+#[case::admitted(Verdict::Granted)]
+#[case::queued(Verdict::Queued(4_000))]
+#[actix_rt::test]
+async fn waiting_call_reaches_removed_server(
+    #[case] verdict: Verdict,
+    #[values(Removal::Missing, Removal::Forgotten)] removal: Removal,
+) {
+    let (sidecar, entry) = Sidecar::start().await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(PREFILL_CALL).await });
+    let (_, removed) = sidecar.respond(Verdict::Queued(4_000), 0).await;
+    removal.apply(&entry, &removed);
+    let admit_others = async {
+        loop {
+            let (message, from) = sidecar.next().await;
+            let RequestKind::Admission(admission) = message.kind else {
+                continue;
+            };
+            let verdict = match admission.server == removed {
+                true => verdict,
+                false => Verdict::Granted,
+            };
+            let bytes = encode(&grant_response(message.call_number, verdict));
+            sidecar.0.send_to(&bytes, from).await.expect("sent");
+        }
+    };
+    let answer = tokio::select! {
+        answer = call => answer.expect("an answer"),
+        () = admit_others => unreachable!("the sidecar answers until the call ends"),
+    };
+    assert_eq!(status(&answer), "200");
+    let requests = entry.servers.requests();
+    assert_eq!(requests.len(), 1);
+    assert_ne!(header(&requests[0], "server"), Some(removed));
+}
+
 /// Guards against calls being sent to an engine whose sidecar reports that it
 /// is leaving, before a response or the store has reported it.
 #[actix_rt::test]
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -225,6 +225,12 @@
         available && &*self.record.service == service
     }
 
+    /// Whether it is listed, or may still be called, and takes new calls of `service`.
+    fn is_callable(&self, now: Instant, service: &str) -> bool {
+        let present = self.missing.is_none_or(|(_, until)| now < until);
+        &*self.record.service == service && !self.draining() && !self.replaced && present
+    }
+
     /// Open calls of all entries at the server.
     fn open_calls(&self) -> u32 {
         self.own_calls.open.saturating_add(self.remote_calls.open)
@@ -470,13 +476,32 @@
         self.servers.get(id).map(|s| s.record.addr)
     }
 
-    /// Whether a server is known and takes new calls.
+    /// Whether a server is known and not known to be leaving or replaced. One that is missing
+    /// from the list may be among them; [`Self::may_send`] decides about a call.
     #[must_use]
     pub fn accepts_calls(&self, id: &str) -> bool {
         let accepts = |s: &Server| !s.draining() && !s.replaced;
         self.servers.get(id).is_some_and(accepts)
     }
 
+    /// Whether a call may be sent to a server now; `version` is the software version that the
+    /// call is bound to, if any.
+    ///
+    /// Every path asks this last, right before it sends: a call may have waited since its
+    /// server was chosen, and the server may have left meanwhile. A server that the list lacks
+    /// may be called only for a moment, and only while no listed one could take the call.
+    #[must_use]
+    pub fn may_send(&self, now: Instant, id: &str, version: Option<&str>) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return false;
+        };
+        let service = &*server.record.service;
+        let fits = |s: &Server| version.is_none_or(|v| &*s.record.version == v);
+        let callable = server.is_callable(now, service);
+        let listed = |s: &Server| s.serves(service) && fits(s);
+        callable && (server.missing.is_none() || !self.servers.values().any(listed))
+    }
+
     /// The number of servers of `service` that take new calls, and the largest
     /// number of slots that one of them has.
     #[must_use]
@@ -522,10 +547,7 @@
 
     /// The servers of `service` that are listed or may still be called.
     fn callable(&self, now: Instant, service: &str) -> impl Iterator<Item = &Server> {
-        let callable = move |s: &&Server| {
-            let present = s.missing.is_none_or(|(_, until)| now < until);
-            &*s.record.service == service && !s.draining() && !s.replaced && present
-        };
+        let callable = move |s: &&Server| s.is_callable(now, service);
         self.servers.values().filter(callable)
     }
 
--- a/crates/policy/src/balance/feedback.rs
+++ b/crates/policy/src/balance/feedback.rs
@@ -219,11 +219,11 @@
     }
 
     /// Takes this entry's turn for a call that is about to be sent to a server;
-    /// returns whether the call may be sent. Feedback that arrived after the
-    /// server was chosen counts too.
+    /// returns whether the server's feedback allows the call. Feedback that
+    /// arrived after the server was chosen counts too.
     pub fn take_turn(&mut self, now: Instant, id: &str) -> bool {
         let Some(server) = self.servers.get_mut(id) else {
-            return true;
+            return false;
         };
         let turns = self.turns.as_ref();
         if server.draining() || !server.accepts_call(now, turns) {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -276,6 +276,88 @@
     );
 }
 
+/// Why a server may have stopped taking calls since a call was placed there.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    None,
+    Leaving,
+    LeavingByFeedback,
+    Replaced,
+    Missing,
+    MissingTooLong,
+    Forgotten,
+}
+
+/// Guards against sending a call that has waited to a server that has left meanwhile. A
+/// server that the list lacks may be called for a moment, unless another one of the version
+/// that the call needs is listed.
+#[rstest]
+#[case::unchanged(Change::None, 2, None, true)]
+#[case::leaving(Change::Leaving, 1, None, false)]
+#[case::leaving_by_feedback(Change::LeavingByFeedback, 1, None, false)]
+#[case::replaced(Change::Replaced, 1, None, false)]
+#[case::missing_beside_others(Change::Missing, 2, None, false)]
+#[case::missing_alone(Change::Missing, 1, None, true)]
+#[case::missing_beside_same_version(Change::Missing, 2, Some(""), false)]
+#[case::missing_too_long(Change::MissingTooLong, 1, None, false)]
+#[case::forgotten(Change::Forgotten, 1, None, false)]
+fn waiting_call_sent_to_server_that_left(
+    #[case] change: Change,
+    #[case] count: usize,
+    #[case] version: Option<&str>,
+    #[case] sent: bool,
+) {
+    let now = Instant::now();
+    let mut balancer = balancer(count);
+    assert!(balancer.may_send(now, "s0", version));
+    let mut later = now;
+    match change {
+        Change::None => {}
+        Change::Leaving => {
+            let leaving = ServerRecord {
+                leaving: true,
+                ..record("s0", "a")
+            };
+            balancer.upsert(now, leaving);
+        }
+        Change::LeavingByFeedback => {
+            let leaving = ServerFeedback {
+                leaving: true,
+                ..ServerFeedback::default()
+            };
+            balancer.apply_feedback(now, &record("s0", "a"), now, &leaving, 0.0);
+        }
+        Change::Replaced => {
+            balancer.upsert(now, record_at_s0("newer"));
+        }
+        Change::Missing | Change::MissingTooLong | Change::Forgotten => {
+            balancer.mark_missing(now, "s0", now + MISSING_TIMEOUT);
+        }
+    }
+    match change {
+        Change::MissingTooLong => later += MISSING_TIMEOUT,
+        Change::Forgotten => drop(balancer.forget_missing(now, Duration::ZERO)),
+        _ => {}
+    }
+    assert_eq!(balancer.may_send(later, "s0", version), sent);
+}
+
+/// Guards against a call that is bound to a version finding no server, because one of another
+/// version is listed beside the missing one.
+#[test]
+fn missing_server_of_needed_version_is_called() {
+    let now = Instant::now();
+    let mut balancer = balancer(1);
+    let other = ServerRecord {
+        version: Rc::from("v2"),
+        ..record("s1", "b")
+    };
+    balancer.upsert(now, other);
+    balancer.mark_missing(now, "s0", now + MISSING_TIMEOUT);
+    assert!(balancer.may_send(now, "s0", Some("")));
+    assert!(!balancer.may_send(now, "s0", None));
+}
+
 #[test]
 fn partitions_do_not_overlap() {
     let (now, mut balancer) = (Instant::now(), balancer(12));
