Do not continue a moved stream at an engine that has begun to leave

The destination was chosen when the move began, and nothing asked again whether it takes calls before the stream was sent there, one copy later.

The copy of an engine that has begun to leave is now freed, and the run, which has not stopped yet, is copied to another one, as after a refusal. If it begins to leave while the run is being stopped, the stream returns to its source.

Failed before: 2 of 2 cases of moved_stream_reaches_leaving_destination.

--- a/crates/forward/src/moves.rs
+++ b/crates/forward/src/moves.rs
@@ -307,6 +307,10 @@
             false => control.copy_run(stream.source.addr, &request).await,
         };
         log_copy(&stream, &destination, last, &outcome);
+        let outcome = match last {
+            true => outcome,
+            false => check_destination(&state, &stream, &destination, outcome),
+        };
         let mut action = stream.apply(&state, Event::Answered(outcome));
         if action == Some(Action::CopyElsewhere) {
             if set_destination(&state, state.clock.now(), &stream) {
@@ -326,6 +330,23 @@
     }
 }
 
+/// Takes a first copy for refused if its engine takes no calls any more. The run has not
+/// stopped yet and can be copied to another one.
+fn check_destination(
+    state: &State,
+    stream: &OpenStream,
+    destination: &ServerRecord,
+    outcome: CopyOutcome,
+) -> CopyOutcome {
+    match outcome {
+        CopyOutcome::Copied { handle, .. } if !stream.may_continue_at(state, destination) => {
+            state.moves.free(&stream.source, handle);
+            CopyOutcome::Refused { handle: None }
+        }
+        outcome => outcome,
+    }
+}
+
 fn log_copy(stream: &OpenStream, to: &ServerRecord, last: bool, outcome: &CopyOutcome) {
     let cause = match outcome {
         CopyOutcome::NoAnswer(cause) => cause.as_str(),
--- a/crates/forward/src/moves/stream.rs
+++ b/crates/forward/src/moves/stream.rs
@@ -84,6 +84,14 @@
         state.crashes.refuses_parts(&self.shared_parts)
     }
 
+    /// Whether it may be sent to `engine` now, which may have begun to leave since it was
+    /// chosen.
+    pub(super) fn may_continue_at(&self, state: &State, engine: &ServerRecord) -> bool {
+        let (now, version) = (state.clock.now(), &*self.source.version);
+        let balancer = state.balancer.borrow();
+        balancer.may_send(now, &engine.id, Some(version))
+    }
+
     /// The number of the last event passed on.
     pub(super) fn last_event(&self) -> Option<u64> {
         self.progress.get().last_event
@@ -260,7 +268,12 @@
                         action = stream.apply(state, Event::ContinueRefused);
                         continue;
                     }
-                    let sent = call.continue_at(&server, copy, last).await;
+                    // The source leaves, and takes back what it has stopped.
+                    let accepted = at == Site::Source || stream.may_continue_at(state, &server);
+                    let sent = match accepted {
+                        true => call.continue_at(&server, copy, last).await,
+                        false => Err(SendError::NeverSent("it takes no calls".to_owned())),
+                    };
                     let event = match &sent {
                         Ok(_) => Event::Continued,
                         Err(error) if error.not_run() => Event::ContinueRefused,
--- a/crates/forward/tests/calls/moves.rs
+++ b/crates/forward/tests/calls/moves.rs
@@ -385,6 +385,30 @@
     fleet.engines.wait_until(|e| e.freed().len() == 1).await;
 }
 
+/// Guards against a stream reaching the destination of its move after that has begun to leave:
+/// another engine gets the copy, or the source takes the stopped run back.
+#[rstest]
+#[case::during_first_copy(1, true)]
+#[case::during_stop(2, false)]
+#[actix_rt::test]
+async fn moved_stream_reaches_leaving_destination(#[case] calls: usize, #[case] elsewhere: bool) {
+    let fleet = Fleet::start(3).await;
+    let mut scripts = [Script::Obey; 2];
+    scripts[calls - 1] = Script::Hold;
+    fleet.engines.script(&scripts);
+    let (call, source) = fleet.call_and_leave("1").await;
+    fleet.engines.wait_until(|e| e.calls().len() == calls).await;
+    let destination = fleet.engines.calls()[0].to;
+    fleet.leave(destination).await;
+    fleet.engines.release_copies();
+    assert_whole(&call.await.expect("an answer"));
+    let continuations = fleet.engines.continuations();
+    assert_eq!(continuations.len(), 1);
+    assert_ne!(continuations[0].0, destination);
+    assert_eq!(continuations[0].0 != source, elsewhere);
+    fleet.engines.assert_single_runs();
+}
+
 /// Guards against two engines at work on a stream that moves: its connection ends during one
 /// of the copy calls, and its engine goes on with the run until it is stopped.
 #[rstest]
