Read the catalog whatever becomes of the other tables

Cause: State::store_lost stood for all tables. The reader of the servers set it, and every other reader waited until it was cleared.

Each of the two tables that calls need has its own mark now. The catalog is read whatever becomes of the servers. Readers and writers of what can wait do so only while neither is answered, which keeps an outage as cheap for the store, and conclusions that rest on the servers look at that table alone. Only the servers' own recovery puts them into the state after an outage.

pimentocart_catalog_age_seconds and two log lines tell how old the configuration may be; before, nothing did.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -3,6 +3,7 @@
 //! servers ask for, requests that crash servers, and a randomized soak test.
 
 mod caller;
+mod config;
 mod connections;
 mod descriptors;
 mod ends;
--- a/crates/cli/tests/forward/platform.rs
+++ b/crates/cli/tests/forward/platform.rs
@@ -79,6 +79,8 @@
     newest: Mutex<BTreeMap<(String, String), String>>,
     /// Whether the store answers every request with 503.
     pub(crate) down: AtomicBool,
+    /// Topics of which the store refuses all requests with 429.
+    refused: Mutex<Vec<&'static str>>,
     /// Number of runs of each call, by request id.
     pub(crate) runs: Mutex<BTreeMap<String, u32>>,
     /// Number of calls received by each server.
@@ -114,6 +116,11 @@
 
     /// Publishes a new version of the configuration.
     pub(crate) fn publish_config(&self) {
+        self.publish_changed_config(|_| {});
+    }
+
+    /// Publishes a new version of the configuration with a change.
+    pub(crate) fn publish_changed_config(&self, change: impl FnOnce(&mut serde_json::Value)) {
         let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
         let route = |name: &str, kind: &str, service: &str, attempts: u32| {
             json!({"name": name, "hostname": "h.example", "path_prefix": format!("/{name}/"),
@@ -124,7 +131,7 @@
         resumable["resumable"] = true.into();
         let mut talk = route("talk", "streaming", "llm", 2);
         talk["resumable"] = true.into();
-        let config = json!({"version": version,
+        let mut config = json!({"version": version,
             "services": [{"name": "app", "health_path": "/health"}, {"name": "text"},
                 {"name": "llm", "health_path": "/health", "engine": {"slots": 8,
                     "kv_capacity": 100_000, "stride": 1, "kv_token_bytes": 18432,
@@ -132,9 +139,15 @@
             "routes": [route("once", "unsafe", "app", 1), route("safe", "safe", "app", 2),
                 route("stream", "streaming", "app", 1),
                 route("engine", "streaming", "llm", 1), resumable, talk]});
+        change(&mut config);
         self.write("keyed.op", "config", &config.to_string());
     }
 
+    /// Refuses all requests for a topic from now on.
+    pub(crate) fn refuse(&self, topic: &'static str) {
+        self.refused.lock().expect("mutex poisoned").push(topic);
+    }
+
     /// The version of the newest configuration.
     pub(crate) fn config_version(&self) -> u64 {
         self.version.load(Ordering::SeqCst).into()
@@ -274,6 +287,13 @@
                 after.split(['&', ' ']).next().map(str::to_owned)
             };
             let topic = query("topic").unwrap_or_default();
+            let refused = self.refused.lock().expect("mutex poisoned");
+            if refused.contains(&topic.as_str()) {
+                drop(refused);
+                answer(&mut stream, "429 Too Many Requests", b"");
+                continue;
+            }
+            drop(refused);
             if !topic.starts_with(KEYED_PREFIX) {
                 let number = |key: &str| query(key).and_then(|n| n.parse().ok()).unwrap_or(0);
                 let era = self.era.load(Ordering::SeqCst);
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -56,8 +56,8 @@
 /// Time after the end of an outage within which a neighbour has sent the changes.
 const PEER_UPDATE_WAIT: Duration = Duration::from_millis(400);
 
-/// Interval at which the readers of the other tables check whether the store answers
-/// requests for servers again; they send none until then.
+/// Interval at which the readers of tables that can wait check whether the store answers
+/// requests for the catalog or the servers again; they send none until then.
 const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which the age of a copy is checked.
@@ -85,11 +85,11 @@
 /// Number of other entries from which [`SERVER_POLL_DELAY_MANY`] applies.
 const MANY_ENTRIES: usize = 8;
 
-/// Follows the catalog, which the operators declare.
+/// Follows the catalog, which the operators declare. It is read whatever becomes of the
+/// other tables: the store can refuse or lose one of them alone.
 pub async fn catalogs<S: Source<Item = Catalog>>(state: Rc<State>, source: S) {
     let mut reader = TableReader::new(CATALOG_TABLE, source);
     loop {
-        wait_for_store(&state).await;
         let (position, age) = {
             let replica = state.tables.catalog.borrow();
             (replica.position(), replica.age(state.clock.now()))
@@ -228,8 +228,8 @@
 /// Waits while the store is known not to answer, and then for neighbours, if there are
 /// any, to send the changes.
 async fn wait_for_store(state: &State) {
-    let was_lost = state.store_lost.get();
-    while state.store_lost.get() {
+    let was_lost = state.tables.is_store_lost();
+    while state.tables.is_store_lost() {
         // The state is checked again after a timeout as well as a notification.
         let _ = tokio::time::timeout(OUTAGE_CHECK_INTERVAL, state.store_recovered.notified()).await;
     }
@@ -416,9 +416,7 @@
             // them that they can ask this entry.
             state.gossip_now.notify_one();
         }
-        if self.name == SERVERS_TABLE {
-            state.store_lost.set(false);
-        }
+        state.tables.table_read(self.name);
         self.needs_snapshot = false;
         if self.failures == 0 {
             return;
@@ -427,7 +425,9 @@
         self.failures = 0;
         // Records that expired during the outage are missing only from a snapshot.
         self.needs_snapshot = !snapshot;
-        state.tables.store_recovered(state.clock.now());
+        if self.name == SERVERS_TABLE {
+            state.tables.store_recovered(state.clock.now());
+        }
         state.store_recovered.notify_waiters();
     }
 
@@ -438,10 +438,8 @@
         self.needs_snapshot |= restored || matches!(e, SourceError::Expired { .. });
         self.failures = self.failures.saturating_add(1);
         self.position_expired = !matches!(e, SourceError::Unavailable { .. });
-        // Servers report all the time, so this table is the first to show that the store
-        // has recovered.
-        if self.name == SERVERS_TABLE && !self.position_expired {
-            state.store_lost.set(true);
+        if !self.position_expired {
+            state.tables.table_lost(self.name);
         }
         // Only the first of consecutive failures is logged; the metric counts all.
         if self.failures == 1 {
--- a/crates/forward/src/neighbours.rs
+++ b/crates/forward/src/neighbours.rs
@@ -95,7 +95,7 @@
     match exchanged {
         Ok((client, age)) => {
             if age.is_some_and(|age| age <= TAKEOVER_AGE) {
-                state.store_lost.set(false);
+                state.tables.tables_copied();
             }
             state
                 .zone_readers
--- a/crates/forward/src/origin_log.rs
+++ b/crates/forward/src/origin_log.rs
@@ -116,7 +116,7 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
-        if state.store_lost.get() {
+        if state.tables.is_store_lost() {
             own.finish_loading();
             tokio::time::sleep(OUTAGE_INTERVAL).await;
             continue;
--- a/crates/forward/src/origins.rs
+++ b/crates/forward/src/origins.rs
@@ -280,7 +280,7 @@
         let found = Continuation::from_origin(state, now, service, origin);
         let read_at = state.tables.servers.borrow().fresh_at();
         let is_read = read_at.is_none_or(|at| at >= called_at);
-        let given_up = is_read || state.store_lost.get() || wait.is_over(now);
+        let given_up = is_read || state.tables.are_servers_lost() || wait.is_over(now);
         if found != Continuation::Nowhere || given_up {
             return found;
         }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -106,8 +106,6 @@
     pub servers_wanted: Notify,
     /// Triggers a load report to the other entries ahead of the next interval.
     pub gossip_now: Notify,
-    /// Whether the store does not answer reads of the server table.
-    pub store_lost: Cell<bool>,
     /// Load on the host's network link towards the callers, if its capacity is set.
     pub link_load: RefCell<Option<LinkLoad>>,
     /// Whether the server table has been read.
@@ -184,7 +182,6 @@
             store_recovered: Notify::new(),
             servers_wanted: Notify::new(),
             gossip_now: Notify::new(),
-            store_lost: Cell::new(false),
             link_load: RefCell::new(settings.link_mbps.map(LinkLoad::new)),
             servers_loaded: Cell::new(false),
             stopping: StopSignal::new(),
@@ -375,13 +372,15 @@
     }
 }
 
-/// Closes expired connections and drops expired crash records at regular intervals, until
-/// `end`.
+/// Closes expired connections, drops expired crash records and reports the memory in use and
+/// the age of the catalog at regular intervals, until `end`.
 pub async fn sweep(state: Rc<State>, end: StopSignal) {
     while !end.is_triggered() {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         state.connection_pool.remove_expired(state.clock.now());
         crashes::expire(&state, state.clock.now());
         state.memory.report();
+        let version = state.catalog.borrow().as_ref().map_or(0, |c| c.version);
+        state.tables.report_catalog_age(state.clock.now(), version);
     }
 }
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -15,6 +15,7 @@
 use wire::tables::ChangesRequest;
 
 use crate::crashes;
+use crate::relay::millis;
 use crate::state::State;
 
 /// Servers whose records expired during an outage of the store register again within two
@@ -35,6 +36,9 @@
 pub(crate) const CRASHES_TABLE: &str = "crashes";
 pub(crate) const VERSIONS_TABLE: &str = "versions";
 
+/// Age from which a copy of the catalog is reported as out of date.
+const REPORTED_AGE: Duration = Duration::from_secs(1);
+
 /// Maximum number of changed servers that get a log line each. On a small host, logging a
 /// table of hundreds of servers would take longer than applying it.
 const MAX_LOGGED_SERVERS: usize = 32;
@@ -58,9 +62,73 @@
     settling_until: Cell<Option<Instant>>,
     /// When the servers were first read.
     servers_read_at: Cell<Option<Instant>>,
+    /// Whether the last read of the catalog, and of the servers, got no answer.
+    catalog_lost: Cell<bool>,
+    servers_lost: Cell<bool>,
+    /// Whether the catalog was reported as out of date.
+    reported_old: Cell<bool>,
 }
 
 impl TableReplicas {
+    /// Whether the store is known not to answer: the reads of both tables that every call
+    /// needs have failed. The store may refuse or lose one of them alone.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        self.catalog_lost.get() && self.servers_lost.get()
+    }
+
+    /// Whether the last read of the servers got no answer.
+    #[must_use]
+    pub fn are_servers_lost(&self) -> bool {
+        self.servers_lost.get()
+    }
+
+    /// Records that a neighbour has sent recent copies of both tables.
+    pub(crate) fn tables_copied(&self) {
+        self.catalog_lost.set(false);
+        self.servers_lost.set(false);
+    }
+
+    /// Records that a read of a table got no answer.
+    pub(crate) fn table_lost(&self, table: &str) {
+        if let Some(lost) = self.lost_mark(table) {
+            lost.set(true);
+        }
+    }
+
+    /// Records that a table was read.
+    pub(crate) fn table_read(&self, table: &str) {
+        if let Some(lost) = self.lost_mark(table) {
+            lost.set(false);
+        }
+    }
+
+    fn lost_mark(&self, table: &str) -> Option<&Cell<bool>> {
+        match table {
+            CATALOG_TABLE => Some(&self.catalog_lost),
+            SERVERS_TABLE => Some(&self.servers_lost),
+            _ => None,
+        }
+    }
+
+    /// Reports the age of the catalog as a metric, and logs when it becomes out of date and
+    /// when it is up to date again.
+    pub(crate) fn report_catalog_age(&self, now: Instant, version: u64) {
+        let Some(age) = self.catalog.borrow().age(now) else {
+            return;
+        };
+        metrics::gauge!("pimentocart_catalog_age_seconds").set(age.as_secs_f64());
+        let is_old = age > REPORTED_AGE;
+        if self.reported_old.replace(is_old) == is_old {
+            return;
+        }
+        let age_ms = millis(age);
+        match is_old {
+            true => warn!("catalog may be out of date", kv: { version, age_ms }),
+            false => info!("catalog is up to date again", kv: { version, age_ms }),
+        }
+    }
+
     /// Records that the store is available again after an outage.
     pub fn store_recovered(&self, now: Instant) {
         self.extend_settling(now, SETTLING_TIME);
--- a/crates/forward/src/versions.rs
+++ b/crates/forward/src/versions.rs
@@ -460,7 +460,7 @@
 async fn wait_to_retry(state: &State, failures: u32) {
     let per_entry = END_DELAY_PER_ENTRY.saturating_mul(entry_count(state));
     tokio::time::sleep(retry_delay(failures).max(per_entry)).await;
-    while state.store_lost.get() && !state.stopping.is_triggered() {
+    while state.tables.is_store_lost() && !state.stopping.is_triggered() {
         tokio::time::sleep(OUTAGE_CHECK_INTERVAL).await;
     }
 }
@@ -474,7 +474,7 @@
     }
     let balancer = state.balancer.borrow();
     let in_touch = state.servers_loaded.get()
-        && !state.store_lost.get()
+        && !state.tables.are_servers_lost()
         && !state.tables.may_lack_servers(now)
         && crashes::reads_store(state, now);
     recorded.due_writes(now, &balancer.known_versions(now), in_touch)
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -57,11 +57,7 @@
                 self.position.set(position);
                 Ok(self.changes(records))
             }
-            Some(Answer::Unavailable) => Err(SourceError::Unavailable {
-                step,
-                peer,
-                cause: "down".to_owned(),
-            }),
+            Some(Answer::Unavailable) => Err(down()),
             Some(Answer::Expired) => Err(SourceError::Expired { step, peer }),
             Some(Answer::Restored) => Err(SourceError::Rewound { step, peer }),
             Some(Answer::Lost) => std::future::pending().await,
@@ -90,6 +86,14 @@
     }
 }
 
+fn down() -> SourceError {
+    SourceError::Unavailable {
+        step: "read",
+        peer: "store".to_owned(),
+        cause: "down".to_owned(),
+    }
+}
+
 fn state() -> Rc<State> {
     state_with_clock(Rc::new(SystemClock))
 }
@@ -153,6 +157,21 @@
     wait_until("the new catalog", || version(&state) == 2).await;
 }
 
+/// Guards against a new catalog that is not read for as long as the store refuses reads of the
+/// servers alone.
+#[actix_rt::test]
+async fn refused_servers_hide_new_catalog() {
+    let state = state();
+    let refused = (0..10_000).map(|_| Answer::Unavailable);
+    let servers: Table<ServerRecord> = Table::new(refused.collect());
+    actix_rt::spawn(follow::servers(Rc::clone(&state), servers));
+    wait_until("the servers are lost", || state.tables.are_servers_lost()).await;
+    let catalogs = Table::new(vec![catalog(1), catalog(2)]);
+    actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
+    wait_until("the new catalog", || version(&state) == 2).await;
+    assert!(!state.tables.is_store_lost());
+}
+
 /// The store has lost its history, and its table is older than the data already read. The
 /// catalog in force must not revert.
 #[actix_rt::test]
