Notice a lost poll for the catalog within its bound

A long poll for the catalog whose answer was lost without a reset was given up after 2.7 s (2 s of waiting, 0.7 s for the response), although a new version has to be in force after 2 s. Only the failure of another table ended it sooner.

The store holds it for 0.8 s now, also where neighbours copy from the entry (1 s before): the loss is noticed after 1.5 s, and the next read, 0.15 s later, brings the version.

Failed before: lost_poll_delays_new_catalog, with virtual time. After: passes.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -25,13 +25,11 @@
 use crate::versions;
 
 /// How long the store may hold a long-poll request while there is no new catalog. A
-/// request lost with its connection delays a new catalog by this time, which must be well
-/// below the time within which a catalog has to be in force.
-const CATALOG_WAIT: Duration = Duration::from_secs(2);
-
-/// [`CATALOG_WAIT`] while neighbours copy from this entry: they can't know that the copy
-/// is current before the store answers, and would soon read from the store themselves.
-const CATALOG_WAIT_SHARED: Duration = Duration::from_secs(1);
+/// request lost with its connection delays a new catalog by this time, the time for a
+/// response and [`MIN_RETRY_DELAY`]: together less than the two seconds within which a
+/// catalog has to be in force. Neighbours copy from this entry and can't know either that
+/// the copy is current before the store answers.
+const CATALOG_WAIT: Duration = Duration::from_millis(800);
 
 /// [`CATALOG_WAIT`] for servers. They report all the time, so an answer comes at once, and
 /// a lost request should be abandoned soon.
@@ -98,13 +96,8 @@
             tokio::time::sleep(delay).await;
             continue;
         }
-        let wait = if state.shares_reads() {
-            CATALOG_WAIT_SHARED
-        } else {
-            CATALOG_WAIT
-        };
         let replica = &state.tables.catalog;
-        let Some(update) = reader.next_update(&state, replica, wait).await else {
+        let Some(update) = reader.next_update(&state, replica, CATALOG_WAIT).await else {
             tokio::time::sleep(reader.retry_delay(&state)).await;
             continue;
         };
--- a/crates/forward/tests/tables/follow.rs
+++ b/crates/forward/tests/tables/follow.rs
@@ -28,8 +28,17 @@
     Restored,
     /// The request is lost with its connection: no answer ever arrives.
     Lost,
+    /// The request is lost, and the client gives up after the wait and the time for a
+    /// response.
+    TimedOut,
 }
 
+/// How long the store's client waits for a response, in addition to the wait of a long poll.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time within which a catalog has to be in force.
+const CATALOG_BOUND: Duration = Duration::from_secs(2);
+
 /// A table with prepared answers; after the last one it has no more changes.
 struct Table<T> {
     answers: RefCell<VecDeque<Answer<T>>>,
@@ -47,7 +56,7 @@
         }
     }
 
-    async fn answer(&self) -> Result<Changes<T>, SourceError> {
+    async fn answer(&self, wait: Duration) -> Result<Changes<T>, SourceError> {
         self.requests.set(self.requests.get() + 1);
         let next = self.answers.borrow_mut().pop_front();
         let (step, peer) = ("read", "store".to_owned());
@@ -58,6 +67,10 @@
                 Ok(self.changes(records))
             }
             Some(Answer::Unavailable) => Err(down()),
+            Some(Answer::TimedOut) => {
+                tokio::time::sleep(wait + RESPONSE_TIMEOUT).await;
+                Err(down())
+            }
             Some(Answer::Expired) => Err(SourceError::Expired { step, peer }),
             Some(Answer::Restored) => Err(SourceError::Rewound { step, peer }),
             Some(Answer::Lost) => std::future::pending().await,
@@ -78,11 +91,11 @@
     type Item = T;
 
     async fn snapshot(&self) -> Result<Changes<T>, SourceError> {
-        self.answer().await
+        self.answer(Duration::ZERO).await
     }
 
-    async fn changes(&self, _from: u64, _wait: Duration) -> Result<Changes<T>, SourceError> {
-        self.answer().await
+    async fn changes(&self, _from: u64, wait: Duration) -> Result<Changes<T>, SourceError> {
+        self.answer(wait).await
     }
 }
 
@@ -172,6 +185,24 @@
     assert!(!state.tables.is_store_lost());
 }
 
+/// Guards against a catalog that is in force too late because a long poll was lost without a
+/// reset, while all other reads are answered.
+#[actix_rt::test]
+async fn lost_poll_delays_new_catalog() {
+    tokio::time::pause();
+    let state = state();
+    let catalogs = Table::new(vec![catalog(1), Answer::TimedOut, catalog(2)]);
+    actix_rt::spawn(follow::servers(
+        Rc::clone(&state),
+        Table::new(vec![server("s1")]),
+    ));
+    actix_rt::spawn(follow::catalogs(Rc::clone(&state), catalogs));
+    wait_until("the first catalog", || version(&state) == 1).await;
+    let sent = tokio::time::Instant::now();
+    wait_until("the new catalog", || version(&state) == 2).await;
+    assert!(sent.elapsed() < CATALOG_BOUND, "{:?}", sent.elapsed());
+}
+
 /// The store has lost its history, and its table is older than the data already read. The
 /// catalog in force must not revert.
 #[actix_rt::test]
