Deny a call only by a catalog that was confirmed recently

Calls on routes or with API keys that a newer version allows were answered 404 and 401 by an entry that had not heard from the store, or from the neighbour that it copies, for however long.

Cause: what the catalog in force lacks counted as not existing, whatever the catalog's age.

A route or key counts as missing only if the catalog was confirmed within the last 1.5 s, which is less than the 2 s within which a version has to be in force. Otherwise the call is refused as not run with 503 `old_catalog` and Retry-After, and its caller comes back to this entry or another one.

--- a/crates/base/src/reason.rs
+++ b/crates/base/src/reason.rs
@@ -56,6 +56,8 @@
     NotEntitled,
     /// No bundle has been accepted yet.
     NoBundle,
+    /// The catalog lacks the route or the API key, but may be out of date.
+    OldCatalog,
     /// The latency target of the class cannot be met given the current queue.
     TargetUnreachable,
     /// The queue is full and this request has the lowest rank in it.
@@ -101,7 +103,7 @@
 
 impl Refusal {
     /// Every reason, to initialise the counters.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::BadToken,
@@ -109,6 +111,7 @@
         Self::UnknownTarget,
         Self::NotEntitled,
         Self::NoBundle,
+        Self::OldCatalog,
         Self::TargetUnreachable,
         Self::Shed,
         Self::Preempted,
@@ -141,6 +144,7 @@
             Self::UnknownTarget => "unknown_target",
             Self::NotEntitled => "not_entitled",
             Self::NoBundle => "no_bundle",
+            Self::OldCatalog => "old_catalog",
             Self::TargetUnreachable => "target_unreachable",
             Self::Shed => "shed",
             Self::Preempted => "preempted",
@@ -176,6 +180,7 @@
             Self::TargetUnreachable | Self::Shed | Self::Preempted => 429,
             Self::BackendFailed | Self::Truncated => 502,
             Self::NoBundle
+            | Self::OldCatalog
             | Self::NoServer
             | Self::RetryBudget
             | Self::Draining
--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -53,7 +53,7 @@
 /// on a busy server.
 const SERVERS_FULL_RETRY: Duration = Duration::from_millis(100);
 
-/// Retry-After when the catalog is not known yet.
+/// Retry-After when the catalog is not known yet, or may be out of date.
 const NO_CATALOG_RETRY: Duration = Duration::from_millis(500);
 
 /// Time after its first event from which a stream counts as one that its server keeps
@@ -179,11 +179,11 @@
             return Err(LocalReply::refused(Refusal::NoBundle, after));
         };
         let parsed_headers = state.dialect.parse_call(&incoming.headers);
-        let route = find_route(&catalog, &incoming)?;
+        let route = find_route(state, &catalog, &incoming)?;
         let workspace = match catalog.access(&route, parsed_headers.api_key.as_deref()) {
             Access::Open => None,
             Access::Workspace(workspace) => Some(workspace),
-            Access::Denied => return Err(LocalReply::denied(401, Refusal::BadToken)),
+            Access::Denied => return Err(denied(state, 401, Refusal::BadToken)),
         };
         // A stream that is taken up goes to the service at which it began.
         let stream = parsed_headers.resumes.as_ref();
@@ -607,11 +607,25 @@
     }
 }
 
-fn find_route(catalog: &Catalog, incoming: &IncomingRequest) -> Result<Rc<Route>, LocalReply> {
+fn find_route(
+    state: &State,
+    catalog: &Catalog,
+    incoming: &IncomingRequest,
+) -> Result<Rc<Route>, LocalReply> {
     let host = incoming.headers.get(http::header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or("");
     let route = catalog.route(host, incoming.uri.path()).cloned();
-    route.ok_or(LocalReply::denied(404, Refusal::UnknownTarget))
+    route.ok_or_else(|| denied(state, 404, Refusal::UnknownTarget))
+}
+
+/// The reply when the catalog lacks the route or the API key of a call. A newer catalog may
+/// have it, so with one that may be out of date the call is refused for now instead.
+fn denied(state: &State, status: u16, reason: Refusal) -> LocalReply {
+    if state.tables.shows_absence(state.clock.now()) {
+        return LocalReply::denied(status, reason);
+    }
+    let after = wait_estimate::jitter(NO_CATALOG_RETRY, rand::rng().random());
+    LocalReply::refused(Refusal::OldCatalog, after)
 }
 
 /// Tokens of the prompt that no other call can have left in a prefix cache.
--- a/crates/forward/src/tables.rs
+++ b/crates/forward/src/tables.rs
@@ -39,6 +39,10 @@
 /// Age from which a copy of the catalog is reported as out of date.
 const REPORTED_AGE: Duration = Duration::from_secs(1);
 
+/// Age up to which a copy of the catalog shows that a route or an API key does not exist. It
+/// is less than the two seconds within which a new catalog has to be in force.
+const MAX_DENIAL_AGE: Duration = Duration::from_millis(1500);
+
 /// Maximum number of changed servers that get a log line each. On a small host, logging a
 /// table of hundreds of servers would take longer than applying it.
 const MAX_LOGGED_SERVERS: usize = 32;
@@ -111,6 +115,13 @@
         }
     }
 
+    /// Whether the copy of the catalog is recent enough to tell that something does not
+    /// exist.
+    pub(crate) fn shows_absence(&self, now: Instant) -> bool {
+        let age = self.catalog.borrow().age(now);
+        age.is_none_or(|age| age <= MAX_DENIAL_AGE)
+    }
+
     /// Reports the age of the catalog as a metric, and logs when it becomes out of date and
     /// when it is up to date again.
     pub(crate) fn report_catalog_age(&self, now: Instant, version: u64) {
--- a/crates/forward/tests/calls/callers.rs
+++ b/crates/forward/tests/calls/callers.rs
@@ -1,13 +1,16 @@
 //! Calls that are denied or malicious, or that arrive while the entry starts or
 //! stops.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use base::clock::{Clock, ManualClock};
+use policy::replica::{Update, UpdateKind};
 use policy::roster::EntryInfo;
 use policy::routes::CallKind;
 use rstest::rstest;
 
-use crate::common::{Action, Entry, OK, Plan, header, request, status};
+use crate::common::{Action, Entry, OK, PATH, Plan, header, request, status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const ID: &str = "call-id: 1\r\n";
@@ -54,6 +57,47 @@
     assert_eq!(entry.state.origins.open_queries(), 0);
 }
 
+/// Guards against denying a call for a route or an API key that a newer catalog may have: an
+/// entry that has not heard from the store for too long refuses it for now.
+#[rstest]
+#[case::current_route("/none/x", "key: k\r\n", Duration::from_millis(1500), "404")]
+#[case::current_key(PATH, "key: x\r\n", Duration::from_millis(1500), "401")]
+#[case::old_route("/none/x", "key: k\r\n", Duration::from_millis(1501), "503")]
+#[case::old_key(PATH, "key: x\r\n", Duration::from_millis(1501), "503")]
+#[case::old_and_known(PATH, "key: k\r\n", Duration::from_secs(60), "200")]
+#[actix_rt::test]
+async fn call_denied_by_old_catalog(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] age: Duration,
+    #[case] expected: &str,
+) {
+    let clock = ManualClock::new();
+    let entry = Entry::start(Plan {
+        keys: true,
+        clock: Rc::new(clock.clone()),
+        ..Plan::new(CallKind::Once, 1, &[Action::Send(OK)])
+    })
+    .await;
+    let read = Update {
+        records: Vec::new(),
+        kind: UpdateKind::Snapshot,
+        position: 1,
+        as_of: clock.now(),
+    };
+    let tables = &entry.state.tables;
+    tables.catalog.borrow_mut().apply_store_update(read, None);
+    clock.advance(age);
+    let headers = format!("{ID}{key}Connection: close\r\n");
+    let call = request(&headers, "").replacen(PATH, path, 1);
+    let mut caller = entry.connect().await;
+    caller.write_all(call.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    let _ = caller.read_to_string(&mut answer).await;
+    assert_eq!(status(&answer), expected);
+    assert_eq!(header(&answer, "retry-after").is_some(), expected == "503");
+}
+
 /// An entry that has just started has no catalog and cannot tell whether a
 /// route exists. It must refuse the call for now instead of answering 404.
 #[actix_rt::test]
