Accept final statuses from 200 to 599 only from servers

An answer of a server with the status 101, 600 or 999 was passed on to its caller as an answer. It counts as one that may have run now: 502, or another server for calls that may be repeated. 000, 099 and other digits were refused before.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -19,6 +19,9 @@
 use crate::relay::millis;
 use crate::state::State;
 
+/// Statuses of final responses. Any other number is none, and callers would take it for one.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
+
 /// Why a call got no response from a server, and whether it may have run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
@@ -254,6 +257,9 @@
         Err(_) => return Err(SendError::TimedOut),
     };
     let status = response.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(SendError::Unknown(format!("invalid status {status}")));
+    }
     let now = state.clock.now();
     let parsed_headers = state.dialect.parse_response(status, response.headers());
     state.balancer.borrow_mut().bytes_received(now, &server.id);
--- a/crates/forward/tests/calls/ends.rs
+++ b/crates/forward/tests/calls/ends.rs
@@ -1,6 +1,7 @@
 //! How the bytes of an answer end, and what proves to the caller that it is whole. See
 //! docs/design/ends-of-answers.md; the ends of moved streams are in `moves`.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use policy::balance::ServerRecord;
@@ -9,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::common::{Action, Entry, Health, OK, Plan, Servers, listed, status};
+use crate::common::{Action, Entry, Health, OK, PATH, Plan, Servers, header, listed, status};
 use crate::streams::PARTIAL;
 
 const ID: &str = "call-id: 1\r\n";
@@ -451,3 +452,81 @@
         "{answer}"
     );
 }
+
+/// Guards against passing on an answer whose status is none.
+#[rstest]
+#[case::zero("000")]
+#[case::too_low("099")]
+#[case::four_digits("0200")]
+#[case::four_digits_more("2000")]
+#[case::sign("+20")]
+#[case::two_digits("20")]
+#[case::switched("101")]
+#[case::too_high("600")]
+#[case::highest("999")]
+#[actix_rt::test]
+async fn answer_without_valid_status(
+    #[case] code: &str,
+    #[values(CallKind::Once, CallKind::Stream)] kind: CallKind,
+) {
+    let bytes = format!(
+        "HTTP/1.1 {code} X\r\ncall-id: {{id}}\r\nseal: s\r\nContent-Length: 5\r\n\r\nhello"
+    );
+    let entry = Entry::start(Plan::new(kind, 1, &[Action::Send(bytes.leak())])).await;
+    assert_eq!(status(&entry.call(ID).await), "502");
+    assert_eq!(entry.servers.requests().len(), 1);
+}
+
+/// A server that answers each call when its head has arrived, without a length and while the
+/// call is still being sent, and resets the connection after a pause. It is alive.
+async fn start_early_server(pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let mut head = [0; 2048];
+                let length = stream.read(&mut head).await.unwrap_or(0);
+                if head.starts_with(b"GET /health ") {
+                    let health = "HTTP/1.1 200 OK\r\ninstance: s1\r\nContent-Length: 0\r\n\r\n";
+                    let _ = stream.write_all(health.as_bytes()).await;
+                    return;
+                }
+                let head = String::from_utf8_lossy(&head[..length]);
+                let id = header(&head, "call-id").unwrap_or_default();
+                let part = format!("HTTP/1.1 200 OK\r\ncall-id: {id}\r\nseal: s\r\n\r\n{EVENT}");
+                let _ = stream.write_all(part.as_bytes()).await;
+                tokio::time::sleep(pause).await;
+                let linger = Some(Duration::ZERO);
+                let _ = socket2::SockRef::from(&stream).set_linger(linger);
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against passing on the beginning of an answer without a length as the whole one,
+/// whose server resets the connection while the call is still being sent.
+#[rstest]
+#[actix_rt::test]
+async fn answer_reset_during_upload(
+    #[values(CallKind::Once, CallKind::Stream)] kind: CallKind,
+    #[values(200_000, 1_000_000, 4_000_000)] length: usize,
+    #[values(0, 5, 30, 300)] pause_ms: u64,
+) {
+    let server = start_early_server(Duration::from_millis(pause_ms)).await;
+    let plan = Plan::new(kind, 1, &[]);
+    let entry = Entry::start_with(plan, Servers::default(), vec![listed("s1", server)]).await;
+    let mut caller = entry.connect().await;
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nHost: h.example\r\n{ID}Connection: close\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.expect("sent");
+    caller.write_all(&vec![b'p'; length]).await.expect("sent");
+    let mut answer = Vec::new();
+    let _ = caller.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    let whole = status(&answer) == "200" && answer.ends_with("0\r\n\r\n");
+    assert!(!whole, "{answer}");
+}
