Bound the bytes of one event of an engine's stream

A model engine whose event never ended made its sidecar keep all of its bytes, and parse them again with each chunk: 4 of 4 forms (a line, data lines, comments, other fields) took all 6 MB that the test sends.

Cause: the parser keeps a line until it ends, and nothing counted before it.

limit_events ends a stream with an error once an event has more than 1 MB; an event holds one token.

--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use crate::event_limit::limit_events;
+
 /// Header with the request id, sent to engines and plain services.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -31,6 +33,9 @@
 /// Largest response body with cache events, in bytes.
 const CACHE_EVENTS_LIMIT: usize = 4 << 20;
 
+/// Largest event of a stream, in bytes. An event holds one token.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Data of the event that ends a stream, as in the OpenAI protocol.
 const DONE_MARKER: &str = "[DONE]";
 
@@ -325,7 +330,8 @@
         // completion may take long. The reader of the stream applies its own
         // timeout between events.
         let response = response.timeout(Duration::MAX);
-        let events = response.eventsource().filter_map(move |event| async move {
+        let chunks = limit_events(response, MAX_EVENT_BYTES);
+        let events = chunks.eventsource().filter_map(move |event| async move {
             match event {
                 Ok(event) if event.data == DONE_MARKER => None,
                 Ok(event) => Some(parse_event(peer, &event.data)),
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -3,6 +3,7 @@
 //! formats, which are specified in docs/PLATFORM.md.
 //!
 //! - [`engine`]: runs, resumes and cancels completions.
+//! - `event_limit`: bounds the bytes of one event of a stream.
 //! - [`hosts`]: fetches the list of live and leaving hosts, which may be stale.
 //! - [`log`]: reads and appends records of the append-only log.
 //! - [`orders`]: sends orders to model engines.
@@ -10,6 +11,7 @@
 //! - [`weights`]: requests permits from the weight store.
 
 pub mod engine;
+mod event_limit;
 pub mod hosts;
 pub mod log;
 pub mod orders;
