Give up answers that stall inside their bodies

An entry read no further configuration then, without a line in its log. An engine's report whose chunk extension never ended was read for 94 s in place of 0.3 s.

Cause: the timeout of an awc request ends with the head of the response. The client of the chat interface's log knew, the others did not.

All of them limit the whole exchange now.

--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -304,7 +304,9 @@
         let (step, peer) = ("cache_events", self.addr);
         let url = format!("http://{}/v1/cache/events?from={from}", self.addr);
         let sent = self.http.get(url).send().await;
-        let mut response = sent.map_err(|e| self.classify_error(step, &e))?;
+        let response = sent.map_err(|e| self.classify_error(step, &e))?;
+        // The timeout of the request does not cover the body.
+        let mut response = response.timeout(RESPONSE_TIMEOUT);
         let body = response.body().limit(CACHE_EVENTS_LIMIT).await;
         let body = body.map_err(|e| {
             let detail = e.to_string();
--- a/crates/clients/src/hosts.rs
+++ b/crates/clients/src/hosts.rs
@@ -152,7 +152,9 @@
 
         let unreachable = |detail: String| Error::Unreachable { peer, detail };
         let sent = request.send().await;
-        let mut response = sent.map_err(|e: SendRequestError| unreachable(e.to_string()))?;
+        let response = sent.map_err(|e: SendRequestError| unreachable(e.to_string()))?;
+        // The timeout of the request does not cover the body.
+        let mut response = response.timeout(RESPONSE_TIMEOUT);
         match response.status() {
             StatusCode::OK => {}
             StatusCode::NOT_MODIFIED => return Ok(None),
--- a/crates/clients/src/orders.rs
+++ b/crates/clients/src/orders.rs
@@ -134,8 +134,10 @@
         let (step, peer) = ("read_standing", self.addr);
         let url = format!("http://{peer}/v1/orders");
         let sent = self.http.get(url).send().await;
-        let mut response = sent.map_err(|e| self.classify_error(step, &e))?;
+        let response = sent.map_err(|e| self.classify_error(step, &e))?;
         self.check_status(step, response.status())?;
+        // The timeout of the request does not cover the body.
+        let mut response = response.timeout(RESPONSE_TIMEOUT);
         let state = response.json().await;
         state.map_err(|e| Error::NoResponse {
             step,
