Begin only calls that can end within the grace period

Cause: the entry sent calls for a fixed half of the period, whatever they needed, and looked at their arrival rather than at their sending.

State::may_begin decides right before each send and while a call waits. A call whose deadline is before the end of the calls in progress is begun; another one only in the first three eighths of the period, and if nine of ten recent calls of its route would have ended by then. The rest are refused as not run, so that their callers go to another entry.

--- a/crates/forward/src/call.rs
+++ b/crates/forward/src/call.rs
@@ -292,6 +292,9 @@
     /// Records that a server has completed the call.
     pub(crate) fn record_completed(&self) {
         self.state.crashes.request_served(self.fingerprint());
+        let now = self.state.clock.now();
+        let taken = now.saturating_duration_since(self.attempt.get().sent_at);
+        self.state.durations.borrow_mut().record(&self.route, taken);
     }
 
     /// Records that a server has answered the call's prompt.
@@ -576,6 +579,7 @@
                 self.retry_after(SERVERS_FULL_RETRY),
             ),
             Some(SendError::Unknown(_)) => LocalReply::failed(502, Refusal::OutcomeUnknown),
+            Some(SendError::Draining) => draining_refusal(),
             Some(SendError::CrashesServers(after)) => {
                 LocalReply::refused(Refusal::CrashesServers, *after)
             }
--- a/crates/forward/src/call/attempt.rs
+++ b/crates/forward/src/call/attempt.rs
@@ -31,6 +31,9 @@
     pub(super) kv_copy: Option<KvCopy<'a>>,
 }
 
+/// Interval at which a stopping entry checks whether a waiting call may still be sent.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Call {
     /// Sends the call to one server. A server that cannot be reached is skipped
     /// and does not count as an attempt.
@@ -50,7 +53,13 @@
             let excluded: Vec<Rc<str>> = tried.iter().chain(&unreachable).cloned().collect();
             // A call whose deadline passes during placement was never sent.
             let place = self.place(now, &excluded, start);
-            let place = tokio::time::timeout_at(self.deadline.into(), place).await;
+            let place = tokio::time::timeout_at(self.deadline.into(), place);
+            // A call that waits when the entry is told to stop may wait for too long.
+            let place = tokio::select! {
+                biased;
+                () = self.too_late_to_begin() => return Err(SendError::Draining),
+                place = place => place,
+            };
             metrics::histogram!("pimentocart_place_seconds")
                 .record(self.state.clock.now().saturating_duration_since(now));
             let Some(place) = place.unwrap_or(Err(SendError::TimedOutUnsent))? else {
@@ -64,6 +73,9 @@
                 tokio::time::sleep(wait).await;
                 continue;
             };
+            if !self.state.may_begin(&self.route, self.deadline) {
+                return Err(SendError::Draining);
+            }
             // Servers may have crashed under another attempt of this call, or under
             // calls like it, while this one waited.
             self.admit_despite_crashes()?;
@@ -142,6 +154,14 @@
         balancer.may_send(now, &server.id, version) && balancer.take_turn(now, &server.id)
     }
 
+    /// Waits until the entry stops and may not be able to pass on the call's answer any more.
+    async fn too_late_to_begin(&self) {
+        self.state.stopping.wait().await;
+        while self.state.may_begin(&self.route, self.deadline) {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Fails if servers crash while they run the call, unless it may be a trial.
     fn check_crashes(&self) -> Result<(), SendError> {
         match self.blocked_for() {
--- a/crates/forward/src/drain.rs
+++ b/crates/forward/src/drain.rs
@@ -18,7 +18,7 @@
 /// the entry answers them until then.
 pub async fn drain(state: Rc<State>, stop: StopSignal, closed: StopSignal, ended: StopSignal) {
     stop.wait().await;
-    state.stopping.trigger();
+    state.stop();
     let settings = &state.settings;
     let name = settings.name.as_str();
     info!("entry drains", kv: { name, open = state.open_calls.get() });
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -46,6 +46,9 @@
     /// The call was not sent because all known servers have asked for a lower
     /// rate or for backoff. The first of them accepts a call after this time.
     ServersBusy(Duration),
+    /// The call was not sent because the entry stops and may not be able to pass on its
+    /// answer.
+    Draining,
     /// The call was not sent because servers crash while they run it. It stays
     /// blocked for this time.
     CrashesServers(Duration),
@@ -63,6 +66,7 @@
                 | Self::TimedOutUnsent
                 | Self::TooLate(_)
                 | Self::ServersBusy(_)
+                | Self::Draining
                 | Self::CrashesServers(_)
         )
     }
@@ -86,6 +90,7 @@
             Self::TimedOutUnsent => "waited",
             Self::TooLate(_) => "too_late",
             Self::ServersBusy(_) => "servers_busy",
+            Self::Draining => "draining",
             Self::CrashesServers(_) => "crashes_servers",
         }
     }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -24,6 +24,10 @@
 /// rest is left for these calls, so that a later one is refused before it has run.
 const SEND_FRACTION: f64 = 0.5;
 
+/// Fraction of the grace period in which a stopping entry sends calls by how long they usually
+/// take. Later ones must end by their deadlines.
+const ESTIMATE_FRACTION: f64 = 0.375;
+
 /// Longest period of the settings, in seconds.
 const MAX_PERIOD: f64 = 1e8;
 
@@ -307,6 +311,12 @@
         self.grace().mul_f64(SEND_FRACTION)
     }
 
+    /// Time for which a stopping entry sends calls that usually end before it does.
+    #[must_use]
+    pub fn estimating_time(&self) -> Duration {
+        self.grace().mul_f64(ESTIMATE_FRACTION)
+    }
+
     /// Time after which a stopping entry ends the calls in progress.
     #[must_use]
     pub fn cutoff_time(&self) -> Duration {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -11,6 +11,7 @@
 use policy::backup::CopyTable;
 use policy::balance::Balancer;
 use policy::discovery::PeerDiscovery;
+use policy::durations::CallDurations;
 use policy::link::LinkLoad;
 use policy::paces::PaceClass;
 use policy::peer_load::{PeakEntryCount, PeerLoads};
@@ -19,7 +20,7 @@
 use policy::rendezvous;
 use policy::repeat_budget::RepeatBudget;
 use policy::roster::{EntryInfo, Roster};
-use policy::routes::Catalog;
+use policy::routes::{Catalog, Route};
 use policy::shares::rates::WorkspaceRates;
 use policy::wait_estimate::WaitEstimator;
 use spdlog::info;
@@ -112,6 +113,10 @@
     pub servers_loaded: Cell<bool>,
     /// Triggered when the entry starts to drain.
     pub stopping: StopSignal,
+    /// When it started to drain.
+    pub(crate) stopped_at: Cell<Option<Instant>>,
+    /// How long the calls of each route take.
+    pub durations: RefCell<CallDurations>,
     /// Whether calls are refused because the grace period is too short for them.
     pub refusing: Cell<bool>,
     /// Triggered shortly before the grace period ends; ends the calls in progress.
@@ -185,6 +190,8 @@
             link_load: RefCell::new(settings.link_mbps.map(LinkLoad::new)),
             servers_loaded: Cell::new(false),
             stopping: StopSignal::new(),
+            stopped_at: Cell::new(None),
+            durations: RefCell::default(),
             refusing: Cell::new(false),
             cutoff: StopSignal::new(),
             open_calls: Cell::new(0),
@@ -212,6 +219,30 @@
         }
     }
 
+    /// Records that the entry starts to drain.
+    pub fn stop(&self) {
+        self.stopped_at.set(Some(self.clock.now()));
+        self.stopping.trigger();
+    }
+
+    /// Whether a call of `route` may be sent to a server now. A stopping entry ends the calls in
+    /// progress before it exits, so it begins only those that end before that: by their
+    /// `deadline`, or, soon after it was told to stop, as usual for their route if that is known.
+    #[must_use]
+    pub(crate) fn may_begin(&self, route: &Route, deadline: Instant) -> bool {
+        let Some(stopped_at) = self.stopped_at.get() else {
+            return true;
+        };
+        let now = self.clock.now();
+        let cutoff = stopped_at + self.settings.cutoff_time();
+        if deadline <= cutoff {
+            return true;
+        }
+        let usual = self.durations.borrow().usual(route);
+        let early = now < stopped_at + self.settings.estimating_time();
+        early && usual.is_none_or(|usual| now + usual <= cutoff)
+    }
+
     /// Whether the load balancer should send new connections here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/forward/tests/calls/callers.rs
+++ b/crates/forward/tests/calls/callers.rs
@@ -57,6 +57,67 @@
     assert_eq!(entry.state.origins.open_queries(), 0);
 }
 
+/// When a call comes after the entry was told to stop, what is known of its route, and whether
+/// it is sent. The grace period is 8 s, and calls are ended after 7.52 s.
+#[derive(Debug, Clone, Copy)]
+struct LateCall {
+    after_ms: u64,
+    timeout_ms: u64,
+    /// The durations of recent calls.
+    taken_ms: &'static [u64],
+    status: &'static str,
+}
+
+/// Guards against a call being passed on that is cut at the end of the grace period: only one
+/// that ends before, by its deadline or, at first, as usual for its route, may be begun.
+#[rstest]
+#[case::ends_by_deadline(LateCall { after_ms: 0, timeout_ms: 7_520, taken_ms: &[], status: "200" })]
+#[case::late_and_ends_by_deadline(
+    LateCall { after_ms: 3_900, timeout_ms: 3_620, taken_ms: &[], status: "200" })]
+#[case::unknown(LateCall { after_ms: 2_999, timeout_ms: 15_000, taken_ms: &[], status: "200" })]
+#[case::late_and_unknown(
+    LateCall { after_ms: 3_000, timeout_ms: 4_521, taken_ms: &[], status: "503" })]
+#[case::usually_ends(
+    LateCall { after_ms: 2_900, timeout_ms: 15_000, taken_ms: &[4_600; 9], status: "200" })]
+#[case::seldom_longer(
+    LateCall { after_ms: 0, timeout_ms: 15_000,
+        taken_ms: &[9_000, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1], status: "200" })]
+#[case::often_longer(
+    LateCall { after_ms: 0, timeout_ms: 15_000, taken_ms: &[9_000, 1, 1, 1, 1, 1], status: "503" })]
+#[case::usually_longer(
+    LateCall { after_ms: 2_900, timeout_ms: 15_000, taken_ms: &[4_700; 9], status: "503" })]
+#[case::late_and_usually_ends(
+    LateCall { after_ms: 3_000, timeout_ms: 15_000, taken_ms: &[10; 9], status: "503" })]
+#[actix_rt::test]
+async fn late_call_cut_at_end_of_grace(#[case] late: LateCall) {
+    let clock = ManualClock::new();
+    let entry = Entry::start(Plan {
+        timeout: Duration::from_millis(late.timeout_ms),
+        clock: Rc::new(clock.clone()),
+        ..Plan::new(CallKind::Once, 1, &[Action::Send(OK)])
+    })
+    .await;
+    let catalog = entry.state.catalog.borrow().clone();
+    let route = catalog.and_then(|c| c.route("h.example", PATH).cloned());
+    let route = route.expect("a route");
+    for ms in late.taken_ms {
+        let taken = Duration::from_millis(*ms);
+        entry.state.durations.borrow_mut().record(&route, taken);
+    }
+    entry.state.stop();
+    clock.advance(Duration::from_millis(late.after_ms));
+    let answer = entry.call(ID).await;
+    assert_eq!(status(&answer), late.status);
+    assert_eq!(
+        header(&answer, "retry-after").is_some(),
+        late.status == "503"
+    );
+    assert_eq!(
+        entry.servers.requests().len(),
+        usize::from(late.status == "200")
+    );
+}
+
 /// Guards against denying a call for a route or an API key that a newer catalog may have: an
 /// entry that has not heard from the store for too long refuses it for now.
 #[rstest]
--- a/crates/forward/tests/calls/grants.rs
+++ b/crates/forward/tests/calls/grants.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::clock::ManualClock;
 use forward::grants::SidecarClient;
 use policy::routes::CallKind;
 use tokio::io::AsyncWriteExt;
@@ -255,6 +256,29 @@
     assert!(!requests[0].contains(&format!("server: {}", admission.server)));
 }
 
+/// Guards against a call that waits for an engine being sent after the entry was told to stop,
+/// when its answer can't be passed on any more.
+#[actix_rt::test]
+async fn waiting_call_sent_late_in_grace() {
+    let clock = ManualClock::new();
+    let (sidecar, entry) = Sidecar::start_plan(Plan {
+        timeout: Duration::from_secs(15),
+        clock: Rc::new(clock.clone()),
+        ..Plan::new(CallKind::Once, 1, &[])
+    })
+    .await;
+    let entry = Rc::new(entry);
+    let caller = Rc::clone(&entry);
+    let call = actix_rt::spawn(async move { caller.call(PREFILL_CALL).await });
+    sidecar.respond(Verdict::Queued(4_000), 0).await;
+    entry.state.stop();
+    clock.advance(Duration::from_secs(3));
+    let answer = call.await.expect("an answer");
+    assert_eq!(status(&answer), "503");
+    assert!(header(&answer, "retry-after").is_some());
+    assert!(entry.servers.requests().is_empty());
+}
+
 /// How the table of servers loses an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Removal {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 //! - [`rendezvous`]: rendezvous hashing of servers.
 //!
 //! Decisions that one daemon makes for all:
+//! - [`durations`]: how long the calls of each route take.
 //! - [`duty`]: which daemon performs a duty.
 //! - [`usage`]: what each workspace has used, and when it is reported.
 //! - [`fleet_time`]: the time of day that the hosts agree on.
@@ -57,6 +58,7 @@
 pub mod balance;
 pub mod caches;
 pub mod discovery;
+pub mod durations;
 pub mod duty;
 pub mod engine_search;
 pub mod estimate;
