Send no calls to a draining server whose clock went back

Cause: records with an earlier start than the one in use are set aside for 5 s, since a single one may be a late record of an earlier incarnation, and with them the word that the server drains.

A second record with the same earlier start is written by the server itself. If the newest such record says that it drains, it counts as draining at once; a single one still doesn't.

server_with_earlier_start_called_while_draining: the case of a later record fails without the change (2,000 is called on), the others guard both sides.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -194,15 +194,32 @@
     missing: Option<(Instant, Instant)>,
     /// What it has reported in its answers.
     feedback: FeedbackState,
-    /// Its newest record, if that has an earlier start than the one in use, and when a
-    /// record with that start arrived first.
-    earlier: Option<(Instant, ServerRecord)>,
+    /// Its newest record, if that has an earlier start than the one in use.
+    earlier: Option<EarlierStart>,
+}
+
+/// A record with an earlier start than the one in use.
+#[derive(Debug)]
+struct EarlierStart {
+    record: ServerRecord,
+    /// When a record with that start arrived first.
+    since: Instant,
+    /// Whether it is not the first one: the server itself goes on writing it.
+    repeated: bool,
 }
 
 /// Sorts servers by when they started: by their own start time, then by the
 /// order in which their names were first seen.
 type StartRank = (Option<u64>, u64);
 
+impl EarlierStart {
+    /// Whether the server is draining. A single record may be a late one of an earlier
+    /// incarnation.
+    fn is_leaving(&self) -> bool {
+        self.repeated && self.record.leaving
+    }
+}
+
 impl Server {
     /// Its number in what entries exchange.
     fn number(&self) -> u16 {
@@ -214,9 +231,10 @@
     }
 
     /// Whether it is draining, by the list or by its own feedback, whichever
-    /// came first.
+    /// came first. A server whose clock went back says so in records that are not in use yet.
     fn draining(&self) -> bool {
-        self.record.leaving || self.feedback.leaving
+        let by_earlier = self.earlier.as_ref().is_some_and(EarlierStart::is_leaving);
+        self.record.leaving || self.feedback.leaving || by_earlier
     }
 
     /// Whether it is listed and takes new calls of `service`.
@@ -327,11 +345,18 @@
     ) -> RecordChange {
         match self.servers.get_mut(&record.id) {
             Some(server) if record.started_ms < server.record.started_ms => {
+                let was_draining = server.draining();
                 let known = server.earlier.take();
-                let known = known.filter(|(_, r)| r.started_ms == record.started_ms);
-                let since = known.map_or(now, |(since, _)| since);
-                server.earlier = Some((since, record));
-                RecordChange::Unchanged
+                let known = known.filter(|e| e.record.started_ms == record.started_ms);
+                server.earlier = Some(EarlierStart {
+                    record,
+                    since: known.as_ref().map_or(now, |e| e.since),
+                    repeated: known.is_some(),
+                });
+                match server.draining() && !was_draining {
+                    true => RecordChange::Updated,
+                    false => RecordChange::Unchanged,
+                }
             }
             Some(server) => {
                 server.earlier = None;
@@ -381,7 +406,7 @@
         let lasting = |at: Instant| now >= at + EARLIER_START_WAIT;
         let servers = self.servers.values_mut();
         let accepted = servers.filter_map(|server| {
-            let (_, record) = server.earlier.take_if(|(since, _)| lasting(*since))?;
+            let EarlierStart { record, .. } = server.earlier.take_if(|e| lasting(e.since))?;
             server.record.started_ms = None;
             Some(record)
         });
@@ -470,6 +495,12 @@
         server.is_some_and(|s| s.draining() && s.record.started_ms == record.started_ms)
     }
 
+    /// When the known incarnation of a server started, if its record says so.
+    #[must_use]
+    pub fn started_ms(&self, id: &str) -> Option<u64> {
+        self.servers.get(id)?.record.started_ms
+    }
+
     /// The address that a known server listens on.
     #[must_use]
     pub fn addr(&self, id: &str) -> Option<SocketAddr> {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -434,6 +434,33 @@
     assert!(balancer.accepts_calls("s0"));
 }
 
+/// Guards against calls to a server that drains while its records are not in use yet, since its
+/// clock went back before it restarted. A single record may be a late one of another
+/// incarnation.
+#[rstest]
+#[case::at_first(&[true], false)]
+#[case::later(&[false, true], true)]
+#[case::no_longer(&[false, true, false], false)]
+fn server_with_earlier_start_called_while_draining(
+    #[case] leaving: &[bool],
+    #[case] draining: bool,
+) {
+    let now = Instant::now();
+    let mut balancer = balancer(0);
+    let incarnation = |started_ms, leaving| ServerRecord {
+        started_ms: Some(started_ms),
+        leaving,
+        ..record("s0", "a")
+    };
+    balancer.upsert(now, incarnation(2_000, false));
+    let mut change = RecordChange::Unchanged;
+    for leaving in leaving {
+        change = balancer.upsert(now, incarnation(1_000, *leaving));
+    }
+    assert_eq!(balancer.may_send(now, "s0", None), !draining);
+    assert_eq!(change == RecordChange::Updated, draining);
+}
+
 /// Guards against a server that is never called again: its clock went back before it
 /// restarted under its name, or another writer left a record of a later start under its
 /// name. Its own records go on saying the earlier start.
