Compare the start of a server that proves an answer to be whole

Cause: the ID counted as the proof of the incarnation.

Where the server's record has a start, neither the body of its health answer nor the newest record may state another one. A server that states none is believed as before.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -463,15 +463,21 @@
     response: Response<Incoming>,
     conn: Connection,
 ) {
-    let read = Limited::new(response.into_body(), SHORT_BODY_BYTES).collect();
+    let read = read_short_body(response);
     let read = tokio::time::timeout(SHORT_BODY_TIMEOUT, read).await;
-    if matches!(read, Ok(Ok(_))) {
+    if matches!(read, Ok(Some(_))) {
         state
             .connection_pool
             .put(state.clock.now(), &server.id, conn);
     }
 }
 
+/// Reads the whole body of a response if it has at most [`SHORT_BODY_BYTES`].
+pub(crate) async fn read_short_body(response: Response<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(response.into_body(), SHORT_BODY_BYTES);
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
 /// Longest body that is read for this, in bytes.
 const SHORT_BODY_BYTES: usize = 16 << 10;
 
--- a/crates/forward/src/liveness.rs
+++ b/crates/forward/src/liveness.rs
@@ -3,7 +3,9 @@
 //! The end of an answer without a length or chunks is the end of its connection, and the
 //! kernel ends the connections of a killed process in the same way. Such an answer counts as
 //! whole only if its server states afterwards, on a new connection, that it is the same
-//! incarnation. An open port proves nothing: another incarnation may listen there by then.
+//! incarnation. An open port proves nothing: another incarnation may listen there by then. Nor
+//! does the ID alone, under which a server may start again: the start has to be the same where
+//! it is known.
 //! See docs/design/ends-of-answers.md.
 
 use std::io;
@@ -154,8 +156,15 @@
     let parsed = state.dialect.parse_response(status, response.headers());
     match parsed.server {
         Some(id) if *id == *server.id => {
+            let Some(body) = exchange::read_short_body(response).await else {
+                return Evidence::NoAnswer;
+            };
+            if has_restarted(state, server, state.dialect.parse_start(&body)) {
+                return Evidence::Other;
+            }
             if !parsed.close && !parsed.feedback.leaving {
-                exchange::keep_connection(state, server, response, conn).await;
+                let now = state.clock.now();
+                state.connection_pool.put(now, &server.id, conn);
             }
             Evidence::Same
         }
@@ -164,3 +173,15 @@
         None => Evidence::Unnamed,
     }
 }
+
+/// Whether another incarnation serves under the ID of `server`, by its own word or by the list.
+fn has_restarted(state: &State, server: &ServerRecord, stated: Option<u64>) -> bool {
+    let Some(expected) = server.started_ms else {
+        return false;
+    };
+    let listed = state.balancer.borrow().started_ms(&server.id);
+    [stated, listed]
+        .into_iter()
+        .flatten()
+        .any(|s| s != expected)
+}
--- a/crates/forward/src/platform.rs
+++ b/crates/forward/src/platform.rs
@@ -77,6 +77,10 @@
 
     /// Parses the headers of a backend server's response.
     fn parse_response(&self, status: u16, headers: &HeaderMap) -> ResponseHeaders;
+
+    /// When the incarnation of a server started that answered a health check with `body`, in
+    /// Unix milliseconds, if it says so.
+    fn parse_start(&self, body: &[u8]) -> Option<u64>;
 }
 
 /// The fields of a caller's headers.
--- a/crates/forward/tests/calls/common.rs
+++ b/crates/forward/tests/calls/common.rs
@@ -88,6 +88,10 @@
         out
     }
 
+    fn parse_start(&self, body: &[u8]) -> Option<u64> {
+        std::str::from_utf8(body).ok()?.parse().ok()
+    }
+
     fn parse_response(&self, _status: u16, headers: &HeaderMap) -> ResponseHeaders {
         ResponseHeaders {
             request_id: text(headers, ID),
@@ -160,6 +164,8 @@
     Same,
     /// It is the listed one, which leaves.
     Leaving,
+    /// It has the listed name and says that it started at this time.
+    Started(&'static str),
     /// It is another one.
     Other,
     /// It rejects the call as one meant for another server.
@@ -183,6 +189,12 @@
         match self {
             Self::Same => (answer("200 OK", id), true),
             Self::Leaving => (answer("503 Leaving", id), true),
+            Self::Started(start) => {
+                let length = start.len();
+                let length = format!("Content-Length: {length}\r\n\r\n{start}");
+                let empty = "Content-Length: 0\r\n\r\n";
+                (answer("200 OK", id).replace(empty, &length), true)
+            }
             Self::Other => (answer("200 OK", "another"), true),
             Self::Rejected => (WRONG_SERVER.to_owned(), true),
             Self::Unnamed => (OK.to_owned(), true),
--- a/crates/forward/tests/calls/ends.rs
+++ b/crates/forward/tests/calls/ends.rs
@@ -530,3 +530,50 @@
     let whole = status(&answer) == "200" && answer.ends_with("0\r\n\r\n");
     assert!(!whole, "{answer}");
 }
+
+/// Guards against passing on an answer as whole that was cut off when its server was killed,
+/// since the server has started again under its name: by its own word or by the list.
+#[rstest]
+#[case::same_start(Health::Started("1000"), Some(1_000), true)]
+#[case::start_not_stated(Health::Same, Some(1_000), true)]
+#[case::start_not_listed(Health::Started("1000"), None, true)]
+#[case::restarted(Health::Started("2000"), Some(1_000), false)]
+#[case::restarted_by_earlier_clock(Health::Started("500"), Some(1_000), false)]
+#[case::listed_as_restarted(Health::Same, Some(2_000), false)]
+#[actix_rt::test]
+async fn answer_cut_by_restart(
+    #[case] health: Health,
+    #[case] listed_start: Option<u64>,
+    #[case] whole: bool,
+    #[values(Kind::Plain, Kind::Stream)] kind: Kind,
+) {
+    let servers = Servers::default();
+    let record = |started_ms| ServerRecord {
+        started_ms,
+        ..listed("s1", "127.0.0.1:1".parse().expect("an address"))
+    };
+    let first = ServerRecord {
+        addr: servers.listen("127.0.0.1").await,
+        ..record(listed_start.and(Some(1_000)))
+    };
+    let plan = match kind {
+        Kind::Plain => Plan::new(CallKind::Once, 1, &[End::Closed.action()]),
+        _ => Plan::new(CallKind::Stream, 1, &[End::Closed.action()]),
+    };
+    servers.set_health(health);
+    let entry = Entry::start_with(plan, servers, vec![first.clone()]).await;
+    let call = entry.call(ID);
+    let list = async {
+        while entry.servers.requests().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        let listed_again = ServerRecord {
+            started_ms: listed_start,
+            ..first.clone()
+        };
+        let now = entry.state.clock.now();
+        entry.state.balancer.borrow_mut().upsert(now, listed_again);
+    };
+    let (answer, ()) = tokio::join!(call, list);
+    assert_eq!(kind.is_whole(&answer), whole, "{answer}");
+}
--- a/crates/forward/tests/tables/common.rs
+++ b/crates/forward/tests/tables/common.rs
@@ -20,6 +20,10 @@
         HeaderMap::new()
     }
 
+    fn parse_start(&self, _body: &[u8]) -> Option<u64> {
+        None
+    }
+
     fn parse_response(&self, _status: u16, _headers: &HeaderMap) -> ResponseHeaders {
         ResponseHeaders::default()
     }
