Ask engines to stop runs only where something carries the request out

With both settings for backups and moves off, a resumable stream whose connection broke at an engine that declares moves waited 200 ms for a stop that no task carried out, and the request stayed in a list for good. Found by reading; no run showed it, and both settings are on in the deploy file.

--- a/crates/forward/src/call/continuation.rs
+++ b/crates/forward/src/call/continuation.rs
@@ -300,8 +300,13 @@
         ended.unwrap_or_else(|_| Err("the deadline has passed".to_owned()))
     }
 
-    /// Whether the engines of the call's service stop runs when they are asked to.
+    /// Whether the engines of the call's service stop runs when they are asked to, and this
+    /// entry asks them.
     fn engine_moves(&self) -> bool {
+        let settings = &self.state.settings;
+        if !settings.moves && !settings.backups {
+            return false;
+        }
         let catalog = self.state.catalog.borrow().clone();
         let service = catalog.as_ref().and_then(|c| c.service(&self.service));
         service.and_then(|s| s.engine).is_some_and(|e| e.moves)
